Add the build, the base package and the sheet model

Change: CMake workspace, bwbase (status, clock, log, metrics, random, buffer, packet, codec, YAML, state charts), scripted test runner, sheet.h, design page in the terms of the field. Conclusion: the packages can start from these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Entry points of the workspace; the build itself is CMake.
+BUILD ?= build
+JOBS ?= 6
+
+.PHONY: all deps build test check-format lint format run bench clean
+
+all: build
+
+deps:
+	sh tools/install-deps.sh
+
+build:
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+format:
+	git ls-files '*.c' '*.h' | xargs -r clang-format -i
+
+check-format:
+	git ls-files '*.c' '*.h' | xargs -r clang-format --dry-run -Werror
+
+lint: build
+	sh tools/lint.sh $(BUILD)
+
+run: build
+	sh tools/run-local.sh $(BUILD)
+
+bench: build
+	sh tools/bench.sh $(BUILD)
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/include/bwbase/buffer.h
@@ -0,0 +1,46 @@
+/**
+ * @file
+ * Growable byte buffer.
+ */
+#ifndef BWBASE_BUFFER_H
+#define BWBASE_BUFFER_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "bwbase/status.h"
+
+/** A growable run of bytes. All zero is a valid empty buffer. */
+struct bw_buffer {
+	uint8_t *data; /**< NULL while capacity_bytes is 0 */
+	size_t size_bytes; /**< bytes in use */
+	size_t capacity_bytes; /**< bytes allocated */
+};
+
+/** Initialises an empty buffer. */
+void bw_buffer_init(struct bw_buffer *buffer);
+
+/** Frees the memory of the buffer and leaves it empty. */
+void bw_buffer_finish(struct bw_buffer *buffer);
+
+/** Empties the buffer and keeps its memory. */
+void bw_buffer_clear(struct bw_buffer *buffer);
+
+/**
+ * Appends bytes.
+ * @return BW_OK, or BW_ENOMEM with the buffer unchanged
+ */
+enum bw_status bw_buffer_append(struct bw_buffer *buffer, const void *data,
+				size_t size_bytes);
+
+/**
+ * Appends formatted text without its final zero.
+ * @return BW_OK, or BW_ENOMEM with the buffer unchanged
+ */
+enum bw_status bw_buffer_printf(struct bw_buffer *buffer, const char *format,
+				...) __attribute__((format(printf, 2, 3)));
+
+/** Removes the first size_bytes bytes; size_bytes is at most the size. */
+void bw_buffer_consume(struct bw_buffer *buffer, size_t size_bytes);
+
+#endif
--- /dev/null
+++ b/include/bwbase/packet.h
@@ -0,0 +1,83 @@
+/**
+ * @file
+ * Packets between hosts and the bounded list of packets to send.
+ */
+#ifndef BWBASE_PACKET_H
+#define BWBASE_PACKET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bwbase/buffer.h"
+#include "bwbase/status.h"
+
+/** Size of a name (host, service, region ...) with its final zero. */
+#define BW_NAME_MAX 32
+
+/** Largest body of a packet, in bytes. */
+#define BW_PACKET_MAX_BYTES (1024 * 1024)
+
+/** What a packet belongs to. The values are part of the wire format. */
+enum bw_channel {
+	BW_CHANNEL_REPLICA = 1,
+	BW_CHANNEL_MEMBER = 2,
+	BW_CHANNEL_DISTRIBUTE = 3,
+	BW_CHANNEL_SUMMARY = 4,
+	BW_CHANNEL_CREDIT = 5,
+	BW_CHANNEL_KEYS = 6,
+	BW_CHANNEL_POISON = 7,
+	BW_CHANNEL_OPERATOR = 8,
+	BW_CHANNEL_PLAN = 9,
+	BW_CHANNEL_COUNT
+};
+
+/** Stable names of enum bw_channel; entry 0 is "none". */
+extern const char *const bw_channel_string[BW_CHANNEL_COUNT];
+
+/** One message; peer is its sender on receipt and its destination to send. */
+struct bw_packet {
+	char peer[BW_NAME_MAX];
+	uint64_t incarnation; /**< sender's incarnation; 0 in an outbox */
+	uint8_t channel; /**< an enum bw_channel */
+	uint8_t *data;
+	uint32_t size_bytes;
+};
+
+/** Bounded first-in first-out list of packets; owns their data. */
+struct bw_outbox {
+	struct bw_packet *packets;
+	uint32_t count;
+	uint32_t capacity; /**< allocated entries */
+	uint32_t limit; /**< most entries held */
+	uint64_t
+		dropped_count; /**< packets refused because the list was full */
+};
+
+/**
+ * Initialises an empty outbox.
+ * @param limit most packets held at once, greater than zero
+ */
+void bw_outbox_init(struct bw_outbox *out, uint32_t limit);
+
+/** Frees all packets and the list. */
+void bw_outbox_finish(struct bw_outbox *out);
+
+/** Frees all packets and keeps the list's memory. */
+void bw_outbox_clear(struct bw_outbox *out);
+
+/**
+ * Appends a copy of data as a packet.
+ * @return BW_OK; BW_EFULL when the list is full or the body is larger than
+ *	BW_PACKET_MAX_BYTES (the packet is counted as dropped); BW_ENOMEM
+ */
+enum bw_status bw_outbox_add(struct bw_outbox *out, const char *peer,
+			     enum bw_channel channel, const void *data,
+			     size_t size_bytes);
+
+/**
+ * Copies a name into a fixed array of BW_NAME_MAX bytes.
+ * @return whether it fits; otherwise name is set to the empty string
+ */
+bool bw_name_set(char name[BW_NAME_MAX], const char *text);
+
+#endif
--- /dev/null
+++ b/include/bwbase/yaml.h
@@ -0,0 +1,73 @@
+/**
+ * @file
+ * Loading of YAML by schema, with the line of every error.
+ */
+#ifndef BWBASE_YAML_H
+#define BWBASE_YAML_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cyaml/cyaml.h>
+#include <yaml.h>
+
+#include "bwbase/buffer.h"
+#include "bwbase/status.h"
+
+/** Size of an error text with its final zero. */
+#define BW_YAML_ERROR_BYTES 256
+
+/** One error in a YAML text. */
+struct bw_yaml_error {
+	uint32_t line; /**< from 1; 0 when no line applies */
+	char text[BW_YAML_ERROR_BYTES];
+};
+
+/**
+ * Reads a whole file.
+ * @param limit_bytes largest size accepted
+ * @return BW_OK; BW_ENOTFOUND, BW_EFULL or BW_EIO with error filled
+ */
+enum bw_status bw_file_read(const char *path, size_t limit_bytes,
+			    struct bw_buffer *out, struct bw_yaml_error *error);
+
+/**
+ * Parses text and checks it against a libcyaml schema.
+ * @param schema top-level schema value of kind pointer to mapping
+ * @param data receives the loaded structure; free it with bw_yaml_free
+ * @return BW_OK, or BW_EINVAL with error filled
+ */
+enum bw_status bw_yaml_load(const void *text, size_t size_bytes,
+			    const cyaml_schema_value_t *schema, void **data,
+			    struct bw_yaml_error *error);
+
+/** Frees what bw_yaml_load returned; data may be NULL. */
+void bw_yaml_free(const cyaml_schema_value_t *schema, void *data);
+
+/** Index of the lines of a parsed YAML text. */
+struct bw_yaml_lines {
+	yaml_document_t document;
+	int loaded;
+};
+
+/**
+ * Parses text for line look-ups.
+ * @return BW_OK, or BW_EINVAL when the text is not YAML; finish is needed in
+ *	both cases
+ */
+enum bw_status bw_yaml_lines_init(struct bw_yaml_lines *lines, const void *text,
+				  size_t size_bytes);
+
+/** Frees the index. */
+void bw_yaml_lines_finish(struct bw_yaml_lines *lines);
+
+/**
+ * Finds the line of a value.
+ * @param format printf format of a path such as "services[2].kinds[0].rank"
+ * @return line from 1; the line of the deepest existing ancestor when the
+ *	path does not exist; 0 when nothing is loaded
+ */
+uint32_t bw_yaml_line(struct bw_yaml_lines *lines, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+#endif
--- /dev/null
+++ b/src/share/script.h
@@ -0,0 +1,33 @@
+/**
+ * @file
+ * Scripted test runs: commands and their expected output in one file.
+ *
+ * A line that starts with "> " is a command; the lines up to the next command
+ * are the expected output. Lines that start with "#" and empty lines are
+ * ignored.
+ */
+#ifndef SHARE_SCRIPT_H
+#define SHARE_SCRIPT_H
+
+#include "bwbase/buffer.h"
+
+/** Most words of one command. */
+#define SCRIPT_ARGS_MAX 32
+
+/**
+ * Carries out one command.
+ * @param context the value given to script_check
+ * @param argc number of words, at least 1
+ * @param argv the words
+ * @param out receives the output, each line ended by a newline
+ */
+typedef void script_command_fn(void *context, int argc, char **argv,
+			       struct bw_buffer *out);
+
+/**
+ * Runs a script and fails the current cmocka test at the first command whose
+ * output differs from the expected one.
+ */
+void script_check(const char *path, script_command_fn *command, void *context);
+
+#endif
