--- a/src/libbwbase/yaml.c
+++ b/src/libbwbase/yaml.c
@@ -2,16 +2,21 @@
 
 #include <errno.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define PATH_BYTES 256
 #define READ_BYTES 65536
+#define UNEXPECTED_KEY "Unexpected key: "
 
 static void collect_message_(cyaml_log_t level, void *context,
 			     const char *format, va_list args);
 static cyaml_config_t config_(struct bw_yaml_error *error);
+static void locate_unexpected_key_(const char *text, size_t size_bytes,
+				   struct bw_yaml_error *error);
+static bool is_key_(const char *line, size_t length, const char *key);
 static yaml_node_t *child_by_key_(yaml_document_t *document, yaml_node_t *node,
 				  const char *key, size_t key_bytes);
 static yaml_node_t *child_by_index_(yaml_document_t *document,
@@ -73,6 +78,7 @@
 	if (!error->text[0])
 		snprintf(error->text, sizeof(error->text), "%s",
 			 cyaml_strerror(result));
+	locate_unexpected_key_(text, size_bytes, error);
 	return BW_EINVAL;
 }
 
@@ -163,6 +169,48 @@
 		memmove(error->text, text + 6, length - 5);
 }
 
+/*
+ * The library reports the line of the mapping that holds an unexpected key.
+ * Moves the line to the key itself.
+ */
+static void locate_unexpected_key_(const char *text, size_t size_bytes,
+				   struct bw_yaml_error *error)
+{
+	static const char prefix[] = UNEXPECTED_KEY;
+	const char *key = error->text + sizeof(prefix) - 1;
+	const char *end = text + size_bytes;
+	const char *line_end;
+	uint32_t line = 1;
+
+	if (strncmp(error->text, prefix, sizeof(prefix) - 1))
+		return;
+	for (; text < end; text = line_end + 1, line++) {
+		line_end = memchr(text, '\n', (size_t)(end - text));
+		if (!line_end)
+			line_end = end;
+		if (line >= error->line &&
+		    is_key_(text, (size_t)(line_end - text), key)) {
+			error->line = line;
+			return;
+		}
+	}
+}
+
+static bool is_key_(const char *line, size_t length, const char *key)
+{
+	size_t key_length = strlen(key);
+	const char *at = line;
+	const char *end = line + length;
+
+	while ((at = memmem(at, (size_t)(end - at), key, key_length))) {
+		if ((at == line || strchr(" {,-\t", at[-1])) &&
+		    at + key_length < end && at[key_length] == ':')
+			return true;
+		at++;
+	}
+	return false;
+}
+
 static cyaml_config_t config_(struct bw_yaml_error *error)
 {
 	cyaml_config_t config = {
