Add the public headers of the membership package

Cause: the daemon's integration needs the interfaces of membership, aggregation and distribution before their implementation stands. Measured: nothing yet; the headers have no implementation. Conclusion: integration can start against these signatures.

--- /dev/null
+++ b/include/bwmember/aggregator.h
@@ -0,0 +1,203 @@
+/**
+ * @file
+ * Election of the aggregator of a failure domain and the table of domain
+ * summaries.
+ *
+ * The aggregator sends its summary to a control host each second. Control
+ * hosts exchange rows, send them to the aggregators they serve, and these
+ * send them to the hosts of their domain: changed rows, bounded by a token
+ * bucket for each receiver. Short refresh entries keep the age of unchanged
+ * rows and reveal lost rows, which the receiver then requests.
+ */
+#ifndef BWMEMBER_AGGREGATOR_H
+#define BWMEMBER_AGGREGATOR_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "bwbase/clock.h"
+#include "bwbase/packet.h"
+#include "bwbase/random.h"
+#include "bwbase/status.h"
+#include "bwmember/member.h"
+
+/** Most entry hosts, and control hosts, in a summary. */
+#define BW_SUMMARY_HOSTS_MAX 4
+
+/** Most bytes of a load report in a summary. */
+#define BW_SUMMARY_LOAD_MAX_BYTES 4096
+
+/** Most domains in the table. */
+#define BW_SUMMARY_ROWS_MAX 512
+
+/** Most control hosts known. */
+#define BW_AGGREGATOR_CONTROLS_MAX 32
+
+/** An entry host in a summary. */
+struct bw_summary_host {
+	char name[BW_NAME_MAX];
+	char address[BW_MEMBER_ADDRESS_MAX]; /**< entry address */
+	uint16_t port;
+	bool leaving;
+};
+
+/** A control host and how to reach it. */
+struct bw_summary_control {
+	char name[BW_NAME_MAX];
+	char address[BW_MEMBER_ADDRESS_MAX]; /**< transport address */
+};
+
+/** Summary of one failure domain. */
+struct bw_summary {
+	char domain[BW_NAME_MAX];
+	char region[BW_NAME_MAX];
+	char aggregator[BW_NAME_MAX];
+	uint64_t epoch; /**< wall ms when its aggregator took office */
+	uint64_t sequence; /**< reports in this epoch; newest is greatest */
+	uint64_t content_sequence; /**< report with the last change */
+	struct bw_summary_host hosts[BW_SUMMARY_HOSTS_MAX];
+	uint32_t host_count; /**< entries in hosts */
+	struct bw_summary_control controls[BW_SUMMARY_HOSTS_MAX];
+	uint32_t control_count;
+	uint64_t revision_min; /**< lowest sheet in force in the domain */
+	uint64_t revision_max; /**< highest */
+	uint32_t living_count; /**< hosts alive, suspect or leaving */
+	uint8_t *load; /**< opaque bytes of the caller; NULL when empty */
+	uint32_t load_bytes;
+	struct bw_time reported; /**< local time of the report (from its age) */
+};
+
+/** Settings; a zero selects the default. */
+struct bw_aggregator_config {
+	const struct bw_member *member; /**< must outlive the aggregator */
+	uint64_t random_seed; /**< 0 selects system entropy */
+	int64_t wall_ms; /**< wall clock at init */
+	uint32_t hysteresis_ms; /**< default 2,000 */
+	uint32_t report_interval_ms; /**< default 1,000 */
+	uint32_t refresh_interval_ms; /**< unchanged rows; default 5,000 */
+	uint32_t row_expiry_ms; /**< default 60,000 */
+	uint32_t host_bytes_per_s; /**< to each host; default 5,000 */
+	uint32_t relay_bytes_per_s; /**< to each control or aggregator;
+				       default 50,000 */
+};
+
+/** Counters. */
+struct bw_aggregator_stats {
+	uint64_t malformed_count;
+	uint64_t stale_count; /**< rows not newer than the known one */
+	uint64_t rows_sent_count;
+	uint64_t rows_requested_count;
+	uint64_t rows_dropped_count; /**< refused, table full */
+	uint64_t takeover_count;
+};
+
+struct bw_aggregator_peer; /* private */
+
+/** Election and table as seen by one host. */
+struct bw_aggregator {
+	struct bw_aggregator_config config;
+	struct bw_random random;
+	struct bw_time started;
+	char current[BW_NAME_MAX]; /**< aggregator of the own domain, or "" */
+	uint64_t epoch; /**< while this host is the aggregator */
+	uint64_t sequence;
+	uint64_t content_hash; /**< of the last own report */
+	uint64_t content_sequence;
+	struct bw_summary *rows; /**< sorted by domain */
+	uint32_t row_count;
+	struct bw_aggregator_peer *peers;
+	uint32_t peer_count;
+	struct bw_summary_control controls[BW_AGGREGATOR_CONTROLS_MAX];
+	struct bw_time control_acked[BW_AGGREGATOR_CONTROLS_MAX];
+	uint32_t control_count;
+	uint8_t *load;
+	uint32_t load_bytes;
+	struct bw_time next_report;
+	struct bw_time office_at; /**< when this host took office */
+	struct bw_aggregator_stats stats;
+};
+
+/**
+ * Initialises with an empty table. Control hosts are taken from the seeds
+ * and records of the member module and from summaries.
+ * @return BW_OK, BW_EINVAL or BW_ENOMEM
+ */
+enum bw_status bw_aggregator_init(struct bw_aggregator *aggregator,
+				  const struct bw_aggregator_config *config,
+				  struct bw_time now);
+
+/** Frees the memory. */
+void bw_aggregator_finish(struct bw_aggregator *aggregator);
+
+/**
+ * Handles a packet of channel BW_CHANNEL_SUMMARY.
+ * @return BW_OK; BW_EINVAL or BW_EVERSION (counted); BW_ENOMEM
+ */
+enum bw_status bw_aggregator_receive(struct bw_aggregator *aggregator,
+				     const struct bw_packet *packet,
+				     struct bw_time now, struct bw_outbox *out);
+
+/** Runs the election and sends; to be called every 50 ms. */
+enum bw_status bw_aggregator_tick(struct bw_aggregator *aggregator,
+				  struct bw_time now, struct bw_outbox *out);
+
+/**
+ * Sets the load report that goes into the domain's summary while this host
+ * is the aggregator.
+ * @return BW_OK, BW_EFULL above BW_SUMMARY_LOAD_MAX_BYTES, BW_ENOMEM
+ */
+enum bw_status bw_aggregator_set_load(struct bw_aggregator *aggregator,
+				      const void *load, size_t load_bytes);
+
+/** Returns the name of the domain's aggregator; "" while there is none. */
+const char *bw_aggregator_current(const struct bw_aggregator *aggregator);
+
+/** Returns whether this host is the aggregator. */
+bool bw_aggregator_is_self(const struct bw_aggregator *aggregator);
+
+/** Returns the number of rows. */
+uint32_t bw_aggregator_count(const struct bw_aggregator *aggregator);
+
+/** Returns row index (below the count), in byte order of the domains. */
+const struct bw_summary *
+bw_aggregator_at(const struct bw_aggregator *aggregator, uint32_t index);
+
+/** Returns the row of a domain or NULL. */
+const struct bw_summary *
+bw_aggregator_find(const struct bw_aggregator *aggregator, const char *domain);
+
+/** Returns the age of a row in milliseconds. */
+int64_t bw_summary_age_ms(const struct bw_summary *summary, struct bw_time now);
+
+/** Returns the number of control hosts known. */
+uint32_t bw_aggregator_control_count(const struct bw_aggregator *aggregator);
+
+/** Returns control host index (below the count). */
+const struct bw_summary_control *
+bw_aggregator_control_at(const struct bw_aggregator *aggregator,
+			 uint32_t index);
+
+/** Returns whether name is a known control host. */
+bool bw_aggregator_is_control(const struct bw_aggregator *aggregator,
+			      const char *name);
+
+/** Ranks the known control hosts for the own domain; rank from 0. */
+const char *bw_aggregator_ranked_control(const struct bw_aggregator *aggregator,
+					 uint32_t rank);
+
+/**
+ * At a control host: iterates over the aggregators served (those that
+ * reported here in the last 5 s).
+ * @param cursor 0 to start; updated
+ * @return name, or NULL at the end
+ */
+const char *bw_aggregator_next_served(const struct bw_aggregator *aggregator,
+				      struct bw_time now, uint32_t *cursor);
+
+/** Writes the state dump into the object into. */
+enum bw_status bw_aggregator_dump(const struct bw_aggregator *aggregator,
+				  json_t *into);
+
+#endif
--- /dev/null
+++ b/include/bwmember/distribute.h
@@ -0,0 +1,184 @@
+/**
+ * @file
+ * Distribution of numbered documents from control hosts over aggregators to
+ * all hosts, with deltas.
+ *
+ * A change is pushed as a delta to receivers whose number is known. Digests
+ * (numbers and hashes, once a second with jitter) repair losses: a host that
+ * is behind requests the document from the sender of the digest. A number
+ * never goes down. The age of the last confirmation by the control majority
+ * travels in the digests.
+ */
+#ifndef BWMEMBER_DISTRIBUTE_H
+#define BWMEMBER_DISTRIBUTE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "bwbase/buffer.h"
+#include "bwbase/clock.h"
+#include "bwbase/packet.h"
+#include "bwbase/random.h"
+#include "bwbase/status.h"
+#include "bwmember/aggregator.h"
+#include "bwmember/member.h"
+
+/** Largest document, in bytes. */
+#define BW_DOCUMENT_MAX_BYTES (8 * 1024 * 1024)
+
+/** Size of a document hash (BLAKE2b-128). */
+#define BW_DOCUMENT_HASH_BYTES 16
+
+/** Most bytes of content in one packet. */
+#define BW_DOCUMENT_CHUNK_MAX_BYTES (64 * 1024)
+
+/** Age of the control majority's confirmation above which state is stale. */
+#define BW_DISTRIBUTE_STALE_MS 5000
+
+/** Documents; the values are part of the wire format. */
+enum bw_document {
+	BW_DOCUMENT_SHEET, /**< number: revision */
+	BW_DOCUMENT_PLAN, /**< number: index in the replicated log */
+	BW_DOCUMENT_COUNT
+};
+
+/** Names of enum bw_document. */
+extern const char *const bw_document_string[BW_DOCUMENT_COUNT];
+
+/** Settings; a zero selects the default. */
+struct bw_distribute_config {
+	const struct bw_member *member; /**< must outlive the module */
+	const struct bw_aggregator *aggregator; /**< likewise */
+	uint64_t random_seed; /**< 0 selects system entropy */
+	uint32_t digest_interval_ms; /**< default 1,000, jitter a quarter */
+	uint32_t recovery_ms; /**< wait for a second source after start;
+				 default 2,000 */
+	uint32_t request_timeout_ms; /**< default 1,000 */
+	uint32_t bytes_per_s; /**< content sent; default 262,144 */
+};
+
+/** Kinds of event. */
+enum bw_distribute_event_kind {
+	BW_DISTRIBUTE_EVENT_DOCUMENT, /**< put in force */
+	BW_DISTRIBUTE_EVENT_CONFLICT /**< same number, other hash seen */
+};
+
+/** One event. */
+struct bw_distribute_event {
+	enum bw_distribute_event_kind kind;
+	enum bw_document document;
+	uint64_t number;
+	const uint8_t *bytes; /**< DOCUMENT: content, valid until the next
+				 call other than next_event */
+	uint32_t size_bytes;
+	uint8_t hash[BW_DOCUMENT_HASH_BYTES]; /**< in force, or conflicting */
+	char peer[BW_NAME_MAX]; /**< source; self for a publication */
+};
+
+/** Counters. */
+struct bw_distribute_stats {
+	uint64_t malformed_count;
+	uint64_t lower_refused_count; /**< older numbers refused */
+	uint64_t hash_mismatch_count; /**< assembled content discarded */
+	uint64_t conflict_count;
+	uint64_t delta_sent_count;
+	uint64_t delta_applied_count;
+	uint64_t full_applied_count;
+	uint64_t request_sent_count;
+	uint64_t request_timeout_count;
+};
+
+struct bw_distribute_document; /* private */
+struct bw_distribute_peer; /* private */
+struct bw_distribute_request; /* private */
+
+/** Distribution as seen by one host. */
+struct bw_distribute {
+	struct bw_distribute_config config;
+	struct bw_random random;
+	struct bw_time started;
+	struct bw_time next_digest;
+	struct bw_distribute_document *documents; /**< BW_DOCUMENT_COUNT */
+	struct bw_distribute_peer *peers;
+	uint32_t peer_count;
+	struct bw_distribute_request *requests; /**< waiting for tokens */
+	uint32_t request_count;
+	bool has_confirmation;
+	struct bw_time
+		confirmed; /**< when control confirmed the numbers held */
+	int64_t tokens; /**< bytes that may be sent; may be negative */
+	struct bw_time refilled;
+	struct bw_distribute_stats stats;
+};
+
+/** Initialises without any document. @return BW_OK, BW_EINVAL, BW_ENOMEM */
+enum bw_status bw_distribute_init(struct bw_distribute *distribute,
+				  const struct bw_distribute_config *config,
+				  struct bw_time now);
+
+/** Frees the memory. */
+void bw_distribute_finish(struct bw_distribute *distribute);
+
+/**
+ * Handles a packet of channel BW_CHANNEL_DISTRIBUTE.
+ * @return BW_OK; BW_EINVAL or BW_EVERSION (counted); BW_ENOMEM
+ */
+enum bw_status bw_distribute_receive(struct bw_distribute *distribute,
+				     const struct bw_packet *packet,
+				     struct bw_time now, struct bw_outbox *out);
+
+/** Runs timers and sends; to be called every 50 ms. */
+enum bw_status bw_distribute_tick(struct bw_distribute *distribute,
+				  struct bw_time now, struct bw_outbox *out);
+
+/**
+ * Puts a committed document in force at a control host. It is sent at the
+ * next tick.
+ * @param number greater than zero
+ * @return BW_OK (also when it is in force already); BW_ESTALE for a lower
+ *	number; BW_ECONFLICT for the same number with other content (an event
+ *	is queued); BW_EFULL above BW_DOCUMENT_MAX_BYTES; BW_EINVAL; BW_ENOMEM
+ */
+enum bw_status bw_distribute_publish(struct bw_distribute *distribute,
+				     enum bw_document document, uint64_t number,
+				     const void *bytes, size_t size_bytes,
+				     struct bw_time now);
+
+/**
+ * States at a control host that a majority of control confirms, at now, that
+ * the documents published here are the newest. The leader calls it at each
+ * tick while it holds a valid lease; other hosts learn of it by digests.
+ */
+void bw_distribute_confirm(struct bw_distribute *distribute,
+			   struct bw_time now);
+
+/**
+ * Returns whether no confirmation by the control majority that covers the
+ * numbers in force here is newer than BW_DISTRIBUTE_STALE_MS.
+ */
+bool bw_distribute_is_stale(const struct bw_distribute *distribute,
+			    struct bw_time now);
+
+/** Returns the number in force, 0 while there is none. */
+uint64_t bw_distribute_number(const struct bw_distribute *distribute,
+			      enum bw_document document);
+
+/**
+ * Returns the content in force, NULL while there is none.
+ * @param size_bytes receives the size
+ */
+const uint8_t *bw_distribute_content(const struct bw_distribute *distribute,
+				     enum bw_document document,
+				     uint32_t *size_bytes);
+
+/** Takes the next event. @return whether there was one */
+bool bw_distribute_next_event(struct bw_distribute *distribute,
+			      struct bw_distribute_event *event);
+
+/** Writes the state dump into the object into. */
+enum bw_status bw_distribute_dump(const struct bw_distribute *distribute,
+				  json_t *into);
+
+#endif
