Add the public headers of bwproxy

Cause: the exchange of one request is written against frontend and upstream while these are built. Measured: nothing runs yet; headers only.

--- /dev/null
+++ b/include/bwproxy/frontend.h
@@ -0,0 +1,205 @@
+/**
+ * @file
+ * HTTP/1.1 server side of the proxy: libmicrohttpd driven by a libev loop.
+ *
+ * All functions run on the thread of the loop. Events are delivered through
+ * one callback, and every function of this module may be called from it.
+ *
+ * Events of one request, in order: HEAD; any number of BODY; BODY_END; any
+ * number of ROOM; at most one GONE; exactly one DONE. GONE may occur at any
+ * point after HEAD. A response may be given from HEAD on; body data that has
+ * not been received then is discarded without BODY or BODY_END events.
+ */
+#ifndef BWPROXY_FRONTEND_H
+#define BWPROXY_FRONTEND_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <ev.h>
+
+#include "bwbase/status.h"
+#include "bwproxy/http.h"
+
+/** Most listeners of one frontend. */
+#define BW_FRONTEND_LISTENERS_MAX 8
+
+/** Size of a peer address text with its final zero. */
+#define BW_FRONTEND_PEER_BYTES 46
+
+struct bw_frontend;
+struct bw_request;
+
+/** What happened to a request. */
+enum bw_frontend_event_kind {
+	BW_FRONTEND_HEAD, /**< head complete; the accessors may be used */
+	BW_FRONTEND_BODY, /**< data and size_bytes hold body bytes */
+	BW_FRONTEND_BODY_END, /**< the body is complete */
+	BW_FRONTEND_ROOM, /**< append may be called again */
+	BW_FRONTEND_GONE, /**< the caller left before the response was sent */
+	BW_FRONTEND_DONE, /**< last event; the request is freed after it */
+	BW_FRONTEND_EVENT_COUNT
+};
+
+/** Stable names of enum bw_frontend_event_kind. */
+extern const char *const bw_frontend_event_string[BW_FRONTEND_EVENT_COUNT];
+
+/** One event. */
+struct bw_frontend_event {
+	enum bw_frontend_event_kind kind;
+	struct bw_request *request;
+	const uint8_t *data; /**< BODY: bytes, valid during the callback */
+	size_t size_bytes; /**< BODY: number of bytes, greater than zero */
+	bool sent; /**< DONE: whole response passed to the kernel */
+};
+
+/** Receiver of events. */
+struct bw_frontend_user {
+	void *context;
+	void (*event)(void *context, const struct bw_frontend_event *event);
+	/** Called once after bw_frontend_stop when no request is left. */
+	void (*idle)(void *context);
+};
+
+/** Settings of one listener. Texts need to be valid during init only. */
+struct bw_frontend_listener {
+	const char *address; /**< IPv4 address in dotted form */
+	uint16_t port; /**< 0: chosen by the kernel */
+	uint32_t connection_limit; /**< greater than zero */
+	uint32_t connection_limit_per_ip; /**< 0: no limit */
+	uint32_t idle_timeout_s; /**< connection without traffic; 0: none */
+	uint32_t receive_timeout_ms; /**< whole body of a request; 0: none */
+	uint32_t header_limit_bytes; /**< request line and fields, >= 1024 */
+	uint64_t body_limit_bytes; /**< larger bodies get 413 */
+	const char *certificate_pem; /**< NULL: no TLS */
+	const char *key_pem; /**< private key of certificate_pem */
+};
+
+/** Settings of a frontend. */
+struct bw_frontend_config {
+	const struct bw_frontend_listener *listeners;
+	uint32_t listener_count; /**< 1 to BW_FRONTEND_LISTENERS_MAX */
+	uint32_t ring_bytes; /**< unsent bytes of one streamed response */
+	struct bw_frontend_user user;
+};
+
+/** Counts since init. */
+struct bw_frontend_counters {
+	uint64_t requests; /**< heads delivered */
+	uint64_t refused; /**< requests answered here with 4xx or 505 */
+	uint64_t gone; /**< callers that left early */
+	uint64_t ring_peak_bytes; /**< most bytes ever held by one ring */
+	uint32_t active; /**< requests between HEAD and DONE */
+};
+
+/**
+ * Binds all listeners and attaches them to loop.
+ * @param frontend receives the new object
+ * @return BW_OK; BW_EINVAL for bad settings; BW_EIO when a listener cannot be
+ *	bound or its certificate is not usable; BW_ENOMEM
+ */
+enum bw_status bw_frontend_new(struct bw_frontend **frontend,
+			       struct ev_loop *loop,
+			       const struct bw_frontend_config *config);
+
+/**
+ * Closes everything at once. Requests that are left get GONE and DONE. Must
+ * not be called from an event. NULL is ignored.
+ */
+void bw_frontend_free(struct bw_frontend *frontend);
+
+/** Returns the port a listener is bound to. */
+uint16_t bw_frontend_port(const struct bw_frontend *frontend, uint32_t index);
+
+/**
+ * Starts a graceful stop: closes the listening sockets, lets running requests
+ * finish, adds "Connection: close" to every response, then reports idle.
+ * A request that arrives on a connection that is still open is served.
+ */
+void bw_frontend_stop(struct bw_frontend *frontend);
+
+/** Returns the counters. */
+const struct bw_frontend_counters *
+bw_frontend_counters(const struct bw_frontend *frontend);
+
+/** Returns the listener's index that the request arrived on. */
+uint32_t bw_request_listener(const struct bw_request *request);
+/** Returns the method as sent by the caller. */
+const char *bw_request_method(const struct bw_request *request);
+/** Returns the path as sent, not percent-decoded, without the query. */
+const char *bw_request_path(const struct bw_request *request);
+/** Returns the text after the first "?", or NULL when there is none. */
+const char *bw_request_query(const struct bw_request *request);
+/** Returns the peer's IP address as text. */
+const char *bw_request_peer(const struct bw_request *request);
+/** Returns the Content-Length; 0 without body; or BW_HTTP_LENGTH_UNKNOWN. */
+int64_t bw_request_content_length(const struct bw_request *request);
+/** Returns the first value of a field (any case of name), or NULL. */
+const char *bw_request_header(const struct bw_request *request,
+			      const char *name);
+/** Returns all fields in order; valid until DONE. */
+const struct bw_http_header *
+bw_request_headers(const struct bw_request *request, size_t *count);
+/** Stores a pointer for the user of the module. */
+void bw_request_set_user(struct bw_request *request, void *user);
+/** Returns the pointer stored by bw_request_set_user, at first NULL. */
+void *bw_request_user(const struct bw_request *request);
+
+/**
+ * Stops the delivery of BODY and BODY_END until resume. The bytes given by
+ * the current BODY event are consumed. Memory is bounded by the connection's
+ * buffer; the caller is slowed down by TCP.
+ */
+void bw_request_pause(struct bw_request *request);
+/** Resumes the delivery of the body. */
+void bw_request_resume(struct bw_request *request);
+
+/**
+ * Responds with a complete body, which is copied. Fields for which
+ * bw_http_hop_by_hop is true are left out.
+ * @param status_code 200 to 599
+ * @return BW_OK; BW_EINVAL for a bad status code or a field with CR, LF or
+ *	another control character; BW_ECONFLICT when a response was started;
+ *	BW_EUNAVAILABLE after GONE or abort; BW_ENOMEM
+ */
+enum bw_status bw_request_respond(struct bw_request *request,
+				  uint32_t status_code,
+				  const struct bw_http_header *headers,
+				  size_t header_count, const void *body,
+				  size_t body_bytes);
+
+/**
+ * Starts a streamed response.
+ * @param content_length_bytes exact size, or BW_HTTP_LENGTH_UNKNOWN (chunked)
+ * @return as bw_request_respond
+ */
+enum bw_status bw_request_start(struct bw_request *request,
+				uint32_t status_code,
+				const struct bw_http_header *headers,
+				size_t header_count,
+				int64_t content_length_bytes);
+
+/**
+ * Appends body bytes of a streamed response.
+ * @return bytes taken; when fewer than size_bytes, ROOM follows once half of
+ *	the ring is free. 0 after GONE, end or abort. Bytes beyond the stated
+ *	content length abort the response.
+ */
+size_t bw_request_append(struct bw_request *request, const void *data,
+			 size_t size_bytes);
+
+/**
+ * Ends a streamed response. Fewer bytes than the stated content length turn
+ * this into an abort.
+ */
+void bw_request_end(struct bw_request *request);
+
+/**
+ * Breaks the transfer: the connection is closed without a response, or in the
+ * middle of it, so that the caller cannot take it for complete. A response
+ * that was passed on whole is not affected.
+ */
+void bw_request_abort(struct bw_request *request);
+
+#endif
