Add the public headers of bwagree

Cause: the daemon is integrated in parallel and needs the interface first. Measured: headers only; nothing runs yet. Conclusion: the integrator can build against these declarations.

--- /dev/null
+++ b/include/bwagree/replica.h
@@ -0,0 +1,209 @@
+/**
+ * @file
+ * One replica of the replicated log: election, replication, leader lease,
+ * membership change, snapshot transfer.
+ *
+ * Calls on the leader for a low acceptance time: bw_replica_propose (any
+ * number), bw_replica_flush, send the outbox, bw_replica_sync. The followers
+ * then sync at the same time as the leader. bw_replica_tick does all of it.
+ */
+#ifndef BWAGREE_REPLICA_H
+#define BWAGREE_REPLICA_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "bwagree/snapshot.h"
+#include "bwagree/state.h"
+#include "bwagree/storage.h"
+#include "bwagree/wal.h"
+#include "bwbase/chart.h"
+#include "bwbase/clock.h"
+#include "bwbase/packet.h"
+#include "bwbase/random.h"
+
+/** Default path of the state chart. */
+#define BW_REPLICA_CHART "charts/replica.yaml"
+
+/** Roles; the states of charts/replica.yaml. */
+enum bw_replica_role {
+	BW_REPLICA_UNINITIALISED, /**< empty disk; neither votes nor counts */
+	BW_REPLICA_FOLLOWER,
+	BW_REPLICA_PRE_CANDIDATE,
+	BW_REPLICA_CANDIDATE,
+	BW_REPLICA_LEADER,
+	BW_REPLICA_FAILED, /**< the storage failed; silent until restart */
+	BW_REPLICA_ROLE_COUNT
+};
+
+/** Stable names of enum bw_replica_role. */
+extern const char *const bw_replica_role_string[BW_REPLICA_ROLE_COUNT];
+
+/** Settings; zero values of times and sizes select the defaults. */
+struct bw_replica_config {
+	char host[BW_NAME_MAX];
+	const char (*initial_hosts)[BW_NAME_MAX]; /**< copied */
+	uint32_t initial_count; /**< 1 to BW_GROUP_MAX */
+	const struct bw_chart *chart; /**< loaded; must outlive the replica */
+	struct bw_storage *storage; /**< must outlive the replica */
+	uint64_t seed; /**< of timeouts, disk incarnation and group id */
+	uint32_t heartbeat_ms; /**< default 100 */
+	uint32_t election_min_ms; /**< default 500 */
+	uint32_t election_max_ms; /**< default 1000 */
+	uint32_t lease_ms; /**< default 400; below election_min_ms */
+	uint32_t compact_bytes; /**< least log size to compact; 4 MiB */
+	uint32_t segment_bytes; /**< default BW_WAL_SEGMENT_BYTES */
+	uint32_t submissions_max; /**< see bw_state_init */
+	uint32_t bindings_max; /**< see bw_state_init */
+};
+
+/** Kinds of event. */
+enum bw_replica_event_kind {
+	BW_REPLICA_APPLIED, /**< a command was committed and applied */
+	BW_REPLICA_LEADER_CHANGED,
+	BW_REPLICA_SNAPSHOT_INSTALLED, /**< state was replaced; re-read all */
+	BW_REPLICA_STORAGE_FAILED,
+	BW_REPLICA_MEMBER_CHANGED, /**< a group change was committed */
+	BW_REPLICA_EVENT_KIND_COUNT
+};
+
+/** Stable names of enum bw_replica_event_kind. */
+extern const char
+	*const bw_replica_event_kind_string[BW_REPLICA_EVENT_KIND_COUNT];
+
+/** Something that the caller has to know. */
+struct bw_replica_event {
+	enum bw_replica_event_kind kind;
+	uint64_t index; /**< APPLIED, SNAPSHOT_INSTALLED, MEMBER_CHANGED */
+	uint64_t term; /**< APPLIED: of the entry; LEADER_CHANGED: current */
+	enum bw_command_kind command; /**< APPLIED */
+	struct bw_outcome outcome; /**< APPLIED */
+	char leader[BW_NAME_MAX]; /**< LEADER_CHANGED; empty when unknown */
+	enum bw_status status; /**< STORAGE_FAILED */
+};
+
+/** A member as the leader sees it. */
+struct bw_replica_member {
+	struct bw_group_member member;
+	uint64_t match_index; /**< acknowledged; 0 unless this is the leader */
+	bool caught_up; /**< holds everything committed and is in contact */
+};
+
+struct bw_replica;
+
+/**
+ * Loads and checks the state chart of the roles.
+ * @return see bw_chart_load
+ */
+enum bw_status bw_replica_chart_load(struct bw_chart *chart, const char *path,
+				     struct bw_yaml_error *error);
+
+/**
+ * Opens the storage and creates a replica. A replica starts silent for one
+ * minimal election timeout, because a lease that it acknowledged before a
+ * restart may still be valid.
+ * @param replica receives the replica; NULL on failure
+ * @param error receives the cause of BW_ECORRUPT; BW_WAL_ERROR_BYTES long
+ * @return BW_OK, BW_EINVAL, BW_ECORRUPT, BW_EIO, BW_EFULL or BW_ENOMEM
+ */
+enum bw_status bw_replica_new(struct bw_replica **replica,
+			      const struct bw_replica_config *config,
+			      struct bw_time now, char *error);
+
+/** Frees the replica; NULL is allowed. The storage stays. */
+void bw_replica_free(struct bw_replica *replica);
+
+/**
+ * Handles a packet of BW_CHANNEL_REPLICA. Malformed packets and packets of
+ * another group or disk incarnation are counted and dropped.
+ * @return BW_OK; BW_EINVAL or BW_EVERSION for a malformed packet; BW_EIO when
+ *	the replica has failed
+ */
+enum bw_status bw_replica_receive(struct bw_replica *replica,
+				  const struct bw_packet *packet,
+				  struct bw_time now, struct bw_outbox *out);
+
+/** Advances timers; called every 50 ms. @return BW_OK or BW_EIO */
+enum bw_status bw_replica_tick(struct bw_replica *replica, struct bw_time now,
+			       struct bw_outbox *out);
+
+/**
+ * Adds a command to the leader's log; it is not yet sent.
+ * @param index receives the log index; the command took effect when APPLIED
+ *	reports this index with the term bw_replica_term at the call
+ * @return BW_OK; BW_EUNAVAILABLE when this is not the leader; BW_EFULL when
+ *	too much is not yet committed; BW_EINVAL; BW_EIO
+ */
+enum bw_status bw_replica_propose(struct bw_replica *replica,
+				  const uint8_t *data, size_t size_bytes,
+				  struct bw_time now, uint64_t *index);
+
+/** Sends proposals that were not yet sent. @return BW_OK or BW_EIO */
+enum bw_status bw_replica_flush(struct bw_replica *replica, struct bw_time now,
+				struct bw_outbox *out);
+
+/** Syncs proposals and commits what a majority holds. */
+enum bw_status bw_replica_sync(struct bw_replica *replica, struct bw_time now,
+			       struct bw_outbox *out);
+
+/** Fetches the oldest event. @return whether there was one */
+bool bw_replica_next_event(struct bw_replica *replica,
+			   struct bw_replica_event *event);
+
+/**
+ * Adds a host as learner.
+ * @param voter promote it once it has caught up
+ * @return BW_OK when proposed; BW_EUNAVAILABLE when not the leader;
+ *	BW_EAGAIN while another change is in progress or the host has not yet
+ *	announced its disk incarnation; BW_EEXIST; BW_EFULL
+ */
+enum bw_status bw_replica_add(struct bw_replica *replica, const char *host,
+			      bool voter, struct bw_time now);
+
+/**
+ * Removes a host.
+ * @return BW_OK when proposed; BW_EUNAVAILABLE, BW_EAGAIN; BW_ENOTFOUND;
+ *	BW_EINVAL for the last voter
+ */
+enum bw_status bw_replica_remove(struct bw_replica *replica, const char *host,
+				 struct bw_time now);
+
+/** Returns the role. */
+enum bw_replica_role bw_replica_role(const struct bw_replica *replica);
+
+/** Returns the leader's host name, or "" when unknown. */
+const char *bw_replica_leader(const struct bw_replica *replica);
+
+/** Returns the current term. */
+uint64_t bw_replica_term(const struct bw_replica *replica);
+
+/**
+ * Returns whether this replica is the leader, has applied everything that was
+ * committed before its term, and no other leader can exist at now.
+ */
+bool bw_replica_has_lease(const struct bw_replica *replica, struct bw_time now);
+
+/** Returns the index up to which entries are known to be committed. */
+uint64_t bw_replica_commit_index(const struct bw_replica *replica);
+
+/** Returns this disk's incarnation. */
+uint64_t bw_replica_disk_incarnation(const struct bw_replica *replica);
+
+/** Returns the applied state; valid until the next call that changes it. */
+const struct bw_state *bw_replica_state(const struct bw_replica *replica);
+
+/**
+ * Lists the members of the newest configuration in the log.
+ * @param members room for BW_GROUP_MAX
+ * @return their count
+ */
+uint32_t bw_replica_members(const struct bw_replica *replica,
+			    struct bw_time now,
+			    struct bw_replica_member *members);
+
+/** Adds role, term, indices, sizes, members and counters to a state dump. */
+enum bw_status bw_replica_dump(const struct bw_replica *replica, json_t *into);
+
+#endif
--- /dev/null
+++ b/include/bwagree/snapshot.h
@@ -0,0 +1,46 @@
+/**
+ * @file
+ * Snapshot file: the whole state with a checksum.
+ *
+ * Layout, little endian: u32 magic, u32 crc32 (of all later bytes), u64 index,
+ * u64 term, payload.
+ */
+#ifndef BWAGREE_SNAPSHOT_H
+#define BWAGREE_SNAPSHOT_H
+
+#include <stdint.h>
+
+#include "bwagree/storage.h"
+
+/** Name of the snapshot file. */
+#define BW_SNAPSHOT_FILE "snapshot"
+
+/** Size of the head of the file. */
+#define BW_SNAPSHOT_HEAD_BYTES 24
+
+/** A snapshot in memory. */
+struct bw_snapshot {
+	uint64_t index; /**< last entry that the payload includes; 0 none */
+	uint64_t term; /**< its term */
+	struct bw_buffer payload;
+};
+
+/** Initialises an empty snapshot. */
+void bw_snapshot_init(struct bw_snapshot *snapshot);
+
+/** Frees the payload. */
+void bw_snapshot_finish(struct bw_snapshot *snapshot);
+
+/** Replaces the snapshot file atomically and durably. */
+enum bw_status bw_snapshot_save(struct bw_storage *storage,
+				const struct bw_snapshot *snapshot);
+
+/**
+ * Reads the snapshot file into an initialised snapshot.
+ * @return BW_OK (index 0 when there is no file), BW_ECORRUPT, BW_EIO,
+ *	BW_ENOMEM
+ */
+enum bw_status bw_snapshot_load(struct bw_storage *storage,
+				struct bw_snapshot *snapshot);
+
+#endif
--- /dev/null
+++ b/include/bwagree/wal.h
@@ -0,0 +1,103 @@
+/**
+ * @file
+ * Write-ahead log in segment files.
+ *
+ * Segment `wal-<first index, 16 hex digits>.log`; record, little endian:
+ * u32 payload length, u32 crc32 (of all other fields), u64 term, u64 index,
+ * payload.
+ */
+#ifndef BWAGREE_WAL_H
+#define BWAGREE_WAL_H
+
+#include <stdint.h>
+
+#include "bwagree/storage.h"
+
+/** Size of the head of a record. */
+#define BW_WAL_HEAD_BYTES 24
+
+/** Largest payload of a record. */
+#define BW_WAL_PAYLOAD_MAX_BYTES (768 * 1024)
+
+/** Default size at which a new segment is started. */
+#define BW_WAL_SEGMENT_BYTES (1024 * 1024)
+
+/** Size of an error text with its final zero. */
+#define BW_WAL_ERROR_BYTES 192
+
+/** One log entry in memory. */
+struct bw_wal_entry {
+	uint64_t term;
+	uint8_t *data;
+	uint32_t size_bytes;
+};
+
+/** One segment file. */
+struct bw_wal_segment {
+	uint64_t first_index;
+	uint64_t size_bytes;
+};
+
+/** The log; it keeps the entries of its segments in memory. */
+struct bw_wal {
+	struct bw_storage *storage;
+	uint32_t segment_bytes;
+	struct bw_wal_entry *entries;
+	uint64_t first_index; /**< index of entries[0] */
+	uint64_t count;
+	uint64_t capacity;
+	uint64_t synced_index; /**< entries up to it are durable */
+	struct bw_wal_segment *segments;
+	uint32_t segment_count;
+	uint32_t segment_capacity;
+	uint64_t bytes; /**< bytes in all segments */
+	struct bw_buffer batch; /**< appended, not yet written */
+	uint64_t truncated_bytes; /**< torn bytes removed by open */
+	char error[BW_WAL_ERROR_BYTES]; /**< cause of a failed open */
+};
+
+/**
+ * Opens the log behind a snapshot. Segments before it are not read. A torn
+ * last record is truncated; a log that does not fit the snapshot (left by an
+ * interrupted installation) is discarded.
+ * @param snapshot_index index of the snapshot's last entry, or 0
+ * @param snapshot_term its term, or 0
+ * @param segment_bytes size at which a new segment is started
+ * @return BW_OK; BW_ECORRUPT with wal->error filled when a record before the
+ *	last one is damaged or missing; BW_EIO, BW_ENOMEM
+ */
+enum bw_status bw_wal_open(struct bw_wal *wal, struct bw_storage *storage,
+			   uint64_t snapshot_index, uint64_t snapshot_term,
+			   uint32_t segment_bytes);
+
+/** Frees the memory; data that was not synced may be lost. */
+void bw_wal_finish(struct bw_wal *wal);
+
+/** Returns the index of the last entry; first_index - 1 when empty. */
+uint64_t bw_wal_last_index(const struct bw_wal *wal);
+
+/** Returns the entry, or NULL when the log does not hold the index. */
+const struct bw_wal_entry *bw_wal_entry(const struct bw_wal *wal,
+					uint64_t index);
+
+/** Appends a copy of an entry in memory. @return BW_OK, BW_EINVAL, BW_ENOMEM */
+enum bw_status bw_wal_append(struct bw_wal *wal, uint64_t term,
+			     const void *data, size_t size_bytes);
+
+/**
+ * Writes and syncs all appended entries with one sync.
+ * @return BW_OK or an error, after which the log must not be used to
+ *	acknowledge anything
+ */
+enum bw_status bw_wal_sync(struct bw_wal *wal);
+
+/** Removes the entries from index on, durably. */
+enum bw_status bw_wal_truncate(struct bw_wal *wal, uint64_t index);
+
+/** Removes segments whose entries are all before index. */
+enum bw_status bw_wal_compact(struct bw_wal *wal, uint64_t index);
+
+/** Removes all entries; the next one gets the index next_index. */
+enum bw_status bw_wal_reset(struct bw_wal *wal, uint64_t next_index);
+
+#endif
