--- /dev/null
+++ b/src/libbwagree/command.c
@@ -0,0 +1,273 @@
+#include "private/command.h"
+
+#include <string.h>
+
+static void write_head_(struct bw_writer *writer, struct bw_buffer *out,
+			enum bw_command_kind kind, uint32_t fields);
+static void fail_(struct bw_reader *reader);
+
+const char *const bw_command_kind_string[BW_COMMAND_KIND_COUNT] = {
+	[BW_COMMAND_NONE] = "none",
+	[BW_COMMAND_SUBMIT] = "submit",
+	[BW_COMMAND_SET_PLAN] = "set_plan",
+	[BW_COMMAND_BIND_KEY] = "bind_key",
+	[BW_COMMAND_GROUP] = "group",
+};
+
+const char *const bw_member_kind_string[BW_MEMBER_KIND_COUNT] = {
+	[BW_MEMBER_VOTER] = "voter",
+	[BW_MEMBER_LEARNER] = "learner",
+	[BW_MEMBER_PENDING] = "pending",
+};
+
+enum bw_command_kind bw_command_kind(const uint8_t *data, size_t size_bytes)
+{
+	/* array head, version and kind take one byte each */
+	if (size_bytes < 3 || (data[0] & 0xf0) != 0x90 ||
+	    data[1] != COMMAND_VERSION || data[2] >= BW_COMMAND_KIND_COUNT)
+		return BW_COMMAND_KIND_COUNT;
+	return (enum bw_command_kind)data[2];
+}
+
+enum bw_status bw_command_none(struct bw_buffer *out)
+{
+	struct bw_writer writer;
+
+	write_head_(&writer, out, BW_COMMAND_NONE, 0);
+	return writer.status;
+}
+
+enum bw_status bw_command_submit(struct bw_buffer *out,
+				 const struct bw_submit *submit)
+{
+	struct bw_writer writer;
+
+	if (!submit->id[0] || !submit->revision ||
+	    submit->text_size_bytes > BW_SHEET_TEXT_MAX_BYTES)
+		return BW_EINVAL;
+	write_head_(&writer, out, BW_COMMAND_SUBMIT, 5);
+	bw_write_str(&writer, submit->id);
+	bw_write_uint(&writer, submit->revision);
+	bw_write_bin(&writer, submit->hash, BW_HASH_BYTES);
+	bw_write_bin(&writer, submit->text, submit->text_size_bytes);
+	bw_write_int(&writer, submit->accept_wall_ms);
+	return writer.status;
+}
+
+enum bw_status bw_command_set_plan(struct bw_buffer *out, const void *plan,
+				   size_t size_bytes)
+{
+	struct bw_writer writer;
+
+	if (size_bytes > BW_PLAN_MAX_BYTES)
+		return BW_EINVAL;
+	write_head_(&writer, out, BW_COMMAND_SET_PLAN, 1);
+	bw_write_bin(&writer, plan, size_bytes);
+	return writer.status;
+}
+
+enum bw_status bw_command_bind_key(struct bw_buffer *out,
+				   const struct bw_bind_key *bind)
+{
+	struct bw_writer writer;
+
+	if (!bind->owner[0] || !bind->owner_incarnation)
+		return BW_EINVAL;
+	write_head_(&writer, out, BW_COMMAND_BIND_KEY, 5);
+	bw_write_bin(&writer, bind->key, BW_HASH_BYTES);
+	bw_write_str(&writer, bind->owner);
+	bw_write_uint(&writer, bind->owner_incarnation);
+	bw_write_int(&writer, bind->expiry_wall_ms);
+	bw_write_int(&writer, bind->now_wall_ms);
+	return writer.status;
+}
+
+enum bw_status bw_command_group(struct bw_buffer *out,
+				const struct bw_group *group)
+{
+	struct bw_writer writer;
+
+	write_head_(&writer, out, BW_COMMAND_GROUP, 1);
+	command_write_group(&writer, group);
+	return writer.status;
+}
+
+enum bw_status bw_command_read_group(const uint8_t *data, size_t size_bytes,
+				     struct bw_group *group)
+{
+	struct bw_reader reader;
+	enum bw_status status = bw_reader_init(&reader, data, size_bytes);
+
+	memset(group, 0, sizeof(*group));
+	if (status == BW_OK && command_read_head(&reader) == BW_COMMAND_GROUP)
+		command_read_group_value(&reader, group);
+	else
+		reader.failed = true;
+	status = bw_reader_status(&reader);
+	bw_reader_finish(&reader);
+	return status;
+}
+
+struct bw_group_member *bw_group_find(struct bw_group *group, const char *host)
+{
+	uint32_t i;
+
+	for (i = 0; i < group->count; i++) {
+		if (!strcmp(group->members[i].host, host))
+			return &group->members[i];
+	}
+	return NULL;
+}
+
+enum bw_status bw_group_add(struct bw_group *group,
+			    const struct bw_group_member *member)
+{
+	uint32_t at = 0;
+
+	if (bw_group_find(group, member->host))
+		return BW_EEXIST;
+	if (group->count == BW_GROUP_MAX)
+		return BW_EFULL;
+	while (at < group->count &&
+	       strcmp(group->members[at].host, member->host) < 0)
+		at++;
+	memmove(&group->members[at + 1], &group->members[at],
+		(group->count - at) * sizeof(*member));
+	group->members[at] = *member;
+	group->count++;
+	return BW_OK;
+}
+
+enum bw_status bw_group_remove(struct bw_group *group, const char *host)
+{
+	struct bw_group_member *member = bw_group_find(group, host);
+	uint32_t at;
+
+	if (!member)
+		return BW_ENOTFOUND;
+	at = (uint32_t)(member - group->members);
+	group->count--;
+	memmove(member, member + 1, (group->count - at) * sizeof(*member));
+	return BW_OK;
+}
+
+enum bw_command_kind command_read_head(struct bw_reader *reader)
+{
+	uint64_t version;
+	uint64_t kind;
+
+	bw_read_array(reader);
+	version = bw_read_uint(reader);
+	kind = bw_read_uint(reader);
+	if (reader->failed || version != COMMAND_VERSION ||
+	    kind >= BW_COMMAND_KIND_COUNT)
+		return BW_COMMAND_KIND_COUNT;
+	return (enum bw_command_kind)kind;
+}
+
+bool command_read_submit(struct bw_reader *reader, struct bw_submit *submit)
+{
+	memset(submit, 0, sizeof(*submit));
+	command_read_id(reader, submit->id);
+	submit->revision = bw_read_uint(reader);
+	command_read_fixed(reader, submit->hash, BW_HASH_BYTES);
+	submit->text = bw_read_bin(reader, &submit->text_size_bytes);
+	submit->accept_wall_ms = bw_read_int(reader);
+	return !reader->failed && submit->id[0] && submit->revision &&
+	       submit->text_size_bytes <= BW_SHEET_TEXT_MAX_BYTES;
+}
+
+bool command_read_bind_key(struct bw_reader *reader, struct bw_bind_key *bind)
+{
+	memset(bind, 0, sizeof(*bind));
+	command_read_fixed(reader, bind->key, BW_HASH_BYTES);
+	bw_read_name(reader, bind->owner);
+	bind->owner_incarnation = bw_read_uint(reader);
+	bind->expiry_wall_ms = bw_read_int(reader);
+	bind->now_wall_ms = bw_read_int(reader);
+	return !reader->failed && bind->owner[0] && bind->owner_incarnation;
+}
+
+void command_write_group(struct bw_writer *writer, const struct bw_group *group)
+{
+	uint32_t i;
+
+	bw_write_array(writer, 2);
+	bw_write_uint(writer, group->id);
+	bw_write_array(writer, group->count);
+	for (i = 0; i < group->count; i++) {
+		const struct bw_group_member *member = &group->members[i];
+
+		bw_write_array(writer, 4);
+		bw_write_str(writer, member->host);
+		bw_write_uint(writer, member->disk_incarnation);
+		bw_write_uint(writer, member->kind);
+		bw_write_bool(writer, member->promote);
+	}
+}
+
+void command_read_group_value(struct bw_reader *reader, struct bw_group *group)
+{
+	struct bw_group_member member;
+	uint64_t kind;
+	uint32_t count;
+
+	memset(group, 0, sizeof(*group));
+	bw_read_array(reader);
+	group->id = bw_read_uint(reader);
+	count = bw_read_array(reader);
+	while (count-- && !reader->failed) {
+		memset(&member, 0, sizeof(member));
+		bw_read_array(reader);
+		bw_read_name(reader, member.host);
+		member.disk_incarnation = bw_read_uint(reader);
+		kind = bw_read_uint(reader);
+		member.promote = bw_read_bool(reader);
+		bw_read_end(reader);
+		member.kind = (enum bw_member_kind)kind;
+		if (kind >= BW_MEMBER_KIND_COUNT || !member.host[0] ||
+		    bw_group_add(group, &member) != BW_OK)
+			fail_(reader);
+	}
+	bw_read_end(reader);
+	bw_read_end(reader);
+}
+
+void command_read_fixed(struct bw_reader *reader, void *into, size_t size_bytes)
+{
+	size_t got = 0;
+	const uint8_t *bytes = bw_read_bin(reader, &got);
+
+	if (!bytes || got != size_bytes) {
+		fail_(reader);
+		return;
+	}
+	memcpy(into, bytes, size_bytes);
+}
+
+void command_read_id(struct bw_reader *reader, char id[BW_SUBMISSION_ID_MAX])
+{
+	size_t got = 0;
+	const uint8_t *bytes = bw_read_bin(reader, &got);
+
+	memset(id, 0, BW_SUBMISSION_ID_MAX);
+	if (!bytes || got >= BW_SUBMISSION_ID_MAX || memchr(bytes, 0, got)) {
+		fail_(reader);
+		return;
+	}
+	memcpy(id, bytes, got);
+}
+
+static void write_head_(struct bw_writer *writer, struct bw_buffer *out,
+			enum bw_command_kind kind, uint32_t fields)
+{
+	bw_writer_init(writer, out);
+	bw_write_array(writer, 2 + fields);
+	bw_write_uint(writer, COMMAND_VERSION);
+	bw_write_uint(writer, kind);
+}
+
+static void fail_(struct bw_reader *reader)
+{
+	reader->failed = true;
+}
--- /dev/null
+++ b/src/libbwagree/snapshot.c
@@ -0,0 +1,74 @@
+#include "bwagree/snapshot.h"
+
+#include <string.h>
+
+#include <zlib.h>
+
+#include "private/bytes.h"
+
+#define MAGIC 0x31735742u /* "BWs1" */
+#define CRC_FROM 8 /* the checksum covers everything after itself */
+
+void bw_snapshot_init(struct bw_snapshot *snapshot)
+{
+	memset(snapshot, 0, sizeof(*snapshot));
+}
+
+void bw_snapshot_finish(struct bw_snapshot *snapshot)
+{
+	bw_buffer_finish(&snapshot->payload);
+	snapshot->index = 0;
+	snapshot->term = 0;
+}
+
+enum bw_status bw_snapshot_save(struct bw_storage *storage,
+				const struct bw_snapshot *snapshot)
+{
+	uint8_t head[BW_SNAPSHOT_HEAD_BYTES] = { 0 };
+	struct bw_buffer file;
+	enum bw_status status;
+
+	bw_buffer_init(&file);
+	bytes_put32(head, MAGIC);
+	bytes_put64(head + 8, snapshot->index);
+	bytes_put64(head + 16, snapshot->term);
+	status = bw_buffer_append(&file, head, sizeof(head));
+	if (status == BW_OK)
+		status = bw_buffer_append(&file, snapshot->payload.data,
+					  snapshot->payload.size_bytes);
+	if (status == BW_OK) {
+		bytes_put32(file.data + 4,
+			    (uint32_t)crc32_z(0, file.data + CRC_FROM,
+					      file.size_bytes - CRC_FROM));
+		status = bw_storage_replace(storage, BW_SNAPSHOT_FILE,
+					    file.data, file.size_bytes);
+	}
+	bw_buffer_finish(&file);
+	return status;
+}
+
+enum bw_status bw_snapshot_load(struct bw_storage *storage,
+				struct bw_snapshot *snapshot)
+{
+	struct bw_buffer *file = &snapshot->payload;
+	enum bw_status status;
+
+	bw_buffer_clear(file);
+	snapshot->index = 0;
+	snapshot->term = 0;
+	status = bw_storage_read(storage, BW_SNAPSHOT_FILE, file);
+	if (status == BW_ENOTFOUND)
+		return BW_OK;
+	if (status != BW_OK)
+		return status;
+	if (file->size_bytes < BW_SNAPSHOT_HEAD_BYTES ||
+	    bytes_get32(file->data) != MAGIC ||
+	    bytes_get32(file->data + 4) !=
+		    (uint32_t)crc32_z(0, file->data + CRC_FROM,
+				      file->size_bytes - CRC_FROM))
+		return BW_ECORRUPT;
+	snapshot->index = bytes_get64(file->data + 8);
+	snapshot->term = bytes_get64(file->data + 16);
+	bw_buffer_consume(file, BW_SNAPSHOT_HEAD_BYTES);
+	return BW_OK;
+}
