Add frontend and upstream of bwproxy

Cause: the exchange needs both ends of a request on one libev loop. Change: libmicrohttpd driven by ev_io and ev_timer with suspend and resume, an own epoll set that reports closed callers, libcurl multi socket interface with a pre-request callback that refuses a second attempt.

--- /dev/null
+++ b/src/libbwproxy/include/private/upstream_private.h
@@ -0,0 +1,80 @@
+/**
+ * @file
+ * Shared by the two halves of the upstream: loop integration (upstream.c) and
+ * calls (call.c).
+ */
+#ifndef PRIVATE_UPSTREAM_PRIVATE_H
+#define PRIVATE_UPSTREAM_PRIVATE_H
+
+#include <curl/curl.h>
+
+#include "bwbase/buffer.h"
+#include "bwbase/clock.h"
+#include "bwproxy/upstream.h"
+#include "private/ring.h"
+
+/** The module. */
+struct bw_upstream {
+	struct ev_loop *loop;
+	struct bw_upstream_config config;
+	CURLM *multi;
+	ev_timer timer; /**< timeout of libcurl */
+	ev_prepare deferred; /**< never started, only fed */
+	struct bw_call *calls; /**< all, doubly linked */
+	struct bw_call *work; /**< calls to look at in the deferred pass */
+	struct bw_upstream_counters counters;
+};
+
+/** One call. */
+struct bw_call {
+	struct bw_upstream *upstream;
+	struct bw_upstream_user user;
+	struct bw_call *next;
+	struct bw_call *previous;
+	struct bw_call *work_next;
+	bool working; /**< in the work list */
+	CURL *easy;
+	struct curl_slist *fields;
+	struct curl_slist *connect_to; /**< set for TLS only */
+	struct bw_time deadline;
+	enum bw_upstream_body body_kind;
+	struct bw_buffer body; /**< COMPLETE */
+	size_t body_at; /**< bytes of body handed to libcurl */
+	struct bw_ring ring; /**< STREAMED */
+	int64_t body_length; /**< STREAMED */
+	int64_t appended_bytes;
+	bool ended; /**< STREAMED: no more bytes follow */
+	bool want_room;
+	bool added; /**< known to the multi handle */
+	bool cancelled;
+	bool opened_socket; /**< the first attempt opened a connection */
+	bool sent; /**< request bytes may have left */
+	bool resend_refused;
+	bool paused; /**< wish of the user */
+	bool receive_stopped; /**< libcurl does not read */
+	bool send_stopped; /**< libcurl does not ask for body bytes */
+	bool is_head; /**< method HEAD */
+	bool head_done;
+	bool bad_response;
+	bool bad_request_body; /**< length differs from the stated one */
+	struct bw_buffer head; /**< fields, each text ended by zero */
+	size_t head_bytes; /**< bytes of all response fields received */
+	struct bw_http_header *headers; /**< texts point into head */
+	size_t header_count;
+	uint32_t status_code; /**< 0 before the first status line */
+	bool no_body; /**< response cannot have a body */
+	int64_t content_length;
+	int64_t received_bytes;
+};
+
+/** Sets the options and callbacks of call->easy. @return BW_OK or an error */
+enum bw_status call_setup_(struct bw_call *call,
+			   const struct bw_upstream_request *request);
+/** Finds the cause of a failed transfer. */
+enum bw_upstream_cause call_cause_(const struct bw_call *call, CURLcode code);
+/** Delivers an event; the caller has filled kind and its fields. */
+void call_emit_(struct bw_call *call, struct bw_upstream_event *event);
+/** Has the deferred pass look at the call. */
+void call_work_(struct bw_call *call);
+
+#endif
--- /dev/null
+++ b/src/libbwproxy/request.c
@@ -0,0 +1,758 @@
+#include "bwproxy/frontend.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include "private/frontend_private.h"
+
+/* A caller that sends its body before it reads must see the response, so the
+ * rest of the body of an answered request is read up to this size. */
+#define DRAIN_LIMIT_BYTES (1024 * 1024)
+#define RESPONSE_BLOCK_BYTES 16384
+#define MS_PER_S 1000.
+
+#define HTTP_VERSION_SERVED "HTTP/1.1"
+
+static enum MHD_Result on_head_(struct bw_request *request, const char *method,
+				const char *version);
+static enum MHD_Result on_body_(struct bw_request *request, const char *data,
+				size_t *size_bytes);
+static enum MHD_Result on_end_(struct bw_request *request);
+static uint32_t check_head_(struct bw_request *request, const char *version,
+			    bool *collected);
+static enum MHD_Result collect_(void *context, enum MHD_ValueKind kind,
+				const char *name, const char *value);
+static bool field_is_(const struct bw_http_header *header, const char *name);
+static size_t count_(const struct bw_request *request, const char *name);
+static void read_peer_(struct bw_request *request);
+static struct connection *connection_(const struct bw_request *request);
+static void announce_(struct bw_request *request);
+static bool must_answer_early_(const struct bw_request *request);
+static void refuse_(struct bw_request *request, uint32_t status_code);
+static enum MHD_Result queue_(struct bw_request *request);
+static void suspend_(struct bw_request *request);
+static void emit_(struct bw_request *request, enum bw_frontend_event_kind kind,
+		  const void *data, size_t size_bytes, bool sent);
+static enum bw_status check_response_(const struct bw_request *request,
+				      uint32_t status_code,
+				      const struct bw_http_header *headers,
+				      size_t count);
+static enum bw_status add_fields_(struct bw_request *request,
+				  struct MHD_Response *response,
+				  const struct bw_http_header *headers,
+				  size_t count);
+static ssize_t read_(void *context, uint64_t position, char *data, size_t max);
+static void on_receive_timeout_(struct ev_loop *loop, ev_timer *watcher,
+				int events);
+static void start_receive_timer_(struct bw_request *request);
+static void free_(struct bw_request *request);
+
+void *request_new_(void *context, const char *uri,
+		   struct MHD_Connection *connection)
+{
+	struct listener *listener = context;
+	struct bw_frontend *frontend = listener->frontend;
+	struct bw_request *request = calloc(1, sizeof(*request));
+	const union MHD_ConnectionInfo *info;
+
+	if (!request)
+		return NULL;
+	request->target = strdup(uri);
+	if (!request->target) {
+		free(request);
+		return NULL;
+	}
+	request->frontend = frontend;
+	request->listener = listener;
+	request->connection = connection;
+	info = MHD_get_connection_info(connection,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	request->fd = info->connect_fd;
+	ev_timer_init(&request->receive_timer, on_receive_timeout_, 0., 0.);
+	request->receive_timer.data = request;
+	request->next = frontend->requests;
+	if (request->next)
+		request->next->previous = request;
+	frontend->requests = request;
+	return request;
+}
+
+enum MHD_Result request_access_(void *context,
+				struct MHD_Connection *connection,
+				const char *url, const char *method,
+				const char *version, const char *upload_data,
+				size_t *upload_size_bytes, void **slot)
+{
+	struct bw_request *request = *slot;
+
+	(void)context;
+	(void)connection;
+	(void)url;
+	if (!request || request->broken || request->frontend->closing)
+		return MHD_NO;
+	if (!request->head_seen)
+		return on_head_(request, method, version);
+	if (*upload_size_bytes)
+		return on_body_(request, upload_data, upload_size_bytes);
+	return on_end_(request);
+}
+
+void request_completed_(void *context, struct MHD_Connection *connection,
+			void **slot, enum MHD_RequestTerminationCode code)
+{
+	struct bw_request *request = *slot;
+	struct bw_frontend *frontend;
+	struct connection *state;
+	struct bw_clock clock;
+	bool sent;
+
+	(void)context;
+	(void)connection;
+	if (!request)
+		return;
+	*slot = NULL;
+	frontend = request->frontend;
+	state = connection_(request);
+	if (state) {
+		bw_clock_init_monotonic(&clock);
+		state->awaiting_head = true;
+		state->since = bw_clock_now(&clock);
+	}
+	ev_timer_stop(frontend->loop, &request->receive_timer);
+	sent = code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+	       request->queued && !request->dead;
+	if (request->announced) {
+		epoll_ctl(frontend->leave_fd, EPOLL_CTL_DEL, request->fd, NULL);
+		if (!sent && !request->dead) {
+			request->dead = true;
+			request->gone_reported = true;
+			frontend->counters.gone++;
+			emit_(request, BW_FRONTEND_GONE, NULL, 0, false);
+		}
+		frontend->counters.active--;
+		emit_(request, BW_FRONTEND_DONE, NULL, 0, sent);
+	}
+	free_(request);
+	if (frontend->stopping)
+		ev_feed_event(frontend->loop, &frontend->deferred, EV_CUSTOM);
+}
+
+void request_leave_(struct bw_request *request)
+{
+	if (request->gone_reported)
+		return;
+	request->gone_reported = true;
+	request->broken = true;
+	if (!request->dead) {
+		request->dead = true;
+		request->frontend->counters.gone++;
+		emit_(request, BW_FRONTEND_GONE, NULL, 0, false);
+	}
+	request_wake_(request);
+}
+
+void request_wake_(struct bw_request *request)
+{
+	struct bw_frontend *frontend = request->frontend;
+
+	if (!request->waking) {
+		request->waking = true;
+		request->wake_next = frontend->wake;
+		frontend->wake = request;
+	}
+	listener_run_soon_(request->listener);
+}
+
+void request_resume_(struct bw_request *request)
+{
+	size_t free_bytes;
+
+	if (request->suspended) {
+		request->suspended = false;
+		MHD_resume_connection(request->connection);
+	}
+	free_bytes = request->ring.capacity_bytes - request->ring.size_bytes;
+	if (!request->want_room || request->dead || request->ended ||
+	    free_bytes * 2 < request->ring.capacity_bytes)
+		return;
+	request->want_room = false;
+	emit_(request, BW_FRONTEND_ROOM, NULL, 0, false);
+}
+
+uint32_t bw_request_listener(const struct bw_request *request)
+{
+	return request->listener->index;
+}
+
+const char *bw_request_method(const struct bw_request *request)
+{
+	return request->method;
+}
+
+const char *bw_request_path(const struct bw_request *request)
+{
+	return request->target;
+}
+
+const char *bw_request_query(const struct bw_request *request)
+{
+	return request->query;
+}
+
+const char *bw_request_peer(const struct bw_request *request)
+{
+	return request->peer;
+}
+
+int64_t bw_request_content_length(const struct bw_request *request)
+{
+	return request->content_length;
+}
+
+const char *bw_request_header(const struct bw_request *request,
+			      const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < request->header_count; i++) {
+		if (field_is_(&request->headers[i], name))
+			return request->headers[i].value;
+	}
+	return NULL;
+}
+
+const struct bw_http_header *bw_request_headers(const struct bw_request *request,
+						size_t *count)
+{
+	*count = request->header_count;
+	return request->headers;
+}
+
+void bw_request_set_user(struct bw_request *request, void *user)
+{
+	request->user = user;
+}
+
+void *bw_request_user(const struct bw_request *request)
+{
+	return request->user;
+}
+
+void bw_request_pause(struct bw_request *request)
+{
+	request->paused = true;
+	ev_timer_stop(request->frontend->loop, &request->receive_timer);
+}
+
+void bw_request_resume(struct bw_request *request)
+{
+	if (!request->paused)
+		return;
+	request->paused = false;
+	if (request->dead)
+		return;
+	start_receive_timer_(request);
+	request_wake_(request);
+}
+
+enum bw_status bw_request_respond(struct bw_request *request,
+				  uint32_t status_code,
+				  const struct bw_http_header *headers,
+				  size_t header_count, const void *body,
+				  size_t body_bytes)
+{
+	struct MHD_Response *response;
+	enum bw_status status;
+
+	status = check_response_(request, status_code, headers, header_count);
+	if (status != BW_OK)
+		return status;
+	response = MHD_create_response_from_buffer(
+		body_bytes, (void *)(body_bytes ? body : ""),
+		MHD_RESPMEM_MUST_COPY);
+	if (!response)
+		return BW_ENOMEM;
+	status = add_fields_(request, response, headers, header_count);
+	if (status != BW_OK) {
+		MHD_destroy_response(response);
+		return status;
+	}
+	request->response = response;
+	request->status_code = status_code;
+	request->kind = RESPONSE_WHOLE;
+	request_wake_(request);
+	return BW_OK;
+}
+
+enum bw_status bw_request_start(struct bw_request *request,
+				uint32_t status_code,
+				const struct bw_http_header *headers,
+				size_t header_count,
+				int64_t content_length_bytes)
+{
+	struct MHD_Response *response;
+	enum bw_status status;
+
+	status = check_response_(request, status_code, headers, header_count);
+	if (status != BW_OK)
+		return status;
+	if (content_length_bytes < BW_HTTP_LENGTH_UNKNOWN)
+		return BW_EINVAL;
+	status = bw_ring_init(&request->ring, request->frontend->ring_bytes);
+	if (status != BW_OK)
+		return status;
+	response = MHD_create_response_from_callback(
+		content_length_bytes == BW_HTTP_LENGTH_UNKNOWN
+			? MHD_SIZE_UNKNOWN
+			: (uint64_t)content_length_bytes,
+		RESPONSE_BLOCK_BYTES, read_, request, NULL);
+	if (!response) {
+		bw_ring_finish(&request->ring);
+		return BW_ENOMEM;
+	}
+	status = add_fields_(request, response, headers, header_count);
+	if (status != BW_OK) {
+		MHD_destroy_response(response);
+		bw_ring_finish(&request->ring);
+		return status;
+	}
+	request->response = response;
+	request->status_code = status_code;
+	request->kind = RESPONSE_STREAMED;
+	request->response_length = content_length_bytes;
+	request->no_body = status_code == MHD_HTTP_NO_CONTENT ||
+			   status_code == MHD_HTTP_NOT_MODIFIED ||
+			   !strcmp(request->method, MHD_HTTP_METHOD_HEAD);
+	request_wake_(request);
+	return BW_OK;
+}
+
+size_t bw_request_append(struct bw_request *request, const void *data,
+			 size_t size_bytes)
+{
+	struct bw_frontend_counters *counters = &request->frontend->counters;
+	size_t taken;
+
+	if (request->dead || request->ended ||
+	    request->kind != RESPONSE_STREAMED)
+		return 0;
+	if (request->no_body)
+		return size_bytes;
+	taken = bw_ring_write(&request->ring, data, size_bytes);
+	request->appended_bytes += (int64_t)taken;
+	if (request->response_length != BW_HTTP_LENGTH_UNKNOWN &&
+	    request->appended_bytes > request->response_length) {
+		bw_request_abort(request);
+		return 0;
+	}
+	if (taken < size_bytes)
+		request->want_room = true;
+	if (request->ring.size_bytes > counters->ring_peak_bytes)
+		counters->ring_peak_bytes = request->ring.size_bytes;
+	request_wake_(request);
+	return taken;
+}
+
+void bw_request_end(struct bw_request *request)
+{
+	if (request->dead || request->ended ||
+	    request->kind != RESPONSE_STREAMED)
+		return;
+	if (!request->no_body &&
+	    request->response_length != BW_HTTP_LENGTH_UNKNOWN &&
+	    request->appended_bytes != request->response_length) {
+		bw_request_abort(request);
+		return;
+	}
+	request->ended = true;
+	request_wake_(request);
+}
+
+void bw_request_abort(struct bw_request *request)
+{
+	if (request->dead || request->kind == RESPONSE_WHOLE)
+		return;
+	request->dead = true;
+	request->broken = true;
+	/* Without the shutdown a caller that does not read would keep the
+	 * aborted response until the idle timeout. */
+	if (request->queued)
+		shutdown(request->fd, SHUT_RDWR);
+	request_wake_(request);
+}
+
+static enum MHD_Result on_head_(struct bw_request *request, const char *method,
+				const char *version)
+{
+	struct connection *state = connection_(request);
+	bool collected = true;
+	uint32_t refusal;
+
+	request->head_seen = true;
+	if (state)
+		state->awaiting_head = false;
+	request->method = strdup(method);
+	if (!request->method)
+		return MHD_NO;
+	read_peer_(request);
+	refusal = check_head_(request, version, &collected);
+	if (!collected)
+		return MHD_NO;
+	request->query = strchr(request->target, '?');
+	if (request->query)
+		*request->query++ = '\0';
+	if (refusal)
+		refuse_(request, refusal);
+	else
+		announce_(request);
+	if (request->broken)
+		return MHD_NO;
+	if (request->kind != RESPONSE_NONE && must_answer_early_(request))
+		return queue_(request);
+	if (request->content_length && !request->paused)
+		start_receive_timer_(request);
+	return MHD_YES;
+}
+
+static void announce_(struct bw_request *request)
+{
+	struct bw_frontend *frontend = request->frontend;
+	struct epoll_event watch = { .events = EPOLLRDHUP | EPOLLET,
+				     .data.ptr = request };
+
+	request->announced = true;
+	frontend->counters.requests++;
+	frontend->counters.active++;
+	epoll_ctl(frontend->leave_fd, EPOLL_CTL_ADD, request->fd, &watch);
+	emit_(request, BW_FRONTEND_HEAD, NULL, 0, false);
+}
+
+/* MHD accepts a response only before or after the body. Before it, MHD does
+ * not read the body and closes the connection afterwards. */
+static bool must_answer_early_(const struct bw_request *request)
+{
+	return count_(request, "Expect") ||
+	       request->content_length > DRAIN_LIMIT_BYTES;
+}
+
+static enum MHD_Result on_body_(struct bw_request *request, const char *data,
+				size_t *size_bytes)
+{
+	if (request->kind != RESPONSE_NONE) {
+		request->drained_bytes += *size_bytes;
+		*size_bytes = 0;
+		return request->drained_bytes > DRAIN_LIMIT_BYTES ? MHD_NO
+								  : MHD_YES;
+	}
+	if (request->paused) {
+		suspend_(request);
+		return MHD_YES;
+	}
+	request->body_bytes += *size_bytes;
+	if (request->body_bytes > request->listener->config.body_limit_bytes) {
+		*size_bytes = 0;
+		refuse_(request, MHD_HTTP_CONTENT_TOO_LARGE);
+		return MHD_YES;
+	}
+	emit_(request, BW_FRONTEND_BODY, data, *size_bytes, false);
+	*size_bytes = 0;
+	return request->broken ? MHD_NO : MHD_YES;
+}
+
+static enum MHD_Result on_end_(struct bw_request *request)
+{
+	if (request->kind == RESPONSE_NONE && !request->body_ended) {
+		if (request->paused) {
+			suspend_(request);
+			return MHD_YES;
+		}
+		request->body_ended = true;
+		ev_timer_stop(request->frontend->loop,
+			      &request->receive_timer);
+		emit_(request, BW_FRONTEND_BODY_END, NULL, 0, false);
+	}
+	if (request->broken)
+		return MHD_NO;
+	if (request->kind != RESPONSE_NONE)
+		return queue_(request);
+	suspend_(request);
+	return MHD_YES;
+}
+
+/* Returns the status code of the refusal, or 0. */
+static uint32_t check_head_(struct bw_request *request, const char *version,
+			    bool *collected)
+{
+	const struct bw_frontend_listener *config = &request->listener->config;
+	size_t lengths;
+	size_t codings;
+
+	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
+				  collect_, request);
+	*collected = request->header_count != SIZE_MAX;
+	if (!*collected)
+		return 0;
+	request->header_bytes +=
+		strlen(request->method) + strlen(request->target);
+	if (strcmp(version, HTTP_VERSION_SERVED) != 0)
+		return MHD_HTTP_HTTP_VERSION_NOT_SUPPORTED;
+	if (request->header_bytes > config->header_limit_bytes)
+		return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+	if (!bw_http_target_valid(request->target) ||
+	    !bw_http_name_valid(request->method) ||
+	    !bw_http_headers_valid(request->headers, request->header_count))
+		return MHD_HTTP_BAD_REQUEST;
+	lengths = count_(request, "Content-Length");
+	codings = count_(request, "Transfer-Encoding");
+	if (lengths + codings > 1)
+		return MHD_HTTP_BAD_REQUEST;
+	if (codings) {
+		request->content_length = BW_HTTP_LENGTH_UNKNOWN;
+		if (strcasecmp(bw_request_header(request, "Transfer-Encoding"),
+			       "chunked") != 0)
+			return MHD_HTTP_NOT_IMPLEMENTED;
+	}
+	if (lengths) {
+		request->content_length = bw_http_parse_length(
+			bw_request_header(request, "Content-Length"));
+		if (request->content_length < 0)
+			return MHD_HTTP_BAD_REQUEST;
+		if ((uint64_t)request->content_length >
+		    config->body_limit_bytes)
+			return MHD_HTTP_CONTENT_TOO_LARGE;
+	}
+	return 0;
+}
+
+/* header_count is set to SIZE_MAX when memory is exhausted. */
+static enum MHD_Result collect_(void *context, enum MHD_ValueKind kind,
+				const char *name, const char *value)
+{
+	struct bw_request *request = context;
+	struct bw_http_header *headers;
+
+	(void)kind;
+	headers = realloc(request->headers, (request->header_count + 1) *
+						    sizeof(*headers));
+	if (!headers) {
+		request->header_count = SIZE_MAX;
+		return MHD_NO;
+	}
+	request->headers = headers;
+	headers[request->header_count].name = name;
+	headers[request->header_count].value = value ? value : "";
+	request->header_bytes +=
+		strlen(name) + strlen(headers[request->header_count].value);
+	request->header_count++;
+	return MHD_YES;
+}
+
+static bool field_is_(const struct bw_http_header *header, const char *name)
+{
+	return !strcasecmp(header->name, name);
+}
+
+static size_t count_(const struct bw_request *request, const char *name)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < request->header_count; i++)
+		count += field_is_(&request->headers[i], name);
+	return count;
+}
+
+static void read_peer_(struct bw_request *request)
+{
+	const union MHD_ConnectionInfo *info;
+	const struct sockaddr_in *address;
+
+	info = MHD_get_connection_info(request->connection,
+				       MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	if (!info || !info->client_addr ||
+	    info->client_addr->sa_family != AF_INET)
+		return;
+	address = (const struct sockaddr_in *)info->client_addr;
+	inet_ntop(AF_INET, &address->sin_addr, request->peer,
+		  sizeof(request->peer));
+}
+
+static struct connection *connection_(const struct bw_request *request)
+{
+	const union MHD_ConnectionInfo *info;
+
+	info = MHD_get_connection_info(request->connection,
+				       MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	return info ? info->socket_context : NULL;
+}
+
+/* Answers without the user, who gets GONE if it knows the request. */
+static void refuse_(struct bw_request *request, uint32_t status_code)
+{
+	static const struct bw_http_header not_run = { "Boragewing-Outcome",
+						       "not-run" };
+	char text[64];
+	int length;
+	enum bw_status status;
+
+	length = snprintf(text, sizeof(text), "{\"error\":\"refused\",\"status\":%u}\n",
+			  status_code);
+	/* Body bytes may have been passed on when the request is known. */
+	status = bw_request_respond(request, status_code, &not_run,
+				    request->announced ? 0 : 1, text,
+				    (size_t)length);
+	request->frontend->counters.refused++;
+	request->dead = true;
+	if (status != BW_OK)
+		request->broken = true;
+	if (!request->announced || request->gone_reported)
+		return;
+	request->gone_reported = true;
+	emit_(request, BW_FRONTEND_GONE, NULL, 0, false);
+}
+
+static enum MHD_Result queue_(struct bw_request *request)
+{
+	enum MHD_Result result;
+
+	if (request->queued)
+		return MHD_YES;
+	ev_timer_stop(request->frontend->loop, &request->receive_timer);
+	result = MHD_queue_response(request->connection, request->status_code,
+				    request->response);
+	request->queued = result == MHD_YES;
+	return result;
+}
+
+static void suspend_(struct bw_request *request)
+{
+	request->suspended = true;
+	MHD_suspend_connection(request->connection);
+}
+
+static void emit_(struct bw_request *request, enum bw_frontend_event_kind kind,
+		  const void *data, size_t size_bytes, bool sent)
+{
+	struct bw_frontend_event event = { .kind = kind,
+					   .request = request,
+					   .data = data,
+					   .size_bytes = size_bytes,
+					   .sent = sent };
+
+	request->frontend->user.event(request->frontend->user.context, &event);
+}
+
+static enum bw_status check_response_(const struct bw_request *request,
+				      uint32_t status_code,
+				      const struct bw_http_header *headers,
+				      size_t count)
+{
+	if (request->dead)
+		return BW_EUNAVAILABLE;
+	if (request->kind != RESPONSE_NONE)
+		return BW_ECONFLICT;
+	if (status_code < 200 || status_code > 599 ||
+	    !bw_http_headers_valid(headers, count))
+		return BW_EINVAL;
+	return BW_OK;
+}
+
+static enum bw_status add_fields_(struct bw_request *request,
+				  struct MHD_Response *response,
+				  const struct bw_http_header *headers,
+				  size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		/* MHD refuses empty values; they carry nothing. */
+		if (bw_http_hop_by_hop(headers[i].name) ||
+		    !headers[i].value[0])
+			continue;
+		if (MHD_add_response_header(response, headers[i].name,
+					    headers[i].value) != MHD_YES)
+			return BW_EINVAL;
+	}
+	if (request->frontend->stopping)
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
+					"close");
+	return BW_OK;
+}
+
+static ssize_t read_(void *context, uint64_t position, char *data, size_t max)
+{
+	struct bw_request *request = context;
+	size_t count;
+
+	(void)position;
+	if (request->broken)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	count = bw_ring_read(&request->ring, data, max);
+	if (count) {
+		if (request->want_room)
+			request_wake_(request);
+		return (ssize_t)count;
+	}
+	if (request->ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	suspend_(request);
+	return 0;
+}
+
+static void start_receive_timer_(struct bw_request *request)
+{
+	uint32_t limit_ms = request->listener->config.receive_timeout_ms;
+
+	if (!limit_ms || request->body_ended)
+		return;
+	ev_timer_stop(request->frontend->loop, &request->receive_timer);
+	ev_timer_set(&request->receive_timer, limit_ms / MS_PER_S, 0.);
+	ev_timer_start(request->frontend->loop, &request->receive_timer);
+}
+
+static void on_receive_timeout_(struct ev_loop *loop, ev_timer *watcher,
+				int events)
+{
+	struct bw_request *request = watcher->data;
+
+	(void)loop;
+	(void)events;
+	request->frontend->counters.refused++;
+	shutdown(request->fd, SHUT_RDWR);
+	if (request->announced)
+		request_leave_(request);
+}
+
+static void free_(struct bw_request *request)
+{
+	struct bw_frontend *frontend = request->frontend;
+	struct bw_request **at = &frontend->wake;
+
+	while (request->waking && *at) {
+		if (*at == request) {
+			*at = request->wake_next;
+			break;
+		}
+		at = &(*at)->wake_next;
+	}
+	if (request->next)
+		request->next->previous = request->previous;
+	if (request->previous)
+		request->previous->next = request->next;
+	else
+		frontend->requests = request->next;
+	if (request->response)
+		MHD_destroy_response(request->response);
+	bw_ring_finish(&request->ring);
+	free(request->headers);
+	free(request->method);
+	free(request->target);
+	free(request);
+}
--- /dev/null
+++ b/src/libbwproxy/ring.c
@@ -0,0 +1,58 @@
+#include "private/ring.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static size_t min_(size_t a, size_t b);
+
+enum bw_status bw_ring_init(struct bw_ring *ring, size_t capacity_bytes)
+{
+	memset(ring, 0, sizeof(*ring));
+	ring->data = malloc(capacity_bytes);
+	if (!ring->data)
+		return BW_ENOMEM;
+	ring->capacity_bytes = capacity_bytes;
+	return BW_OK;
+}
+
+void bw_ring_finish(struct bw_ring *ring)
+{
+	free(ring->data);
+	memset(ring, 0, sizeof(*ring));
+}
+
+size_t bw_ring_write(struct bw_ring *ring, const void *data, size_t size_bytes)
+{
+	size_t count = min_(size_bytes, ring->capacity_bytes - ring->size_bytes);
+	size_t end;
+	size_t first;
+
+	if (!count)
+		return 0;
+	end = (ring->at + ring->size_bytes) % ring->capacity_bytes;
+	first = min_(count, ring->capacity_bytes - end);
+	memcpy(ring->data + end, data, first);
+	memcpy(ring->data, (const uint8_t *)data + first, count - first);
+	ring->size_bytes += count;
+	return count;
+}
+
+size_t bw_ring_read(struct bw_ring *ring, void *data, size_t size_bytes)
+{
+	size_t count = min_(size_bytes, ring->size_bytes);
+	size_t first;
+
+	if (!count)
+		return 0;
+	first = min_(count, ring->capacity_bytes - ring->at);
+	memcpy(data, ring->data + ring->at, first);
+	memcpy((uint8_t *)data + first, ring->data, count - first);
+	ring->at = (ring->at + count) % ring->capacity_bytes;
+	ring->size_bytes -= count;
+	return count;
+}
+
+static size_t min_(size_t a, size_t b)
+{
+	return a < b ? a : b;
+}
