Add failure detection and membership

Cause: steering needs the living hosts of a failure domain. Change: SWIM probes, suspicion and refutation, incarnations ordered by start, tombstones, rejoin of lost hosts, bucket hashes as repair.

--- /dev/null
+++ b/src/libbwmember/member_merge.c
@@ -0,0 +1,208 @@
+#include "private/member.h"
+
+#include <string.h>
+
+/** Age of this process below which a newer start of the same name means a
+ * wall clock that was set back, not a successor. */
+#define CLOCK_STEP_AGE_MS 60000
+
+static void merge_self_(struct bw_member *member,
+			const struct bw_member_record *claim,
+			struct bw_time now);
+static void merge_new_(struct bw_member *member,
+		       const struct bw_member_record *claim,
+		       struct bw_time now);
+static int compare_start_(const struct bw_member_host *a,
+			  const struct bw_member_host *b);
+static uint32_t rank_(enum bw_member_state state);
+static void adopt_(struct bw_member *member, struct bw_member_entry *entry,
+		   const struct bw_member_record *claim, struct bw_time now);
+static void raise_numbers_(struct bw_member *member,
+			   struct bw_member_entry *entry, uint64_t revision,
+			   uint64_t plan);
+
+void member_merge(struct bw_member *member,
+		  const struct bw_member_record *claim, struct bw_time now)
+{
+	struct bw_member_entry *entry;
+
+	if (!strcmp(claim->host.name, member->config.self.name)) {
+		merge_self_(member, claim, now);
+		return;
+	}
+	entry = member_find(member, claim->host.name);
+	if (!entry) {
+		merge_new_(member, claim, now);
+		return;
+	}
+	if (member_claim_wins(claim, &entry->record)) {
+		adopt_(member, entry, claim, now);
+		return;
+	}
+	if (compare_start_(&claim->host, &entry->record.host) < 0 ||
+	    claim->host.version < entry->record.host.version)
+		member->stats.stale_count++;
+	if (!compare_start_(&claim->host, &entry->record.host))
+		raise_numbers_(member, entry, claim->host.revision,
+			       claim->host.plan);
+}
+
+void member_merge_numbers(struct bw_member *member,
+			  const struct member_numbers *numbers)
+{
+	struct bw_member_entry *entry = member_find(member, numbers->name);
+
+	if (!entry || entry == member_self(member) ||
+	    entry->record.host.incarnation != numbers->incarnation)
+		return;
+	raise_numbers_(member, entry, numbers->revision, numbers->plan);
+}
+
+bool member_claim_wins(const struct bw_member_record *claim,
+		       const struct bw_member_record *known)
+{
+	int order = compare_start_(&claim->host, &known->host);
+
+	if (order)
+		return order > 0;
+	if (known->state == BW_MEMBER_LEFT)
+		return false;
+	if (claim->host.version != known->host.version)
+		return claim->host.version > known->host.version;
+	return rank_(claim->state) > rank_(known->state);
+}
+
+void member_change_state(struct bw_member *member,
+			 struct bw_member_entry *entry,
+			 enum member_chart_event event, bool restarted,
+			 struct bw_time now)
+{
+	struct bw_member_record *record = &entry->record;
+	enum bw_member_state before = record->state;
+	struct bw_chart_step step;
+
+	entry->gossip_left = member_gossip_limit(member);
+	if (bw_chart_next(&member->chart, (uint8_t)before, (uint8_t)event,
+			  &step) != BW_OK)
+		return;
+	record->state = (enum bw_member_state)step.state;
+	if (record->state != before || restarted) {
+		record->since = now;
+		entry->suspect_until =
+			bw_time_add(now, member->config.suspicion_ms);
+	}
+	if (restarted && bw_member_state_is_up(record->state))
+		step.action = BW_MEMBER_EVENT_JOINED;
+	if (step.action != BW_CHART_NO_ACTION)
+		member_push_event(
+			member, (enum bw_member_event_kind)step.action, record);
+}
+
+/* A claim that this host is dead is refuted with a higher version. */
+static void merge_self_(struct bw_member *member,
+			const struct bw_member_record *claim,
+			struct bw_time now)
+{
+	struct bw_member_entry *self = member_self(member);
+	struct bw_member_host *host = &self->record.host;
+	int order = compare_start_(&claim->host, host);
+
+	if (order < 0 || member->superseded)
+		return;
+	if (order > 0 &&
+	    bw_time_diff_ms(now, member->started) >= CLOCK_STEP_AGE_MS) {
+		member->superseded = true;
+		member_push_event(member, BW_MEMBER_EVENT_SUPERSEDED, claim);
+		return;
+	}
+	if (order > 0)
+		host->start_wall_ms = claim->host.start_wall_ms + 1;
+	else if (claim->host.version < host->version || !rank_(claim->state))
+		return;
+	if (claim->host.version >= host->version)
+		host->version = claim->host.version + 1;
+	self->gossip_left = member_gossip_limit(member);
+	member->stats.refuted_count++;
+}
+
+/* Claims of unknown dead hosts are dropped, else expired tombstones would
+ * circulate for ever. */
+static void merge_new_(struct bw_member *member,
+		       const struct bw_member_record *claim, struct bw_time now)
+{
+	struct bw_member_entry *entry;
+
+	if (!bw_member_state_is_up(claim->state))
+		return;
+	entry = member_insert(member, claim->host.name);
+	if (!entry)
+		return;
+	entry->record = *claim;
+	entry->record.since = now;
+	entry->suspect_until = bw_time_add(now, member->config.suspicion_ms);
+	entry->gossip_left = member_gossip_limit(member);
+	member_push_event(member, BW_MEMBER_EVENT_JOINED, &entry->record);
+}
+
+/* The later start wins; a random incarnation breaks a tie. */
+static int compare_start_(const struct bw_member_host *a,
+			  const struct bw_member_host *b)
+{
+	if (a->start_wall_ms != b->start_wall_ms)
+		return a->start_wall_ms < b->start_wall_ms ? -1 : 1;
+	if (a->incarnation != b->incarnation)
+		return a->incarnation < b->incarnation ? -1 : 1;
+	return 0;
+}
+
+/* Of two claims for one version, the one nearer to the end wins. */
+static uint32_t rank_(enum bw_member_state state)
+{
+	switch (state) {
+	case BW_MEMBER_SUSPECT:
+		return 1;
+	case BW_MEMBER_FAILED:
+		return 2;
+	case BW_MEMBER_LEFT:
+		return 3;
+	default:
+		return 0;
+	}
+}
+
+static void adopt_(struct bw_member *member, struct bw_member_entry *entry,
+		   const struct bw_member_record *claim, struct bw_time now)
+{
+	static const enum member_chart_event event_of[BW_MEMBER_STATE_COUNT] = {
+		[BW_MEMBER_ALIVE] = CLAIM_ALIVE,
+		[BW_MEMBER_SUSPECT] = CLAIM_SUSPECT,
+		[BW_MEMBER_LEAVING] = CLAIM_LEAVING,
+		[BW_MEMBER_FAILED] = CLAIM_FAILED,
+		[BW_MEMBER_LEFT] = CLAIM_LEFT,
+	};
+	struct bw_member_host old = entry->record.host;
+	bool restarted = old.incarnation != claim->host.incarnation;
+
+	entry->record.host = claim->host;
+	if (!restarted && old.revision > claim->host.revision)
+		entry->record.host.revision = old.revision;
+	if (!restarted && old.plan > claim->host.plan)
+		entry->record.host.plan = old.plan;
+	member_change_state(member, entry, event_of[claim->state], restarted,
+			    now);
+}
+
+static void raise_numbers_(struct bw_member *member,
+			   struct bw_member_entry *entry, uint64_t revision,
+			   uint64_t plan)
+{
+	struct bw_member_host *host = &entry->record.host;
+
+	if (revision <= host->revision && plan <= host->plan)
+		return;
+	if (revision > host->revision)
+		host->revision = revision;
+	if (plan > host->plan)
+		host->plan = plan;
+	entry->numbers_left = member_log2(member->entry_count);
+}
--- /dev/null
+++ b/src/libbwmember/member_probe.c
@@ -0,0 +1,231 @@
+#include "private/member.h"
+
+#include <string.h>
+
+/** Hosts asked to probe on behalf of this one. */
+#define INDIRECT_PROBES 3
+
+/** Seeds contacted at once while no other host is known. */
+#define JOIN_FANOUT 3
+
+/** Shortest time between two answers to differing hashes. */
+#define SYNC_ANSWER_MS 200
+
+static enum bw_status probe_indirect_(struct bw_member *member,
+				      struct bw_outbox *out);
+static void probe_failed_(struct bw_member *member, struct bw_time now);
+static struct bw_member_entry *pick_probe_target_(struct bw_member *member);
+static const char *pick_lost_(struct bw_member *member);
+
+void member_expire(struct bw_member *member, struct bw_time now)
+{
+	struct bw_member_entry *entry;
+	uint32_t i = 0;
+
+	while (i < member->entry_count) {
+		entry = &member->entries[i];
+		if (entry->record.state == BW_MEMBER_SUSPECT &&
+		    bw_time_reached(now, entry->suspect_until))
+			member_change_state(member, entry, SUSPICION_EXPIRED,
+					    false, now);
+		if (bw_member_state_is_up(entry->record.state) ||
+		    bw_time_diff_ms(now, entry->record.since) <
+			    member->config.tombstone_ms) {
+			i++;
+			continue;
+		}
+		member->entry_count--;
+		memmove(entry, entry + 1,
+			(member->entry_count - i) * sizeof(*entry));
+	}
+}
+
+enum bw_status member_probe(struct bw_member *member, struct bw_time now,
+			    struct bw_outbox *out)
+{
+	struct bw_member_entry *target;
+
+	if (member->probe.target[0] && !member->probe.indirect_sent &&
+	    bw_time_reached(now, member->probe.indirect_at))
+		return probe_indirect_(member, out);
+	if (!bw_time_reached(now, member->next_probe))
+		return BW_OK;
+	if (member->probe.target[0])
+		probe_failed_(member, now);
+	member->next_probe = bw_time_add(now, member->config.probe_interval_ms);
+	target = pick_probe_target_(member);
+	if (!target)
+		return BW_OK;
+	memcpy(member->probe.target, target->record.host.name, BW_NAME_MAX);
+	member->probe.sequence = ++member->sequence;
+	member->probe.indirect_sent = false;
+	member->probe.indirect_at =
+		bw_time_add(now, member->config.probe_timeout_ms);
+	return member_send(member, out, member->probe.target, MEMBER_PING,
+			   member->probe.sequence, "", false);
+}
+
+/* Contacts lost hosts and absent seeds at a slow pace, so that the halves of
+ * a partitioned domain find each other again. */
+enum bw_status member_rejoin(struct bw_member *member, struct bw_time now,
+			     struct bw_outbox *out)
+{
+	uint32_t count = member_pick_other(member, "") ? 1 : JOIN_FANOUT;
+	char name[BW_NAME_MAX];
+	enum bw_status status = BW_OK;
+	const char *lost;
+
+	member->next_rejoin =
+		bw_time_add(now, member->config.rejoin_interval_ms);
+	while (count-- && status == BW_OK) {
+		lost = pick_lost_(member);
+		if (!lost)
+			return BW_OK;
+		memcpy(name, lost, BW_NAME_MAX);
+		status = member_send(member, out, name, MEMBER_HASHES, 0, "",
+				     true);
+	}
+	return status;
+}
+
+struct bw_member_entry *member_pick_other(struct bw_member *member,
+					  const char *except)
+{
+	struct bw_member_entry *entry;
+	struct bw_member_entry *chosen = NULL;
+	uint32_t seen = 0;
+	uint32_t i;
+
+	for (i = 0; i < member->entry_count; i++) {
+		entry = &member->entries[i];
+		if (entry == member_self(member) ||
+		    !bw_member_state_is_up(entry->record.state) ||
+		    !strcmp(entry->record.host.name, except))
+			continue;
+		if (!bw_random_below(&member->random, ++seen))
+			chosen = entry;
+	}
+	return chosen;
+}
+
+enum bw_status member_answer_hashes(struct bw_member *member, const char *peer,
+				    const struct member_message *message,
+				    struct bw_time now, struct bw_outbox *out)
+{
+	uint64_t own[MEMBER_BUCKETS];
+	bool marked[MEMBER_BUCKETS];
+	bool differ = false;
+	enum bw_status status;
+	uint32_t i;
+
+	if (!message->has_hashes || !bw_time_reached(now, member->sync_allowed))
+		return BW_OK;
+	member_hash(member, own);
+	for (i = 0; i < MEMBER_BUCKETS; i++) {
+		marked[i] = own[i] != message->hashes[i];
+		differ |= marked[i];
+	}
+	if (!differ)
+		return BW_OK;
+	member->sync_allowed = bw_time_add(now, SYNC_ANSWER_MS);
+	status = member_send_buckets(member, out, peer, marked);
+	if (status != BW_OK || !message->reply)
+		return status;
+	return member_send(member, out, peer, MEMBER_HASHES, 0, "", false);
+}
+
+static enum bw_status probe_indirect_(struct bw_member *member,
+				      struct bw_outbox *out)
+{
+	char asked[INDIRECT_PROBES][BW_NAME_MAX] = { { 0 } };
+	struct bw_member_entry *helper;
+	enum bw_status status;
+	uint32_t i;
+	uint32_t j;
+
+	member->probe.indirect_sent = true;
+	for (i = 0; i < INDIRECT_PROBES; i++) {
+		helper = member_pick_other(member, member->probe.target);
+		if (!helper)
+			return BW_OK;
+		for (j = 0; j < i; j++) {
+			if (!strcmp(asked[j], helper->record.host.name))
+				break;
+		}
+		if (j < i)
+			continue;
+		memcpy(asked[i], helper->record.host.name, BW_NAME_MAX);
+		status = member_send(member, out, asked[i], MEMBER_PING_REQUEST,
+				     member->probe.sequence,
+				     member->probe.target, false);
+		if (status != BW_OK)
+			return status;
+	}
+	return BW_OK;
+}
+
+static void probe_failed_(struct bw_member *member, struct bw_time now)
+{
+	struct bw_member_entry *entry =
+		member_find(member, member->probe.target);
+	struct bw_member_record claim;
+
+	member->probe.target[0] = 0;
+	if (!entry)
+		return;
+	claim = entry->record;
+	claim.state = BW_MEMBER_SUSPECT;
+	if (member_claim_wins(&claim, &entry->record)) {
+		member->stats.suspected_count++;
+		member_merge(member, &claim, now);
+	}
+}
+
+static struct bw_member_entry *pick_probe_target_(struct bw_member *member)
+{
+	struct bw_member_entry *entry;
+	struct bw_member_entry *chosen = NULL;
+	uint32_t pass;
+	uint32_t seen = 0;
+	uint32_t i;
+
+	for (pass = 0; pass < 2 && !chosen; pass++) {
+		for (i = 0; i < member->entry_count; i++) {
+			entry = &member->entries[i];
+			if (entry == member_self(member) ||
+			    entry->probe_round > member->probe_round ||
+			    !bw_member_state_is_up(entry->record.state))
+				continue;
+			if (!bw_random_below(&member->random, ++seen))
+				chosen = entry;
+		}
+		if (!chosen)
+			member->probe_round++;
+	}
+	if (chosen)
+		chosen->probe_round = member->probe_round + 1;
+	return chosen;
+}
+
+static const char *pick_lost_(struct bw_member *member)
+{
+	const struct bw_member_seed *seed;
+	const char *chosen = NULL;
+	uint32_t seen = 0;
+	uint32_t i;
+
+	for (i = 0; i < member->entry_count; i++) {
+		if (member->entries[i].record.state == BW_MEMBER_FAILED &&
+		    !bw_random_below(&member->random, ++seen))
+			chosen = member->entries[i].record.host.name;
+	}
+	for (i = 0; i < member->config.seed_count; i++) {
+		seed = &member->seeds[i];
+		if (strcmp(seed->domain, member->config.self.domain) != 0 ||
+		    member_find(member, seed->name))
+			continue;
+		if (!bw_random_below(&member->random, ++seen))
+			chosen = seed->name;
+	}
+	return chosen;
+}
