--- a/include/bwsteer/admission.h
+++ b/include/bwsteer/admission.h
@@ -21,7 +21,11 @@
 
 /** Settings of one rank; index 0 is the most urgent. */
 struct bw_admission_rank {
-	uint32_t min_share_percent; /**< of slots granted while it waits */
+	/**
+	 * In any run of n grants during which the rank waits, it gets at
+	 * least n * min_share_percent / 100, rounded down, less one.
+	 */
+	uint32_t min_share_percent;
 	uint32_t target_latency_ms; /**< 0: only the deadline counts */
 };
 
@@ -35,7 +39,7 @@
 	uint32_t total_max; /**< requests on this host, split evenly by rank */
 	uint64_t total_max_bytes; /**< bytes on this host, split evenly */
 	uint32_t host_slots; /**< requests running on this host; 0: no limit */
-	int64_t window_ms; /**< sliding window of the minimum shares */
+	int64_t window_ms; /**< sliding window of the load estimate */
 	uint32_t service_time_us; /**< assumed until measured */
 };
 
@@ -86,17 +90,11 @@
 /** Intervals of the sliding window. */
 #define BW_ADMISSION_BUCKETS 10
 
-/**
- * Grants in the sliding window. Only grants made while the rank had queued
- * work count, so that an idle rank collects no claim on later slots.
- */
+/** Requests started in the sliding window, for the expected wait. */
 struct bw_admission_window {
-	uint32_t granted[BW_ADMISSION_BUCKETS]; /**< to this rank */
-	uint32_t contended[BW_ADMISSION_BUCKETS]; /**< to any rank */
-	uint32_t all[BW_ADMISSION_BUCKETS]; /**< to this rank, also unqueued */
-	uint32_t granted_sum;
-	uint32_t contended_sum;
-	uint32_t all_sum;
+	uint32_t started[BW_ADMISSION_BUCKETS];
+	uint32_t sum;
+	int64_t bucket; /**< index of the newest interval */
 };
 
 /** A queue and its counters. */
@@ -105,6 +103,15 @@
 	uint32_t tail;
 	uint32_t count;
 	uint64_t bytes;
+	uint32_t running;
+	int64_t earliest_deadline_ms; /**< not later than any queued one */
+	/**
+	 * Grows by the minimum share with every grant of the service while
+	 * this rank waits, and falls by 100 with each own grant; 100 entitles
+	 * to the next grant. Zero whenever the rank does not wait, so that an
+	 * idle rank collects no claim on later slots.
+	 */
+	uint32_t claim_percent;
 	struct bw_admission_window window;
 	double service_time_us; /**< moving average; 0: not measured */
 	uint64_t admitted_count;
@@ -136,10 +143,10 @@
 	struct bw_index *by_id;
 	uint32_t rank_count[BW_SHEET_RANKS_MAX]; /**< queued, all services */
 	uint64_t rank_bytes[BW_SHEET_RANKS_MAX];
-	struct bw_admission_window host_window[BW_SHEET_RANKS_MAX];
+	uint32_t host_claim_percent[BW_SHEET_RANKS_MAX];
 	uint32_t running;
-	int64_t bucket; /**< index of the current window interval */
-	int64_t earliest_deadline_ms; /**< not later than any queued one */
+	uint64_t order; /**< arrivals queued so far */
+	uint32_t expired_head; /**< taken from queues, to be reported */
 };
 
 /** Fills in the defaults: one rank, 64 services, 256 requests and 4 MiB per
--- a/include/bwsteer/backend.h
+++ b/include/bwsteer/backend.h
@@ -117,6 +117,7 @@
 	struct bw_backend_server *servers; /**< servers_max entries */
 	struct bw_backend_service *services; /**< services_max entries */
 	uint32_t servers_count; /**< entries in use */
+	uint32_t servers_end; /**< no entry was ever in use from here on */
 	uint32_t services_count;
 	struct bw_index *by_id;
 	struct bw_index *by_service;
@@ -132,7 +133,7 @@
 			       const struct bw_chart *chart);
 
 /**
- * Initialises an empty table; all memory is allocated here.
+ * Initialises an empty table; servers and services are allocated here.
  * @return BW_OK, BW_ENOMEM, or BW_EINVAL for a zero bound
  */
 enum bw_status bw_backend_init(struct bw_backend_table *table,
