--- a/include/bwsteer/plan.h
+++ b/include/bwsteer/plan.h
@@ -18,6 +18,9 @@
 /** Sum of the shares of one service and caller region. */
 #define BW_PLAN_SHARE_WHOLE 1000
 
+/** The whole demand of a service, in the unit of weights. */
+#define BW_PLAN_WEIGHT_WHOLE 10000
+
 /** Most caller regions, failure domains and sites (placements). */
 #define BW_PLAN_REGIONS_MAX 64
 #define BW_PLAN_DOMAINS_MAX 256
@@ -98,9 +101,10 @@
 	uint16_t *sites; /**< domain index of each site */
 	uint32_t site_count;
 	uint16_t *shares; /**< per mille, site_count * region_count */
-	/** Remembered demand of each service and region, in 1/255 of the
+	/** Remembered demand of each service and region, at index service *
+	 *  region_count + region, in parts of BW_PLAN_WEIGHT_WHOLE of the
 	 *  service's demand; the weights of shift amounts. */
-	uint8_t *weights;
+	uint16_t *weights;
 	struct bw_shift_limits limits; /**< of the sheet in force */
 	struct bw_shift_limits previous; /**< of earlier sheets, merged */
 	int64_t previous_until_ms; /**< previous counts before this time */
--- /dev/null
+++ b/src/libbwsteer/include/private/plan_internal.h
@@ -0,0 +1,72 @@
+/**
+ * @file
+ * Parts of the planner that its sources share.
+ */
+#ifndef BWSTEER_PRIVATE_PLAN_INTERNAL_H
+#define BWSTEER_PRIVATE_PLAN_INTERNAL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bwsteer/plan.h"
+#include "private/plan_target.h"
+
+/** Events of charts/shift.yaml. */
+enum bw_shift_event {
+	BW_SHIFT_NO_GAIN,
+	BW_SHIFT_GAIN,
+	BW_SHIFT_EFFECT_PENDING,
+	BW_SHIFT_CAP_REACHED,
+	BW_SHIFT_REPORTS_MISSING,
+	BW_SHIFT_EVENT_COUNT
+};
+
+/** The action of charts/shift.yaml. */
+#define BW_SHIFT_ACTION_MOVE 0
+
+/** What one planning step works on. */
+struct bw_plan_work {
+	struct bw_plan *plan;
+	const struct bw_sheet *sheet;
+	const struct bw_plan_report *reports;
+	int64_t now_ms;
+	struct bw_shift_limits limits;
+	struct bw_plan_links links;
+	struct bw_plan_problem problem;
+	uint8_t *drained; /**< by site of the plan: the sheet drains it */
+	uint32_t *order; /**< services, the worthiest first */
+	double *links_memory; /**< holds the arrays of links */
+	double *step_link; /**< by link: load of the service's target */
+	double *current_link; /**< by link: load of its current shares */
+	double *target; /**< rows of the largest service */
+	uint16_t *rows; /**< rows of the largest service */
+};
+
+/**
+ * Allocates the arrays of a plan from its counts.
+ * @return BW_OK or BW_ENOMEM; bw_plan_finish is needed in both cases
+ */
+enum bw_status bw_plan_reserve(struct bw_plan *plan);
+
+/**
+ * Rebuilds the plan for the sheet when it was made for another one. Shares,
+ * ledgers and weights are carried over by name.
+ */
+enum bw_status bw_plan_adopt(struct bw_plan *plan, const struct bw_sheet *sheet,
+			     bool *adopted);
+
+/** Prepares links, drains and order of services. */
+enum bw_status bw_plan_work_init(struct bw_plan_work *work);
+
+/** Frees what bw_plan_work_init allocated. */
+void bw_plan_work_finish(struct bw_plan_work *work);
+
+/**
+ * Fills the problem of one service.
+ * @param first whether to trust the sheet where reports are missing and to
+ *	leave out ramps: for shares that carry no traffic yet
+ * @return whether any site of the service has a usable report, or first
+ */
+bool bw_plan_work_load(struct bw_plan_work *work, uint32_t service, bool first);
+
+#endif
--- /dev/null
+++ b/src/libbwsteer/plan_codec.c
@@ -0,0 +1,396 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "bwbase/codec.h"
+#include "private/plan_internal.h"
+
+#define FORMAT_VERSION 1
+#define PLAN_FIELDS 10
+#define SERVICE_FIELDS 7
+
+/** Reads variable-length numbers from a run of bytes. */
+struct varints {
+	const uint8_t *data;
+	size_t size_bytes;
+	bool failed;
+};
+
+static enum bw_status put_varint_(struct bw_buffer *out, uint64_t value);
+static uint64_t take_varint_(struct varints *in, uint64_t limit);
+static void write_limits_(struct bw_writer *writer,
+			  const struct bw_shift_limits *limits);
+static void read_limits_(struct bw_reader *reader,
+			 struct bw_shift_limits *limits);
+static void write_names_(struct bw_writer *writer,
+			 const char (*names)[BW_NAME_MAX], uint32_t count);
+static enum bw_status write_service_(struct bw_writer *writer,
+				     const struct bw_plan *plan,
+				     uint32_t service,
+				     struct bw_buffer *scratch);
+static enum bw_status pack_ledger_(const struct bw_plan *plan,
+				   const struct bw_plan_service *of,
+				   struct bw_buffer *out);
+static enum bw_status pack_sites_(const struct bw_plan *plan,
+				  const struct bw_plan_service *of,
+				  struct bw_buffer *out);
+static enum bw_status pack_shares_(const struct bw_plan *plan,
+				   const struct bw_plan_service *of,
+				   struct bw_buffer *out);
+static enum bw_status pack_weights_(const struct bw_plan *plan,
+				    uint32_t service, struct bw_buffer *out);
+static enum bw_status read_plan_(struct bw_reader *reader,
+				 struct bw_plan *plan);
+static void read_service_(struct bw_reader *reader, struct bw_plan *plan,
+			  uint32_t service);
+static bool unpack_ledger_(const struct bw_plan *plan,
+			   struct bw_plan_service *of, struct varints *in);
+static bool unpack_sites_(struct bw_plan *plan, struct bw_plan_service *of,
+			  struct varints *in);
+static bool unpack_shares_(struct bw_plan *plan,
+			   const struct bw_plan_service *of,
+			   struct varints *in);
+static bool unpack_weights_(struct bw_plan *plan, uint32_t service,
+			    struct varints *in);
+static struct varints read_varints_(struct bw_reader *reader);
+
+enum bw_status bw_plan_encode(const struct bw_plan *plan, struct bw_buffer *out)
+{
+	struct bw_buffer scratch;
+	struct bw_writer writer;
+	enum bw_status status = BW_OK;
+	uint32_t i;
+
+	bw_buffer_init(&scratch);
+	bw_writer_init(&writer, out);
+	bw_write_array(&writer, PLAN_FIELDS);
+	bw_write_uint(&writer, FORMAT_VERSION);
+	bw_write_uint(&writer, plan->version);
+	bw_write_uint(&writer, plan->revision);
+	bw_write_int(&writer, plan->clock_ms);
+	write_limits_(&writer, &plan->limits);
+	write_limits_(&writer, &plan->previous);
+	bw_write_int(&writer, plan->previous_until_ms);
+	write_names_(&writer, (const char(*)[BW_NAME_MAX])plan->regions,
+		     plan->region_count);
+	write_names_(&writer, (const char(*)[BW_NAME_MAX])plan->domains,
+		     plan->domain_count);
+	bw_write_array(&writer, plan->service_count);
+	for (i = 0; i < plan->service_count && status == BW_OK; i++)
+		status = write_service_(&writer, plan, i, &scratch);
+	bw_buffer_finish(&scratch);
+	return status != BW_OK ? status : writer.status;
+}
+
+enum bw_status bw_plan_decode(struct bw_plan *plan, const void *data,
+			      size_t size_bytes)
+{
+	struct bw_reader reader;
+	struct bw_plan read;
+	enum bw_status status;
+
+	bw_plan_init(&read, plan->chart);
+	status = bw_reader_init(&reader, data, size_bytes);
+	if (status == BW_OK)
+		status = read_plan_(&reader, &read);
+	bw_reader_finish(&reader);
+	if (status != BW_OK) {
+		bw_plan_finish(&read);
+		return status;
+	}
+	bw_plan_finish(plan);
+	*plan = read;
+	return BW_OK;
+}
+
+static enum bw_status put_varint_(struct bw_buffer *out, uint64_t value)
+{
+	uint8_t bytes[10];
+	size_t count = 0;
+
+	while (value >= 0x80) {
+		bytes[count++] = (uint8_t)(value | 0x80);
+		value >>= 7;
+	}
+	bytes[count++] = (uint8_t)value;
+	return bw_buffer_append(out, bytes, count);
+}
+
+static uint64_t take_varint_(struct varints *in, uint64_t limit)
+{
+	uint64_t value = 0;
+	uint32_t shift;
+	uint8_t byte;
+
+	for (shift = 0; shift < 63 && in->size_bytes; shift += 7) {
+		byte = *in->data++;
+		in->size_bytes--;
+		value |= (uint64_t)(byte & 0x7f) << shift;
+		if (byte & 0x80)
+			continue;
+		if (value <= limit)
+			return value;
+		break;
+	}
+	in->failed = true;
+	return 0;
+}
+
+static void write_limits_(struct bw_writer *writer,
+			  const struct bw_shift_limits *limits)
+{
+	bw_write_array(writer, 3);
+	bw_write_uint(writer, limits->cap);
+	bw_write_uint(writer, limits->window_ms);
+	bw_write_uint(writer, limits->ttl_ms);
+}
+
+static void read_limits_(struct bw_reader *reader,
+			 struct bw_shift_limits *limits)
+{
+	bw_read_array(reader);
+	limits->cap = (uint32_t)bw_read_uint(reader);
+	limits->window_ms = (uint32_t)bw_read_uint(reader);
+	limits->ttl_ms = (uint32_t)bw_read_uint(reader);
+	bw_read_end(reader);
+}
+
+static void write_names_(struct bw_writer *writer,
+			 const char (*names)[BW_NAME_MAX], uint32_t count)
+{
+	uint32_t i;
+
+	bw_write_array(writer, count);
+	for (i = 0; i < count; i++)
+		bw_write_str(writer, names[i]);
+}
+
+static enum bw_status write_service_(struct bw_writer *writer,
+				     const struct bw_plan *plan,
+				     uint32_t service,
+				     struct bw_buffer *scratch)
+{
+	const struct bw_plan_service *of = &plan->services[service];
+	enum bw_status status;
+	uint32_t part;
+
+	bw_write_array(writer, SERVICE_FIELDS);
+	bw_write_str(writer, of->name);
+	bw_write_uint(writer, of->state);
+	bw_write_int(writer, of->last_step_ms);
+	for (part = 0; part < 4; part++) {
+		bw_buffer_clear(scratch);
+		if (part == 0)
+			status = pack_ledger_(plan, of, scratch);
+		else if (part == 1)
+			status = pack_sites_(plan, of, scratch);
+		else if (part == 2)
+			status = pack_shares_(plan, of, scratch);
+		else
+			status = pack_weights_(plan, service, scratch);
+		if (status != BW_OK)
+			return status;
+		bw_write_bin(writer, scratch->data, scratch->size_bytes);
+	}
+	return writer->status;
+}
+
+static enum bw_status pack_ledger_(const struct bw_plan *plan,
+				   const struct bw_plan_service *of,
+				   struct bw_buffer *out)
+{
+	enum bw_status status = BW_OK;
+	uint32_t i;
+
+	for (i = 0; i < of->ledger.count && status == BW_OK; i++) {
+		const struct bw_shift_entry *entry = &of->ledger.entries[i];
+
+		status = put_varint_(out,
+				     (uint64_t)(plan->clock_ms - entry->at_ms));
+		if (status == BW_OK)
+			status = put_varint_(out, entry->amount);
+	}
+	return status;
+}
+
+static enum bw_status pack_sites_(const struct bw_plan *plan,
+				  const struct bw_plan_service *of,
+				  struct bw_buffer *out)
+{
+	enum bw_status status = BW_OK;
+	uint32_t i;
+
+	for (i = 0; i < of->site_count && status == BW_OK; i++)
+		status = put_varint_(out, plan->sites[of->site_begin + i]);
+	return status;
+}
+
+/* The last share of a row follows from the sum and is left out. */
+static enum bw_status pack_shares_(const struct bw_plan *plan,
+				   const struct bw_plan_service *of,
+				   struct bw_buffer *out)
+{
+	enum bw_status status = BW_OK;
+	uint32_t r, i;
+
+	for (r = 0; r < plan->region_count; r++) {
+		for (i = 0; i + 1 < of->site_count && status == BW_OK; i++)
+			status = put_varint_(
+				out, plan->shares[of->share_begin +
+						  r * of->site_count + i]);
+	}
+	return status;
+}
+
+/* A service with one site has no shifts and needs no weights. */
+static enum bw_status pack_weights_(const struct bw_plan *plan,
+				    uint32_t service, struct bw_buffer *out)
+{
+	enum bw_status status = BW_OK;
+	uint32_t r;
+
+	if (plan->services[service].site_count < 2)
+		return BW_OK;
+	for (r = 0; r < plan->region_count && status == BW_OK; r++)
+		status = put_varint_(
+			out, plan->weights[service * plan->region_count + r]);
+	return status;
+}
+
+static enum bw_status read_plan_(struct bw_reader *reader, struct bw_plan *plan)
+{
+	uint32_t i;
+
+	bw_read_array(reader);
+	if (bw_read_uint(reader) != FORMAT_VERSION)
+		return BW_EINVAL;
+	plan->version = bw_read_uint(reader);
+	plan->revision = bw_read_uint(reader);
+	plan->clock_ms = bw_read_int(reader);
+	read_limits_(reader, &plan->limits);
+	read_limits_(reader, &plan->previous);
+	plan->previous_until_ms = bw_read_int(reader);
+	/* The counts follow later in the message: reserve for the largest. */
+	plan->region_count = BW_PLAN_REGIONS_MAX;
+	plan->site_count = 2 * BW_PLAN_SITES_MAX;
+	plan->service_count = BW_PLAN_SITES_MAX;
+	if (bw_plan_reserve(plan) != BW_OK)
+		return BW_ENOMEM;
+	plan->region_count = bw_read_array(reader);
+	if (plan->region_count > BW_PLAN_REGIONS_MAX)
+		return BW_EINVAL;
+	for (i = 0; i < plan->region_count; i++)
+		bw_read_name(reader, plan->regions[i]);
+	bw_read_end(reader);
+	plan->domain_count = bw_read_array(reader);
+	if (plan->domain_count > BW_PLAN_DOMAINS_MAX)
+		return BW_EINVAL;
+	for (i = 0; i < plan->domain_count; i++)
+		bw_read_name(reader, plan->domains[i]);
+	bw_read_end(reader);
+	plan->service_count = bw_read_array(reader);
+	if (plan->service_count > BW_PLAN_SITES_MAX)
+		return BW_EINVAL;
+	plan->site_count = 0;
+	for (i = 0; i < plan->service_count; i++)
+		read_service_(reader, plan, i);
+	return bw_reader_status(reader);
+}
+
+static void read_service_(struct bw_reader *reader, struct bw_plan *plan,
+			  uint32_t service)
+{
+	struct bw_plan_service *of = &plan->services[service];
+	struct varints in;
+	uint64_t state;
+	bool valid;
+
+	bw_read_array(reader);
+	bw_read_name(reader, of->name);
+	state = bw_read_uint(reader);
+	valid = state < BW_SHIFT_STATE_COUNT;
+	of->state = valid ? (uint8_t)state : 0;
+	of->last_step_ms = bw_read_int(reader);
+	in = read_varints_(reader);
+	valid = valid && unpack_ledger_(plan, of, &in);
+	in = read_varints_(reader);
+	valid = valid && unpack_sites_(plan, of, &in);
+	in = read_varints_(reader);
+	valid = valid && unpack_shares_(plan, of, &in);
+	in = read_varints_(reader);
+	valid = valid && unpack_weights_(plan, service, &in);
+	bw_read_end(reader);
+	if (!valid)
+		reader->failed = true;
+}
+
+static struct varints read_varints_(struct bw_reader *reader)
+{
+	struct varints in = { .failed = false };
+
+	in.data = bw_read_bin(reader, &in.size_bytes);
+	in.failed = reader->failed;
+	return in;
+}
+
+static bool unpack_ledger_(const struct bw_plan *plan,
+			   struct bw_plan_service *of, struct varints *in)
+{
+	struct bw_shift_entry *entry;
+
+	while (in->size_bytes && !in->failed) {
+		if (of->ledger.count == BW_SHIFT_ENTRIES_MAX)
+			return false;
+		entry = &of->ledger.entries[of->ledger.count++];
+		entry->at_ms = plan->clock_ms -
+			       (int64_t)take_varint_(in, INT64_MAX / 2);
+		entry->amount = (uint32_t)take_varint_(in, UINT32_MAX / 16);
+	}
+	return !in->failed;
+}
+
+static bool unpack_sites_(struct bw_plan *plan, struct bw_plan_service *of,
+			  struct varints *in)
+{
+	of->site_begin = plan->site_count;
+	of->share_begin = plan->site_count * plan->region_count;
+	while (in->size_bytes && !in->failed) {
+		if (plan->site_count == 2 * BW_PLAN_SITES_MAX ||
+		    of->site_count == BW_PLAN_DOMAINS_MAX)
+			return false;
+		plan->sites[plan->site_count++] = (uint16_t)take_varint_(
+			in, (uint64_t)plan->domain_count - 1);
+		of->site_count++;
+	}
+	return !in->failed && of->site_count > 0 && plan->domain_count > 0;
+}
+
+static bool unpack_shares_(struct bw_plan *plan,
+			   const struct bw_plan_service *of, struct varints *in)
+{
+	uint16_t *row = plan->shares + of->share_begin;
+	uint32_t r, i, left;
+
+	for (r = 0; r < plan->region_count; r++) {
+		left = BW_PLAN_SHARE_WHOLE;
+		for (i = 0; i + 1 < of->site_count && !in->failed; i++) {
+			row[i] = (uint16_t)take_varint_(in, left);
+			left -= row[i];
+		}
+		row[of->site_count - 1] = (uint16_t)left;
+		row += of->site_count;
+	}
+	return !in->failed && !in->size_bytes;
+}
+
+static bool unpack_weights_(struct bw_plan *plan, uint32_t service,
+			    struct varints *in)
+{
+	uint32_t r;
+
+	if (plan->services[service].site_count < 2)
+		return !in->failed && !in->size_bytes;
+	for (r = 0; r < plan->region_count; r++)
+		plan->weights[service * plan->region_count + r] =
+			(uint16_t)take_varint_(in, BW_PLAN_WEIGHT_WHOLE + 1);
+	return !in->failed && !in->size_bytes;
+}
--- /dev/null
+++ b/src/libbwsteer/plan_step.c
@@ -0,0 +1,484 @@
+#include <math.h>
+#include <string.h>
+
+#include "private/plan_internal.h"
+
+/*
+ * Gains below these parts of the service's demand or latency are not worth a
+ * step. A shift on its way ends at the lower threshold, so that noise in the
+ * reports does not start new shifts.
+ */
+#define EXCESS_START 0.02
+#define EXCESS_END 0.005
+#define LATENCY_START 0.05
+#define LATENCY_END 0.01
+#define IMBALANCE_START 0.10
+#define IMBALANCE_END 0.03
+#define LATENCY_GAIN_MIN_MS 0.5
+
+/*
+ * A step uses at least this fraction of the cap unless less is needed. Many
+ * small steps would each delay the next one until their effect is visible.
+ */
+#define STEP_CAP_DIVISOR 4
+
+/** Attempts to round a step to shares that stay within the ledger. */
+#define ROUNDING_ATTEMPTS 4
+
+/** How well rows of shares suit a problem. */
+struct quality {
+	double demand; /* milli-slots */
+	double excess; /* load without usable capacity or link room */
+	double drained; /* load on drained sites */
+	double latency_ms; /* mean */
+	double imbalance; /* load off the even split of each region */
+};
+
+static int64_t advance_clock_(struct bw_plan *plan, int64_t now_ms);
+static void note_missing_(struct bw_plan_work *work);
+static void load_links_(struct bw_plan_work *work);
+static bool place_new_rows_(struct bw_plan_work *work, uint32_t service);
+static bool row_is_new_(const struct bw_plan_problem *problem, uint32_t row);
+static bool step_service_(struct bw_plan_work *work, uint32_t service);
+static enum bw_shift_event judge_(struct bw_plan_work *work, uint32_t service,
+				  bool usable, double *fraction);
+static bool apply_(struct bw_plan_work *work, uint32_t service,
+		   double fraction);
+static void update_links_(struct bw_plan_work *work, uint32_t service,
+			  bool planned);
+static double link_fraction_(const struct bw_plan_work *work);
+static void measure_(const struct bw_plan_work *work, const uint16_t *rows,
+		     const double *link_load, struct quality *quality);
+static void measure_sites_(const struct bw_plan_problem *problem,
+			   const double *load, struct quality *quality);
+static double site_latency_ms_(const struct bw_plan_problem *problem,
+			       uint32_t region, uint32_t site);
+static bool is_worth_it_(const struct quality *current,
+			 const struct quality *target, bool moving);
+static double variation_(const struct bw_plan_work *work, uint32_t service,
+			 const uint16_t *rows);
+static void round_row_(const struct bw_plan_problem *problem, uint32_t row,
+		       double fraction, uint16_t *out);
+static void forget_weights_(struct bw_plan *plan);
+
+enum bw_status bw_plan_step(struct bw_plan *plan, const struct bw_sheet *sheet,
+			    const struct bw_plan_report *reports,
+			    int64_t now_ms, bool *changed)
+{
+	struct bw_plan_work work = { .plan = plan,
+				     .sheet = sheet,
+				     .reports = reports };
+	enum bw_status status;
+	uint32_t i;
+
+	*changed = false;
+	work.now_ms = advance_clock_(plan, now_ms);
+	status = bw_plan_adopt(plan, sheet, changed);
+	if (status != BW_OK)
+		return status;
+	work.limits = bw_plan_limits(plan, work.now_ms);
+	status = bw_plan_work_init(&work);
+	if (status != BW_OK)
+		goto out;
+	note_missing_(&work);
+	forget_weights_(plan);
+	for (i = 0; i < plan->service_count; i++)
+		*changed |= place_new_rows_(&work, i);
+	load_links_(&work);
+	for (i = 0; i < plan->service_count; i++)
+		*changed |= step_service_(&work, work.order[i]);
+out:
+	if (*changed)
+		plan->version++;
+	bw_plan_work_finish(&work);
+	return status;
+}
+
+/*
+ * After a small step back the time stands still until the clock has caught
+ * up. After a larger one every shift counts as if made just now, so that the
+ * wait is never longer than one window.
+ */
+static int64_t advance_clock_(struct bw_plan *plan, int64_t now_ms)
+{
+	struct bw_shift_limits limits = bw_plan_limits(plan, plan->clock_ms);
+	int64_t span_ms = (int64_t)limits.window_ms + limits.ttl_ms;
+	uint32_t i;
+
+	if (now_ms >= plan->clock_ms) {
+		plan->clock_ms = now_ms;
+		return now_ms;
+	}
+	if (plan->clock_ms - now_ms <= span_ms)
+		return plan->clock_ms;
+	for (i = 0; i < plan->service_count; i++) {
+		bw_shift_ledger_restamp(&plan->services[i].ledger, now_ms);
+		if (plan->services[i].last_step_ms)
+			plan->services[i].last_step_ms = now_ms;
+	}
+	for (i = 0; i < plan->domain_count; i++)
+		plan->missing_since_ms[i] = 0;
+	if (plan->previous_until_ms > plan->clock_ms)
+		plan->previous_until_ms = now_ms + span_ms + 1;
+	else
+		plan->previous_until_ms = 0;
+	plan->clock_ms = now_ms;
+	return now_ms;
+}
+
+static void note_missing_(struct bw_plan_work *work)
+{
+	int64_t *since;
+	uint32_t i;
+
+	for (i = 0; i < work->sheet->domains_count; i++) {
+		since = &work->plan->missing_since_ms[i];
+		if (work->reports[i].known)
+			*since = 0;
+		else if (!*since)
+			*since = work->now_ms;
+	}
+}
+
+/* Remembered demand fades over 250 steps unless it is seen again. */
+static void forget_weights_(struct bw_plan *plan)
+{
+	size_t count = (size_t)plan->service_count * plan->region_count;
+	uint16_t fade = BW_PLAN_WEIGHT_WHOLE / 250;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		plan->weights[i] -= plan->weights[i] < fade ? plan->weights[i]
+							    : fade;
+}
+
+/* Rows that carry no traffic yet are set at once and are not shifts. */
+static bool place_new_rows_(struct bw_plan_work *work, uint32_t service)
+{
+	struct bw_plan_problem *p = &work->problem;
+	uint16_t *shares =
+		work->plan->shares + work->plan->services[service].share_begin;
+	bool any = false;
+	uint32_t r;
+
+	bw_plan_work_load(work, service, true);
+	for (r = 0; r < p->region_count; r++)
+		any |= row_is_new_(p, r);
+	if (!any)
+		return false;
+	bw_plan_target(p);
+	for (r = 0; r < p->region_count; r++) {
+		if (!row_is_new_(p, r))
+			continue;
+		round_row_(p, r, 1, shares + (size_t)r * p->site_count);
+	}
+	/* Later services see the link room that these rows leave. */
+	bw_plan_add_link_load(p, shares, 1, work->links.reserved_kbit);
+	return true;
+}
+
+static bool row_is_new_(const struct bw_plan_problem *p, uint32_t row)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->site_count; i++) {
+		if (p->current[row * p->site_count + i])
+			return false;
+	}
+	return true;
+}
+
+static void load_links_(struct bw_plan_work *work)
+{
+	struct bw_plan_links *links = &work->links;
+	uint32_t i;
+
+	for (i = 0; i < links->link_count; i++)
+		links->reserved_kbit[i] = 0;
+	for (i = 0; i < work->plan->service_count; i++) {
+		bw_plan_work_load(work, i, false);
+		bw_plan_add_link_load(&work->problem, work->problem.current, 1,
+				      links->used_kbit);
+	}
+}
+
+static bool step_service_(struct bw_plan_work *work, uint32_t service)
+{
+	struct bw_plan_service *of = &work->plan->services[service];
+	bool usable = bw_plan_work_load(work, service, false);
+	struct bw_chart_step step;
+	enum bw_shift_event event;
+	double fraction = 0;
+	bool moved = false;
+
+	memset(work->current_link, 0, work->links.link_count * sizeof(double));
+	bw_plan_add_link_load(&work->problem, work->problem.current, 1,
+			      work->current_link);
+	event = judge_(work, service, usable, &fraction);
+	if (bw_chart_next(work->plan->chart, of->state, event, &step) ==
+	    BW_OK) {
+		of->state = step.state;
+		if (step.action == BW_SHIFT_ACTION_MOVE)
+			moved = apply_(work, service, fraction);
+	}
+	update_links_(work, service,
+		      event == BW_SHIFT_GAIN || event == BW_SHIFT_CAP_REACHED);
+	return moved;
+}
+
+static enum bw_shift_event judge_(struct bw_plan_work *work, uint32_t service,
+				  bool usable, double *fraction)
+{
+	const struct bw_plan_service *of = &work->plan->services[service];
+	struct bw_plan_problem *p = &work->problem;
+	struct quality current, target;
+	double amount, available, least;
+
+	if (!usable)
+		return BW_SHIFT_REPORTS_MISSING;
+	if (of->last_step_ms &&
+	    work->now_ms - of->last_step_ms <
+		    (int64_t)work->limits.ttl_ms + BW_PLAN_REPORT_LAG_MS)
+		return BW_SHIFT_EFFECT_PENDING;
+	bw_plan_target(p);
+	memset(work->step_link, 0, work->links.link_count * sizeof(double));
+	bw_plan_add_link_load(p, NULL, 1, work->step_link);
+	measure_(work, p->current, work->current_link, &current);
+	measure_(work, NULL, work->step_link, &target);
+	if (!is_worth_it_(&current, &target, of->state != BW_SHIFT_SETTLED))
+		return BW_SHIFT_NO_GAIN;
+	amount = variation_(work, service, NULL);
+	if (amount < BW_SHIFT_WHOLE / BW_PLAN_SHARE_WHOLE)
+		return BW_SHIFT_NO_GAIN;
+	available = bw_shift_ledger_available(&of->ledger, &work->limits,
+					      work->now_ms);
+	least = (double)work->limits.cap / STEP_CAP_DIVISOR;
+	if (available < least && available < amount)
+		return BW_SHIFT_CAP_REACHED;
+	*fraction = available < amount ? available / amount : 1;
+	if (link_fraction_(work) < *fraction)
+		*fraction = link_fraction_(work);
+	return *fraction > 0 ? BW_SHIFT_GAIN : BW_SHIFT_CAP_REACHED;
+}
+
+/* Part of the way to the target for which all links have room now. */
+static double link_fraction_(const struct bw_plan_work *work)
+{
+	const struct bw_plan_links *links = &work->links;
+	double fraction = 1, current, growth, room;
+	uint32_t i;
+
+	for (i = 0; i < links->link_count; i++) {
+		current = work->current_link[i];
+		growth = work->step_link[i] - current;
+		room = links->limit_kbit[i] - links->used_kbit[i];
+		if (growth <= 0 || growth <= room)
+			continue;
+		if (room <= 0)
+			return 0;
+		if (room / growth < fraction)
+			fraction = room / growth;
+	}
+	return fraction;
+}
+
+static bool apply_(struct bw_plan_work *work, uint32_t service, double fraction)
+{
+	struct bw_plan_service *of = &work->plan->services[service];
+	const struct bw_plan_problem *p = &work->problem;
+	uint32_t available = bw_shift_ledger_available(
+		&of->ledger, &work->limits, work->now_ms);
+	size_t size = (size_t)p->region_count * p->site_count;
+	uint32_t attempt, r;
+	double amount;
+
+	for (attempt = 0; attempt < ROUNDING_ATTEMPTS; attempt++) {
+		for (r = 0; r < p->region_count; r++)
+			round_row_(p, r, fraction,
+				   work->rows + (size_t)r * p->site_count);
+		amount = ceil(variation_(work, service, work->rows));
+		if (amount <= available)
+			break;
+		fraction *= 0.9;
+	}
+	if (attempt == ROUNDING_ATTEMPTS || amount <= 0)
+		return false;
+	memcpy(work->plan->shares + of->share_begin, work->rows,
+	       size * sizeof(*work->rows));
+	bw_shift_ledger_add(&of->ledger, &work->limits, work->now_ms,
+			    (uint32_t)amount);
+	of->last_step_ms = work->now_ms;
+	return true;
+}
+
+/*
+ * Replaces the load of the service's earlier shares by that of its shares
+ * now, and reserves what it needs on its way to the target.
+ */
+static void update_links_(struct bw_plan_work *work, uint32_t service,
+			  bool planned)
+{
+	struct bw_plan_links *links = &work->links;
+	const struct bw_plan_problem *p = &work->problem;
+	uint32_t i;
+
+	for (i = 0; i < links->link_count; i++) {
+		links->used_kbit[i] -= work->current_link[i];
+		work->current_link[i] = 0;
+	}
+	bw_plan_add_link_load(p,
+			      work->plan->shares +
+				      work->plan->services[service].share_begin,
+			      1, work->current_link);
+	for (i = 0; i < links->link_count; i++) {
+		double need = work->current_link[i];
+
+		links->used_kbit[i] += need;
+		if (planned && work->step_link[i] > need)
+			need = work->step_link[i];
+		links->reserved_kbit[i] += need;
+	}
+}
+
+static void measure_(const struct bw_plan_work *work, const uint16_t *rows,
+		     const double *link_load, struct quality *quality)
+{
+	const struct bw_plan_problem *p = &work->problem;
+	const struct bw_plan_links *links = &work->links;
+	double load[BW_PLAN_DOMAINS_MAX] = { 0 };
+	double part, excess;
+	uint32_t r, i, index;
+
+	memset(quality, 0, sizeof(*quality));
+	for (r = 0; r < p->region_count; r++) {
+		quality->demand += (double)p->demand[r];
+		for (i = 0; i < p->site_count; i++) {
+			index = r * p->site_count + i;
+			part = (rows ? rows[index] : p->target[index]) *
+			       (double)p->demand[r] / BW_PLAN_SHARE_WHOLE;
+			load[i] += part;
+			quality->latency_ms += part * site_latency_ms_(p, r, i);
+		}
+	}
+	quality->latency_ms /= quality->demand;
+	measure_sites_(p, load, quality);
+	for (i = 0; i < links->link_count; i++) {
+		excess = links->used_kbit[i] - work->current_link[i] +
+			 link_load[i] - links->limit_kbit[i];
+		excess = excess < link_load[i] ? excess : link_load[i];
+		if (excess > 0 && p->kbit_per_slot > 0)
+			quality->excess += excess / p->kbit_per_slot;
+	}
+}
+
+static void measure_sites_(const struct bw_plan_problem *p, const double *load,
+			   struct quality *quality)
+{
+	double region_load[BW_PLAN_REGIONS_MAX] = { 0 };
+	double region_capacity[BW_PLAN_REGIONS_MAX] = { 0 };
+	uint32_t i, g;
+	double even;
+
+	for (i = 0; i < p->site_count; i++) {
+		if (p->site_class[i] == BW_SITE_DRAINED)
+			quality->drained += load[i];
+		if (p->site_class[i] != BW_SITE_HELD &&
+		    load[i] > (double)p->capacity[i])
+			quality->excess += load[i] - (double)p->capacity[i];
+		if (p->site_class[i] != BW_SITE_USABLE)
+			continue;
+		region_load[p->site_region[i]] += load[i];
+		region_capacity[p->site_region[i]] += (double)p->capacity[i];
+	}
+	for (i = 0; i < p->site_count; i++) {
+		g = p->site_region[i];
+		if (p->site_class[i] != BW_SITE_USABLE ||
+		    region_capacity[g] <= 0)
+			continue;
+		even = region_load[g] * (double)p->capacity[i] /
+		       region_capacity[g];
+		quality->imbalance += fabs(load[i] - even);
+	}
+}
+
+static double site_latency_ms_(const struct bw_plan_problem *p, uint32_t region,
+			       uint32_t site)
+{
+	if (p->site_region[site] == BW_SHEET_NONE)
+		return 0;
+	return p->links->latency_ms[region * p->links->region_count +
+				    p->site_region[site]];
+}
+
+static bool is_worth_it_(const struct quality *current,
+			 const struct quality *target, bool moving)
+{
+	double demand = current->demand;
+	double excess_gain = current->excess - target->excess;
+	double latency_gain = current->latency_ms - target->latency_ms;
+	double imbalance_gain = current->imbalance - target->imbalance;
+
+	if (current->drained > 0 && target->drained < current->drained * 0.999)
+		return true;
+	if (excess_gain > demand * (moving ? EXCESS_END : EXCESS_START))
+		return true;
+	if (excess_gain < -demand * EXCESS_END)
+		return false;
+	if (latency_gain >= LATENCY_GAIN_MIN_MS &&
+	    latency_gain > current->latency_ms *
+				   (moving ? LATENCY_END : LATENCY_START))
+		return true;
+	return latency_gain > -LATENCY_GAIN_MIN_MS &&
+	       imbalance_gain >
+		       demand * (moving ? IMBALANCE_END : IMBALANCE_START);
+}
+
+/* Amount of a shift to rows, or to the target when rows is NULL. */
+static double variation_(const struct bw_plan_work *work, uint32_t service,
+			 const uint16_t *rows)
+{
+	const struct bw_plan_problem *p = &work->problem;
+	const uint16_t *weights =
+		work->plan->weights + (size_t)service * p->region_count;
+	double sum = 0, row;
+	uint32_t r, i, index;
+
+	for (r = 0; r < p->region_count; r++) {
+		row = 0;
+		for (i = 0; i < p->site_count; i++) {
+			index = r * p->site_count + i;
+			row += fabs((rows ? rows[index] : p->target[index]) -
+				    p->current[index]);
+		}
+		sum += row / 2 * weights[r];
+	}
+	return sum * BW_SHIFT_WHOLE / BW_PLAN_WEIGHT_WHOLE /
+	       BW_PLAN_SHARE_WHOLE;
+}
+
+/* Rounds a row on its way to the target; remainders go to the largest. */
+static void round_row_(const struct bw_plan_problem *p, uint32_t row,
+		       double fraction, uint16_t *out)
+{
+	const double *target = p->target + (size_t)row * p->site_count;
+	const uint16_t *current = p->current + (size_t)row * p->site_count;
+	bool is_new = row_is_new_(p, row);
+	double exact[BW_PLAN_DOMAINS_MAX];
+	uint32_t sum = 0, i, best;
+
+	for (i = 0; i < p->site_count; i++) {
+		exact[i] = is_new ? target[i]
+				  : current[i] +
+					    fraction * (target[i] - current[i]);
+		out[i] = (uint16_t)(exact[i] + 1e-6);
+		sum += out[i];
+	}
+	for (; sum < BW_PLAN_SHARE_WHOLE; sum++) {
+		best = 0;
+		for (i = 1; i < p->site_count; i++) {
+			if (exact[i] - out[i] > exact[best] - out[best])
+				best = i;
+		}
+		out[best]++;
+	}
+}
--- /dev/null
+++ b/src/libbwsteer/plan_target.c
@@ -0,0 +1,431 @@
+#include "private/plan_target.h"
+
+#include <string.h>
+
+#define UNLIMITED (INT64_MAX / 4)
+
+/*
+ * Cost of a pair of regions without a declared link; above every declared
+ * latency, so that such a pair is used last.
+ */
+#define NO_LINK_US 1000000
+
+/** Transport of demand (caller regions) to capacity (regions). */
+struct flow {
+	uint32_t region_count;
+	int64_t supply[BW_PLAN_REGIONS_MAX]; /* not placed yet */
+	int64_t spare[BW_PLAN_REGIONS_MAX]; /* capacity not used yet */
+	int64_t placed[BW_PLAN_REGIONS_MAX][BW_PLAN_REGIONS_MAX];
+	int64_t room[BW_PLAN_REGIONS_MAX][BW_PLAN_REGIONS_MAX];
+	int64_t cost[BW_PLAN_REGIONS_MAX][BW_PLAN_REGIONS_MAX];
+};
+
+/** Cheapest paths from regions with supply. */
+struct paths {
+	int64_t to_source[BW_PLAN_REGIONS_MAX];
+	int64_t to_sink[BW_PLAN_REGIONS_MAX];
+	uint32_t source_parent[BW_PLAN_REGIONS_MAX]; /* sink, or none */
+	uint32_t sink_parent[BW_PLAN_REGIONS_MAX]; /* source */
+};
+
+static void flow_init_(struct flow *flow, const struct bw_plan_problem *p,
+		       const int64_t *pinned);
+static void add_spare_(struct flow *flow, const struct bw_plan_problem *p,
+		       bool beyond_ramp);
+static void place_local_(struct flow *flow);
+static void place_remote_(struct flow *flow);
+static void find_paths_(const struct flow *flow, struct paths *paths);
+static bool relax_sinks_(const struct flow *flow, struct paths *paths);
+static bool relax_sources_(const struct flow *flow, struct paths *paths);
+static uint32_t nearest_sink_(const struct flow *flow,
+			      const struct paths *paths);
+static void augment_(struct flow *flow, const struct paths *paths,
+		     uint32_t sink);
+static void pin_held_(const struct bw_plan_problem *p, int64_t *pinned);
+static void split_(const struct bw_plan_problem *p, const struct flow *flow);
+static void place_rest_(const struct bw_plan_problem *p, uint32_t region,
+			double rest);
+static double add_by_current_(const struct bw_plan_problem *p, uint32_t region,
+			      enum bw_site_class class, double rest);
+static bool add_by_capacity_(const struct bw_plan_problem *p, uint32_t region,
+			     bool home_only, double rest);
+static void scale_row_(const struct bw_plan_problem *p, uint32_t region);
+
+void bw_plan_target(struct bw_plan_problem *p)
+{
+	struct flow flow;
+	int64_t pinned[BW_PLAN_REGIONS_MAX];
+	uint32_t r;
+
+	memset(p->target, 0,
+	       sizeof(*p->target) * p->region_count * p->site_count);
+	pin_held_(p, pinned);
+	flow_init_(&flow, p, pinned);
+	add_spare_(&flow, p, false);
+	place_local_(&flow);
+	place_remote_(&flow);
+	/*
+	 * Work that finds no place within the ramp may exceed it: the cap on
+	 * shifts still bounds how much moves at once.
+	 */
+	add_spare_(&flow, p, true);
+	place_local_(&flow);
+	place_remote_(&flow);
+	split_(p, &flow);
+	for (r = 0; r < p->region_count; r++) {
+		place_rest_(p, r, (double)flow.supply[r]);
+		scale_row_(p, r);
+	}
+}
+
+void bw_plan_add_link_load(const struct bw_plan_problem *p,
+			   const uint16_t *rows, double sign, double *load)
+{
+	const struct bw_plan_links *links = p->links;
+	uint32_t r, i, link;
+	double share;
+
+	for (r = 0; r < p->region_count; r++) {
+		for (i = 0; i < p->site_count; i++) {
+			if (p->site_region[i] == BW_SHEET_NONE)
+				continue;
+			link = links->link[r * links->region_count +
+					   p->site_region[i]];
+			if (link == BW_SHEET_NONE)
+				continue;
+			share = rows ? rows[r * p->site_count + i]
+				     : p->target[r * p->site_count + i];
+			load[link] += sign * share / BW_PLAN_SHARE_WHOLE *
+				      (double)p->demand[r] * p->kbit_per_slot;
+		}
+	}
+}
+
+/* Held sites keep their current part of each row. */
+static void pin_held_(const struct bw_plan_problem *p, int64_t *pinned)
+{
+	uint32_t r, i, index;
+	double amount;
+
+	for (r = 0; r < p->region_count; r++) {
+		pinned[r] = 0;
+		for (i = 0; i < p->site_count; i++) {
+			index = r * p->site_count + i;
+			if (p->site_class[i] != BW_SITE_HELD)
+				continue;
+			amount = (double)p->demand[r] * p->current[index] /
+				 BW_PLAN_SHARE_WHOLE;
+			p->target[index] = amount;
+			pinned[r] += (int64_t)amount;
+		}
+	}
+}
+
+static void flow_init_(struct flow *flow, const struct bw_plan_problem *p,
+		       const int64_t *pinned)
+{
+	const struct bw_plan_links *links = p->links;
+	uint32_t r, g, link;
+	double room;
+
+	memset(flow, 0, sizeof(*flow));
+	flow->region_count = p->region_count;
+	for (r = 0; r < p->region_count; r++) {
+		flow->supply[r] = p->demand[r] - pinned[r];
+		for (g = 0; g < p->region_count; g++) {
+			link = links->link[r * links->region_count + g];
+			flow->room[r][g] = UNLIMITED;
+			flow->cost[r][g] = r == g ? 0 : NO_LINK_US;
+			if (link == BW_SHEET_NONE)
+				continue;
+			flow->cost[r][g] =
+				(int64_t)(1000 *
+					  links->latency_ms
+						  [r * links->region_count +
+						   g]);
+			room = links->limit_kbit[link] -
+			       links->reserved_kbit[link];
+			if (p->kbit_per_slot > 0 &&
+			    room / p->kbit_per_slot < (double)UNLIMITED)
+				flow->room[r][g] =
+					room > 0 ? (int64_t)(room /
+							     p->kbit_per_slot)
+						 : 0;
+		}
+	}
+}
+
+static void add_spare_(struct flow *flow, const struct bw_plan_problem *p,
+		       bool beyond_ramp)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->site_count; i++) {
+		if (p->site_class[i] != BW_SITE_USABLE)
+			continue;
+		flow->spare[p->site_region[i]] +=
+			beyond_ramp ? p->capacity[i] - p->ramped[i]
+				    : p->ramped[i];
+	}
+}
+
+static void place_local_(struct flow *flow)
+{
+	uint32_t r;
+	int64_t amount;
+
+	for (r = 0; r < flow->region_count; r++) {
+		amount = flow->supply[r] < flow->spare[r] ? flow->supply[r]
+							  : flow->spare[r];
+		flow->placed[r][r] += amount;
+		flow->supply[r] -= amount;
+		flow->spare[r] -= amount;
+	}
+}
+
+/* Successive cheapest paths; each saturates a supply, a spare or a link. */
+static void place_remote_(struct flow *flow)
+{
+	struct paths paths;
+	uint32_t limit = 8 * flow->region_count;
+	uint32_t sink;
+
+	while (limit--) {
+		find_paths_(flow, &paths);
+		sink = nearest_sink_(flow, &paths);
+		if (sink == BW_SHEET_NONE)
+			return;
+		augment_(flow, &paths, sink);
+	}
+}
+
+static void find_paths_(const struct flow *flow, struct paths *paths)
+{
+	uint32_t round, r;
+
+	for (r = 0; r < flow->region_count; r++) {
+		paths->to_source[r] = flow->supply[r] > 0 ? 0 : UNLIMITED;
+		paths->source_parent[r] = BW_SHEET_NONE;
+		paths->to_sink[r] = UNLIMITED;
+		paths->sink_parent[r] = BW_SHEET_NONE;
+	}
+	for (round = 0; round < flow->region_count; round++) {
+		if (!relax_sinks_(flow, paths))
+			return;
+		if (!relax_sources_(flow, paths))
+			return;
+	}
+}
+
+static bool relax_sinks_(const struct flow *flow, struct paths *paths)
+{
+	uint32_t r, g;
+	int64_t distance;
+	bool changed = false;
+
+	for (r = 0; r < flow->region_count; r++) {
+		if (paths->to_source[r] >= UNLIMITED)
+			continue;
+		for (g = 0; g < flow->region_count; g++) {
+			distance = paths->to_source[r] + flow->cost[r][g];
+			if (distance >= paths->to_sink[g] ||
+			    flow->placed[r][g] >= flow->room[r][g])
+				continue;
+			paths->to_sink[g] = distance;
+			paths->sink_parent[g] = r;
+			changed = true;
+		}
+	}
+	return changed;
+}
+
+static bool relax_sources_(const struct flow *flow, struct paths *paths)
+{
+	uint32_t r, g;
+	int64_t distance;
+	bool changed = false;
+
+	for (g = 0; g < flow->region_count; g++) {
+		if (paths->to_sink[g] >= UNLIMITED)
+			continue;
+		for (r = 0; r < flow->region_count; r++) {
+			distance = paths->to_sink[g] - flow->cost[r][g];
+			if (!flow->placed[r][g] ||
+			    distance >= paths->to_source[r])
+				continue;
+			paths->to_source[r] = distance;
+			paths->source_parent[r] = g;
+			changed = true;
+		}
+	}
+	return changed;
+}
+
+static uint32_t nearest_sink_(const struct flow *flow,
+			      const struct paths *paths)
+{
+	uint32_t best = BW_SHEET_NONE;
+	uint32_t g;
+
+	for (g = 0; g < flow->region_count; g++) {
+		if (flow->spare[g] <= 0 || paths->to_sink[g] >= UNLIMITED)
+			continue;
+		if (best == BW_SHEET_NONE ||
+		    paths->to_sink[g] < paths->to_sink[best])
+			best = g;
+	}
+	return best;
+}
+
+static void augment_(struct flow *flow, const struct paths *paths,
+		     uint32_t sink)
+{
+	int64_t amount = flow->spare[sink];
+	uint32_t g, r;
+
+	for (g = sink;; g = paths->source_parent[r]) {
+		r = paths->sink_parent[g];
+		if (flow->room[r][g] - flow->placed[r][g] < amount)
+			amount = flow->room[r][g] - flow->placed[r][g];
+		if (paths->source_parent[r] == BW_SHEET_NONE)
+			break;
+		if (flow->placed[r][paths->source_parent[r]] < amount)
+			amount = flow->placed[r][paths->source_parent[r]];
+	}
+	if (flow->supply[r] < amount)
+		amount = flow->supply[r];
+	flow->supply[r] -= amount;
+	flow->spare[sink] -= amount;
+	for (g = sink;; g = paths->source_parent[r]) {
+		r = paths->sink_parent[g];
+		flow->placed[r][g] += amount;
+		if (paths->source_parent[r] == BW_SHEET_NONE)
+			break;
+		flow->placed[r][paths->source_parent[r]] -= amount;
+	}
+}
+
+/* Divides the flow into a region over its sites in proportion to capacity. */
+static void split_(const struct bw_plan_problem *p, const struct flow *flow)
+{
+	double into[BW_PLAN_REGIONS_MAX] = { 0 };
+	double ramped[BW_PLAN_REGIONS_MAX] = { 0 };
+	double beyond[BW_PLAN_REGIONS_MAX] = { 0 };
+	double part, extra;
+	uint32_t r, g, i;
+
+	for (r = 0; r < p->region_count; r++) {
+		for (g = 0; g < p->region_count; g++)
+			into[g] += (double)flow->placed[r][g];
+	}
+	for (i = 0; i < p->site_count; i++) {
+		if (p->site_class[i] != BW_SITE_USABLE)
+			continue;
+		g = p->site_region[i];
+		ramped[g] += (double)p->ramped[i];
+		beyond[g] += (double)(p->capacity[i] - p->ramped[i]);
+	}
+	for (i = 0; i < p->site_count; i++) {
+		g = p->site_region[i];
+		if (p->site_class[i] != BW_SITE_USABLE || into[g] <= 0)
+			continue;
+		part = (double)p->ramped[i];
+		extra = into[g] - ramped[g];
+		if (extra > 0 && beyond[g] > 0)
+			part += extra / beyond[g] *
+				(double)(p->capacity[i] - p->ramped[i]);
+		part /= extra > 0 ? into[g] : ramped[g];
+		for (r = 0; r < p->region_count; r++)
+			p->target[r * p->site_count + i] +=
+				part * (double)flow->placed[r][g];
+	}
+}
+
+static void place_rest_(const struct bw_plan_problem *p, uint32_t region,
+			double rest)
+{
+	uint32_t i;
+
+	if (rest <= 0)
+		return;
+	rest = add_by_current_(p, region, BW_SITE_MISSING, rest);
+	/* Excess work is shed at home, where it loads no link. */
+	if (rest <= 0 || add_by_capacity_(p, region, true, rest))
+		return;
+	rest = add_by_current_(p, region, BW_SITE_USABLE, rest);
+	if (rest <= 0 || add_by_capacity_(p, region, false, rest))
+		return;
+	/* Nothing can serve: any division will do, the current one is best. */
+	for (i = 0; i < p->site_count; i++) {
+		uint32_t index = region * p->site_count + i;
+
+		p->target[index] += rest * (p->current[index] + 0.001) /
+				    BW_PLAN_SHARE_WHOLE;
+	}
+}
+
+/*
+ * Leaves demand where it is. Missing sites keep at most what they have, so
+ * that no more than the rest stays there.
+ */
+static double add_by_current_(const struct bw_plan_problem *p, uint32_t region,
+			      enum bw_site_class class, double rest)
+{
+	const uint16_t *row = p->current + (size_t)region * p->site_count;
+	double *target = p->target + (size_t)region * p->site_count;
+	double sum = 0, amount;
+	uint32_t i;
+
+	for (i = 0; i < p->site_count; i++) {
+		if (p->site_class[i] == class &&
+		    (class == BW_SITE_MISSING || p->capacity[i] > 0))
+			sum += row[i];
+	}
+	if (rest <= 0 || sum <= 0)
+		return rest;
+	amount = sum * (double)p->demand[region] / BW_PLAN_SHARE_WHOLE;
+	if (class != BW_SITE_MISSING || amount > rest)
+		amount = rest;
+	for (i = 0; i < p->site_count; i++) {
+		if (p->site_class[i] == class &&
+		    (class == BW_SITE_MISSING || p->capacity[i] > 0))
+			target[i] += amount * row[i] / sum;
+	}
+	return rest - amount;
+}
+
+static bool add_by_capacity_(const struct bw_plan_problem *p, uint32_t region,
+			     bool home_only, double rest)
+{
+	double sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < p->site_count; i++) {
+		if (p->site_class[i] == BW_SITE_USABLE &&
+		    (!home_only || p->site_region[i] == region))
+			sum += (double)p->capacity[i];
+	}
+	if (sum <= 0)
+		return false;
+	for (i = 0; i < p->site_count; i++) {
+		if (p->site_class[i] == BW_SITE_USABLE &&
+		    (!home_only || p->site_region[i] == region))
+			p->target[region * p->site_count + i] +=
+				rest * (double)p->capacity[i] / sum;
+	}
+	return true;
+}
+
+static void scale_row_(const struct bw_plan_problem *p, uint32_t region)
+{
+	double *target = p->target + (size_t)region * p->site_count;
+	double sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < p->site_count; i++)
+		sum += target[i];
+	for (i = 0; i < p->site_count; i++)
+		target[i] =
+			sum > 0 ? target[i] * BW_PLAN_SHARE_WHOLE / sum
+				: (double)BW_PLAN_SHARE_WHOLE / p->site_count;
+}
--- /dev/null
+++ b/src/libbwsteer/plan_work.c
@@ -0,0 +1,410 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "private/plan_internal.h"
+
+/*
+ * Part of the load limit that the planner uses. The rest absorbs rounding of
+ * shares and the change of demand between two reports.
+ */
+#define MARGIN_PERCENT 95
+
+/* Part of a site's capacity by which its load grows in one step at most. */
+#define RAMP_PERCENT 15
+
+/* Run time of a request that is assumed when no domain reports one. */
+#define DEFAULT_RUN_US 50000
+#define RUN_US_MIN 1000
+#define RUN_US_MAX 60000000
+
+/* A domain is believed up to this multiple of its slots as its demand. */
+#define DEMAND_LIMIT_FACTOR 2
+
+/*
+ * Demand assumed for a region without any, as a fraction of the capacity, so
+ * that its row has shares when callers arrive.
+ */
+#define NOMINAL_DEMAND_DIVISOR 2000
+
+static enum bw_status init_links_(struct bw_plan_work *work);
+static void init_drains_(struct bw_plan_work *work);
+static int64_t drain_lead_ms_(const struct bw_plan_work *work);
+static void init_order_(struct bw_plan_work *work);
+static uint32_t worth_(const struct bw_sheet *sheet, uint32_t service);
+static const struct bw_plan_report *report_of_(const struct bw_plan_work *work,
+					       uint32_t domain);
+static bool is_draining_(const struct bw_plan_work *work, uint32_t service,
+			 uint32_t site);
+static enum bw_site_class classify_(const struct bw_plan_work *work,
+				    uint32_t service, uint32_t site,
+				    bool first);
+static bool is_held_(const struct bw_plan_work *work, uint32_t domain);
+static int64_t capacity_(const struct bw_plan_work *work, uint32_t service,
+			 uint32_t site, bool first);
+static void load_demand_(struct bw_plan_work *work, uint32_t service);
+static void add_demand_(struct bw_plan_work *work, uint32_t service,
+			uint32_t domain);
+static void load_link_cost_(struct bw_plan_work *work, uint32_t service);
+static void load_ramps_(struct bw_plan_work *work, bool first);
+
+enum bw_status bw_plan_work_init(struct bw_plan_work *work)
+{
+	const struct bw_plan *plan = work->plan;
+	size_t rows = 1;
+	uint32_t i;
+
+	for (i = 0; i < plan->service_count; i++) {
+		size_t size = (size_t)plan->services[i].site_count *
+			      plan->region_count;
+
+		rows = size > rows ? size : rows;
+	}
+	work->drained = calloc(plan->site_count + 1, 1);
+	work->order = calloc(plan->service_count + 1, sizeof(*work->order));
+	work->target = calloc(rows, sizeof(*work->target));
+	work->rows = calloc(rows, sizeof(*work->rows));
+	if (!work->drained || !work->order || !work->target || !work->rows ||
+	    init_links_(work) != BW_OK)
+		return BW_ENOMEM;
+	init_drains_(work);
+	init_order_(work);
+	return BW_OK;
+}
+
+void bw_plan_work_finish(struct bw_plan_work *work)
+{
+	free(work->drained);
+	free(work->order);
+	free(work->target);
+	free(work->rows);
+	free(work->links.link);
+	free(work->links_memory);
+}
+
+bool bw_plan_work_load(struct bw_plan_work *work, uint32_t service, bool first)
+{
+	const struct bw_plan *plan = work->plan;
+	const struct bw_plan_service *of = &plan->services[service];
+	struct bw_plan_problem *p = &work->problem;
+	bool usable = first;
+	uint32_t i, domain;
+
+	p->links = &work->links;
+	p->region_count = plan->region_count;
+	p->site_count = of->site_count;
+	p->current = plan->shares + of->share_begin;
+	p->target = work->target;
+	for (i = 0; i < of->site_count; i++) {
+		domain = plan->sites[of->site_begin + i];
+		p->site_region[i] =
+			domain < work->sheet->domains_count
+				? work->sheet->domains[domain].region
+				: BW_SHEET_NONE;
+		p->site_class[i] = classify_(work, service, i, first);
+		p->capacity[i] = p->site_class[i] == BW_SITE_USABLE
+					 ? capacity_(work, service, i, first)
+					 : 0;
+		usable |= p->site_class[i] == BW_SITE_USABLE;
+	}
+	load_demand_(work, service);
+	load_link_cost_(work, service);
+	load_ramps_(work, first);
+	return usable;
+}
+
+static enum bw_status init_links_(struct bw_plan_work *work)
+{
+	const struct bw_sheet *sheet = work->sheet;
+	struct bw_plan_links *links = &work->links;
+	uint32_t n = sheet->regions_count;
+	uint32_t count = sheet->links_count;
+	uint32_t i, a, b;
+
+	links->region_count = n;
+	links->link_count = count;
+	links->link = malloc(((size_t)n * n + 1) * sizeof(*links->link));
+	work->links_memory =
+		calloc((size_t)n * n + 5 * (size_t)count + 1, sizeof(double));
+	if (!links->link || !work->links_memory)
+		return BW_ENOMEM;
+	links->latency_ms = work->links_memory;
+	links->limit_kbit = links->latency_ms + (size_t)n * n;
+	links->used_kbit = links->limit_kbit + count;
+	links->reserved_kbit = links->used_kbit + count;
+	work->step_link = links->reserved_kbit + count;
+	work->current_link = work->step_link + count;
+	for (i = 0; i < n * n; i++)
+		links->link[i] = BW_SHEET_NONE;
+	for (i = 0; i < count; i++) {
+		a = sheet->links[i].region[0];
+		b = sheet->links[i].region[1];
+		links->limit_kbit[i] = sheet->links[i].limit_mbit_per_s *
+				       1000.0 * MARGIN_PERCENT / 100;
+		links->link[a * n + b] = i;
+		links->link[b * n + a] = i;
+		links->latency_ms[a * n + b] = sheet->links[i].latency_ms;
+		links->latency_ms[b * n + a] = sheet->links[i].latency_ms;
+	}
+	return BW_OK;
+}
+
+/* Marks the sites that a drain of the sheet covers now or soon. */
+static void init_drains_(struct bw_plan_work *work)
+{
+	const struct bw_plan *plan = work->plan;
+	int64_t lead_ms = drain_lead_ms_(work);
+	uint32_t i, s, k;
+
+	for (i = 0; i < work->sheet->drains_count; i++) {
+		const struct bw_sheet_drain *drain = &work->sheet->drains[i];
+
+		if (!drain->failure_domain ||
+		    work->now_ms < drain->start_ms - lead_ms ||
+		    work->now_ms >= drain->stop_ms)
+			continue;
+		for (s = 0; s < plan->service_count; s++) {
+			const struct bw_plan_service *of = &plan->services[s];
+
+			if (drain->service &&
+			    strcmp(drain->service, of->name) != 0)
+				continue;
+			for (k = of->site_begin;
+			     k < of->site_begin + of->site_count; k++) {
+				if (!strcmp(plan->domains[plan->sites[k]],
+					    drain->failure_domain))
+					work->drained[k] = 1;
+			}
+		}
+	}
+}
+
+/* Time needed to move a whole service at the capped rate. */
+static int64_t drain_lead_ms_(const struct bw_plan_work *work)
+{
+	const struct bw_shift_limits *limits = &work->limits;
+	int64_t windows = limits->cap ? BW_SHIFT_WHOLE / limits->cap + 1 : 1;
+
+	return windows * ((int64_t)limits->window_ms + limits->ttl_ms);
+}
+
+/* Worthier services take link room first. */
+static void init_order_(struct bw_plan_work *work)
+{
+	uint32_t i, k, service;
+
+	for (i = 0; i < work->plan->service_count; i++) {
+		service = i;
+		for (k = i; k > 0; k--) {
+			if (worth_(work->sheet, work->order[k - 1]) >=
+			    worth_(work->sheet, service))
+				break;
+			work->order[k] = work->order[k - 1];
+		}
+		work->order[k] = service;
+	}
+}
+
+static uint32_t worth_(const struct bw_sheet *sheet, uint32_t service)
+{
+	const struct bw_sheet_service *of = &sheet->services[service];
+	uint32_t worth = 0;
+	uint32_t i;
+
+	for (i = 0; i < of->kinds_count; i++) {
+		uint32_t rank = of->kinds[i].rank_index;
+
+		if (rank < sheet->ranks_count &&
+		    sheet->ranks[rank].worth > worth)
+			worth = sheet->ranks[rank].worth;
+	}
+	return worth;
+}
+
+/* Returns NULL for a domain that the sheet no longer has. */
+static const struct bw_plan_report *report_of_(const struct bw_plan_work *work,
+					       uint32_t domain)
+{
+	return domain < work->sheet->domains_count ? &work->reports[domain]
+						   : NULL;
+}
+
+static bool is_draining_(const struct bw_plan_work *work, uint32_t service,
+			 uint32_t site)
+{
+	const struct bw_plan_service *of = &work->plan->services[service];
+	uint32_t domain = work->plan->sites[of->site_begin + site];
+	const struct bw_plan_report *report = report_of_(work, domain);
+
+	if (!report ||
+	    site >= work->sheet->services[service].placements_count ||
+	    work->drained[of->site_begin + site])
+		return true;
+	return report->known &&
+	       (report->draining || report->services[service].draining);
+}
+
+static enum bw_site_class classify_(const struct bw_plan_work *work,
+				    uint32_t service, uint32_t site, bool first)
+{
+	const struct bw_plan_service *of = &work->plan->services[service];
+	uint32_t domain = work->plan->sites[of->site_begin + site];
+	const struct bw_plan_report *report = report_of_(work, domain);
+	int64_t measured_ms;
+
+	if (is_draining_(work, service, site))
+		return BW_SITE_DRAINED;
+	if (first)
+		return BW_SITE_USABLE;
+	if (report->known) {
+		measured_ms = work->now_ms - (int64_t)report->age_ms;
+		if (report->age_ms <= BW_PLAN_REPORT_FRESH_MS &&
+		    (!of->last_step_ms ||
+		     measured_ms >= of->last_step_ms + work->limits.ttl_ms))
+			return BW_SITE_USABLE;
+	}
+	return is_held_(work, domain) ? BW_SITE_HELD : BW_SITE_MISSING;
+}
+
+static bool is_held_(const struct bw_plan_work *work, uint32_t domain)
+{
+	const struct bw_plan_report *report = report_of_(work, domain);
+
+	if (report->known)
+		return report->age_ms <= BW_PLAN_HOLD_MS;
+	return work->now_ms - work->plan->missing_since_ms[domain] <=
+	       BW_PLAN_HOLD_MS;
+}
+
+/* A report is believed up to what the sheet expects in the domain. */
+static int64_t capacity_(const struct bw_plan_work *work, uint32_t service,
+			 uint32_t site, bool first)
+{
+	const struct bw_plan_service *of = &work->plan->services[service];
+	uint32_t domain = work->plan->sites[of->site_begin + site];
+	const struct bw_plan_report *report = report_of_(work, domain);
+	const struct bw_sheet_placement *placement =
+		&work->sheet->services[service].placements[site];
+	int64_t declared = INT64_C(1000) * placement->targets *
+			   placement->slots_per_target;
+	int64_t slots = declared;
+	uint32_t region = work->sheet->domains[domain].region;
+
+	if (report->known &&
+	    (!first || report->age_ms <= BW_PLAN_REPORT_FRESH_MS)) {
+		const struct bw_plan_service_report *said =
+			&report->services[service];
+		int64_t ramp = said->ramp > 1000 ? 1000 : said->ramp;
+
+		slots = INT64_C(1000) * said->healthy_slots +
+			ramp * said->warming_slots;
+		slots = slots < declared ? slots : declared;
+	}
+	return slots * work->sheet->regions[region].max_load_percent / 100 *
+	       MARGIN_PERCENT / 100;
+}
+
+static void load_demand_(struct bw_plan_work *work, uint32_t service)
+{
+	struct bw_plan_problem *p = &work->problem;
+	uint16_t *weights =
+		work->plan->weights + (size_t)service * p->region_count;
+	int64_t total = 0, capacity = 0, nominal;
+	uint32_t i, r, weight;
+
+	memset(p->demand, 0, sizeof(p->demand));
+	for (i = 0; i < work->sheet->domains_count; i++)
+		add_demand_(work, service, i);
+	for (r = 0; r < p->region_count; r++)
+		total += p->demand[r];
+	for (i = 0; i < p->site_count; i++)
+		capacity += p->capacity[i];
+	nominal = capacity / NOMINAL_DEMAND_DIVISOR + 1;
+	for (r = 0; r < p->region_count; r++) {
+		weight = total ? (uint32_t)((p->demand[r] *
+						     BW_PLAN_WEIGHT_WHOLE +
+					     total - 1) /
+					    total)
+			       : BW_PLAN_WEIGHT_WHOLE / p->region_count + 1;
+		if (weight > weights[r])
+			weights[r] = (uint16_t)weight;
+		if (p->demand[r] < nominal)
+			p->demand[r] = nominal;
+	}
+}
+
+/*
+ * Demand of a domain counts while its shares are held. The limit keeps one
+ * wrong report from displacing the demand of all other regions.
+ */
+static void add_demand_(struct bw_plan_work *work, uint32_t service,
+			uint32_t domain)
+{
+	const struct bw_plan_report *report = &work->reports[domain];
+	const struct bw_sheet_service *written =
+		&work->sheet->services[service];
+	const uint32_t *demand;
+	uint64_t sum = 0, limit = UINT64_MAX;
+	uint32_t r, k;
+
+	if (!report->known || report->age_ms > BW_PLAN_HOLD_MS ||
+	    !report->services[service].demand)
+		return;
+	demand = report->services[service].demand;
+	for (r = 0; r < work->problem.region_count; r++)
+		sum += demand[r];
+	for (k = 0; k < written->placements_count; k++) {
+		if (written->placements[k].domain == domain)
+			limit = UINT64_C(1000) * DEMAND_LIMIT_FACTOR *
+				written->placements[k].targets *
+				written->placements[k].slots_per_target;
+	}
+	for (r = 0; r < work->problem.region_count; r++)
+		work->problem.demand[r] +=
+			sum <= limit ? demand[r]
+				     : (int64_t)((double)demand[r] *
+						 (double)limit / (double)sum);
+}
+
+/* The median of the run times resists single wrong reports. */
+static void load_link_cost_(struct bw_plan_work *work, uint32_t service)
+{
+	uint32_t times[BW_PLAN_DOMAINS_MAX];
+	uint32_t count = 0, i, k, time;
+
+	for (i = 0; i < work->sheet->domains_count; i++) {
+		const struct bw_plan_report *report = &work->reports[i];
+
+		time = report->known ? report->services[service].mean_run_us
+				     : 0;
+		if (!time)
+			continue;
+		for (k = count++; k > 0 && times[k - 1] > time; k--)
+			times[k] = times[k - 1];
+		times[k] = time;
+	}
+	time = count ? times[(count - 1) / 2] : DEFAULT_RUN_US;
+	time = time < RUN_US_MIN ? RUN_US_MIN : time;
+	time = time > RUN_US_MAX ? RUN_US_MAX : time;
+	/* A milli-slot runs 1000 / time requests a second. */
+	work->problem.kbit_per_slot =
+		8.0 * work->sheet->services[service].mean_answer_kb * 1000.0 /
+		time;
+}
+
+static void load_ramps_(struct bw_plan_work *work, bool first)
+{
+	struct bw_plan_problem *p = &work->problem;
+	uint32_t i, r;
+	int64_t load, ramped;
+
+	for (i = 0; i < p->site_count; i++) {
+		load = 0;
+		for (r = 0; r < p->region_count; r++)
+			load += p->demand[r] *
+				p->current[r * p->site_count + i];
+		ramped = load / BW_PLAN_SHARE_WHOLE +
+			 p->capacity[i] * RAMP_PERCENT / 100;
+		p->ramped[i] = first || ramped > p->capacity[i] ? p->capacity[i]
+								: ramped;
+	}
+}
