--- a/include/bwsteer/credit.h
+++ b/include/bwsteer/credit.h
@@ -38,7 +38,9 @@
 	char self[BW_NAME_MAX];
 	char domain[BW_NAME_MAX];
 	uint64_t incarnation; /**< of this process, not 0 */
-	uint32_t host_count; /**< hosts that the domain may have, at least 1 */
+	/** Hosts that the domain may have at most, at least 1; the same on
+	 *  all of them. More hosts than this would exceed the capacity. */
+	uint32_t host_count;
 };
 
 /** Capacity of a service in the domain, as told by the caller. */
@@ -65,6 +67,8 @@
 	bool committed; /**< the commitment covers this service */
 	uint32_t acked; /**< latest grant that the host confirmed */
 	uint32_t pending; /**< largest grant not confirmed yet */
+	uint32_t latest; /**< in the latest grant sent */
+	bool listed; /**< the latest grant names this service */
 };
 
 /** A host as its aggregator accounts for it. */
