--- a/include/bwmember/aggregator.h
+++ b/include/bwmember/aggregator.h
@@ -67,6 +67,8 @@
 	uint8_t *load; /**< opaque bytes of the caller; NULL when empty */
 	uint32_t load_bytes;
 	struct bw_time reported; /**< local time of the report (from its age) */
+	uint64_t stamp; /**< local order of content changes */
+	char source[BW_NAME_MAX]; /**< host that sent the row here */
 };
 
 /** Settings; a zero selects the default. */
@@ -109,8 +111,14 @@
 	uint32_t row_count;
 	struct bw_aggregator_peer *peers;
 	uint32_t peer_count;
+	uint64_t stamp; /**< of the newest content change */
 	struct bw_summary_control controls[BW_AGGREGATOR_CONTROLS_MAX];
-	struct bw_time control_acked[BW_AGGREGATOR_CONTROLS_MAX];
+	struct {
+		bool answered;
+		struct bw_time at; /**< of the last answer */
+		uint64_t epoch; /**< of the content it has */
+		uint64_t content_sequence;
+	} control_acked[BW_AGGREGATOR_CONTROLS_MAX];
 	uint32_t control_count;
 	uint8_t *load;
 	uint32_t load_bytes;
--- /dev/null
+++ b/src/libbwmember/distribute.c
@@ -0,0 +1,557 @@
+#include "bwmember/distribute.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "private/distribute.h"
+
+#define DEFAULT_DIGEST_INTERVAL_MS 1000
+#define DEFAULT_RECOVERY_MS 2000
+#define DEFAULT_REQUEST_TIMEOUT_MS 1000
+#define DEFAULT_BYTES_PER_S (256 * 1024)
+
+/** Age of the own confirmation above which control is asked directly. */
+#define ASK_CONTROL_MS 3000
+
+/** Lead of a confirmation that is worth an answer to an older one. */
+#define ANSWER_LEAD_MS 2000
+
+const char *const bw_document_string[BW_DOCUMENT_COUNT] = {
+	[BW_DOCUMENT_SHEET] = "sheet",
+	[BW_DOCUMENT_PLAN] = "plan",
+};
+
+static void default_(uint32_t *value, uint32_t fallback);
+static void finish_document_(struct bw_distribute_document *document);
+static void refill_(struct bw_distribute *distribute, struct bw_time now);
+static enum bw_status send_digests_(struct bw_distribute *distribute,
+				    struct bw_time now, struct bw_outbox *out);
+static enum bw_status send_upwards_(struct bw_distribute *distribute,
+				    struct bw_time now, struct bw_outbox *out);
+static const char *random_neighbour_(struct bw_distribute *distribute);
+static enum bw_status push_all_(struct bw_distribute *distribute,
+				struct bw_time now, struct bw_outbox *out);
+static const char *next_receiver_(const struct bw_distribute *distribute,
+				  struct bw_time now, uint32_t *stage,
+				  uint32_t *cursor);
+static enum bw_status receive_digest_(struct bw_distribute *distribute,
+				      const char *peer,
+				      struct bw_reader *reader,
+				      struct bw_time now,
+				      struct bw_outbox *out);
+static void note_digest_(struct bw_distribute *distribute,
+			 struct bw_distribute_peer *known, bool is_control,
+			 int64_t age_ms, struct bw_time now);
+static bool wants_answer_(const struct bw_distribute *distribute,
+			  const struct bw_distribute_peer *known);
+
+enum bw_status bw_distribute_init(struct bw_distribute *distribute,
+				  const struct bw_distribute_config *config,
+				  struct bw_time now)
+{
+	struct bw_distribute_config *own = &distribute->config;
+
+	memset(distribute, 0, sizeof(*distribute));
+	if (!config->member || !config->aggregator)
+		return BW_EINVAL;
+	*own = *config;
+	default_(&own->digest_interval_ms, DEFAULT_DIGEST_INTERVAL_MS);
+	default_(&own->recovery_ms, DEFAULT_RECOVERY_MS);
+	default_(&own->request_timeout_ms, DEFAULT_REQUEST_TIMEOUT_MS);
+	default_(&own->bytes_per_s, DEFAULT_BYTES_PER_S);
+	distribute->documents =
+		calloc(BW_DOCUMENT_COUNT, sizeof(*distribute->documents));
+	distribute->peers =
+		calloc(DISTRIBUTE_PEERS_MAX, sizeof(*distribute->peers));
+	distribute->requests =
+		calloc(DISTRIBUTE_REQUESTS_MAX, sizeof(*distribute->requests));
+	if (!distribute->documents || !distribute->peers ||
+	    !distribute->requests) {
+		bw_distribute_finish(distribute);
+		return BW_ENOMEM;
+	}
+	if (config->random_seed)
+		bw_random_init(&distribute->random, config->random_seed);
+	else
+		bw_random_init_system(&distribute->random);
+	distribute->started = now;
+	distribute->refilled = now;
+	distribute->tokens = own->bytes_per_s;
+	distribute->next_digest = bw_time_add(
+		now, (int64_t)bw_random_below(&distribute->random,
+					      own->digest_interval_ms));
+	return BW_OK;
+}
+
+void bw_distribute_finish(struct bw_distribute *distribute)
+{
+	uint32_t i;
+
+	for (i = 0; distribute->documents && i < BW_DOCUMENT_COUNT; i++)
+		finish_document_(&distribute->documents[i]);
+	free(distribute->documents);
+	free(distribute->peers);
+	free(distribute->requests);
+	memset(distribute, 0, sizeof(*distribute));
+}
+
+enum bw_status bw_distribute_receive(struct bw_distribute *distribute,
+				     const struct bw_packet *packet,
+				     struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_reader reader;
+	enum bw_status status;
+	uint64_t type;
+
+	status = bw_reader_init(&reader, packet->data, packet->size_bytes);
+	bw_read_array(&reader);
+	if (status == BW_OK && bw_read_uint(&reader) != DISTRIBUTE_WIRE_VERSION)
+		status = BW_EVERSION;
+	type = bw_read_uint(&reader);
+	if (status == BW_OK &&
+	    (type < DISTRIBUTE_DIGEST || type > DISTRIBUTE_DELTA))
+		status = BW_EVERSION;
+	if (status == BW_OK && type == DISTRIBUTE_DIGEST)
+		status = receive_digest_(distribute, packet->peer, &reader, now,
+					 out);
+	else if (status == BW_OK)
+		status = distribute_receive_transfer(distribute,
+						     (enum distribute_type)type,
+						     packet->peer, &reader, now,
+						     out);
+	if (status == BW_OK)
+		status = bw_reader_status(&reader);
+	bw_reader_finish(&reader);
+	if (status == BW_EINVAL || status == BW_EVERSION)
+		distribute->stats.malformed_count++;
+	return status;
+}
+
+enum bw_status bw_distribute_tick(struct bw_distribute *distribute,
+				  struct bw_time now, struct bw_outbox *out)
+{
+	enum bw_status status;
+
+	refill_(distribute, now);
+	status = push_all_(distribute, now, out);
+	if (status == BW_OK)
+		status = distribute_serve(distribute, now, out);
+	if (status == BW_OK)
+		status = distribute_fetch(distribute, now, out);
+	if (status != BW_OK || !bw_time_reached(now, distribute->next_digest))
+		return status;
+	return send_digests_(distribute, now, out);
+}
+
+enum bw_status bw_distribute_publish(struct bw_distribute *distribute,
+				     enum bw_document document, uint64_t number,
+				     const void *bytes, size_t size_bytes,
+				     struct bw_time now)
+{
+	struct distribute_version version = { .number = number };
+	enum bw_status status;
+	uint8_t *copy;
+
+	if (!number || document >= BW_DOCUMENT_COUNT)
+		return BW_EINVAL;
+	if (size_bytes > BW_DOCUMENT_MAX_BYTES)
+		return BW_EFULL;
+	copy = malloc(size_bytes ? size_bytes : 1);
+	if (!copy)
+		return BW_ENOMEM;
+	if (size_bytes)
+		memcpy(copy, bytes, size_bytes);
+	distribute_hash(copy, size_bytes, version.hash);
+	status = distribute_put(distribute, document, &version, copy,
+				(uint32_t)size_bytes,
+				distribute->config.member->config.self.name);
+	if (status == BW_OK)
+		distribute_adopt_confirmation(distribute, now);
+	return status == BW_EEXIST ? BW_OK : status;
+}
+
+void bw_distribute_confirm(struct bw_distribute *distribute, struct bw_time now)
+{
+	assert(distribute->config.member->config.self.is_control);
+	distribute->has_confirmation = true;
+	distribute->confirmed = now;
+}
+
+bool bw_distribute_is_stale(const struct bw_distribute *distribute,
+			    struct bw_time now)
+{
+	return !distribute->has_confirmation ||
+	       bw_time_diff_ms(now, distribute->confirmed) >=
+		       BW_DISTRIBUTE_STALE_MS;
+}
+
+uint64_t bw_distribute_number(const struct bw_distribute *distribute,
+			      enum bw_document document)
+{
+	return distribute->documents[document].current.version.number;
+}
+
+const uint8_t *bw_distribute_content(const struct bw_distribute *distribute,
+				     enum bw_document document,
+				     uint32_t *size_bytes)
+{
+	const struct distribute_content *current =
+		&distribute->documents[document].current;
+
+	*size_bytes = current->size_bytes;
+	return current->version.number ? current->bytes : NULL;
+}
+
+bool bw_distribute_next_event(struct bw_distribute *distribute,
+			      struct bw_distribute_event *event)
+{
+	struct bw_distribute_document *held;
+	uint32_t i;
+
+	memset(event, 0, sizeof(*event));
+	for (i = 0; i < BW_DOCUMENT_COUNT; i++) {
+		held = &distribute->documents[i];
+		event->document = (enum bw_document)i;
+		if (held->event_pending) {
+			held->event_pending = false;
+			event->kind = BW_DISTRIBUTE_EVENT_DOCUMENT;
+			event->number = held->current.version.number;
+			event->bytes = held->current.bytes;
+			event->size_bytes = held->current.size_bytes;
+			memcpy(event->hash, held->current.version.hash,
+			       BW_DOCUMENT_HASH_BYTES);
+			memcpy(event->peer, held->source, BW_NAME_MAX);
+			return true;
+		}
+		if (held->conflict_pending) {
+			held->conflict_pending = false;
+			event->kind = BW_DISTRIBUTE_EVENT_CONFLICT;
+			event->number = held->conflict.number;
+			memcpy(event->hash, held->conflict.hash,
+			       BW_DOCUMENT_HASH_BYTES);
+			memcpy(event->peer, held->conflict_peer, BW_NAME_MAX);
+			return true;
+		}
+	}
+	return false;
+}
+
+enum bw_status bw_distribute_dump(const struct bw_distribute *distribute,
+				  json_t *into)
+{
+	const struct bw_distribute_document *held;
+	uint32_t i;
+
+	for (i = 0; i < BW_DOCUMENT_COUNT; i++) {
+		held = &distribute->documents[i];
+		if (json_object_set_new(
+			    into, bw_document_string[i],
+			    json_pack(
+				    "{s:I,s:I,s:b,s:I,s:s}", "number",
+				    (json_int_t)held->current.version.number,
+				    "bytes",
+				    (json_int_t)held->current.size_bytes,
+				    "fetching", held->fetch.active,
+				    "received_bytes",
+				    (json_int_t)held->fetch.received.size_bytes,
+				    "source", held->source)))
+			return BW_ENOMEM;
+	}
+	if (json_object_set_new(
+		    into, "stats",
+		    json_pack(
+			    "{s:I,s:I,s:I,s:I}", "conflicts",
+			    (json_int_t)distribute->stats.conflict_count,
+			    "lower_refused",
+			    (json_int_t)distribute->stats.lower_refused_count,
+			    "hash_mismatches",
+			    (json_int_t)distribute->stats.hash_mismatch_count,
+			    "deltas_applied",
+			    (json_int_t)distribute->stats.delta_applied_count)))
+		return BW_ENOMEM;
+	return BW_OK;
+}
+
+enum bw_status distribute_send_digest(struct bw_distribute *distribute,
+				      const char *peer, struct bw_time now,
+				      struct bw_outbox *out)
+{
+	struct bw_buffer body = { 0 };
+	struct bw_writer writer;
+	enum bw_status status;
+	uint32_t i;
+
+	bw_writer_init(&writer, &body);
+	bw_write_array(&writer, 4 + BW_DOCUMENT_COUNT);
+	bw_write_uint(&writer, DISTRIBUTE_WIRE_VERSION);
+	bw_write_uint(&writer, DISTRIBUTE_DIGEST);
+	bw_write_bool(&writer,
+		      distribute->config.member->config.self.is_control);
+	bw_write_int(&writer,
+		     distribute->has_confirmation
+			     ? bw_time_diff_ms(now, distribute->confirmed)
+			     : -1);
+	for (i = 0; i < BW_DOCUMENT_COUNT; i++)
+		distribute_write_version(
+			&writer, &distribute->documents[i].current.version);
+	status = writer.status;
+	if (status == BW_OK)
+		status = bw_outbox_add(out, peer, BW_CHANNEL_DISTRIBUTE,
+				       body.data, body.size_bytes);
+	bw_buffer_finish(&body);
+	return status;
+}
+
+void distribute_write_version(struct bw_writer *writer,
+			      const struct distribute_version *version)
+{
+	bw_write_array(writer, 2);
+	bw_write_uint(writer, version->number);
+	bw_write_bin(writer, version->hash,
+		     version->number ? BW_DOCUMENT_HASH_BYTES : 0);
+}
+
+void distribute_read_version(struct bw_reader *reader,
+			     struct distribute_version *version)
+{
+	const uint8_t *hash;
+	size_t size_bytes;
+
+	memset(version, 0, sizeof(*version));
+	bw_read_array(reader);
+	version->number = bw_read_uint(reader);
+	hash = bw_read_bin(reader, &size_bytes);
+	bw_read_end(reader);
+	if (size_bytes != (version->number ? BW_DOCUMENT_HASH_BYTES : 0))
+		reader->failed = true;
+	else if (size_bytes)
+		memcpy(version->hash, hash, size_bytes);
+}
+
+static void default_(uint32_t *value, uint32_t fallback)
+{
+	if (!*value)
+		*value = fallback;
+}
+
+static void finish_document_(struct bw_distribute_document *document)
+{
+	uint32_t i;
+
+	free(document->current.bytes);
+	for (i = 0; i < document->history_count; i++) {
+		free(document->history[i].bytes);
+		bw_buffer_finish(&document->history[i].delta);
+	}
+	bw_buffer_finish(&document->fetch.received);
+}
+
+static void refill_(struct bw_distribute *distribute, struct bw_time now)
+{
+	int64_t rate = distribute->config.bytes_per_s;
+
+	distribute->tokens +=
+		bw_time_diff_ms(now, distribute->refilled) * rate / 1000;
+	distribute->refilled = now;
+	if (distribute->tokens > rate)
+		distribute->tokens = rate;
+}
+
+static enum bw_status send_digests_(struct bw_distribute *distribute,
+				    struct bw_time now, struct bw_outbox *out)
+{
+	uint32_t interval = distribute->config.digest_interval_ms;
+	uint32_t stage = 0;
+	uint32_t cursor = 0;
+	enum bw_status status = BW_OK;
+	const char *name;
+
+	distribute->next_digest =
+		bw_time_add(now, (int64_t)(interval - interval / 8 +
+					   bw_random_below(&distribute->random,
+							   interval / 4 + 1)));
+	while (status == BW_OK &&
+	       (name = next_receiver_(distribute, now, &stage, &cursor)))
+		status = distribute_send_digest(distribute, name, now, out);
+	if (status == BW_OK)
+		status = send_upwards_(distribute, now, out);
+	return status;
+}
+
+/* Hosts tell their aggregator and a neighbour, aggregators their control
+ * host; without a recent confirmation a control host is asked as well. */
+static enum bw_status send_upwards_(struct bw_distribute *distribute,
+				    struct bw_time now, struct bw_outbox *out)
+{
+	const struct bw_aggregator *aggregator = distribute->config.aggregator;
+	const char *current = bw_aggregator_current(aggregator);
+	const char *self = distribute->config.member->config.self.name;
+	const char *neighbour = random_neighbour_(distribute);
+	const char *control = NULL;
+	uint32_t controls = bw_aggregator_control_count(aggregator);
+	enum bw_status status = BW_OK;
+
+	if (!strcmp(current, self))
+		control = bw_aggregator_ranked_control(aggregator, 0);
+	else if (current[0])
+		status = distribute_send_digest(distribute, current, now, out);
+	if (status == BW_OK && neighbour && strcmp(neighbour, current) != 0)
+		status =
+			distribute_send_digest(distribute, neighbour, now, out);
+	if (controls &&
+	    (!distribute->has_confirmation ||
+	     bw_time_diff_ms(now, distribute->confirmed) > ASK_CONTROL_MS) &&
+	    !bw_random_below(&distribute->random, 2))
+		control = bw_aggregator_ranked_control(
+			aggregator, (uint32_t)bw_random_below(
+					    &distribute->random, controls));
+	if (status == BW_OK && control && strcmp(control, self) != 0)
+		status = distribute_send_digest(distribute, control, now, out);
+	return status;
+}
+
+static const char *random_neighbour_(struct bw_distribute *distribute)
+{
+	const struct bw_member *member = distribute->config.member;
+	const struct bw_member_record *record;
+	const char *chosen = NULL;
+	uint32_t seen = 0;
+	uint32_t i;
+
+	for (i = 0; i < bw_member_count(member); i++) {
+		record = bw_member_at(member, i);
+		if (bw_member_state_is_up(record->state) &&
+		    strcmp(record->host.name, member->config.self.name) != 0 &&
+		    !bw_random_below(&distribute->random, ++seen))
+			chosen = record->host.name;
+	}
+	return chosen;
+}
+
+static enum bw_status push_all_(struct bw_distribute *distribute,
+				struct bw_time now, struct bw_outbox *out)
+{
+	enum bw_status status = BW_OK;
+	const char *name;
+	uint32_t stage;
+	uint32_t cursor;
+	uint32_t i;
+
+	for (i = 0; i < BW_DOCUMENT_COUNT; i++) {
+		if (!distribute->documents[i].push_pending)
+			continue;
+		distribute->documents[i].push_pending = false;
+		stage = 0;
+		cursor = 0;
+		while (status == BW_OK &&
+		       (name = next_receiver_(distribute, now, &stage,
+					      &cursor)))
+			status = distribute_push(distribute,
+						 (enum bw_document)i, name, now,
+						 out);
+	}
+	return status;
+}
+
+/* Receivers of pushes and digests: the other control hosts and the
+ * aggregators served here; then the hosts of the own domain. */
+static const char *next_receiver_(const struct bw_distribute *distribute,
+				  struct bw_time now, uint32_t *stage,
+				  uint32_t *cursor)
+{
+	const struct bw_aggregator *aggregator = distribute->config.aggregator;
+	const struct bw_member *member = distribute->config.member;
+	const struct bw_member_host *self = &member->config.self;
+	const struct bw_member_record *record;
+	const char *name;
+
+	while (*stage == 0 && self->is_control &&
+	       *cursor < bw_aggregator_control_count(aggregator)) {
+		name = bw_aggregator_control_at(aggregator, (*cursor)++)->name;
+		if (strcmp(name, self->name) != 0)
+			return name;
+	}
+	if (*stage == 0) {
+		*stage = 1;
+		*cursor = 0;
+	}
+	if (*stage == 1 && self->is_control) {
+		name = bw_aggregator_next_served(aggregator, now, cursor);
+		if (name)
+			return name;
+	}
+	if (*stage == 1) {
+		*stage = 2;
+		*cursor = 0;
+	}
+	while (bw_aggregator_is_self(aggregator) &&
+	       *cursor < bw_member_count(member)) {
+		record = bw_member_at(member, (*cursor)++);
+		if (bw_member_state_is_up(record->state) &&
+		    strcmp(record->host.name, self->name) != 0)
+			return record->host.name;
+	}
+	return NULL;
+}
+
+static enum bw_status receive_digest_(struct bw_distribute *distribute,
+				      const char *peer,
+				      struct bw_reader *reader,
+				      struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_distribute_peer *known;
+	struct distribute_version held[BW_DOCUMENT_COUNT];
+	bool is_control = bw_read_bool(reader);
+	int64_t age_ms = bw_read_int(reader);
+	uint32_t i;
+
+	for (i = 0; i < BW_DOCUMENT_COUNT; i++)
+		distribute_read_version(reader, &held[i]);
+	if (reader->failed || age_ms < -1)
+		return BW_EINVAL;
+	known = distribute_peer(distribute, peer);
+	memcpy(known->held, held, sizeof(held));
+	note_digest_(distribute, known, is_control, age_ms, now);
+	for (i = 0; i < BW_DOCUMENT_COUNT; i++)
+		distribute_check_conflict(distribute, (enum bw_document)i,
+					  &held[i], peer);
+	if (!wants_answer_(distribute, known))
+		return BW_OK;
+	return distribute_send_digest(distribute, peer, now, out);
+}
+
+static void note_digest_(struct bw_distribute *distribute,
+			 struct bw_distribute_peer *known, bool is_control,
+			 int64_t age_ms, struct bw_time now)
+{
+	struct bw_time before = distribute->confirmed;
+	uint32_t interval = distribute->config.digest_interval_ms;
+
+	known->is_control = is_control;
+	known->seen = now;
+	known->has_confirmation = age_ms >= 0;
+	known->confirmed = bw_time_add(now, -age_ms);
+	distribute_adopt_confirmation(distribute, now);
+	/* A newer confirmation is passed on early, so that its age does not
+	 * grow by a digest interval at each hop. */
+	if (distribute->confirmed.ms > before.ms &&
+	    bw_time_diff_ms(distribute->next_digest, now) < interval / 4)
+		distribute->next_digest = now;
+}
+
+static bool wants_answer_(const struct bw_distribute *distribute,
+			  const struct bw_distribute_peer *known)
+{
+	uint32_t i;
+
+	for (i = 0; i < BW_DOCUMENT_COUNT; i++) {
+		if (known->held[i].number <
+		    distribute->documents[i].current.version.number)
+			return true;
+	}
+	return distribute->has_confirmation &&
+	       (!known->has_confirmation ||
+		bw_time_diff_ms(distribute->confirmed, known->confirmed) >
+			ANSWER_LEAD_MS);
+}
--- /dev/null
+++ b/src/libbwmember/distribute_store.c
@@ -0,0 +1,259 @@
+#include "private/distribute.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+static void archive_(struct bw_distribute_document *document);
+static void drop_delta_(struct distribute_content *content);
+static bool covers_(const struct bw_distribute *distribute,
+		    const struct bw_distribute_peer *peer);
+static bool is_proven_(const struct bw_distribute *distribute,
+		       const struct bw_distribute_peer *peer,
+		       enum bw_document document, struct bw_time now);
+static bool is_fresh_(const struct bw_distribute_peer *peer,
+		      struct bw_time now);
+
+bool distribute_same(const struct distribute_version *a,
+		     const struct distribute_version *b)
+{
+	return a->number == b->number &&
+	       !memcmp(a->hash, b->hash, BW_DOCUMENT_HASH_BYTES);
+}
+
+void distribute_hash(const uint8_t *bytes, size_t size_bytes,
+		     uint8_t hash[BW_DOCUMENT_HASH_BYTES])
+{
+	crypto_generichash_blake2b(hash, BW_DOCUMENT_HASH_BYTES, bytes,
+				   size_bytes, NULL, 0);
+}
+
+struct bw_distribute_peer *distribute_peer(struct bw_distribute *distribute,
+					   const char *name)
+{
+	struct bw_distribute_peer *peer;
+	struct bw_distribute_peer *oldest = distribute->peers;
+	uint32_t i;
+
+	for (i = 0; i < distribute->peer_count; i++) {
+		peer = &distribute->peers[i];
+		if (!strcmp(peer->name, name))
+			return peer;
+		if (peer->seen.ms < oldest->seen.ms)
+			oldest = peer;
+	}
+	peer = oldest;
+	if (distribute->peer_count < DISTRIBUTE_PEERS_MAX)
+		peer = &distribute->peers[distribute->peer_count++];
+	memset(peer, 0, sizeof(*peer));
+	bw_name_set(peer->name, name);
+	peer->bad_until = distribute->started;
+	peer->seen =
+		bw_time_add(distribute->started, -2 * DISTRIBUTE_PEER_FRESH_MS);
+	return peer;
+}
+
+enum bw_status distribute_put(struct bw_distribute *distribute,
+			      enum bw_document document,
+			      const struct distribute_version *version,
+			      uint8_t *bytes, uint32_t size_bytes,
+			      const char *peer)
+{
+	struct bw_distribute_document *held = &distribute->documents[document];
+
+	assert(version->number > 0);
+	if (version->number < held->current.version.number) {
+		distribute->stats.lower_refused_count++;
+		free(bytes);
+		return BW_ESTALE;
+	}
+	if (version->number == held->current.version.number) {
+		free(bytes);
+		distribute_check_conflict(distribute, document, version, peer);
+		return distribute_same(version, &held->current.version)
+			       ? BW_EEXIST
+			       : BW_ECONFLICT;
+	}
+	archive_(held);
+	held->current.version = *version;
+	held->current.bytes = bytes;
+	held->current.size_bytes = size_bytes;
+	held->push_pending = true;
+	held->event_pending = true;
+	bw_name_set(held->source, peer);
+	if (held->fetch.target.number <= version->number) {
+		held->fetch.active = false;
+		bw_buffer_finish(&held->fetch.received);
+	}
+	return BW_OK;
+}
+
+void distribute_check_conflict(struct bw_distribute *distribute,
+			       enum bw_document document,
+			       const struct distribute_version *version,
+			       const char *peer)
+{
+	struct bw_distribute_document *held = &distribute->documents[document];
+
+	if (!version->number ||
+	    version->number != held->current.version.number ||
+	    distribute_same(version, &held->current.version) ||
+	    distribute_same(version, &held->conflict))
+		return;
+	distribute->stats.conflict_count++;
+	held->conflict = *version;
+	held->conflict_pending = true;
+	bw_name_set(held->conflict_peer, peer);
+}
+
+struct distribute_content *
+distribute_find(struct bw_distribute_document *document, uint64_t number)
+{
+	uint32_t i;
+
+	if (!number)
+		return NULL;
+	if (document->current.version.number == number)
+		return &document->current;
+	for (i = 0; i < document->history_count; i++) {
+		if (document->history[i].version.number == number)
+			return &document->history[i];
+	}
+	return NULL;
+}
+
+void distribute_adopt_confirmation(struct bw_distribute *distribute,
+				   struct bw_time now)
+{
+	const struct bw_distribute_peer *peer;
+	uint32_t i;
+
+	for (i = 0; i < distribute->peer_count; i++) {
+		peer = &distribute->peers[i];
+		if (!peer->has_confirmation || !covers_(distribute, peer) ||
+		    peer->confirmed.ms > now.ms)
+			continue;
+		if (distribute->has_confirmation &&
+		    peer->confirmed.ms <= distribute->confirmed.ms)
+			continue;
+		distribute->has_confirmation = true;
+		distribute->confirmed = peer->confirmed;
+	}
+}
+
+struct bw_distribute_peer *
+distribute_choose_source(struct bw_distribute *distribute,
+			 enum bw_document document, struct bw_time now)
+{
+	const struct distribute_version *held =
+		&distribute->documents[document].current.version;
+	struct bw_distribute_peer *chosen = NULL;
+	struct bw_distribute_peer *peer;
+	uint64_t best = held->number;
+	uint32_t same = 0;
+	uint32_t i;
+
+	for (i = 0; i < distribute->peer_count; i++) {
+		peer = &distribute->peers[i];
+		if (peer->held[document].number <= held->number ||
+		    peer->held[document].number < best ||
+		    !is_fresh_(peer, now) ||
+		    !bw_time_reached(now, peer->bad_until) ||
+		    (!held->number &&
+		     !is_proven_(distribute, peer, document, now)))
+			continue;
+		if (peer->held[document].number > best)
+			same = 0;
+		best = peer->held[document].number;
+		if (!bw_random_below(&distribute->random, ++same))
+			chosen = peer;
+	}
+	return chosen;
+}
+
+static void archive_(struct bw_distribute_document *document)
+{
+	struct distribute_content *last;
+	size_t bytes = 0;
+	uint32_t i;
+
+	if (!document->current.version.number)
+		return;
+	for (i = 0; i < document->history_count; i++)
+		drop_delta_(&document->history[i]);
+	if (document->history_count == DISTRIBUTE_HISTORY_MAX) {
+		last = &document->history[--document->history_count];
+		free(last->bytes);
+	}
+	memmove(document->history + 1, document->history,
+		document->history_count * sizeof(*document->history));
+	document->history[0] = document->current;
+	document->history_count++;
+	memset(&document->current, 0, sizeof(document->current));
+	for (i = 1; i < document->history_count; i++)
+		bytes += document->history[i].size_bytes;
+	while (document->history_count > 1 &&
+	       bytes > DISTRIBUTE_HISTORY_BYTES) {
+		last = &document->history[--document->history_count];
+		bytes -= last->size_bytes;
+		free(last->bytes);
+	}
+}
+
+static void drop_delta_(struct distribute_content *content)
+{
+	bw_buffer_finish(&content->delta);
+	content->delta_made = false;
+	content->delta_useless = false;
+}
+
+/* A confirmation says that no newer numbers were committed at its time; it
+ * holds for a host that has at least these. */
+static bool covers_(const struct bw_distribute *distribute,
+		    const struct bw_distribute_peer *peer)
+{
+	const struct distribute_version *held;
+	uint32_t i;
+
+	for (i = 0; i < BW_DOCUMENT_COUNT; i++) {
+		held = &distribute->documents[i].current.version;
+		if (peer->held[i].number > held->number)
+			return false;
+		if (peer->held[i].number == held->number && held->number &&
+		    !distribute_same(&peer->held[i], held))
+			return false;
+	}
+	return true;
+}
+
+/* For a host without the document: control hosts state committed numbers, a
+ * fresh confirmation carries such a statement, and two hosts do not forget
+ * at once. A lone neighbour is believed after the recovery time. */
+static bool is_proven_(const struct bw_distribute *distribute,
+		       const struct bw_distribute_peer *peer,
+		       enum bw_document document, struct bw_time now)
+{
+	const struct bw_distribute_peer *other;
+	uint32_t supporters = 0;
+	uint32_t i;
+
+	if (peer->is_control ||
+	    (peer->has_confirmation &&
+	     bw_time_diff_ms(now, peer->confirmed) < BW_DISTRIBUTE_STALE_MS))
+		return true;
+	for (i = 0; i < distribute->peer_count; i++) {
+		other = &distribute->peers[i];
+		if (is_fresh_(other, now) &&
+		    other->held[document].number >= peer->held[document].number)
+			supporters++;
+	}
+	return supporters >= 2 || bw_time_diff_ms(now, distribute->started) >=
+					  distribute->config.recovery_ms;
+}
+
+static bool is_fresh_(const struct bw_distribute_peer *peer, struct bw_time now)
+{
+	return bw_time_diff_ms(now, peer->seen) < DISTRIBUTE_PEER_FRESH_MS;
+}
--- /dev/null
+++ b/src/libbwmember/distribute_transfer.c
@@ -0,0 +1,419 @@
+#include "private/distribute.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "private/delta.h"
+
+/** Unanswered requests to one host before another one is asked. */
+#define TRIES_MAX 3
+
+/** Time for which a host that did not answer is not asked. */
+#define BAD_MS 5000
+
+static enum bw_status send_(struct bw_buffer *body, struct bw_writer *writer,
+			    const char *peer, struct bw_outbox *out);
+static void start_(struct bw_writer *writer, struct bw_buffer *body,
+		   uint32_t count, enum distribute_type type,
+		   enum bw_document document);
+static bool has_delta_(struct bw_distribute_document *held,
+		       struct distribute_content *base);
+static enum bw_status send_delta_(struct bw_distribute *distribute,
+				  enum bw_document document,
+				  struct distribute_content *base,
+				  const char *peer, struct bw_outbox *out);
+static enum bw_status send_full_(struct bw_distribute *distribute,
+				 enum bw_document document,
+				 const struct distribute_content *content,
+				 uint32_t offset, const char *peer,
+				 struct bw_outbox *out);
+static enum bw_status send_request_(struct bw_distribute *distribute,
+				    enum bw_document document,
+				    struct bw_time now, struct bw_outbox *out);
+static enum bw_status fetch_one_(struct bw_distribute *distribute,
+				 enum bw_document document, struct bw_time now,
+				 struct bw_outbox *out);
+static enum bw_status serve_one_(struct bw_distribute *distribute,
+				 const struct bw_distribute_request *request,
+				 struct bw_time now, struct bw_outbox *out);
+static void receive_request_(struct bw_distribute *distribute, const char *peer,
+			     enum bw_document document,
+			     struct bw_reader *reader, struct bw_time now);
+static enum bw_status receive_full_(struct bw_distribute *distribute,
+				    const char *peer, enum bw_document document,
+				    struct bw_reader *reader,
+				    struct bw_time now, struct bw_outbox *out);
+static enum bw_status receive_delta_(struct bw_distribute *distribute,
+				     const char *peer,
+				     enum bw_document document,
+				     struct bw_reader *reader,
+				     struct bw_time now);
+static bool accept_(struct bw_distribute *distribute, enum bw_document document,
+		    const struct distribute_version *version,
+		    struct bw_buffer *content, const char *peer,
+		    struct bw_time now);
+
+enum bw_status distribute_push(struct bw_distribute *distribute,
+			       enum bw_document document, const char *peer,
+			       struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_distribute_document *held = &distribute->documents[document];
+	struct bw_distribute_peer *known = distribute_peer(distribute, peer);
+	struct distribute_content *base;
+	enum bw_status status;
+
+	if (known->held[document].number >= held->current.version.number)
+		return BW_OK;
+	base = distribute_find(held, known->held[document].number);
+	if (!base || distribute->tokens <= 0 ||
+	    !distribute_same(&base->version, &known->held[document]) ||
+	    !has_delta_(held, base))
+		return distribute_send_digest(distribute, peer, now, out);
+	status = send_delta_(distribute, document, base, peer, out);
+	/* The next delta builds on this one; a lost one is requested. */
+	known->held[document] = held->current.version;
+	return status;
+}
+
+enum bw_status distribute_fetch(struct bw_distribute *distribute,
+				struct bw_time now, struct bw_outbox *out)
+{
+	enum bw_status status = BW_OK;
+	uint32_t i;
+
+	for (i = 0; i < BW_DOCUMENT_COUNT && status == BW_OK; i++)
+		status = fetch_one_(distribute, (enum bw_document)i, now, out);
+	return status;
+}
+
+enum bw_status distribute_serve(struct bw_distribute *distribute,
+				struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_distribute_request request;
+	enum bw_status status = BW_OK;
+
+	while (distribute->request_count && distribute->tokens > 0 &&
+	       status == BW_OK) {
+		request = distribute->requests[0];
+		distribute->request_count--;
+		memmove(distribute->requests, distribute->requests + 1,
+			distribute->request_count *
+				sizeof(*distribute->requests));
+		status = serve_one_(distribute, &request, now, out);
+	}
+	return status;
+}
+
+enum bw_status distribute_receive_transfer(struct bw_distribute *distribute,
+					   enum distribute_type type,
+					   const char *peer,
+					   struct bw_reader *reader,
+					   struct bw_time now,
+					   struct bw_outbox *out)
+{
+	uint64_t document = bw_read_uint(reader);
+
+	if (reader->failed || document >= BW_DOCUMENT_COUNT)
+		return BW_EINVAL;
+	switch (type) {
+	case DISTRIBUTE_REQUEST:
+		receive_request_(distribute, peer, (enum bw_document)document,
+				 reader, now);
+		return distribute_serve(distribute, now, out);
+	case DISTRIBUTE_FULL:
+		return receive_full_(distribute, peer,
+				     (enum bw_document)document, reader, now,
+				     out);
+	default:
+		return receive_delta_(distribute, peer,
+				      (enum bw_document)document, reader, now);
+	}
+}
+
+static enum bw_status send_(struct bw_buffer *body, struct bw_writer *writer,
+			    const char *peer, struct bw_outbox *out)
+{
+	enum bw_status status = writer->status;
+
+	if (status == BW_OK)
+		status = bw_outbox_add(out, peer, BW_CHANNEL_DISTRIBUTE,
+				       body->data, body->size_bytes);
+	bw_buffer_finish(body);
+	return status;
+}
+
+static void start_(struct bw_writer *writer, struct bw_buffer *body,
+		   uint32_t count, enum distribute_type type,
+		   enum bw_document document)
+{
+	bw_buffer_init(body);
+	bw_writer_init(writer, body);
+	bw_write_array(writer, count);
+	bw_write_uint(writer, DISTRIBUTE_WIRE_VERSION);
+	bw_write_uint(writer, type);
+	bw_write_uint(writer, document);
+}
+
+static bool has_delta_(struct bw_distribute_document *held,
+		       struct distribute_content *base)
+{
+	size_t limit = held->current.size_bytes;
+
+	if (base == &held->current)
+		return false;
+	if (limit > BW_DOCUMENT_CHUNK_MAX_BYTES)
+		limit = BW_DOCUMENT_CHUNK_MAX_BYTES;
+	if (!base->delta_made) {
+		base->delta_made = true;
+		base->delta_useless = delta_make(base->bytes, base->size_bytes,
+						 held->current.bytes,
+						 held->current.size_bytes,
+						 limit,
+						 &base->delta) != BW_OK ||
+				      base->delta.size_bytes > limit;
+	}
+	return !base->delta_useless;
+}
+
+static enum bw_status send_delta_(struct bw_distribute *distribute,
+				  enum bw_document document,
+				  struct distribute_content *base,
+				  const char *peer, struct bw_outbox *out)
+{
+	const struct distribute_content *current =
+		&distribute->documents[document].current;
+	struct bw_writer writer;
+	struct bw_buffer body;
+
+	start_(&writer, &body, 7, DISTRIBUTE_DELTA, document);
+	distribute_write_version(&writer, &current->version);
+	distribute_write_version(&writer, &base->version);
+	bw_write_uint(&writer, current->size_bytes);
+	bw_write_bin(&writer, base->delta.data, base->delta.size_bytes);
+	distribute->tokens -= (int64_t)body.size_bytes;
+	distribute->stats.delta_sent_count++;
+	return send_(&body, &writer, peer, out);
+}
+
+static enum bw_status send_full_(struct bw_distribute *distribute,
+				 enum bw_document document,
+				 const struct distribute_content *content,
+				 uint32_t offset, const char *peer,
+				 struct bw_outbox *out)
+{
+	uint32_t size = content->size_bytes - offset;
+	struct bw_writer writer;
+	struct bw_buffer body;
+
+	if (size > BW_DOCUMENT_CHUNK_MAX_BYTES)
+		size = BW_DOCUMENT_CHUNK_MAX_BYTES;
+	start_(&writer, &body, 7, DISTRIBUTE_FULL, document);
+	distribute_write_version(&writer, &content->version);
+	bw_write_uint(&writer, content->size_bytes);
+	bw_write_uint(&writer, offset);
+	bw_write_bin(&writer, content->bytes + offset, size);
+	distribute->tokens -= (int64_t)body.size_bytes;
+	return send_(&body, &writer, peer, out);
+}
+
+static enum bw_status send_request_(struct bw_distribute *distribute,
+				    enum bw_document document,
+				    struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_distribute_document *held = &distribute->documents[document];
+	struct bw_writer writer;
+	struct bw_buffer body;
+
+	held->fetch.deadline =
+		bw_time_add(now, distribute->config.request_timeout_ms);
+	distribute->stats.request_sent_count++;
+	start_(&writer, &body, 6, DISTRIBUTE_REQUEST, document);
+	bw_write_uint(&writer, held->fetch.target.number);
+	distribute_write_version(&writer, &held->current.version);
+	bw_write_uint(&writer, held->fetch.received.size_bytes);
+	return send_(&body, &writer, held->fetch.peer, out);
+}
+
+static enum bw_status fetch_one_(struct bw_distribute *distribute,
+				 enum bw_document document, struct bw_time now,
+				 struct bw_outbox *out)
+{
+	struct distribute_fetch *fetch = &distribute->documents[document].fetch;
+	struct bw_distribute_peer *source;
+
+	if (fetch->active && !bw_time_reached(now, fetch->deadline))
+		return BW_OK;
+	if (fetch->active) {
+		distribute->stats.request_timeout_count++;
+		source = distribute_peer(distribute, fetch->peer);
+		if (++fetch->tries >= TRIES_MAX)
+			source->bad_until = bw_time_add(now, BAD_MS);
+		else if (distribute_same(&source->held[document],
+					 &fetch->target))
+			return send_request_(distribute, document, now, out);
+	}
+	source = distribute_choose_source(distribute, document, now);
+	fetch->active = source != NULL;
+	if (!source)
+		return BW_OK;
+	/* A part of the same content stays useful from another host. */
+	if (!distribute_same(&fetch->target, &source->held[document]))
+		bw_buffer_finish(&fetch->received);
+	fetch->target = source->held[document];
+	fetch->tries = 0;
+	memcpy(fetch->peer, source->name, BW_NAME_MAX);
+	return send_request_(distribute, document, now, out);
+}
+
+static enum bw_status serve_one_(struct bw_distribute *distribute,
+				 const struct bw_distribute_request *request,
+				 struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_distribute_document *held =
+		&distribute->documents[request->document];
+	struct distribute_content *content =
+		distribute_find(held, request->want);
+	struct distribute_content *base =
+		distribute_find(held, request->have.number);
+
+	if (base && base != &held->current && !request->offset &&
+	    distribute_same(&base->version, &request->have) &&
+	    has_delta_(held, base))
+		return send_delta_(distribute, request->document, base,
+				   request->peer, out);
+	if (!content || request->offset > content->size_bytes)
+		return distribute_send_digest(distribute, request->peer, now,
+					      out);
+	return send_full_(distribute, request->document, content,
+			  request->offset, request->peer, out);
+}
+
+static void receive_request_(struct bw_distribute *distribute, const char *peer,
+			     enum bw_document document,
+			     struct bw_reader *reader, struct bw_time now)
+{
+	struct bw_distribute_request request = { .document = document };
+	struct bw_distribute_peer *known;
+	uint32_t i;
+
+	bw_name_set(request.peer, peer);
+	request.want = bw_read_uint(reader);
+	distribute_read_version(reader, &request.have);
+	request.offset = (uint32_t)bw_read_uint(reader);
+	if (reader->failed)
+		return;
+	known = distribute_peer(distribute, peer);
+	known->held[document] = request.have;
+	known->seen = now;
+	for (i = 0; i < distribute->request_count; i++) {
+		if (distribute->requests[i].document == document &&
+		    !strcmp(distribute->requests[i].peer, peer))
+			break;
+	}
+	if (i == DISTRIBUTE_REQUESTS_MAX)
+		return;
+	distribute->requests[i] = request;
+	if (i == distribute->request_count)
+		distribute->request_count++;
+}
+
+static enum bw_status receive_full_(struct bw_distribute *distribute,
+				    const char *peer, enum bw_document document,
+				    struct bw_reader *reader,
+				    struct bw_time now, struct bw_outbox *out)
+{
+	struct distribute_fetch *fetch = &distribute->documents[document].fetch;
+	struct distribute_version version;
+	const uint8_t *chunk;
+	size_t chunk_bytes;
+	uint64_t total;
+	uint64_t offset;
+	enum bw_status status;
+
+	distribute_read_version(reader, &version);
+	total = bw_read_uint(reader);
+	offset = bw_read_uint(reader);
+	chunk = bw_read_bin(reader, &chunk_bytes);
+	if (reader->failed || total > BW_DOCUMENT_MAX_BYTES ||
+	    chunk_bytes > BW_DOCUMENT_CHUNK_MAX_BYTES ||
+	    offset + chunk_bytes > total || (!chunk_bytes && offset < total))
+		return BW_EINVAL;
+	if (!fetch->active || strcmp(fetch->peer, peer) != 0 ||
+	    !distribute_same(&version, &fetch->target) ||
+	    offset != fetch->received.size_bytes)
+		return BW_OK;
+	status = bw_buffer_append(&fetch->received, chunk, chunk_bytes);
+	if (status != BW_OK)
+		return status;
+	fetch->tries = 0;
+	if (fetch->received.size_bytes < total)
+		return send_request_(distribute, document, now, out);
+	fetch->active = false;
+	if (accept_(distribute, document, &version, &fetch->received, peer,
+		    now))
+		distribute->stats.full_applied_count++;
+	bw_buffer_finish(&fetch->received);
+	return BW_OK;
+}
+
+static enum bw_status receive_delta_(struct bw_distribute *distribute,
+				     const char *peer,
+				     enum bw_document document,
+				     struct bw_reader *reader,
+				     struct bw_time now)
+{
+	struct bw_distribute_document *held = &distribute->documents[document];
+	struct bw_distribute_peer *known = distribute_peer(distribute, peer);
+	struct distribute_version version;
+	struct distribute_version base;
+	struct bw_buffer content = { 0 };
+	const uint8_t *delta;
+	size_t delta_bytes;
+	uint64_t total;
+
+	distribute_read_version(reader, &version);
+	distribute_read_version(reader, &base);
+	total = bw_read_uint(reader);
+	delta = bw_read_bin(reader, &delta_bytes);
+	if (reader->failed || !version.number || total > BW_DOCUMENT_MAX_BYTES)
+		return BW_EINVAL;
+	known->seen = now;
+	if (version.number > known->held[document].number)
+		known->held[document] = version;
+	if (version.number < held->current.version.number)
+		distribute->stats.lower_refused_count++;
+	distribute_check_conflict(distribute, document, &version, peer);
+	if (version.number <= held->current.version.number ||
+	    !distribute_same(&base, &held->current.version))
+		return BW_OK;
+	if (delta_apply(held->current.bytes, held->current.size_bytes, delta,
+			delta_bytes, (uint32_t)total, &content) == BW_OK &&
+	    accept_(distribute, document, &version, &content, peer, now))
+		distribute->stats.delta_applied_count++;
+	bw_buffer_finish(&content);
+	return BW_OK;
+}
+
+static bool accept_(struct bw_distribute *distribute, enum bw_document document,
+		    const struct distribute_version *version,
+		    struct bw_buffer *content, const char *peer,
+		    struct bw_time now)
+{
+	struct distribute_version actual = { .number = version->number };
+	uint8_t *bytes = content->data;
+	uint32_t size = (uint32_t)content->size_bytes;
+
+	distribute_hash(bytes, size, actual.hash);
+	if (!distribute_same(&actual, version)) {
+		distribute->stats.hash_mismatch_count++;
+		distribute_peer(distribute, peer)->bad_until =
+			bw_time_add(now, BAD_MS);
+		return false;
+	}
+	memset(content, 0, sizeof(*content));
+	if (distribute_put(distribute, document, version, bytes, size, peer) !=
+	    BW_OK)
+		return false;
+	distribute_adopt_confirmation(distribute, now);
+	return true;
+}
--- /dev/null
+++ b/src/libbwmember/include/private/aggregator.h
@@ -0,0 +1,105 @@
+/**
+ * @file
+ * Internals of the aggregator module: peers, table and the wire format.
+ */
+#ifndef PRIVATE_AGGREGATOR_H
+#define PRIVATE_AGGREGATOR_H
+
+#include "bwbase/codec.h"
+#include "bwmember/aggregator.h"
+
+/** Version of the wire format. */
+#define AGGREGATOR_WIRE_VERSION 1
+
+/** Most peers that a host sends rows to. */
+#define AGGREGATOR_PEERS_MAX 1024
+
+/** Content of one packet of rows above which the next one is started. */
+#define AGGREGATOR_PACKET_BYTES 8192
+
+/** Most domains in one request for lost rows. */
+#define AGGREGATOR_REQUEST_MAX 32
+
+/** Types of packet; the values are part of the wire format. */
+enum aggregator_type {
+	AGGREGATOR_REPORT = 1, /**< an aggregator's own row or refresh */
+	AGGREGATOR_ACK = 2, /**< epoch and content that a control host has */
+	AGGREGATOR_ROWS = 3, /**< rows and refresh entries */
+	AGGREGATOR_REQUEST = 4 /**< domains whose rows were lost */
+};
+
+/** A host that receives rows from here. */
+struct bw_aggregator_peer {
+	char name[BW_NAME_MAX];
+	uint64_t incarnation; /**< the rows sent are known to this run */
+	uint64_t sent_stamp; /**< content changes sent so far */
+	uint32_t refresh_index; /**< next row to refresh */
+	int64_t tokens; /**< bytes; may be negative */
+	struct bw_time refilled;
+	struct bw_time next_push;
+	struct bw_time reported; /**< last report from it */
+	bool has_reported;
+};
+
+/** Finds or adds a peer; NULL when the table is full. */
+struct bw_aggregator_peer *aggregator_peer(struct bw_aggregator *aggregator,
+					   const char *name,
+					   struct bw_time now);
+
+/** Finds a row that can be changed; NULL if there is none. */
+struct bw_summary *aggregator_row(const struct bw_aggregator *aggregator,
+				  const char *domain);
+
+/**
+ * Puts a row into the table if it is newer; takes over row->load.
+ * @return whether its content changed the table
+ */
+bool aggregator_apply(struct bw_aggregator *aggregator, struct bw_summary *row);
+
+/** Removes the rows that are older than the expiry time. */
+void aggregator_expire_rows(struct bw_aggregator *aggregator,
+			    struct bw_time now);
+
+/** Returns whether a is a newer report than b. */
+bool aggregator_is_newer(const struct bw_summary *a,
+			 const struct bw_summary *b);
+
+/** Writes a row. */
+void aggregator_write_row(struct bw_writer *writer,
+			  const struct bw_summary *row, struct bw_time now);
+
+/** Writes a refresh entry: numbers and age without the content. */
+void aggregator_write_refresh(struct bw_writer *writer,
+			      const struct bw_summary *row, struct bw_time now);
+
+/** Reads a row; row->load is allocated. @return BW_OK or BW_ENOMEM */
+enum bw_status aggregator_read_row(struct bw_reader *reader,
+				   struct bw_summary *row, struct bw_time now);
+
+/** Reads a refresh entry into the fields it carries. */
+void aggregator_read_refresh(struct bw_reader *reader, struct bw_summary *row,
+			     struct bw_time now);
+
+/** Adds a control host; known names get the new address. */
+void aggregator_add_control(struct bw_aggregator *aggregator, const char *name,
+			    const char *address);
+
+/** Sends rows and refresh entries to the peers that are due. */
+enum bw_status aggregator_push(struct bw_aggregator *aggregator,
+			       struct bw_time now, struct bw_outbox *out);
+
+/** Sends the rows that a peer requested, within its token bucket. */
+enum bw_status aggregator_answer(struct bw_aggregator *aggregator,
+				 struct bw_aggregator_peer *peer,
+				 struct bw_reader *reader, struct bw_time now,
+				 struct bw_outbox *out);
+
+/** Returns the index of a control host, or -1. */
+int aggregator_control_index(const struct bw_aggregator *aggregator,
+			     const char *name);
+
+/** Puts the own row into the table and sends it to control. */
+enum bw_status aggregator_report(struct bw_aggregator *aggregator,
+				 struct bw_time now, struct bw_outbox *out);
+
+#endif
--- /dev/null
+++ b/src/libbwmember/include/private/distribute.h
@@ -0,0 +1,176 @@
+/**
+ * @file
+ * Internals of the distribute module: documents, peers and the wire format.
+ */
+#ifndef PRIVATE_DISTRIBUTE_H
+#define PRIVATE_DISTRIBUTE_H
+
+#include "bwbase/codec.h"
+#include "bwmember/distribute.h"
+
+/** Version of the wire format. */
+#define DISTRIBUTE_WIRE_VERSION 1
+
+/** Most peers whose numbers are kept. */
+#define DISTRIBUTE_PEERS_MAX 512
+
+/** Most requests that wait for tokens. */
+#define DISTRIBUTE_REQUESTS_MAX 128
+
+/** Earlier contents kept as bases of deltas. */
+#define DISTRIBUTE_HISTORY_MAX 8
+
+/** Bytes of earlier contents kept besides the newest of them. */
+#define DISTRIBUTE_HISTORY_BYTES (2 * 1024 * 1024)
+
+/** Age of a digest above which its sender is not asked. */
+#define DISTRIBUTE_PEER_FRESH_MS 5000
+
+/** Types of packet; the values are part of the wire format. */
+enum distribute_type {
+	DISTRIBUTE_DIGEST = 1, /**< numbers, hashes, age of confirmation */
+	DISTRIBUTE_REQUEST = 2, /**< content wanted from an offset on */
+	DISTRIBUTE_FULL = 3, /**< a chunk of a full copy */
+	DISTRIBUTE_DELTA = 4 /**< a whole delta */
+};
+
+/** Identity of a content. */
+struct distribute_version {
+	uint64_t number; /**< 0 for none */
+	uint8_t hash[BW_DOCUMENT_HASH_BYTES];
+};
+
+/** A content. */
+struct distribute_content {
+	struct distribute_version version;
+	uint8_t *bytes;
+	uint32_t size_bytes;
+	struct bw_buffer delta; /**< to the content in force, when made */
+	bool delta_made;
+	bool delta_useless; /**< too large */
+};
+
+/** A transfer to this host. */
+struct distribute_fetch {
+	bool active;
+	struct distribute_version target;
+	char peer[BW_NAME_MAX];
+	struct bw_buffer received;
+	uint32_t total_bytes;
+	struct bw_time deadline;
+	uint32_t tries;
+};
+
+/** State of one document. */
+struct bw_distribute_document {
+	struct distribute_content current;
+	struct distribute_content history[DISTRIBUTE_HISTORY_MAX]; /**< newest
+								      first */
+	uint32_t history_count;
+	struct distribute_fetch fetch;
+	bool push_pending;
+	bool event_pending;
+	char source[BW_NAME_MAX];
+	bool conflict_pending;
+	struct distribute_version conflict; /**< last one reported */
+	char conflict_peer[BW_NAME_MAX];
+};
+
+/** What is known of another host. */
+struct bw_distribute_peer {
+	char name[BW_NAME_MAX];
+	bool is_control;
+	struct distribute_version held[BW_DOCUMENT_COUNT];
+	bool has_confirmation;
+	struct bw_time confirmed;
+	struct bw_time seen;
+	struct bw_time bad_until; /**< not asked before */
+};
+
+/** A request from another host that waits for tokens. */
+struct bw_distribute_request {
+	char peer[BW_NAME_MAX];
+	enum bw_document document;
+	uint64_t want;
+	struct distribute_version have;
+	uint32_t offset;
+};
+
+/** Returns whether two versions are the same. */
+bool distribute_same(const struct distribute_version *a,
+		     const struct distribute_version *b);
+
+/** Hashes a content. */
+void distribute_hash(const uint8_t *bytes, size_t size_bytes,
+		     uint8_t hash[BW_DOCUMENT_HASH_BYTES]);
+
+/** Finds or adds a peer; the longest silent one makes room. */
+struct bw_distribute_peer *distribute_peer(struct bw_distribute *distribute,
+					   const char *name);
+
+/**
+ * Puts a content in force; takes over bytes in every case.
+ * @return BW_OK; BW_ESTALE for a lower number; BW_EEXIST for the same
+ *	content; BW_ECONFLICT for the same number with another hash
+ */
+enum bw_status distribute_put(struct bw_distribute *distribute,
+			      enum bw_document document,
+			      const struct distribute_version *version,
+			      uint8_t *bytes, uint32_t size_bytes,
+			      const char *peer);
+
+/** Reports a version with the number in force but another hash, once. */
+void distribute_check_conflict(struct bw_distribute *distribute,
+			       enum bw_document document,
+			       const struct distribute_version *version,
+			       const char *peer);
+
+/** Finds the content of a number in force or in the history. */
+struct distribute_content *
+distribute_find(struct bw_distribute_document *document, uint64_t number);
+
+/** Takes over the newest confirmation that covers the numbers in force. */
+void distribute_adopt_confirmation(struct bw_distribute *distribute,
+				   struct bw_time now);
+
+/**
+ * Chooses the host to ask for a document.
+ * @return NULL when no host states a newer number that may be taken
+ */
+struct bw_distribute_peer *
+distribute_choose_source(struct bw_distribute *distribute,
+			 enum bw_document document, struct bw_time now);
+
+/** Sends numbers, hashes and the age of the confirmation. */
+enum bw_status distribute_send_digest(struct bw_distribute *distribute,
+				      const char *peer, struct bw_time now,
+				      struct bw_outbox *out);
+
+/** Pushes a change to one receiver: a delta, or a digest. */
+enum bw_status distribute_push(struct bw_distribute *distribute,
+			       enum bw_document document, const char *peer,
+			       struct bw_time now, struct bw_outbox *out);
+
+/** Starts or continues transfers to this host. */
+enum bw_status distribute_fetch(struct bw_distribute *distribute,
+				struct bw_time now, struct bw_outbox *out);
+
+/** Answers requests while tokens last. */
+enum bw_status distribute_serve(struct bw_distribute *distribute,
+				struct bw_time now, struct bw_outbox *out);
+
+/** Handles the rest of a REQUEST, FULL or DELTA packet. */
+enum bw_status distribute_receive_transfer(struct bw_distribute *distribute,
+					   enum distribute_type type,
+					   const char *peer,
+					   struct bw_reader *reader,
+					   struct bw_time now,
+					   struct bw_outbox *out);
+
+/** Writes and reads a version. */
+void distribute_write_version(struct bw_writer *writer,
+			      const struct distribute_version *version);
+void distribute_read_version(struct bw_reader *reader,
+			     struct distribute_version *version);
+
+#endif
