steer: request keys, at-most-once execution

Change: mint and check of keys, the record store with its bounds, the copy protocol and the handover. Measured: builds; no test has run yet.

--- a/include/bwsteer/keys.h
+++ b/include/bwsteer/keys.h
@@ -23,7 +23,6 @@
 #include "bwbase/clock.h"
 #include "bwbase/packet.h"
 #include "bwbase/status.h"
-#include "bwbase/yaml.h"
 
 /** Size of the text of a key with its final zero. */
 #define BW_KEYS_TEXT_MAX 160
@@ -68,6 +67,9 @@
 /** Stable names of enum bw_keys_state. */
 extern const char *const bw_keys_state_string[BW_KEYS_STATE_COUNT];
 
+/** Names in charts/request_key.yaml, for bw_chart_load. */
+extern const struct bw_chart_names bw_keys_chart_names;
+
 /** What the host does with a request. */
 enum bw_keys_decision_kind {
 	BW_KEYS_RUN, /**< dispatch once ready; then bw_keys_finish_run */
@@ -169,6 +171,7 @@
 	int64_t horizon_ms; /**< latest expiry accepted, from now */
 	int64_t bound_horizon_ms; /**< the same for keys of callers */
 	int64_t ready_wait_ms; /**< longest wait for the backup */
+	int64_t backup_silence_ms; /**< then a run no longer waits for it */
 	int64_t resend_ms; /**< time between two sends of one message */
 	int64_t handover_idle_ms; /**< an idle incoming handover is dropped */
 	uint32_t records_max; /**< of keys owned by this host */
@@ -178,7 +181,6 @@
 	uint64_t backup_responses_max_bytes;
 	uint32_t backup_bytes_per_s; /**< sent to the backup */
 	uint32_t owners_max; /**< incarnations ever taken over */
-	uint32_t events_max; /**< not fetched yet */
 };
 
 /** Counters for metrics. */
@@ -187,7 +189,8 @@
 	uint64_t unknown[BW_KEYS_REASON_COUNT];
 	uint64_t ready_unacknowledged; /**< dispatched without backup copy */
 	uint64_t responses_dropped; /**< for lack of memory */
-	uint64_t backup_refused; /**< copies refused for lack of memory */
+	uint64_t backup_refused; /**< copies refused here for lack of memory */
+	uint64_t copies_refused; /**< the same, at this host's backup */
 	uint64_t handover_refused; /**< the same for handovers */
 	uint64_t expired; /**< records removed after expiry */
 	uint64_t packets_rejected; /**< malformed, unknown or misdirected */
@@ -229,9 +232,10 @@
 
 	char backup[BW_NAME_MAX]; /**< "" for none */
 	uint64_t backup_incarnation;
-	uint64_t backup_generation; /**< counts changes of the backup */
 	GQueue unsent; /**< records that the backup has not acknowledged */
 	GQueue waiting; /**< runs that wait for the backup */
+	bool backup_silent; /**< something sent since is not acknowledged */
+	struct bw_time silent_since;
 	int64_t send_credit_bytes;
 	struct bw_time credited;
 
@@ -240,23 +244,19 @@
 	uint64_t successor_incarnation;
 	uint64_t session; /**< of the latest outgoing handover */
 
-	GQueue events;
+	uint32_t running_count;
+	uint32_t incoming_count; /**< incoming handovers in progress */
+	GQueue events; /**< at most two a run; the caller fetches them */
 	struct bw_keys_counts counts;
 };
 
-/**
- * Loads charts/request_key.yaml.
- * @return BW_OK, or another status with error filled
- */
-enum bw_status bw_keys_chart_load(struct bw_chart *chart, const char *path,
-				  struct bw_yaml_error *error);
-
 /**
  * Fills in the defaults: validity 15 min, horizon 30 min, horizon of callers'
- * keys 25 h, wait for the backup 50 ms, resend after 200 ms, idle handover
+ * keys 25 h, wait for the backup 50 ms while it
+ * has acknowledged within 500 ms, resend after 200 ms, idle handover
  * 60 s, 65,536 records with 64 MiB of responses, 65,536 backup records (32,768
- * per owner) with 64 MiB, 4 MiB/s to the backup, 4,096 incarnations, 65,536
- * events. Host, incarnation, secret, chart and wall_ms are left zero.
+ * per owner) with 64 MiB, 4 MiB/s to the backup, 4,096 incarnations. Host,
+ * incarnation, secret, chart and wall_ms are left zero.
  */
 void bw_keys_config_default(struct bw_keys_config *config);
 
@@ -331,12 +331,10 @@
  * dispatched. After BW_KEYS_EVENT_ENDED with outcome DONE a joined attempt
  * calls this again for the response.
  * @param digest of the request, from bw_keys_request_digest
- * @return BW_OK, or BW_ENOMEM (no record made, not run)
  */
-enum bw_status bw_keys_begin(struct bw_keys *keys, const struct bw_key *key,
-			     const uint8_t digest[BW_KEYS_ID_BYTES],
-			     struct bw_time now, struct bw_outbox *out,
-			     struct bw_keys_decision *decision);
+void bw_keys_begin(struct bw_keys *keys, const struct bw_key *key,
+		   const uint8_t digest[BW_KEYS_ID_BYTES], struct bw_time now,
+		   struct bw_outbox *out, struct bw_keys_decision *decision);
 
 /**
  * Ends a run. A response whose body or headers are too large is not kept.
@@ -372,15 +370,15 @@
 
 /**
  * Stops new runs and hands all records to a successor once the runs have
- * ended. May be called again with another successor as long as no handover to
- * the former one was declared complete.
+ * ended. May be called again with another successor: incarnations whose
+ * handover was declared complete keep the former one, so that each has one
+ * successor.
  * @param successor "" to seal without handover
  * @param incarnation of the successor's process
- * @return BW_OK; BW_ECONFLICT when a handover to another one was declared
- *	complete; BW_EINVAL for a bad name, this host, or incarnation 0
+ * @return BW_OK, or BW_EINVAL for a bad name, this host, or incarnation 0
  */
 enum bw_status bw_keys_seal(struct bw_keys *keys, const char *successor,
-			    uint64_t incarnation, struct bw_time now);
+			    uint64_t incarnation);
 
 /** Returns whether this host is sealed and nothing is left to hand over. */
 bool bw_keys_is_handed_over(const struct bw_keys *keys);
--- /dev/null
+++ b/src/libbwsteer/keys.c
@@ -0,0 +1,728 @@
+#include "private/keys_store.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <sodium.h>
+
+/* Names of the sub-keys derived from the fleet's secret. */
+#define KDF_CONTEXT "bwreqkey"
+#define KDF_MAC 1
+#define KDF_ID 2
+
+enum event { EVENT_BEGIN, EVENT_FINISH, EVENT_COUNT = EVENT_FINISH + 3 };
+
+enum action {
+	ACTION_RUN,
+	ACTION_JOIN,
+	ACTION_REPLAY,
+	ACTION_REPORT_UNKNOWN,
+	ACTION_KEEP_RESPONSE,
+	ACTION_RELEASE,
+	ACTION_COUNT
+};
+
+static struct bw_keys_set *find_set_(const struct bw_keys *keys,
+				     const struct bw_key *key);
+static void decide_(struct bw_keys *keys, const struct bw_key *key,
+		    const uint8_t *digest, struct bw_time now,
+		    struct bw_outbox *out, struct bw_keys_decision *decision);
+static void decide_foreign_(const struct bw_keys *keys,
+			    const struct bw_key *key,
+			    struct bw_keys_decision *decision);
+static bool refuse_(const struct bw_keys *keys, const struct bw_keys_set *set,
+		    const struct bw_keys_record *record,
+		    const struct bw_key *key, struct bw_time now,
+		    struct bw_keys_decision *decision);
+static void refuse_sealed_(const struct bw_keys *keys,
+			   const struct bw_keys_set *set,
+			   struct bw_keys_decision *decision);
+static void extend_(struct bw_keys *keys, struct bw_keys_record *record,
+		    int64_t expiry_ms);
+static void act_(struct bw_keys *keys, struct bw_keys_record *record,
+		 struct bw_time now, struct bw_outbox *out,
+		 struct bw_keys_decision *decision);
+static void run_(struct bw_keys *keys, struct bw_keys_record *record,
+		 struct bw_time now, struct bw_outbox *out,
+		 struct bw_keys_decision *decision);
+static void report_(const struct bw_keys_record *record,
+		    struct bw_keys_decision *decision);
+static bool lookup_owned_(const struct bw_keys *keys, const struct bw_key *key,
+			  const uint8_t *digest, struct bw_time now,
+			  struct bw_keys_decision *decision);
+static void lookup_(const struct bw_keys_record *record, const uint8_t *digest,
+		    struct bw_keys_decision *decision);
+static void count_(struct bw_keys *keys,
+		   const struct bw_keys_decision *decision);
+static void release_waiting_(struct bw_keys *keys, struct bw_time now);
+static bool is_valid_(const struct bw_keys_config *config);
+static void free_table_(struct bw_keys *keys, GHashTable *table);
+static json_t *dump_sets_(GHashTable *table);
+
+const char *const bw_keys_state_string[BW_KEYS_STATE_COUNT] = {
+	[BW_KEYS_NEW] = "new",
+	[BW_KEYS_RUNNING] = "running",
+	[BW_KEYS_DONE] = "done",
+	[BW_KEYS_OUTCOME_UNKNOWN] = "unknown",
+};
+
+const char *const bw_keys_decision_string[BW_KEYS_DECISION_COUNT] = {
+	[BW_KEYS_RUN] = "run",
+	[BW_KEYS_JOIN] = "join",
+	[BW_KEYS_REPLAY] = "replay",
+	[BW_KEYS_UNKNOWN] = "unknown",
+	[BW_KEYS_ABSENT] = "absent",
+	[BW_KEYS_FULL] = "full",
+	[BW_KEYS_CONFLICT] = "conflict",
+	[BW_KEYS_EXPIRED] = "expired",
+	[BW_KEYS_TOO_FAR] = "too_far",
+	[BW_KEYS_NOT_OWNER] = "not_owner",
+	[BW_KEYS_OWNER_ENDED] = "owner_ended",
+	[BW_KEYS_SEALED] = "sealed",
+};
+
+const char *const bw_keys_reason_string[BW_KEYS_REASON_COUNT] = {
+	[BW_KEYS_NO_REASON] = "none",
+	[BW_KEYS_MAY_HAVE_RUN] = "may_have_run",
+	[BW_KEYS_RESPONSE_NOT_KEPT] = "response_not_kept",
+};
+
+const char *const bw_keys_outcome_string[BW_KEYS_OUTCOME_COUNT] = {
+	[BW_KEYS_OUTCOME_DONE] = "done",
+	[BW_KEYS_OUTCOME_NOT_RUN] = "not_run",
+	[BW_KEYS_OUTCOME_MAY_HAVE_RUN] = "may_have_run",
+};
+
+const char *const bw_keys_event_string[BW_KEYS_EVENT_COUNT] = {
+	[BW_KEYS_EVENT_READY] = "ready",
+	[BW_KEYS_EVENT_ENDED] = "ended",
+	[BW_KEYS_EVENT_ADOPTED] = "adopted",
+	[BW_KEYS_EVENT_HANDED_OVER] = "handed_over",
+};
+
+static const char *const chart_events_[EVENT_COUNT] = {
+	[EVENT_BEGIN] = "begin",
+	[EVENT_FINISH + BW_KEYS_OUTCOME_DONE] = "finish_done",
+	[EVENT_FINISH + BW_KEYS_OUTCOME_NOT_RUN] = "finish_not_run",
+	[EVENT_FINISH + BW_KEYS_OUTCOME_MAY_HAVE_RUN] = "finish_may_have_run",
+};
+
+static const char *const chart_actions_[ACTION_COUNT] = {
+	[ACTION_RUN] = "run",
+	[ACTION_JOIN] = "join",
+	[ACTION_REPLAY] = "replay",
+	[ACTION_REPORT_UNKNOWN] = "report_unknown",
+	[ACTION_KEEP_RESPONSE] = "keep_response",
+	[ACTION_RELEASE] = "release",
+};
+
+const struct bw_chart_names bw_keys_chart_names = {
+	.states = bw_keys_state_string,
+	.state_count = BW_KEYS_STATE_COUNT,
+	.events = chart_events_,
+	.event_count = EVENT_COUNT,
+	.actions = chart_actions_,
+	.action_count = ACTION_COUNT,
+};
+
+void bw_keys_config_default(struct bw_keys_config *config)
+{
+	memset(config, 0, sizeof(*config));
+	config->validity_ms = 15 * 60 * 1000;
+	config->horizon_ms = 30 * 60 * 1000;
+	config->bound_horizon_ms = 25 * 60 * 60 * 1000;
+	config->ready_wait_ms = 50;
+	config->backup_silence_ms = 500;
+	config->resend_ms = 200;
+	config->handover_idle_ms = 60 * 1000;
+	config->records_max = 65536;
+	config->responses_max_bytes = 64 * 1024 * 1024;
+	config->backup_records_max = 65536;
+	config->backup_records_per_owner_max = 32768;
+	config->backup_responses_max_bytes = 64 * 1024 * 1024;
+	config->backup_bytes_per_s = 4 * 1024 * 1024;
+	config->owners_max = 4096;
+}
+
+enum bw_status bw_keys_init(struct bw_keys *keys,
+			    const struct bw_keys_config *config,
+			    struct bw_time now)
+{
+	memset(keys, 0, sizeof(*keys));
+	if (!is_valid_(config))
+		return BW_EINVAL;
+	keys->config = *config;
+	keys->started = now;
+	keys->credited = now;
+	keys->wheel_s = now.ms / 1000;
+	crypto_kdf_derive_from_key(keys->mac_key, sizeof(keys->mac_key),
+				   KDF_MAC, KDF_CONTEXT, config->secret);
+	crypto_kdf_derive_from_key(keys->id_key, sizeof(keys->id_key), KDF_ID,
+				   KDF_CONTEXT, config->secret);
+	keys->owned_pool.records_max = config->records_max;
+	keys->owned_pool.bytes_max = config->responses_max_bytes;
+	keys->backup_pool.records_max = config->backup_records_max;
+	keys->backup_pool.bytes_max = config->backup_responses_max_bytes;
+	keys->owned = bw_keys_table_new();
+	keys->backups = bw_keys_table_new();
+	keys->own = bw_keys_table_add(keys->owned, &keys->owned_pool,
+				      config->host, config->incarnation,
+				      BW_KEYS_SET_OWNED);
+	if (!keys->own) {
+		bw_keys_finish(keys);
+		return BW_ENOMEM;
+	}
+	keys->own->wall_offset_ms = config->wall_ms - now.ms;
+	return BW_OK;
+}
+
+void bw_keys_finish(struct bw_keys *keys)
+{
+	struct bw_keys_event event;
+
+	if (!keys->owned)
+		return;
+	free_table_(keys, keys->owned);
+	free_table_(keys, keys->backups);
+	keys->owned = NULL;
+	while (bw_keys_next_event(keys, &event))
+		continue;
+	sodium_memzero(keys->mac_key, sizeof(keys->mac_key));
+	sodium_memzero(keys->id_key, sizeof(keys->id_key));
+}
+
+int64_t bw_keys_wall_ms(const struct bw_keys *keys, struct bw_time now)
+{
+	return bw_keys_set_wall_ms(keys->own, now);
+}
+
+void bw_keys_begin(struct bw_keys *keys, const struct bw_key *key,
+		   const uint8_t digest[BW_KEYS_ID_BYTES], struct bw_time now,
+		   struct bw_outbox *out, struct bw_keys_decision *decision)
+{
+	memset(decision, 0, sizeof(*decision));
+	decide_(keys, key, digest, now, out, decision);
+	count_(keys, decision);
+}
+
+enum bw_status bw_keys_finish_run(struct bw_keys *keys,
+				  const struct bw_key *key, uint64_t run,
+				  enum bw_keys_outcome outcome,
+				  const struct bw_keys_response *response,
+				  struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_keys_set *set = find_set_(keys, key);
+	struct bw_keys_record *record = set ? bw_keys_record_find(set, key)
+					    : NULL;
+	struct bw_chart_step step;
+
+	if (!record || record->run != run ||
+	    bw_chart_next(keys->config.chart, record->state,
+			  (uint8_t)(EVENT_FINISH + outcome), &step) != BW_OK)
+		return BW_ENOTFOUND;
+	record->state = step.state;
+	record->version = ++keys->version;
+	set->running_count--;
+	keys->running_count--;
+	bw_keys_record_enqueue(record, NULL);
+	if (step.action == ACTION_KEEP_RESPONSE && response)
+		bw_keys_record_keep(keys, record, response);
+	if (step.action == ACTION_RELEASE)
+		bw_keys_record_enqueue(record, &set->pool->released);
+	if (record->joined)
+		bw_keys_push_run_event(keys, BW_KEYS_EVENT_ENDED, record,
+				       outcome);
+	bw_keys_copy_mark(keys, record);
+	bw_keys_copy_now(keys, record, now, out);
+	return BW_OK;
+}
+
+enum bw_status bw_keys_set_backup(struct bw_keys *keys, const char *host,
+				  uint64_t incarnation, struct bw_time now)
+{
+	char name[BW_NAME_MAX];
+
+	if (!bw_name_set(name, host) || !strcmp(name, keys->config.host) ||
+	    (name[0] && !incarnation))
+		return BW_EINVAL;
+	if (!strcmp(name, keys->backup) &&
+	    (!name[0] || incarnation == keys->backup_incarnation))
+		return BW_OK;
+	memcpy(keys->backup, name, sizeof(name));
+	keys->backup_incarnation = name[0] ? incarnation : 0;
+	keys->backup_silent = false;
+	bw_keys_copy_all(keys);
+	release_waiting_(keys, now);
+	return BW_OK;
+}
+
+void bw_keys_lookup_backup(struct bw_keys *keys, const struct bw_key *key,
+			   const uint8_t digest[BW_KEYS_ID_BYTES],
+			   struct bw_time now,
+			   struct bw_keys_decision *decision)
+{
+	const struct bw_keys_set *set =
+		bw_keys_table_find(keys->backups, key->owner, key->incarnation);
+	const struct bw_keys_record *record =
+		set ? bw_keys_record_find(set, key) : NULL;
+
+	memset(decision, 0, sizeof(*decision));
+	decision->kind = BW_KEYS_ABSENT;
+	if (!lookup_owned_(keys, key, digest, now, decision) && record)
+		lookup_(record, digest, decision);
+	count_(keys, decision);
+}
+
+enum bw_status bw_keys_seal(struct bw_keys *keys, const char *successor,
+			    uint64_t incarnation)
+{
+	GHashTableIter iter;
+	gpointer item;
+	struct bw_keys_set *set;
+	char name[BW_NAME_MAX];
+
+	if (!bw_name_set(name, successor) || !strcmp(name, keys->config.host) ||
+	    (name[0] && !incarnation))
+		return BW_EINVAL;
+	keys->sealed = true;
+	if (!strcmp(name, keys->successor) &&
+	    incarnation == keys->successor_incarnation)
+		return BW_OK;
+	memcpy(keys->successor, name, sizeof(name));
+	keys->successor_incarnation = incarnation;
+	g_hash_table_iter_init(&iter, keys->owned);
+	while (g_hash_table_iter_next(&iter, &item, NULL)) {
+		set = item;
+		if (set->state == BW_KEYS_SET_OWNED && !set->committed)
+			bw_keys_handover_restart(set);
+	}
+	return BW_OK;
+}
+
+bool bw_keys_is_handed_over(const struct bw_keys *keys)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	if (!keys->sealed)
+		return false;
+	g_hash_table_iter_init(&iter, keys->owned);
+	while (g_hash_table_iter_next(&iter, &item, NULL)) {
+		if (((struct bw_keys_set *)item)->state != BW_KEYS_SET_HANDED)
+			return false;
+	}
+	return true;
+}
+
+uint32_t bw_keys_running_count(const struct bw_keys *keys)
+{
+	return keys->running_count;
+}
+
+enum bw_status bw_keys_receive(struct bw_keys *keys,
+			       const struct bw_packet *packet,
+			       struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_reader reader;
+	enum bw_status status;
+	uint64_t version;
+	uint64_t type;
+
+	status = bw_reader_init(&reader, packet->data, packet->size_bytes);
+	bw_read_array(&reader);
+	version = bw_read_uint(&reader);
+	type = bw_read_uint(&reader);
+	if (bw_reader_status(&reader) != BW_OK || !packet->incarnation)
+		status = BW_EINVAL;
+	else if (version != BW_KEYS_WIRE_VERSION || type < BW_KEYS_COPY ||
+		 type > BW_KEYS_COMPLETE_ACK)
+		status = BW_EVERSION;
+	else if (bw_read_uint(&reader) != keys->config.incarnation)
+		status = BW_ESTALE;
+	else if (type == BW_KEYS_COPY)
+		status = bw_keys_receive_copy(keys, packet, &reader, now, out);
+	else if (type == BW_KEYS_COPY_ACK)
+		status = bw_keys_receive_copy_ack(keys, packet, &reader);
+	else
+		status = bw_keys_receive_handover(keys, packet,
+						  (enum bw_keys_message)type,
+						  &reader, now, out);
+	bw_reader_finish(&reader);
+	if (status != BW_OK)
+		keys->counts.packets_rejected++;
+	return status;
+}
+
+enum bw_status bw_keys_tick(struct bw_keys *keys, struct bw_time now,
+			    struct bw_outbox *out)
+{
+	release_waiting_(keys, now);
+	bw_keys_copy_tick(keys, now, out);
+	bw_keys_handover_tick(keys, now, out);
+	bw_keys_wheel_advance(keys, now);
+	return BW_OK;
+}
+
+bool bw_keys_next_event(struct bw_keys *keys, struct bw_keys_event *event)
+{
+	struct bw_keys_event *next = g_queue_pop_head(&keys->events);
+
+	if (!next)
+		return false;
+	*event = *next;
+	g_free(next);
+	return true;
+}
+
+enum bw_status bw_keys_dump(const struct bw_keys *keys, json_t *into)
+{
+	json_t *decisions = json_object();
+	json_t *counts;
+	int status;
+	int i;
+
+	for (i = 0; i < BW_KEYS_DECISION_COUNT; i++)
+		json_object_set_new(
+			decisions, bw_keys_decision_string[i],
+			json_integer((json_int_t)keys->counts.decisions[i]));
+	counts = json_pack(
+		"{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "ready_unacknowledged",
+		(json_int_t)keys->counts.ready_unacknowledged,
+		"responses_dropped", (json_int_t)keys->counts.responses_dropped,
+		"backup_refused", (json_int_t)keys->counts.backup_refused,
+		"copies_refused", (json_int_t)keys->counts.copies_refused,
+		"handover_refused", (json_int_t)keys->counts.handover_refused,
+		"expired", (json_int_t)keys->counts.expired, "packets_rejected",
+		(json_int_t)keys->counts.packets_rejected);
+	status = json_object_set_new(into, "counts", counts);
+	status |= json_object_set_new(into, "decisions", decisions);
+	status |= json_object_set_new(into, "owned", dump_sets_(keys->owned));
+	status |=
+		json_object_set_new(into, "backups", dump_sets_(keys->backups));
+	status |=
+		json_object_set_new(into, "backup", json_string(keys->backup));
+	status |=
+		json_object_set_new(into, "sealed", json_boolean(keys->sealed));
+	status |= json_object_set_new(into, "successor",
+				      json_string(keys->successor));
+	status |= json_object_set_new(into, "running",
+				      json_integer(keys->running_count));
+	return status ? BW_ENOMEM : BW_OK;
+}
+
+void bw_keys_push_event(struct bw_keys *keys, const struct bw_keys_event *event)
+{
+	struct bw_keys_event *copy = g_malloc(sizeof(*copy));
+
+	*copy = *event;
+	g_queue_push_tail(&keys->events, copy);
+}
+
+void bw_keys_push_run_event(struct bw_keys *keys, enum bw_keys_event_kind kind,
+			    const struct bw_keys_record *record,
+			    enum bw_keys_outcome outcome)
+{
+	struct bw_keys_event event = { .kind = kind };
+
+	event.key.kind = (enum bw_keys_kind)record->kind;
+	memcpy(event.key.owner, record->set->host, BW_NAME_MAX);
+	event.key.incarnation = record->set->incarnation;
+	event.key.expiry_ms = record->expiry_ms;
+	memcpy(event.key.id, record->id, sizeof(event.key.id));
+	event.run = record->run;
+	event.outcome = outcome;
+	bw_keys_push_event(keys, &event);
+}
+
+void bw_keys_make_ready(struct bw_keys *keys, struct bw_keys_record *record)
+{
+	bw_keys_record_enqueue(record, NULL);
+	bw_keys_push_run_event(keys, BW_KEYS_EVENT_READY, record,
+			       BW_KEYS_OUTCOME_DONE);
+}
+
+/* Finds the set that this host owns or has owned. */
+static struct bw_keys_set *find_set_(const struct bw_keys *keys,
+				     const struct bw_key *key)
+{
+	struct bw_keys_set *set =
+		bw_keys_table_find(keys->owned, key->owner, key->incarnation);
+
+	return set && set->state != BW_KEYS_SET_INCOMING ? set : NULL;
+}
+
+static void decide_(struct bw_keys *keys, const struct bw_key *key,
+		    const uint8_t *digest, struct bw_time now,
+		    struct bw_outbox *out, struct bw_keys_decision *decision)
+{
+	struct bw_keys_set *set = find_set_(keys, key);
+	struct bw_keys_record *record;
+
+	if (!set) {
+		decide_foreign_(keys, key, decision);
+		return;
+	}
+	record = bw_keys_record_find(set, key);
+	if (record && memcmp(record->digest, digest, BW_KEYS_ID_BYTES)) {
+		decision->kind = BW_KEYS_CONFLICT;
+		decision->not_run = true;
+		return;
+	}
+	if (refuse_(keys, set, record, key, now, decision))
+		return;
+	if (!record) {
+		record = bw_keys_record_add(keys, set, key);
+		if (!record) {
+			decision->kind = BW_KEYS_FULL;
+			decision->not_run = true;
+			return;
+		}
+		memcpy(record->digest, digest, BW_KEYS_ID_BYTES);
+		bw_keys_wheel_insert(keys, record);
+	}
+	extend_(keys, record, key->expiry_ms);
+	act_(keys, record, now, out, decision);
+}
+
+static void decide_foreign_(const struct bw_keys *keys,
+			    const struct bw_key *key,
+			    struct bw_keys_decision *decision)
+{
+	if (!strcmp(key->owner, keys->config.host)) {
+		decision->kind = BW_KEYS_OWNER_ENDED;
+		return;
+	}
+	decision->kind = BW_KEYS_NOT_OWNER;
+	memcpy(decision->host, key->owner, BW_NAME_MAX);
+	decision->incarnation = key->incarnation;
+}
+
+/* Refuses what would start a run that is not allowed. */
+static bool refuse_(const struct bw_keys *keys, const struct bw_keys_set *set,
+		    const struct bw_keys_record *record,
+		    const struct bw_key *key, struct bw_time now,
+		    struct bw_keys_decision *decision)
+{
+	bool sealed = keys->sealed || set->state == BW_KEYS_SET_HANDED;
+	int64_t wall_ms = bw_keys_set_wall_ms(set, now);
+	int64_t horizon_ms = key->kind == BW_KEYS_BOUND
+				     ? keys->config.bound_horizon_ms
+				     : keys->config.horizon_ms;
+
+	if (record && record->state != BW_KEYS_NEW) {
+		/* The longer expiry has to reach the successor's record. */
+		if (!sealed || key->expiry_ms <= record->expiry_ms)
+			return false;
+		refuse_sealed_(keys, set, decision);
+		decision->not_run = false;
+		return true;
+	}
+	if (wall_ms >= key->expiry_ms) {
+		decision->kind = BW_KEYS_EXPIRED;
+		return true;
+	}
+	if (sealed) {
+		refuse_sealed_(keys, set, decision);
+		return true;
+	}
+	if (key->expiry_ms - wall_ms > horizon_ms) {
+		decision->kind = BW_KEYS_TOO_FAR;
+		decision->not_run = true;
+		return true;
+	}
+	return false;
+}
+
+static void refuse_sealed_(const struct bw_keys *keys,
+			   const struct bw_keys_set *set,
+			   struct bw_keys_decision *decision)
+{
+	const char *host = set->committed ? set->successor : keys->successor;
+
+	decision->kind = BW_KEYS_SEALED;
+	decision->not_run = !set->committed;
+	memcpy(decision->host, host, BW_NAME_MAX);
+	decision->incarnation = set->committed ? set->successor_incarnation
+					       : keys->successor_incarnation;
+}
+
+/* A binding renewed for the same owner may carry a later expiry. */
+static void extend_(struct bw_keys *keys, struct bw_keys_record *record,
+		    int64_t expiry_ms)
+{
+	if (expiry_ms <= record->expiry_ms)
+		return;
+	record->expiry_ms = expiry_ms;
+	if (record->state == BW_KEYS_NEW)
+		return;
+	record->version = ++keys->version;
+	bw_keys_copy_mark(keys, record);
+}
+
+static void act_(struct bw_keys *keys, struct bw_keys_record *record,
+		 struct bw_time now, struct bw_outbox *out,
+		 struct bw_keys_decision *decision)
+{
+	struct bw_chart_step step;
+
+	bw_chart_next(keys->config.chart, record->state, EVENT_BEGIN, &step);
+	record->state = step.state;
+	switch (step.action) {
+	case ACTION_RUN:
+		run_(keys, record, now, out, decision);
+		break;
+	case ACTION_JOIN:
+		record->joined = true;
+		decision->kind = BW_KEYS_JOIN;
+		break;
+	case ACTION_REPLAY:
+	case ACTION_REPORT_UNKNOWN:
+		report_(record, decision);
+		break;
+	default:
+		assert(!"the chart has no action for begin");
+	}
+}
+
+static void run_(struct bw_keys *keys, struct bw_keys_record *record,
+		 struct bw_time now, struct bw_outbox *out,
+		 struct bw_keys_decision *decision)
+{
+	record->version = ++keys->version;
+	record->run = record->version;
+	record->begun_ms = now.ms;
+	record->joined = false;
+	record->set->running_count++;
+	keys->running_count++;
+	bw_keys_copy_mark(keys, record);
+	bw_keys_copy_now(keys, record, now, out);
+	decision->kind = BW_KEYS_RUN;
+	decision->run = record->run;
+	decision->ready = bw_keys_backup_unreachable(keys, now);
+	bw_keys_record_enqueue(record, decision->ready ? NULL : &keys->waiting);
+	if (decision->ready)
+		keys->counts.ready_unacknowledged++;
+}
+
+static void report_(const struct bw_keys_record *record,
+		    struct bw_keys_decision *decision)
+{
+	if (record->response) {
+		decision->kind = BW_KEYS_REPLAY;
+		bw_keys_record_response(record, &decision->response);
+		return;
+	}
+	decision->kind = BW_KEYS_UNKNOWN;
+	decision->reason = record->state == BW_KEYS_DONE
+				   ? BW_KEYS_RESPONSE_NOT_KEPT
+				   : BW_KEYS_MAY_HAVE_RUN;
+}
+
+/* Returns whether the sets in the table of owners decide. */
+static bool lookup_owned_(const struct bw_keys *keys, const struct bw_key *key,
+			  const uint8_t *digest, struct bw_time now,
+			  struct bw_keys_decision *decision)
+{
+	const struct bw_keys_set *set =
+		bw_keys_table_find(keys->owned, key->owner, key->incarnation);
+	const struct bw_keys_record *record =
+		set ? bw_keys_record_find(set, key) : NULL;
+
+	if (!set)
+		return false;
+	if (record && record->state != BW_KEYS_NEW) {
+		lookup_(record, digest, decision);
+		return true;
+	}
+	if (set->state == BW_KEYS_SET_INCOMING)
+		return false;
+	decision->not_run = set->state == BW_KEYS_SET_OWNED &&
+			    !set->committed &&
+			    bw_keys_set_wall_ms(set, now) < key->expiry_ms;
+	return true;
+}
+
+static void lookup_(const struct bw_keys_record *record, const uint8_t *digest,
+		    struct bw_keys_decision *decision)
+{
+	if (record->state == BW_KEYS_NEW)
+		return;
+	if (memcmp(record->digest, digest, BW_KEYS_ID_BYTES)) {
+		decision->kind = BW_KEYS_CONFLICT;
+		return;
+	}
+	report_(record, decision);
+}
+
+static void count_(struct bw_keys *keys,
+		   const struct bw_keys_decision *decision)
+{
+	keys->counts.decisions[decision->kind]++;
+	keys->counts.unknown[decision->reason]++;
+}
+
+static void release_waiting_(struct bw_keys *keys, struct bw_time now)
+{
+	bool unreachable = bw_keys_backup_unreachable(keys, now);
+	struct bw_keys_record *record;
+
+	while (keys->waiting.length) {
+		record = keys->waiting.head->data;
+		if (!unreachable &&
+		    now.ms - record->begun_ms < keys->config.ready_wait_ms)
+			return;
+		keys->counts.ready_unacknowledged++;
+		bw_keys_make_ready(keys, record);
+	}
+}
+
+static bool is_valid_(const struct bw_keys_config *config)
+{
+	return config->host[0] && config->incarnation && config->chart &&
+	       config->wall_ms >= 0 &&
+	       config->wall_ms < BW_KEYS_WALL_END_MS / 2 &&
+	       config->validity_ms > 0 &&
+	       config->horizon_ms >= config->validity_ms &&
+	       config->bound_horizon_ms > 0 && config->resend_ms > 0 &&
+	       config->handover_idle_ms > 0 && config->records_max &&
+	       config->backup_records_max &&
+	       config->backup_records_per_owner_max &&
+	       config->backup_bytes_per_s && config->owners_max;
+}
+
+static void free_table_(struct bw_keys *keys, GHashTable *table)
+{
+	GHashTableIter iter;
+	gpointer set;
+
+	g_hash_table_iter_init(&iter, table);
+	while (g_hash_table_iter_next(&iter, &set, NULL)) {
+		g_hash_table_iter_remove(&iter);
+		bw_keys_set_free(keys, set);
+	}
+	g_hash_table_destroy(table);
+}
+
+static json_t *dump_sets_(GHashTable *table)
+{
+	json_t *sets = json_array();
+	GHashTableIter iter;
+	gpointer item;
+	const struct bw_keys_set *set;
+
+	g_hash_table_iter_init(&iter, table);
+	while (g_hash_table_iter_next(&iter, &item, NULL)) {
+		set = item;
+		json_array_append_new(
+			sets, json_pack("{s:s, s:I, s:s, s:i, s:i, s:s, s:b}",
+					"host", set->host, "incarnation",
+					(json_int_t)set->incarnation, "state",
+					bw_keys_set_state_string[set->state],
+					"records",
+					(int)g_hash_table_size(set->records),
+					"running", (int)set->running_count,
+					"successor", set->successor,
+					"committed", set->committed));
+	}
+	return sets;
+}
--- /dev/null
+++ b/src/libbwsteer/keys_copy.c
@@ -0,0 +1,321 @@
+#include "private/keys_store.h"
+
+#include <string.h>
+
+#define BATCH_MAX 256
+#define STEPS_MAX 4096 /* records looked at in one tick */
+#define CREDIT_MIN_BYTES (256 * 1024) /* a burst holds any one response */
+
+static enum bw_status send_(struct bw_keys *keys,
+			    struct bw_keys_record *const *records,
+			    uint32_t count, struct bw_time now,
+			    struct bw_outbox *out);
+static void add_credit_(struct bw_keys *keys, struct bw_time now);
+static uint32_t collect_(struct bw_keys *keys, struct bw_time now,
+			 struct bw_keys_record **records, uint32_t *steps);
+static bool is_due_(const struct bw_keys *keys,
+		    const struct bw_keys_record *record, struct bw_time now);
+static struct bw_keys_set *copy_set_(struct bw_keys *keys, const char *host,
+				     uint64_t incarnation, int64_t wall_ms,
+				     struct bw_time now);
+static bool store_(struct bw_keys *keys, struct bw_keys_set *set,
+		   const struct bw_keys_wire_record *wire);
+static void acknowledge_(struct bw_keys *keys, struct bw_keys_set *set,
+			 struct bw_reader *reader);
+
+void bw_keys_copy_mark(struct bw_keys *keys, struct bw_keys_record *record)
+{
+	if (!keys->backup[0] || record->set->state != BW_KEYS_SET_OWNED)
+		return;
+	record->sent_ms = INT64_MIN;
+	if (record->in_unsent)
+		return;
+	g_queue_push_tail_link(&keys->unsent, &record->unsent_link);
+	record->in_unsent = true;
+}
+
+void bw_keys_copy_now(struct bw_keys *keys, struct bw_keys_record *record,
+		      struct bw_time now, struct bw_outbox *out)
+{
+	if (!record->in_unsent)
+		return;
+	add_credit_(keys, now);
+	/* A record without response is small and precedes a dispatch. */
+	if (record->response &&
+	    keys->send_credit_bytes < bw_keys_wire_bytes(record))
+		return;
+	send_(keys, &record, 1, now, out);
+}
+
+void bw_keys_copy_all(struct bw_keys *keys)
+{
+	GHashTableIter sets;
+	GHashTableIter records;
+	gpointer set;
+	gpointer record;
+	GList *link;
+
+	while ((link = g_queue_pop_head_link(&keys->unsent)))
+		((struct bw_keys_record *)link->data)->in_unsent = false;
+	g_hash_table_iter_init(&sets, keys->owned);
+	while (g_hash_table_iter_next(&sets, &set, NULL)) {
+		g_hash_table_iter_init(&records,
+				       ((struct bw_keys_set *)set)->records);
+		while (g_hash_table_iter_next(&records, &record, NULL)) {
+			if (((struct bw_keys_record *)record)->state !=
+			    BW_KEYS_NEW)
+				bw_keys_copy_mark(keys, record);
+		}
+	}
+}
+
+void bw_keys_copy_tick(struct bw_keys *keys, struct bw_time now,
+		       struct bw_outbox *out)
+{
+	struct bw_keys_record *records[BATCH_MAX];
+	uint32_t steps = keys->unsent.length;
+	uint32_t count;
+
+	add_credit_(keys, now);
+	if (steps > STEPS_MAX)
+		steps = STEPS_MAX;
+	while (steps && keys->send_credit_bytes > 0) {
+		count = collect_(keys, now, records, &steps);
+		if (count && send_(keys, records, count, now, out) != BW_OK)
+			return;
+	}
+}
+
+bool bw_keys_backup_unreachable(const struct bw_keys *keys, struct bw_time now)
+{
+	return !keys->backup[0] || (keys->backup_silent &&
+				    bw_time_diff_ms(now, keys->silent_since) >=
+					    keys->config.backup_silence_ms);
+}
+
+enum bw_status bw_keys_receive_copy(struct bw_keys *keys,
+				    const struct bw_packet *packet,
+				    struct bw_reader *reader,
+				    struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_keys_wire_record wire;
+	struct bw_keys_set named;
+	struct bw_keys_set *set;
+	struct bw_buffer buffer;
+	struct bw_writer writer;
+	int64_t wall_ms;
+	uint32_t count;
+	uint32_t i;
+
+	bw_read_name(reader, named.host);
+	named.incarnation = bw_read_uint(reader);
+	wall_ms = bw_keys_read_wall(reader);
+	count = bw_read_array(reader);
+	if (bw_reader_status(reader) != BW_OK || !named.host[0] || !count)
+		return BW_EINVAL;
+	set = copy_set_(keys, named.host, named.incarnation, wall_ms, now);
+	bw_buffer_init(&buffer);
+	bw_writer_init(&writer, &buffer);
+	bw_keys_write_head(&writer, 1, BW_KEYS_COPY_ACK, packet->incarnation,
+			   &named);
+	bw_write_array(&writer, count);
+	for (i = 0; i < count && bw_keys_read_record(reader, &wire); i++) {
+		bw_write_array(&writer, 4);
+		bw_write_uint(&writer, wire.key.kind);
+		bw_write_bin(&writer, wire.key.id, sizeof(wire.key.id));
+		bw_write_uint(&writer, wire.version);
+		bw_write_bool(&writer, set && store_(keys, set, &wire));
+	}
+	if (i == count)
+		bw_keys_send(keys, packet->peer, &writer, out);
+	bw_buffer_finish(&buffer);
+	if (set && !g_hash_table_size(set->records))
+		bw_keys_table_remove(keys, keys->backups, set);
+	return i == count ? BW_OK : BW_EINVAL;
+}
+
+enum bw_status bw_keys_receive_copy_ack(struct bw_keys *keys,
+					const struct bw_packet *packet,
+					struct bw_reader *reader)
+{
+	char host[BW_NAME_MAX];
+	struct bw_keys_set *set;
+	uint64_t incarnation;
+	uint32_t count;
+
+	bw_read_name(reader, host);
+	incarnation = bw_read_uint(reader);
+	count = bw_read_array(reader);
+	if (bw_reader_status(reader) != BW_OK)
+		return BW_EINVAL;
+	if (strcmp(packet->peer, keys->backup) ||
+	    packet->incarnation != keys->backup_incarnation)
+		return BW_ESTALE;
+	keys->backup_silent = false;
+	set = bw_keys_table_find(keys->owned, host, incarnation);
+	if (!set)
+		return BW_ESTALE;
+	while (count-- && bw_reader_status(reader) == BW_OK)
+		acknowledge_(keys, set, reader);
+	return bw_reader_status(reader);
+}
+
+static void acknowledge_(struct bw_keys *keys, struct bw_keys_set *set,
+			 struct bw_reader *reader)
+{
+	struct bw_keys_record *record;
+	struct bw_key key = { .kind = BW_KEYS_MINTED };
+	const uint8_t *id;
+	size_t size = 0;
+	uint64_t version;
+
+	bw_read_array(reader);
+	key.kind = (enum bw_keys_kind)bw_read_uint(reader);
+	id = bw_read_bin(reader, &size);
+	version = bw_read_uint(reader);
+	/* A refused copy is final too: the backup has no room for it. */
+	if (!bw_read_bool(reader))
+		keys->counts.copies_refused++;
+	bw_read_end(reader);
+	if (bw_reader_status(reader) != BW_OK || size != BW_KEYS_ID_BYTES) {
+		reader->failed = true;
+		return;
+	}
+	memcpy(key.id, id, sizeof(key.id));
+	record = bw_keys_record_find(set, &key);
+	if (!record || record->version != version || !record->in_unsent)
+		return;
+	g_queue_unlink(&keys->unsent, &record->unsent_link);
+	record->in_unsent = false;
+	if (record->state_queue == &keys->waiting)
+		bw_keys_make_ready(keys, record);
+}
+
+static enum bw_status send_(struct bw_keys *keys,
+			    struct bw_keys_record *const *records,
+			    uint32_t count, struct bw_time now,
+			    struct bw_outbox *out)
+{
+	const struct bw_keys_set *set = records[0]->set;
+	struct bw_buffer buffer;
+	struct bw_writer writer;
+	enum bw_status status;
+	uint32_t i;
+
+	bw_buffer_init(&buffer);
+	bw_writer_init(&writer, &buffer);
+	bw_keys_write_head(&writer, 2, BW_KEYS_COPY, keys->backup_incarnation,
+			   set);
+	bw_write_int(&writer, bw_keys_set_wall_ms(set, now));
+	bw_write_array(&writer, count);
+	for (i = 0; i < count; i++)
+		bw_keys_write_record(&writer, records[i]);
+	status = bw_keys_send(keys, keys->backup, &writer, out);
+	if (status == BW_OK) {
+		keys->send_credit_bytes -= (int64_t)buffer.size_bytes;
+		if (!keys->backup_silent) {
+			keys->backup_silent = true;
+			keys->silent_since = now;
+		}
+		for (i = 0; i < count; i++)
+			records[i]->sent_ms = now.ms;
+	}
+	bw_buffer_finish(&buffer);
+	return status;
+}
+
+static void add_credit_(struct bw_keys *keys, struct bw_time now)
+{
+	int64_t rate = keys->config.backup_bytes_per_s;
+	int64_t limit = rate > CREDIT_MIN_BYTES ? rate : CREDIT_MIN_BYTES;
+	int64_t elapsed_ms = bw_time_diff_ms(now, keys->credited);
+
+	if (elapsed_ms > 1000)
+		elapsed_ms = 1000;
+	if (elapsed_ms * rate / 1000 == 0)
+		return;
+	keys->credited = now;
+	keys->send_credit_bytes += elapsed_ms * rate / 1000;
+	if (keys->send_credit_bytes > limit)
+		keys->send_credit_bytes = limit;
+}
+
+/* Takes due records of one set from the front and moves all to the end. */
+static uint32_t collect_(struct bw_keys *keys, struct bw_time now,
+			 struct bw_keys_record **records, uint32_t *steps)
+{
+	struct bw_keys_record *record;
+	uint32_t bytes = 0;
+	uint32_t count = 0;
+
+	while (*steps && count < BATCH_MAX && bytes < BW_KEYS_PACKET_BYTES &&
+	       keys->send_credit_bytes > bytes) {
+		record = keys->unsent.head->data;
+		if (count && record->set != records[0]->set)
+			break;
+		(*steps)--;
+		g_queue_unlink(&keys->unsent, &record->unsent_link);
+		g_queue_push_tail_link(&keys->unsent, &record->unsent_link);
+		if (!is_due_(keys, record, now))
+			continue;
+		records[count++] = record;
+		bytes += bw_keys_wire_bytes(record);
+	}
+	return count;
+}
+
+static bool is_due_(const struct bw_keys *keys,
+		    const struct bw_keys_record *record, struct bw_time now)
+{
+	return record->sent_ms == INT64_MIN ||
+	       now.ms - record->sent_ms >= keys->config.resend_ms;
+}
+
+/*
+ * Returns the backup set, or NULL when this host is or was itself the owner:
+ * a late copy must not change its own records.
+ */
+static struct bw_keys_set *copy_set_(struct bw_keys *keys, const char *host,
+				     uint64_t incarnation, int64_t wall_ms,
+				     struct bw_time now)
+{
+	struct bw_keys_set *set =
+		bw_keys_table_find(keys->owned, host, incarnation);
+	int64_t offset_ms = wall_ms - now.ms;
+
+	if (set && set->state != BW_KEYS_SET_INCOMING)
+		return NULL;
+	set = bw_keys_table_find(keys->backups, host, incarnation);
+	if (!set) {
+		set = bw_keys_table_add(keys->backups, &keys->backup_pool, host,
+					incarnation, BW_KEYS_SET_BACKUP);
+		if (set)
+			set->wall_offset_ms = offset_ms;
+		return set;
+	}
+	/* The packet with the shortest delay is nearest to the owner's clock.
+	 */
+	if (offset_ms > set->wall_offset_ms)
+		set->wall_offset_ms = offset_ms;
+	return set;
+}
+
+static bool store_(struct bw_keys *keys, struct bw_keys_set *set,
+		   const struct bw_keys_wire_record *wire)
+{
+	struct bw_keys_record *record = bw_keys_record_find(set, &wire->key);
+
+	if (!record) {
+		if (g_hash_table_size(set->records) <
+		    keys->config.backup_records_per_owner_max)
+			record = bw_keys_record_add(keys, set, &wire->key);
+		if (!record) {
+			keys->counts.backup_refused++;
+			return false;
+		}
+		bw_keys_wheel_insert(keys, record);
+	}
+	if (wire->version > record->version)
+		bw_keys_apply(keys, record, wire);
+	return true;
+}
