--- a/include/bwbase/chart.h
+++ b/include/bwbase/chart.h
@@ -57,6 +57,15 @@
 			     const struct bw_chart_names *names,
 			     struct bw_yaml_error *error);
 
+/**
+ * Writes a chart file as a Mermaid state diagram. The file is checked by
+ * schema only, as its names are not known here.
+ * @param out receives the diagram
+ * @return BW_OK, or another status with error filled
+ */
+enum bw_status bw_chart_draw(const char *path, struct bw_buffer *out,
+			     struct bw_yaml_error *error);
+
 /**
  * Applies an event.
  * @return BW_OK; BW_EINVAL when the chart has no such transition (step then
--- a/include/bwsteer/backend.h
+++ b/include/bwsteer/backend.h
@@ -233,6 +233,28 @@
 			       const char *id, enum bw_backend_state *state,
 			       uint64_t *incarnation);
 
+/** Identity and state of a server, for iteration. */
+struct bw_backend_info {
+	char id[BW_NAME_MAX];
+	char service[BW_NAME_MAX];
+	char failure_domain[BW_NAME_MAX];
+	char address[BW_BACKEND_ADDRESS_MAX];
+	uint16_t port;
+	uint64_t incarnation;
+	enum bw_backend_state state;
+	uint32_t slots;
+	uint32_t in_flight; /**< requests of this host */
+	bool draining; /**< by its own request or by the sheet */
+};
+
+/**
+ * Iterates over the table.
+ * @param cursor 0 to start; updated
+ * @return whether info was filled
+ */
+bool bw_backend_next(const struct bw_backend_table *table, uint32_t *cursor,
+		     struct bw_backend_info *info);
+
 /**
  * Appends one packet body with entries for other hosts of the domain.
  * Entries silent for half of forget_ms are left out, so that hosts cannot
--- /dev/null
+++ b/src/boragewingctl/client.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * HTTP client of the operators' interface.
+ */
+#ifndef BORAGEWINGCTL_CLIENT_H
+#define BORAGEWINGCTL_CLIENT_H
+
+#include <jansson.h>
+
+#include "bwbase/buffer.h"
+#include "bwbase/status.h"
+
+/** Access to one host. */
+struct client {
+	const char *host; /**< address:port of the operators' listener */
+	const char *token; /**< operators' token */
+	long timeout_s;
+};
+
+/** A response. */
+struct client_response {
+	long status_code; /**< 0 when the host was not reached */
+	struct bw_buffer body; /**< ends with a zero byte beyond its size */
+	json_t *json; /**< NULL when the body is not JSON */
+	char error[256]; /**< cause when the host was not reached */
+};
+
+/**
+ * Sends a request and waits for its response.
+ * @param method "GET" or "POST"
+ * @param path with query
+ * @param submission value of the header Boragewing-Submission, or NULL
+ * @return BW_OK when a response arrived, else BW_EUNAVAILABLE; the response
+ *	must be finished in both cases
+ */
+enum bw_status client_request(const struct client *client, const char *method,
+			      const char *path, const char *submission,
+			      const void *body, size_t body_bytes,
+			      struct client_response *response);
+
+/** Frees a response. */
+void client_response_finish(struct client_response *response);
+
+#endif
--- /dev/null
+++ b/src/boragewingd/calls.c
@@ -0,0 +1,672 @@
+#include "calls_private.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CHART_PATH_BYTES 512
+#define DIGEST_BYTES 16
+#define DEADLINE_DEFAULT_MS 30000
+#define DEADLINE_MAX_MS 600000
+
+/** A caller's own key stays bound for this long. */
+#define BINDING_VALIDITY_MS (24 * 3600 * 1000)
+
+#define HEADER_KEY "Boragewing-Key"
+#define HEADER_CALLER_KEY "Idempotency-Key"
+#define HEADER_DEADLINE "Boragewing-Deadline-Ms"
+#define HEADER_HOPS "Boragewing-Hops"
+#define HEADER_FIRST "Boragewing-First-Attempt"
+#define HEADER_CLIENT "Boragewing-Client"
+
+static const char *const state_string_[] = {
+	"receiving", "binding", "claiming",   "joined",	   "queued",
+	"running",   "waiting", "forwarding", "streaming", "finished"
+};
+static const char *const event_string_[] = { "bind",	"claim",  "join",
+					     "queue",	"start",  "backoff",
+					     "forward", "stream", "end" };
+static const char *const action_string_[] = { "bind", "dispatch", "forward",
+					      "release" };
+static const struct bw_chart_names chart_names_ = {
+	state_string_,	  CALL_STATE_COUNT, event_string_,
+	CALL_EVENT_COUNT, action_string_,   CALL_ACTION_COUNT
+};
+
+const char *const call_outcome_string[CALL_OUTCOME_COUNT] = {
+	[CALL_RAN] = "ran",
+	[CALL_NOT_RUN] = "not-run",
+	[CALL_MAY_HAVE_RUN] = "may-have-run",
+};
+
+static void make_metrics_(struct calls *calls);
+static bool handle_event_(const struct bw_frontend_event *event);
+static struct call *new_call_(struct calls *calls, struct bw_request *request);
+static void free_call_(struct call *call);
+static bool classify_(struct call *call, const char *tail);
+static void read_deadline_(struct call *call);
+static void read_client_(struct call *call);
+static void receive_body_(struct call *call, const uint8_t *data,
+			  size_t size_bytes);
+static void make_large_(struct call *call);
+static void proceed_(struct call *call);
+static void compute_digests_(struct call *call);
+static bool read_key_(struct call *call);
+static void bind_(struct call *call);
+static void on_bound_(void *context, const struct command_reply *reply);
+static void on_timer_(struct ev_loop *loop, ev_timer *watcher, int events);
+static void handle_key_event_(struct calls *calls,
+			      const struct bw_keys_event *event);
+static void start_queued_(struct calls *calls, struct bw_time now);
+static void reap_(struct calls *calls);
+static void expire_(struct calls *calls, struct bw_time now);
+static struct call *find_(struct calls *calls, uint64_t id);
+
+enum bw_status calls_new(struct calls **out, struct host *host,
+			 struct bw_yaml_error *error)
+{
+	struct calls *calls = calloc(1, sizeof(*calls));
+	char path[CHART_PATH_BYTES];
+	enum bw_status status;
+
+	*out = calls;
+	if (!calls)
+		return BW_ENOMEM;
+	calls->host = host;
+	calls->next_id = 1;
+	g_queue_init(&calls->list);
+	g_queue_init(&calls->ended);
+	calls->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	snprintf(path, sizeof(path), "%s/request.yaml",
+		 host->settings->charts_folder);
+	status = bw_chart_load(&calls->chart, path, &chart_names_, error);
+	make_metrics_(calls);
+	return status;
+}
+
+void calls_free(struct calls *calls)
+{
+	if (!calls)
+		return;
+	while (calls->list.head)
+		free_call_(calls->list.head->data);
+	while (calls->ended.head)
+		free_call_(calls->ended.head->data);
+	g_hash_table_destroy(calls->by_id);
+	free(calls);
+}
+
+void calls_start(struct calls *calls, struct bw_request *request,
+		 const char *tail)
+{
+	struct call *call = new_call_(calls, request);
+
+	if (!call) {
+		bw_request_abort(request);
+		return;
+	}
+	if (!classify_(call, tail))
+		return;
+	read_client_(call);
+	read_deadline_(call);
+	report_arrival(&calls->host->steering.reports, call->service,
+		       call->region);
+	bw_retry_first(&calls->host->steering.retry, call->queue, call->rank);
+	if (bw_request_content_length(request) > CALL_BUFFER_MAX_BYTES)
+		make_large_(call);
+}
+
+bool calls_event(struct calls *calls, const struct bw_frontend_event *event)
+{
+	(void)calls;
+	return handle_event_(event);
+}
+
+static bool handle_event_(const struct bw_frontend_event *event)
+{
+	struct call *call = bw_request_user(event->request);
+
+	if (!call || call->kind != WEB_USER_CALL)
+		return false;
+	switch (event->kind) {
+	case BW_FRONTEND_BODY:
+		receive_body_(call, event->data, event->size_bytes);
+		break;
+	case BW_FRONTEND_BODY_END:
+		call->body_complete = true;
+		if (call->body_large)
+			call_pump_body(call, NULL, 0);
+		else if (call->state == CALL_RECEIVING)
+			proceed_(call);
+		break;
+	case BW_FRONTEND_ROOM:
+		call_room(call);
+		break;
+	case BW_FRONTEND_GONE:
+		call_gone(call);
+		break;
+	case BW_FRONTEND_DONE:
+		call->request = NULL;
+		if (call->state == CALL_FINISHED)
+			call->calls->reap = true;
+		else
+			call_gone(call);
+		break;
+	default:
+		break;
+	}
+	return true;
+}
+
+void calls_tick(struct calls *calls, struct bw_time now)
+{
+	expire_(calls, now);
+	calls->start_queued = true;
+}
+
+void calls_settle(struct calls *calls, struct bw_time now)
+{
+	struct bw_keys_event event;
+
+	while (bw_keys_next_event(&calls->host->steering.keys, &event))
+		handle_key_event_(calls, &event);
+	if (calls->start_queued) {
+		calls->start_queued = false;
+		start_queued_(calls, now);
+	}
+	if (calls->reap) {
+		calls->reap = false;
+		reap_(calls);
+	}
+}
+
+uint32_t calls_active(const struct calls *calls)
+{
+	return calls->list.length + calls->ended.length;
+}
+
+void calls_dump(const struct calls *calls, json_t *into)
+{
+	uint32_t counts[CALL_STATE_COUNT] = { 0 };
+	const struct call *call;
+	const GList *item;
+	uint32_t i;
+
+	for (item = calls->list.head; item; item = item->next) {
+		call = item->data;
+		counts[call->state]++;
+	}
+	for (i = 0; i < CALL_STATE_COUNT; i++)
+		json_object_set_new(into, state_string_[i],
+				    json_integer(counts[i]));
+}
+
+enum call_outcome call_unclaimed(const struct call *call)
+{
+	const struct bw_request *request = call->request;
+
+	if (!request || (!bw_request_header(request, HEADER_KEY) &&
+			 !bw_request_header(request, HEADER_CALLER_KEY)))
+		return CALL_NOT_RUN;
+	if (bw_request_header(request, HEADER_FIRST))
+		return CALL_NOT_RUN;
+	return CALL_MAY_HAVE_RUN;
+}
+
+void call_fire(struct call *call, enum call_event event)
+{
+	struct bw_chart_step step;
+
+	if (bw_chart_next(&call->calls->chart, call->state, (uint8_t)event,
+			  &step) != BW_OK) {
+		bw_log_event(call->calls->host->log, BW_LOG_ERROR, "calls",
+			     "unexpected_event", "{s:s, s:s}", "state",
+			     state_string_[call->state], "event",
+			     event_string_[event]);
+		return;
+	}
+	call->state = step.state;
+	switch (step.action) {
+	case CALL_ACTION_BIND:
+		bind_(call);
+		break;
+	case CALL_ACTION_DISPATCH:
+		call_dispatch(call);
+		break;
+	case CALL_ACTION_FORWARD:
+		call_forward(call);
+		break;
+	case CALL_ACTION_RELEASE:
+		call_release(call);
+		g_queue_unlink(&call->calls->list, &call->link);
+		g_queue_push_tail_link(&call->calls->ended, &call->link);
+		call->calls->reap = true;
+		break;
+	default:
+		break;
+	}
+}
+
+static void make_metrics_(struct calls *calls)
+{
+	struct bw_metrics *metrics = &calls->host->metrics;
+	char labels[BW_LABELS_MAX];
+	uint32_t i;
+
+	for (i = 0; i < BW_SHEET_RANKS_MAX; i++) {
+		snprintf(labels, sizeof(labels), "rank=\"%u\"", i);
+		calls->latency[i] = bw_metrics_get(
+			metrics, BW_METRIC_HISTOGRAM,
+			"boragewing_request_seconds",
+			"Time from the head of a request to the end of its "
+			"response, by rank (0 is the most urgent).",
+			labels);
+	}
+	for (i = 0; i < CALL_OUTCOME_COUNT; i++) {
+		snprintf(labels, sizeof(labels), "outcome=\"%s\"",
+			 call_outcome_string[i]);
+		calls->outcomes[i] = bw_metrics_get(
+			metrics, BW_METRIC_COUNTER, "boragewing_requests_total",
+			"Requests by the outcome told to the caller.", labels);
+	}
+	calls->retries = bw_metrics_get(metrics, BW_METRIC_COUNTER,
+					"boragewing_retries_total",
+					"Attempts after the first.", "");
+	calls->hedges = bw_metrics_get(metrics, BW_METRIC_COUNTER,
+				       "boragewing_hedges_total",
+				       "Hedged attempts.", "");
+	calls->refused = bw_metrics_get(metrics, BW_METRIC_COUNTER,
+					"boragewing_refused_total",
+					"Requests refused by admission.", "");
+	calls->poisoned = bw_metrics_get(
+		metrics, BW_METRIC_COUNTER, "boragewing_poisoned_total",
+		"Requests rejected by their crash fingerprint.", "");
+}
+
+static struct call *new_call_(struct calls *calls, struct bw_request *request)
+{
+	struct call *call = calloc(1, sizeof(*call));
+	uint32_t i;
+
+	if (!call)
+		return NULL;
+	call->kind = WEB_USER_CALL;
+	call->calls = calls;
+	call->id = calls->next_id++;
+	call->request = request;
+	call->start_us = bw_clock_us();
+	for (i = 0; i < CALL_ATTEMPTS; i++)
+		call->attempts[i].call = call;
+	ev_init(&call->timer, on_timer_);
+	call->timer.data = call;
+	call->link.data = call;
+	g_queue_push_tail_link(&calls->list, &call->link);
+	bw_request_set_user(request, call);
+	return call;
+}
+
+static void free_call_(struct call *call)
+{
+	uint32_t i;
+
+	if (call->request)
+		bw_request_set_user(call->request, NULL);
+	ev_timer_stop(call->calls->host->loop, &call->timer);
+	g_queue_unlink(call->state == CALL_FINISHED ? &call->calls->ended
+						    : &call->calls->list,
+		       &call->link);
+	for (i = 0; i < CALL_ATTEMPTS; i++) {
+		bw_buffer_finish(&call->attempts[i].headers);
+		bw_buffer_finish(&call->attempts[i].body);
+	}
+	bw_buffer_finish(&call->body);
+	free(call->method);
+	free(call->target);
+	free(call->path);
+	free(call);
+}
+
+/* Finds service and kind of work; responds and ends the call otherwise. */
+static bool classify_(struct call *call, const char *tail)
+{
+	struct steering *steering = &call->calls->host->steering;
+	const char *query = bw_request_query(call->request);
+	const char *slash = strchr(tail, '/');
+	const struct bw_sheet_service *service;
+	size_t length = slash ? (size_t)(slash - tail) : strlen(tail);
+	uint32_t index = BW_SHEET_NONE;
+	uint32_t kind;
+
+	call->method = strdup(bw_request_method(call->request));
+	call->target = g_strdup_printf("%s%s%s", slash ? slash : "/",
+				       query ? "?" : "", query ? query : "");
+	call->path = g_strdup_printf("%s%s%s", bw_request_path(call->request),
+				     query ? "?" : "", query ? query : "");
+	if (!steering->sheet) {
+		call_fail(call, 503, "no_sheet", call_unclaimed(call), 1000);
+		return false;
+	}
+	if (length < BW_NAME_MAX) {
+		memcpy(call->service, tail, length);
+		index = bw_sheet_find_service(steering->sheet, call->service);
+	}
+	if (index == BW_SHEET_NONE) {
+		call_fail(call, 404, "unknown_service", call_unclaimed(call),
+			  0);
+		return false;
+	}
+	service = &steering->sheet->services[index];
+	kind = bw_sheet_find_kind(service, call->method, slash ? slash : "/");
+	if (kind == BW_SHEET_NONE) {
+		call_fail(call, 405, "unknown_kind", call_unclaimed(call), 0);
+		return false;
+	}
+	call->idempotent = service->kinds[kind].idempotent;
+	call->rank = service->kinds[kind].rank_index;
+	call->crash_limit = service->crash_limit;
+	if (bw_admission_service(&steering->admission, service->name,
+				 &call->queue) != BW_OK) {
+		call_fail(call, 503, "too_many_services", call_unclaimed(call),
+			  0);
+		return false;
+	}
+	return true;
+}
+
+static void read_client_(struct call *call)
+{
+	const char *peer = bw_request_peer(call->request);
+	const char *stated = bw_request_header(call->request, HEADER_CLIENT);
+
+	if (stated && !strncmp(peer, "127.", 4))
+		peer = stated;
+	call->region =
+		steering_caller_region(&call->calls->host->steering, peer);
+}
+
+static void read_deadline_(struct call *call)
+{
+	const char *text = bw_request_header(call->request, HEADER_DEADLINE);
+	const char *hops = bw_request_header(call->request, HEADER_HOPS);
+	int64_t deadline_ms = DEADLINE_DEFAULT_MS;
+
+	if (text && bw_http_parse_length(text) != BW_HTTP_LENGTH_UNKNOWN)
+		deadline_ms = bw_http_parse_length(text);
+	if (deadline_ms > DEADLINE_MAX_MS)
+		deadline_ms = DEADLINE_MAX_MS;
+	call->deadline = bw_time_add(host_now(call->calls->host), deadline_ms);
+	if (hops && bw_http_parse_length(hops) > 0)
+		call->hops = (uint32_t)bw_http_parse_length(hops);
+}
+
+static void receive_body_(struct call *call, const uint8_t *data,
+			  size_t size_bytes)
+{
+	if (call->state == CALL_FINISHED)
+		return;
+	if (call->body_large) {
+		call_pump_body(call, data, size_bytes);
+		return;
+	}
+	if (bw_buffer_append(&call->body, data, size_bytes) != BW_OK) {
+		call_fail(call, 503, "out_of_memory", call_unclaimed(call), 0);
+		return;
+	}
+	if (call->body.size_bytes > CALL_BUFFER_MAX_BYTES)
+		make_large_(call);
+}
+
+/*
+ * A large body is not read further until a backend server takes it. Its
+ * digest covers what is known from the head, as the body is never held whole.
+ */
+static void make_large_(struct call *call)
+{
+	call->body_large = true;
+	call->body_paused = true;
+	bw_request_pause(call->request);
+	proceed_(call);
+}
+
+/* The request is known well enough to decide what to do with it. */
+static void proceed_(struct call *call)
+{
+	struct host *host = call->calls->host;
+	uint32_t retry_after_ms = 0;
+
+	compute_digests_(call);
+	if (bw_poison_check(&host->steering.poison, &call->fingerprint,
+			    call->crash_limit, host_now(host),
+			    &retry_after_ms)) {
+		bw_metric_add(call->calls->poisoned, 1);
+		call_fail(call, 422, "crashes_backend_servers",
+			  call_unclaimed(call), retry_after_ms);
+		return;
+	}
+	if (call->idempotent) {
+		call_admit(call);
+		return;
+	}
+	if (!read_key_(call))
+		return;
+	if (call->has_key)
+		call_use_key(call);
+	else
+		call_fire(call, CALL_EVENT_BIND);
+}
+
+static void compute_digests_(struct call *call)
+{
+	uint8_t digest[DIGEST_BYTES];
+	int64_t length = bw_request_content_length(call->request);
+
+	if (call->body_large)
+		crypto_generichash(digest, sizeof(digest),
+				   (const uint8_t *)&length, sizeof(length),
+				   NULL, 0);
+	else
+		crypto_generichash(digest, sizeof(digest), call->body.data,
+				   call->body.size_bytes, NULL, 0);
+	bw_poison_fingerprint(call->service, call->method, call->target, digest,
+			      sizeof(digest), "", &call->fingerprint);
+	bw_keys_request_digest(call->service, call->method, call->target,
+			       digest, sizeof(digest), call->digest);
+}
+
+/* Responds and returns false when there is no usable key. */
+static bool read_key_(struct call *call)
+{
+	struct host *host = call->calls->host;
+	const char *text = bw_request_header(call->request, HEADER_KEY);
+	const char *own = bw_request_header(call->request, HEADER_CALLER_KEY);
+	enum bw_status status;
+
+	if (text) {
+		status = bw_keys_parse(&host->steering.keys, text,
+				       host_wall_ms(host), &call->key);
+		if (status == BW_OK || status == BW_ESTALE) {
+			snprintf(call->key_text, sizeof(call->key_text), "%s",
+				 text);
+			call->has_key = true;
+			return true;
+		}
+		call_fail(call, status == BW_EDENIED ? 403 : 400,
+			  "bad_request_key", CALL_NOT_RUN, 0);
+		return false;
+	}
+	if (!own) {
+		call_fail(call, 428, "request_key_required", CALL_NOT_RUN, 0);
+		return false;
+	}
+	if (bw_keys_hash_caller_key(&host->steering.keys, call->service, own,
+				    call->key.id) != BW_OK) {
+		call_fail(call, 400, "bad_idempotency_key", CALL_NOT_RUN, 0);
+		return false;
+	}
+	return true;
+}
+
+/* Binds a key that the caller brought to an owner, at first to this host. */
+static void bind_(struct call *call)
+{
+	struct host *host = call->calls->host;
+	struct command command = { .kind = COMMAND_BIND_KEY };
+	uint64_t *id = g_new(uint64_t, 1);
+
+	memcpy(command.bind.key, call->key.id, sizeof(command.bind.key));
+	bw_name_set(command.bind.owner, host->settings->host.name);
+	command.bind.owner_incarnation = host->incarnation;
+	command.bind.expiry_wall_ms = host_wall_ms(host) + BINDING_VALIDITY_MS;
+	*id = call->id;
+	g_hash_table_insert(call->calls->by_id, &call->id, call);
+	command_call(&host->commands, &command, on_bound_,
+		     g_list_prepend(g_list_prepend(NULL, id), call->calls));
+}
+
+static void on_bound_(void *context, const struct command_reply *reply)
+{
+	GList *list = context;
+	struct calls *calls = list->data;
+	uint64_t *id = list->next->data;
+	struct call *call = find_(calls, *id);
+	const struct bw_outcome *outcome = &reply->outcome;
+
+	g_free(id);
+	g_list_free(list);
+	if (!call || call->state != CALL_BINDING)
+		return;
+	g_hash_table_remove(calls->by_id, &call->id);
+	if (reply->status != BW_OK ||
+	    (outcome->kind != BW_OUTCOME_BOUND &&
+	     outcome->kind != BW_OUTCOME_ALREADY_BOUND)) {
+		call_fail(call, 503,
+			  reply->status == BW_OK
+				  ? bw_outcome_kind_string[outcome->kind]
+				  : "no_control_majority",
+			  call_unclaimed(call), 1000);
+		return;
+	}
+	bw_keys_from_binding(call->key.id, outcome->owner,
+			     outcome->owner_incarnation,
+			     outcome->expiry_wall_ms, &call->key);
+	call->has_key = true;
+	call_use_key(call);
+}
+
+static void on_timer_(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	call_timer_due(watcher->data);
+}
+
+/* A joined call may end, or start a new run, while the list is walked. */
+static void handle_key_event_(struct calls *calls,
+			      const struct bw_keys_event *event)
+{
+	struct call *call;
+	GList *item = calls->list.head;
+
+	while (item) {
+		call = item->data;
+		item = item->next;
+		if (!call->has_key || memcmp(call->key.id, event->key.id,
+					     sizeof(call->key.id)) != 0)
+			continue;
+		if (event->kind == BW_KEYS_EVENT_READY &&
+		    call->state == CALL_CLAIMING && call->run == event->run) {
+			call_admit(call);
+			return;
+		}
+		if (event->kind == BW_KEYS_EVENT_ENDED &&
+		    call->state == CALL_JOINED) {
+			call_use_key(call);
+		}
+	}
+}
+
+static void start_queued_(struct calls *calls, struct bw_time now)
+{
+	struct steering *steering = &calls->host->steering;
+	struct bw_admission *admission = &steering->admission;
+	struct bw_admission_request next;
+	struct call *call;
+	uint32_t free_slots;
+	uint32_t i;
+
+	for (i = 0; i < admission->services_count; i++) {
+		while (admission->services[i].queued) {
+			free_slots = steering_free_slots(
+				steering, admission->services[i].name,
+				admission->services[i].running, now);
+			if (bw_admission_next(admission, i, free_slots, now,
+					      &next) != BW_OK)
+				break;
+			call = find_(calls, next.id);
+			if (!call) {
+				bw_admission_done(admission, next.service,
+						  next.rank, 0);
+				continue;
+			}
+			g_hash_table_remove(calls->by_id, &call->id);
+			call->admitted = true;
+			call_fire(call, CALL_EVENT_START);
+		}
+	}
+}
+
+/*
+ * An ended call is freed once neither the front end nor the upstream refers
+ * to it.
+ */
+static void reap_(struct calls *calls)
+{
+	GList *item = calls->ended.head;
+	struct call *call;
+
+	while (item) {
+		call = item->data;
+		item = item->next;
+		if (!call->request && !call->attempts[0].upstream &&
+		    !call->attempts[1].upstream)
+			free_call_(call);
+	}
+}
+
+static void expire_(struct calls *calls, struct bw_time now)
+{
+	struct steering *steering = &calls->host->steering;
+	struct bw_admission_request expired;
+	struct call *call;
+	GList *item = calls->list.head;
+
+	while (bw_admission_expire(&steering->admission, now, &expired) ==
+	       BW_OK) {
+		call = find_(calls, expired.id);
+		if (call)
+			call_fail(call, 503, "deadline", CALL_NOT_RUN,
+				  bw_admission_retry_after_ms(
+					  &steering->admission, call->queue,
+					  call->rank, &calls->host->random));
+	}
+	while (item) {
+		call = item->data;
+		item = item->next;
+		if (!bw_time_reached(now, call->deadline))
+			continue;
+		if (call->state == CALL_JOINED)
+			call_fail(call, 504, "deadline", CALL_MAY_HAVE_RUN, 0);
+		else if (call->state == CALL_BINDING ||
+			 call->state == CALL_RECEIVING)
+			call_fail(call, 504, "deadline", call_unclaimed(call),
+				  0);
+		else if (call->state == CALL_CLAIMING)
+			call_fail(call, 504, "deadline", CALL_NOT_RUN, 0);
+	}
+}
+
+static struct call *find_(struct calls *calls, uint64_t id)
+{
+	return g_hash_table_lookup(calls->by_id, &id);
+}
--- /dev/null
+++ b/src/boragewingd/calls.h
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * Requests of callers: from the head to the end of the response, with request
+ * keys, admission, selection of a backend server, retries and hedging.
+ */
+#ifndef BORAGEWINGD_CALLS_H
+#define BORAGEWINGD_CALLS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "bwbase/clock.h"
+#include "bwbase/yaml.h"
+#include "bwproxy/frontend.h"
+
+struct host;
+struct calls;
+
+/**
+ * Creates the module.
+ * @param calls receives the object; NULL on failure
+ * @return BW_OK, or another status with error filled
+ */
+enum bw_status calls_new(struct calls **calls, struct host *host,
+			 struct bw_yaml_error *error);
+
+/** Frees the module; all requests must have ended. NULL is allowed. */
+void calls_free(struct calls *calls);
+
+/**
+ * Starts a request whose head is complete.
+ * @param tail path behind the prefix: service, "/", path at the service
+ */
+void calls_start(struct calls *calls, struct bw_request *request,
+		 const char *tail);
+
+/** Handles a later event. @return whether the request belongs to a call */
+bool calls_event(struct calls *calls, const struct bw_frontend_event *event);
+
+/** Starts queued requests, expires deadlines; called every 50 ms. */
+void calls_tick(struct calls *calls, struct bw_time now);
+
+/** Handles the events of the request keys and starts queued requests. */
+void calls_settle(struct calls *calls, struct bw_time now);
+
+/** Returns the number of requests that have not ended. */
+uint32_t calls_active(const struct calls *calls);
+
+/** Writes the state dump. */
+void calls_dump(const struct calls *calls, json_t *into);
+
+#endif
--- /dev/null
+++ b/src/boragewingd/calls_private.h
@@ -0,0 +1,226 @@
+/**
+ * @file
+ * Types shared by the sources of the calls module.
+ */
+#ifndef BORAGEWINGD_CALLS_PRIVATE_H
+#define BORAGEWINGD_CALLS_PRIVATE_H
+
+#include <ev.h>
+#include <glib.h>
+
+#include "bwbase/buffer.h"
+#include "bwbase/chart.h"
+#include "bwproxy/upstream.h"
+
+#include "calls.h"
+#include "command.h"
+#include "host.h"
+#include "web.h"
+
+/** Bodies up to this size are kept whole, so that a retry is possible. */
+#define CALL_BUFFER_MAX_BYTES (64 * 1024)
+
+/** Concurrent attempts of one call: the first and a hedge. */
+#define CALL_ATTEMPTS 2
+
+/** Backend servers that one call has tried. */
+#define CALL_TRIED_MAX 8
+
+/** Most header fields passed on. */
+#define CALL_HEADERS_MAX 64
+
+/** States of a call (charts/request.yaml). */
+enum call_state {
+	CALL_RECEIVING,
+	CALL_BINDING,
+	CALL_CLAIMING,
+	CALL_JOINED,
+	CALL_QUEUED,
+	CALL_RUNNING,
+	CALL_WAITING,
+	CALL_FORWARDING,
+	CALL_STREAMING,
+	CALL_FINISHED,
+	CALL_STATE_COUNT
+};
+
+/** Events of the chart. */
+enum call_event {
+	CALL_EVENT_BIND,
+	CALL_EVENT_CLAIM,
+	CALL_EVENT_JOIN,
+	CALL_EVENT_QUEUE,
+	CALL_EVENT_START,
+	CALL_EVENT_BACKOFF,
+	CALL_EVENT_FORWARD,
+	CALL_EVENT_STREAM,
+	CALL_EVENT_END,
+	CALL_EVENT_COUNT
+};
+
+/** Actions of the chart. */
+enum call_action {
+	CALL_ACTION_BIND,
+	CALL_ACTION_DISPATCH,
+	CALL_ACTION_FORWARD,
+	CALL_ACTION_RELEASE,
+	CALL_ACTION_COUNT
+};
+
+/** What a caller is told about its request. */
+enum call_outcome {
+	CALL_RAN,
+	CALL_NOT_RUN,
+	CALL_MAY_HAVE_RUN,
+	CALL_OUTCOME_COUNT
+};
+
+/** Values of the header Boragewing-Outcome. */
+extern const char *const call_outcome_string[CALL_OUTCOME_COUNT];
+
+struct call;
+
+/** One request to a backend server or another entry host. */
+struct call_attempt {
+	struct call *call;
+	struct bw_call *upstream; /**< NULL while not in use */
+	uint64_t backend; /**< handle; 0 when forwarded */
+	char backend_id[BW_NAME_MAX];
+	uint64_t backend_incarnation;
+	uint32_t in_flight; /**< on the server, with this one */
+	uint64_t start_us;
+	bool hedge;
+	uint32_t status_code;
+	bool refused; /**< the server says that it did not run */
+	bool streaming; /**< the response is passed on as it arrives */
+	int64_t content_length_bytes;
+	struct bw_buffer headers; /**< name, 0, value, 0, ... */
+	struct bw_buffer body;
+};
+
+/** One request of a caller. */
+struct call {
+	enum web_user_kind kind; /**< first: see web.h */
+	struct calls *calls;
+	uint64_t id;
+	struct bw_request *request; /**< NULL once the caller has gone */
+	uint8_t state; /**< an enum call_state */
+	uint64_t start_us;
+	struct bw_time deadline;
+
+	char service[BW_NAME_MAX];
+	uint32_t region; /**< of the caller */
+	uint32_t queue; /**< index of the service in admission and retry */
+	uint32_t rank;
+	uint32_t crash_limit;
+	bool idempotent;
+	char *method;
+	char *target; /**< path and query at the backend server */
+	char *path; /**< as given by the caller, with query */
+	struct bw_buffer body;
+	bool body_complete;
+	bool body_large; /**< streamed: no retry once bytes were taken */
+	bool body_paused;
+
+	struct bw_fingerprint fingerprint;
+	uint8_t digest[BW_KEYS_ID_BYTES];
+	bool has_key;
+	bool key_claimed; /**< a run of the key is open at this host */
+	bool key_was_run; /**< ... and bytes may have left for it */
+	struct bw_key key;
+	char key_text[BW_KEYS_TEXT_MAX];
+	uint64_t run;
+	uint32_t hops;
+	char forward_host[BW_NAME_MAX];
+
+	bool admitted; /**< counts as running in admission control */
+	uint32_t attempts_made;
+	struct call_attempt attempts[CALL_ATTEMPTS];
+	struct call_attempt *winner; /**< attempt that is passed on */
+	uint64_t tried[CALL_TRIED_MAX];
+	uint32_t tried_count;
+	bool responded;
+	ev_timer timer; /**< back-off or hedge */
+	GList link; /**< in calls->list or calls->ended */
+};
+
+/** The module. */
+struct calls {
+	struct host *host;
+	struct bw_chart chart;
+	GQueue list; /**< calls in progress */
+	GQueue ended; /**< finished calls that others still refer to */
+	bool reap; /**< an ended call may be freed */
+	GHashTable *by_id; /**< id -> struct call, while queued or binding */
+	uint64_t next_id;
+	struct bw_metric *latency[BW_SHEET_RANKS_MAX];
+	struct bw_metric *outcomes[CALL_OUTCOME_COUNT];
+	struct bw_metric *retries;
+	struct bw_metric *hedges;
+	struct bw_metric *refused;
+	struct bw_metric *poisoned;
+	bool start_queued; /**< slots may have become free */
+};
+
+/** Applies an event of the chart and carries out its action. */
+void call_fire(struct call *call, enum call_event event);
+
+/**
+ * Returns what may be told about a call whose key was not consulted: a resent
+ * request may have run before, unless its sender says that this is the first
+ * attempt.
+ */
+enum call_outcome call_unclaimed(const struct call *call);
+
+/** Continues once the key allows a run: admission control. */
+void call_admit(struct call *call);
+
+/** Asks the request keys what to do with the call's key. */
+void call_use_key(struct call *call);
+
+/** Action dispatch: sends the request to a backend server. */
+void call_dispatch(struct call *call);
+
+/** Action forward: sends the request to the entry host that owns its key. */
+void call_forward(struct call *call);
+
+/** Appends body bytes to the upstream of a streamed request. */
+void call_pump_body(struct call *call, const uint8_t *data, size_t size_bytes);
+
+/** The caller's connection takes more of a long response. */
+void call_room(struct call *call);
+
+/** Handles the timer: a retry is due, or a hedge. */
+void call_timer_due(struct call *call);
+
+/** Ends the attempts, queue entry and timer of a call. */
+void call_release(struct call *call);
+
+/** The caller went away. */
+void call_gone(struct call *call);
+
+/**
+ * Responds with an error and ends the call.
+ * @param retry_after_ms 0: none
+ */
+void call_fail(struct call *call, uint32_t status_code, const char *code,
+	       enum call_outcome outcome, uint32_t retry_after_ms);
+
+/** Responds with a complete response of an attempt and ends the call. */
+void call_respond(struct call *call, struct call_attempt *attempt);
+
+/** Starts to pass on a long response. */
+void call_respond_start(struct call *call, struct call_attempt *attempt);
+
+/** Responds with the first response of the call's key. */
+void call_replay(struct call *call, const struct bw_keys_response *response);
+
+/** Ends the run of the key, if one is open. */
+void call_end_run(struct call *call, enum bw_keys_outcome outcome,
+		  const struct bw_keys_response *response);
+
+/** Parses a header blob into a list of fields; returns their count. */
+uint32_t call_read_headers(const uint8_t *blob, size_t size_bytes,
+			   struct bw_http_header *headers, uint32_t limit);
+
+#endif
--- /dev/null
+++ b/src/boragewingd/control.c
@@ -0,0 +1,567 @@
+#include "control.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "host.h"
+
+#define CHART_PATH_BYTES 512
+
+/** Time after which a proposal without a commit is answered as unknown. */
+#define PROPOSAL_TIMEOUT_MS 6000
+
+/** A command whose proposal has not been committed yet. */
+struct waiting_command {
+	uint64_t index;
+	uint64_t term;
+	char origin[BW_NAME_MAX];
+	uint64_t call;
+	struct bw_time deadline;
+};
+
+static enum bw_status load_charts_(struct control *control,
+				   struct bw_yaml_error *error);
+static enum bw_status open_replica_(struct control *control,
+				    struct bw_yaml_error *error);
+static enum bw_status execute_submit_(struct control *control,
+				      const struct command *command,
+				      const char *origin, uint64_t call,
+				      struct bw_time now);
+static enum bw_status execute_bind_(struct control *control,
+				    const struct command *command,
+				    const char *origin, uint64_t call,
+				    struct bw_time now);
+static enum bw_status execute_group_(struct control *control,
+				     const struct command *command,
+				     const char *origin, uint64_t call,
+				     struct bw_time now);
+static enum bw_status execute_read_(struct control *control, const char *origin,
+				    uint64_t call, struct bw_time now);
+static enum bw_status propose_(struct control *control,
+			       const struct bw_buffer *data, const char *origin,
+			       uint64_t call, struct bw_time now);
+static void respond_(struct control *control, const char *origin, uint64_t call,
+		     enum bw_status status, const struct bw_outcome *outcome);
+static void handle_event_(struct control *control,
+			  const struct bw_replica_event *event,
+			  struct bw_time now);
+static void handle_applied_(struct control *control,
+			    const struct bw_replica_event *event,
+			    struct bw_time now);
+static void publish_(struct control *control, struct bw_time now);
+static void load_sheet_(struct control *control);
+static void expire_waiting_(struct control *control, struct bw_time now);
+static void take_office_(struct control *control);
+static void plan_(struct control *control, struct bw_time now);
+static void build_reports_(struct control *control, struct bw_time now,
+			   struct bw_plan_report *reports,
+			   struct bw_plan_service_report *services,
+			   struct report_domain *domains);
+static void build_report_(const struct control *control,
+			  const struct report_domain *domain,
+			  struct bw_plan_service_report *services);
+
+enum bw_status control_init(struct control *control, struct host *host,
+			    struct bw_yaml_error *error)
+{
+	enum bw_status status;
+
+	memset(control, 0, sizeof(*control));
+	control->host = host;
+	control->storage.kind = BW_STORAGE_FOLDER;
+	control->waiting = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, g_free);
+	status = load_charts_(control, error);
+	if (status != BW_OK)
+		return status;
+	bw_plan_init(&control->plan, &control->shift_chart);
+	return open_replica_(control, error);
+}
+
+void control_finish(struct control *control)
+{
+	if (control->waiting)
+		g_hash_table_destroy(control->waiting);
+	if (control->replica) {
+		bw_replica_free(control->replica);
+		bw_storage_finish(&control->storage);
+	}
+	bw_plan_finish(&control->plan);
+	bw_sheet_free(control->sheet);
+}
+
+void control_receive(struct control *control, const struct bw_packet *packet,
+		     struct bw_time now)
+{
+	bw_replica_receive(control->replica, packet, now, &control->host->out);
+}
+
+void control_tick(struct control *control, struct bw_time now)
+{
+	bool leader;
+
+	bw_replica_tick(control->replica, now, &control->host->out);
+	leader = bw_replica_has_lease(control->replica, now);
+	if (leader && !control->leader)
+		take_office_(control);
+	control->leader = leader;
+	expire_waiting_(control, now);
+	if (!leader)
+		return;
+	bw_distribute_confirm(&control->host->distribute, now);
+	if (bw_time_reached(now, control->next_plan)) {
+		control->next_plan = bw_time_add(now, CONTROL_PLAN_INTERVAL_MS);
+		plan_(control, now);
+	}
+}
+
+void control_settle(struct control *control, struct bw_time now)
+{
+	struct bw_replica_event event;
+
+	if (control->dirty) {
+		control->dirty = false;
+		bw_replica_flush(control->replica, now, &control->host->out);
+		transport_flush(&control->host->transport, &control->host->out);
+		bw_replica_sync(control->replica, now, &control->host->out);
+	}
+	while (bw_replica_next_event(control->replica, &event))
+		handle_event_(control, &event, now);
+}
+
+enum bw_status control_execute(struct control *control,
+			       const struct command *command,
+			       const char *origin, uint64_t call,
+			       struct bw_time now)
+{
+	if (!bw_replica_has_lease(control->replica, now))
+		return BW_EUNAVAILABLE;
+	switch (command->kind) {
+	case COMMAND_SUBMIT:
+		return execute_submit_(control, command, origin, call, now);
+	case COMMAND_BIND_KEY:
+		return execute_bind_(control, command, origin, call, now);
+	case COMMAND_GROUP_ADD:
+	case COMMAND_GROUP_REMOVE:
+		return execute_group_(control, command, origin, call, now);
+	case COMMAND_READ:
+		return execute_read_(control, origin, call, now);
+	case COMMAND_KIND_COUNT:
+		break;
+	}
+	return BW_EUNAVAILABLE;
+}
+
+const char *control_leader(const struct control *control)
+{
+	return bw_replica_leader(control->replica);
+}
+
+void control_dump(const struct control *control, json_t *into)
+{
+	json_t *replica = json_object();
+
+	bw_replica_dump(control->replica, replica);
+	json_object_set_new(into, "replica", replica);
+	json_object_set_new(into, "waiting_commands",
+			    json_integer(g_hash_table_size(control->waiting)));
+	json_object_set_new(into, "planner_version",
+			    json_integer((json_int_t)control->plan.version));
+}
+
+static enum bw_status load_charts_(struct control *control,
+				   struct bw_yaml_error *error)
+{
+	const char *folder = control->host->settings->charts_folder;
+	char path[CHART_PATH_BYTES];
+	enum bw_status status;
+
+	snprintf(path, sizeof(path), "%s/replica.yaml", folder);
+	status = bw_replica_chart_load(&control->replica_chart, path, error);
+	if (status != BW_OK)
+		return status;
+	snprintf(path, sizeof(path), "%s/shift.yaml", folder);
+	return bw_chart_load(&control->shift_chart, path, &bw_shift_chart_names,
+			     error);
+}
+
+static enum bw_status open_replica_(struct control *control,
+				    struct bw_yaml_error *error)
+{
+	struct host *host = control->host;
+	const struct settings *settings = host->settings;
+	char initial[BW_GROUP_MAX][BW_NAME_MAX];
+	char cause[BW_WAL_ERROR_BYTES] = "";
+	struct bw_replica_config config = {
+		.initial_hosts = (const char(*)[BW_NAME_MAX])initial,
+		.chart = &control->replica_chart,
+		.storage = &control->storage,
+		.seed = bw_random_next(&host->random),
+	};
+	enum bw_status status;
+	uint32_t i;
+
+	for (i = 0; i < settings->seeds_count; i++) {
+		if (settings->seeds[i].control &&
+		    config.initial_count < BW_GROUP_MAX)
+			bw_name_set(initial[config.initial_count++],
+				    settings->seeds[i].name);
+	}
+	bw_name_set(config.host, settings->host.name);
+	status = bw_storage_init_folder(&control->storage,
+					settings->data_folder);
+	if (status == BW_OK)
+		status = bw_replica_new(&control->replica, &config,
+					host_now(host), cause);
+	if (status == BW_OK) {
+		publish_(control, host_now(host));
+		return BW_OK;
+	}
+	error->line = 0;
+	snprintf(error->text, sizeof(error->text), "data folder %s: %s%s%s",
+		 settings->data_folder, bw_status_string[status],
+		 cause[0] ? ": " : "", cause);
+	return status;
+}
+
+static enum bw_status execute_submit_(struct control *control,
+				      const struct command *command,
+				      const char *origin, uint64_t call,
+				      struct bw_time now)
+{
+	struct bw_submit submit = command->submit;
+	struct bw_buffer data;
+	enum bw_status status;
+
+	submit.accept_wall_ms = host_wall_ms(control->host);
+	bw_buffer_init(&data);
+	status = bw_command_submit(&data, &submit);
+	if (status == BW_OK)
+		status = propose_(control, &data, origin, call, now);
+	else
+		respond_(control, origin, call, status, NULL);
+	bw_buffer_finish(&data);
+	return status == BW_EUNAVAILABLE ? status : BW_OK;
+}
+
+static enum bw_status execute_bind_(struct control *control,
+				    const struct command *command,
+				    const char *origin, uint64_t call,
+				    struct bw_time now)
+{
+	struct bw_bind_key bind = command->bind;
+	struct bw_outcome outcome;
+	struct bw_buffer data;
+	enum bw_status status;
+
+	bind.now_wall_ms = host_wall_ms(control->host);
+	if (bw_state_binding(bw_replica_state(control->replica), bind.key,
+			     bind.now_wall_ms, &outcome)) {
+		outcome.kind = BW_OUTCOME_ALREADY_BOUND;
+		respond_(control, origin, call, BW_OK, &outcome);
+		return BW_OK;
+	}
+	bw_buffer_init(&data);
+	status = bw_command_bind_key(&data, &bind);
+	if (status == BW_OK)
+		status = propose_(control, &data, origin, call, now);
+	else
+		respond_(control, origin, call, status, NULL);
+	bw_buffer_finish(&data);
+	return status == BW_EUNAVAILABLE ? status : BW_OK;
+}
+
+static enum bw_status execute_group_(struct control *control,
+				     const struct command *command,
+				     const char *origin, uint64_t call,
+				     struct bw_time now)
+{
+	enum bw_status status;
+
+	if (command->kind == COMMAND_GROUP_ADD)
+		status = bw_replica_add(control->replica, command->host, true,
+					now);
+	else
+		status =
+			bw_replica_remove(control->replica, command->host, now);
+	if (status == BW_EUNAVAILABLE)
+		return status;
+	control->dirty = true;
+	respond_(control, origin, call, status, NULL);
+	return BW_OK;
+}
+
+static enum bw_status execute_read_(struct control *control, const char *origin,
+				    uint64_t call, struct bw_time now)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct bw_outcome outcome = { .kind = BW_OUTCOME_NONE };
+
+	(void)now;
+	outcome.revision = state->revision;
+	memcpy(outcome.hash, state->hash, BW_HASH_BYTES);
+	outcome.expiry_wall_ms = state->accept_wall_ms;
+	respond_(control, origin, call, BW_OK, &outcome);
+	return BW_OK;
+}
+
+static enum bw_status propose_(struct control *control,
+			       const struct bw_buffer *data, const char *origin,
+			       uint64_t call, struct bw_time now)
+{
+	struct waiting_command *waiting;
+	enum bw_status status;
+	uint64_t index = 0;
+
+	status = bw_replica_propose(control->replica, data->data,
+				    data->size_bytes, now, &index);
+	if (status == BW_EUNAVAILABLE)
+		return status;
+	if (status != BW_OK) {
+		respond_(control, origin, call, status, NULL);
+		return BW_OK;
+	}
+	control->dirty = true;
+	waiting = g_new0(struct waiting_command, 1);
+	waiting->index = index;
+	waiting->term = bw_replica_term(control->replica);
+	waiting->call = call;
+	waiting->deadline = bw_time_add(now, PROPOSAL_TIMEOUT_MS);
+	bw_name_set(waiting->origin, origin);
+	g_hash_table_insert(control->waiting, &waiting->index, waiting);
+	return BW_OK;
+}
+
+static void respond_(struct control *control, const char *origin, uint64_t call,
+		     enum bw_status status, const struct bw_outcome *outcome)
+{
+	struct command_reply reply = { .status = status };
+
+	if (outcome)
+		reply.outcome = *outcome;
+	bw_name_set(reply.leader, control->host->settings->host.name);
+	command_respond(control->host, origin, call, &reply);
+}
+
+static void handle_event_(struct control *control,
+			  const struct bw_replica_event *event,
+			  struct bw_time now)
+{
+	struct bw_log *log = control->host->log;
+
+	switch (event->kind) {
+	case BW_REPLICA_APPLIED:
+		handle_applied_(control, event, now);
+		break;
+	case BW_REPLICA_LEADER_CHANGED:
+		bw_log_event(log, BW_LOG_INFO, "replica", "leader_changed",
+			     "{s:s, s:I}", "leader", event->leader, "term",
+			     (json_int_t)event->term);
+		break;
+	case BW_REPLICA_SNAPSHOT_INSTALLED:
+		bw_log_event(log, BW_LOG_INFO, "replica", "snapshot_installed",
+			     "{s:I}", "index", (json_int_t)event->index);
+		publish_(control, now);
+		break;
+	case BW_REPLICA_STORAGE_FAILED:
+		bw_log_event(log, BW_LOG_ERROR, "replica", "storage_failed",
+			     "{s:s}", "cause", bw_status_string[event->status]);
+		break;
+	case BW_REPLICA_MEMBER_CHANGED:
+		bw_log_event(log, BW_LOG_INFO, "replica", "group_changed",
+			     "{s:I}", "index", (json_int_t)event->index);
+		break;
+	case BW_REPLICA_EVENT_KIND_COUNT:
+		break;
+	}
+}
+
+static void handle_applied_(struct control *control,
+			    const struct bw_replica_event *event,
+			    struct bw_time now)
+{
+	struct waiting_command *waiting;
+
+	if (event->outcome.kind == BW_OUTCOME_ACCEPTED ||
+	    event->outcome.kind == BW_OUTCOME_PLAN_SET)
+		publish_(control, now);
+	if (event->index >= control->plan_index)
+		control->plan_index = 0;
+	waiting = g_hash_table_lookup(control->waiting, &event->index);
+	if (!waiting)
+		return;
+	if (waiting->term == event->term)
+		respond_(control, waiting->origin, waiting->call, BW_OK,
+			 &event->outcome);
+	else
+		respond_(control, waiting->origin, waiting->call,
+			 BW_EUNAVAILABLE, NULL);
+	g_hash_table_remove(control->waiting, &event->index);
+}
+
+static void publish_(struct control *control, struct bw_time now)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct bw_distribute *distribute = &control->host->distribute;
+
+	if (state->revision >
+	    bw_distribute_number(distribute, BW_DOCUMENT_SHEET)) {
+		bw_distribute_publish(distribute, BW_DOCUMENT_SHEET,
+				      state->revision, state->text.data,
+				      state->text.size_bytes, now);
+		load_sheet_(control);
+	}
+	if (state->plan_version >
+	    bw_distribute_number(distribute, BW_DOCUMENT_PLAN))
+		bw_distribute_publish(distribute, BW_DOCUMENT_PLAN,
+				      state->plan_version, state->plan.data,
+				      state->plan.size_bytes, now);
+}
+
+static void load_sheet_(struct control *control)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct bw_sheet_errors errors;
+	struct bw_sheet *sheet = NULL;
+
+	bw_sheet_errors_init(&errors);
+	if (bw_sheet_load(state->text.data, state->text.size_bytes, &sheet,
+			  &errors) == BW_OK) {
+		bw_sheet_free(control->sheet);
+		control->sheet = sheet;
+	}
+	bw_sheet_errors_finish(&errors);
+}
+
+static void expire_waiting_(struct control *control, struct bw_time now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	struct waiting_command *waiting;
+
+	g_hash_table_iter_init(&iter, control->waiting);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		waiting = value;
+		if (!bw_time_reached(now, waiting->deadline))
+			continue;
+		respond_(control, waiting->origin, waiting->call,
+			 BW_EUNAVAILABLE, NULL);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+/*
+ * A new leader plans on from the committed plan, so that the shift ledger of
+ * its predecessor stays in force.
+ */
+static void take_office_(struct control *control)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+
+	control->plan_index = 0;
+	if (state->plan.size_bytes &&
+	    bw_plan_decode(&control->plan, state->plan.data,
+			   state->plan.size_bytes) != BW_OK)
+		bw_log_event(control->host->log, BW_LOG_ERROR, "control",
+			     "plan_malformed", NULL);
+	if (!control->sheet && state->revision)
+		load_sheet_(control);
+	bw_log_event(control->host->log, BW_LOG_INFO, "control", "leader_ready",
+		     "{s:I, s:I}", "revision", (json_int_t)state->revision,
+		     "plan", (json_int_t)state->plan_version);
+}
+
+static void plan_(struct control *control, struct bw_time now)
+{
+	struct bw_plan_report *reports;
+	struct bw_plan_service_report *services;
+	struct report_domain *domains;
+	struct bw_buffer encoded;
+	struct bw_buffer command;
+	bool changed = false;
+	size_t count;
+
+	/* One plan at a time: a step must be committed before the next. */
+	if (!control->sheet || control->plan_index)
+		return;
+	count = control->sheet->domains_count;
+	reports = calloc(count, sizeof(*reports));
+	domains = calloc(count, sizeof(*domains));
+	services = calloc(count * control->sheet->services_count,
+			  sizeof(*services));
+	bw_buffer_init(&encoded);
+	bw_buffer_init(&command);
+	if (!reports || !services || !domains)
+		goto out;
+	build_reports_(control, now, reports, services, domains);
+	if (bw_plan_step(&control->plan, control->sheet, reports,
+			 host_wall_ms(control->host), &changed) != BW_OK ||
+	    !changed)
+		goto out;
+	if (bw_plan_encode(&control->plan, &encoded) != BW_OK ||
+	    bw_command_set_plan(&command, encoded.data, encoded.size_bytes) !=
+		    BW_OK)
+		goto out;
+	if (bw_replica_propose(control->replica, command.data,
+			       command.size_bytes, now,
+			       &control->plan_index) == BW_OK)
+		control->dirty = true;
+	else
+		control->plan_index = 0;
+out:
+	bw_buffer_finish(&command);
+	bw_buffer_finish(&encoded);
+	free(domains);
+	free(services);
+	free(reports);
+}
+
+static void build_reports_(struct control *control, struct bw_time now,
+			   struct bw_plan_report *reports,
+			   struct bw_plan_service_report *services,
+			   struct report_domain *domains)
+{
+	const struct bw_sheet *sheet = control->sheet;
+	const struct bw_aggregator *aggregator = &control->host->aggregator;
+	const struct bw_summary *row;
+	uint32_t i;
+
+	for (i = 0; i < sheet->domains_count; i++) {
+		reports[i].services = services;
+		row = bw_aggregator_find(aggregator, sheet->domains[i].name);
+		if (row && row->load_bytes &&
+		    report_domain_decode(row->load, row->load_bytes,
+					 &domains[i]) == BW_OK) {
+			reports[i].known = true;
+			reports[i].age_ms =
+				(uint32_t)bw_summary_age_ms(row, now);
+			build_report_(control, &domains[i], services);
+		}
+		services += sheet->services_count;
+	}
+}
+
+static void build_report_(const struct control *control,
+			  const struct report_domain *domain,
+			  struct bw_plan_service_report *services)
+{
+	const struct bw_sheet *sheet = control->sheet;
+	const struct report_service *service;
+	uint32_t index;
+	uint32_t i;
+
+	for (i = 0; i < domain->services_count; i++) {
+		service = &domain->services[i];
+		index = bw_sheet_find_service(sheet, service->total.service);
+		if (index == BW_SHEET_NONE)
+			continue;
+		services[index].healthy_slots = service->healthy_slots;
+		services[index].warming_slots = service->warming_slots;
+		services[index].ramp = service->ramp;
+		services[index].slots_in_use = service->total.in_use;
+		services[index].mean_run_us = service->total.mean_run_us;
+		services[index].draining = service->draining;
+		services[index].demand = service->total.demand;
+	}
+}
--- /dev/null
+++ b/src/boragewingd/directory.h
@@ -0,0 +1,76 @@
+/**
+ * @file
+ * Directory of failure domains and their entry hosts, for look-ups and
+ * forwarding. Rebuilt from the membership of the own domain and the table of
+ * domain summaries.
+ */
+#ifndef BORAGEWINGD_DIRECTORY_H
+#define BORAGEWINGD_DIRECTORY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bwbase/clock.h"
+#include "bwbase/packet.h"
+#include "bwmember/aggregator.h"
+
+struct host;
+
+/** Most entry hosts kept for one domain. */
+#define DIRECTORY_HOSTS_MAX 8
+
+/** Age of a summary at which its domain counts as not reachable. */
+#define DIRECTORY_ALIVE_MS 10000
+
+/** An entry host. */
+struct directory_host {
+	char name[BW_NAME_MAX];
+	char address[BW_MEMBER_ADDRESS_MAX];
+	uint16_t port;
+	uint64_t incarnation; /**< 0: not known */
+	bool leaving;
+};
+
+/** A failure domain. */
+struct directory_domain {
+	char name[BW_NAME_MAX];
+	char region[BW_NAME_MAX];
+	bool alive; /**< at least one host, summary young enough */
+	struct directory_host hosts[DIRECTORY_HOSTS_MAX];
+	uint32_t hosts_count;
+};
+
+/** The directory. */
+struct directory {
+	struct host *host;
+	struct directory_domain *domains; /**< own domain first */
+	uint32_t domains_count;
+	struct bw_time next_rebuild;
+};
+
+/** Initialises with room for BW_SUMMARY_ROWS_MAX domains. */
+enum bw_status directory_init(struct directory *directory, struct host *host);
+
+/** Frees the directory. */
+void directory_finish(struct directory *directory);
+
+/** Rebuilds the directory when it is due; called every 50 ms. */
+void directory_tick(struct directory *directory, struct bw_time now);
+
+/** Finds a domain by name, or NULL. */
+const struct directory_domain *directory_find(const struct directory *directory,
+					      const char *domain);
+
+/** Finds an entry host by name in all domains, or NULL. */
+const struct directory_host *
+directory_find_host(const struct directory *directory, const char *name);
+
+/**
+ * Chooses a host for copies of request records: one in another domain of the
+ * same region, else one in the own domain.
+ * @return the host, or NULL when no other host is known
+ */
+const struct directory_host *
+directory_choose_backup(const struct directory *directory);
+
+#endif
--- /dev/null
+++ b/src/boragewingd/report.h
@@ -0,0 +1,143 @@
+/**
+ * @file
+ * Load reports: each host tells its domain's aggregator, and the aggregator
+ * tells the control hosts in the load blob of its domain summary.
+ */
+#ifndef BORAGEWINGD_REPORT_H
+#define BORAGEWINGD_REPORT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bwbase/buffer.h"
+#include "bwbase/clock.h"
+#include "bwbase/packet.h"
+#include "bwbase/status.h"
+
+/** Most services, caller regions and hosts of one report. */
+#define REPORT_SERVICES_MAX 64
+#define REPORT_REGIONS_MAX 64
+#define REPORT_HOSTS_MAX 64
+
+/** Age at which the report of a host no longer counts. */
+#define REPORT_HOST_AGE_MAX_MS 5000
+
+/** Demand of one service at one host, or summed over a domain. */
+struct report_demand {
+	char service[BW_NAME_MAX];
+	uint32_t in_use; /**< requests running */
+	uint32_t mean_run_us; /**< 0: not measured */
+	/** Milli-slots by caller region, in the order of the sheet. */
+	uint32_t demand[REPORT_REGIONS_MAX];
+};
+
+/** What a host has in force. */
+struct report_status {
+	char name[BW_NAME_MAX];
+	uint64_t incarnation; /**< of the process */
+	uint64_t revision; /**< sheet in force */
+	int64_t since_wall_ms; /**< when it was put in force */
+	uint64_t plan;
+	bool leaving;
+};
+
+/** Report of one host. */
+struct report_host {
+	struct report_status status;
+	struct bw_time received;
+	struct report_demand services[REPORT_SERVICES_MAX];
+	uint32_t services_count;
+};
+
+/** What a host counts between two reports. */
+struct report_counter {
+	char service[BW_NAME_MAX];
+	uint32_t in_use;
+	double mean_run_us; /**< moving average; 0: not measured */
+	uint32_t arrivals[REPORT_REGIONS_MAX]; /**< since the last report */
+	double rate[REPORT_REGIONS_MAX]; /**< moving average, per second */
+};
+
+/** Counters of this host and, at an aggregator, reports of its domain. */
+struct report_table {
+	struct report_counter counters[REPORT_SERVICES_MAX];
+	uint32_t counters_count;
+	struct report_host *hosts; /**< REPORT_HOSTS_MAX entries */
+	uint32_t hosts_count;
+	struct bw_time last;
+};
+
+/** One service in the report of a domain. */
+struct report_service {
+	struct report_demand total;
+	uint32_t healthy_slots;
+	uint32_t warming_slots;
+	uint32_t ramp; /**< per mille of warming_slots usable now */
+	bool draining;
+};
+
+/** Report of a whole domain, as carried in its summary. */
+struct report_domain {
+	uint32_t regions_count; /**< caller regions in each demand */
+	struct report_service services[REPORT_SERVICES_MAX];
+	uint32_t services_count;
+	struct report_status hosts[REPORT_HOSTS_MAX];
+	uint32_t hosts_count;
+};
+
+/** Initialises an empty table. @return BW_OK or BW_ENOMEM */
+enum bw_status report_table_init(struct report_table *table,
+				 struct bw_time now);
+
+/** Frees the table. */
+void report_table_finish(struct report_table *table);
+
+/** Counts the arrival of a request from a caller region. */
+void report_arrival(struct report_table *table, const char *service,
+		    uint32_t region);
+
+/** Counts the start (1) or end (-1) of a run. */
+void report_running(struct report_table *table, const char *service,
+		    int32_t change);
+
+/** Records the run time of a completed request. */
+void report_run_time(struct report_table *table, const char *service,
+		     uint64_t duration_us);
+
+/** Returns the demand of a service over all regions, in whole slots. */
+uint32_t report_demand_slots(const struct report_table *table,
+			     const char *service);
+
+/**
+ * Closes the current interval and writes this host's report.
+ * @param host receives the services; its status is left alone
+ */
+void report_take(struct report_table *table, struct bw_time now,
+		 struct report_host *host);
+
+/** Appends a host report as msgpack. @return BW_OK or BW_ENOMEM */
+enum bw_status report_host_encode(const struct report_host *host,
+				  uint32_t regions_count,
+				  struct bw_buffer *out);
+
+/** Decodes a host report. @return BW_OK, BW_EINVAL or BW_EVERSION */
+enum bw_status report_host_decode(const void *data, size_t size_bytes,
+				  struct report_host *host);
+
+/** Stores the report of a host of the domain. @return BW_OK or BW_EFULL */
+enum bw_status report_store(struct report_table *table,
+			    const struct report_host *host, struct bw_time now);
+
+/** Sums the reports of the domain's hosts that are young enough. */
+void report_sum(const struct report_table *table, struct bw_time now,
+		struct report_domain *domain);
+
+/** Appends a domain report as msgpack. @return BW_OK or BW_ENOMEM */
+enum bw_status report_domain_encode(const struct report_domain *domain,
+				    struct bw_buffer *out);
+
+/** Decodes a domain report. @return BW_OK, BW_EINVAL or BW_EVERSION */
+enum bw_status report_domain_decode(const void *data, size_t size_bytes,
+				    struct report_domain *domain);
+
+#endif
--- a/src/boragewingd/settings.c
+++ b/src/boragewingd/settings.c
@@ -21,15 +21,14 @@
 #define DEFAULT_REQUEST_RECORDS 100000
 #define DEFAULT_DRAIN_S 30
 
-#define TEXT_(key, type)                                                 \
-	CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_POINTER, struct type, key, \
-			       1, TEXT_LENGTH_MAX)
-#define NAME_(key, type)                                                 \
-	CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_POINTER, struct type, key, \
-			       1, BW_NAME_MAX - 1)
-#define OPTIONAL_TEXT_(key, type)                                    \
-	CYAML_FIELD_STRING_PTR(#key,                                 \
-			       CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, \
+#define TEXT_(key, type)                                                      \
+	CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_POINTER, struct type, key, 1, \
+			       TEXT_LENGTH_MAX)
+#define NAME_(key, type)                                                      \
+	CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_POINTER, struct type, key, 1, \
+			       BW_NAME_MAX - 1)
+#define OPTIONAL_TEXT_(key, type)                                              \
+	CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, \
 			       struct type, key, 1, TEXT_LENGTH_MAX)
 #define UINT_(key, type) \
 	CYAML_FIELD_UINT(#key, CYAML_FLAG_DEFAULT, struct type, key)
@@ -57,16 +56,20 @@
 	OPTIONAL_UINT_(body_kb, settings_limits),
 	OPTIONAL_UINT_(queued_requests, settings_limits),
 	OPTIONAL_UINT_(request_records, settings_limits),
-	OPTIONAL_UINT_(drain_s, settings_limits), CYAML_FIELD_END
+	OPTIONAL_UINT_(drain_s, settings_limits),
+	CYAML_FIELD_END
 };
 static const cyaml_schema_field_t log_fields_[] = {
-	OPTIONAL_TEXT_(level, settings_log),
-	OPTIONAL_TEXT_(file, settings_log), CYAML_FIELD_END
+	OPTIONAL_TEXT_(level, settings_log), OPTIONAL_TEXT_(file, settings_log),
+	CYAML_FIELD_END
 };
 static const cyaml_schema_field_t seed_fields_[] = {
-	NAME_(name, settings_seed), NAME_(region, settings_seed),
-	NAME_(failure_domain, settings_seed), TEXT_(address, settings_seed),
-	UINT_(port, settings_seed), OPTIONAL_BOOL_(control, settings_seed),
+	NAME_(name, settings_seed),
+	NAME_(region, settings_seed),
+	NAME_(failure_domain, settings_seed),
+	TEXT_(address, settings_seed),
+	UINT_(port, settings_seed),
+	OPTIONAL_BOOL_(control, settings_seed),
 	CYAML_FIELD_END
 };
 static const cyaml_schema_value_t seed_schema_ = { CYAML_VALUE_MAPPING(
@@ -75,17 +78,17 @@
 static const cyaml_schema_field_t settings_fields_[] = {
 	CYAML_FIELD_MAPPING("host", CYAML_FLAG_DEFAULT, struct settings, host,
 			    host_fields_),
-	CYAML_FIELD_MAPPING("fleet", CYAML_FLAG_DEFAULT, struct settings,
-			    fleet, endpoint_fields_),
-	CYAML_FIELD_MAPPING("entry", CYAML_FLAG_DEFAULT, struct settings,
-			    entry, endpoint_fields_),
+	CYAML_FIELD_MAPPING("fleet", CYAML_FLAG_DEFAULT, struct settings, fleet,
+			    endpoint_fields_),
+	CYAML_FIELD_MAPPING("entry", CYAML_FLAG_DEFAULT, struct settings, entry,
+			    endpoint_fields_),
 	CYAML_FIELD_MAPPING("operators", CYAML_FLAG_DEFAULT, struct settings,
 			    operators, endpoint_fields_),
-	OPTIONAL_TEXT_(data_folder, settings), TEXT_(charts_folder, settings),
+	OPTIONAL_TEXT_(data_folder, settings),
+	TEXT_(charts_folder, settings),
 	TEXT_(fleet_key_file, settings),
 	TEXT_(operator_token_file, settings),
-	CYAML_FIELD_MAPPING_PTR("tls",
-				CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+	CYAML_FIELD_MAPPING_PTR("tls", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
 				struct settings, tls, tls_fields_),
 	CYAML_FIELD_MAPPING("limits", CYAML_FLAG_OPTIONAL, struct settings,
 			    limits, limits_fields_),
@@ -110,14 +113,12 @@
 				   struct bw_yaml_lines *lines,
 				   struct bw_yaml_error *error);
 static enum bw_status check_folder_(const char *path, uint32_t line,
-				    bool writable,
-				    struct bw_yaml_error *error);
+				    bool writable, struct bw_yaml_error *error);
 static enum bw_status read_secrets_(struct settings *settings,
 				    struct bw_yaml_lines *lines,
 				    struct bw_yaml_error *error);
 static enum bw_status read_line_(const char *path, uint32_t line, char *out,
-				 size_t out_bytes,
-				 struct bw_yaml_error *error);
+				 size_t out_bytes, struct bw_yaml_error *error);
 static enum bw_status fail_(struct bw_yaml_error *error, uint32_t line,
 			    const char *format, ...)
 	__attribute__((format(printf, 3, 4)));
@@ -208,8 +209,8 @@
 			     "a control host needs data_folder");
 	if (settings->data_folder) {
 		status = check_folder_(settings->data_folder,
-				       bw_yaml_line(lines, "data_folder"),
-				       true, error);
+				       bw_yaml_line(lines, "data_folder"), true,
+				       error);
 		if (status != BW_OK)
 			return status;
 	}
@@ -236,8 +237,7 @@
 
 	if (inet_pton(AF_INET, endpoint->address, &address) != 1)
 		return fail_(error, bw_yaml_line(lines, "%s.address", key),
-			     "'%s' is not an IPv4 address",
-			     endpoint->address);
+			     "'%s' is not an IPv4 address", endpoint->address);
 	if (endpoint->advertise &&
 	    inet_pton(AF_INET, endpoint->advertise, &address) != 1)
 		return fail_(error, bw_yaml_line(lines, "%s.advertise", key),
@@ -262,11 +262,10 @@
 	for (i = 0; i < settings->seeds_count; i++) {
 		seed = &settings->seeds[i];
 		if (inet_pton(AF_INET, seed->address, &address) != 1)
-			return fail_(error,
-				     bw_yaml_line(lines, "seeds[%u].address",
-						  i),
-				     "'%s' is not an IPv4 address",
-				     seed->address);
+			return fail_(
+				error,
+				bw_yaml_line(lines, "seeds[%u].address", i),
+				"'%s' is not an IPv4 address", seed->address);
 		if (!seed->port)
 			return fail_(error,
 				     bw_yaml_line(lines, "seeds[%u].port", i),
@@ -288,8 +287,7 @@
 }
 
 static enum bw_status check_folder_(const char *path, uint32_t line,
-				    bool writable,
-				    struct bw_yaml_error *error)
+				    bool writable, struct bw_yaml_error *error)
 {
 	struct stat info;
 	int mode = R_OK | X_OK | (writable ? W_OK : 0);
@@ -329,8 +327,9 @@
 	if (status != BW_OK)
 		return status;
 	if (strlen(settings->operator_token) < TOKEN_LENGTH_MIN)
-		return fail_(error, line, "%s: token has fewer than %d "
-					  "characters",
+		return fail_(error, line,
+			     "%s: token has fewer than %d "
+			     "characters",
 			     settings->operator_token_file, TOKEN_LENGTH_MIN);
 	return BW_OK;
 }
--- a/src/boragewingd/settings.h
+++ b/src/boragewingd/settings.h
@@ -52,26 +52,26 @@
 
 /** Bounds on what callers may ask of the host. */
 struct settings_limits {
-	uint32_t connections;	  /**< of callers */
-	uint32_t body_kb;	  /**< largest request body */
+	uint32_t connections; /**< of callers */
+	uint32_t body_kb; /**< largest request body */
 	uint32_t queued_requests; /**< over all services */
 	uint32_t request_records; /**< request keys kept */
-	uint32_t drain_s;	  /**< longest wait of a graceful shutdown */
+	uint32_t drain_s; /**< longest wait of a graceful shutdown */
 };
 
 /** Log output. */
 struct settings_log {
 	char *level; /**< debug, info, warning or error */
-	char *file;  /**< NULL: standard error */
+	char *file; /**< NULL: standard error */
 };
 
 /** All settings of one daemon. */
 struct settings {
 	struct settings_host host;
-	struct settings_endpoint fleet;	   /**< ZeroMQ, other hosts */
-	struct settings_endpoint entry;	   /**< HTTP, callers and backends */
+	struct settings_endpoint fleet; /**< ZeroMQ, other hosts */
+	struct settings_endpoint entry; /**< HTTP, callers and backends */
 	struct settings_endpoint operators; /**< HTTP, operators */
-	char *data_folder;   /**< control hosts only */
+	char *data_folder; /**< control hosts only */
 	char *charts_folder;
 	char *fleet_key_file;
 	char *operator_token_file;
--- a/src/boragewingd/transport.c
+++ b/src/boragewingd/transport.c
@@ -9,7 +9,7 @@
 #include "bwbase/codec.h"
 
 #define FRAME_VERSION 1
-#define FRAME_VALUES 5
+#define FRAME_VALUES 6
 #define QUEUE_LIMIT 1000
 #define MESSAGE_LIMIT_BYTES (BW_PACKET_MAX_BYTES + 4096)
 #define HEARTBEAT_INTERVAL_MS 1000
@@ -41,11 +41,12 @@
 			     ev_io *watcher,
 			     void (*callback)(struct ev_loop *, ev_io *, int));
 static void on_router_(struct ev_loop *loop, ev_io *watcher, int events);
-static void on_authenticator_(struct ev_loop *loop, ev_io *watcher,
-			      int events);
+static void on_authenticator_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
 static bool receive_one_(struct transport *transport);
 static void deliver_(struct transport *transport, zmq_msg_t *message);
+static void learn_address_(struct transport *transport, const char *name,
+			   const uint8_t *address, size_t address_bytes);
 static bool authenticate_one_(struct transport *transport);
 static size_t receive_part_(void *socket, void *out, size_t out_bytes,
 			    bool *more);
@@ -66,6 +67,8 @@
 	bw_name_set(transport->self, config->self);
 	snprintf(transport->source, sizeof(transport->source), "%s",
 		 config->source_address);
+	snprintf(transport->advertised, sizeof(transport->advertised), "%s",
+		 config->advertise_address);
 	derive_keys_(transport);
 	transport->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_peer_);
@@ -128,17 +131,14 @@
 const char *transport_address(const struct transport *transport,
 			      const char *name)
 {
-	const struct peer *peer =
-		g_hash_table_lookup(transport->peers, name);
+	const struct peer *peer = g_hash_table_lookup(transport->peers, name);
 
 	return peer ? peer->address : NULL;
 }
 
-void transport_send(struct transport *transport,
-		    const struct bw_packet *packet)
+void transport_send(struct transport *transport, const struct bw_packet *packet)
 {
-	struct peer *peer =
-		g_hash_table_lookup(transport->peers, packet->peer);
+	struct peer *peer = g_hash_table_lookup(transport->peers, packet->peer);
 
 	if (!peer) {
 		transport->counts.dropped_packets++;
@@ -197,14 +197,14 @@
 	zmq_setsockopt(transport->router, ZMQ_CURVE_SECRETKEY,
 		       transport->secret_key, sizeof(transport->secret_key));
 	zmq_setsockopt(transport->router, ZMQ_ZAP_DOMAIN, "fleet", 5);
-	zmq_setsockopt(transport->router, ZMQ_MAXMSGSIZE,
-		       &message_limit_bytes, sizeof(message_limit_bytes));
+	zmq_setsockopt(transport->router, ZMQ_MAXMSGSIZE, &message_limit_bytes,
+		       sizeof(message_limit_bytes));
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s",
 		 transport->config.listen_address);
 	if (zmq_bind(transport->router, endpoint))
 		return BW_EIO;
-	return watch_(transport, transport->router,
-		      &transport->router_watcher, on_router_);
+	return watch_(transport, transport->router, &transport->router_watcher,
+		      on_router_);
 }
 
 /*
@@ -312,6 +312,8 @@
 	struct bw_packet packet = { .channel = 0 };
 	struct bw_reader reader;
 	const uint8_t *data;
+	const uint8_t *address;
+	size_t address_bytes = 0;
 	size_t size_bytes = 0;
 	uint64_t version;
 	uint64_t channel;
@@ -324,12 +326,15 @@
 	channel = bw_read_uint(&reader);
 	bw_read_name(&reader, packet.peer);
 	packet.incarnation = bw_read_uint(&reader);
+	address = bw_read_bin(&reader, &address_bytes);
 	data = bw_read_bin(&reader, &size_bytes);
 	if (bw_reader_status(&reader) != BW_OK || version != FRAME_VERSION ||
-	    !channel || channel >= BW_CHANNEL_COUNT ||
+	    !channel || channel >= BW_CHANNEL_COUNT || !address_bytes ||
+	    address_bytes >= TRANSPORT_ADDRESS_BYTES ||
 	    size_bytes > BW_PACKET_MAX_BYTES) {
 		transport->counts.malformed_packets++;
 	} else {
+		learn_address_(transport, packet.peer, address, address_bytes);
 		packet.channel = (uint8_t)channel;
 		packet.data = (uint8_t *)data;
 		packet.size_bytes = (uint32_t)size_bytes;
@@ -338,6 +343,15 @@
 	bw_reader_finish(&reader);
 }
 
+static void learn_address_(struct transport *transport, const char *name,
+			   const uint8_t *address, size_t address_bytes)
+{
+	char text[TRANSPORT_ADDRESS_BYTES] = "";
+
+	memcpy(text, address, address_bytes);
+	transport_set_address(transport, name, text);
+}
+
 /* Request: version, id, domain, address, identity, mechanism, client key. */
 static bool authenticate_one_(struct transport *transport)
 {
@@ -424,14 +438,14 @@
 	set_int_(peer->dealer, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
 	set_int_(peer->dealer, ZMQ_HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS);
 	set_int_(peer->dealer, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
-	zmq_setsockopt(peer->dealer, ZMQ_CURVE_SERVERKEY,
-		       transport->public_key, sizeof(transport->public_key));
-	zmq_setsockopt(peer->dealer, ZMQ_CURVE_PUBLICKEY,
-		       transport->public_key, sizeof(transport->public_key));
-	zmq_setsockopt(peer->dealer, ZMQ_CURVE_SECRETKEY,
-		       transport->secret_key, sizeof(transport->secret_key));
-	snprintf(endpoint, sizeof(endpoint), "tcp://%s:0;%s",
-		 transport->source, peer->address);
+	zmq_setsockopt(peer->dealer, ZMQ_CURVE_SERVERKEY, transport->public_key,
+		       sizeof(transport->public_key));
+	zmq_setsockopt(peer->dealer, ZMQ_CURVE_PUBLICKEY, transport->public_key,
+		       sizeof(transport->public_key));
+	zmq_setsockopt(peer->dealer, ZMQ_CURVE_SECRETKEY, transport->secret_key,
+		       sizeof(transport->secret_key));
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s:0;%s", transport->source,
+		 peer->address);
 	if (zmq_connect(peer->dealer, endpoint))
 		disconnect_(peer);
 }
@@ -461,6 +475,7 @@
 	bw_write_uint(&writer, packet->channel);
 	bw_write_str(&writer, transport->self);
 	bw_write_uint(&writer, transport->config.incarnation);
+	bw_write_str(&writer, transport->advertised);
 	bw_write_bin(&writer, packet->data, packet->size_bytes);
 }
 
--- a/src/boragewingd/transport.h
+++ b/src/boragewingd/transport.h
@@ -29,29 +29,34 @@
 	uint64_t sent_bytes;
 	uint64_t received_packets;
 	uint64_t received_bytes;
-	uint64_t dropped_packets;  /**< queue full or peer not connected */
+	uint64_t dropped_packets; /**< queue full or peer not connected */
 	uint64_t malformed_packets; /**< not a valid frame */
-	uint64_t rejected_peers;   /**< handshakes with another key */
+	uint64_t rejected_peers; /**< handshakes with another key */
 };
 
 /** Configuration; all texts are copied. */
 struct transport_config {
 	struct ev_loop *loop;
-	const char *self;	    /**< own host name */
-	uint64_t incarnation;	    /**< own incarnation */
+	const char *self; /**< own host name */
+	uint64_t incarnation; /**< own incarnation */
 	const char *listen_address; /**< address:port to bind */
+	const char *advertise_address; /**< address:port that peers use */
 	const char *source_address; /**< IPv4 address that connections leave
 					from */
-	const uint8_t *fleet_key;   /**< 32 bytes, seed of the key pair */
+	const uint8_t *fleet_key; /**< 32 bytes, seed of the key pair */
 	transport_receive_fn *receive;
 	void *context;
 };
 
-/** The transport. */
+/**
+ * The transport. Each frame carries the advertised address of its sender, so
+ * that a receiver can reply to a host that is not in its settings.
+ */
 struct transport {
 	struct transport_config config;
 	char self[BW_NAME_MAX];
 	char source[TRANSPORT_ADDRESS_BYTES];
+	char advertised[TRANSPORT_ADDRESS_BYTES];
 	char public_key[41]; /**< Z85 text */
 	char secret_key[41]; /**< Z85 text */
 	uint8_t public_key_bytes[32];
--- a/src/libbwbase/chart.c
+++ b/src/libbwbase/chart.c
@@ -126,6 +126,42 @@
 	return status;
 }
 
+enum bw_status bw_chart_draw(const char *path, struct bw_buffer *out,
+			     struct bw_yaml_error *error)
+{
+	const struct document *document;
+	const struct transition *transition;
+	struct bw_buffer text;
+	void *loaded = NULL;
+	enum bw_status status;
+	uint32_t i;
+
+	bw_buffer_init(&text);
+	status = bw_file_read(path, CHART_LIMIT_BYTES, &text, error);
+	if (status == BW_OK)
+		status = bw_yaml_load(text.data, text.size_bytes,
+				      &document_schema_, &loaded, error);
+	if (status != BW_OK)
+		goto out;
+	document = loaded;
+	bw_buffer_printf(out, "stateDiagram-v2\n    [*] --> %s\n",
+			 document->initial);
+	for (i = 0; i < document->transitions_count; i++) {
+		transition = &document->transitions[i];
+		bw_buffer_printf(out, "    %s --> %s : %s%s%s\n",
+				 transition->from, transition->to,
+				 transition->event,
+				 transition->action ? " / " : "",
+				 transition->action ? transition->action : "");
+	}
+	for (i = 0; i < document->final_count; i++)
+		bw_buffer_printf(out, "    %s --> [*]\n", document->final[i]);
+out:
+	bw_yaml_free(&document_schema_, loaded);
+	bw_buffer_finish(&text);
+	return status;
+}
+
 enum bw_status bw_chart_next(const struct bw_chart *chart, uint8_t state,
 			     uint8_t event, struct bw_chart_step *step)
 {
--- a/src/libbwbase/packet.c
+++ b/src/libbwbase/packet.c
@@ -19,6 +19,7 @@
 	[BW_CHANNEL_POISON] = "poison",
 	[BW_CHANNEL_OPERATOR] = "operator",
 	[BW_CHANNEL_PLAN] = "plan",
+	[BW_CHANNEL_BACKEND] = "backend",
 };
 
 void bw_outbox_init(struct bw_outbox *out, uint32_t limit)
--- a/src/libbwproxy/request.c
+++ b/src/libbwproxy/request.c
@@ -126,8 +126,8 @@
 		state->since = bw_clock_now(&clock);
 	}
 	ev_timer_stop(frontend->loop, &request->receive_timer);
-	sent = code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
-	       request->queued && !request->dead;
+	sent = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && request->queued &&
+	       !request->dead;
 	if (request->announced) {
 		epoll_ctl(frontend->leave_fd, EPOLL_CTL_DEL, request->fd, NULL);
 		if (!sent && !request->dead) {
@@ -228,8 +228,8 @@
 	return NULL;
 }
 
-const struct bw_http_header *bw_request_headers(const struct bw_request *request,
-						size_t *count)
+const struct bw_http_header *
+bw_request_headers(const struct bw_request *request, size_t *count)
 {
 	*count = request->header_count;
 	return request->headers;
@@ -474,8 +474,7 @@
 			return MHD_YES;
 		}
 		request->body_ended = true;
-		ev_timer_stop(request->frontend->loop,
-			      &request->receive_timer);
+		ev_timer_stop(request->frontend->loop, &request->receive_timer);
 		emit_(request, BW_FRONTEND_BODY_END, NULL, 0, false);
 	}
 	if (request->broken)
@@ -539,8 +538,8 @@
 	struct bw_http_header *headers;
 
 	(void)kind;
-	headers = realloc(request->headers, (request->header_count + 1) *
-						    sizeof(*headers));
+	headers = realloc(request->headers,
+			  (request->header_count + 1) * sizeof(*headers));
 	if (!headers) {
 		request->header_count = SIZE_MAX;
 		return MHD_NO;
@@ -602,7 +601,8 @@
 	int length;
 	enum bw_status status;
 
-	length = snprintf(text, sizeof(text), "{\"error\":\"refused\",\"status\":%u}\n",
+	length = snprintf(text, sizeof(text),
+			  "{\"error\":\"refused\",\"status\":%u}\n",
 			  status_code);
 	/* Body bytes may have been passed on when the request is known. */
 	status = bw_request_respond(request, status_code, &not_run,
@@ -673,8 +673,7 @@
 
 	for (i = 0; i < count; i++) {
 		/* MHD refuses empty values; they carry nothing. */
-		if (bw_http_hop_by_hop(headers[i].name) ||
-		    !headers[i].value[0])
+		if (bw_http_hop_by_hop(headers[i].name) || !headers[i].value[0])
 			continue;
 		if (MHD_add_response_header(response, headers[i].name,
 					    headers[i].value) != MHD_YES)
--- a/src/libbwsteer/backend_codec.c
+++ b/src/libbwsteer/backend_codec.c
@@ -306,3 +306,31 @@
 		"ejected", (int)server->ejected, "silent_ms",
 		(json_int_t)bw_time_diff_ms(now, server->reported));
 }
+
+bool bw_backend_next(const struct bw_backend_table *table, uint32_t *cursor,
+		     struct bw_backend_info *info)
+{
+	const struct bw_backend_server *server;
+
+	while (*cursor < table->config.servers_max) {
+		server = &table->servers[(*cursor)++];
+		if (!server->used)
+			continue;
+		memcpy(info->id, server->announced.id, sizeof(info->id));
+		memcpy(info->service, server->announced.service,
+		       sizeof(info->service));
+		memcpy(info->failure_domain, server->announced.failure_domain,
+		       sizeof(info->failure_domain));
+		memcpy(info->address, server->announced.address,
+		       sizeof(info->address));
+		info->port = server->announced.port;
+		info->incarnation = server->announced.incarnation;
+		info->state = server->state;
+		info->slots = server->announced.slots;
+		info->in_flight = server->in_flight;
+		info->draining = server->drain_requested ||
+				 server->drain_planned;
+		return true;
+	}
+	return false;
+}
