Test membership and distribution over random faults

Cause: the protocols must converge after any mix of faults. Change: fleet simulator with a virtual clock, random tests against a naive reference; fixes for what they found: digests bound their time in transit by an echo of the receiver's clock, refreshes go to the source of a row too, a silent rival is replaced in spite of its epoch, seeds that left are contacted.

--- a/src/libbwmember/aggregator_push.c
+++ b/src/libbwmember/aggregator_push.c
@@ -226,8 +226,8 @@
 		if (peer->refresh_index >= aggregator->row_count)
 			peer->refresh_index = 0;
 		row = &aggregator->rows[peer->refresh_index++];
-		if (row->stamp > peer->sent_stamp ||
-		    !strcmp(row->source, peer->name))
+		/* The source gets refreshes too: it may have lost its own. */
+		if (row->stamp > peer->sent_stamp)
 			continue;
 		aggregator_write_refresh(&writer, row, now);
 		batch->refresh_count++;
--- a/src/libbwmember/aggregator_rows.c
+++ b/src/libbwmember/aggregator_rows.c
@@ -6,6 +6,9 @@
 #define ROW_FIELDS 13
 #define REFRESH_FIELDS 8
 
+/** Lead of a report that replaces one of a later epoch. */
+#define SILENT_RIVAL_MS 5000
+
 static void adopt_(struct bw_aggregator *aggregator, struct bw_summary *known,
 		   struct bw_summary *row);
 static void read_address_(struct bw_reader *reader,
@@ -33,8 +36,17 @@
 	return NULL;
 }
 
+/* The epoch decides between two reporting aggregators. One that has been
+ * silent for longer is replaced in spite of its epoch: it resigned before
+ * the other learned of it. */
 bool aggregator_is_newer(const struct bw_summary *a, const struct bw_summary *b)
 {
+	int64_t lead_ms = bw_time_diff_ms(a->reported, b->reported);
+
+	if (a->epoch != b->epoch && lead_ms > SILENT_RIVAL_MS)
+		return true;
+	if (a->epoch != b->epoch && lead_ms < -SILENT_RIVAL_MS)
+		return false;
 	if (a->epoch != b->epoch)
 		return a->epoch > b->epoch;
 	return a->sequence > b->sequence;
--- a/src/libbwmember/distribute.c
+++ b/src/libbwmember/distribute.c
@@ -14,6 +14,9 @@
 /** Age of the own confirmation above which control is asked directly. */
 #define ASK_CONTROL_MS 3000
 
+/** Time for which the stamp of a peer is echoed. */
+#define ECHO_MS 5000
+
 /** Lead of a confirmation that is worth an answer to an older one. */
 #define ANSWER_LEAD_MS 2000
 
@@ -22,6 +25,16 @@
 	[BW_DOCUMENT_PLAN] = "plan",
 };
 
+/** A decoded digest. */
+struct digest {
+	bool is_control;
+	int64_t age_ms; /**< of the confirmation; -1 for none */
+	int64_t stamp_ms; /**< clock of the sender */
+	int64_t echo_ms; /**< clock of this host as the sender got it, or -1 */
+	int64_t held_ms; /**< since then, at the sender */
+	struct distribute_version versions[BW_DOCUMENT_COUNT];
+};
+
 static void default_(uint32_t *value, uint32_t fallback);
 static void finish_document_(struct bw_distribute_document *document);
 static void refill_(struct bw_distribute *distribute, struct bw_time now);
@@ -40,9 +53,17 @@
 				      struct bw_reader *reader,
 				      struct bw_time now,
 				      struct bw_outbox *out);
-static void note_digest_(struct bw_distribute *distribute,
-			 struct bw_distribute_peer *known, bool is_control,
-			 int64_t age_ms, struct bw_time now);
+static void write_stamps_(struct bw_distribute *distribute,
+			  struct bw_writer *writer, const char *peer,
+			  struct bw_time now);
+static void note_digest_(struct bw_distribute_peer *known,
+			 const struct digest *digest, struct bw_time now);
+static void note_confirmation_(struct bw_distribute *distribute,
+			       struct bw_distribute_peer *known,
+			       const struct digest *digest, struct bw_time now);
+static enum bw_status send_to_controls_(struct bw_distribute *distribute,
+					struct bw_time now,
+					struct bw_outbox *out);
 static bool wants_answer_(const struct bw_distribute *distribute,
 			  const struct bw_distribute_peer *known);
 
@@ -283,7 +304,7 @@
 	uint32_t i;
 
 	bw_writer_init(&writer, &body);
-	bw_write_array(&writer, 4 + BW_DOCUMENT_COUNT);
+	bw_write_array(&writer, 7 + BW_DOCUMENT_COUNT);
 	bw_write_uint(&writer, DISTRIBUTE_WIRE_VERSION);
 	bw_write_uint(&writer, DISTRIBUTE_DIGEST);
 	bw_write_bool(&writer,
@@ -292,6 +313,7 @@
 		     distribute->has_confirmation
 			     ? bw_time_diff_ms(now, distribute->confirmed)
 			     : -1);
+	write_stamps_(distribute, &writer, peer, now);
 	for (i = 0; i < BW_DOCUMENT_COUNT; i++)
 		distribute_write_version(
 			&writer, &distribute->documents[i].current.version);
@@ -303,6 +325,22 @@
 	return status;
 }
 
+/* The own clock, and the clock of the peer with the time it was held here. */
+static void write_stamps_(struct bw_distribute *distribute,
+			  struct bw_writer *writer, const char *peer,
+			  struct bw_time now)
+{
+	const struct bw_distribute_peer *known =
+		distribute_peer(distribute, peer);
+	bool echo = known->has_stamp &&
+		    bw_time_diff_ms(now, known->stamp_seen) < ECHO_MS;
+
+	bw_write_int(writer, now.ms);
+	bw_write_int(writer, echo ? known->stamp_ms : -1);
+	bw_write_int(writer,
+		     echo ? bw_time_diff_ms(now, known->stamp_seen) : 0);
+}
+
 void distribute_write_version(struct bw_writer *writer,
 			      const struct distribute_version *version)
 {
@@ -393,7 +431,7 @@
 	enum bw_status status = BW_OK;
 
 	if (!strcmp(current, self))
-		control = bw_aggregator_ranked_control(aggregator, 0);
+		status = send_to_controls_(distribute, now, out);
 	else if (current[0])
 		status = distribute_send_digest(distribute, current, now, out);
 	if (status == BW_OK && neighbour && strcmp(neighbour, current) != 0)
@@ -411,6 +449,34 @@
 	return status;
 }
 
+/* Answers the control hosts that serve this aggregator, so that their next
+ * digest bounds its time in transit. */
+static enum bw_status send_to_controls_(struct bw_distribute *distribute,
+					struct bw_time now,
+					struct bw_outbox *out)
+{
+	const struct bw_aggregator *aggregator = distribute->config.aggregator;
+	const struct bw_distribute_peer *known;
+	enum bw_status status = BW_OK;
+	const char *name;
+	uint32_t i;
+
+	if (distribute->config.member->config.self.is_control)
+		return BW_OK;
+	for (i = 0; i < bw_aggregator_control_count(aggregator); i++) {
+		name = bw_aggregator_control_at(aggregator, i)->name;
+		known = distribute_peer(distribute, name);
+		if (strcmp(name, bw_aggregator_ranked_control(aggregator, 0)) !=
+			    0 &&
+		    bw_time_diff_ms(now, known->seen) > ASK_CONTROL_MS)
+			continue;
+		status = distribute_send_digest(distribute, name, now, out);
+		if (status != BW_OK)
+			return status;
+	}
+	return status;
+}
+
 static const char *random_neighbour_(struct bw_distribute *distribute)
 {
 	const struct bw_member *member = distribute->config.member;
@@ -501,37 +567,63 @@
 				      struct bw_time now, struct bw_outbox *out)
 {
 	struct bw_distribute_peer *known;
-	struct distribute_version held[BW_DOCUMENT_COUNT];
-	bool is_control = bw_read_bool(reader);
-	int64_t age_ms = bw_read_int(reader);
+	struct digest digest;
 	uint32_t i;
 
+	digest.is_control = bw_read_bool(reader);
+	digest.age_ms = bw_read_int(reader);
+	digest.stamp_ms = bw_read_int(reader);
+	digest.echo_ms = bw_read_int(reader);
+	digest.held_ms = bw_read_int(reader);
 	for (i = 0; i < BW_DOCUMENT_COUNT; i++)
-		distribute_read_version(reader, &held[i]);
-	if (reader->failed || age_ms < -1)
+		distribute_read_version(reader, &digest.versions[i]);
+	if (reader->failed || digest.age_ms < -1 || digest.age_ms > INT32_MAX ||
+	    digest.held_ms < 0 || digest.held_ms > ECHO_MS)
 		return BW_EINVAL;
 	known = distribute_peer(distribute, peer);
-	memcpy(known->held, held, sizeof(held));
-	note_digest_(distribute, known, is_control, age_ms, now);
+	note_digest_(known, &digest, now);
+	note_confirmation_(distribute, known, &digest, now);
 	for (i = 0; i < BW_DOCUMENT_COUNT; i++)
 		distribute_check_conflict(distribute, (enum bw_document)i,
-					  &held[i], peer);
+					  &digest.versions[i], peer);
 	if (!wants_answer_(distribute, known))
 		return BW_OK;
 	return distribute_send_digest(distribute, peer, now, out);
 }
 
-static void note_digest_(struct bw_distribute *distribute,
-			 struct bw_distribute_peer *known, bool is_control,
-			 int64_t age_ms, struct bw_time now)
+static void note_digest_(struct bw_distribute_peer *known,
+			 const struct digest *digest, struct bw_time now)
+{
+	memcpy(known->held, digest->versions, sizeof(known->held));
+	known->is_control = digest->is_control;
+	known->seen = now;
+	/* A delayed digest must not replace a later stamp, except after a
+	 * reboot that reset the clock of the peer. */
+	if (known->has_stamp && digest->stamp_ms < known->stamp_ms &&
+	    bw_time_diff_ms(now, known->stamp_seen) < ECHO_MS)
+		return;
+	known->has_stamp = true;
+	known->stamp_ms = digest->stamp_ms;
+	known->stamp_seen = now;
+}
+
+/* A digest may wait in queues for a long time. The echo of the own clock
+ * bounds its age in transit; without an echo it confirms nothing. */
+static void note_confirmation_(struct bw_distribute *distribute,
+			       struct bw_distribute_peer *known,
+			       const struct digest *digest, struct bw_time now)
 {
 	struct bw_time before = distribute->confirmed;
+	int64_t transit_ms = now.ms - digest->echo_ms - digest->held_ms;
 	uint32_t interval = distribute->config.digest_interval_ms;
 
-	known->is_control = is_control;
-	known->seen = now;
-	known->has_confirmation = age_ms >= 0;
-	known->confirmed = bw_time_add(now, -age_ms);
+	if (digest->age_ms < 0 || digest->echo_ms < distribute->started.ms ||
+	    transit_ms < 0)
+		return;
+	known->has_confirmation = true;
+	known->confirmed = bw_time_add(now, -digest->age_ms - transit_ms);
+	memcpy(known->confirmed_held, digest->versions,
+	       sizeof(known->confirmed_held));
 	distribute_adopt_confirmation(distribute, now);
 	/* A newer confirmation is passed on early, so that its age does not
 	 * grow by a digest interval at each hop. */
--- a/src/libbwmember/distribute_store.c
+++ b/src/libbwmember/distribute_store.c
@@ -219,10 +219,11 @@
 
 	for (i = 0; i < BW_DOCUMENT_COUNT; i++) {
 		held = &distribute->documents[i].current.version;
-		if (peer->held[i].number > held->number)
+		if (peer->confirmed_held[i].number > held->number)
 			return false;
-		if (peer->held[i].number == held->number && held->number &&
-		    !distribute_same(&peer->held[i], held))
+		if (peer->confirmed_held[i].number == held->number &&
+		    held->number &&
+		    !distribute_same(&peer->confirmed_held[i], held))
 			return false;
 	}
 	return true;
--- a/src/libbwmember/include/private/distribute.h
+++ b/src/libbwmember/include/private/distribute.h
@@ -80,9 +80,13 @@
 struct bw_distribute_peer {
 	char name[BW_NAME_MAX];
 	bool is_control;
-	struct distribute_version held[BW_DOCUMENT_COUNT];
+	struct distribute_version held[BW_DOCUMENT_COUNT]; /**< estimate */
 	bool has_confirmation;
-	struct bw_time confirmed;
+	struct bw_time confirmed; /**< not later than in truth */
+	struct distribute_version confirmed_held[BW_DOCUMENT_COUNT];
+	bool has_stamp;
+	int64_t stamp_ms; /**< its clock in its newest digest */
+	struct bw_time stamp_seen;
 	struct bw_time seen;
 	struct bw_time bad_until; /**< not asked before */
 };
--- a/src/libbwmember/member_probe.c
+++ b/src/libbwmember/member_probe.c
@@ -210,6 +210,7 @@
 static const char *pick_lost_(struct bw_member *member)
 {
 	const struct bw_member_seed *seed;
+	const struct bw_member_entry *entry;
 	const char *chosen = NULL;
 	uint32_t seen = 0;
 	uint32_t i;
@@ -219,10 +220,12 @@
 		    !bw_random_below(&member->random, ++seen))
 			chosen = member->entries[i].record.host.name;
 	}
+	/* A seed that left may run again and not know this host. */
 	for (i = 0; i < member->config.seed_count; i++) {
 		seed = &member->seeds[i];
+		entry = member_find(member, seed->name);
 		if (strcmp(seed->domain, member->config.self.domain) != 0 ||
-		    member_find(member, seed->name))
+		    (entry && entry->record.state != BW_MEMBER_LEFT))
 			continue;
 		if (!bw_random_below(&member->random, ++seen))
 			chosen = seed->name;
--- /dev/null
+++ b/src/test_libbwmember/fleet.h
@@ -0,0 +1,109 @@
+/**
+ * @file
+ * Simulator of hosts that run member, aggregator and distribute on a virtual
+ * clock over a network with injected faults. The same seed gives the same run.
+ */
+#ifndef TEST_FLEET_H
+#define TEST_FLEET_H
+
+#include "bwmember/aggregator.h"
+#include "bwmember/distribute.h"
+#include "bwmember/member.h"
+
+#define FLEET_HOSTS_MAX 260
+#define FLEET_STEP_MS 10
+#define FLEET_TICK_MS 50
+
+/** Steps that a packet can stay in the network. */
+#define FLEET_RING 512
+
+/** Origin of the wall clock of the simulated fleet. */
+#define FLEET_WALL_MS 1700000000000
+
+struct fleet_host {
+	char name[BW_NAME_MAX];
+	uint32_t domain;
+	bool is_control;
+	bool running;
+	uint32_t group; /**< only hosts of one group reach each other */
+	uint32_t cut_with; /**< index + 1 of a host it cannot reach */
+	uint64_t incarnation;
+	int64_t start_wall_ms;
+	uint32_t phase_ms; /**< of its ticks */
+	uint64_t sent_bytes;
+	uint64_t sent_packets;
+	uint64_t channel_bytes[BW_CHANNEL_COUNT];
+	struct bw_member member;
+	struct bw_aggregator aggregator;
+	struct bw_distribute distribute;
+};
+
+struct fleet_slot {
+	struct bw_packet *packets; /**< peer: sender */
+	uint32_t *targets;
+	uint32_t count;
+	uint32_t capacity;
+};
+
+struct fleet {
+	struct bw_random random;
+	struct bw_time now;
+	struct fleet_host *hosts;
+	uint32_t host_count;
+	uint32_t domain_count;
+	struct bw_member_seed seeds[16];
+	uint32_t seed_count;
+	bool member_only;
+	uint32_t drop_percent;
+	uint32_t duplicate_percent;
+	uint32_t corrupt_per_mille;
+	uint32_t delay_min_ms;
+	uint32_t delay_max_ms;
+	uint64_t ticks;
+	struct fleet_slot ring[FLEET_RING];
+	void (*after_event)(struct fleet *fleet, uint32_t host);
+	/** Sees each packet before it is sent; returns false to drop it. */
+	bool (*filter)(struct fleet *fleet, uint32_t from, uint32_t to,
+		       const struct bw_packet *packet);
+	void *context;
+};
+
+/** Initialises an empty fleet of domains. */
+void fleet_init(struct fleet *fleet, uint64_t seed, uint32_t domain_count);
+void fleet_finish(struct fleet *fleet);
+
+/** Adds a host that is not running; returns its index. */
+uint32_t fleet_add(struct fleet *fleet, uint32_t domain, bool is_control,
+		   bool is_seed);
+
+/** Starts a host as a new incarnation; skew shifts its wall clock. */
+void fleet_start(struct fleet *fleet, uint32_t host, int64_t skew_ms);
+
+/** Ends the process of a host at once. */
+void fleet_crash(struct fleet *fleet, uint32_t host);
+
+/** Returns whether packets pass from a to b. */
+bool fleet_reaches(const struct fleet *fleet, uint32_t a, uint32_t b);
+
+/** Removes all partitions and faults. */
+void fleet_heal(struct fleet *fleet);
+
+/** Advances the virtual clock. */
+void fleet_run(struct fleet *fleet, int64_t ms);
+
+/** Finds a host by name; FLEET_HOSTS_MAX if there is none. */
+uint32_t fleet_find(const struct fleet *fleet, const char *name);
+
+/** Reads the number of seeds from BW_SEEDS. */
+uint64_t fleet_seeds(uint64_t fallback);
+
+/** Reads the first seed from BW_FIRST_SEED; 1 without it. */
+uint64_t fleet_first_seed(void);
+
+/**
+ * Checks the views of all running hosts against the set of running ones.
+ * @return whether they agree; otherwise the first difference is in text
+ */
+bool fleet_agrees(struct fleet *fleet, char text[256]);
+
+#endif
