--- a/src/libbwmember/distribute_transfer.c
+++ b/src/libbwmember/distribute_transfer.c
@@ -220,6 +220,7 @@
 				    enum bw_document document,
 				    struct bw_time now, struct bw_outbox *out)
 {
+	static const struct distribute_version none;
 	struct bw_distribute_document *held = &distribute->documents[document];
 	struct bw_writer writer;
 	struct bw_buffer body;
@@ -229,7 +230,9 @@
 	distribute->stats.request_sent_count++;
 	start_(&writer, &body, 6, DISTRIBUTE_REQUEST, document);
 	bw_write_uint(&writer, held->fetch.target.number);
-	distribute_write_version(&writer, &held->current.version);
+	/* After a failure a full copy is wanted, in case deltas fail. */
+	distribute_write_version(
+		&writer, held->fetch.tries ? &none : &held->current.version);
 	bw_write_uint(&writer, held->fetch.received.size_bytes);
 	return send_(&body, &writer, held->fetch.peer, out);
 }
--- a/src/test_libbwmember/fleet.c
+++ b/src/test_libbwmember/fleet.c
@@ -222,6 +222,9 @@
 	uint32_t i;
 
 	for (i = 0; i < out->count; i++) {
+		assert(out->packets[i].channel != BW_CHANNEL_MEMBER ||
+		       out->packets[i].size_bytes <=
+			       BW_MEMBER_PACKET_MAX_BYTES);
 		sender->sent_bytes += out->packets[i].size_bytes;
 		sender->channel_bytes[out->packets[i].channel] +=
 			out->packets[i].size_bytes;
