--- a/include/bwsteer/credit.h
+++ b/include/bwsteer/credit.h
@@ -55,6 +55,8 @@
 	char name[BW_NAME_MAX];
 	uint32_t slots; /**< capacity of the domain */
 	uint32_t demand; /**< slots wanted by this host */
+	bool changed; /**< the capacity changed since the last tick */
+	struct bw_time rest_from; /**< no slots beyond fallbacks before it */
 	bool granted; /**< the grant in force names this service */
 	uint32_t grant; /**< slots */
 };
@@ -128,6 +130,7 @@
 /**
  * Sets services, capacities and this host's demand. A smaller capacity is in
  * force on every host at the latest one lease after all hosts were told.
+ * While hosts have different capacities, each may use one slot too many.
  * @param services at most BW_CREDIT_SERVICES_MAX, unique names
  * @return BW_OK, BW_EINVAL or BW_ENOMEM (state unchanged)
  */
--- a/src/libbwsteer/credit.c
+++ b/src/libbwsteer/credit.c
@@ -123,6 +123,7 @@
 		else
 			list[i].granted = true;
 		bw_name_set(list[i].name, services[i].service);
+		list[i].changed |= list[i].slots != services[i].slots;
 		list[i].slots = services[i].slots;
 		list[i].demand = services[i].demand;
 	}
--- a/src/libbwsteer/credit_pool.c
+++ b/src/libbwsteer/credit_pool.c
@@ -76,8 +76,16 @@
 
 void bw_credit_expire(struct bw_credit *credit, struct bw_time now)
 {
-	uint32_t i = 0;
+	uint32_t i;
 
+	for (i = 0; i < credit->service_count; i++) {
+		if (!credit->services[i].changed)
+			continue;
+		credit->services[i].changed = false;
+		credit->services[i].rest_from =
+			bw_time_add(now, bw_credit_longer(BW_CREDIT_LEASE_MS));
+	}
+	i = 0;
 	while (i < credit->host_count) {
 		struct bw_credit_host *host = &credit->hosts[i];
 
@@ -257,7 +265,12 @@
 			pool->bound += held;
 		pool->demand[pool->members++] = account->demand;
 	}
-	if (2 * pool->members > hosts)
+	/*
+	 * After a change of capacity, hosts may still use larger fallback
+	 * shares, so that the rest is not granted for one lease.
+	 */
+	if (2 * pool->members > hosts &&
+	    bw_time_reached(now, service->rest_from))
 		pool->slots += service->slots - (int64_t)fallback * hosts;
 }
 
--- a/src/libbwsteer/include/private/credit_internal.h
+++ b/src/libbwsteer/include/private/credit_internal.h
@@ -73,7 +73,7 @@
 				struct bw_time now,
 				struct bw_credit_grant *grant);
 
-/** Frees all accounts whose grants and commitments have ended. */
+/** Notes changed capacities and frees accounts that have ended. */
 void bw_credit_expire(struct bw_credit *credit, struct bw_time now);
 
 #endif
