--- a/src/libbwsteer/admission.c
+++ b/src/libbwsteer/admission.c
@@ -25,6 +25,8 @@
 check_offer_(struct bw_admission *admission,
 	     const struct bw_admission_request *request, bool idle,
 	     int64_t wait_ms, struct bw_time now);
+static int64_t wait_limit_ms_(const struct bw_admission *admission,
+			      const struct bw_admission_request *request);
 static enum bw_admission_reason
 check_bounds_(const struct bw_admission *admission,
 	      const struct bw_admission_request *request);
@@ -421,12 +423,30 @@
 		return BW_ADMISSION_DEADLINE;
 	if (idle)
 		return BW_ADMISSION_NO_REASON;
-	if ((target_ms && wait_ms > target_ms) ||
+	if ((target_ms && wait_ms > wait_limit_ms_(admission, request)) ||
 	    bw_admission_is_late(admission, request, start))
 		return BW_ADMISSION_WAIT;
 	return check_bounds_(admission, request);
 }
 
+/*
+ * Returns the longest wait that keeps the target latency. At least half of the
+ * target is left for the wait, so that a slow service does not refuse all
+ * queued work.
+ */
+static int64_t wait_limit_ms_(const struct bw_admission *admission,
+			      const struct bw_admission_request *request)
+{
+	int64_t target_ms =
+		admission->config.rank[request->rank].target_latency_ms;
+	const struct bw_admission_queue *queue =
+		&admission->services[request->service].queue[request->rank];
+	int64_t limit_ms =
+		target_ms - (int64_t)(queue->service_time_us / US_PER_MS);
+
+	return limit_ms > target_ms / 2 ? limit_ms : target_ms / 2;
+}
+
 /*
  * The host's bounds are split evenly by rank, so that a flood of one rank
  * leaves room for the others.
--- a/src/libbwsteer/backend_select.c
+++ b/src/libbwsteer/backend_select.c
@@ -166,10 +166,8 @@
 		server->probing = false;
 		return BW_OK;
 	}
-	if (server->ejected && server->probing)
-		eject_(table, server, now);
-	else if (!server->ejected && is_outlier_(server) &&
-		 may_eject_(table, server))
+	if (server->ejected ? server->probing
+			    : is_outlier_(server) && may_eject_(table, server))
 		eject_(table, server, now);
 	return BW_OK;
 }
