--- /dev/null
+++ b/src/test_libbwsteer/test_poison.c
@@ -0,0 +1,314 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "bwbase/random.h"
+#include "bwsteer/poison.h"
+
+#define HOSTS 2
+
+static struct bw_poison hosts_[HOSTS];
+static struct bw_time now_;
+
+static int setup_(void **state)
+{
+	struct bw_poison_config config;
+	int i;
+
+	(void)state;
+	now_ = (struct bw_time){ 1000000 };
+	for (i = 0; i < HOSTS; i++) {
+		bw_poison_config_default(&config, i ? "khomas-b" : "khomas-a");
+		config.fingerprints_max = 16;
+		if (bw_poison_init(&hosts_[i], &config) != BW_OK)
+			return 1;
+	}
+	return 0;
+}
+
+static int teardown_(void **state)
+{
+	(void)state;
+	bw_poison_finish(&hosts_[0]);
+	bw_poison_finish(&hosts_[1]);
+	return 0;
+}
+
+static struct bw_fingerprint name_(uint32_t number)
+{
+	struct bw_fingerprint fingerprint = { { 0 } };
+
+	memcpy(fingerprint.bytes, &number, sizeof(number));
+	return fingerprint;
+}
+
+/* One crash seen by a host, with the numbered requests in flight. */
+static void crash_(int host, uint64_t incarnation, uint32_t in_flight,
+		   const uint32_t *numbers, uint32_t count)
+{
+	struct bw_fingerprint fingerprint;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		fingerprint = name_(numbers[i]);
+		bw_poison_connection_lost(&hosts_[host], &fingerprint,
+					  incarnation, in_flight, now_);
+	}
+	bw_poison_server_lost(&hosts_[host], incarnation, now_);
+	now_.ms += 100;
+	bw_poison_tick(&hosts_[host], now_);
+}
+
+static uint32_t weight_(int host, uint32_t number)
+{
+	struct bw_fingerprint fingerprint = name_(number);
+
+	return bw_poison_weight(&hosts_[host], &fingerprint, now_);
+}
+
+static bool rejected_(int host, uint32_t number)
+{
+	struct bw_fingerprint fingerprint = name_(number);
+	uint32_t retry_after_ms;
+
+	return bw_poison_check(&hosts_[host], &fingerprint, 0, now_,
+			       &retry_after_ms);
+}
+
+static void spread_(int from)
+{
+	struct bw_buffer packet;
+	uint32_t cursor = 0;
+
+	bw_buffer_init(&packet);
+	do {
+		bw_buffer_clear(&packet);
+		assert_int_equal(bw_poison_encode(&hosts_[from], now_, &cursor,
+						  2, &packet),
+				 BW_OK);
+		assert_int_equal(bw_poison_decode(&hosts_[!from], packet.data,
+						  packet.size_bytes, now_),
+				 BW_OK);
+	} while (cursor);
+	bw_buffer_finish(&packet);
+}
+
+/* Guards against the wrong weight of a crash, alone or shared. */
+static void test_weights(void **state)
+{
+	static const uint32_t alone[] = { 1 };
+	static const uint32_t copies[] = { 2, 2 };
+	static const uint32_t shared[] = { 3, 4, 5, 6 };
+
+	(void)state;
+	crash_(0, 10, 1, alone, 1);
+	assert_int_equal(weight_(0, 1), 1000);
+	assert_false(rejected_(0, 1));
+	crash_(0, 11, 1, alone, 1);
+	assert_true(rejected_(0, 1));
+	crash_(0, 12, 2, copies, 2);
+	assert_int_equal(weight_(0, 2), 1000);
+	crash_(0, 13, 4, shared, 4);
+	assert_int_equal(weight_(0, 3), 250);
+	/* Another host has three more requests on the server. */
+	crash_(0, 14, 4, (const uint32_t[]){ 7 }, 1);
+	assert_int_equal(weight_(0, 7), 250);
+}
+
+/* Guards against a lost connection without a crash counting as one. */
+static void test_needs_lost_server(void **state)
+{
+	struct bw_fingerprint fingerprint = name_(1);
+
+	(void)state;
+	bw_poison_connection_lost(&hosts_[0], &fingerprint, 10, 1, now_);
+	now_.ms += 15001;
+	bw_poison_tick(&hosts_[0], now_);
+	bw_poison_server_lost(&hosts_[0], 10, now_);
+	now_.ms += 100;
+	bw_poison_tick(&hosts_[0], now_);
+	assert_int_equal(weight_(0, 1), 0);
+}
+
+/* Guards against one crash counted once by each host that saw it. */
+static void test_same_crash_counts_once(void **state)
+{
+	static const uint32_t poison[] = { 1 };
+	static const uint32_t innocent[] = { 2 };
+	int i;
+
+	(void)state;
+	crash_(0, 10, 1, poison, 1);
+	crash_(1, 10, 1, poison, 1);
+	for (i = 0; i < 3; i++) {
+		spread_(0);
+		spread_(1);
+	}
+	assert_int_equal(weight_(0, 1), 1000);
+	assert_int_equal(weight_(1, 1), 1000);
+	/* Different requests of two hosts on one server share the crash. */
+	crash_(0, 11, 1, poison, 1);
+	crash_(1, 11, 1, innocent, 1);
+	for (i = 0; i < 3; i++) {
+		spread_(0);
+		spread_(1);
+	}
+	assert_int_equal(weight_(0, 1), 1500);
+	assert_int_equal(weight_(1, 1), 1500);
+	assert_int_equal(weight_(1, 2), 500);
+	/* A crash seen by one host alone makes the other one reject. */
+	crash_(0, 12, 1, poison, 1);
+	spread_(0);
+	assert_true(rejected_(1, 1));
+	assert_false(rejected_(1, 2));
+}
+
+/* Guards against a rejection that never ends. */
+static void test_expiry(void **state)
+{
+	static const uint32_t poison[] = { 1 };
+	struct bw_fingerprint fingerprint = name_(1);
+	uint32_t retry_after_ms;
+
+	(void)state;
+	crash_(0, 10, 1, poison, 1);
+	crash_(0, 11, 1, poison, 1);
+	assert_true(bw_poison_check(&hosts_[0], &fingerprint, 2, now_,
+				    &retry_after_ms));
+	assert_int_equal(retry_after_ms, 600000 - 100);
+	now_.ms += retry_after_ms;
+	assert_false(rejected_(0, 1));
+	now_.ms += 600000;
+	bw_poison_tick(&hosts_[0], now_);
+	assert_int_equal(hosts_[0].count, 0);
+}
+
+/* Guards against a flood of fingerprints that clears a rejection. */
+static void test_eviction(void **state)
+{
+	uint32_t number = 1;
+	uint32_t i;
+
+	(void)state;
+	crash_(0, 10, 1, &number, 1);
+	crash_(0, 11, 1, &number, 1);
+	for (i = 0; i < 100; i++) {
+		number = 100 + i;
+		crash_(0, 100 + i, 1, &number, 1);
+	}
+	assert_true(hosts_[0].count <= 16);
+	assert_true(rejected_(0, 1));
+}
+
+/*
+ * Guards against innocent requests rejected by bad luck: with nine slots, one
+ * poison request and popular requests that are present in many crashes, the
+ * poison is rejected within six crashes and no other one ever is.
+ */
+static void test_storm_among_popular_requests(void **state)
+{
+	struct bw_fingerprint fingerprint;
+	struct bw_random random;
+	uint32_t numbers[9];
+	uint32_t crashes;
+	uint32_t seed;
+	uint32_t i;
+
+	(void)state;
+	for (seed = 0; seed < 300; seed++) {
+		teardown_(NULL);
+		setup_(NULL);
+		bw_random_init(&random, seed);
+		for (crashes = 0; !rejected_(0, 1); crashes++) {
+			assert_true(crashes < 6);
+			numbers[0] = 1;
+			for (i = 1; i < 9; i++)
+				numbers[i] = 2 + (uint32_t)bw_random_below(
+							 &random, 12);
+			crash_(0, 10 + crashes, 9, numbers, 9);
+			/* Popular requests also complete elsewhere. */
+			for (i = 0; i < 8; i++) {
+				fingerprint = name_(
+					2 +
+					(uint32_t)bw_random_below(&random, 12));
+				bw_poison_completed(&hosts_[0], &fingerprint,
+						    now_);
+			}
+		}
+		for (i = 2; i < 14; i++)
+			assert_false(rejected_(0, i));
+	}
+}
+
+/* Guards against malformed records that change or break the table. */
+static void test_decode_is_robust(void **state)
+{
+	static const uint32_t poison[] = { 1 };
+	struct bw_buffer packet;
+	uint32_t cursor = 0;
+	uint8_t saved;
+	size_t i;
+
+	(void)state;
+	bw_buffer_init(&packet);
+	crash_(0, 10, 1, poison, 1);
+	bw_poison_encode(&hosts_[0], now_, &cursor, 16, &packet);
+	for (i = 0; i < packet.size_bytes; i++) {
+		assert_int_not_equal(bw_poison_decode(&hosts_[1], packet.data,
+						      i, now_),
+				     BW_OK);
+	}
+	assert_int_equal(hosts_[1].count, 0);
+	for (i = 0; i < packet.size_bytes * 256; i++) {
+		saved = packet.data[i / 256];
+		packet.data[i / 256] = (uint8_t)i;
+		bw_poison_decode(&hosts_[1], packet.data, packet.size_bytes,
+				 now_);
+		packet.data[i / 256] = saved;
+		assert_true(hosts_[1].count <= 16);
+	}
+	bw_buffer_finish(&packet);
+}
+
+/* Guards against different requests with one fingerprint. */
+static void test_fingerprint(void **state)
+{
+	struct bw_fingerprint a;
+	struct bw_fingerprint b;
+
+	(void)state;
+	bw_poison_fingerprint("certdesk", "GET", "/a", NULL, 0, "", &a);
+	bw_poison_fingerprint("certdesk", "GET", "/a", NULL, 0, "", &b);
+	assert_memory_equal(&a, &b, sizeof(a));
+	bw_poison_fingerprint("certdesk", "GET", "/", NULL, 0, "a", &b);
+	assert_memory_not_equal(&a, &b, sizeof(a));
+	bw_poison_fingerprint("certdesk", "GET", "/a", "x", 1, "", &b);
+	assert_memory_not_equal(&a, &b, sizeof(a));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_weights, setup_,
+						teardown_),
+		cmocka_unit_test_setup_teardown(test_needs_lost_server, setup_,
+						teardown_),
+		cmocka_unit_test_setup_teardown(test_same_crash_counts_once,
+						setup_, teardown_),
+		cmocka_unit_test_setup_teardown(test_expiry, setup_, teardown_),
+		cmocka_unit_test_setup_teardown(test_eviction, setup_,
+						teardown_),
+		cmocka_unit_test_setup_teardown(
+			test_storm_among_popular_requests, setup_, teardown_),
+		cmocka_unit_test_setup_teardown(test_decode_is_robust, setup_,
+						teardown_),
+		cmocka_unit_test(test_fingerprint),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
