--- /dev/null
+++ b/src/test_libbwproxy/harness.c
@@ -0,0 +1,298 @@
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bwbase/clock.h"
+
+#define SPIN_WAIT_S 0.02
+#define READ_BYTES 4096
+
+static void peer_init_(struct peer *peer, struct ev_loop *loop, int fd);
+static void on_peer_(struct ev_loop *loop, ev_io *watcher, int events);
+static void on_accept_(struct ev_loop *loop, ev_io *watcher, int events);
+static void on_tick_(struct ev_loop *loop, ev_timer *watcher, int events);
+
+int64_t spin_now_ms(void)
+{
+	return (int64_t)(bw_clock_us() / 1000);
+}
+
+void spin_once(struct ev_loop *loop)
+{
+	ev_timer tick;
+
+	ev_now_update(loop);
+	ev_timer_init(&tick, on_tick_, SPIN_WAIT_S, 0.);
+	ev_timer_start(loop, &tick);
+	ev_run(loop, EVRUN_ONCE);
+	ev_timer_stop(loop, &tick);
+}
+
+void peer_connect(struct peer *peer, struct ev_loop *loop, uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_true(fd >= 0);
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	peer_init_(peer, loop, fd);
+}
+
+void peer_hold(struct peer *peer)
+{
+	ev_io_stop(peer->loop, &peer->io);
+}
+
+void peer_release(struct peer *peer)
+{
+	ev_io_start(peer->loop, &peer->io);
+}
+
+void peer_send(struct peer *peer, const void *data, size_t size_bytes)
+{
+	const uint8_t *at = data;
+	int64_t end_ms = spin_now_ms() + 30000;
+	ssize_t sent;
+
+	while (size_bytes) {
+		sent = send(peer->fd, at, size_bytes,
+			    MSG_DONTWAIT | MSG_NOSIGNAL);
+		if (sent < 0 && errno != EAGAIN)
+			return;
+		if (sent > 0) {
+			at += sent;
+			size_bytes -= (size_t)sent;
+		}
+		if (spin_now_ms() > end_ms)
+			fail_msg("the other side does not read");
+		spin_once(peer->loop);
+	}
+}
+
+void peer_text(struct peer *peer, const char *text)
+{
+	peer_send(peer, text, strlen(text));
+}
+
+void peer_close(struct peer *peer)
+{
+	if (peer->fd < 0)
+		return;
+	ev_io_stop(peer->loop, &peer->io);
+	close(peer->fd);
+	peer->fd = -1;
+}
+
+void peer_reset(struct peer *peer)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(peer->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	peer_close(peer);
+}
+
+void peer_finish(struct peer *peer)
+{
+	peer_close(peer);
+	bw_buffer_finish(&peer->in);
+}
+
+bool peer_has(const struct peer *peer, const char *text)
+{
+	return peer_count(peer, text) > 0;
+}
+
+uint32_t peer_count(const struct peer *peer, const char *text)
+{
+	const uint8_t *at = peer->in.data;
+	const uint8_t *end = at + peer->in.size_bytes;
+	uint32_t count = 0;
+
+	if (!at)
+		return 0;
+	while ((at = memmem(at, (size_t)(end - at), text, strlen(text)))) {
+		count++;
+		at++;
+	}
+	return count;
+}
+
+void raw_server_init(struct raw_server *server, struct ev_loop *loop)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+
+	memset(server, 0, sizeof(*server));
+	server->loop = loop;
+	server->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(server->fd, (struct sockaddr *)&address, size),
+			 0);
+	assert_int_equal(listen(server->fd, PEERS_MAX), 0);
+	getsockname(server->fd, (struct sockaddr *)&address, &size);
+	server->port = ntohs(address.sin_port);
+	ev_io_init(&server->io, on_accept_, server->fd, EV_READ);
+	server->io.data = server;
+	ev_io_start(loop, &server->io);
+}
+
+void raw_server_finish(struct raw_server *server)
+{
+	uint32_t i;
+
+	for (i = 0; i < server->peer_count; i++)
+		peer_finish(&server->peers[i]);
+	ev_io_stop(server->loop, &server->io);
+	close(server->fd);
+}
+
+struct bw_frontend *frontend_open(struct ev_loop *loop,
+				  struct bw_frontend_user user)
+{
+	struct bw_frontend_listener listener = {
+		.address = "127.0.0.1",
+		.connection_limit = 500,
+		.idle_timeout_s = 60,
+		.header_limit_bytes = TEST_HEADER_BYTES,
+		.body_limit_bytes = TEST_BODY_BYTES,
+	};
+	struct bw_frontend_config config = { .listeners = &listener,
+					     .listener_count = 1,
+					     .ring_bytes = TEST_RING_BYTES,
+					     .user = user };
+	struct bw_frontend *frontend;
+
+	assert_int_equal(bw_frontend_new(&frontend, loop, &config), BW_OK);
+	return frontend;
+}
+
+struct bw_upstream *upstream_open(struct ev_loop *loop)
+{
+	struct bw_upstream_config config = {
+		.connections_per_server = 64,
+		.connections_total = 256,
+		.idle_timeout_s = 30,
+		.connect_timeout_ms = 5000,
+		.header_limit_bytes = TEST_HEADER_BYTES,
+		.ring_bytes = TEST_RING_BYTES,
+	};
+	struct bw_upstream *upstream;
+
+	assert_int_equal(bw_upstream_new(&upstream, loop, &config), BW_OK);
+	return upstream;
+}
+
+struct bw_call *call_start(struct bw_upstream *upstream, uint16_t port,
+			   const char *method, const char *target,
+			   const void *body, size_t body_bytes,
+			   struct reply *reply)
+{
+	struct bw_upstream_request request = {
+		.address = "127.0.0.1",
+		.port = port,
+		.method = method,
+		.target = target,
+		.body_kind = body ? BW_UPSTREAM_BODY_COMPLETE
+				  : BW_UPSTREAM_BODY_NONE,
+		.body = body,
+		.body_bytes = body_bytes,
+		.deadline_ms = 60000,
+	};
+	struct bw_upstream_user user = { reply, reply_event };
+	struct bw_call *call;
+
+	assert_int_equal(bw_upstream_start(upstream, &request, &user, &call),
+			 BW_OK);
+	return call;
+}
+
+void reply_event(void *context, const struct bw_upstream_event *event)
+{
+	struct reply *reply = context;
+
+	assert_false(reply->over);
+	switch (event->kind) {
+	case BW_UPSTREAM_CONNECTED:
+		reply->connected_count++;
+		break;
+	case BW_UPSTREAM_HEAD:
+		reply->status_code = event->status_code;
+		if (reply->pause_at_head)
+			bw_upstream_pause(event->call);
+		break;
+	case BW_UPSTREAM_BODY:
+		assert_true(reply->status_code != 0);
+		bw_buffer_append(&reply->body, event->data, event->size_bytes);
+		break;
+	case BW_UPSTREAM_ROOM:
+		reply->room_count++;
+		break;
+	default:
+		reply->over = true;
+		reply->complete = event->kind == BW_UPSTREAM_COMPLETE;
+		reply->cause = event->cause;
+		reply->bytes_sent = event->bytes_sent;
+		reply->reused_closed = event->reused_closed;
+	}
+}
+
+void reply_finish(struct reply *reply)
+{
+	bw_buffer_finish(&reply->body);
+	memset(reply, 0, sizeof(*reply));
+}
+
+static void peer_init_(struct peer *peer, struct ev_loop *loop, int fd)
+{
+	memset(peer, 0, sizeof(*peer));
+	peer->loop = loop;
+	peer->fd = fd;
+	ev_io_init(&peer->io, on_peer_, fd, EV_READ);
+	peer->io.data = peer;
+	ev_io_start(loop, &peer->io);
+}
+
+static void on_peer_(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct peer *peer = watcher->data;
+	uint8_t data[READ_BYTES];
+	ssize_t got = recv(peer->fd, data, sizeof(data), MSG_DONTWAIT);
+
+	(void)events;
+	if (got > 0) {
+		bw_buffer_append(&peer->in, data, (size_t)got);
+		return;
+	}
+	if (got < 0 && errno == EAGAIN)
+		return;
+	peer->eof = true;
+	peer->reset = got < 0;
+	ev_io_stop(loop, watcher);
+}
+
+static void on_accept_(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct raw_server *server = watcher->data;
+	int fd = accept(server->fd, NULL, NULL);
+
+	(void)events;
+	if (fd < 0)
+		return;
+	assert_true(server->peer_count < PEERS_MAX);
+	peer_init_(&server->peers[server->peer_count++], loop, fd);
+}
+
+static void on_tick_(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	(void)loop;
+	(void)watcher;
+	(void)events;
+}
--- /dev/null
+++ b/src/test_libbwproxy/harness.h
@@ -0,0 +1,120 @@
+/**
+ * @file
+ * Raw TCP peers and loop helpers for the tests of bwproxy.
+ */
+#ifndef TEST_HARNESS_H
+#define TEST_HARNESS_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <ev.h>
+
+#include "bwbase/buffer.h"
+#include "bwproxy/frontend.h"
+#include "bwproxy/upstream.h"
+
+/** Most connections of one raw server. */
+#define PEERS_MAX 16
+
+/** One raw TCP connection. */
+struct peer {
+	struct ev_loop *loop;
+	int fd; /**< -1 when closed by this side */
+	ev_io io;
+	struct bw_buffer in; /**< all bytes received */
+	bool eof; /**< the other side closed or reset the connection */
+	bool reset;
+};
+
+/** Raw TCP server that records connections. */
+struct raw_server {
+	struct ev_loop *loop;
+	int fd;
+	uint16_t port;
+	ev_io io;
+	struct peer peers[PEERS_MAX];
+	uint32_t peer_count;
+};
+
+/** Runs the loop until condition holds; fails the test after 30 s. */
+#define SPIN_UNTIL(loop, condition)                                           \
+	do {                                                                  \
+		int64_t spin_end_ = spin_now_ms() + 30000;                    \
+		while (!(condition)) {                                        \
+			if (spin_now_ms() > spin_end_)                        \
+				fail_msg("stalled: %s", #condition);          \
+			spin_once(loop);                                      \
+		}                                                             \
+	} while (0)
+
+int64_t spin_now_ms(void);
+/** Runs the loop once and waits at most 20 ms for events. */
+void spin_once(struct ev_loop *loop);
+
+/** Connects to 127.0.0.1 and reads unless held. */
+void peer_connect(struct peer *peer, struct ev_loop *loop, uint16_t port);
+void peer_hold(struct peer *peer); /**< stops reading */
+void peer_release(struct peer *peer); /**< reads again */
+/** Sends text in a blocking manner while the loop runs. */
+void peer_send(struct peer *peer, const void *data, size_t size_bytes);
+void peer_text(struct peer *peer, const char *text);
+void peer_close(struct peer *peer); /**< closes and keeps what was read */
+void peer_reset(struct peer *peer); /**< closes with a TCP reset */
+void peer_finish(struct peer *peer);
+/** Returns whether the received bytes contain text. */
+bool peer_has(const struct peer *peer, const char *text);
+/** Counts text in the received bytes. */
+uint32_t peer_count(const struct peer *peer, const char *text);
+
+void raw_server_init(struct raw_server *server, struct ev_loop *loop);
+void raw_server_finish(struct raw_server *server);
+
+/** A frontend with one listener on 127.0.0.1 and small limits. */
+struct bw_frontend *frontend_open(struct ev_loop *loop,
+				  struct bw_frontend_user user);
+/** An upstream with small limits. */
+struct bw_upstream *upstream_open(struct ev_loop *loop);
+
+/** Limits used by frontend_open and upstream_open. */
+#define TEST_RING_BYTES 8192
+#define TEST_HEADER_BYTES 4096
+#define TEST_BODY_BYTES (64 * 1024 * 1024)
+
+/** What a call has delivered. */
+struct reply {
+	uint32_t connected_count;
+	uint32_t status_code;
+	struct bw_buffer body;
+	bool over;
+	bool complete;
+	enum bw_upstream_cause cause;
+	bool bytes_sent;
+	bool reused_closed;
+	uint32_t room_count;
+	bool pause_at_head;
+};
+
+/** Starts a call to 127.0.0.1 whose events go to reply. */
+struct bw_call *call_start(struct bw_upstream *upstream, uint16_t port,
+			   const char *method, const char *target,
+			   const void *body, size_t body_bytes,
+			   struct reply *reply);
+void reply_event(void *context, const struct bw_upstream_event *event);
+void reply_finish(struct reply *reply);
+
+/** Forwards every request of a frontend to one port (see relay.c). */
+struct relay {
+	struct bw_frontend *frontend;
+	struct bw_upstream *upstream;
+	uint16_t target_port;
+	uint32_t done_count;
+};
+void relay_init(struct relay *relay, struct ev_loop *loop,
+		struct bw_upstream *upstream, uint16_t target_port);
+
+#endif
--- /dev/null
+++ b/src/test_libbwproxy/test_frontend.c
@@ -0,0 +1,460 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+
+/* Records the events of the last request. */
+struct seen {
+	struct bw_frontend *frontend;
+	struct bw_request *request; /* NULL after DONE */
+	void (*on_head)(struct bw_request *request);
+	uint32_t heads;
+	uint32_t body_ends;
+	uint32_t gone;
+	uint32_t done;
+	uint32_t rooms;
+	bool sent;
+	bool idle;
+	uint64_t body_bytes;
+};
+
+struct fixture {
+	struct ev_loop *loop;
+	struct seen seen;
+	struct peer peer;
+};
+
+static void on_event_(void *context, const struct bw_frontend_event *event)
+{
+	struct seen *seen = context;
+
+	switch (event->kind) {
+	case BW_FRONTEND_HEAD:
+		seen->heads++;
+		seen->request = event->request;
+		if (seen->on_head)
+			seen->on_head(event->request);
+		break;
+	case BW_FRONTEND_BODY:
+		assert_true(event->size_bytes > 0);
+		seen->body_bytes += event->size_bytes;
+		break;
+	case BW_FRONTEND_BODY_END:
+		seen->body_ends++;
+		break;
+	case BW_FRONTEND_ROOM:
+		seen->rooms++;
+		break;
+	case BW_FRONTEND_GONE:
+		seen->gone++;
+		break;
+	default:
+		seen->done++;
+		seen->sent = event->sent;
+		seen->request = NULL;
+	}
+}
+
+static void on_idle_(void *context)
+{
+	((struct seen *)context)->idle = true;
+}
+
+static void open_(struct fixture *f, void (*on_head)(struct bw_request *))
+{
+	struct bw_frontend_user user = { &f->seen, on_event_, on_idle_ };
+
+	memset(f, 0, sizeof(*f));
+	f->loop = ev_loop_new(EVFLAG_AUTO);
+	f->seen.on_head = on_head;
+	f->seen.frontend = frontend_open(f->loop, user);
+	peer_connect(&f->peer, f->loop, bw_frontend_port(f->seen.frontend, 0));
+}
+
+static void close_(struct fixture *f)
+{
+	peer_finish(&f->peer);
+	bw_frontend_free(f->seen.frontend);
+	ev_loop_destroy(f->loop);
+}
+
+static void respond_small_(struct bw_request *request)
+{
+	struct bw_http_header header = { "X-Kind", "lookup" };
+
+	assert_int_equal(bw_request_respond(request, 200, &header, 1, "frame",
+					    5),
+			 BW_OK);
+}
+
+static void check_accessors_(struct bw_request *request)
+{
+	struct bw_http_header bad[] = { { "X-A", "b\r\nSet-Cookie: c" },
+					{ "X-A\r\nB", "c" },
+					{ "X A", "c" } };
+	int i;
+
+	assert_string_equal(bw_request_path(request), "/v1/a%20b");
+	assert_string_equal(bw_request_query(request), "service=c%26d&e");
+	assert_string_equal(bw_request_header(request, "boragewing-KEY"), "k");
+	assert_string_equal(bw_request_peer(request), "127.0.0.1");
+	assert_null(bw_request_header(request, "X-None"));
+	for (i = 0; i < 3; i++) {
+		assert_int_equal(bw_request_respond(request, 200, &bad[i], 1,
+						    "", 0),
+				 BW_EINVAL);
+		assert_int_equal(bw_request_start(request, 200, &bad[i], 1, 1),
+				 BW_EINVAL);
+	}
+	respond_small_(request);
+}
+
+/* Guards against a changed target, and against response header injection. */
+static void test_whole_response(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	open_(&f, check_accessors_);
+	peer_text(&f.peer, "GET /v1/a%20b?service=c%26d&e HTTP/1.1\r\n"
+			   "Host: h\r\nBoragewing-Key: k\r\n\r\n");
+	SPIN_UNTIL(f.loop, peer_has(&f.peer, "\r\n\r\nframe"));
+	assert_true(peer_has(&f.peer, "X-Kind: lookup\r\n"));
+	assert_false(peer_has(&f.peer, "Set-Cookie"));
+	SPIN_UNTIL(f.loop, f.seen.done == 1);
+	assert_true(f.seen.sent);
+	assert_int_equal(f.seen.gone, 0);
+	assert_false(f.peer.eof);
+	close_(&f);
+}
+
+/* Guards against unbounded memory for a caller that does not read. */
+static void test_slow_reader(void **state)
+{
+	enum { TOTAL_BYTES = 24 * 1024 * 1024 };
+	static uint8_t block[4096];
+	struct fixture f;
+	size_t given = 0;
+	size_t taken = 0;
+	uint32_t idle_rounds = 0;
+
+	(void)state;
+	open_(&f, NULL);
+	peer_hold(&f.peer);
+	peer_text(&f.peer, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	SPIN_UNTIL(f.loop, f.seen.body_ends == 1);
+	assert_int_equal(bw_request_start(f.seen.request, 200, NULL, 0,
+					  BW_HTTP_LENGTH_UNKNOWN),
+			 BW_OK);
+	memset(block, 'x', sizeof(block));
+	while (idle_rounds < 10) {
+		taken = bw_request_append(f.seen.request, block, sizeof(block));
+		given += taken;
+		idle_rounds = taken ? 0 : idle_rounds + 1;
+		spin_once(f.loop);
+	}
+	assert_true(given < TOTAL_BYTES);
+	peer_release(&f.peer);
+	while (given < TOTAL_BYTES) {
+		taken = bw_request_append(f.seen.request, block, sizeof(block));
+		given += taken;
+		if (taken < sizeof(block)) {
+			uint32_t rooms = f.seen.rooms;
+
+			SPIN_UNTIL(f.loop, f.seen.rooms > rooms);
+		}
+	}
+	bw_request_end(f.seen.request);
+	SPIN_UNTIL(f.loop, f.seen.done == 1);
+	SPIN_UNTIL(f.loop, peer_has(&f.peer, "\r\n0\r\n\r\n"));
+	assert_true(f.seen.sent);
+	assert_true(bw_frontend_counters(f.seen.frontend)->ring_peak_bytes <=
+		    TEST_RING_BYTES);
+	assert_true(f.peer.in.size_bytes > given);
+	close_(&f);
+}
+
+/* Guards against work that goes on for a caller that has left. MHD does not
+ * watch a connection that waits for its response. */
+static void test_caller_gone(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	open_(&f, NULL);
+	peer_text(&f.peer, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	SPIN_UNTIL(f.loop, f.seen.body_ends == 1);
+	peer_close(&f.peer);
+	SPIN_UNTIL(f.loop, f.seen.done == 1);
+	assert_int_equal(f.seen.gone, 1);
+	assert_false(f.seen.sent);
+	assert_int_equal(bw_frontend_counters(f.seen.frontend)->active, 0);
+	close_(&f);
+}
+
+static void abort_at_head_(struct bw_request *request)
+{
+	bw_request_abort(request);
+}
+
+/* Guards against an aborted response that looks complete. */
+static void test_abort(void **state)
+{
+	static const int64_t lengths[] = { BW_HTTP_LENGTH_UNKNOWN, 100 };
+	struct fixture f;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 4; i++) {
+		open_(&f, NULL);
+		peer_text(&f.peer, "GET / HTTP/1.1\r\nHost: h\r\n"
+				   "Connection: close\r\n\r\n");
+		SPIN_UNTIL(f.loop, f.seen.body_ends == 1);
+		bw_request_start(f.seen.request, 200, NULL, 0, lengths[i % 2]);
+		bw_request_append(f.seen.request, "part", 4);
+		SPIN_UNTIL(f.loop, peer_has(&f.peer, "part"));
+		/* An end before the stated length is an abort as well. */
+		if (i == 3)
+			bw_request_end(f.seen.request);
+		else
+			bw_request_abort(f.seen.request);
+		SPIN_UNTIL(f.loop, f.peer.eof && f.seen.done == 1);
+		assert_false(f.seen.sent);
+		assert_false(peer_has(&f.peer, "\r\n0\r\n"));
+		assert_true(peer_has(&f.peer, lengths[i % 2] < 0
+						      ? "chunked"
+						      : "Content-Length: 100"));
+		close_(&f);
+	}
+	open_(&f, abort_at_head_);
+	peer_text(&f.peer, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	SPIN_UNTIL(f.loop, f.peer.eof && f.seen.done == 1);
+	assert_int_equal(f.peer.in.size_bytes, 0);
+	close_(&f);
+}
+
+static void expect_(const char *request, const char *answer, uint32_t heads)
+{
+	struct fixture f;
+
+	open_(&f, NULL);
+	peer_text(&f.peer, request);
+	SPIN_UNTIL(f.loop, peer_has(&f.peer, answer) || f.peer.eof);
+	if (!peer_has(&f.peer, answer))
+		fail_msg("%.60s: no %s", request, answer);
+	assert_int_equal(f.seen.heads, heads);
+	SPIN_UNTIL(f.loop, f.seen.done == heads);
+	close_(&f);
+}
+
+/* Guards against stalls, crashes and memory growth by malformed requests. */
+static void test_refusals(void **state)
+{
+	static char large[TEST_HEADER_BYTES * 16];
+	struct bw_buffer text = { 0 };
+
+	(void)state;
+	memset(large, 'a', sizeof(large) - 1);
+	bw_buffer_printf(&text, "GET / HTTP/1.1\r\nHost: h\r\nX-A: %.*s\r\n\r\n",
+			 TEST_HEADER_BYTES, large);
+	expect_((char *)text.data, "HTTP/1.1 431", 0);
+	bw_buffer_clear(&text);
+	bw_buffer_printf(&text, "GET / HTTP/1.1\r\nHost: h\r\nX-A: %s\r\n\r\n",
+			 large);
+	expect_((char *)text.data, "HTTP/1.1 431", 0);
+	bw_buffer_clear(&text);
+	bw_buffer_printf(&text, "GET /%s HTTP/1.1\r\nHost: h\r\n\r\n", large);
+	expect_((char *)text.data, "HTTP/1.1 4", 0);
+	bw_buffer_finish(&text);
+	expect_("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n"
+		"\r\n",
+		"HTTP/1.1 413", 0);
+	expect_("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -5\r\n\r\n",
+		"HTTP/1.1 400", 0);
+	expect_("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5x\r\n\r\n",
+		"HTTP/1.1 400", 0);
+	expect_("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 400", 0);
+	expect_("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+		"Content-Length: 2\r\n\r\nab",
+		"HTTP/1.1 400", 0);
+	expect_("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+		"\r\nzz\r\nab",
+		"HTTP/1.1 400", 1);
+	expect_("GET / HTTP/1.0\r\nHost: h\r\n\r\n", "HTTP/1.1 505", 0);
+	expect_("GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 400", 0);
+}
+
+/* Guards against a body above the limit that does not state its length. */
+static void test_chunked_body_limit(void **state)
+{
+	static uint8_t zeros[65536];
+	struct fixture f;
+	uint32_t i;
+
+	(void)state;
+	open_(&f, NULL);
+	peer_text(&f.peer, "POST / HTTP/1.1\r\nHost: h\r\n"
+			   "Transfer-Encoding: chunked\r\n\r\n");
+	for (i = 0; i <= TEST_BODY_BYTES / sizeof(zeros); i++) {
+		peer_text(&f.peer, "10000\r\n");
+		peer_send(&f.peer, zeros, sizeof(zeros));
+		peer_text(&f.peer, "\r\n");
+	}
+	peer_text(&f.peer, "0\r\n\r\n");
+	SPIN_UNTIL(f.loop, peer_has(&f.peer, "HTTP/1.1 413"));
+	SPIN_UNTIL(f.loop, f.seen.done == 1);
+	assert_int_equal(f.seen.gone, 1);
+	assert_true(f.seen.body_bytes <= TEST_BODY_BYTES);
+	close_(&f);
+}
+
+/* Guards against a stall, or a lost response, when the response is given
+ * before the body was read. */
+static void test_early_response(void **state)
+{
+	static uint8_t body[512 * 1024];
+	struct fixture f;
+
+	(void)state;
+	open_(&f, respond_small_);
+	peer_text(&f.peer, "POST / HTTP/1.1\r\nHost: h\r\n"
+			   "Content-Length: 524288\r\n\r\n");
+	peer_send(&f.peer, body, sizeof(body));
+	SPIN_UNTIL(f.loop, peer_has(&f.peer, "\r\n\r\nframe"));
+	assert_int_equal(f.seen.body_bytes, 0);
+	peer_text(&f.peer, "POST / HTTP/1.1\r\nHost: h\r\n"
+			   "Expect: 100-continue\r\n"
+			   "Content-Length: 524288\r\n\r\n");
+	SPIN_UNTIL(f.loop, peer_count(&f.peer, "\r\n\r\nframe") == 2);
+	assert_false(peer_has(&f.peer, "100 Continue"));
+	SPIN_UNTIL(f.loop, f.seen.done == 2);
+	close_(&f);
+}
+
+static void pause_(struct bw_request *request)
+{
+	bw_request_pause(request);
+}
+
+/* Guards against a lost wake-up after resume, and against reading a body that
+ * nobody can take yet. */
+static void test_pause_body(void **state)
+{
+	static uint8_t body[2 * 1024 * 1024];
+	struct fixture f;
+	int i;
+
+	(void)state;
+	open_(&f, pause_);
+	peer_text(&f.peer, "POST / HTTP/1.1\r\nHost: h\r\n"
+			   "Content-Length: 2097152\r\n\r\n");
+	peer_send(&f.peer, body, 1000);
+	for (i = 0; i < 5; i++)
+		spin_once(f.loop);
+	assert_int_equal(f.seen.heads, 1);
+	assert_int_equal(f.seen.body_bytes, 0);
+	bw_request_resume(f.seen.request);
+	peer_send(&f.peer, body, sizeof(body) - 1000);
+	SPIN_UNTIL(f.loop, f.seen.body_ends == 1);
+	assert_int_equal(f.seen.body_bytes, sizeof(body));
+	respond_small_(f.seen.request);
+	SPIN_UNTIL(f.loop, peer_has(&f.peer, "\r\n\r\nframe"));
+	close_(&f);
+}
+
+/* Guards against a graceful stop that cuts a request in progress. */
+static void test_graceful_stop(void **state)
+{
+	struct fixture f;
+	uint16_t port;
+
+	(void)state;
+	open_(&f, NULL);
+	port = bw_frontend_port(f.seen.frontend, 0);
+	peer_text(&f.peer, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	SPIN_UNTIL(f.loop, f.seen.body_ends == 1);
+	bw_frontend_stop(f.seen.frontend);
+	spin_once(f.loop);
+	assert_false(f.seen.idle);
+	assert_true(port != 0);
+	respond_small_(f.seen.request);
+	SPIN_UNTIL(f.loop, f.seen.idle);
+	SPIN_UNTIL(f.loop, f.peer.eof);
+	assert_true(peer_has(&f.peer, "\r\n\r\nframe"));
+	assert_true(f.seen.sent);
+	close_(&f);
+}
+
+/* Guards against a free that leaves a request without its last event. */
+static void test_free_in_progress(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	open_(&f, NULL);
+	peer_text(&f.peer, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	SPIN_UNTIL(f.loop, f.seen.body_ends == 1);
+	bw_frontend_free(f.seen.frontend);
+	assert_int_equal(f.seen.gone, 1);
+	assert_int_equal(f.seen.done, 1);
+	peer_finish(&f.peer);
+	ev_loop_destroy(f.loop);
+}
+
+/* Guards against a caller that keeps a connection with a trickle of bytes. */
+static void test_slow_sender(void **state)
+{
+	struct bw_frontend_listener listener = { .address = "127.0.0.1",
+						 .connection_limit = 5,
+						 .idle_timeout_s = 1,
+						 .receive_timeout_ms = 300,
+						 .header_limit_bytes = 4096,
+						 .body_limit_bytes = 4096 };
+	struct fixture f;
+	struct peer slow;
+	struct bw_frontend_config config = { &listener,
+					     1,
+					     TEST_RING_BYTES,
+					     { &f.seen, on_event_, on_idle_ } };
+	uint16_t port;
+
+	(void)state;
+	memset(&f, 0, sizeof(f));
+	f.loop = ev_loop_new(EVFLAG_AUTO);
+	assert_int_equal(bw_frontend_new(&f.seen.frontend, f.loop, &config),
+			 BW_OK);
+	port = bw_frontend_port(f.seen.frontend, 0);
+	peer_connect(&f.peer, f.loop, port);
+	peer_connect(&slow, f.loop, port);
+	peer_text(&f.peer, "POST / HTTP/1.1\r\nHost: h\r\n"
+			   "Content-Length: 2000\r\n\r\n");
+	peer_text(&slow, "GET / HTTP/1.1\r\nX: ");
+	SPIN_UNTIL(f.loop, (peer_text(&f.peer, "a"), f.peer.eof));
+	SPIN_UNTIL(f.loop, (peer_text(&slow, "a"), slow.eof));
+	SPIN_UNTIL(f.loop, f.seen.done == 1);
+	assert_int_equal(f.seen.gone, 1);
+	peer_finish(&slow);
+	close_(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_whole_response),
+		cmocka_unit_test(test_slow_reader),
+		cmocka_unit_test(test_caller_gone),
+		cmocka_unit_test(test_abort),
+		cmocka_unit_test(test_refusals),
+		cmocka_unit_test(test_chunked_body_limit),
+		cmocka_unit_test(test_early_response),
+		cmocka_unit_test(test_pause_body),
+		cmocka_unit_test(test_graceful_stop),
+		cmocka_unit_test(test_free_in_progress),
+		cmocka_unit_test(test_slow_sender),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_libbwproxy/test_relay.c
@@ -0,0 +1,202 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bwbase/random.h"
+#include "harness.h"
+
+#define SEED 20261204
+#define REQUESTS 3000
+#define CONCURRENT 60
+#define BODY_MAX_BYTES 40000
+
+/* A server that sends each body back after it has received it, in an order
+ * that differs from the order of arrival. */
+struct echo {
+	struct bw_frontend *frontend;
+	struct bw_random random;
+};
+
+struct echoed {
+	struct bw_buffer body;
+	size_t sent_bytes;
+	bool ended;
+};
+
+static void send_back_(struct bw_request *request, struct echoed *echoed)
+{
+	echoed->sent_bytes += bw_request_append(
+		request, echoed->body.data + echoed->sent_bytes,
+		echoed->body.size_bytes - echoed->sent_bytes);
+	if (echoed->sent_bytes == echoed->body.size_bytes)
+		bw_request_end(request);
+}
+
+static void on_echo_(void *context, const struct bw_frontend_event *event)
+{
+	struct echo *echo = context;
+	struct echoed *echoed = bw_request_user(event->request);
+
+	switch (event->kind) {
+	case BW_FRONTEND_HEAD:
+		echoed = calloc(1, sizeof(*echoed));
+		bw_request_set_user(event->request, echoed);
+		break;
+	case BW_FRONTEND_BODY:
+		bw_buffer_append(&echoed->body, event->data, event->size_bytes);
+		break;
+	case BW_FRONTEND_BODY_END:
+		bw_request_start(event->request, 200, NULL, 0,
+				 bw_random_below(&echo->random, 2)
+					 ? (int64_t)echoed->body.size_bytes
+					 : BW_HTTP_LENGTH_UNKNOWN);
+		send_back_(event->request, echoed);
+		break;
+	case BW_FRONTEND_ROOM:
+		send_back_(event->request, echoed);
+		break;
+	case BW_FRONTEND_DONE:
+		bw_buffer_finish(&echoed->body);
+		free(echoed);
+		break;
+	default:
+		break;
+	}
+}
+
+struct slot {
+	struct reply reply;
+	struct bw_buffer body;
+};
+
+/* Fills a body that no other request of the run has. */
+static void fill_(struct bw_buffer *body, uint32_t number,
+		  struct bw_random *random)
+{
+	uint64_t size = 8 + bw_random_below(random, BODY_MAX_BYTES);
+	uint64_t word;
+
+	bw_buffer_clear(body);
+	bw_buffer_append(body, &number, sizeof(number));
+	while (body->size_bytes < size) {
+		word = bw_random_next(random);
+		bw_buffer_append(body, &word, sizeof(word));
+	}
+}
+
+static void check_(struct slot *slot)
+{
+	assert_true(slot->reply.complete);
+	assert_int_equal(slot->reply.status_code, 200);
+	assert_int_equal(slot->reply.body.size_bytes, slot->body.size_bytes);
+	assert_memory_equal(slot->reply.body.data, slot->body.data,
+			    slot->body.size_bytes);
+	reply_finish(&slot->reply);
+}
+
+/* Guards against responses that reach another caller, are cut, or stall, when
+ * many requests run over shared connections. */
+static void test_never_mixed(void **state)
+{
+	static struct slot slots[CONCURRENT];
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_upstream *upstream = upstream_open(loop);
+	struct bw_upstream *callers = upstream_open(loop);
+	struct echo echo;
+	struct relay relay;
+	struct bw_random random;
+	struct bw_frontend_user user = { .context = &echo,
+					 .event = on_echo_ };
+	uint32_t started = 0;
+	uint32_t finished = 0;
+	uint32_t i;
+
+	(void)state;
+	bw_random_init(&random, SEED);
+	bw_random_init(&echo.random, SEED + 1);
+	echo.frontend = frontend_open(loop, user);
+	relay_init(&relay, loop, upstream, bw_frontend_port(echo.frontend, 0));
+	while (finished < REQUESTS) {
+		uint32_t before = finished;
+
+		for (i = 0; i < CONCURRENT; i++) {
+			struct slot *slot = &slots[i];
+
+			if (slot->reply.over) {
+				check_(slot);
+				finished++;
+				bw_buffer_finish(&slot->body);
+			}
+			if (slot->body.size_bytes || started == REQUESTS)
+				continue;
+			fill_(&slot->body, started++, &random);
+			call_start(callers,
+				   bw_frontend_port(relay.frontend, 0), "POST",
+				   "/echo", slot->body.data,
+				   slot->body.size_bytes, &slot->reply);
+		}
+		if (before == finished)
+			spin_once(loop);
+	}
+	SPIN_UNTIL(loop, relay.done_count == REQUESTS);
+	assert_int_equal(bw_upstream_counters(upstream)->calls, REQUESTS);
+	assert_true(bw_upstream_counters(upstream)->connections <= 64);
+	bw_frontend_free(relay.frontend);
+	bw_upstream_free(callers);
+	bw_upstream_free(upstream);
+	bw_frontend_free(echo.frontend);
+	ev_loop_destroy(loop);
+}
+
+/* Guards against a cut response that reaches the caller as complete, and
+ * against an upstream call that outlives its caller. */
+static void test_faults_reach_the_other_side(void **state)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"5\r\nshort\r\n",
+	};
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_upstream *upstream = upstream_open(loop);
+	struct raw_server server;
+	struct relay relay;
+	struct peer caller;
+	uint32_t i;
+
+	(void)state;
+	raw_server_init(&server, loop);
+	relay_init(&relay, loop, upstream, server.port);
+	for (i = 0; i < 3; i++) {
+		peer_connect(&caller, loop, bw_frontend_port(relay.frontend, 0));
+		peer_text(&caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+		SPIN_UNTIL(loop, server.peer_count == i + 1 &&
+					 peer_has(&server.peers[i], "GET /"));
+		if (i < 2) {
+			peer_text(&server.peers[i], heads[i]);
+			SPIN_UNTIL(loop, peer_has(&caller, "short"));
+			peer_close(&server.peers[i]);
+			SPIN_UNTIL(loop, caller.eof);
+			assert_false(peer_has(&caller, "\r\n0\r\n"));
+		} else {
+			peer_close(&caller);
+			SPIN_UNTIL(loop, server.peers[i].eof);
+		}
+		SPIN_UNTIL(loop, relay.done_count == i + 1);
+		peer_finish(&caller);
+	}
+	bw_frontend_free(relay.frontend);
+	bw_upstream_free(upstream);
+	raw_server_finish(&server);
+	ev_loop_destroy(loop);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_never_mixed),
+		cmocka_unit_test(test_faults_reach_the_other_side),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
