--- a/src/libbwsteer/include/private/keys_store.h
+++ b/src/libbwsteer/include/private/keys_store.h
@@ -27,6 +27,24 @@
 	BW_KEYS_COMPLETE_ACK = 6,
 };
 
+/** Events of the chart. */
+enum bw_keys_chart_event {
+	BW_KEYS_CHART_BEGIN,
+	BW_KEYS_CHART_FINISH, /**< plus an enum bw_keys_outcome */
+	BW_KEYS_CHART_EVENT_COUNT = BW_KEYS_CHART_FINISH + BW_KEYS_OUTCOME_COUNT
+};
+
+/** Actions of the chart. */
+enum bw_keys_action {
+	BW_KEYS_ACTION_RUN,
+	BW_KEYS_ACTION_JOIN,
+	BW_KEYS_ACTION_REPLAY,
+	BW_KEYS_ACTION_REPORT_UNKNOWN,
+	BW_KEYS_ACTION_KEEP_RESPONSE,
+	BW_KEYS_ACTION_RELEASE,
+	BW_KEYS_ACTION_COUNT
+};
+
 /** Standing of a set at this host. */
 enum bw_keys_set_state {
 	BW_KEYS_SET_OWNED, /**< this host may run its keys unless sealed */
@@ -152,6 +170,11 @@
 			    enum bw_keys_outcome outcome);
 void bw_keys_make_ready(struct bw_keys *keys, struct bw_keys_record *record);
 
+/* keys_decide.c */
+/** Finds the set that this host owns or has owned. */
+struct bw_keys_set *bw_keys_find_set(const struct bw_keys *keys,
+				     const struct bw_key *key);
+
 /* keys_wire.c */
 void bw_keys_write_head(struct bw_writer *writer, uint32_t count,
 			enum bw_keys_message type, uint64_t target,
--- a/src/libbwsteer/keys.c
+++ b/src/libbwsteer/keys.c
@@ -10,50 +10,6 @@
 #define KDF_MAC 1
 #define KDF_ID 2
 
-enum event { EVENT_BEGIN, EVENT_FINISH, EVENT_COUNT = EVENT_FINISH + 3 };
-
-enum action {
-	ACTION_RUN,
-	ACTION_JOIN,
-	ACTION_REPLAY,
-	ACTION_REPORT_UNKNOWN,
-	ACTION_KEEP_RESPONSE,
-	ACTION_RELEASE,
-	ACTION_COUNT
-};
-
-static struct bw_keys_set *find_set_(const struct bw_keys *keys,
-				     const struct bw_key *key);
-static void decide_(struct bw_keys *keys, const struct bw_key *key,
-		    const uint8_t *digest, struct bw_time now,
-		    struct bw_outbox *out, struct bw_keys_decision *decision);
-static void decide_foreign_(const struct bw_keys *keys,
-			    const struct bw_key *key,
-			    struct bw_keys_decision *decision);
-static bool refuse_(const struct bw_keys *keys, const struct bw_keys_set *set,
-		    const struct bw_keys_record *record,
-		    const struct bw_key *key, struct bw_time now,
-		    struct bw_keys_decision *decision);
-static void refuse_sealed_(const struct bw_keys *keys,
-			   const struct bw_keys_set *set,
-			   struct bw_keys_decision *decision);
-static void extend_(struct bw_keys *keys, struct bw_keys_record *record,
-		    int64_t expiry_ms);
-static void act_(struct bw_keys *keys, struct bw_keys_record *record,
-		 struct bw_time now, struct bw_outbox *out,
-		 struct bw_keys_decision *decision);
-static void run_(struct bw_keys *keys, struct bw_keys_record *record,
-		 struct bw_time now, struct bw_outbox *out,
-		 struct bw_keys_decision *decision);
-static void report_(const struct bw_keys_record *record,
-		    struct bw_keys_decision *decision);
-static bool lookup_owned_(const struct bw_keys *keys, const struct bw_key *key,
-			  const uint8_t *digest, struct bw_time now,
-			  struct bw_keys_decision *decision);
-static void lookup_(const struct bw_keys_record *record, const uint8_t *digest,
-		    struct bw_keys_decision *decision);
-static void count_(struct bw_keys *keys,
-		   const struct bw_keys_decision *decision);
 static void release_waiting_(struct bw_keys *keys, struct bw_time now);
 static bool is_valid_(const struct bw_keys_config *config);
 static void free_table_(struct bw_keys *keys, GHashTable *table);
@@ -100,29 +56,30 @@
 	[BW_KEYS_EVENT_HANDED_OVER] = "handed_over",
 };
 
-static const char *const chart_events_[EVENT_COUNT] = {
-	[EVENT_BEGIN] = "begin",
-	[EVENT_FINISH + BW_KEYS_OUTCOME_DONE] = "finish_done",
-	[EVENT_FINISH + BW_KEYS_OUTCOME_NOT_RUN] = "finish_not_run",
-	[EVENT_FINISH + BW_KEYS_OUTCOME_MAY_HAVE_RUN] = "finish_may_have_run",
+static const char *const chart_events_[BW_KEYS_CHART_EVENT_COUNT] = {
+	[BW_KEYS_CHART_BEGIN] = "begin",
+	[BW_KEYS_CHART_FINISH + BW_KEYS_OUTCOME_DONE] = "finish_done",
+	[BW_KEYS_CHART_FINISH + BW_KEYS_OUTCOME_NOT_RUN] = "finish_not_run",
+	[BW_KEYS_CHART_FINISH + BW_KEYS_OUTCOME_MAY_HAVE_RUN] =
+		"finish_may_have_run",
 };
 
-static const char *const chart_actions_[ACTION_COUNT] = {
-	[ACTION_RUN] = "run",
-	[ACTION_JOIN] = "join",
-	[ACTION_REPLAY] = "replay",
-	[ACTION_REPORT_UNKNOWN] = "report_unknown",
-	[ACTION_KEEP_RESPONSE] = "keep_response",
-	[ACTION_RELEASE] = "release",
+static const char *const chart_actions_[BW_KEYS_ACTION_COUNT] = {
+	[BW_KEYS_ACTION_RUN] = "run",
+	[BW_KEYS_ACTION_JOIN] = "join",
+	[BW_KEYS_ACTION_REPLAY] = "replay",
+	[BW_KEYS_ACTION_REPORT_UNKNOWN] = "report_unknown",
+	[BW_KEYS_ACTION_KEEP_RESPONSE] = "keep_response",
+	[BW_KEYS_ACTION_RELEASE] = "release",
 };
 
 const struct bw_chart_names bw_keys_chart_names = {
 	.states = bw_keys_state_string,
 	.state_count = BW_KEYS_STATE_COUNT,
 	.events = chart_events_,
-	.event_count = EVENT_COUNT,
+	.event_count = BW_KEYS_CHART_EVENT_COUNT,
 	.actions = chart_actions_,
-	.action_count = ACTION_COUNT,
+	.action_count = BW_KEYS_ACTION_COUNT,
 };
 
 void bw_keys_config_default(struct bw_keys_config *config)
@@ -196,38 +153,30 @@
 	return bw_keys_set_wall_ms(keys->own, now);
 }
 
-void bw_keys_begin(struct bw_keys *keys, const struct bw_key *key,
-		   const uint8_t digest[BW_KEYS_ID_BYTES], struct bw_time now,
-		   struct bw_outbox *out, struct bw_keys_decision *decision)
-{
-	memset(decision, 0, sizeof(*decision));
-	decide_(keys, key, digest, now, out, decision);
-	count_(keys, decision);
-}
-
 enum bw_status bw_keys_finish_run(struct bw_keys *keys,
 				  const struct bw_key *key, uint64_t run,
 				  enum bw_keys_outcome outcome,
 				  const struct bw_keys_response *response,
 				  struct bw_time now, struct bw_outbox *out)
 {
-	struct bw_keys_set *set = find_set_(keys, key);
+	struct bw_keys_set *set = bw_keys_find_set(keys, key);
 	struct bw_keys_record *record = set ? bw_keys_record_find(set, key)
 					    : NULL;
 	struct bw_chart_step step;
 
 	if (!record || record->run != run ||
 	    bw_chart_next(keys->config.chart, record->state,
-			  (uint8_t)(EVENT_FINISH + outcome), &step) != BW_OK)
+			  (uint8_t)(BW_KEYS_CHART_FINISH + outcome),
+			  &step) != BW_OK)
 		return BW_ENOTFOUND;
 	record->state = step.state;
 	record->version = ++keys->version;
 	set->running_count--;
 	keys->running_count--;
 	bw_keys_record_enqueue(record, NULL);
-	if (step.action == ACTION_KEEP_RESPONSE && response)
+	if (step.action == BW_KEYS_ACTION_KEEP_RESPONSE && response)
 		bw_keys_record_keep(keys, record, response);
-	if (step.action == ACTION_RELEASE)
+	if (step.action == BW_KEYS_ACTION_RELEASE)
 		bw_keys_record_enqueue(record, &set->pool->released);
 	if (record->joined)
 		bw_keys_push_run_event(keys, BW_KEYS_EVENT_ENDED, record,
@@ -256,23 +205,6 @@
 	return BW_OK;
 }
 
-void bw_keys_lookup_backup(struct bw_keys *keys, const struct bw_key *key,
-			   const uint8_t digest[BW_KEYS_ID_BYTES],
-			   struct bw_time now,
-			   struct bw_keys_decision *decision)
-{
-	const struct bw_keys_set *set =
-		bw_keys_table_find(keys->backups, key->owner, key->incarnation);
-	const struct bw_keys_record *record =
-		set ? bw_keys_record_find(set, key) : NULL;
-
-	memset(decision, 0, sizeof(*decision));
-	decision->kind = BW_KEYS_ABSENT;
-	if (!lookup_owned_(keys, key, digest, now, decision) && record)
-		lookup_(record, digest, decision);
-	count_(keys, decision);
-}
-
 enum bw_status bw_keys_seal(struct bw_keys *keys, const char *successor,
 			    uint64_t incarnation)
 {
@@ -441,226 +373,6 @@
 			       BW_KEYS_OUTCOME_DONE);
 }
 
-/* Finds the set that this host owns or has owned. */
-static struct bw_keys_set *find_set_(const struct bw_keys *keys,
-				     const struct bw_key *key)
-{
-	struct bw_keys_set *set =
-		bw_keys_table_find(keys->owned, key->owner, key->incarnation);
-
-	return set && set->state != BW_KEYS_SET_INCOMING ? set : NULL;
-}
-
-static void decide_(struct bw_keys *keys, const struct bw_key *key,
-		    const uint8_t *digest, struct bw_time now,
-		    struct bw_outbox *out, struct bw_keys_decision *decision)
-{
-	struct bw_keys_set *set = find_set_(keys, key);
-	struct bw_keys_record *record;
-
-	if (!set) {
-		decide_foreign_(keys, key, decision);
-		return;
-	}
-	record = bw_keys_record_find(set, key);
-	if (record && memcmp(record->digest, digest, BW_KEYS_ID_BYTES)) {
-		decision->kind = BW_KEYS_CONFLICT;
-		decision->not_run = true;
-		return;
-	}
-	if (refuse_(keys, set, record, key, now, decision))
-		return;
-	if (!record) {
-		record = bw_keys_record_add(keys, set, key);
-		if (!record) {
-			decision->kind = BW_KEYS_FULL;
-			decision->not_run = true;
-			return;
-		}
-		memcpy(record->digest, digest, BW_KEYS_ID_BYTES);
-		bw_keys_wheel_insert(keys, record);
-	}
-	extend_(keys, record, key->expiry_ms);
-	act_(keys, record, now, out, decision);
-}
-
-static void decide_foreign_(const struct bw_keys *keys,
-			    const struct bw_key *key,
-			    struct bw_keys_decision *decision)
-{
-	if (!strcmp(key->owner, keys->config.host)) {
-		decision->kind = BW_KEYS_OWNER_ENDED;
-		return;
-	}
-	decision->kind = BW_KEYS_NOT_OWNER;
-	memcpy(decision->host, key->owner, BW_NAME_MAX);
-	decision->incarnation = key->incarnation;
-}
-
-/* Refuses what would start a run that is not allowed. */
-static bool refuse_(const struct bw_keys *keys, const struct bw_keys_set *set,
-		    const struct bw_keys_record *record,
-		    const struct bw_key *key, struct bw_time now,
-		    struct bw_keys_decision *decision)
-{
-	bool sealed = keys->sealed || set->state == BW_KEYS_SET_HANDED;
-	int64_t wall_ms = bw_keys_set_wall_ms(set, now);
-	int64_t horizon_ms = key->kind == BW_KEYS_BOUND
-				     ? keys->config.bound_horizon_ms
-				     : keys->config.horizon_ms;
-
-	if (record && record->state != BW_KEYS_NEW) {
-		/* The longer expiry has to reach the successor's record. */
-		if (!sealed || key->expiry_ms <= record->expiry_ms)
-			return false;
-		refuse_sealed_(keys, set, decision);
-		decision->not_run = false;
-		return true;
-	}
-	if (wall_ms >= key->expiry_ms) {
-		decision->kind = BW_KEYS_EXPIRED;
-		return true;
-	}
-	if (sealed) {
-		refuse_sealed_(keys, set, decision);
-		return true;
-	}
-	if (key->expiry_ms - wall_ms > horizon_ms) {
-		decision->kind = BW_KEYS_TOO_FAR;
-		decision->not_run = true;
-		return true;
-	}
-	return false;
-}
-
-static void refuse_sealed_(const struct bw_keys *keys,
-			   const struct bw_keys_set *set,
-			   struct bw_keys_decision *decision)
-{
-	const char *host = set->committed ? set->successor : keys->successor;
-
-	decision->kind = BW_KEYS_SEALED;
-	decision->not_run = !set->committed;
-	memcpy(decision->host, host, BW_NAME_MAX);
-	decision->incarnation = set->committed ? set->successor_incarnation
-					       : keys->successor_incarnation;
-}
-
-/* A binding renewed for the same owner may carry a later expiry. */
-static void extend_(struct bw_keys *keys, struct bw_keys_record *record,
-		    int64_t expiry_ms)
-{
-	if (expiry_ms <= record->expiry_ms)
-		return;
-	record->expiry_ms = expiry_ms;
-	if (record->state == BW_KEYS_NEW)
-		return;
-	record->version = ++keys->version;
-	bw_keys_copy_mark(keys, record);
-}
-
-static void act_(struct bw_keys *keys, struct bw_keys_record *record,
-		 struct bw_time now, struct bw_outbox *out,
-		 struct bw_keys_decision *decision)
-{
-	struct bw_chart_step step;
-
-	bw_chart_next(keys->config.chart, record->state, EVENT_BEGIN, &step);
-	record->state = step.state;
-	switch (step.action) {
-	case ACTION_RUN:
-		run_(keys, record, now, out, decision);
-		break;
-	case ACTION_JOIN:
-		record->joined = true;
-		decision->kind = BW_KEYS_JOIN;
-		break;
-	case ACTION_REPLAY:
-	case ACTION_REPORT_UNKNOWN:
-		report_(record, decision);
-		break;
-	default:
-		assert(!"the chart has no action for begin");
-	}
-}
-
-static void run_(struct bw_keys *keys, struct bw_keys_record *record,
-		 struct bw_time now, struct bw_outbox *out,
-		 struct bw_keys_decision *decision)
-{
-	record->version = ++keys->version;
-	record->run = record->version;
-	record->begun_ms = now.ms;
-	record->joined = false;
-	record->set->running_count++;
-	keys->running_count++;
-	bw_keys_copy_mark(keys, record);
-	bw_keys_copy_now(keys, record, now, out);
-	decision->kind = BW_KEYS_RUN;
-	decision->run = record->run;
-	decision->ready = bw_keys_backup_unreachable(keys, now);
-	bw_keys_record_enqueue(record, decision->ready ? NULL : &keys->waiting);
-	if (decision->ready)
-		keys->counts.ready_unacknowledged++;
-}
-
-static void report_(const struct bw_keys_record *record,
-		    struct bw_keys_decision *decision)
-{
-	if (record->response) {
-		decision->kind = BW_KEYS_REPLAY;
-		bw_keys_record_response(record, &decision->response);
-		return;
-	}
-	decision->kind = BW_KEYS_UNKNOWN;
-	decision->reason = record->state == BW_KEYS_DONE
-				   ? BW_KEYS_RESPONSE_NOT_KEPT
-				   : BW_KEYS_MAY_HAVE_RUN;
-}
-
-/* Returns whether the sets in the table of owners decide. */
-static bool lookup_owned_(const struct bw_keys *keys, const struct bw_key *key,
-			  const uint8_t *digest, struct bw_time now,
-			  struct bw_keys_decision *decision)
-{
-	const struct bw_keys_set *set =
-		bw_keys_table_find(keys->owned, key->owner, key->incarnation);
-	const struct bw_keys_record *record =
-		set ? bw_keys_record_find(set, key) : NULL;
-
-	if (!set)
-		return false;
-	if (record && record->state != BW_KEYS_NEW) {
-		lookup_(record, digest, decision);
-		return true;
-	}
-	if (set->state == BW_KEYS_SET_INCOMING)
-		return false;
-	decision->not_run = set->state == BW_KEYS_SET_OWNED &&
-			    !set->committed &&
-			    bw_keys_set_wall_ms(set, now) < key->expiry_ms;
-	return true;
-}
-
-static void lookup_(const struct bw_keys_record *record, const uint8_t *digest,
-		    struct bw_keys_decision *decision)
-{
-	if (record->state == BW_KEYS_NEW)
-		return;
-	if (memcmp(record->digest, digest, BW_KEYS_ID_BYTES)) {
-		decision->kind = BW_KEYS_CONFLICT;
-		return;
-	}
-	report_(record, decision);
-}
-
-static void count_(struct bw_keys *keys,
-		   const struct bw_keys_decision *decision)
-{
-	keys->counts.decisions[decision->kind]++;
-	keys->counts.unknown[decision->reason]++;
-}
-
 static void release_waiting_(struct bw_keys *keys, struct bw_time now)
 {
 	bool unreachable = bw_keys_backup_unreachable(keys, now);
--- a/src/libbwsteer/keys_text.c
+++ b/src/libbwsteer/keys_text.c
@@ -35,19 +35,19 @@
 	char nonce_hex[HEX_BYTES + 1];
 	char mac_hex[HEX_BYTES + 1];
 	char name[BW_NAME_MAX];
+	int64_t expiry_ms;
 	int length;
 
 	text[0] = 0;
 	if (!*owner || !bw_name_set(name, owner) || !incarnation ||
 	    wall_ms < 0 || wall_ms >= BW_KEYS_WALL_END_MS / 2)
 		return BW_EINVAL;
+	expiry_ms = wall_ms + keys->config.validity_ms;
 	nonce_(keys, nonce);
 	sodium_bin2hex(nonce_hex, sizeof(nonce_hex), nonce, sizeof(nonce));
-	length = snprintf(
-		text, BW_KEYS_TEXT_MAX, "%s.%llx.%llx.%s", name,
-		(unsigned long long)incarnation,
-		(unsigned long long)(wall_ms + keys->config.validity_ms),
-		nonce_hex);
+	length = snprintf(text, BW_KEYS_TEXT_MAX, "%s.%llx.%llx.%s", name,
+			  (unsigned long long)incarnation,
+			  (unsigned long long)expiry_ms, nonce_hex);
 	crypto_generichash(mac, sizeof(mac), (const uint8_t *)text,
 			   (size_t)length, keys->mac_key,
 			   sizeof(keys->mac_key));
