--- a/src/libbwsteer/keys_decide.c
+++ b/src/libbwsteer/keys_decide.c
@@ -82,7 +82,9 @@
 		return;
 	}
 	record = bw_keys_record_find(set, key);
-	if (record && memcmp(record->digest, digest, BW_KEYS_ID_BYTES)) {
+	/* The successor may have run the key of a new record since. */
+	if (record && (record->state != BW_KEYS_NEW || !set->committed) &&
+	    memcmp(record->digest, digest, BW_KEYS_ID_BYTES)) {
 		decision->kind = BW_KEYS_CONFLICT;
 		decision->not_run = true;
 		return;
@@ -267,7 +269,12 @@
 {
 	if (record->state == BW_KEYS_NEW)
 		return;
-	if (memcmp(record->digest, digest, BW_KEYS_ID_BYTES)) {
+	/*
+	 * A copy that says running may be old: the run may have been released
+	 * and the key used by another request since.
+	 */
+	if (record->state != BW_KEYS_RUNNING &&
+	    memcmp(record->digest, digest, BW_KEYS_ID_BYTES)) {
 		decision->kind = BW_KEYS_CONFLICT;
 		return;
 	}
