Guard against libcurl's own resend by a test

Cause: the test of a reused connection used bodies only; libcurl does not resend these on the upload path, because it cannot rewind the body. Change: the test also sends requests without a body. Two lint findings fixed.

--- a/src/test_libbwproxy/harness.c
+++ b/src/test_libbwproxy/harness.c
@@ -113,11 +113,12 @@
 uint32_t peer_count(const struct peer *peer, const char *text)
 {
 	const uint8_t *at = peer->in.data;
-	const uint8_t *end = at + peer->in.size_bytes;
+	const uint8_t *end;
 	uint32_t count = 0;
 
 	if (!at)
 		return 0;
+	end = at + peer->in.size_bytes;
 	while ((at = memmem(at, (size_t)(end - at), text, strlen(text)))) {
 		count++;
 		at++;
--- a/src/test_libbwproxy/test_frontend.c
+++ b/src/test_libbwproxy/test_frontend.c
@@ -256,7 +256,8 @@
 
 	(void)state;
 	memset(large, 'a', sizeof(large) - 1);
-	bw_buffer_printf(&text, "GET / HTTP/1.1\r\nHost: h\r\nX-A: %.*s\r\n\r\n",
+	bw_buffer_printf(&text,
+			 "GET / HTTP/1.1\r\nHost: h\r\nX-A: %.*s\r\n\r\n",
 			 TEST_HEADER_BYTES, large);
 	expect_((char *)text.data, "HTTP/1.1 431", 0);
 	bw_buffer_clear(&text);
@@ -415,10 +416,9 @@
 						 .body_limit_bytes = 4096 };
 	struct fixture f;
 	struct peer slow;
-	struct bw_frontend_config config = { &listener,
-					     1,
-					     TEST_RING_BYTES,
-					     { &f.seen, on_event_, on_idle_ } };
+	struct bw_frontend_config config = {
+		&listener, 1, TEST_RING_BYTES, { &f.seen, on_event_, on_idle_ }
+	};
 	uint16_t port;
 
 	(void)state;
--- a/src/test_libbwproxy/test_relay.c
+++ b/src/test_libbwproxy/test_relay.c
@@ -105,8 +105,7 @@
 	struct echo echo;
 	struct relay relay;
 	struct bw_random random;
-	struct bw_frontend_user user = { .context = &echo,
-					 .event = on_echo_ };
+	struct bw_frontend_user user = { .context = &echo, .event = on_echo_ };
 	uint32_t started = 0;
 	uint32_t finished = 0;
 	uint32_t i;
@@ -130,9 +129,8 @@
 			if (slot->body.size_bytes || started == REQUESTS)
 				continue;
 			fill_(&slot->body, started++, &random);
-			call_start(callers,
-				   bw_frontend_port(relay.frontend, 0), "POST",
-				   "/echo", slot->body.data,
+			call_start(callers, bw_frontend_port(relay.frontend, 0),
+				   "POST", "/echo", slot->body.data,
 				   slot->body.size_bytes, &slot->reply);
 		}
 		if (before == finished)
@@ -168,7 +166,8 @@
 	raw_server_init(&server, loop);
 	relay_init(&relay, loop, upstream, server.port);
 	for (i = 0; i < 3; i++) {
-		peer_connect(&caller, loop, bw_frontend_port(relay.frontend, 0));
+		peer_connect(&caller, loop,
+			     bw_frontend_port(relay.frontend, 0));
 		peer_text(&caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
 		SPIN_UNTIL(loop, server.peer_count == i + 1 &&
 					 peer_has(&server.peers[i], "GET /"));
--- a/src/test_libbwproxy/test_upstream.c
+++ b/src/test_libbwproxy/test_upstream.c
@@ -43,11 +43,12 @@
 static void test_whole_response(void **state)
 {
 	struct fixture f;
-	struct peer *peer = &f.server.peers[0];
+	struct peer *peer;
 
 	(void)state;
 	open_(&f);
 	post_(&f, 0);
+	peer = &f.server.peers[0];
 	assert_true(peer_has(peer, "POST /orders?a=%20b HTTP/1.1\r\n"));
 	assert_true(peer_has(peer, "Content-Length: 7\r\n"));
 	assert_false(peer_has(peer, "Expect:"));
@@ -143,7 +144,8 @@
 	close_(&f);
 }
 
-/* Guards against libcurl sending a request a second time by itself. */
+/* Guards against libcurl sending a request a second time by itself. Without
+ * the pre-request callback it does so for requests without a body. */
 static void test_reused_connection_closed(void **state)
 {
 	struct fixture f;
@@ -152,26 +154,26 @@
 	int kind;
 
 	(void)state;
-	for (kind = 0; kind < 2; kind++) {
+	for (kind = 0; kind < 4; kind++) {
 		open_(&f);
 		post_(&f, 0);
 		peer_text(&f.server.peers[0],
 			  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
 		SPIN_UNTIL(f.loop, f.reply.over);
 		reply_finish(&f.reply);
-		call_start(f.upstream, f.server.port, "POST", "/second", "x", 1,
-			   &f.reply);
-		SPIN_UNTIL(f.loop, peer_has(&f.server.peers[0], "\r\n\r\nx"));
-		if (kind)
+		call_start(f.upstream, f.server.port, "POST", "/second",
+			   kind & 2 ? NULL : "x", 1, &f.reply);
+		SPIN_UNTIL(f.loop,
+			   peer_count(&f.server.peers[0], "\r\n\r\n") == 2);
+		if (kind & 1)
 			peer_reset(&f.server.peers[0]);
 		else
 			peer_close(&f.server.peers[0]);
-		SPIN_UNTIL(f.loop, f.reply.over);
+		SPIN_UNTIL(f.loop, f.reply.over || f.server.peer_count > 1);
 		for (i = 0; i < 5; i++)
 			spin_once(f.loop);
 		for (i = 0, count = 0; i < f.server.peer_count; i++)
-			count += peer_count(&f.server.peers[i],
-					    "POST /second");
+			count += peer_count(&f.server.peers[i], "POST /second");
 		assert_int_equal(count, 1);
 		assert_int_equal(f.reply.cause, BW_UPSTREAM_RESET);
 		assert_true(f.reply.bytes_sent);
