--- /dev/null
+++ b/tools/answer.c
@@ -0,0 +1,72 @@
+#include "answer.h"
+
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "bwbase/random.h"
+
+const char *const answer_check_string[ANSWER_CHECK_COUNT] = {
+	[ANSWER_WHOLE] = "whole",
+	[ANSWER_CUT] = "cut",
+	[ANSWER_FOREIGN] = "foreign",
+	[ANSWER_DAMAGED] = "damaged",
+};
+
+enum bw_status answer_make(struct bw_buffer *out, const char *request_id,
+			   size_t size_bytes)
+{
+	struct bw_random random;
+	size_t start = out->size_bytes;
+	size_t left;
+	enum bw_status status;
+	uint64_t word;
+
+	status = bw_buffer_printf(out, "%s %zu\n", request_id, size_bytes);
+	bw_random_init(&random, XXH64(request_id, strlen(request_id), 0));
+	while (status == BW_OK && out->size_bytes - start < size_bytes) {
+		word = bw_random_next(&random);
+		left = size_bytes - (out->size_bytes - start);
+		status = bw_buffer_append(
+			out, &word, left < sizeof(word) ? left : sizeof(word));
+	}
+	return status;
+}
+
+enum answer_check answer_verify(const char *request_id, const void *data,
+				size_t size_bytes)
+{
+	struct bw_buffer expected = { 0 };
+	size_t id_bytes = strlen(request_id);
+	const char *text = data;
+	enum answer_check check = ANSWER_WHOLE;
+	char number[32] = "";
+	size_t stated;
+	size_t i;
+
+	if (size_bytes <= id_bytes)
+		return size_bytes && memcmp(text, request_id, size_bytes) != 0
+			       ? ANSWER_FOREIGN
+			       : ANSWER_CUT;
+	if (memcmp(text, request_id, id_bytes) != 0 || text[id_bytes] != ' ')
+		return ANSWER_FOREIGN;
+	for (i = 0; i + 1 < sizeof(number) && id_bytes + 1 + i < size_bytes &&
+		    text[id_bytes + 1 + i] != '\n';
+	     i++)
+		number[i] = text[id_bytes + 1 + i];
+	stated = strtoul(number, NULL, 10);
+	/* A body that is too small for its first line has that line's size. */
+	if (stated < id_bytes + i + 2)
+		stated = id_bytes + i + 2;
+	if (stated != size_bytes)
+		return ANSWER_CUT;
+	if (answer_make(&expected, request_id, strtoul(number, NULL, 10)) !=
+		    BW_OK ||
+	    expected.size_bytes != size_bytes ||
+	    memcmp(expected.data, data, size_bytes) != 0)
+		check = ANSWER_DAMAGED;
+	bw_buffer_finish(&expected);
+	return check;
+}
