--- a/include/bwsteer/keys.h
+++ b/include/bwsteer/keys.h
@@ -140,7 +140,7 @@
 
 /** Kinds of event. */
 enum bw_keys_event_kind {
-	BW_KEYS_EVENT_READY, /**< key, run: dispatch now */
+	BW_KEYS_EVENT_READY, /**< key, run: dispatch now, unless ended */
 	BW_KEYS_EVENT_ENDED, /**< key, outcome: a joined run ended */
 	BW_KEYS_EVENT_ADOPTED, /**< this host now owns host's incarnation */
 	BW_KEYS_EVENT_HANDED_OVER, /**< host's keys now belong to successor */
