--- a/include/bwsteer/plan.h
+++ b/include/bwsteer/plan.h
@@ -60,7 +60,8 @@
 	uint32_t mean_run_us; /**< mean run time of a request; 0: unknown */
 	bool draining; /**< the service leaves this domain */
 	/** Demand that arrives in this domain, by caller region of the
-	 *  sheet, in milli-slots; NULL when there is none. */
+	 *  sheet, in milli-slots; NULL when there is none. Counts only
+	 *  where the service is placed. */
 	const uint32_t *demand;
 };
 
--- a/src/libbwsteer/include/private/plan_internal.h
+++ b/src/libbwsteer/include/private/plan_internal.h
@@ -69,4 +69,11 @@
  */
 bool bw_plan_work_load(struct bw_plan_work *work, uint32_t service, bool first);
 
+/**
+ * Returns whether part of a caller region's demand for a service goes to
+ * domains without fresh reports.
+ */
+bool bw_plan_row_is_unseen(const struct bw_plan_work *work, uint32_t service,
+			   uint32_t region);
+
 #endif
--- a/src/libbwsteer/plan_step.c
+++ b/src/libbwsteer/plan_step.c
@@ -59,7 +59,7 @@
 			 const uint16_t *rows);
 static void round_row_(const struct bw_plan_problem *problem, uint32_t row,
 		       double fraction, uint16_t *out);
-static void forget_weights_(struct bw_plan *plan);
+static void forget_weights_(const struct bw_plan_work *work);
 
 enum bw_status bw_plan_step(struct bw_plan *plan, const struct bw_sheet *sheet,
 			    const struct bw_plan_report *reports,
@@ -81,7 +81,7 @@
 	if (status != BW_OK)
 		goto out;
 	note_missing_(&work);
-	forget_weights_(plan);
+	forget_weights_(&work);
 	for (i = 0; i < plan->service_count; i++)
 		*changed |= place_new_rows_(&work, i);
 	load_links_(&work);
@@ -140,16 +140,25 @@
 	}
 }
 
-/* Remembered demand fades over 250 steps unless it is seen again. */
-static void forget_weights_(struct bw_plan *plan)
+/*
+ * Remembered demand fades over 1,000 steps unless it is seen again: a failing
+ * domain may report no demand for a few seconds before its reports stop. What
+ * cannot be seen is not forgotten.
+ */
+static void forget_weights_(const struct bw_plan_work *work)
 {
-	size_t count = (size_t)plan->service_count * plan->region_count;
-	uint16_t fade = BW_PLAN_WEIGHT_WHOLE / 250;
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		plan->weights[i] -= plan->weights[i] < fade ? plan->weights[i]
-							    : fade;
+	struct bw_plan *plan = work->plan;
+	uint16_t fade = BW_PLAN_WEIGHT_WHOLE / 1000;
+	uint16_t *weight = plan->weights;
+	uint32_t s, r;
+
+	for (s = 0; s < plan->service_count; s++) {
+		for (r = 0; r < plan->region_count; r++, weight++) {
+			if (bw_plan_row_is_unseen(work, s, r))
+				continue;
+			*weight -= *weight < fade ? *weight : fade;
+		}
+	}
 }
 
 /* Rows that carry no traffic yet are set at once and are not shifts. */
--- a/src/libbwsteer/plan_work.c
+++ b/src/libbwsteer/plan_work.c
@@ -20,6 +20,13 @@
 /* A domain is believed up to this multiple of its slots as its demand. */
 #define DEMAND_LIMIT_FACTOR 2
 
+/*
+ * A site may claim this multiple of its share of the demand that its peers
+ * imply, plus this many parts per mille for callers that fell back to it.
+ */
+#define CLAIM_FACTOR 1.5
+#define CLAIM_EXTRA 100
+
 /*
  * Demand assumed for a region without any, as a fraction of the capacity, so
  * that its row has shares when callers arrive.
@@ -42,8 +49,13 @@
 static int64_t capacity_(const struct bw_plan_work *work, uint32_t service,
 			 uint32_t site, bool first);
 static void load_demand_(struct bw_plan_work *work, uint32_t service);
-static void add_demand_(struct bw_plan_work *work, uint32_t service,
-			uint32_t domain);
+static void add_demand_(struct bw_plan_work *work, uint32_t service);
+static const uint32_t *claims_(const struct bw_plan_work *work,
+			       uint32_t service, uint32_t site, double *scale);
+static double typical_demand_(const struct bw_plan_problem *p, uint32_t region,
+			      const uint32_t *const *claims,
+			      const double *scale);
+static void estimate_unseen_(struct bw_plan_work *work, uint32_t service);
 static void load_link_cost_(struct bw_plan_work *work, uint32_t service);
 static void load_ramps_(struct bw_plan_work *work, bool first);
 
@@ -311,9 +323,8 @@
 	int64_t total = 0, capacity = 0, nominal;
 	uint32_t i, r, weight;
 
-	memset(p->demand, 0, sizeof(p->demand));
-	for (i = 0; i < work->sheet->domains_count; i++)
-		add_demand_(work, service, i);
+	add_demand_(work, service);
+	estimate_unseen_(work, service);
 	for (r = 0; r < p->region_count; r++)
 		total += p->demand[r];
 	for (i = 0; i < p->site_count; i++)
@@ -333,36 +344,149 @@
 }
 
 /*
- * Demand of a domain counts while its shares are held. The limit keeps one
- * wrong report from displacing the demand of all other regions.
+ * Demand of a domain counts while its shares are held. Only sites count, and
+ * what one claims is limited by what the others imply, so that a wrong report
+ * neither displaces the demand of other regions nor makes the plan oscillate.
  */
-static void add_demand_(struct bw_plan_work *work, uint32_t service,
-			uint32_t domain)
+static void add_demand_(struct bw_plan_work *work, uint32_t service)
+{
+	const struct bw_plan_service *of = &work->plan->services[service];
+	struct bw_plan_problem *p = &work->problem;
+	const uint32_t *claims[BW_PLAN_DOMAINS_MAX];
+	double scale[BW_PLAN_DOMAINS_MAX];
+	double typical, claim, limit;
+	uint32_t i, r;
+
+	for (i = 0; i < of->site_count; i++)
+		claims[i] = claims_(work, service, i, &scale[i]);
+	for (r = 0; r < p->region_count; r++) {
+		const uint16_t *row = p->current + (size_t)r * p->site_count;
+
+		p->demand[r] = 0;
+		typical = typical_demand_(p, r, claims, scale);
+		for (i = 0; i < of->site_count; i++) {
+			if (!claims[i])
+				continue;
+			claim = claims[i][r] * scale[i];
+			limit = typical *
+				(CLAIM_FACTOR * row[i] + CLAIM_EXTRA) /
+				BW_PLAN_SHARE_WHOLE;
+			if (typical > 0 && claim > limit)
+				claim = limit;
+			p->demand[r] += (int64_t)claim;
+		}
+	}
+}
+
+/* Returns what a site claims by region, NULL for nothing; limits the sum. */
+static const uint32_t *claims_(const struct bw_plan_work *work,
+			       uint32_t service, uint32_t site, double *scale)
 {
-	const struct bw_plan_report *report = &work->reports[domain];
+	const struct bw_plan_service *of = &work->plan->services[service];
+	uint32_t domain = work->plan->sites[of->site_begin + site];
+	const struct bw_plan_report *report = report_of_(work, domain);
 	const struct bw_sheet_service *written =
 		&work->sheet->services[service];
 	const uint32_t *demand;
-	uint64_t sum = 0, limit = UINT64_MAX;
-	uint32_t r, k;
+	double sum = 0, limit;
+	uint32_t r;
 
-	if (!report->known || report->age_ms > BW_PLAN_HOLD_MS ||
-	    !report->services[service].demand)
-		return;
+	if (!report || !report->known || report->age_ms > BW_PLAN_HOLD_MS)
+		return NULL;
 	demand = report->services[service].demand;
+	*scale = 1;
+	if (!demand || site >= written->placements_count)
+		return demand;
 	for (r = 0; r < work->problem.region_count; r++)
 		sum += demand[r];
-	for (k = 0; k < written->placements_count; k++) {
-		if (written->placements[k].domain == domain)
-			limit = UINT64_C(1000) * DEMAND_LIMIT_FACTOR *
-				written->placements[k].targets *
-				written->placements[k].slots_per_target;
+	limit = 1000.0 * DEMAND_LIMIT_FACTOR *
+		written->placements[site].targets *
+		written->placements[site].slots_per_target;
+	if (sum > limit)
+		*scale = limit / sum;
+	return demand;
+}
+
+/*
+ * Demand of a region as implied by the claims of its sites: the median,
+ * weighted by share. Returns 0 when fewer than two sites can be compared.
+ */
+static double typical_demand_(const struct bw_plan_problem *p, uint32_t region,
+			      const uint32_t *const *claims,
+			      const double *scale)
+{
+	const uint16_t *row = p->current + (size_t)region * p->site_count;
+	double implied[BW_PLAN_DOMAINS_MAX];
+	uint32_t share[BW_PLAN_DOMAINS_MAX];
+	uint32_t count = 0, sum = 0, i, k;
+	double value;
+
+	for (i = 0; i < p->site_count; i++) {
+		if (!claims[i] || !row[i])
+			continue;
+		value = claims[i][region] * scale[i] * BW_PLAN_SHARE_WHOLE /
+			row[i];
+		for (k = count++; k > 0 && implied[k - 1] > value; k--) {
+			implied[k] = implied[k - 1];
+			share[k] = share[k - 1];
+		}
+		implied[k] = value;
+		share[k] = row[i];
+		sum += row[i];
+	}
+	if (count < 2)
+		return 0;
+	sum = (sum + 1) / 2;
+	for (i = 0; share[i] < sum; i++)
+		sum -= share[i];
+	return implied[i];
+}
+
+bool bw_plan_row_is_unseen(const struct bw_plan_work *work, uint32_t service,
+			   uint32_t region)
+{
+	const struct bw_plan_service *of = &work->plan->services[service];
+	const uint16_t *row = bw_plan_shares(work->plan, service, region);
+	const struct bw_plan_report *report;
+	uint32_t i;
+
+	for (i = 0; i < of->site_count; i++) {
+		report =
+			report_of_(work, work->plan->sites[of->site_begin + i]);
+		if (row[i] && report &&
+		    (!report->known ||
+		     report->age_ms > BW_PLAN_REPORT_FRESH_MS))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Demand that goes to domains without reports is not seen. It is assumed to
+ * have kept its ratio to the demand of the other regions, so that the callers
+ * of a failed region are moved and their moves are counted.
+ */
+static void estimate_unseen_(struct bw_plan_work *work, uint32_t service)
+{
+	struct bw_plan_problem *p = &work->problem;
+	const uint16_t *weights =
+		work->plan->weights + (size_t)service * p->region_count;
+	bool unseen[BW_PLAN_REGIONS_MAX];
+	int64_t seen_demand = 0, seen_weight = 0, estimate;
+	uint32_t r;
+
+	for (r = 0; r < p->region_count; r++) {
+		unseen[r] = bw_plan_row_is_unseen(work, service, r);
+		if (unseen[r])
+			continue;
+		seen_demand += p->demand[r];
+		seen_weight += weights[r];
+	}
+	for (r = 0; r < p->region_count && seen_weight; r++) {
+		estimate = seen_demand * weights[r] / seen_weight;
+		if (unseen[r] && p->demand[r] < estimate)
+			p->demand[r] = estimate;
 	}
-	for (r = 0; r < work->problem.region_count; r++)
-		work->problem.demand[r] +=
-			sum <= limit ? demand[r]
-				     : (int64_t)((double)demand[r] *
-						 (double)limit / (double)sum);
 }
 
 /* The median of the run times resists single wrong reports. */
--- a/src/test_libbwsteer/test_credit.c
+++ b/src/test_libbwsteer/test_credit.c
@@ -50,10 +50,9 @@
 
 static struct bw_time local_(const struct domain *domain, uint32_t host)
 {
-	struct bw_time time = {
-		domain->offset_ms[host] + domain->now_ms +
-		domain->now_ms * domain->rate_ppm[host] / 1000000
-	};
+	struct bw_time time = { domain->offset_ms[host] + domain->now_ms +
+				domain->now_ms * domain->rate_ppm[host] /
+					1000000 };
 
 	return time;
 }
@@ -132,13 +131,11 @@
 		domain->now_ms +
 		(int64_t)bw_random_below(&domain->random, domain->delay_ms + 1);
 	/* A few packets arrive much later, or twice. */
-	if (domain->loss_percent &&
-	    bw_random_below(&domain->random, 20) == 0)
+	if (domain->loss_percent && bw_random_below(&domain->random, 20) == 0)
 		domain->flight[n].at_ms +=
 			(int64_t)bw_random_below(&domain->random, 6000);
 	domain->flight_count++;
-	if (domain->loss_percent &&
-	    bw_random_below(&domain->random, 20) == 0)
+	if (domain->loss_percent && bw_random_below(&domain->random, 20) == 0)
 		post_(domain, from, to, packet);
 }
 
@@ -312,8 +309,8 @@
 		domain->loss_percent = (uint32_t)(seed % 4) * 15;
 		domain->delay_ms = 1 + (uint32_t)(seed % 5) * 100;
 		for (i = 0; i < 30; i++) {
-			run_(domain, (int64_t)bw_random_below(&domain->random,
-							      3000));
+			run_(domain,
+			     (int64_t)bw_random_below(&domain->random, 3000));
 			disturb_(domain);
 		}
 		stop_(domain);
@@ -340,8 +337,7 @@
 		uint32_t slots = available_(domain, i);
 
 		assert_true(slots >= 6);
-		served += slots < domain->demand[i] ? slots
-						    : domain->demand[i];
+		served += slots < domain->demand[i] ? slots : domain->demand[i];
 		central += domain->demand[i];
 	}
 	print_message("demand 90/10/0/0 of 100 slots: central counter serves "
