Bound the traffic of the aggregator and speed up detection

Change: deltas try the place after the last copy first; refresh entries carry a tag and go to hosts every 15 s; own suspicions are told to 3 hosts and the suspect at once; lost hosts take turns; unit, fallback and rate tests.

--- a/include/bwmember/aggregator.h
+++ b/include/bwmember/aggregator.h
@@ -67,6 +67,7 @@
 	uint8_t *load; /**< opaque bytes of the caller; NULL when empty */
 	uint32_t load_bytes;
 	struct bw_time reported; /**< local time of the report (from its age) */
+	uint64_t tag; /**< hash of domain, epoch and content_sequence */
 	uint64_t stamp; /**< local order of content changes */
 	char source[BW_NAME_MAX]; /**< host that sent the row here */
 };
@@ -78,7 +79,9 @@
 	int64_t wall_ms; /**< wall clock at init */
 	uint32_t hysteresis_ms; /**< default 2,000 */
 	uint32_t report_interval_ms; /**< default 1,000 */
-	uint32_t refresh_interval_ms; /**< unchanged rows; default 5,000 */
+	uint32_t refresh_interval_ms; /**< unchanged rows to control hosts and
+					 aggregators; default 5,000 */
+	uint32_t host_refresh_interval_ms; /**< to hosts; default 15,000 */
 	uint32_t row_expiry_ms; /**< default 60,000 */
 	uint32_t host_bytes_per_s; /**< to each host; default 5,000 */
 	uint32_t relay_bytes_per_s; /**< to each control or aggregator;
--- a/include/bwmember/member.h
+++ b/include/bwmember/member.h
@@ -149,6 +149,7 @@
 		bool indirect_sent;
 	} probe;
 	uint64_t sequence;
+	uint32_t rejoin_index; /**< next lost host or seed to contact */
 	uint64_t probe_round; /**< every host is probed once a round */
 	struct bw_member_event *events; /**< ring */
 	uint32_t event_first;
--- a/src/libbwmember/aggregator.c
+++ b/src/libbwmember/aggregator.c
@@ -11,6 +11,7 @@
 #define DEFAULT_HYSTERESIS_MS 2000
 #define DEFAULT_REPORT_INTERVAL_MS 1000
 #define DEFAULT_REFRESH_INTERVAL_MS 5000
+#define DEFAULT_HOST_REFRESH_INTERVAL_MS 15000
 #define DEFAULT_ROW_EXPIRY_MS 60000
 #define DEFAULT_HOST_BYTES_PER_S 5000
 #define DEFAULT_RELAY_BYTES_PER_S 50000
@@ -28,11 +29,10 @@
 				    const struct bw_packet *packet,
 				    struct bw_reader *reader, bool is_report,
 				    struct bw_time now, struct bw_outbox *out);
-static bool apply_refresh_(struct bw_aggregator *aggregator,
+static void apply_refresh_(struct bw_summary *row,
 			   const struct bw_summary *refresh);
 static enum bw_status send_request_(struct bw_aggregator *aggregator,
-				    const char *peer,
-				    char (*domains)[BW_NAME_MAX],
+				    const char *peer, const uint64_t *tags,
 				    uint32_t count, struct bw_outbox *out);
 static enum bw_status send_ack_(struct bw_aggregator *aggregator,
 				const char *peer, const char *domain,
@@ -53,6 +53,8 @@
 	default_(&own->hysteresis_ms, DEFAULT_HYSTERESIS_MS);
 	default_(&own->report_interval_ms, DEFAULT_REPORT_INTERVAL_MS);
 	default_(&own->refresh_interval_ms, DEFAULT_REFRESH_INTERVAL_MS);
+	default_(&own->host_refresh_interval_ms,
+		 DEFAULT_HOST_REFRESH_INTERVAL_MS);
 	default_(&own->row_expiry_ms, DEFAULT_ROW_EXPIRY_MS);
 	default_(&own->host_bytes_per_s, DEFAULT_HOST_BYTES_PER_S);
 	default_(&own->relay_bytes_per_s, DEFAULT_RELAY_BYTES_PER_S);
@@ -407,9 +409,10 @@
 				    struct bw_reader *reader, bool is_report,
 				    struct bw_time now, struct bw_outbox *out)
 {
-	char lost[AGGREGATOR_REQUEST_MAX][BW_NAME_MAX];
+	uint64_t lost[AGGREGATOR_REQUEST_MAX];
 	struct bw_aggregator_peer *peer;
 	struct bw_summary row;
+	struct bw_summary *known;
 	enum bw_status status = BW_OK;
 	uint32_t lost_count = 0;
 	char domain[BW_NAME_MAX] = "";
@@ -438,43 +441,36 @@
 		aggregator_read_refresh(reader, &row, now);
 		if (reader->failed)
 			return BW_EINVAL;
-		memcpy(domain, row.domain, BW_NAME_MAX);
-		if (!apply_refresh_(aggregator, &row) &&
-		    lost_count < AGGREGATOR_REQUEST_MAX)
-			memcpy(lost[lost_count++], row.domain, BW_NAME_MAX);
+		known = aggregator_row_by_tag(aggregator, row.tag);
+		if (known) {
+			apply_refresh_(known, &row);
+			memcpy(domain, known->domain, BW_NAME_MAX);
+		} else if (lost_count < AGGREGATOR_REQUEST_MAX) {
+			lost[lost_count++] = row.tag;
+		}
 	}
 	if (lost_count)
 		status = send_request_(aggregator, packet->peer, lost,
 				       lost_count, out);
-	if (is_report && status == BW_OK && domain[0])
+	if (is_report && status == BW_OK)
 		status = send_ack_(aggregator, packet->peer, domain, out);
 	return status;
 }
 
-/* Returns false when the content of the row is missing here. */
-static bool apply_refresh_(struct bw_aggregator *aggregator,
+static void apply_refresh_(struct bw_summary *row,
 			   const struct bw_summary *refresh)
 {
-	struct bw_summary *row = aggregator_row(aggregator, refresh->domain);
-
-	if (!row)
-		return false;
-	if (!aggregator_is_newer(refresh, row))
-		return true;
-	if (row->epoch != refresh->epoch ||
-	    row->content_sequence != refresh->content_sequence)
-		return false;
+	if (refresh->sequence <= row->sequence)
+		return;
 	row->sequence = refresh->sequence;
 	row->reported = refresh->reported;
 	row->revision_min = refresh->revision_min;
 	row->revision_max = refresh->revision_max;
 	row->living_count = refresh->living_count;
-	return true;
 }
 
 static enum bw_status send_request_(struct bw_aggregator *aggregator,
-				    const char *peer,
-				    char (*domains)[BW_NAME_MAX],
+				    const char *peer, const uint64_t *tags,
 				    uint32_t count, struct bw_outbox *out)
 {
 	struct bw_buffer body = { 0 };
@@ -489,7 +485,7 @@
 	bw_write_uint(&writer, AGGREGATOR_REQUEST);
 	bw_write_array(&writer, count);
 	for (i = 0; i < count; i++)
-		bw_write_str(&writer, domains[i]);
+		bw_write_uint(&writer, tags[i]);
 	status = writer.status;
 	if (status == BW_OK)
 		status = bw_outbox_add(out, peer, BW_CHANNEL_SUMMARY, body.data,
--- a/src/libbwmember/aggregator_push.c
+++ b/src/libbwmember/aggregator_push.c
@@ -19,9 +19,15 @@
 	uint32_t refresh_count;
 };
 
+/** How much a kind of peer is sent. */
+struct pace {
+	uint32_t bytes_per_s;
+	uint32_t refresh_ms; /**< time in which every row is refreshed */
+};
+
 static enum bw_status push_to_(struct bw_aggregator *aggregator,
 			       const char *name, uint64_t incarnation,
-			       uint32_t bytes_per_s, struct bw_time now,
+			       const struct pace *pace, struct bw_time now,
 			       struct bw_outbox *out);
 static void refill_(struct bw_aggregator_peer *peer, uint32_t bytes_per_s,
 		    struct bw_time now);
@@ -35,7 +41,8 @@
 			       struct bw_outbox *out);
 static enum bw_status add_refreshes_(struct bw_aggregator *aggregator,
 				     struct bw_aggregator_peer *peer,
-				     struct batch *batch, struct bw_time now);
+				     struct batch *batch, uint32_t refresh_ms,
+				     struct bw_time now);
 static enum bw_status flush_(struct batch *batch, const char *peer,
 			     struct bw_outbox *out);
 
@@ -58,6 +65,10 @@
 {
 	const struct bw_aggregator_config *config = &aggregator->config;
 	const struct bw_member_host *self = &config->member->config.self;
+	const struct pace relay = { config->relay_bytes_per_s,
+				    config->refresh_interval_ms };
+	const struct pace host = { config->host_bytes_per_s,
+				   config->host_refresh_interval_ms };
 	const struct bw_member_record *record;
 	enum bw_status status = BW_OK;
 	const char *name;
@@ -68,14 +79,13 @@
 		for (i = 0; i < aggregator->control_count; i++) {
 			name = aggregator->controls[i].name;
 			if (status == BW_OK && strcmp(name, self->name) != 0)
-				status = push_to_(aggregator, name, 0,
-						  config->relay_bytes_per_s,
+				status = push_to_(aggregator, name, 0, &relay,
 						  now, out);
 		}
 		while (status == BW_OK && (name = bw_aggregator_next_served(
 						   aggregator, now, &cursor)))
-			status = push_to_(aggregator, name, 0,
-					  config->relay_bytes_per_s, now, out);
+			status =
+				push_to_(aggregator, name, 0, &relay, now, out);
 	}
 	if (!bw_aggregator_is_self(aggregator))
 		return status;
@@ -84,8 +94,8 @@
 		if (status == BW_OK && bw_member_state_is_up(record->state) &&
 		    strcmp(record->host.name, self->name) != 0)
 			status = push_to_(aggregator, record->host.name,
-					  record->host.incarnation,
-					  config->host_bytes_per_s, now, out);
+					  record->host.incarnation, &host, now,
+					  out);
 	}
 	return status;
 }
@@ -96,7 +106,6 @@
 				 struct bw_outbox *out)
 {
 	struct batch batch = { .row_count = 0 };
-	char domain[BW_NAME_MAX];
 	const struct bw_summary *row;
 	enum bw_status status = BW_OK;
 	uint32_t count = bw_read_array(reader);
@@ -105,8 +114,7 @@
 	if (count > AGGREGATOR_REQUEST_MAX)
 		return BW_EINVAL;
 	for (i = 0; i < count && status == BW_OK; i++) {
-		bw_read_name(reader, domain);
-		row = aggregator_row(aggregator, domain);
+		row = aggregator_row_by_tag(aggregator, bw_read_uint(reader));
 		if (row && peer->tokens > 0)
 			status = add_row_(aggregator, peer, &batch, row, now,
 					  out);
@@ -120,7 +128,7 @@
 
 static enum bw_status push_to_(struct bw_aggregator *aggregator,
 			       const char *name, uint64_t incarnation,
-			       uint32_t bytes_per_s, struct bw_time now,
+			       const struct pace *pace, struct bw_time now,
 			       struct bw_outbox *out)
 {
 	struct bw_aggregator_peer *peer =
@@ -136,9 +144,10 @@
 		peer->incarnation = incarnation;
 		peer->sent_stamp = 0;
 	}
-	refill_(peer, bytes_per_s, now);
+	refill_(peer, pace->bytes_per_s, now);
 	if (peer->tokens > 0)
-		status = add_refreshes_(aggregator, peer, &batch, now);
+		status = add_refreshes_(aggregator, peer, &batch,
+					pace->refresh_ms, now);
 	while (status == BW_OK && peer->tokens > 0) {
 		row = next_change_(aggregator, peer);
 		if (!row)
@@ -211,10 +220,10 @@
 
 static enum bw_status add_refreshes_(struct bw_aggregator *aggregator,
 				     struct bw_aggregator_peer *peer,
-				     struct batch *batch, struct bw_time now)
+				     struct batch *batch, uint32_t refresh_ms,
+				     struct bw_time now)
 {
-	uint32_t pushes =
-		aggregator->config.refresh_interval_ms / PUSH_INTERVAL_MS;
+	uint32_t pushes = refresh_ms / PUSH_INTERVAL_MS;
 	uint32_t count = aggregator->row_count / (pushes ? pushes : 1) + 1;
 	const struct bw_summary *row;
 	struct bw_writer writer;
--- a/src/libbwmember/aggregator_rows.c
+++ b/src/libbwmember/aggregator_rows.c
@@ -3,8 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #define ROW_FIELDS 13
-#define REFRESH_FIELDS 8
+#define REFRESH_FIELDS 6
 
 /** Lead of a report that replaces one of a later epoch. */
 #define SILENT_RIVAL_MS 5000
@@ -36,6 +38,18 @@
 	return NULL;
 }
 
+struct bw_summary *aggregator_row_by_tag(const struct bw_aggregator *aggregator,
+					 uint64_t tag)
+{
+	uint32_t i;
+
+	for (i = 0; i < aggregator->row_count; i++) {
+		if (aggregator->rows[i].tag == tag)
+			return &aggregator->rows[i];
+	}
+	return NULL;
+}
+
 /* The epoch decides between two reporting aggregators. One that has been
  * silent for longer is replaced in spite of its epoch: it resigned before
  * the other learned of it. */
@@ -142,9 +156,7 @@
 			      const struct bw_summary *row, struct bw_time now)
 {
 	bw_write_array(writer, REFRESH_FIELDS);
-	bw_write_str(writer, row->domain);
-	bw_write_uint(writer, row->epoch);
-	bw_write_uint(writer, row->content_sequence);
+	bw_write_uint(writer, row->tag);
 	bw_write_uint(writer, row->sequence);
 	bw_write_uint(writer, (uint64_t)bw_summary_age_ms(row, now));
 	bw_write_uint(writer, row->revision_min);
@@ -198,16 +210,14 @@
 	memset(row, 0, sizeof(*row));
 	if (bw_read_array(reader) != REFRESH_FIELDS)
 		reader->failed = true;
-	bw_read_name(reader, row->domain);
-	row->epoch = bw_read_uint(reader);
-	row->content_sequence = bw_read_uint(reader);
+	row->tag = bw_read_uint(reader);
 	row->sequence = bw_read_uint(reader);
 	age_ms = bw_read_uint(reader);
 	row->revision_min = bw_read_uint(reader);
 	row->revision_max = bw_read_uint(reader);
 	row->living_count = (uint32_t)bw_read_uint(reader);
 	bw_read_end(reader);
-	if (!row->domain[0] || age_ms > INT32_MAX)
+	if (age_ms > INT32_MAX)
 		reader->failed = true;
 	row->reported = bw_time_add(now, -(int64_t)(age_ms & INT32_MAX));
 }
@@ -215,8 +225,13 @@
 static void adopt_(struct bw_aggregator *aggregator, struct bw_summary *known,
 		   struct bw_summary *row)
 {
+	uint64_t key[3];
 	uint32_t i;
 
+	key[0] = XXH3_64bits(row->domain, strlen(row->domain));
+	key[1] = row->epoch;
+	key[2] = row->content_sequence;
+	row->tag = XXH3_64bits(key, sizeof(key));
 	if (known->stamp && known->epoch == row->epoch &&
 	    known->content_sequence == row->content_sequence)
 		row->stamp = known->stamp;
--- a/src/libbwmember/delta.c
+++ b/src/libbwmember/delta.c
@@ -37,6 +37,7 @@
 static uint32_t slot_(const struct index *index, uint32_t hash);
 static void scan_(struct maker *maker, const struct index *index,
 		  size_t limit_bytes);
+static uint32_t expected_(const struct maker *maker, uint32_t position);
 static uint32_t match_(const struct maker *maker, uint32_t offset,
 		       uint32_t position);
 static void close_op_(struct maker *maker, uint32_t insert_end);
@@ -155,6 +156,7 @@
 	uint32_t leaving_factor = 1;
 	uint32_t hash = 0;
 	uint32_t found;
+	uint32_t offset;
 	uint32_t size;
 	bool valid = false;
 	uint32_t i;
@@ -166,11 +168,18 @@
 		if (!valid)
 			hash = hash_(maker->new_bytes + position);
 		valid = true;
+		/* The place after the last copy first: repeated blocks of the
+		 * old content have only one slot. */
+		offset = expected_(maker, position);
+		size = match_(maker, offset, position);
 		found = index->slots[slot_(index, hash)];
-		size = found ? match_(maker, found - 1, position) : 0;
+		if (size < BLOCK_BYTES && found) {
+			offset = found - 1;
+			size = match_(maker, offset, position);
+		}
 		if (size >= BLOCK_BYTES) {
 			close_op_(maker, position);
-			maker->copy_offset = found - 1;
+			maker->copy_offset = offset;
 			maker->copy_size = size;
 			position += size;
 			maker->insert_start = position;
@@ -186,6 +195,13 @@
 	}
 }
 
+/* Place in old of a position in new when nothing moved since the last copy. */
+static uint32_t expected_(const struct maker *maker, uint32_t position)
+{
+	return maker->copy_offset + maker->copy_size +
+	       (position - maker->insert_start);
+}
+
 static uint32_t match_(const struct maker *maker, uint32_t offset,
 		       uint32_t position)
 {
--- a/src/libbwmember/include/private/aggregator.h
+++ b/src/libbwmember/include/private/aggregator.h
@@ -17,7 +17,7 @@
 /** Content of one packet of rows above which the next one is started. */
 #define AGGREGATOR_PACKET_BYTES 8192
 
-/** Most domains in one request for lost rows. */
+/** Most tags in one request for lost rows. */
 #define AGGREGATOR_REQUEST_MAX 32
 
 /** Types of packet; the values are part of the wire format. */
@@ -25,7 +25,7 @@
 	AGGREGATOR_REPORT = 1, /**< an aggregator's own row or refresh */
 	AGGREGATOR_ACK = 2, /**< epoch and content that a control host has */
 	AGGREGATOR_ROWS = 3, /**< rows and refresh entries */
-	AGGREGATOR_REQUEST = 4 /**< domains whose rows were lost */
+	AGGREGATOR_REQUEST = 4 /**< tags of rows that were lost */
 };
 
 /** A host that receives rows from here. */
@@ -50,6 +50,10 @@
 struct bw_summary *aggregator_row(const struct bw_aggregator *aggregator,
 				  const char *domain);
 
+/** Finds a row by the tag of its content; NULL if there is none. */
+struct bw_summary *aggregator_row_by_tag(const struct bw_aggregator *aggregator,
+					 uint64_t tag);
+
 /**
  * Puts a row into the table if it is newer; takes over row->load.
  * @return whether its content changed the table
@@ -68,7 +72,7 @@
 void aggregator_write_row(struct bw_writer *writer,
 			  const struct bw_summary *row, struct bw_time now);
 
-/** Writes a refresh entry: numbers and age without the content. */
+/** Writes a refresh entry: tag, numbers and age without the content. */
 void aggregator_write_refresh(struct bw_writer *writer,
 			      const struct bw_summary *row, struct bw_time now);
 
--- a/src/libbwmember/member_probe.c
+++ b/src/libbwmember/member_probe.c
@@ -5,6 +5,9 @@
 /** Hosts asked to probe on behalf of this one. */
 #define INDIRECT_PROBES 3
 
+/** Hosts that are told of an own suspicion at once. */
+#define SUSPECT_FANOUT 3
+
 /** Seeds contacted at once while no other host is known. */
 #define JOIN_FANOUT 3
 
@@ -13,9 +16,12 @@
 
 static enum bw_status probe_indirect_(struct bw_member *member,
 				      struct bw_outbox *out);
-static void probe_failed_(struct bw_member *member, struct bw_time now);
+static enum bw_status probe_failed_(struct bw_member *member,
+				    struct bw_time now, struct bw_outbox *out);
 static struct bw_member_entry *pick_probe_target_(struct bw_member *member);
 static const char *pick_lost_(struct bw_member *member);
+static bool is_absent_seed_(const struct bw_member *member,
+			    const struct bw_member_seed *seed);
 
 void member_expire(struct bw_member *member, struct bw_time now)
 {
@@ -44,6 +50,7 @@
 			    struct bw_outbox *out)
 {
 	struct bw_member_entry *target;
+	enum bw_status status = BW_OK;
 
 	if (member->probe.target[0] && !member->probe.indirect_sent &&
 	    bw_time_reached(now, member->probe.indirect_at))
@@ -51,7 +58,9 @@
 	if (!bw_time_reached(now, member->next_probe))
 		return BW_OK;
 	if (member->probe.target[0])
-		probe_failed_(member, now);
+		status = probe_failed_(member, now, out);
+	if (status != BW_OK)
+		return status;
 	member->next_probe = bw_time_add(now, member->config.probe_interval_ms);
 	target = pick_probe_target_(member);
 	if (!target)
@@ -164,21 +173,37 @@
 	return BW_OK;
 }
 
-static void probe_failed_(struct bw_member *member, struct bw_time now)
+/* Tells the suspect, so that it can refute, and a few others at once: the
+ * time to detection would else grow by the spread of the suspicion. */
+static enum bw_status probe_failed_(struct bw_member *member,
+				    struct bw_time now, struct bw_outbox *out)
 {
 	struct bw_member_entry *entry =
 		member_find(member, member->probe.target);
+	struct bw_member_entry *other;
 	struct bw_member_record claim;
+	enum bw_status status;
+	uint32_t i;
 
 	member->probe.target[0] = 0;
 	if (!entry)
-		return;
+		return BW_OK;
 	claim = entry->record;
 	claim.state = BW_MEMBER_SUSPECT;
-	if (member_claim_wins(&claim, &entry->record)) {
-		member->stats.suspected_count++;
-		member_merge(member, &claim, now);
+	if (!member_claim_wins(&claim, &entry->record))
+		return BW_OK;
+	member->stats.suspected_count++;
+	member_merge(member, &claim, now);
+	status = member_send(member, out, claim.host.name, MEMBER_RECORDS, 0,
+			     "", false);
+	for (i = 0; i < SUSPECT_FANOUT && status == BW_OK; i++) {
+		other = member_pick_other(member, claim.host.name);
+		if (!other)
+			break;
+		status = member_send(member, out, other->record.host.name,
+				     MEMBER_RECORDS, 0, "", false);
 	}
+	return status;
 }
 
 static struct bw_member_entry *pick_probe_target_(struct bw_member *member)
@@ -207,28 +232,39 @@
 	return chosen;
 }
 
+/* Lost hosts and absent seeds take turns: a random choice leaves one out for
+ * long when many are lost. */
 static const char *pick_lost_(struct bw_member *member)
 {
-	const struct bw_member_seed *seed;
+	uint32_t total = member->entry_count + member->config.seed_count;
 	const struct bw_member_entry *entry;
-	const char *chosen = NULL;
-	uint32_t seen = 0;
+	uint32_t index;
 	uint32_t i;
 
-	for (i = 0; i < member->entry_count; i++) {
-		if (member->entries[i].record.state == BW_MEMBER_FAILED &&
-		    !bw_random_below(&member->random, ++seen))
-			chosen = member->entries[i].record.host.name;
-	}
-	/* A seed that left may run again and not know this host. */
-	for (i = 0; i < member->config.seed_count; i++) {
-		seed = &member->seeds[i];
-		entry = member_find(member, seed->name);
-		if (strcmp(seed->domain, member->config.self.domain) != 0 ||
-		    (entry && entry->record.state != BW_MEMBER_LEFT))
+	for (i = 0; i < total; i++) {
+		index = (member->rejoin_index + i) % total;
+		if (index >= member->entry_count) {
+			index -= member->entry_count;
+			if (!is_absent_seed_(member, &member->seeds[index]))
+				continue;
+			member->rejoin_index += i + 1;
+			return member->seeds[index].name;
+		}
+		entry = &member->entries[index];
+		if (entry->record.state != BW_MEMBER_FAILED)
 			continue;
-		if (!bw_random_below(&member->random, ++seen))
-			chosen = seed->name;
+		member->rejoin_index += i + 1;
+		return entry->record.host.name;
 	}
-	return chosen;
+	return NULL;
+}
+
+/* A seed that left may run again and not know this host. */
+static bool is_absent_seed_(const struct bw_member *member,
+			    const struct bw_member_seed *seed)
+{
+	const struct bw_member_entry *entry = member_find(member, seed->name);
+
+	return !strcmp(seed->domain, member->config.self.domain) &&
+	       (!entry || !bw_member_state_is_up(entry->record.state));
 }
--- a/src/test_libbwmember/test_member_scripts.c
+++ b/src/test_libbwmember/test_member_scripts.c
@@ -16,6 +16,9 @@
 /** Type of a delta packet of the distribute channel. */
 #define DELTA_TYPE 4
 
+/** Refresh intervals of both hops (5 s, 15 s) and two report intervals. */
+#define FRESH_ROW_MS 22000
+
 /** Events kept for each pair of viewer and subject. */
 #define SEEN_BYTES 512
 
@@ -206,6 +209,15 @@
 			bw_buffer_printf(out, "%s living=%u entries=%u\n",
 					 row->aggregator, row->living_count,
 					 row->host_count);
+	} else if (!strcmp(argv[0], "fresh")) {
+		const struct bw_summary *row = bw_aggregator_find(
+			&fleet->hosts[a].aggregator, argv[2]);
+
+		bw_buffer_printf(out, "%s\n",
+				 row && bw_summary_age_ms(row, fleet->now) <
+							 FRESH_ROW_MS
+					 ? "yes"
+					 : "no");
 	} else {
 		return false;
 	}
@@ -263,6 +275,7 @@
 SCRIPT_TEST(partition)
 SCRIPT_TEST(leave)
 SCRIPT_TEST(aggregator)
+SCRIPT_TEST(fallback)
 SCRIPT_TEST(documents)
 SCRIPT_TEST(stale)
 
@@ -274,6 +287,7 @@
 		cmocka_unit_test(test_partition),
 		cmocka_unit_test(test_leave),
 		cmocka_unit_test(test_aggregator),
+		cmocka_unit_test(test_fallback),
 		cmocka_unit_test(test_documents),
 		cmocka_unit_test(test_stale),
 	};
