--- a/src/libbwagree/command.c
+++ b/src/libbwagree/command.c
@@ -7,10 +7,8 @@
 static void fail_(struct bw_reader *reader);
 
 const char *const bw_command_kind_string[BW_COMMAND_KIND_COUNT] = {
-	[BW_COMMAND_NONE] = "none",
-	[BW_COMMAND_SUBMIT] = "submit",
-	[BW_COMMAND_SET_PLAN] = "set_plan",
-	[BW_COMMAND_BIND_KEY] = "bind_key",
+	[BW_COMMAND_NONE] = "none",	    [BW_COMMAND_SUBMIT] = "submit",
+	[BW_COMMAND_SET_PLAN] = "set_plan", [BW_COMMAND_BIND_KEY] = "bind_key",
 	[BW_COMMAND_GROUP] = "group",
 };
 
--- a/src/libbwagree/include/private/replica.h
+++ b/src/libbwagree/include/private/replica.h
@@ -180,8 +180,10 @@
 /** Returns the term of an entry; known is false when it is not held. */
 uint64_t replica_term_at(const struct bw_replica *replica, uint64_t index,
 			 bool *known);
-/** Applies entries up to the commit index and compacts when due. */
+/** Applies entries up to the commit index. */
 void replica_apply(struct bw_replica *replica);
+/** Takes a snapshot and shortens the log when it has grown enough. */
+void replica_compact(struct bw_replica *replica);
 /** Finds the newest group in log or state. */
 void replica_find_group(struct bw_replica *replica);
 /** Puts a group in force; keeps what is known of members that stay. */
--- a/src/libbwagree/replica.c
+++ b/src/libbwagree/replica.c
@@ -150,7 +150,10 @@
 	if (replica->role == BW_REPLICA_FAILED)
 		return BW_EIO;
 	begin_(replica, now, out);
+	replica_compact(replica);
 	replica_tick_hello(replica);
+	if (replica->role == BW_REPLICA_FAILED)
+		return end_(replica);
 	if (replica->role == BW_REPLICA_LEADER)
 		tick_leader_(replica);
 	else if (replica->role != BW_REPLICA_UNINITIALISED &&
--- a/src/libbwagree/replica_member.c
+++ b/src/libbwagree/replica_member.c
@@ -10,6 +10,7 @@
 
 /** A received announcement. */
 struct hello {
+	bool asks; /**< an announcement, not the answer to one */
 	bool empty;
 	uint64_t nonce;
 	uint64_t echo;
@@ -66,6 +67,7 @@
 		replica_contact(replica, head->peer, true);
 	struct hello hello;
 
+	hello.asks = bw_read_bool(reader);
 	hello.empty = bw_read_bool(reader);
 	hello.nonce = bw_read_uint(reader);
 	hello.echo = bw_read_uint(reader);
@@ -84,7 +86,7 @@
 	}
 	if (replica->role == BW_REPLICA_UNINITIALISED)
 		add_hosts_(replica, reader);
-	else if (!replica->removed)
+	else if (hello.asks && !replica->removed)
 		send_hello_(replica, contact);
 	if (hello.empty)
 		send_seed_(replica, head);
@@ -241,7 +243,8 @@
 	uint32_t count = empty ? 0 : replica->group.count;
 	uint32_t i;
 
-	replica_write_head(replica, &buffer, &writer, REPLICA_HELLO, 0, 4);
+	replica_write_head(replica, &buffer, &writer, REPLICA_HELLO, 0, 5);
+	bw_write_bool(&writer, empty || replica->removed);
 	bw_write_bool(&writer, empty);
 	bw_write_uint(&writer, contact->nonce);
 	bw_write_uint(&writer, contact->echo);
--- a/src/libbwagree/replica_store.c
+++ b/src/libbwagree/replica_store.c
@@ -125,6 +125,10 @@
 		}
 		applied_(replica, index, entry, &outcome);
 	}
+}
+
+void replica_compact(struct bw_replica *replica)
+{
 	if (replica->tail_bytes > replica->compact_bytes &&
 	    replica->tail_bytes > COMPACT_FACTOR * replica->snapshot_bytes)
 		compact_(replica);
--- a/src/libbwagree/state.c
+++ b/src/libbwagree/state.c
@@ -211,15 +211,15 @@
 
 enum bw_status bw_state_dump(const struct bw_state *state, json_t *into)
 {
-	json_t *object = json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:i,s:i}", "applied_index",
-		(json_int_t)state->applied_index, "revision",
-		(json_int_t)state->revision, "sheet_bytes",
-		(json_int_t)state->text.size_bytes, "plan_version",
-		(json_int_t)state->plan_version, "plan_bytes",
-		(json_int_t)state->plan.size_bytes, "submissions",
-		(int)state->submissions.length, "bindings",
-		(int)g_tree_nnodes(state->binding_by_expiry));
+	json_t *object =
+		json_pack("{s:I,s:I,s:I,s:I,s:I,s:i,s:i}", "applied_index",
+			  (json_int_t)state->applied_index, "revision",
+			  (json_int_t)state->revision, "sheet_bytes",
+			  (json_int_t)state->text.size_bytes, "plan_version",
+			  (json_int_t)state->plan_version, "plan_bytes",
+			  (json_int_t)state->plan.size_bytes, "submissions",
+			  (int)state->submissions.length, "bindings",
+			  (int)g_tree_nnodes(state->binding_by_expiry));
 
 	return object && !json_object_set_new(into, "state", object)
 		       ? BW_OK
--- a/src/libbwagree/storage.c
+++ b/src/libbwagree/storage.c
@@ -207,8 +207,8 @@
 	snprintf(temporary, sizeof(temporary), "%s.tmp", name);
 	status = bw_storage_remove(storage, temporary);
 	if (status == BW_OK)
-		status = bw_storage_append(storage, temporary, data,
-					   size_bytes);
+		status =
+			bw_storage_append(storage, temporary, data, size_bytes);
 	if (status == BW_OK)
 		status = bw_storage_sync(storage, temporary);
 	if (status == BW_OK)
--- a/src/libbwagree/wal.c
+++ b/src/libbwagree/wal.c
@@ -443,8 +443,7 @@
 
 static enum bw_status remove_last_segment_(struct bw_wal *wal)
 {
-	struct bw_wal_segment *segment =
-		&wal->segments[wal->segment_count - 1];
+	struct bw_wal_segment *segment = &wal->segments[wal->segment_count - 1];
 	char name[BW_FILE_NAME_MAX];
 
 	segment_name_(name, segment->first_index);
--- a/src/test_libbwagree/test_replica_random.c
+++ b/src/test_libbwagree/test_replica_random.c
@@ -18,7 +18,7 @@
 #include "sim.h"
 
 #define DEFAULT_SEEDS 500
-#define CHAOS_STEPS 160
+#define CHAOS_STEPS 250
 #define STEP_MS 100
 #define SETTLE_MS 60000
 
@@ -45,8 +45,10 @@
 static void submit_some_(struct sim *sim)
 {
 	char id[BW_SUBMISSION_ID_MAX];
-	int host = pick_(sim, sim->host_count);
-	int count = pick_(sim, 4);
+	int leader = sim_leader(sim);
+	int host = leader >= 0 && pick_(sim, 4) ? leader
+						: pick_(sim, sim->host_count);
+	int count = pick_(sim, 8);
 
 	while (count--) {
 		/* Racing senders use equal and adjacent revision numbers. */
