Add the load caller

Cause: measures need open-loop load that checks each response. Change: bw-load-caller with look-up cache, request keys, resends, exact latency samples and a JSON result.

--- /dev/null
+++ b/tools/load_caller.c
@@ -0,0 +1,527 @@
+#include <arpa/inet.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bwbase/clock.h"
+#include "load.h"
+
+#define MS_PER_S 1000.
+#define US_PER_S 1e6
+#define US_PER_MS 1000
+#define TARGET_BYTES 640
+#define ID_BYTES 64
+#define REPLY_LIMIT_BYTES (16 * 1024 * 1024)
+#define LOOKUP_TIMEOUT_MS 2000
+#define BACKOFF_DOUBLINGS_MAX 6
+
+struct load;
+
+/** Address of a host in a look-up response. */
+struct host {
+	char address[INET_ADDRSTRLEN];
+	uint16_t port;
+};
+
+/** Look-up response kept for its time to live. */
+struct cached {
+	struct host hosts[LOAD_HOSTS_MAX];
+	uint32_t host_count;
+	uint64_t expires_us;
+	char key[LOAD_KEY_BYTES]; /**< empty once used */
+};
+
+/** Arrivals of one kind. */
+struct arrival {
+	struct load *load;
+	const struct load_kind *kind;
+	struct load_rank *rank;
+	struct bw_random random;
+	double next_s; /**< since start */
+	ev_timer timer;
+	struct cached cached[LOAD_SOURCES_MAX];
+};
+
+/** One request. */
+struct job {
+	struct load *load;
+	struct arrival *arrival;
+	uint32_t source;
+	char id[ID_BYTES];
+	struct cached hosts; /**< copy of the look-up response */
+	uint64_t started_us;
+	uint32_t lookup_attempts;
+	uint32_t attempts;
+	bool looking_up;
+	ev_timer backoff;
+	uint32_t status_code;
+	enum load_outcome outcome;
+	enum load_outcome last; /**< what the caller knows so far */
+	struct bw_buffer reply;
+};
+
+/** The process. */
+struct load {
+	struct load_config *config;
+	struct ev_loop *loop;
+	struct bw_upstream *upstream;
+	struct load_result result;
+	struct arrival arrivals[LOAD_KINDS_MAX];
+	uint64_t started_us;
+	uint64_t number;
+	uint32_t in_flight;
+	uint32_t arrivals_left;
+};
+
+static void on_arrival_(struct ev_loop *loop, ev_timer *watcher, int events);
+static void plan_arrival_(struct arrival *arrival);
+static void start_job_(struct arrival *arrival);
+static void look_up_(struct job *job);
+static void on_lookup_(struct job *job, bool complete);
+static bool read_lookup_(struct job *job, struct cached *cached);
+static void call_(struct job *job);
+static void on_call_(struct job *job, const struct bw_upstream_event *event);
+static void resend_or_end_(struct job *job, enum load_outcome outcome);
+static void on_backoff_(struct ev_loop *loop, ev_timer *watcher, int events);
+static void end_(struct job *job, enum load_outcome outcome);
+static void on_event_(void *context, const struct bw_upstream_event *event);
+static enum load_outcome read_outcome_(const struct bw_upstream_event *event);
+static uint32_t left_ms_(const struct job *job);
+static uint32_t second_(const struct load *load);
+static bool run_(struct load *load);
+
+int main(int argc, char **argv)
+{
+	static struct load load;
+	char *config_path = NULL;
+	char *result_path = NULL;
+	gint64 seed = -1;
+	double duration_s = 0;
+	GOptionEntry entries[] = { { "config", 0, 0, G_OPTION_ARG_FILENAME,
+				     &config_path, "Load file", "FILE" },
+				   { "result", 0, 0, G_OPTION_ARG_FILENAME,
+				     &result_path, "Result file", "FILE" },
+				   { "seed", 0, 0, G_OPTION_ARG_INT64, &seed,
+				     "Replaces the seed of the file", "N" },
+				   { "duration-s", 0, 0, G_OPTION_ARG_DOUBLE,
+				     &duration_s,
+				     "Replaces the duration of the file", "S" },
+				   { NULL } };
+	GOptionContext *context = g_option_context_new("- load caller");
+	struct bw_yaml_error error = { 0 };
+	int result = 1;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
+	    !config_path || !result_path) {
+		fprintf(stderr, "--config and --result are needed\n");
+		goto out;
+	}
+	if (load_config_read(config_path, &load.config, &error) != BW_OK) {
+		fprintf(stderr, "%s:%u: %s\n", config_path, error.line,
+			error.text);
+		goto out;
+	}
+	if (seed >= 0)
+		load.config->seed = (uint64_t)seed;
+	if (duration_s > 0)
+		load.config->duration_s = duration_s;
+	if (load.config->duration_s > LOAD_SECONDS_MAX || !run_(&load))
+		goto out;
+	if (!load_result_write(&load.result, result_path,
+			       load.config->duration_s)) {
+		fprintf(stderr, "cannot write %s\n", result_path);
+		goto out;
+	}
+	result = 0;
+out:
+	load_result_finish(&load.result);
+	load_config_free(load.config);
+	g_free(config_path);
+	g_free(result_path);
+	g_option_context_free(context);
+	return result;
+}
+
+static bool run_(struct load *load)
+{
+	struct bw_upstream_config config = { .connections_per_server = 2000,
+					     .connections_total = 8000,
+					     .idle_timeout_s = 20,
+					     .connect_timeout_ms = 1000,
+					     .header_limit_bytes = 65536,
+					     .ring_bytes = 4096 };
+	struct arrival *arrival;
+	uint32_t i;
+
+	signal(SIGPIPE, SIG_IGN);
+	load->loop = ev_default_loop(EVFLAG_AUTO);
+	if (bw_upstream_new(&load->upstream, load->loop, &config) != BW_OK)
+		return false;
+	load->started_us = bw_clock_us();
+	for (i = 0; i < load->config->kinds_count; i++) {
+		arrival = &load->arrivals[i];
+		arrival->load = load;
+		arrival->kind = &load->config->kinds[i];
+		arrival->rank =
+			load_rank_get(&load->result, arrival->kind->rank);
+		arrival->next_s = arrival->kind->start_s;
+		bw_random_init(&arrival->random, load->config->seed + i);
+		ev_timer_init(&arrival->timer, on_arrival_, 0., 0.);
+		arrival->timer.data = arrival;
+		load->arrivals_left++;
+		plan_arrival_(arrival);
+	}
+	ev_run(load->loop, 0);
+	bw_upstream_free(load->upstream);
+	return true;
+}
+
+static void on_arrival_(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	start_job_(watcher->data);
+	plan_arrival_(watcher->data);
+}
+
+/* Arrivals do not wait for earlier requests: the next one is planned from the
+ * planned time of the last one, also when the loop is late. */
+static void plan_arrival_(struct arrival *arrival)
+{
+	struct load *load = arrival->load;
+	double now_s = (double)(bw_clock_us() - load->started_us) / US_PER_S;
+	double stop_s = arrival->kind->stop_s;
+
+	if (stop_s <= 0 || stop_s > load->config->duration_s)
+		stop_s = load->config->duration_s;
+	if (arrival->kind->rate_per_s > 0)
+		arrival->next_s += -log(1. - bw_random_unit(&arrival->random)) /
+				   arrival->kind->rate_per_s;
+	if (arrival->kind->rate_per_s <= 0 || arrival->next_s >= stop_s) {
+		load->arrivals_left--;
+		if (!load->arrivals_left && !load->in_flight)
+			ev_break(load->loop, EVBREAK_ALL);
+		return;
+	}
+	ev_now_update(load->loop);
+	ev_timer_set(&arrival->timer,
+		     arrival->next_s > now_s ? arrival->next_s - now_s : 0.,
+		     0.);
+	ev_timer_start(load->loop, &arrival->timer);
+}
+
+static void start_job_(struct arrival *arrival)
+{
+	struct load *load = arrival->load;
+	struct job *job;
+	struct cached *cached;
+
+	load_started(arrival->rank, second_(load));
+	if (load->in_flight >= load->config->in_flight_limit) {
+		load->result.not_sent++;
+		return;
+	}
+	job = calloc(1, sizeof(*job));
+	if (!job)
+		return;
+	load->in_flight++;
+	job->load = load;
+	job->arrival = arrival;
+	job->started_us = bw_clock_us();
+	job->last = LOAD_UNREACHABLE;
+	if (load->config->sources_count)
+		job->source = (uint32_t)bw_random_below(
+			&arrival->random, load->config->sources_count);
+	snprintf(job->id, sizeof(job->id), "%" PRIu64 "-%" PRIu64,
+		 load->config->seed, load->number++);
+	ev_timer_init(&job->backoff, on_backoff_, 0., 0.);
+	job->backoff.data = job;
+	cached = &arrival->cached[job->source];
+	/* A request key may be used by one request only. */
+	if (cached->expires_us <= job->started_us ||
+	    (!arrival->kind->idempotent && !cached->key[0])) {
+		look_up_(job);
+		return;
+	}
+	job->hosts = *cached;
+	if (!arrival->kind->idempotent)
+		cached->key[0] = '\0';
+	call_(job);
+}
+
+static void look_up_(struct job *job)
+{
+	struct load *load = job->load;
+	struct load_config *config = load->config;
+	const struct load_entry *entry =
+		&config->entry_hosts[(job->source + job->lookup_attempts) %
+				     config->entry_hosts_count];
+	struct bw_upstream_user user = { job, on_event_ };
+	struct bw_upstream_request request = { 0 };
+	char target[TARGET_BYTES];
+	struct bw_call *call;
+
+	if (job->lookup_attempts++ == config->entry_hosts_count) {
+		end_(job, LOAD_UNREACHABLE);
+		return;
+	}
+	if (!left_ms_(job)) {
+		end_(job, LOAD_TIMEOUT);
+		return;
+	}
+	snprintf(target, sizeof(target), "/v1/lookup?service=%s",
+		 job->arrival->kind->service);
+	request.address = entry->address;
+	request.port = entry->port;
+	if (config->sources_count)
+		request.source = config->sources[job->source];
+	request.method = "GET";
+	request.target = target;
+	request.deadline_ms = left_ms_(job) < LOOKUP_TIMEOUT_MS
+				      ? left_ms_(job)
+				      : LOOKUP_TIMEOUT_MS;
+	job->looking_up = true;
+	job->status_code = 0;
+	bw_buffer_clear(&job->reply);
+	load->result.lookups++;
+	if (bw_upstream_start(load->upstream, &request, &user, &call) != BW_OK)
+		end_(job, LOAD_UNREACHABLE);
+}
+
+static void on_lookup_(struct job *job, bool complete)
+{
+	struct cached *cached = &job->arrival->cached[job->source];
+
+	job->looking_up = false;
+	if (!complete || job->status_code != 200 ||
+	    !read_lookup_(job, &job->hosts)) {
+		job->load->result.lookups_failed++;
+		look_up_(job);
+		return;
+	}
+	*cached = job->hosts;
+	if (!job->arrival->kind->idempotent)
+		cached->key[0] = '\0';
+	call_(job);
+}
+
+static bool read_lookup_(struct job *job, struct cached *cached)
+{
+	json_t *root = json_loadb((const char *)job->reply.data,
+				  job->reply.size_bytes, 0, NULL);
+	const char *key =
+		json_string_value(json_object_get(root, "request_key"));
+	json_t *item;
+	const char *address;
+	size_t i;
+
+	memset(cached, 0, sizeof(*cached));
+	json_array_foreach(json_object_get(root, "hosts"), i, item)
+	{
+		address = json_string_value(json_object_get(item, "address"));
+		if (!address || cached->host_count == LOAD_HOSTS_MAX)
+			continue;
+		snprintf(cached->hosts[cached->host_count].address,
+			 sizeof(cached->hosts[0].address), "%s", address);
+		cached->hosts[cached->host_count++].port =
+			(uint16_t)json_integer_value(
+				json_object_get(item, "port"));
+	}
+	snprintf(cached->key, sizeof(cached->key), "%s", key ? key : "");
+	cached->expires_us =
+		bw_clock_us() +
+		(uint64_t)json_integer_value(json_object_get(root, "ttl_ms")) *
+			US_PER_MS;
+	json_decref(root);
+	return cached->host_count > 0;
+}
+
+static void call_(struct job *job)
+{
+	struct load *load = job->load;
+	const struct load_kind *kind = job->arrival->kind;
+	const struct host *host =
+		&job->hosts.hosts[job->attempts % job->hosts.host_count];
+	struct bw_upstream_user user = { job, on_event_ };
+	struct bw_upstream_request request = { 0 };
+	struct bw_http_header headers[4];
+	struct bw_buffer body = { 0 };
+	char target[TARGET_BYTES];
+	char deadline[16];
+	struct bw_call *call;
+
+	if (!left_ms_(job)) {
+		end_(job, LOAD_TIMEOUT);
+		return;
+	}
+	snprintf(target, sizeof(target), "/v1/call/%s%s", kind->service,
+		 kind->path);
+	snprintf(deadline, sizeof(deadline), "%u", left_ms_(job));
+	headers[0] = (struct bw_http_header){ ANSWER_ID_FIELD, job->id };
+	headers[1] =
+		(struct bw_http_header){ "Boragewing-Deadline-Ms", deadline };
+	request.header_count = 2;
+	if (job->hosts.key[0] && !kind->idempotent)
+		headers[request.header_count++] =
+			(struct bw_http_header){ "Boragewing-Key",
+						 job->hosts.key };
+	if (kind->marker)
+		headers[request.header_count++] =
+			(struct bw_http_header){ "Marker", kind->marker };
+	request.headers = headers;
+	request.address = host->address;
+	request.port = host->port;
+	if (load->config->sources_count)
+		request.source = load->config->sources[job->source];
+	request.method = kind->method;
+	request.target = target;
+	request.deadline_ms = left_ms_(job);
+	if (kind->body_bytes &&
+	    answer_make(&body, job->id, kind->body_bytes) == BW_OK) {
+		request.body_kind = BW_UPSTREAM_BODY_COMPLETE;
+		request.body = body.data;
+		request.body_bytes = body.size_bytes;
+	}
+	job->status_code = 0;
+	job->outcome = LOAD_NO_OUTCOME;
+	bw_buffer_clear(&job->reply);
+	job->attempts++;
+	load->result.attempts++;
+	load->result.resends += job->attempts > 1;
+	if (bw_upstream_start(load->upstream, &request, &user, &call) != BW_OK)
+		end_(job, LOAD_UNREACHABLE);
+	bw_buffer_finish(&body);
+}
+
+static void on_event_(void *context, const struct bw_upstream_event *event)
+{
+	struct job *job = context;
+
+	switch (event->kind) {
+	case BW_UPSTREAM_HEAD:
+		job->status_code = event->status_code;
+		job->outcome = read_outcome_(event);
+		break;
+	case BW_UPSTREAM_BODY:
+		if (job->reply.size_bytes + event->size_bytes <=
+		    REPLY_LIMIT_BYTES)
+			bw_buffer_append(&job->reply, event->data,
+					 event->size_bytes);
+		break;
+	case BW_UPSTREAM_COMPLETE:
+	case BW_UPSTREAM_FAILED:
+		if (job->looking_up)
+			on_lookup_(job, event->kind == BW_UPSTREAM_COMPLETE);
+		else
+			on_call_(job, event);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_call_(struct job *job, const struct bw_upstream_event *event)
+{
+	struct load_result *result = &job->load->result;
+
+	if (event->kind == BW_UPSTREAM_FAILED) {
+		if (event->cause == BW_UPSTREAM_TIMEOUT)
+			end_(job, LOAD_TIMEOUT);
+		else
+			resend_or_end_(job, event->bytes_sent
+						    ? LOAD_BROKEN
+						    : LOAD_UNREACHABLE);
+		return;
+	}
+	result->status[job->status_code]++;
+	if (job->status_code == 200 && job->outcome == LOAD_RAN)
+		result->checked[answer_verify(job->id, job->reply.data,
+					      job->reply.size_bytes)]++;
+	if (job->outcome == LOAD_RAN || job->outcome == LOAD_NO_OUTCOME)
+		end_(job, job->outcome);
+	else
+		resend_or_end_(job, job->outcome);
+}
+
+/* A request is sent again if it did not run, if it is idempotent, or if its
+ * key makes a second run impossible. */
+static void resend_or_end_(struct job *job, enum load_outcome outcome)
+{
+	struct load_config *config = job->load->config;
+	bool safe = outcome == LOAD_NOT_RUN || outcome == LOAD_UNREACHABLE ||
+		    job->arrival->kind->idempotent || job->hosts.key[0];
+	uint32_t doublings = job->attempts - 1;
+	double wait_ms;
+
+	/* What an earlier attempt may have done stays possible. */
+	if (job->last != LOAD_MAY_HAVE_RUN && job->last != LOAD_BROKEN)
+		job->last = outcome;
+	if (!safe || job->attempts >= config->attempts) {
+		end_(job, job->last);
+		return;
+	}
+	if (doublings > BACKOFF_DOUBLINGS_MAX)
+		doublings = BACKOFF_DOUBLINGS_MAX;
+	wait_ms = (double)config->backoff_ms * (double)(1U << doublings) *
+		  (0.5 + bw_random_unit(&job->arrival->random));
+	ev_timer_set(&job->backoff, wait_ms / MS_PER_S, 0.);
+	ev_timer_start(job->load->loop, &job->backoff);
+}
+
+static void on_backoff_(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	call_(watcher->data);
+}
+
+static void end_(struct job *job, enum load_outcome outcome)
+{
+	struct load *load = job->load;
+
+	load_ended(job->arrival->rank, outcome, bw_clock_us() - job->started_us,
+		   second_(load));
+	load->in_flight--;
+	bw_buffer_finish(&job->reply);
+	free(job);
+	if (!load->arrivals_left && !load->in_flight)
+		ev_break(load->loop, EVBREAK_ALL);
+}
+
+static enum load_outcome read_outcome_(const struct bw_upstream_event *event)
+{
+	const char *value = NULL;
+	size_t i;
+
+	for (i = 0; i < event->header_count; i++) {
+		if (!g_ascii_strcasecmp(event->headers[i].name,
+					"Boragewing-Outcome"))
+			value = event->headers[i].value;
+	}
+	if (!value)
+		return LOAD_NO_OUTCOME;
+	if (!strcmp(value, "ran"))
+		return LOAD_RAN;
+	if (!strcmp(value, "not-run"))
+		return LOAD_NOT_RUN;
+	return LOAD_MAY_HAVE_RUN;
+}
+
+static uint32_t left_ms_(const struct job *job)
+{
+	uint64_t used_ms = (bw_clock_us() - job->started_us) / US_PER_MS;
+	uint32_t deadline_ms = job->arrival->kind->deadline_ms;
+
+	return used_ms >= deadline_ms ? 0 : deadline_ms - (uint32_t)used_ms;
+}
+
+static uint32_t second_(const struct load *load)
+{
+	return (uint32_t)((double)(bw_clock_us() - load->started_us) /
+			  US_PER_S);
+}
--- a/tools/standin_backend.c
+++ b/tools/standin_backend.c
@@ -162,15 +162,17 @@
 		.ring_bytes = 65536,
 		.user = { .context = instance, .event = on_request_ },
 	};
+	struct bw_random entropy;
 
 	if (bw_frontend_new(&instance->frontend, instance->standin->loop,
 			    &config) != BW_OK)
 		return false;
 	instance->port = bw_frontend_port(instance->frontend, 0);
-	/* 53 bits stay exact in any JSON reader. */
-	instance->incarnation = (bw_random_next(&instance->standin->random) >>
-				 (64 - INCARNATION_BITS)) |
-				1;
+	/* Not from the seed: a restarted process must differ from the one
+	 * before. 53 bits stay exact in any JSON reader. */
+	bw_random_init_system(&entropy);
+	instance->incarnation =
+		(bw_random_next(&entropy) >> (64 - INCARNATION_BITS)) | 1;
 	instance->state = INSTANCE_UP;
 	instance->started_ms = bw_wall_ms();
 	return true;
