Reset the share observer of the traffic model when a rank stops waiting

Cause: the observer kept counting when a queue emptied by expiry and filled again between two grants, while a rank has a minimum share only for as long as it waits. The check failed for a run that keeps the stated rule. Change: the observer starts again when the queue empties; the bound is the same.

--- a/src/test_libbwsteer/traffic.c
+++ b/src/test_libbwsteer/traffic.c
@@ -462,6 +462,19 @@
 	check_(model, model->queued[request->rank] <= 256, "queue bound");
 }
 
+/* A rank whose queue is empty no longer waits, also between two grants. */
+static void unqueue_(struct model *model,
+		     const struct bw_admission_request *taken)
+{
+	model->requests[taken->id - 1].queued = false;
+	if (--model->queued[taken->rank])
+		return;
+	model->grants[taken->rank] = 0;
+	model->own_grants[taken->rank] = 0;
+	if (!taken->rank)
+		model->overtakes = 0;
+}
+
 /*
  * Counts grants as an observer would: while a rank waits it must get its
  * minimum share, and others overtake the urgent rank only for theirs.
@@ -471,11 +484,8 @@
 	uint32_t i;
 
 	for (i = 0; i < TRAFFIC_RANKS; i++) {
-		if (!model->queued[i]) {
-			model->grants[i] = 0;
-			model->own_grants[i] = 0;
+		if (!model->queued[i])
 			continue;
-		}
 		model->grants[i]++;
 		model->own_grants[i] += i == rank;
 		check_(model,
@@ -494,10 +504,8 @@
 	struct bw_admission_request taken;
 
 	while (bw_admission_expire(&model->admission, model->now, &taken) ==
-	       BW_OK) {
-		model->queued[taken.rank]--;
-		model->requests[taken.id - 1].queued = false;
-	}
+	       BW_OK)
+		unqueue_(model, &taken);
 }
 
 static void dispatch_(struct model *model)
@@ -520,8 +528,7 @@
 				 &taken) == BW_OK) {
 		expire_(model); /* before the observer counts who waits */
 		check_grant_(model, taken.rank);
-		model->queued[taken.rank]--;
-		model->requests[taken.id - 1].queued = false;
+		unqueue_(model, &taken);
 		dispatch_now_(model, (uint32_t)taken.id - 1);
 	}
 }
