Choose the successor of the request keys anew while a host leaves

Cause: when all hosts left at once, each waited for a successor that was leaving too and stopped by the drain timeout of 30 s. Change: the successor is chosen anew on each tick of a leaving host; without a usable one the host seals without handover. Conclusion: the drain timeout is again for requests that do not end.

--- a/src/boragewingd/host.c
+++ b/src/boragewingd/host.c
@@ -85,6 +85,7 @@
 static void update_peers_(struct host *host);
 static void fire_(struct host *host, enum host_event event);
 static void announce_leave_(struct host *host);
+static void hand_over_(struct host *host);
 static void stop_(struct host *host);
 static void check_leave_(struct host *host, struct bw_time now);
 static void log_dump_(struct host *host);
@@ -633,11 +634,23 @@
 }
 
 static void announce_leave_(struct host *host)
+{
+	bw_member_leave(&host->member, host->state_since);
+	hand_over_(host);
+}
+
+/*
+ * Names the successor of the request keys. It is chosen anew while the
+ * handover runs, because the successor may leave or fail as well: when all
+ * hosts of a region leave at once, the last one has no successor.
+ */
+static void hand_over_(struct host *host)
 {
 	const struct directory_host *successor =
 		directory_choose_backup(&host->directory);
 
-	bw_member_leave(&host->member, host->state_since);
+	if (bw_keys_is_handed_over(&host->steering.keys))
+		return;
 	if (successor)
 		bw_keys_seal(&host->steering.keys, successor->name,
 			     successor->incarnation);
@@ -671,6 +684,8 @@
 		fire_(host, HOST_EVENT_FORCE);
 		return;
 	}
+	if (host->state == HOST_LEAVING)
+		hand_over_(host);
 	if (sheet)
 		serve_ms += (int64_t)sheet->shift.answer_ttl_s * 1000;
 	if (host->state == HOST_LEAVING && elapsed_ms >= serve_ms &&
