Tell unreachable servers from shed load; compare all when draws fail

Change: outcome BW_BACKEND_UNREACHABLE; eight draws, then all servers are compared when fewer than two were drawn; the model checks that no request starts after it was refused.

--- a/include/bwsteer/backend.h
+++ b/include/bwsteer/backend.h
@@ -48,7 +48,8 @@
 /** Outcome of one request sent to a backend server. */
 enum bw_backend_outcome {
 	BW_BACKEND_OK, /**< complete response */
-	BW_BACKEND_REFUSED, /**< certainly not run */
+	BW_BACKEND_REFUSED, /**< load shed by the server; not run */
+	BW_BACKEND_UNREACHABLE, /**< no connection; certainly not run */
 	BW_BACKEND_ERROR, /**< the server answered with a server error */
 	BW_BACKEND_TIMEOUT,
 	BW_BACKEND_CONNECTION_LOST, /**< during the run */
--- a/src/libbwsteer/backend_select.c
+++ b/src/libbwsteer/backend_select.c
@@ -36,7 +36,7 @@
 #define REPORT_FRESH_MS 3000
 
 /** Draws until selection compares all servers instead. */
-#define DRAWS_MAX 16
+#define DRAWS_MAX 8
 
 #define TRUST_LOSS 0.7
 
@@ -88,6 +88,7 @@
 const char *const bw_backend_outcome_string[BW_BACKEND_OUTCOME_COUNT] = {
 	[BW_BACKEND_OK] = "ok",
 	[BW_BACKEND_REFUSED] = "refused",
+	[BW_BACKEND_UNREACHABLE] = "unreachable",
 	[BW_BACKEND_ERROR] = "error",
 	[BW_BACKEND_TIMEOUT] = "timeout",
 	[BW_BACKEND_CONNECTION_LOST] = "connection_lost",
@@ -112,7 +113,8 @@
 	first = draw_(&selection, NULL, random);
 	if (first)
 		second = draw_(&selection, first, random);
-	if (!first) {
+	/* Most servers are full or out of use: compares all of them. */
+	if (!second) {
 		first = scan_(&selection, &status);
 		if (!first)
 			return status;
@@ -156,6 +158,7 @@
 	case BW_BACKEND_REFUSED:
 		learn_refused_(server, now);
 		break;
+	case BW_BACKEND_UNREACHABLE:
 	case BW_BACKEND_ERROR:
 	case BW_BACKEND_TIMEOUT:
 	case BW_BACKEND_CONNECTION_LOST:
--- a/src/test_libbwsteer/test_backend.c
+++ b/src/test_libbwsteer/test_backend.c
@@ -326,48 +326,27 @@
 {
 	static char *big[] = { "announce", "big", "7", "certdesk", "9" };
 	static char *small[] = { "announce", "small", "8", "certdesk", "3" };
-	struct bw_backend_choice choice;
 	struct context context;
 	struct bw_buffer out;
-	int count = 0;
-	int i;
+	uint32_t count = 0;
+	uint32_t i;
 
 	(void)state;
 	context_init_(&context);
 	bw_buffer_init(&out);
-	announce_(&context, &context.host[0], 5, big, &out);
-	announce_(&context, &context.host[0], 5, small, &out);
-	announce_(&context, &context.host[0], 5, big, &out);
-	announce_(&context, &context.host[0], 5, small, &out);
-	advance_(&context, 4000);
-	announce_(&context, &context.host[0], 5, big, &out);
-	announce_(&context, &context.host[0], 5, small, &out);
-	advance_(&context, 4000);
-	announce_(&context, &context.host[0], 5, big, &out);
-	announce_(&context, &context.host[0], 5, small, &out);
-	advance_(&context, 4000);
-	for (i = 0; i < 6; i++) {
-		assert_int_equal(bw_backend_pick(&context.host[0], "certdesk",
-						 context.now, &context.random,
-						 NULL, 0, &choice),
-				 BW_OK);
-		bw_backend_started(&context.host[0], choice.handle,
-				   context.now);
-		count += !strcmp(choice.id, "big");
+	for (i = 0; i < 5; i++) { /* repeated ones count as heartbeats */
+		announce_(&context, &context.host[0], 5, big, &out);
+		announce_(&context, &context.host[0], 5, small, &out);
+		advance_(&context, 3000);
 	}
-	assert_true(count >= 4);
-	for (; i < 12; i++) {
-		assert_int_equal(bw_backend_pick(&context.host[0], "certdesk",
-						 context.now, &context.random,
-						 NULL, 0, &choice),
-				 BW_OK);
-		bw_backend_started(&context.host[0], choice.handle,
-				   context.now);
+	for (i = 0; i < 12; i++) {
+		start_(&context, 0, "certdesk", &out);
+		count += i < 6 && !strcmp(context.started[0][i].id, "big");
 	}
-	assert_int_equal(bw_backend_pick(&context.host[0], "certdesk",
-					 context.now, &context.random, NULL, 0,
-					 &choice),
-			 BW_EAGAIN);
+	assert_int_equal(context.started_count[0], 12);
+	assert_true(count >= 4);
+	start_(&context, 0, "certdesk", &out);
+	assert_int_equal(context.started_count[0], 12);
 	bw_buffer_finish(&out);
 	context_finish_(&context);
 }
--- a/src/test_libbwsteer/traffic.c
+++ b/src/test_libbwsteer/traffic.c
@@ -1,4 +1,4 @@
-#include "traffic.h"
+#include "traffic_model.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -9,99 +9,6 @@
 
 #include <cmocka.h>
 
-#include "bwsteer/admission.h"
-#include "bwsteer/backend.h"
-#include "bwsteer/poison.h"
-#include "bwsteer/retry.h"
-
-#define SERVICE "certdesk"
-#define SERVERS 6
-#define SLOTS 3
-#define DURATION_MS 8000
-#define FLOOD_FROM_MS 2000
-#define FLOOD_TO_MS 6000
-#define REQUESTS_MAX 65536
-#define ATTEMPTS_MAX 256
-#define INNOCENT_KEYS 200
-#define RETRIES_MAX 2
-#define NAIVE_RETRIES_MAX 10
-
-struct request {
-	uint32_t rank;
-	uint32_t key; /* 0: poison; fingerprint otherwise */
-	bool idempotent;
-	struct bw_time arrival;
-	struct bw_time deadline;
-	struct bw_time due; /* of the next offer */
-	uint32_t service_ms;
-	uint32_t attempts;
-	uint32_t executed; /* runs that a server began */
-	bool queued;
-	bool waiting; /* for its retry delay */
-	uint64_t exclude;
-};
-
-struct server {
-	char id[BW_NAME_MAX];
-	uint64_t incarnation;
-	bool up;
-	bool crashing;
-	struct bw_time crash_at;
-	struct bw_time restart_at;
-	struct bw_time slot_free[SLOTS];
-	uint32_t in_flight;
-	uint32_t served;
-	uint32_t slow;
-	bool fails_fast;
-	bool draining;
-	uint32_t handle_runs;
-};
-
-struct attempt {
-	uint32_t request;
-	uint32_t server;
-	uint64_t incarnation;
-	uint64_t handle;
-	uint32_t in_flight;
-	struct bw_time start;
-	struct bw_time end;
-	enum bw_backend_outcome outcome;
-};
-
-struct model {
-	enum traffic_scenario scenario;
-	uint64_t seed;
-	bool naive;
-	struct traffic_result *result;
-	struct bw_random random; /* arrivals; equal for both versions */
-	struct bw_random choices; /* of the version */
-	struct bw_time now;
-	struct bw_time begin;
-	struct request *requests;
-	uint32_t requests_count;
-	uint32_t retry_from;
-	struct attempt attempts[ATTEMPTS_MAX];
-	uint32_t attempts_count;
-	struct server servers[SERVERS];
-	struct bw_backend_table table;
-	struct bw_admission admission;
-	struct bw_retry retry;
-	struct bw_poison poison;
-	uint32_t service;
-	uint32_t *fifo;
-	uint32_t fifo_head;
-	uint32_t fifo_tail;
-	uint32_t cursor;
-	uint32_t queued[TRAFFIC_RANKS];
-	uint32_t grants[TRAFFIC_RANKS]; /* while the rank waits */
-	uint32_t own_grants[TRAFFIC_RANKS];
-	uint32_t overtakes; /* grants to others while urgent waits */
-	bool innocent_rejected[INNOCENT_KEYS + 1];
-	uint64_t crashes;
-	uint64_t retries;
-	uint64_t firsts;
-};
-
 static const struct {
 	uint32_t per_s;
 	uint32_t flood_per_s;
@@ -117,61 +24,12 @@
 	{ 80, 700, 40, 4000, 2000, 5, 1, false },
 };
 
-const char *const traffic_scenario_string[TRAFFIC_SCENARIO_COUNT] = {
-	[TRAFFIC_CALM] = "calm",
-	[TRAFFIC_FLOOD_URGENT] = "flood urgent",
-	[TRAFFIC_FLOOD_LOOKUP] = "flood lookup",
-	[TRAFFIC_FLOOD_FILING] = "flood filing",
-	[TRAFFIC_LYING_REPORTS] = "lying reports",
-	[TRAFFIC_FAIL_FAST] = "fail fast",
-	[TRAFFIC_REPORTS_HALF_LOST] = "reports half lost",
-	[TRAFFIC_REPORTS_STOP] = "reports stop",
-	[TRAFFIC_COLD_START] = "cold start",
-	[TRAFFIC_DRAIN] = "drain",
-	[TRAFFIC_CRASH_STORM] = "crash storm",
-	[TRAFFIC_TWICE_AT_ONCE] = "twice at once",
-};
-
-static void check_(const struct model *model, bool holds, const char *rule)
-{
-	if (!model->naive && !holds)
-		fail_msg("%s: scenario %s, seed %llu, %lld ms", rule,
-			 traffic_scenario_string[model->scenario],
-			 (unsigned long long)model->seed,
-			 (long long)bw_time_diff_ms(model->now, model->begin));
-}
-
 static void fingerprint_(uint32_t key, struct bw_fingerprint *fingerprint)
 {
 	memset(fingerprint, 0, sizeof(*fingerprint));
 	memcpy(fingerprint->bytes, &key, sizeof(key));
 }
 
-static void announce_(struct model *model, uint32_t index)
-{
-	struct server *server = &model->servers[index];
-	struct bw_backend_announcement announcement = {
-		.incarnation = ++server->incarnation,
-		.service = SERVICE,
-		.failure_domain = "khomas-a",
-		.address = "127.0.0.1",
-		.port = 8080,
-		.slots = SLOTS,
-		.connections = 360,
-	};
-
-	server->up = true;
-	server->crashing = false;
-	server->served = 0;
-	memcpy(announcement.id, server->id, BW_NAME_MAX);
-	if (!model->naive)
-		bw_poison_server_lost(&model->poison, server->incarnation - 1,
-				      model->now);
-	assert_int_equal(bw_backend_announce(&model->table, &announcement,
-					     model->now),
-			 BW_OK);
-}
-
 static void init_(struct model *model, const struct bw_chart *chart)
 {
 	struct bw_backend_config backend;
@@ -217,7 +75,7 @@
 		snprintf(model->servers[i].id, BW_NAME_MAX, "certdesk-%u", i);
 		model->servers[i].incarnation = (uint64_t)(i + 1) << 32;
 		model->servers[i].slow = 1;
-		announce_(model, i);
+		traffic_announce(model, i);
 		if (model->scenario != TRAFFIC_COLD_START)
 			model->servers[i].served = 1000;
 	}
@@ -233,140 +91,6 @@
 	free(model->fifo);
 }
 
-static void heartbeats_(struct model *model)
-{
-	const struct server *server;
-	uint32_t in_flight;
-	uint32_t i;
-
-	for (i = 0; i < SERVERS; i++) {
-		server = &model->servers[i];
-		if (model->now.ms % 1000 != i * 150 || !server->up)
-			continue;
-		if (model->scenario == TRAFFIC_REPORTS_STOP &&
-		    model->now.ms > model->begin.ms + 500)
-			continue;
-		if (model->scenario == TRAFFIC_REPORTS_HALF_LOST &&
-		    bw_random_below(&model->choices, 2))
-			continue;
-		in_flight = server->in_flight;
-		if (model->scenario == TRAFFIC_LYING_REPORTS && i == 0)
-			in_flight = 0;
-		if (model->scenario == TRAFFIC_LYING_REPORTS && i == 1)
-			in_flight = SLOTS;
-		bw_backend_heartbeat(&model->table, server->id,
-				     server->incarnation, in_flight, 0,
-				     model->now);
-	}
-}
-
-static void faults_(struct model *model)
-{
-	int64_t ms = bw_time_diff_ms(model->now, model->begin);
-	struct server *first = &model->servers[0];
-	uint32_t i;
-
-	for (i = 0; i < SERVERS; i++) {
-		if (!model->servers[i].up && model->servers[i].restart_at.ms &&
-		    bw_time_reached(model->now, model->servers[i].restart_at))
-			announce_(model, i);
-	}
-	if (model->scenario == TRAFFIC_LYING_REPORTS && ms == 0)
-		first->slow = 6;
-	if ((model->scenario == TRAFFIC_FAIL_FAST ||
-	     model->scenario == TRAFFIC_TWICE_AT_ONCE) &&
-	    ms == 1000)
-		first->fails_fast = true;
-	if (model->scenario == TRAFFIC_DRAIN && ms == 2000) {
-		for (i = 0; i < 2; i++) {
-			model->servers[i].draining = true;
-			bw_backend_drain(&model->table, model->servers[i].id,
-					 model->servers[i].incarnation,
-					 model->now);
-		}
-	}
-	if (model->scenario == TRAFFIC_DRAIN && ms == 4000) {
-		check_(model, !first->in_flight, "drain ends with no request");
-		first->up = false;
-		bw_backend_leave(&model->table, first->id, first->incarnation,
-				 model->now);
-	}
-	if ((model->scenario == TRAFFIC_TWICE_AT_ONCE ||
-	     model->scenario == TRAFFIC_REPORTS_STOP) &&
-	    ms == 3000) {
-		model->servers[3].crashing = true;
-		model->servers[3].crash_at = model->now;
-	}
-}
-
-static void crash_(struct model *model, uint32_t index)
-{
-	struct server *server = &model->servers[index];
-	uint32_t i;
-
-	server->up = false;
-	server->crashing = false;
-	server->restart_at = bw_time_add(
-		model->now,
-		model->scenario == TRAFFIC_REPORTS_STOP ? 60000 : 500);
-	memset(server->slot_free, 0, sizeof(server->slot_free));
-	model->crashes++;
-	for (i = 0; i < model->attempts_count; i++) {
-		if (model->attempts[i].server != index ||
-		    model->attempts[i].incarnation != server->incarnation ||
-		    model->attempts[i].outcome == BW_BACKEND_REFUSED)
-			continue;
-		model->attempts[i].end = model->now;
-		model->attempts[i].outcome = BW_BACKEND_CONNECTION_LOST;
-	}
-}
-
-/* Decides what the server does with a request that reaches it now. */
-static void serve_(struct model *model, struct attempt *attempt)
-{
-	struct request *request = &model->requests[attempt->request];
-	struct server *server = &model->servers[attempt->server];
-	uint32_t cold = server->served < 60 ? 6 - server->served / 10 : 1;
-	uint32_t slot = 0;
-	struct bw_time start;
-	uint32_t i;
-
-	attempt->end = bw_time_add(model->now, 1);
-	attempt->outcome = BW_BACKEND_REFUSED;
-	if (!server->up)
-		return;
-	for (i = 1; i < SLOTS; i++) {
-		if (server->slot_free[i].ms < server->slot_free[slot].ms)
-			slot = i;
-	}
-	start = server->slot_free[slot];
-	if (start.ms < model->now.ms)
-		start = model->now;
-	if (start.ms - model->now.ms > 2000)
-		return;
-	request->executed++;
-	server->in_flight++;
-	if (server->fails_fast) {
-		attempt->outcome = BW_BACKEND_ERROR;
-		return;
-	}
-	if (!request->key && !server->crashing) {
-		server->crashing = true;
-		server->crash_at = bw_time_add(start, 5);
-	}
-	server->served++;
-	attempt->outcome = BW_BACKEND_OK;
-	attempt->end =
-		bw_time_add(start, request->service_ms * server->slow * cold);
-	server->slot_free[slot] = attempt->end;
-	if (attempt->end.ms < request->deadline.ms)
-		return;
-	attempt->end = request->deadline;
-	attempt->outcome = BW_BACKEND_TIMEOUT;
-	if (!model->naive) /* cancels the run */
-		server->slot_free[slot] = request->deadline;
-}
-
 static void begin_(struct model *model, uint32_t index, uint32_t target,
 		   uint64_t handle, uint32_t in_flight)
 {
@@ -376,10 +100,13 @@
 	int64_t ms = bw_time_diff_ms(model->now, model->begin);
 
 	assert_true(model->attempts_count < ATTEMPTS_MAX);
-	check_(model, server->in_flight < SLOTS, "in flight <= slots");
-	check_(model, !server->draining, "no new work on a draining server");
-	check_(model, model->now.ms < request->deadline.ms,
-	       "no start after the deadline");
+	traffic_check(model, !request->refused,
+		      "refused work is never started");
+	traffic_check(model, server->in_flight < SLOTS, "in flight <= slots");
+	traffic_check(model, !server->draining,
+		      "no new work on a draining server");
+	traffic_check(model, model->now.ms < request->deadline.ms,
+		      "no start after the deadline");
 	model->result->attempts++;
 	if (!request->attempts)
 		model->result->rank[request->rank].started++;
@@ -392,7 +119,7 @@
 	attempt->handle = handle;
 	attempt->in_flight = in_flight + 1;
 	attempt->start = model->now;
-	serve_(model, attempt);
+	traffic_serve(model, attempt);
 }
 
 /* Takes back the slot when no backend server accepts the request. */
@@ -455,18 +182,21 @@
 			   model->now, &model->choices, &result);
 	if (result.outcome == BW_ADMISSION_ADMITTED)
 		dispatch_now_(model, index);
+	request->refused = result.outcome == BW_ADMISSION_REFUSED;
 	if (result.outcome != BW_ADMISSION_QUEUED)
 		return;
 	request->queued = true;
 	model->queued[request->rank]++;
-	check_(model, model->queued[request->rank] <= 256, "queue bound");
+	traffic_check(model, model->queued[request->rank] <= 256,
+		      "queue bound");
 }
 
 /* A rank whose queue is empty no longer waits, also between two grants. */
 static void unqueue_(struct model *model,
-		     const struct bw_admission_request *taken)
+		     const struct bw_admission_request *taken, bool expired)
 {
 	model->requests[taken->id - 1].queued = false;
+	model->requests[taken->id - 1].refused = expired;
 	if (--model->queued[taken->rank])
 		return;
 	model->grants[taken->rank] = 0;
@@ -488,15 +218,16 @@
 			continue;
 		model->grants[i]++;
 		model->own_grants[i] += i == rank;
-		check_(model,
-		       model->own_grants[i] + 1 >=
-			       model->grants[i] * ranks_[i].min_share_percent /
-				       100,
-		       "minimum share");
+		traffic_check(model,
+			      model->own_grants[i] + 1 >=
+				      model->grants[i] *
+					      ranks_[i].min_share_percent / 100,
+			      "minimum share");
 	}
 	model->overtakes = model->grants[0] ? model->overtakes + !!rank : 0;
-	check_(model, model->overtakes <= model->grants[0] * 20 / 100 + 2,
-	       "urgent first");
+	traffic_check(model,
+		      model->overtakes <= model->grants[0] * 20 / 100 + 2,
+		      "urgent first");
 }
 
 static void expire_(struct model *model)
@@ -505,7 +236,7 @@
 
 	while (bw_admission_expire(&model->admission, model->now, &taken) ==
 	       BW_OK)
-		unqueue_(model, &taken);
+		unqueue_(model, &taken, true);
 }
 
 static void dispatch_(struct model *model)
@@ -528,7 +259,7 @@
 				 &taken) == BW_OK) {
 		expire_(model); /* before the observer counts who waits */
 		check_grant_(model, taken.rank);
-		unqueue_(model, &taken);
+		unqueue_(model, &taken, false);
 		dispatch_now_(model, (uint32_t)taken.id - 1);
 	}
 }
@@ -556,9 +287,10 @@
 		return;
 	}
 	model->retries++;
-	check_(model, request->attempts <= RETRIES_MAX, "retries per request");
-	check_(model, request->idempotent || not_run,
-	       "no retry of what may have run");
+	traffic_check(model, request->attempts <= RETRIES_MAX,
+		      "retries per request");
+	traffic_check(model, request->idempotent || not_run,
+		      "no retry of what may have run");
 	request->waiting = true;
 	request->due = bw_time_add(model->now, delay_ms);
 }
@@ -587,7 +319,7 @@
 					  attempt->incarnation,
 					  attempt->in_flight, model->now);
 		break;
-	case BW_BACKEND_REFUSED:
+	case BW_BACKEND_UNREACHABLE:
 		bw_poison_server_lost(&model->poison, attempt->incarnation,
 				      model->now);
 		break;
@@ -602,7 +334,7 @@
 	struct traffic_rank_result *rank = &model->result->rank[request->rank];
 	int64_t latency_ms = bw_time_diff_ms(model->now, request->arrival);
 
-	if (attempt->outcome != BW_BACKEND_REFUSED)
+	if (!traffic_is_not_run(attempt))
 		model->servers[attempt->server].in_flight--;
 	if (!model->naive)
 		learn_(model, attempt);
@@ -617,8 +349,7 @@
 	if (attempt->outcome == BW_BACKEND_TIMEOUT)
 		rank->late++;
 	else
-		retry_(model, attempt->request,
-		       attempt->outcome == BW_BACKEND_REFUSED);
+		retry_(model, attempt->request, traffic_is_not_run(attempt));
 }
 
 static void completions_(struct model *model)
@@ -629,7 +360,7 @@
 	for (i = 0; i < SERVERS; i++) {
 		if (model->servers[i].crashing &&
 		    bw_time_reached(model->now, model->servers[i].crash_at))
-			crash_(model, i);
+			traffic_crash(model, i);
 	}
 	i = 0;
 	while (i < model->attempts_count) {
@@ -725,12 +456,8 @@
 		if (model->requests[i].executed > 1 &&
 		    !model->requests[i].idempotent)
 			result->runs_twice++;
-		check_(model,
-		       model->requests[i].attempts ||
-			       !model->requests[i].executed,
-		       "refused work was never started");
 	}
-	check_(model, model->retries <= budget, "retry budget");
+	traffic_check(model, model->retries <= budget, "retry budget");
 	result->retries += model->retries;
 	result->crashes += model->crashes;
 	if (model->crashes > result->crashes_max)
@@ -753,14 +480,14 @@
 	init_(model, chart);
 	for (; bw_time_diff_ms(model->now, model->begin) < DURATION_MS;
 	     model->now.ms++) {
-		heartbeats_(model);
+		traffic_heartbeats(model);
 		if (model->now.ms % 50 == 0) {
 			bw_backend_tick(&model->table, model->now);
 			bw_poison_tick(&model->poison, model->now);
 		}
 		if (model->now.ms < model->begin.ms)
 			continue;
-		faults_(model);
+		traffic_faults(model);
 		completions_(model);
 		retries_(model);
 		arrivals_(model);
