--- a/src/libbwsteer/backend_select.c
+++ b/src/libbwsteer/backend_select.c
@@ -201,6 +201,8 @@
 	if (server->ejected &&
 	    (server->probing || !bw_time_reached(now, server->eject_until)))
 		return 0;
+	if (server->state == BW_BACKEND_READY)
+		return limit;
 	if (server->state == BW_BACKEND_ANNOUNCED)
 		return 1;
 	return (uint32_t)ceil(limit * bw_backend_ramp(table, server, now));
@@ -347,19 +349,26 @@
 	const struct bw_backend_service *service = selection->service;
 	struct bw_backend_server *server;
 	struct bw_backend_server *best = NULL;
+	double best_load = 0;
+	double load;
+	uint32_t limit;
 	uint32_t i;
 
 	*status = BW_EUNAVAILABLE;
 	for (i = 0; i < service->count; i++) {
 		server = &selection->table->servers[service->servers[i]];
-		if (bw_backend_limit_now(selection->table, server,
-					 selection->now) &&
-		    !is_excluded_(selection, server))
-			*status = BW_EAGAIN;
-		if (is_usable_(selection, server) &&
-		    (!best ||
-		     load_(selection, server) < load_(selection, best)))
-			best = server;
+		limit = bw_backend_limit_now(selection->table, server,
+					     selection->now);
+		if (!limit || is_excluded_(selection, server))
+			continue;
+		*status = BW_EAGAIN;
+		if (server->in_flight >= limit)
+			continue;
+		load = load_(selection, server);
+		if (best && load >= best_load)
+			continue;
+		best = server;
+		best_load = load;
 	}
 	return best;
 }
