--- a/src/libbwsteer/backend_select.c
+++ b/src/libbwsteer/backend_select.c
@@ -36,7 +36,7 @@
 #define REPORT_FRESH_MS 3000
 
 /** Draws until selection compares all servers instead. */
-#define DRAWS_MAX 16
+#define DRAWS_MAX 8
 
 #define TRUST_LOSS 0.7
 
@@ -88,6 +88,7 @@
 const char *const bw_backend_outcome_string[BW_BACKEND_OUTCOME_COUNT] = {
 	[BW_BACKEND_OK] = "ok",
 	[BW_BACKEND_REFUSED] = "refused",
+	[BW_BACKEND_UNREACHABLE] = "unreachable",
 	[BW_BACKEND_ERROR] = "error",
 	[BW_BACKEND_TIMEOUT] = "timeout",
 	[BW_BACKEND_CONNECTION_LOST] = "connection_lost",
@@ -112,7 +113,8 @@
 	first = draw_(&selection, NULL, random);
 	if (first)
 		second = draw_(&selection, first, random);
-	if (!first) {
+	/* Most servers are full or out of use: compares all of them. */
+	if (!second) {
 		first = scan_(&selection, &status);
 		if (!first)
 			return status;
@@ -156,6 +158,7 @@
 	case BW_BACKEND_REFUSED:
 		learn_refused_(server, now);
 		break;
+	case BW_BACKEND_UNREACHABLE:
 	case BW_BACKEND_ERROR:
 	case BW_BACKEND_TIMEOUT:
 	case BW_BACKEND_CONNECTION_LOST:
@@ -198,6 +201,8 @@
 	if (server->ejected &&
 	    (server->probing || !bw_time_reached(now, server->eject_until)))
 		return 0;
+	if (server->state == BW_BACKEND_READY)
+		return limit;
 	if (server->state == BW_BACKEND_ANNOUNCED)
 		return 1;
 	return (uint32_t)ceil(limit * bw_backend_ramp(table, server, now));
@@ -344,19 +349,26 @@
 	const struct bw_backend_service *service = selection->service;
 	struct bw_backend_server *server;
 	struct bw_backend_server *best = NULL;
+	double best_load = 0;
+	double load;
+	uint32_t limit;
 	uint32_t i;
 
 	*status = BW_EUNAVAILABLE;
 	for (i = 0; i < service->count; i++) {
 		server = &selection->table->servers[service->servers[i]];
-		if (bw_backend_limit_now(selection->table, server,
-					 selection->now) &&
-		    !is_excluded_(selection, server))
-			*status = BW_EAGAIN;
-		if (is_usable_(selection, server) &&
-		    (!best ||
-		     load_(selection, server) < load_(selection, best)))
-			best = server;
+		limit = bw_backend_limit_now(selection->table, server,
+					     selection->now);
+		if (!limit || is_excluded_(selection, server))
+			continue;
+		*status = BW_EAGAIN;
+		if (server->in_flight >= limit)
+			continue;
+		load = load_(selection, server);
+		if (best && load >= best_load)
+			continue;
+		best = server;
+		best_load = load;
 	}
 	return best;
 }
