--- a/src/boragewingd/calls_run.c
+++ b/src/boragewingd/calls_run.c
@@ -1,5 +1,6 @@
 #include "calls_private.h"
 
+#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -34,6 +35,8 @@
 static uint32_t request_headers_(struct call *call, bool forwarded,
 				 struct bw_http_header *headers,
 				 char texts[4][BW_KEYS_TEXT_MAX]);
+static const char *bound_key_text_(const struct call *call,
+				   char text[BW_KEYS_TEXT_MAX]);
 static bool is_own_header_(const char *name);
 static void on_upstream_(void *context, const struct bw_upstream_event *event);
 static void on_head_(struct call_attempt *attempt,
@@ -433,6 +436,10 @@
 	if (call->has_key && call->key_text[0])
 		headers[count++] =
 			(struct bw_http_header){ HEADER_KEY, call->key_text };
+	else if (call->has_key && !forwarded)
+		headers[count++] = (struct bw_http_header){
+			HEADER_KEY, bound_key_text_(call, texts[3])
+		};
 	if (forwarded) {
 		snprintf(texts[1], sizeof(texts[1]), "%u", call->hops + 1);
 		headers[count++] =
@@ -445,6 +452,16 @@
 	return count;
 }
 
+/* A backend server sees the hash of a key that the caller brought. */
+static const char *bound_key_text_(const struct call *call,
+				   char text[BW_KEYS_TEXT_MAX])
+{
+	strcpy(text, "bound.");
+	sodium_bin2hex(text + 6, BW_KEYS_TEXT_MAX - 6, call->key.id,
+		       sizeof(call->key.id));
+	return text;
+}
+
 static bool is_own_header_(const char *name)
 {
 	static const char *const own[] = { HEADER_KEY, HEADER_DEADLINE,
@@ -645,7 +662,7 @@
 {
 	switch (event->cause) {
 	case BW_UPSTREAM_REFUSED:
-		return BW_BACKEND_CONNECTION_LOST;
+		return BW_BACKEND_UNREACHABLE;
 	case BW_UPSTREAM_TIMEOUT:
 		return BW_BACKEND_TIMEOUT;
 	case BW_UPSTREAM_CANCELLED:
--- a/src/boragewingd/steering.c
+++ b/src/boragewingd/steering.c
@@ -10,7 +10,7 @@
 #define CHART_PATH_BYTES 512
 #define REPORT_INTERVAL_MS 1000
 #define GOSSIP_INTERVAL_MS 1000
-#define DRAIN_CHECK_INTERVAL_MS 250
+#define CHECK_INTERVAL_MS 250
 #define GOSSIP_ENTRIES 64
 #define POISON_ENTRIES 32
 
@@ -26,7 +26,7 @@
 				      struct bw_time now);
 static void configure_admission_(struct steering *steering);
 static void rebuild_blocks_(struct steering *steering);
-static void check_drains_(struct steering *steering, struct bw_time now);
+static void check_servers_(struct steering *steering, struct bw_time now);
 static void set_capacities_(struct steering *steering, struct bw_time now);
 static uint32_t capacity_(const struct steering *steering,
 			  const struct bw_sheet_service *service,
@@ -120,7 +120,7 @@
 	bw_sheet_free(steering->sheet);
 	steering->sheet = sheet;
 	steering->sheet_since_wall_ms = host_wall_ms(host);
-	steering->next_drain_check = host_now(host);
+	steering->next_check = host_now(host);
 	configure_admission_(steering);
 	rebuild_blocks_(steering);
 	bw_log_event(host->log, BW_LOG_INFO, "steering", "sheet_in_force",
@@ -177,10 +177,9 @@
 
 	bw_backend_tick(&steering->backends, now);
 	bw_poison_tick(&steering->poison, now);
-	if (bw_time_reached(now, steering->next_drain_check)) {
-		steering->next_drain_check =
-			bw_time_add(now, DRAIN_CHECK_INTERVAL_MS);
-		check_drains_(steering, now);
+	if (bw_time_reached(now, steering->next_check)) {
+		steering->next_check = bw_time_add(now, CHECK_INTERVAL_MS);
+		check_servers_(steering, now);
 		set_capacities_(steering, now);
 		update_backup_(steering, now);
 	}
@@ -275,8 +274,8 @@
 	if (status != BW_OK)
 		return status;
 	snprintf(path, sizeof(path), "%s/request_key.yaml", folder);
-	return bw_chart_load(&steering->key_chart, path,
-			     &bw_keys_chart_names, error);
+	return bw_chart_load(&steering->key_chart, path, &bw_keys_chart_names,
+			     error);
 }
 
 /* The hosts that a domain may have are those that the settings list. */
@@ -359,21 +358,28 @@
 			(uint16_t)sheet->client_blocks[i].region_index);
 }
 
-static void check_drains_(struct steering *steering, struct bw_time now)
+/*
+ * Applies the sheet's drains, and tells the crash fingerprints which servers
+ * are lost: only then does a connection lost during a run count as a crash.
+ */
+static void check_servers_(struct steering *steering, struct bw_time now)
 {
 	int64_t wall_ms = host_wall_ms(steering->host);
 	struct bw_backend_info info;
 	uint32_t cursor = 0;
 
-	if (!steering->sheet)
-		return;
-	while (bw_backend_next(&steering->backends, &cursor, &info))
-		bw_backend_plan_drain(
-			&steering->backends, info.id,
-			bw_sheet_is_draining(steering->sheet, info.id,
-					     info.service, info.failure_domain,
-					     wall_ms),
-			now);
+	while (bw_backend_next(&steering->backends, &cursor, &info)) {
+		if (info.state == BW_BACKEND_LOST)
+			bw_poison_server_lost(&steering->poison,
+					      info.incarnation, now);
+		if (steering->sheet)
+			bw_backend_plan_drain(
+				&steering->backends, info.id,
+				bw_sheet_is_draining(
+					steering->sheet, info.id, info.service,
+					info.failure_domain, wall_ms),
+				now);
+	}
 }
 
 static void set_capacities_(struct steering *steering, struct bw_time now)
--- a/src/boragewingd/steering.h
+++ b/src/boragewingd/steering.h
@@ -48,7 +48,7 @@
 					of the domain's hosts */
 	struct bw_time next_report;
 	struct bw_time next_gossip;
-	struct bw_time next_drain_check;
+	struct bw_time next_check;
 	bool gossip_now; /**< a backend server changed its state */
 	uint32_t poison_cursor;
 };
--- a/test/deployment.sh
+++ b/test/deployment.sh
@@ -177,3 +177,43 @@
 		revision_in_force "$1" "$name" "$2" || return 1
 	done
 }
+
+# deployment_start_backends FOLDER kalahari|karst-armor [OPTION...]
+# Starts one stand-in process for each service and failure domain, with the
+# targets and slots of the sheet in examples/.
+deployment_start_backends() {
+	local folder=$1 user=$2 net d s domain service targets slots entry name
+	shift 2
+	[ "$user" = kalahari ] && net=21 || net=22
+	mkdir -p "$folder/ledger"
+	awk '/- name:/ && !/kinds/ { name = $3 }
+	     /failure_domain:/ && /targets/ {
+		gsub(/[{},]/, "")
+		print name, $3, $5, $7
+	     }' "examples/$user.yaml" >"$folder/placements"
+	while read -r service domain targets slots; do
+		d=$(awk -v d="$domain" '$3 == d { split($4, a, "."); print a[3]; exit }' \
+			"$folder/table")
+		s=$(awk -v s="$service" '!seen[$1]++ { n++ }
+			$1 == s { print n; exit }' "$folder/placements")
+		name=backend-$service-$domain
+		# shellcheck disable=SC2046
+		"$BUILD/tools/bw-standin-backend" --service="$service" \
+			--failure-domain="$domain" \
+			--id-prefix="$service-$domain" \
+			--address="127.$net.$d.$s" --port-base=8000 \
+			$(awk -v d="$domain" -v p=$DEPLOYMENT_ENTRY_PORT \
+				'$3 == d { print "--entry=" $4 ":" p }' \
+				"$folder/table") \
+			--ledger="$folder/ledger/$service-$domain" \
+			--count="$targets" --slots="$slots" "$@" \
+			>>"$folder/log/$name.log" 2>&1 &
+		echo $! >"$folder/pid/$name"
+	done <"$folder/placements"
+}
+
+# backends_known FOLDER HOST COUNT: the host knows at least so many.
+backends_known() {
+	[ "$(ctl "$1" "$2" --json backends | jq '.backend_servers | length')" \
+		-ge "$3" ]
+}
--- /dev/null
+++ b/test/settings.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Settings: every wrong key, value, missing file or busy port is one error with
+# file and line, and exit code 2.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. test/deployment.sh
+. test/check.sh
+FOLDER=$(mktemp -d)
+trap 'deployment_stop_all "$FOLDER"; rm -rf "$FOLDER"' EXIT
+DAEMON=$BUILD/src/boragewingd/boragewingd
+deployment_make "$FOLDER" kalahari
+good=$FOLDER/hosts/khomas-a-1.yaml
+
+# wrong NAME SED EXPECTED: the settings changed by SED give this error.
+wrong() {
+	local code=0
+	sed "$2" "$good" >"$FOLDER/case.yaml"
+	"$DAEMON" --settings "$FOLDER/case.yaml" --check-settings \
+		>/dev/null 2>"$FOLDER/err" || code=$?
+	check_equal "$1: exit code" 2 "$code"
+	check_equal "$1: error" "boragewingd: $3" \
+		"$(sed "s|$FOLDER|FOLDER|g" "$FOLDER/err")"
+}
+
+check "valid settings" "$DAEMON" --settings "$good" --check-settings
+wrong "unknown key" 's/^entry:/entri:/' \
+	"FOLDER/case.yaml:3: Unexpected key: entri"
+wrong "bad address" 's/^fleet: {address: [0-9.]*/fleet: {address: nowhere/' \
+	"FOLDER/case.yaml:2: 'nowhere' is not an IPv4 address"
+wrong "bad port" 's/^entry: \(.*\)port: 7200/entry: \1port: 70000/' \
+	"FOLDER/case.yaml:3: Invalid UINT value: '70000'"
+wrong "bad log level" 's/level: info/level: loud/' \
+	"FOLDER/case.yaml:9: unknown log level 'loud'"
+wrong "missing charts" 's|^charts_folder: .*|charts_folder: FOLDER/none|' \
+	"FOLDER/case.yaml:6: FOLDER/none: No such file or directory"
+wrong "missing key file" 's|^fleet_key_file: .*|fleet_key_file: none|' \
+	"FOLDER/case.yaml:7: none: No such file or directory"
+wrong "control without data folder" '/^data_folder/d' \
+	"FOLDER/case.yaml:1: a control host needs data_folder"
+wrong "no control seed" 's/control: true}$/control: false}/' \
+	"FOLDER/case.yaml:11: no seed is a control host"
+check_code "no settings file" 2 "$DAEMON" --settings "$FOLDER/none.yaml"
+check_code "no option" 2 "$DAEMON"
+check_code "unknown option" 2 "$DAEMON" --nothing
+
+deployment_start "$FOLDER" khomas-a-1
+ready() { ctl "$FOLDER" khomas-a-1 status; }
+check "the first daemon runs" wait_until 10 ready
+check_code "a second daemon on its addresses ends with 2" 2 \
+	"$DAEMON" --settings "$good"
+check_code "the client says when no host is reached" 3 \
+	"$BUILD/src/boragewingctl/boragewingctl" --host 127.11.99.9:7300 \
+	--token-file "$FOLDER/token" status
+check_code "the client refuses unknown commands" 2 \
+	"$BUILD/src/boragewingctl/boragewingctl" nothing
+check "the client draws a chart" \
+	"$BUILD/src/boragewingctl/boragewingctl" chart draw charts/request.yaml
+check "the client checks a sheet" \
+	"$BUILD/src/boragewingctl/boragewingctl" sheet check \
+	examples/karst-armor.yaml
+echo "$CHECKS passed, 0 failed"
