Spread failures at once and forget replaced control hosts

Cause: crash detection had a tail above 5 s, and tables of peers and control hosts never gave up the names of replaced hosts. Change: a host passes on a new suspicion or failure to two others at once; the longest unused peer makes room; control hosts that no seed, row or record names for 60 s are forgotten.

--- a/include/bwmember/aggregator.h
+++ b/include/bwmember/aggregator.h
@@ -127,6 +127,9 @@
 		uint64_t content_sequence;
 	} control_acked[BW_AGGREGATOR_CONTROLS_MAX];
 	uint32_t control_count;
+	struct bw_time control_seen[BW_AGGREGATOR_CONTROLS_MAX];
+	struct bw_time clock; /**< time of the last call */
+	struct bw_time next_sweep;
 	uint8_t *load;
 	uint32_t load_bytes;
 	struct bw_time next_report;
--- a/include/bwmember/member.h
+++ b/include/bwmember/member.h
@@ -140,6 +140,9 @@
 	struct bw_time next_rejoin;
 	struct bw_time next_numbers; /**< when own numbers may spread */
 	struct bw_time sync_allowed; /**< next answer to differing hashes */
+	struct bw_time
+		next_urgent; /**< next news of a suspect or failed host */
+	bool urgent; /**< there are such news */
 	bool numbers_changed;
 	bool superseded;
 	struct {
--- a/src/libbwmember/aggregator.c
+++ b/src/libbwmember/aggregator.c
@@ -13,6 +13,12 @@
 #define DEFAULT_REFRESH_INTERVAL_MS 5000
 #define DEFAULT_HOST_REFRESH_INTERVAL_MS 6000
 #define DEFAULT_ROW_EXPIRY_MS 60000
+/** Spacing of the search for control hosts that nobody names any more. */
+#define SWEEP_INTERVAL_MS 10000
+
+/** Time for which such a control host is kept. */
+#define CONTROL_KEPT_MS 60000
+
 #define DEFAULT_HOST_BYTES_PER_S 5000
 #define DEFAULT_RELAY_BYTES_PER_S 50000
 
@@ -21,6 +27,8 @@
 static bool may_stay_(const struct bw_aggregator *aggregator);
 static void take_office_(struct bw_aggregator *aggregator, struct bw_time now);
 static void collect_controls_(struct bw_aggregator *aggregator);
+static void sweep_controls_(struct bw_aggregator *aggregator,
+			    struct bw_time now);
 static enum bw_status receive_body_(struct bw_aggregator *aggregator,
 				    const struct bw_packet *packet,
 				    struct bw_reader *reader,
@@ -71,6 +79,8 @@
 	else
 		bw_random_init_system(&aggregator->random);
 	aggregator->started = now;
+	aggregator->clock = now;
+	aggregator->next_sweep = now;
 	aggregator->next_report = now;
 	return BW_OK;
 }
@@ -94,6 +104,7 @@
 	struct bw_reader reader;
 	enum bw_status status;
 
+	aggregator->clock = now;
 	status = bw_reader_init(&reader, packet->data, packet->size_bytes);
 	if (status == BW_OK)
 		status = receive_body_(aggregator, packet, &reader, now, out);
@@ -110,7 +121,10 @@
 {
 	enum bw_status status = BW_OK;
 
+	aggregator->clock = now;
 	collect_controls_(aggregator);
+	if (bw_time_reached(now, aggregator->next_sweep))
+		sweep_controls_(aggregator, now);
 	elect_(aggregator, now);
 	aggregator_expire_rows(aggregator, now);
 	if (bw_aggregator_is_self(aggregator) &&
@@ -249,14 +263,23 @@
 	uint32_t i;
 
 	for (i = 0; i < aggregator->peer_count; i++) {
-		if (!strcmp(aggregator->peers[i].name, name))
-			return &aggregator->peers[i];
+		peer = &aggregator->peers[i];
+		if (strcmp(peer->name, name) != 0)
+			continue;
+		peer->used = now;
+		return peer;
 	}
-	if (aggregator->peer_count == AGGREGATOR_PEERS_MAX)
-		return NULL;
-	peer = &aggregator->peers[aggregator->peer_count++];
+	/* Hosts are replaced for ever: the longest unused peer makes room. */
+	peer = aggregator->peers;
+	for (i = 1; i < aggregator->peer_count; i++) {
+		if (aggregator->peers[i].used.ms < peer->used.ms)
+			peer = &aggregator->peers[i];
+	}
+	if (aggregator->peer_count < AGGREGATOR_PEERS_MAX)
+		peer = &aggregator->peers[aggregator->peer_count++];
 	memset(peer, 0, sizeof(*peer));
 	bw_name_set(peer->name, name);
+	peer->used = now;
 	peer->refilled = bw_time_add(now, -1000);
 	peer->next_push = now;
 	return peer;
@@ -273,6 +296,7 @@
 		index = (int)aggregator->control_count++;
 		bw_name_set(aggregator->controls[index].name, name);
 	}
+	aggregator->control_seen[index] = aggregator->clock;
 	if (address[0])
 		memcpy(aggregator->controls[index].address, address,
 		       BW_MEMBER_ADDRESS_MAX);
@@ -362,6 +386,42 @@
 	}
 }
 
+/* Forgets control hosts that neither the seeds nor any row or record names,
+ * so that replaced ones do not fill the table. */
+static void sweep_controls_(struct bw_aggregator *aggregator,
+			    struct bw_time now)
+{
+	const struct bw_summary *row;
+	uint32_t last;
+	uint32_t i;
+	uint32_t j;
+
+	aggregator->next_sweep = bw_time_add(now, SWEEP_INTERVAL_MS);
+	for (i = 0; i < aggregator->row_count; i++) {
+		row = &aggregator->rows[i];
+		for (j = 0; j < row->control_count; j++)
+			aggregator_add_control(aggregator,
+					       row->controls[j].name,
+					       row->controls[j].address);
+	}
+	i = 0;
+	while (i < aggregator->control_count) {
+		if (bw_time_diff_ms(now, aggregator->control_seen[i]) <
+		    CONTROL_KEPT_MS) {
+			i++;
+			continue;
+		}
+		last = --aggregator->control_count;
+		aggregator->controls[i] = aggregator->controls[last];
+		aggregator->control_acked[i] = aggregator->control_acked[last];
+		aggregator->control_seen[i] = aggregator->control_seen[last];
+		memset(&aggregator->controls[last], 0,
+		       sizeof(*aggregator->controls));
+		memset(&aggregator->control_acked[last], 0,
+		       sizeof(*aggregator->control_acked));
+	}
+}
+
 int aggregator_control_index(const struct bw_aggregator *aggregator,
 			     const char *name)
 {
@@ -396,9 +456,7 @@
 		return BW_OK;
 	case AGGREGATOR_REQUEST:
 		peer = aggregator_peer(aggregator, packet->peer, now);
-		return peer ? aggregator_answer(aggregator, peer, reader, now,
-						out)
-			    : BW_OK;
+		return aggregator_answer(aggregator, peer, reader, now, out);
 	default:
 		return BW_EVERSION;
 	}
@@ -419,10 +477,8 @@
 
 	if (is_report) {
 		peer = aggregator_peer(aggregator, packet->peer, now);
-		if (peer) {
-			peer->reported = now;
-			peer->has_reported = true;
-		}
+		peer->reported = now;
+		peer->has_reported = true;
 	}
 	bw_read_array(reader);
 	while (bw_read_more(reader) && status == BW_OK) {
--- a/src/libbwmember/aggregator_push.c
+++ b/src/libbwmember/aggregator_push.c
@@ -132,7 +132,7 @@
 	const struct bw_summary *row;
 	enum bw_status status = BW_OK;
 
-	if (!peer || !bw_time_reached(now, peer->next_push))
+	if (!bw_time_reached(now, peer->next_push))
 		return BW_OK;
 	peer->next_push = bw_time_add(now, PUSH_INTERVAL_MS);
 	if (incarnation && peer->incarnation != incarnation) {
--- a/src/libbwmember/aggregator_report.c
+++ b/src/libbwmember/aggregator_report.c
@@ -114,7 +114,7 @@
 	for (i = 0; i < bw_member_count(member); i++) {
 		record = bw_member_at(member, i);
 		host = &record->host;
-		if (host->is_control &&
+		if (host->is_control && bw_member_state_is_up(record->state) &&
 		    row->control_count < BW_SUMMARY_HOSTS_MAX) {
 			control = &row->controls[row->control_count++];
 			memcpy(control->name, host->name, BW_NAME_MAX);
--- a/src/libbwmember/include/private/aggregator.h
+++ b/src/libbwmember/include/private/aggregator.h
@@ -36,12 +36,13 @@
 	uint32_t refresh_index; /**< next row to refresh */
 	int64_t tokens; /**< bytes; may be negative */
 	struct bw_time refilled;
+	struct bw_time used; /**< last time it was looked up */
 	struct bw_time next_push;
 	struct bw_time reported; /**< last report from it */
 	bool has_reported;
 };
 
-/** Finds or adds a peer; NULL when the table is full. */
+/** Finds or adds a peer; the longest unused one makes room. */
 struct bw_aggregator_peer *aggregator_peer(struct bw_aggregator *aggregator,
 					   const char *name,
 					   struct bw_time now);
--- a/src/libbwmember/include/private/member.h
+++ b/src/libbwmember/include/private/member.h
@@ -140,6 +140,13 @@
 enum bw_status member_probe(struct bw_member *member, struct bw_time now,
 			    struct bw_outbox *out);
 
+/**
+ * Tells some hosts of new suspect and failed hosts at once. Waiting for the
+ * next probes would add seconds to the time of detection.
+ */
+enum bw_status member_spread_urgent(struct bw_member *member,
+				    struct bw_time now, struct bw_outbox *out);
+
 /** Contacts lost hosts and absent seeds. */
 enum bw_status member_rejoin(struct bw_member *member, struct bw_time now,
 			     struct bw_outbox *out);
--- a/src/libbwmember/member.c
+++ b/src/libbwmember/member.c
@@ -151,6 +151,8 @@
 	member_expire(member, now);
 	announce_numbers_(member, now);
 	status = member_probe(member, now, out);
+	if (status == BW_OK)
+		status = member_spread_urgent(member, now, out);
 	if (status == BW_OK && bw_time_reached(now, member->next_rejoin))
 		status = member_rejoin(member, now, out);
 	if (status != BW_OK || !bw_time_reached(now, member->next_sync))
--- a/src/libbwmember/member_merge.c
+++ b/src/libbwmember/member_merge.c
@@ -86,6 +86,9 @@
 			  &step) != BW_OK)
 		return;
 	record->state = (enum bw_member_state)step.state;
+	if (record->state != before && (record->state == BW_MEMBER_SUSPECT ||
+					record->state == BW_MEMBER_FAILED))
+		member->urgent = true;
 	if (record->state != before || restarted) {
 		record->since = now;
 		entry->suspect_until =
--- a/src/libbwmember/member_probe.c
+++ b/src/libbwmember/member_probe.c
@@ -5,8 +5,12 @@
 /** Hosts asked to probe on behalf of this one. */
 #define INDIRECT_PROBES 3
 
-/** Hosts that are told of an own suspicion at once. */
-#define SUSPECT_FANOUT 3
+/** Hosts that are told of a new suspect or failed host at once. */
+#define URGENT_FANOUT 2
+
+/** Shortest time between two such rounds; bounds the load when many hosts
+ * fail together. */
+#define URGENT_SPACING_MS 200
 
 /** Seeds contacted at once while no other host is known. */
 #define JOIN_FANOUT 3
@@ -173,17 +177,13 @@
 	return BW_OK;
 }
 
-/* Tells the suspect, so that it can refute, and a few others at once: the
- * time to detection would else grow by the spread of the suspicion. */
+/* Tells the suspect, so that it can refute. */
 static enum bw_status probe_failed_(struct bw_member *member,
 				    struct bw_time now, struct bw_outbox *out)
 {
 	struct bw_member_entry *entry =
 		member_find(member, member->probe.target);
-	struct bw_member_entry *other;
 	struct bw_member_record claim;
-	enum bw_status status;
-	uint32_t i;
 
 	member->probe.target[0] = 0;
 	if (!entry)
@@ -194,16 +194,8 @@
 		return BW_OK;
 	member->stats.suspected_count++;
 	member_merge(member, &claim, now);
-	status = member_send(member, out, claim.host.name, MEMBER_RECORDS, 0,
-			     "", false);
-	for (i = 0; i < SUSPECT_FANOUT && status == BW_OK; i++) {
-		other = member_pick_other(member, claim.host.name);
-		if (!other)
-			break;
-		status = member_send(member, out, other->record.host.name,
-				     MEMBER_RECORDS, 0, "", false);
-	}
-	return status;
+	return member_send(member, out, claim.host.name, MEMBER_RECORDS, 0, "",
+			   false);
 }
 
 static struct bw_member_entry *pick_probe_target_(struct bw_member *member)
@@ -268,3 +260,24 @@
 	return !strcmp(seed->domain, member->config.self.domain) &&
 	       (!entry || !bw_member_state_is_up(entry->record.state));
 }
+
+enum bw_status member_spread_urgent(struct bw_member *member,
+				    struct bw_time now, struct bw_outbox *out)
+{
+	struct bw_member_entry *other;
+	enum bw_status status = BW_OK;
+	uint32_t i;
+
+	if (!member->urgent || !bw_time_reached(now, member->next_urgent))
+		return BW_OK;
+	member->urgent = false;
+	member->next_urgent = bw_time_add(now, URGENT_SPACING_MS);
+	for (i = 0; i < URGENT_FANOUT && status == BW_OK; i++) {
+		other = member_pick_other(member, "");
+		if (!other)
+			break;
+		status = member_send(member, out, other->record.host.name,
+				     MEMBER_RECORDS, 0, "", false);
+	}
+	return status;
+}
