Test the recovery of a diskless host by a script

Cause: the proof rules of a restarted host had no run of their own. Change: script recovery: a lone neighbour is believed after the recovery time, two sources outweigh an older one, the state is stale without control.

--- a/src/test_libbwmember/test_member_scripts.c
+++ b/src/test_libbwmember/test_member_scripts.c
@@ -195,6 +195,9 @@
 		scripted->lose_deltas = a;
 	} else if (!strcmp(argv[0], "conflicts")) {
 		bw_buffer_printf(out, "%u\n", scripted->conflicts[a]);
+	} else if (!strcmp(argv[0], "documents")) {
+		bw_buffer_printf(out, "%u\n", scripted->documents[a]);
+		scripted->documents[a] = 0;
 	} else if (!strcmp(argv[0], "aggregator")) {
 		bw_buffer_printf(
 			out, "%s\n",
@@ -278,6 +281,7 @@
 SCRIPT_TEST(fallback)
 SCRIPT_TEST(documents)
 SCRIPT_TEST(stale)
+SCRIPT_TEST(recovery)
 
 int main(void)
 {
@@ -290,6 +294,7 @@
 		cmocka_unit_test(test_fallback),
 		cmocka_unit_test(test_documents),
 		cmocka_unit_test(test_stale),
+		cmocka_unit_test(test_recovery),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
