Estimate unseen demand and keep the plan's own time

Cause: steps of the leader's clock and of leaders let shifts leave the ledger early; weights drifted while regions did not report.

--- a/include/bwsteer/plan.h
+++ b/include/bwsteer/plan.h
@@ -35,6 +35,12 @@
 /** Time for which a domain without reports keeps its shares. */
 #define BW_PLAN_HOLD_MS 15000
 
+/**
+ * Most time that passes for the plan between two steps. Steps that follow each
+ * other more slowly only delay shifts.
+ */
+#define BW_PLAN_STEP_MAX_MS 2000
+
 /** States of the shift of a service (charts/shift.yaml). */
 enum bw_shift_state {
 	BW_SHIFT_SETTLED, /**< the shares are good enough */
@@ -109,9 +115,13 @@
 	struct bw_shift_limits limits; /**< of the sheet in force */
 	struct bw_shift_limits previous; /**< of earlier sheets, merged */
 	int64_t previous_until_ms; /**< previous counts before this time */
-	int64_t clock_ms; /**< latest time seen; never steps back */
+	int64_t clock_ms; /**< time of the plan; never ahead of the wall clock's
+			       progress since the first step */
 
+	uint32_t *seen_demand; /**< not encoded: demand when last seen whole,
+				    indexed like weights, in milli-slots */
 	const struct bw_chart *chart; /**< not encoded */
+	int64_t wall_ms; /**< not encoded: wall clock of the last step */
 	int64_t missing_since_ms[BW_PLAN_DOMAINS_MAX]; /**< not encoded */
 };
 
@@ -125,8 +135,9 @@
 void bw_plan_finish(struct bw_plan *plan);
 
 /**
- * Takes one planning step: adopts the sheet when it is new, then moves the
- * shares of each service towards their target as far as its ledger allows.
+ * Takes one planning step, to be called about once a second: adopts the sheet
+ *when it is new, then moves the shares of each service towards their target as
+ *far as its ledger allows.
  * @param reports one entry for each failure domain of the sheet
  * @param now_ms wall clock in milliseconds since 1970
  * @param changed receives whether the plan has a new version that must be
@@ -167,8 +178,7 @@
 enum bw_status bw_plan_decode(struct bw_plan *plan, const void *data,
 			      size_t size_bytes);
 
-/** Returns the limits on shifts in force at a time. */
-struct bw_shift_limits bw_plan_limits(const struct bw_plan *plan,
-				      int64_t now_ms);
+/** Returns the limits on shifts that are in force. */
+struct bw_shift_limits bw_plan_limits(const struct bw_plan *plan);
 
 #endif
--- a/include/bwsteer/shift_ledger.h
+++ b/include/bwsteer/shift_ledger.h
@@ -61,9 +61,6 @@
 			 const struct bw_shift_limits *limits, int64_t now_ms,
 			 uint32_t amount);
 
-/** Sets the time of every entry to now_ms, after the clock stepped back. */
-void bw_shift_ledger_restamp(struct bw_shift_ledger *ledger, int64_t now_ms);
-
 /** Returns the more careful of two limits, member by member. */
 struct bw_shift_limits bw_shift_limits_merge(struct bw_shift_limits a,
 					     struct bw_shift_limits b);
--- a/src/libbwsteer/include/private/plan_internal.h
+++ b/src/libbwsteer/include/private/plan_internal.h
@@ -29,7 +29,8 @@
 	struct bw_plan *plan;
 	const struct bw_sheet *sheet;
 	const struct bw_plan_report *reports;
-	int64_t now_ms;
+	int64_t now_ms; /**< time of the plan */
+	int64_t wall_ms; /**< wall clock, for the drains of the sheet */
 	struct bw_shift_limits limits;
 	struct bw_plan_links links;
 	struct bw_plan_problem problem;
@@ -70,10 +71,16 @@
 bool bw_plan_work_load(struct bw_plan_work *work, uint32_t service, bool first);
 
 /**
- * Returns whether part of a caller region's demand for a service goes to
- * domains without fresh reports.
+ * Returns whether reports can show the effect of a service's last step.
+ * Before that, demand does not correspond to the shares.
  */
-bool bw_plan_row_is_unseen(const struct bw_plan_work *work, uint32_t service,
-			   uint32_t region);
+bool bw_plan_has_effect(const struct bw_plan_work *work, uint32_t service);
+
+/**
+ * Returns the part of a caller region's shares of a service, per mille, that
+ * is on domains with fresh reports.
+ */
+uint32_t bw_plan_seen_share(const struct bw_plan_work *work, uint32_t service,
+			    uint32_t region);
 
 #endif
--- a/src/libbwsteer/plan.c
+++ b/src/libbwsteer/plan.c
@@ -59,6 +59,7 @@
 	free(plan->sites);
 	free(plan->shares);
 	free(plan->weights);
+	free(plan->seen_demand);
 	memset(plan, 0, sizeof(*plan));
 }
 
@@ -88,10 +89,9 @@
 	return plan->shares + of->share_begin + (size_t)region * of->site_count;
 }
 
-struct bw_shift_limits bw_plan_limits(const struct bw_plan *plan,
-				      int64_t now_ms)
+struct bw_shift_limits bw_plan_limits(const struct bw_plan *plan)
 {
-	if (now_ms >= plan->previous_until_ms)
+	if (plan->clock_ms >= plan->previous_until_ms)
 		return plan->limits;
 	return bw_shift_limits_merge(plan->limits, plan->previous);
 }
@@ -109,8 +109,11 @@
 	plan->weights =
 		calloc((size_t)plan->service_count * plan->region_count + 1,
 		       sizeof(*plan->weights));
+	plan->seen_demand =
+		calloc((size_t)plan->service_count * plan->region_count + 1,
+		       sizeof(*plan->seen_demand));
 	if (plan->regions && plan->domains && plan->services && plan->sites &&
-	    plan->shares && plan->weights)
+	    plan->shares && plan->weights && plan->seen_demand)
 		return BW_OK;
 	return BW_ENOMEM;
 }
@@ -139,6 +142,7 @@
 	to.version = plan->version;
 	to.revision = sheet->revision;
 	to.clock_ms = plan->clock_ms;
+	to.wall_ms = plan->wall_ms;
 	copy_names_(&to, sheet);
 	list_sites_(&to, plan, sheet);
 	copy_rows_(&to, plan);
@@ -333,6 +337,8 @@
 			continue;
 		to->weights[service * to->region_count + r] =
 			from->weights[old * from->region_count + row];
+		to->seen_demand[service * to->region_count + r] =
+			from->seen_demand[old * from->region_count + row];
 		for (i = 0; i < s->site_count; i++) {
 			const char *name =
 				to->domains[to->sites[s->site_begin + i]];
@@ -355,7 +361,7 @@
 static void adopt_limits_(struct bw_plan *to, const struct bw_plan *from,
 			  const struct bw_sheet *sheet)
 {
-	struct bw_shift_limits old = bw_plan_limits(from, to->clock_ms);
+	struct bw_shift_limits old = bw_plan_limits(from);
 	struct bw_shift_limits both;
 
 	to->limits.cap = sheet->shift.cap_percent * (BW_SHIFT_WHOLE / 100);
--- a/src/libbwsteer/plan_step.c
+++ b/src/libbwsteer/plan_step.c
@@ -12,8 +12,13 @@
 #define EXCESS_END 0.005
 #define LATENCY_START 0.05
 #define LATENCY_END 0.01
-#define IMBALANCE_START 0.10
-#define IMBALANCE_END 0.03
+#define IMBALANCE_START 0.15
+#define IMBALANCE_END 0.05
+#define OVERLOAD_START 0.05
+#define OVERLOAD_END 0.02
+
+/* Least improvement of overload or imbalance that is worth a step. */
+#define IMPROVEMENT_MIN 0.02
 #define LATENCY_GAIN_MIN_MS 0.5
 
 /*
@@ -22,6 +27,12 @@
  */
 #define STEP_CAP_DIVISOR 4
 
+/*
+ * Added to the amount of a shift, because the demand that weights it is known
+ * only from reports of the last seconds.
+ */
+#define AMOUNT_MARGIN 1.05
+
 /** Attempts to round a step to shares that stay within the ledger. */
 #define ROUNDING_ATTEMPTS 4
 
@@ -31,10 +42,11 @@
 	double excess; /* load without usable capacity or link room */
 	double drained; /* load on drained sites */
 	double latency_ms; /* mean */
-	double imbalance; /* load off the even split of each region */
+	double overload; /* largest load beyond the capacity of a site */
+	double imbalance; /* largest part of a region's load off its split */
 };
 
-static int64_t advance_clock_(struct bw_plan *plan, int64_t now_ms);
+static void advance_clock_(struct bw_plan *plan, int64_t wall_ms);
 static void note_missing_(struct bw_plan_work *work);
 static void load_links_(struct bw_plan_work *work);
 static bool place_new_rows_(struct bw_plan_work *work, uint32_t service);
@@ -72,11 +84,13 @@
 	uint32_t i;
 
 	*changed = false;
-	work.now_ms = advance_clock_(plan, now_ms);
+	advance_clock_(plan, now_ms);
+	work.now_ms = plan->clock_ms;
+	work.wall_ms = now_ms;
 	status = bw_plan_adopt(plan, sheet, changed);
 	if (status != BW_OK)
 		return status;
-	work.limits = bw_plan_limits(plan, work.now_ms);
+	work.limits = bw_plan_limits(plan);
 	status = bw_plan_work_init(&work);
 	if (status != BW_OK)
 		goto out;
@@ -95,35 +109,22 @@
 }
 
 /*
- * After a small step back the time stands still until the clock has caught
- * up. After a larger one every shift counts as if made just now, so that the
- * wait is never longer than one window.
+ * The plan keeps its own time, which follows the wall clock while that runs
+ * forward at an ordinary pace. A step back, a jump ahead or a change of leader
+ * can therefore only make the plan's time slower, and no shift leaves the
+ * ledger early.
  */
-static int64_t advance_clock_(struct bw_plan *plan, int64_t now_ms)
+static void advance_clock_(struct bw_plan *plan, int64_t wall_ms)
 {
-	struct bw_shift_limits limits = bw_plan_limits(plan, plan->clock_ms);
-	int64_t span_ms = (int64_t)limits.window_ms + limits.ttl_ms;
-	uint32_t i;
-
-	if (now_ms >= plan->clock_ms) {
-		plan->clock_ms = now_ms;
-		return now_ms;
-	}
-	if (plan->clock_ms - now_ms <= span_ms)
-		return plan->clock_ms;
-	for (i = 0; i < plan->service_count; i++) {
-		bw_shift_ledger_restamp(&plan->services[i].ledger, now_ms);
-		if (plan->services[i].last_step_ms)
-			plan->services[i].last_step_ms = now_ms;
-	}
-	for (i = 0; i < plan->domain_count; i++)
-		plan->missing_since_ms[i] = 0;
-	if (plan->previous_until_ms > plan->clock_ms)
-		plan->previous_until_ms = now_ms + span_ms + 1;
-	else
-		plan->previous_until_ms = 0;
-	plan->clock_ms = now_ms;
-	return now_ms;
+	int64_t passed_ms = plan->wall_ms ? wall_ms - plan->wall_ms : 0;
+
+	if (passed_ms > BW_PLAN_STEP_MAX_MS)
+		passed_ms = BW_PLAN_STEP_MAX_MS;
+	if (passed_ms > 0)
+		plan->clock_ms += passed_ms;
+	if (!plan->clock_ms)
+		plan->clock_ms = wall_ms > 0 ? wall_ms : 1;
+	plan->wall_ms = wall_ms;
 }
 
 static void note_missing_(struct bw_plan_work *work)
@@ -154,7 +155,8 @@
 
 	for (s = 0; s < plan->service_count; s++) {
 		for (r = 0; r < plan->region_count; r++, weight++) {
-			if (bw_plan_row_is_unseen(work, s, r))
+			if (bw_plan_seen_share(work, s, r) <
+			    BW_PLAN_SHARE_WHOLE)
 				continue;
 			*weight -= *weight < fade ? *weight : fade;
 		}
@@ -245,9 +247,7 @@
 
 	if (!usable)
 		return BW_SHIFT_REPORTS_MISSING;
-	if (of->last_step_ms &&
-	    work->now_ms - of->last_step_ms <
-		    (int64_t)work->limits.ttl_ms + BW_PLAN_REPORT_LAG_MS)
+	if (!bw_plan_has_effect(work, service))
 		return BW_SHIFT_EFFECT_PENDING;
 	bw_plan_target(p);
 	memset(work->step_link, 0, work->links.link_count * sizeof(double));
@@ -385,6 +385,7 @@
 {
 	double region_load[BW_PLAN_REGIONS_MAX] = { 0 };
 	double region_capacity[BW_PLAN_REGIONS_MAX] = { 0 };
+	double off[BW_PLAN_REGIONS_MAX] = { 0 };
 	uint32_t i, g;
 	double even;
 
@@ -406,7 +407,15 @@
 			continue;
 		even = region_load[g] * (double)p->capacity[i] /
 		       region_capacity[g];
-		quality->imbalance += fabs(load[i] - even);
+		off[g] += fabs(load[i] - even) / 2;
+		/* Regions with little load would only add noise. */
+		if (region_load[g] > region_capacity[g] * IMBALANCE_START &&
+		    off[g] / region_load[g] > quality->imbalance)
+			quality->imbalance = off[g] / region_load[g];
+		if (p->capacity[i] > 0 &&
+		    load[i] / (double)p->capacity[i] - 1 > quality->overload)
+			quality->overload =
+				load[i] / (double)p->capacity[i] - 1;
 	}
 }
 
@@ -425,7 +434,6 @@
 	double demand = current->demand;
 	double excess_gain = current->excess - target->excess;
 	double latency_gain = current->latency_ms - target->latency_ms;
-	double imbalance_gain = current->imbalance - target->imbalance;
 
 	if (current->drained > 0 && target->drained < current->drained * 0.999)
 		return true;
@@ -433,13 +441,17 @@
 		return true;
 	if (excess_gain < -demand * EXCESS_END)
 		return false;
+	if (current->overload > (moving ? OVERLOAD_END : OVERLOAD_START) &&
+	    target->overload < current->overload - IMPROVEMENT_MIN)
+		return true;
 	if (latency_gain >= LATENCY_GAIN_MIN_MS &&
 	    latency_gain > current->latency_ms *
 				   (moving ? LATENCY_END : LATENCY_START))
 		return true;
 	return latency_gain > -LATENCY_GAIN_MIN_MS &&
-	       imbalance_gain >
-		       demand * (moving ? IMBALANCE_END : IMBALANCE_START);
+	       current->imbalance >
+		       (moving ? IMBALANCE_END : IMBALANCE_START) &&
+	       target->imbalance < current->imbalance - IMPROVEMENT_MIN;
 }
 
 /* Amount of a shift to rows, or to the target when rows is NULL. */
@@ -461,7 +473,7 @@
 		}
 		sum += row / 2 * weights[r];
 	}
-	return sum * BW_SHIFT_WHOLE / BW_PLAN_WEIGHT_WHOLE /
+	return sum * AMOUNT_MARGIN * BW_SHIFT_WHOLE / BW_PLAN_WEIGHT_WHOLE /
 	       BW_PLAN_SHARE_WHOLE;
 }
 
--- a/src/libbwsteer/plan_work.c
+++ b/src/libbwsteer/plan_work.c
@@ -49,13 +49,17 @@
 static int64_t capacity_(const struct bw_plan_work *work, uint32_t service,
 			 uint32_t site, bool first);
 static void load_demand_(struct bw_plan_work *work, uint32_t service);
-static void add_demand_(struct bw_plan_work *work, uint32_t service);
+static void raise_weights_(struct bw_plan_work *work, uint32_t service,
+			   const int64_t *demand);
+static void add_demand_(struct bw_plan_work *work, uint32_t service,
+			int64_t *claimed);
 static const uint32_t *claims_(const struct bw_plan_work *work,
 			       uint32_t service, uint32_t site, double *scale);
 static double typical_demand_(const struct bw_plan_problem *p, uint32_t region,
 			      const uint32_t *const *claims,
 			      const double *scale);
-static void estimate_unseen_(struct bw_plan_work *work, uint32_t service);
+static void estimate_unseen_(const struct bw_plan_work *work, uint32_t service,
+			     int64_t *demand);
 static void load_link_cost_(struct bw_plan_work *work, uint32_t service);
 static void load_ramps_(struct bw_plan_work *work, bool first);
 
@@ -171,8 +175,8 @@
 		const struct bw_sheet_drain *drain = &work->sheet->drains[i];
 
 		if (!drain->failure_domain ||
-		    work->now_ms < drain->start_ms - lead_ms ||
-		    work->now_ms >= drain->stop_ms)
+		    work->wall_ms < drain->start_ms - lead_ms ||
+		    work->wall_ms >= drain->stop_ms)
 			continue;
 		for (s = 0; s < plan->service_count; s++) {
 			const struct bw_plan_service *of = &plan->services[s];
@@ -318,28 +322,50 @@
 static void load_demand_(struct bw_plan_work *work, uint32_t service)
 {
 	struct bw_plan_problem *p = &work->problem;
-	uint16_t *weights =
-		work->plan->weights + (size_t)service * p->region_count;
-	int64_t total = 0, capacity = 0, nominal;
-	uint32_t i, r, weight;
-
-	add_demand_(work, service);
-	estimate_unseen_(work, service);
-	for (r = 0; r < p->region_count; r++)
-		total += p->demand[r];
+	int64_t claimed[BW_PLAN_REGIONS_MAX];
+	int64_t capacity = 0, nominal;
+	uint32_t i, r;
+
+	add_demand_(work, service, claimed);
+	raise_weights_(work, service, claimed);
+	raise_weights_(work, service, p->demand);
+	estimate_unseen_(work, service, p->demand);
 	for (i = 0; i < p->site_count; i++)
 		capacity += p->capacity[i];
 	nominal = capacity / NOMINAL_DEMAND_DIVISOR + 1;
 	for (r = 0; r < p->region_count; r++) {
-		weight = total ? (uint32_t)((p->demand[r] *
-						     BW_PLAN_WEIGHT_WHOLE +
+		if (p->demand[r] < nominal)
+			p->demand[r] = nominal;
+	}
+}
+
+/*
+ * The weight of a region is the largest that any reading of the reports
+ * implies, so that no reading lets a shift exceed the cap. What is seen is
+ * compared with the whole demand, the unseen part of it included.
+ */
+static void raise_weights_(struct bw_plan_work *work, uint32_t service,
+			   const int64_t *seen)
+{
+	uint32_t regions = work->problem.region_count;
+	uint16_t *weights = work->plan->weights + (size_t)service * regions;
+	int64_t demand[BW_PLAN_REGIONS_MAX];
+	uint32_t r, weight = BW_PLAN_WEIGHT_WHOLE / regions + 1;
+	int64_t total = 0;
+
+	if (!bw_plan_has_effect(work, service))
+		return;
+	memcpy(demand, seen, regions * sizeof(*demand));
+	estimate_unseen_(work, service, demand);
+	for (r = 0; r < regions; r++)
+		total += demand[r];
+	for (r = 0; r < regions; r++) {
+		if (total)
+			weight = (uint32_t)((seen[r] * BW_PLAN_WEIGHT_WHOLE +
 					     total - 1) /
-					    total)
-			       : BW_PLAN_WEIGHT_WHOLE / p->region_count + 1;
+					    total);
 		if (weight > weights[r])
 			weights[r] = (uint16_t)weight;
-		if (p->demand[r] < nominal)
-			p->demand[r] = nominal;
 	}
 }
 
@@ -348,7 +374,8 @@
  * what one claims is limited by what the others imply, so that a wrong report
  * neither displaces the demand of other regions nor makes the plan oscillate.
  */
-static void add_demand_(struct bw_plan_work *work, uint32_t service)
+static void add_demand_(struct bw_plan_work *work, uint32_t service,
+			int64_t *claimed)
 {
 	const struct bw_plan_service *of = &work->plan->services[service];
 	struct bw_plan_problem *p = &work->problem;
@@ -363,10 +390,12 @@
 		const uint16_t *row = p->current + (size_t)r * p->site_count;
 
 		p->demand[r] = 0;
+		claimed[r] = 0;
 		typical = typical_demand_(p, r, claims, scale);
 		for (i = 0; i < of->site_count; i++) {
 			if (!claims[i])
 				continue;
+			claimed[r] += claims[i][r];
 			claim = claims[i][r] * scale[i];
 			limit = typical *
 				(CLAIM_FACTOR * row[i] + CLAIM_EXTRA) /
@@ -442,50 +471,72 @@
 	return implied[i];
 }
 
-bool bw_plan_row_is_unseen(const struct bw_plan_work *work, uint32_t service,
-			   uint32_t region)
+bool bw_plan_has_effect(const struct bw_plan_work *work, uint32_t service)
+{
+	const struct bw_plan_service *of = &work->plan->services[service];
+
+	return !of->last_step_ms ||
+	       work->now_ms - of->last_step_ms >=
+		       (int64_t)work->limits.ttl_ms + BW_PLAN_REPORT_LAG_MS;
+}
+
+uint32_t bw_plan_seen_share(const struct bw_plan_work *work, uint32_t service,
+			    uint32_t region)
 {
 	const struct bw_plan_service *of = &work->plan->services[service];
 	const uint16_t *row = bw_plan_shares(work->plan, service, region);
 	const struct bw_plan_report *report;
-	uint32_t i;
+	uint32_t unseen = 0, i;
 
 	for (i = 0; i < of->site_count; i++) {
 		report =
 			report_of_(work, work->plan->sites[of->site_begin + i]);
-		if (row[i] && report &&
-		    (!report->known ||
-		     report->age_ms > BW_PLAN_REPORT_FRESH_MS))
-			return true;
+		if (report && (!report->known ||
+			       report->age_ms > BW_PLAN_REPORT_FRESH_MS))
+			unseen += row[i];
 	}
-	return false;
+	return BW_PLAN_SHARE_WHOLE - unseen;
 }
 
 /*
- * Demand that goes to domains without reports is not seen. It is assumed to
- * have kept its ratio to the demand of the other regions, so that the callers
- * of a failed region are moved and their moves are counted.
+ * Demand that goes to domains without reports is not seen. A row is assumed to
+ * have kept the demand that it had when it was last seen whole, but no more
+ * than the seen part implies if callers do not fall back to other domains.
+ * After a change of leader the ratio of the weights takes its place.
  */
-static void estimate_unseen_(struct bw_plan_work *work, uint32_t service)
+static void estimate_unseen_(const struct bw_plan_work *work, uint32_t service,
+			     int64_t *demand)
 {
-	struct bw_plan_problem *p = &work->problem;
+	uint32_t regions = work->problem.region_count;
+	uint32_t *known = work->plan->seen_demand + (size_t)service * regions;
 	const uint16_t *weights =
-		work->plan->weights + (size_t)service * p->region_count;
-	bool unseen[BW_PLAN_REGIONS_MAX];
-	int64_t seen_demand = 0, seen_weight = 0, estimate;
+		work->plan->weights + (size_t)service * regions;
+	bool has_effect = bw_plan_has_effect(work, service);
+	uint32_t seen[BW_PLAN_REGIONS_MAX];
+	int64_t seen_demand = 0, seen_weight = 0, estimate, implied;
 	uint32_t r;
 
-	for (r = 0; r < p->region_count; r++) {
-		unseen[r] = bw_plan_row_is_unseen(work, service, r);
-		if (unseen[r])
+	for (r = 0; r < regions; r++) {
+		seen[r] = bw_plan_seen_share(work, service, r);
+		if (seen[r] < BW_PLAN_SHARE_WHOLE)
 			continue;
-		seen_demand += p->demand[r];
+		seen_demand += demand[r];
 		seen_weight += weights[r];
+		if (has_effect)
+			known[r] = (uint32_t)demand[r];
 	}
-	for (r = 0; r < p->region_count && seen_weight; r++) {
-		estimate = seen_demand * weights[r] / seen_weight;
-		if (unseen[r] && p->demand[r] < estimate)
-			p->demand[r] = estimate;
+	for (r = 0; r < regions; r++) {
+		if (seen[r] == BW_PLAN_SHARE_WHOLE)
+			continue;
+		estimate = known[r];
+		if (!estimate && seen_weight)
+			estimate = seen_demand * weights[r] / seen_weight;
+		implied = estimate;
+		if (seen[r] && has_effect)
+			implied = demand[r] * BW_PLAN_SHARE_WHOLE / seen[r];
+		estimate = estimate < implied ? estimate : implied;
+		if (demand[r] < estimate)
+			demand[r] = estimate;
 	}
 }
 
--- a/src/libbwsteer/shift_ledger.c
+++ b/src/libbwsteer/shift_ledger.c
@@ -48,14 +48,6 @@
 	ledger->count++;
 }
 
-void bw_shift_ledger_restamp(struct bw_shift_ledger *ledger, int64_t now_ms)
-{
-	uint32_t i;
-
-	for (i = 0; i < ledger->count; i++)
-		ledger->entries[i].at_ms = now_ms;
-}
-
 struct bw_shift_limits bw_shift_limits_merge(struct bw_shift_limits a,
 					     struct bw_shift_limits b)
 {
--- a/src/test_libbwsteer/plan_model.c
+++ b/src/test_libbwsteer/plan_model.c
@@ -167,6 +167,24 @@
 	}
 }
 
+static void note_seen_(struct model *model)
+{
+	uint32_t s, r, d;
+	bool seen;
+
+	for (s = 0; s < MODEL_SERVICES; s++) {
+		for (r = 0; r < MODEL_REGIONS; r++) {
+			seen = true;
+			for (d = 0; d < MODEL_DOMAINS; d++) {
+				if (model->shares[s][r][d] && model->cut_ms[d])
+					seen = false;
+			}
+			if (seen)
+				model->seen[s][r] = model->demand[s][r];
+		}
+	}
+}
+
 /* The naive planner: nearest free capacity first, all at once. */
 static void plan_naive_(struct model *model)
 {
@@ -297,8 +315,8 @@
 
 				sum += model->shares[s][r][d];
 				amount += abs(change) / 2000.0 *
-					  model->demand[s][r] /
-					  total_(model->demand[s]);
+					  model->seen[s][r] /
+					  total_(model->seen[s]);
 				if (!model->naive && change > 0 &&
 				    model->draining[d] &&
 				    model->received[d].services[s].draining)
@@ -458,6 +476,7 @@
 	deliver_(model);
 	serve_(model);
 	report_(model);
+	note_seen_(model);
 	if (model->naive)
 		plan_naive_(model);
 	else
--- a/src/test_libbwsteer/plan_model.h
+++ b/src/test_libbwsteer/plan_model.h
@@ -36,6 +36,7 @@
 	int64_t settled_ms; /**< from the last disturbance to the last step */
 	double latency_ms; /**< mean, weighted by worth */
 	double unserved_percent; /**< demand without a living domain */
+	uint32_t flaps; /**< domains that failed and returned repeatedly */
 	uint32_t turns; /**< most direction changes of one share */
 };
 
@@ -52,6 +53,9 @@
 	int64_t disturbed_ms;
 	int64_t cut_ms[MODEL_DOMAINS]; /**< reports stopped; 0: arrive */
 	double demand[MODEL_SERVICES][MODEL_REGIONS]; /**< milli-slots */
+	/** Demand when all domains of the row last reported; the cap counts
+	 *  traffic that was ever reported. */
+	double seen[MODEL_SERVICES][MODEL_REGIONS];
 	bool alive[MODEL_DOMAINS];
 	bool cut[MODEL_DOMAINS]; /**< reports do not arrive */
 	bool draining[MODEL_DOMAINS];
