--- a/src/libbwsteer/credit.c
+++ b/src/libbwsteer/credit.c
@@ -176,11 +176,9 @@
 	type = bw_read_uint(&reader);
 	if (status != BW_OK || bw_reader_status(&reader) != BW_OK) {
 		status = BW_EINVAL;
-	} else if (version != BW_CREDIT_VERSION) {
-		status = BW_EVERSION;
-	} else if (type == BW_CREDIT_REQUEST) {
+	} else if (version == BW_CREDIT_VERSION && type == BW_CREDIT_REQUEST) {
 		status = answer_(credit, packet, &reader, now, out);
-	} else if (type == BW_CREDIT_GRANT) {
+	} else if (version == BW_CREDIT_VERSION && type == BW_CREDIT_GRANT) {
 		read_grant_(&reader, &grant);
 		status = bw_reader_status(&reader);
 		if (status == BW_OK)
--- a/src/libbwsteer/plan_step.c
+++ b/src/libbwsteer/plan_step.c
@@ -257,7 +257,7 @@
 	if (!is_worth_it_(&current, &target, of->state != BW_SHIFT_SETTLED))
 		return BW_SHIFT_NO_GAIN;
 	amount = variation_(work, service, NULL);
-	if (amount < BW_SHIFT_WHOLE / BW_PLAN_SHARE_WHOLE)
+	if (amount < (double)BW_SHIFT_WHOLE / BW_PLAN_SHARE_WHOLE)
 		return BW_SHIFT_NO_GAIN;
 	available = bw_shift_ledger_available(&of->ledger, &work->limits,
 					      work->now_ms);
