steer: print the measured size of a record of a request key

Cause: the size of the structure leaves out hash table and heap. Change: test_keys prints the heap bytes of a record.

--- a/src/test_libbwsteer/test_keys.c
+++ b/src/test_libbwsteer/test_keys.c
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -642,6 +643,7 @@
 	uint8_t digest[BW_KEYS_ID_BYTES] = { 1 };
 	uint64_t start_us = bw_clock_us();
 	uint64_t elapsed_us;
+	size_t heap_bytes;
 	uint32_t i;
 
 	(void)state;
@@ -651,6 +653,7 @@
 	a.config.backup_bytes_per_s = UINT32_MAX;
 	bw_outbox_init(&out, 1000);
 	bw_outbox_init(&replies, 1000);
+	heap_bytes = mallinfo2().uordblks;
 	bw_keys_set_backup(&a, "khomas-b-1", b.config.incarnation, now);
 	for (i = 0; i < BENCH_RECORDS; i++) {
 		now.ms = START_MS + i / 10;
@@ -675,8 +678,11 @@
 	elapsed_us = bw_clock_us() - start_us;
 	assert_int_equal(a.owned_pool.records, BENCH_RECORDS);
 	assert_int_equal(b.backup_pool.records, BENCH_RECORDS);
-	printf("record: %zu bytes and its hash table entry\n",
-	       sizeof(struct bw_keys_record));
+	heap_bytes = mallinfo2().uordblks - heap_bytes;
+	printf("record: %zu bytes, %.0f with its empty response, hash table "
+	       "entry and heap overhead\n",
+	       sizeof(struct bw_keys_record),
+	       (double)heap_bytes / (2 * BENCH_RECORDS));
 	printf("%.0f requests/s at owner and backup together (mint, parse, "
 	       "begin, copy, finish, copy)\n",
 	       BENCH_RECORDS * 1e6 / (double)elapsed_us);
