--- a/src/boragewingd/view.c
+++ b/src/boragewingd/view.c
@@ -284,7 +284,7 @@
 {
 	const struct bw_plan *plan = &host->steering.plan;
 	struct bw_shift_limits limits =
-		bw_plan_limits(plan, host_wall_ms(host));
+		bw_plan_limits(plan);
 	const struct bw_plan_service *service;
 	json_t *rows = json_array();
 	uint32_t used;
@@ -293,7 +293,7 @@
 	for (i = 0; i < plan->service_count; i++) {
 		service = &plan->services[i];
 		used = bw_shift_ledger_used(&service->ledger, &limits,
-					    host_wall_ms(host));
+					    plan->clock_ms);
 		json_array_append_new(
 			rows,
 			json_pack("{s:s, s:s, s:f, s:f, s:I, s:o}", "service",
