--- a/src/libbwagree/include/private/replica.h
+++ b/src/libbwagree/include/private/replica.h
@@ -82,6 +82,7 @@
 	int64_t ack_ms; /**< send time of the newest answered packet */
 	int64_t progress_ms; /**< last answer or retransmission */
 	uint32_t in_flight; /**< unanswered packets with entries */
+	bool probing; /**< one packet at a time, until one is accepted */
 	bool in_snapshot; /**< receives the snapshot */
 	uint64_t snapshot_offset;
 	bool pre_vote;
--- a/src/libbwagree/replica_append.c
+++ b/src/libbwagree/replica_append.c
@@ -15,7 +15,9 @@
 static uint64_t chunk_end_(const struct bw_replica *replica, uint64_t from);
 static void send_commit_(struct bw_replica *replica);
 static void reply_(struct bw_replica *replica, const struct replica_head *head,
-		   bool success, uint64_t index, int64_t sent_ms);
+		   bool success, uint64_t index, const struct append *append);
+static bool rejected_(struct replica_peer *peer, uint64_t prev_index,
+		      uint64_t hint);
 static bool matches_(const struct bw_replica *replica,
 		     const struct append *append, uint64_t *hint);
 static bool store_entries_(struct bw_replica *replica, struct bw_reader *reader,
@@ -37,6 +39,7 @@
 
 		memset(peer, 0, sizeof(*peer));
 		peer->next_index = bw_wal_last_index(&replica->wal) + 1;
+		peer->probing = true;
 		peer->ack_ms = REPLICA_NEVER_MS;
 		peer->progress_ms = replica->now_ms;
 	}
@@ -95,6 +98,7 @@
 		/* Nothing was answered: send again from what is certain. */
 		peer->next_index = peer->match_index + 1;
 		peer->in_flight = 0;
+		peer->probing = true;
 		peer->progress_ms = replica->now_ms;
 	}
 	replica_term_at(replica, peer->next_index - 1, &known);
@@ -103,13 +107,15 @@
 			replica_send_snapshot(replica, place);
 		return;
 	}
-	while (peer->next_index <= last && peer->in_flight < REPLICA_WINDOW) {
+	while (peer->next_index <= last &&
+	       peer->in_flight < (peer->probing ? 1 : REPLICA_WINDOW)) {
 		uint64_t end = chunk_end_(replica, peer->next_index);
 
 		write_append_(replica, place, end);
 		if (!peer->in_flight++)
 			peer->progress_ms = replica->now_ms;
-		peer->next_index = end + 1;
+		if (!peer->probing)
+			peer->next_index = end + 1;
 		heartbeat = false;
 	}
 	if (heartbeat)
@@ -172,14 +178,14 @@
 	if (reader->failed)
 		return;
 	if (head->term < replica->meta.term) {
-		reply_(replica, head, false, 0, append.sent_ms);
+		reply_(replica, head, false, 0, &append);
 		return;
 	}
 	replica_follow(replica, head->term, head->peer);
 	if (replica->role == BW_REPLICA_FAILED)
 		return;
 	if (!matches_(replica, &append, &hint)) {
-		reply_(replica, head, false, hint, append.sent_ms);
+		reply_(replica, head, false, hint, &append);
 		return;
 	}
 	if (!store_entries_(replica, reader, append.prev_index + 1,
@@ -194,7 +200,7 @@
 		replica->commit_index = append.commit_index;
 		replica_apply(replica);
 	}
-	reply_(replica, head, true, last_index, append.sent_ms);
+	reply_(replica, head, true, last_index, &append);
 }
 
 void replica_receive_append_reply(struct bw_replica *replica,
@@ -203,6 +209,7 @@
 {
 	bool success = bw_read_bool(reader);
 	uint64_t index = bw_read_uint(reader);
+	uint64_t prev_index = bw_read_uint(reader);
 	int64_t sent_ms = bw_read_int(reader);
 	int place = replica_find_member(replica, head->peer, head->from);
 	struct replica_peer *peer;
@@ -215,16 +222,13 @@
 		peer->ack_ms = sent_ms;
 	peer->progress_ms = replica->now_ms;
 	if (!success) {
-		if (index + 1 < peer->next_index)
-			peer->next_index = index + 1;
-		if (peer->next_index <= peer->match_index)
-			peer->next_index = peer->match_index + 1;
-		peer->in_flight = 0;
-		replica_send_append(replica, (uint32_t)place, false);
+		if (rejected_(peer, prev_index, index))
+			replica_send_append(replica, (uint32_t)place, true);
 		return;
 	}
 	if (index > bw_wal_last_index(&replica->wal))
 		return;
+	peer->probing = false;
 	if (peer->in_flight)
 		peer->in_flight--;
 	if (index > peer->match_index)
@@ -297,19 +301,38 @@
 }
 
 static void reply_(struct bw_replica *replica, const struct replica_head *head,
-		   bool success, uint64_t index, int64_t sent_ms)
+		   bool success, uint64_t index, const struct append *append)
 {
 	struct bw_buffer buffer;
 	struct bw_writer writer;
 
 	replica_write_head(replica, &buffer, &writer, REPLICA_APPEND_REPLY,
-			   head->from, 3);
+			   head->from, 4);
 	bw_write_bool(&writer, success);
 	bw_write_uint(&writer, index);
-	bw_write_int(&writer, sent_ms);
+	bw_write_uint(&writer, append->prev_index);
+	bw_write_int(&writer, append->sent_ms);
 	replica_send(replica, head->peer, &buffer, &writer);
 }
 
+/*
+ * Takes a refusal. One that is older than what is known is ignored: a resend
+ * for each delayed refusal multiplies packets without end.
+ */
+static bool rejected_(struct replica_peer *peer, uint64_t prev_index,
+		      uint64_t hint)
+{
+	if (prev_index <= peer->match_index || prev_index >= peer->next_index ||
+	    (peer->probing && prev_index + 1 != peer->next_index))
+		return false;
+	peer->next_index = (hint < prev_index ? hint : prev_index - 1) + 1;
+	if (peer->next_index <= peer->match_index)
+		peer->next_index = peer->match_index + 1;
+	peer->probing = true;
+	peer->in_flight = 0;
+	return true;
+}
+
 /*
  * Returns whether the entry before the new ones is the leader's; committed
  * ones always are. hint receives the last index that may agree.
--- a/src/libbwagree/replica_member.c
+++ b/src/libbwagree/replica_member.c
@@ -102,10 +102,12 @@
 	enum bw_status status;
 
 	if (reader->failed || replica->role != BW_REPLICA_UNINITIALISED ||
-	    !names_voter_(data, size_bytes, replica->host,
-			  replica->meta.disk_incarnation))
+	    (size_bytes && !names_voter_(data, size_bytes, replica->host,
+					 replica->meta.disk_incarnation)))
 		return;
-	status = bw_wal_append(&replica->wal, term, data, size_bytes);
+	status = size_bytes
+			 ? bw_wal_append(&replica->wal, term, data, size_bytes)
+			 : BW_OK;
 	if (status != BW_OK) {
 		replica_fail(replica, status);
 		return;
@@ -257,24 +259,33 @@
 /*
  * An empty disk does not vote, so that before the first commit no leader
  * might bring it the group. Any member may: the first entry is the same
- * everywhere, and it names the disk incarnations that it is meant for.
+ * everywhere, and it names the disk incarnations that it is meant for. Once
+ * that entry is compacted, the group's id is enough: a voter's disk that was
+ * never lost has acknowledged nothing, and may vote with an empty log.
  */
 static void send_seed_(struct bw_replica *replica,
 		       const struct replica_head *head)
 {
 	const struct bw_wal_entry *entry = bw_wal_entry(&replica->wal, 1);
+	struct bw_group group = replica->state.group;
+	const struct bw_group_member *member =
+		bw_group_find(&group, head->peer);
 	struct bw_buffer buffer;
 	struct bw_writer writer;
 
-	if (!entry || replica->wal.synced_index < 1 ||
-	    replica->role == BW_REPLICA_UNINITIALISED ||
-	    !names_voter_(entry->data, entry->size_bytes, head->peer,
-			  head->from))
+	if (replica->role == BW_REPLICA_UNINITIALISED ||
+	    replica->wal.synced_index < 1)
+		return;
+	if (entry ? !names_voter_(entry->data, entry->size_bytes, head->peer,
+				  head->from)
+		  : !member || member->disk_incarnation != head->from ||
+			    member->kind != BW_MEMBER_VOTER)
 		return;
 	replica_write_head(replica, &buffer, &writer, REPLICA_SEED, head->from,
 			   2);
-	bw_write_uint(&writer, entry->term);
-	bw_write_bin(&writer, entry->data, entry->size_bytes);
+	bw_write_uint(&writer, entry ? entry->term : 0);
+	bw_write_bin(&writer, entry ? entry->data : NULL,
+		     entry ? entry->size_bytes : 0);
 	replica_send(replica, head->peer, &buffer, &writer);
 }
 
--- a/src/libbwagree/replica_store.c
+++ b/src/libbwagree/replica_store.c
@@ -170,6 +170,7 @@
 			continue;
 		}
 		peers[i].next_index = bw_wal_last_index(&replica->wal) + 1;
+		peers[i].probing = true;
 		peers[i].ack_ms = REPLICA_NEVER_MS;
 		peers[i].progress_ms = replica->now_ms;
 	}
--- a/src/libbwagree/replica_transfer.c
+++ b/src/libbwagree/replica_transfer.c
@@ -19,7 +19,7 @@
 	size_t size_bytes;
 };
 
-static bool load_outgoing_(struct bw_replica *replica, bool in_use);
+static bool load_outgoing_(struct bw_replica *replica, bool under_way);
 static bool others_in_snapshot_(const struct bw_replica *replica,
 				uint32_t place);
 static void reply_(struct bw_replica *replica, const struct replica_head *head,
@@ -38,8 +38,7 @@
 	struct bw_writer writer;
 	size_t size_bytes;
 
-	if (!load_outgoing_(replica, others_in_snapshot_(replica, place) ||
-					     peer->in_snapshot))
+	if (!load_outgoing_(replica, peer->in_snapshot))
 		return;
 	if (!peer->in_snapshot ||
 	    peer->snapshot_offset > snapshot->payload.size_bytes)
@@ -107,6 +106,7 @@
 	int64_t sent_ms = bw_read_int(reader);
 	int place = replica_find_member(replica, head->peer, head->from);
 	struct replica_peer *peer;
+	bool progress;
 
 	if (reader->failed || place < 0 || replica->role != BW_REPLICA_LEADER ||
 	    head->term != replica->meta.term)
@@ -118,11 +118,14 @@
 	if (!peer->in_snapshot || index != replica->outgoing.index)
 		return;
 	if (offset < replica->outgoing.payload.size_bytes) {
-		/* A duplicate of an earlier reply sends nothing again. */
-		if (offset == peer->snapshot_offset && offset)
-			return;
+		/*
+		 * Only progress sends at once; what has to start again waits
+		 * for the heartbeat, so that duplicates do not multiply.
+		 */
+		progress = offset > peer->snapshot_offset;
 		peer->snapshot_offset = offset;
-		replica_send_snapshot(replica, (uint32_t)place);
+		if (progress)
+			replica_send_snapshot(replica, (uint32_t)place);
 		return;
 	}
 	peer->in_snapshot = false;
@@ -137,14 +140,21 @@
 		replica_send_append(replica, (uint32_t)place, false);
 }
 
-/* Keeps the snapshot that is being sent, although a newer one may exist. */
-static bool load_outgoing_(struct bw_replica *replica, bool in_use)
+/*
+ * A transfer under way keeps its snapshot. A new one takes the newest, since
+ * the log may no longer continue an older one; the others start again with it.
+ */
+static bool load_outgoing_(struct bw_replica *replica, bool under_way)
 {
 	enum bw_status status;
+	uint32_t i;
 
-	if (replica->outgoing.index && in_use)
+	if (replica->outgoing.index &&
+	    (under_way || replica->outgoing.index == replica->snapshot_index))
 		return true;
 	status = bw_snapshot_load(replica->storage, &replica->outgoing);
+	for (i = 0; i < replica->group.count; i++)
+		replica->peers[i].snapshot_offset = 0;
 	if (status == BW_OK && replica->outgoing.index)
 		return true;
 	replica_fail(replica, status == BW_OK ? BW_ENOTFOUND : status);
--- a/src/libbwagree/wal.c
+++ b/src/libbwagree/wal.c
@@ -279,16 +279,25 @@
 	return BW_OK;
 }
 
-/* Segments that end before the snapshot's last entry are left unread. */
+/*
+ * Segments that end before the snapshot's last entry are left unread. They
+ * are removed: behind a later reset they would look like a gap in the log.
+ */
 static enum bw_status read_segments_(struct bw_wal *wal, uint64_t skip_before)
 {
 	struct bw_buffer bytes;
+	char name[BW_FILE_NAME_MAX];
 	enum bw_status status = BW_OK;
 	uint32_t i = 0;
 
-	while (i + 1 < wal->segment_count &&
-	       wal->segments[i + 1].first_index <= skip_before)
+	while (i + 1 < wal->segment_count && status == BW_OK &&
+	       wal->segments[i + 1].first_index <= skip_before) {
+		segment_name_(name, wal->segments[i].first_index);
+		status = bw_storage_remove(wal->storage, name);
 		i++;
+	}
+	if (i && status == BW_OK)
+		status = bw_storage_sync_folder(wal->storage);
 	if (i) {
 		memmove(wal->segments, wal->segments + i,
 			(wal->segment_count - i) * sizeof(*wal->segments));
--- a/src/test_libbwagree/test_replica_random.c
+++ b/src/test_libbwagree/test_replica_random.c
@@ -156,6 +156,23 @@
 	totals->lease_checks += sim->lease_checks;
 }
 
+static void print_hosts_(const struct sim *sim)
+{
+	int i;
+
+	for (i = 0; i < sim->host_count; i++) {
+		json_t *object = json_object();
+		char *text;
+
+		if (sim->hosts[i].replica)
+			bw_replica_dump(sim->hosts[i].replica, object);
+		text = json_dumps(object, JSON_COMPACT);
+		print_message("%s %s\n", sim->hosts[i].name, text);
+		free(text);
+		json_decref(object);
+	}
+}
+
 static void run_seed_(uint64_t seed, struct totals *totals)
 {
 	struct sim sim;
@@ -185,6 +202,8 @@
 		sim_check_end(&sim);
 	add_totals_(totals, &sim);
 	memcpy(error, sim.error, sizeof(error));
+	if (error[0])
+		print_hosts_(&sim);
 	sim_finish(&sim);
 	if (error[0])
 		fail_msg("seed %llu: %s", (unsigned long long)seed, error);
