--- /dev/null
+++ b/src/test_libbwagree/test_replica.c
@@ -0,0 +1,203 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "script.h"
+#include "sim.h"
+
+#define SEED 1
+#define ANSWER_MS 100
+
+/** The group of one script. */
+struct bench {
+	struct sim sim;
+	bool open;
+	uint64_t term; /**< at the last "term" */
+};
+
+static struct bw_replica *replica_(struct bench *bench, const char *name)
+{
+	return bench->sim.hosts[name[0] - 'a'].replica;
+}
+
+static void group_(struct bench *bench, char **argv)
+{
+	int i;
+
+	sim_init(&bench->sim, SEED, atoi(argv[1]), atoi(argv[2]));
+	bench->open = true;
+	for (i = 0; i < bench->sim.host_count; i++)
+		sim_start(&bench->sim, i);
+}
+
+static void show_(struct bench *bench, struct bw_buffer *out)
+{
+	static const char kinds[] = { 'v', 'l', 'p' };
+	struct bw_replica_member members[BW_GROUP_MAX];
+	struct bw_time now = { bench->sim.now_ms };
+	int leader = sim_leader(&bench->sim);
+	uint32_t count = 0;
+	uint32_t i;
+
+	bw_buffer_printf(out, "leader %s voters",
+			 leader < 0 ? "-" : bench->sim.names[leader]);
+	if (leader >= 0)
+		count = bw_replica_members(bench->sim.hosts[leader].replica,
+					   now, members);
+	for (i = 0; i < count; i++)
+		bw_buffer_printf(out, " %s:%c", members[i].member.host,
+				 kinds[members[i].member.kind]);
+	bw_buffer_printf(out, "\n");
+}
+
+static void submit_(struct bench *bench, char **argv, struct bw_buffer *out)
+{
+	struct sim *sim = &bench->sim;
+	uint64_t repeated = sim->repeated_answers;
+	struct sim_submission *s = sim_submit(sim, argv[1][0] - 'a', argv[2],
+					      strtoull(argv[3], NULL, 10),
+					      (uint8_t)atoi(argv[4]));
+
+	if (!s) {
+		bw_buffer_printf(out, "no leader\n");
+		return;
+	}
+	sim_run(sim, ANSWER_MS);
+	if (!s->answered)
+		bw_buffer_printf(out, "pending\n");
+	else
+		bw_buffer_printf(out, "%s %d%s\n",
+				 bw_outcome_kind_string[s->answer.kind],
+				 (int)s->answer.revision,
+				 sim->repeated_answers > repeated ? " repeated"
+								  : "");
+}
+
+static void add_(struct bench *bench, char **argv, struct bw_buffer *out)
+{
+	struct bw_time now = { bench->sim.now_ms };
+	enum bw_status status = bw_replica_add(replica_(bench, argv[1]),
+					       argv[2],
+					       !strcmp(argv[3], "voter"), now);
+
+	bw_buffer_printf(out, "%s\n", bw_status_string[status]);
+}
+
+static void add_rest_(struct bench *bench, const char *leader)
+{
+	int i;
+
+	for (i = 5; i < bench->sim.host_count; i++) {
+		struct bw_time now = { bench->sim.now_ms };
+
+		assert_int_equal(bw_replica_add(replica_(bench, leader),
+						bench->sim.names[i], false,
+						now),
+				 BW_OK);
+		sim_run(&bench->sim, 300);
+	}
+}
+
+static void term_(struct bench *bench, struct bw_buffer *out)
+{
+	int leader = sim_leader(&bench->sim);
+	uint64_t term =
+		leader < 0 ? 0
+			   : bw_replica_term(bench->sim.hosts[leader].replica);
+
+	bw_buffer_printf(out, "%s\n",
+			 !bench->term
+				 ? "first"
+				 : (term == bench->term ? "same" : "changed"));
+	bench->term = term;
+}
+
+static void command_(void *context, int argc, char **argv,
+		     struct bw_buffer *out)
+{
+	struct bench *bench = context;
+	struct sim *sim = &bench->sim;
+	int host = argc > 1 ? argv[1][0] - 'a' : 0;
+
+	if (!strcmp(argv[0], "group")) {
+		group_(bench, argv);
+	} else if (!strcmp(argv[0], "run")) {
+		sim_run(sim, atoi(argv[1]));
+		show_(bench, out);
+	} else if (!strcmp(argv[0], "submit")) {
+		submit_(bench, argv, out);
+	} else if (!strcmp(argv[0], "crash")) {
+		sim_crash(sim, host, false);
+	} else if (!strcmp(argv[0], "lose")) {
+		sim_lose_disk(sim, host);
+	} else if (!strcmp(argv[0], "start")) {
+		sim_start(sim, host);
+	} else if (!strcmp(argv[0], "add")) {
+		add_(bench, argv, out);
+	} else if (!strcmp(argv[0], "addrest")) {
+		add_rest_(bench, argv[1]);
+	} else if (!strcmp(argv[0], "changes")) {
+		bw_buffer_printf(out, "%u\n", sim->hosts[host].group_changes);
+	} else if (!strcmp(argv[0], "term")) {
+		term_(bench, out);
+	} else if (!strcmp(argv[0], "remove")) {
+		struct bw_time now = { sim->now_ms };
+
+		bw_buffer_printf(
+			out, "%s\n",
+			bw_status_string[bw_replica_remove(
+				replica_(bench, argv[1]), argv[2], now)]);
+	} else if (!strcmp(argv[0], "revision")) {
+		bw_buffer_printf(out, "%d\n",
+				 (int)bw_replica_state(replica_(bench, argv[1]))
+					 ->revision);
+	} else {
+		fail_msg("unknown command %s", argv[0]);
+	}
+	if (sim->error[0])
+		fail_msg("%s", sim->error);
+}
+
+static void run_script_(const char *path)
+{
+	struct bench bench = { .open = false };
+
+	script_check(path, command_, &bench);
+	if (bench.open)
+		sim_finish(&bench.sim);
+}
+
+static void test_single(void **state)
+{
+	(void)state;
+	run_script_("src/test_libbwagree/scripts/single.script");
+}
+
+static void test_replace(void **state)
+{
+	(void)state;
+	run_script_("src/test_libbwagree/scripts/replace.script");
+}
+
+static void test_members(void **state)
+{
+	(void)state;
+	run_script_("src/test_libbwagree/scripts/members.script");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_single),
+		cmocka_unit_test(test_replace),
+		cmocka_unit_test(test_members),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
