Test the lease rules of bwagree and single broken links

Change: lease.script breaks one link and restarts a voter again and again; the random test also breaks single links.

--- a/src/test_libbwagree/test_replica.c
+++ b/src/test_libbwagree/test_replica.c
@@ -144,6 +144,19 @@
 		add_rest_(bench, argv[1]);
 	} else if (!strcmp(argv[0], "changes")) {
 		bw_buffer_printf(out, "%u\n", sim->hosts[host].group_changes);
+	} else if (!strcmp(argv[0], "cut") || !strcmp(argv[0], "join")) {
+		bool cut = argv[0][0] == 'c';
+
+		sim->cut[host][argv[2][0] - 'a'] = cut;
+		sim->cut[argv[2][0] - 'a'][host] = cut;
+	} else if (!strcmp(argv[0], "restarts")) {
+		int i;
+
+		for (i = 0; i < atoi(argv[2]); i++) {
+			sim_crash(sim, host, false);
+			sim_start(sim, host);
+			sim_run(sim, atoi(argv[3]));
+		}
 	} else if (!strcmp(argv[0], "term")) {
 		term_(bench, out);
 	} else if (!strcmp(argv[0], "remove")) {
@@ -185,6 +198,12 @@
 	run_script_("src/test_libbwagree/scripts/replace.script");
 }
 
+static void test_lease(void **state)
+{
+	(void)state;
+	run_script_("src/test_libbwagree/scripts/lease.script");
+}
+
 static void test_members(void **state)
 {
 	(void)state;
@@ -196,6 +215,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_single),
 		cmocka_unit_test(test_replace),
+		cmocka_unit_test(test_lease),
 		cmocka_unit_test(test_members),
 	};
 
--- a/src/test_libbwagree/test_replica_random.c
+++ b/src/test_libbwagree/test_replica_random.c
@@ -72,6 +72,17 @@
 	uint32_t side = (uint32_t)bw_random_next(&sim->random);
 	bool one_way = pick_(sim, 4) == 0;
 
+	if (pick_(sim, 3) == 0) {
+		/*
+		 * One broken link: both ends reach the others, which is what
+		 * it takes for an election during a valid lease.
+		 */
+		from = pick_(sim, sim->host_count);
+		to = pick_(sim, sim->host_count);
+		sim->cut[from][to] = true;
+		sim->cut[to][from] = true;
+		return;
+	}
 	for (from = 0; from < sim->host_count; from++) {
 		for (to = 0; to < sim->host_count; to++) {
 			bool apart = ((side >> from) & 1) != ((side >> to) & 1);
