Enforce deadlines while a call waits for a connection

A request refused some time after its head lost its response if the body was above 1 MiB. Change: an ev_timer per call; a request paused at its head is held before its body is read and before "100 Continue"; tests of both, of HEAD, of TLS, and of cancelling from events.

--- a/include/bwproxy/frontend.h
+++ b/include/bwproxy/frontend.h
@@ -147,9 +147,11 @@
 void *bw_request_user(const struct bw_request *request);
 
 /**
- * Stops the delivery of BODY and BODY_END until resume. The bytes given by
- * the current BODY event are consumed. Memory is bounded by the connection's
- * buffer; the caller is slowed down by TCP.
+ * Stops the delivery of BODY and BODY_END until resume. When called from HEAD,
+ * nothing of the body is read, and "100 Continue" is not sent before resume;
+ * a response given meanwhile reaches the caller whatever the body's size. The
+ * bytes given by the current BODY event are consumed. Memory is bounded by the
+ * connection's buffer; the caller is slowed down by TCP.
  */
 void bw_request_pause(struct bw_request *request);
 /** Resumes the delivery of the body. */
--- a/src/libbwproxy/call.c
+++ b/src/libbwproxy/call.c
@@ -19,8 +19,7 @@
 static enum bw_status set_fields_(struct bw_call *call,
 				  const struct bw_upstream_request *request);
 static enum bw_status add_field_(struct bw_call *call, const char *line);
-static bool given_(const struct bw_upstream_request *request,
-		   const char *name);
+static bool given_(const struct bw_upstream_request *request, const char *name);
 static void set_method_(struct bw_call *call,
 			const struct bw_upstream_request *request);
 static void set_callbacks_(struct bw_call *call);
@@ -83,6 +82,8 @@
 		return BW_UPSTREAM_CANCELLED;
 	if (call->bad_request_body)
 		return BW_UPSTREAM_INTERNAL;
+	if (call->late)
+		return BW_UPSTREAM_TIMEOUT;
 	if (call->bad_response)
 		return BW_UPSTREAM_BAD_RESPONSE;
 	if (call->resend_refused)
@@ -372,7 +373,8 @@
 	if (!call->status_code || !colon || colon == line ||
 	    memchr(line, '\0', size))
 		return false;
-	for (value = colon + 1; value < end && (*value == ' ' || *value == '\t');)
+	for (value = colon + 1;
+	     value < end && (*value == ' ' || *value == '\t');)
 		value++;
 	while (end > value && strchr("\r\n \t", end[-1]))
 		end--;
--- a/src/libbwproxy/frontend.c
+++ b/src/libbwproxy/frontend.c
@@ -32,8 +32,7 @@
 			     int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void on_leave_(struct ev_loop *loop, ev_io *watcher, int events);
-static void on_deferred_(struct ev_loop *loop, ev_prepare *watcher,
-			 int events);
+static void on_deferred_(struct ev_loop *loop, ev_prepare *watcher, int events);
 static void on_connection_(void *context, struct MHD_Connection *connection,
 			   void **slot,
 			   enum MHD_ConnectionNotificationCode code);
@@ -190,11 +189,11 @@
 	int fd = socket_open_(config);
 	struct sockaddr_in bound;
 	socklen_t bound_size = sizeof(bound);
-	struct MHD_OptionItem tls[] = {
-		{ MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)config->certificate_pem },
-		{ MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)config->key_pem },
-		{ MHD_OPTION_END, 0, NULL }
-	};
+	struct MHD_OptionItem tls[] = { { MHD_OPTION_HTTPS_MEM_CERT, 0,
+					  (void *)config->certificate_pem },
+					{ MHD_OPTION_HTTPS_MEM_KEY, 0,
+					  (void *)config->key_pem },
+					{ MHD_OPTION_END, 0, NULL } };
 	struct MHD_OptionItem plain[] = { { MHD_OPTION_END, 0, NULL } };
 
 	if (fd < 0)
--- a/src/libbwproxy/http.c
+++ b/src/libbwproxy/http.c
@@ -9,11 +9,9 @@
 static bool token_char_(unsigned char c);
 
 static const char *const hop_by_hop_[] = {
-	"Connection",	    "Content-Length",
-	"Expect",	    "Keep-Alive",
-	"Proxy-Connection", "TE",
-	"Trailer",	    "Transfer-Encoding",
-	"Upgrade",
+	"Connection", "Content-Length",	   "Expect",
+	"Keep-Alive", "Proxy-Connection",  "TE",
+	"Trailer",    "Transfer-Encoding", "Upgrade",
 };
 
 bool bw_http_name_valid(const char *name)
--- a/src/libbwproxy/include/private/frontend_private.h
+++ b/src/libbwproxy/include/private/frontend_private.h
@@ -43,7 +43,8 @@
 	struct listener listeners[BW_FRONTEND_LISTENERS_MAX];
 	uint32_t listener_count;
 	struct bw_request *requests; /**< all, doubly linked */
-	struct bw_request *wake; /**< requests to look at in the deferred pass */
+	struct bw_request
+		*wake; /**< requests to look at in the deferred pass */
 	ev_prepare deferred; /**< never started, only fed */
 	int leave_fd; /**< epoll descriptor that reports closed callers */
 	ev_io leave_io;
@@ -78,6 +79,7 @@
 	int fd;
 	ev_timer receive_timer;
 	bool head_seen;
+	bool head_held; /**< suspended between head and body */
 	bool announced; /**< HEAD delivered */
 	bool body_ended; /**< BODY_END delivered */
 	bool paused;
--- a/src/libbwproxy/include/private/upstream_private.h
+++ b/src/libbwproxy/include/private/upstream_private.h
@@ -37,6 +37,9 @@
 	struct curl_slist *fields;
 	struct curl_slist *connect_to; /**< set for TLS only */
 	struct bw_time deadline;
+	ev_timer timer; /**< deadline; libcurl does not apply its own to a call
+			 that waits for a connection */
+	bool late; /**< timer has fired */
 	enum bw_upstream_body body_kind;
 	struct bw_buffer body; /**< COMPLETE */
 	size_t body_at; /**< bytes of body handed to libcurl */
--- a/src/libbwproxy/request.c
+++ b/src/libbwproxy/request.c
@@ -22,6 +22,7 @@
 
 static enum MHD_Result on_head_(struct bw_request *request, const char *method,
 				const char *version);
+static enum MHD_Result after_head_(struct bw_request *request);
 static enum MHD_Result on_body_(struct bw_request *request, const char *data,
 				size_t *size_bytes);
 static enum MHD_Result on_end_(struct bw_request *request);
@@ -99,6 +100,8 @@
 		return MHD_NO;
 	if (!request->head_seen)
 		return on_head_(request, method, version);
+	if (request->head_held)
+		return after_head_(request);
 	if (*upload_size_bytes)
 		return on_body_(request, upload_data, upload_size_bytes);
 	return on_end_(request);
@@ -126,8 +129,8 @@
 		state->since = bw_clock_now(&clock);
 	}
 	ev_timer_stop(frontend->loop, &request->receive_timer);
-	sent = code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
-	       request->queued && !request->dead;
+	sent = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && request->queued &&
+	       !request->dead;
 	if (request->announced) {
 		epoll_ctl(frontend->leave_fd, EPOLL_CTL_DEL, request->fd, NULL);
 		if (!sent && !request->dead) {
@@ -228,8 +231,8 @@
 	return NULL;
 }
 
-const struct bw_http_header *bw_request_headers(const struct bw_request *request,
-						size_t *count)
+const struct bw_http_header *
+bw_request_headers(const struct bw_request *request, size_t *count)
 {
 	*count = request->header_count;
 	return request->headers;
@@ -258,7 +261,8 @@
 	request->paused = false;
 	if (request->dead)
 		return;
-	start_receive_timer_(request);
+	if (request->head_seen && request->content_length)
+		start_receive_timer_(request);
 	request_wake_(request);
 }
 
@@ -412,12 +416,26 @@
 		refuse_(request, refusal);
 	else
 		announce_(request);
+	return after_head_(request);
+}
+
+/* Decides what follows the head. A paused request with a body is held before
+ * MHD reads it or sends "100 Continue", so that it can still be answered. */
+static enum MHD_Result after_head_(struct bw_request *request)
+{
+	request->head_held = false;
 	if (request->broken)
 		return MHD_NO;
-	if (request->kind != RESPONSE_NONE && must_answer_early_(request))
-		return queue_(request);
-	if (request->content_length && !request->paused)
-		start_receive_timer_(request);
+	if (request->kind != RESPONSE_NONE)
+		return must_answer_early_(request) ? queue_(request) : MHD_YES;
+	if (!request->content_length)
+		return MHD_YES;
+	if (request->paused) {
+		request->head_held = true;
+		suspend_(request);
+		return MHD_YES;
+	}
+	start_receive_timer_(request);
 	return MHD_YES;
 }
 
@@ -474,8 +492,7 @@
 			return MHD_YES;
 		}
 		request->body_ended = true;
-		ev_timer_stop(request->frontend->loop,
-			      &request->receive_timer);
+		ev_timer_stop(request->frontend->loop, &request->receive_timer);
 		emit_(request, BW_FRONTEND_BODY_END, NULL, 0, false);
 	}
 	if (request->broken)
@@ -539,8 +556,8 @@
 	struct bw_http_header *headers;
 
 	(void)kind;
-	headers = realloc(request->headers, (request->header_count + 1) *
-						    sizeof(*headers));
+	headers = realloc(request->headers,
+			  (request->header_count + 1) * sizeof(*headers));
 	if (!headers) {
 		request->header_count = SIZE_MAX;
 		return MHD_NO;
@@ -602,7 +619,8 @@
 	int length;
 	enum bw_status status;
 
-	length = snprintf(text, sizeof(text), "{\"error\":\"refused\",\"status\":%u}\n",
+	length = snprintf(text, sizeof(text),
+			  "{\"error\":\"refused\",\"status\":%u}\n",
 			  status_code);
 	/* Body bytes may have been passed on when the request is known. */
 	status = bw_request_respond(request, status_code, &not_run,
@@ -673,8 +691,7 @@
 
 	for (i = 0; i < count; i++) {
 		/* MHD refuses empty values; they carry nothing. */
-		if (bw_http_hop_by_hop(headers[i].name) ||
-		    !headers[i].value[0])
+		if (bw_http_hop_by_hop(headers[i].name) || !headers[i].value[0])
 			continue;
 		if (MHD_add_response_header(response, headers[i].name,
 					    headers[i].value) != MHD_YES)
--- a/src/libbwproxy/ring.c
+++ b/src/libbwproxy/ring.c
@@ -23,7 +23,8 @@
 
 size_t bw_ring_write(struct bw_ring *ring, const void *data, size_t size_bytes)
 {
-	size_t count = min_(size_bytes, ring->capacity_bytes - ring->size_bytes);
+	size_t count =
+		min_(size_bytes, ring->capacity_bytes - ring->size_bytes);
 	size_t end;
 	size_t first;
 
--- a/src/libbwproxy/upstream.c
+++ b/src/libbwproxy/upstream.c
@@ -21,8 +21,8 @@
 static int on_timer_(CURLM *multi, long timeout_ms, void *context);
 static void on_io_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_timeout_(struct ev_loop *loop, ev_timer *watcher, int events);
-static void on_deferred_(struct ev_loop *loop, ev_prepare *watcher,
-			 int events);
+static void on_deferred_(struct ev_loop *loop, ev_prepare *watcher, int events);
+static void on_deadline_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void act_(struct bw_upstream *upstream, curl_socket_t fd, int events);
 static void collect_(struct bw_upstream *upstream);
 static void look_at_(struct bw_call *call);
@@ -37,12 +37,9 @@
 				const struct bw_upstream_request *request);
 
 const char *const bw_upstream_event_string[BW_UPSTREAM_EVENT_COUNT] = {
-	[BW_UPSTREAM_CONNECTED] = "connected",
-	[BW_UPSTREAM_HEAD] = "head",
-	[BW_UPSTREAM_BODY] = "body",
-	[BW_UPSTREAM_ROOM] = "room",
-	[BW_UPSTREAM_COMPLETE] = "complete",
-	[BW_UPSTREAM_FAILED] = "failed",
+	[BW_UPSTREAM_CONNECTED] = "connected", [BW_UPSTREAM_HEAD] = "head",
+	[BW_UPSTREAM_BODY] = "body",	       [BW_UPSTREAM_ROOM] = "room",
+	[BW_UPSTREAM_COMPLETE] = "complete",   [BW_UPSTREAM_FAILED] = "failed",
 };
 
 const char *const bw_upstream_cause_string[BW_UPSTREAM_CAUSE_COUNT] = {
@@ -139,6 +136,8 @@
 	if (new->next)
 		new->next->previous = new;
 	upstream->calls = new;
+	ev_init(&new->timer, on_deadline_);
+	new->timer.data = new;
 	upstream->counters.active++;
 	status = set_body_(new, request);
 	if (status == BW_OK)
@@ -148,6 +147,9 @@
 		return status;
 	}
 	upstream->counters.calls++;
+	ev_now_update(upstream->loop);
+	ev_timer_set(&new->timer, request->deadline_ms / MS_PER_S, 0.);
+	ev_timer_start(upstream->loop, &new->timer);
 	call_work_(new);
 	*call = new;
 	return BW_OK;
@@ -302,6 +304,16 @@
 	act_(watcher->data, CURL_SOCKET_TIMEOUT, 0);
 }
 
+static void on_deadline_(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	struct bw_call *call = watcher->data;
+
+	(void)loop;
+	(void)events;
+	call->late = true;
+	finish_(call, CURLE_OPERATION_TIMEDOUT);
+}
+
 static void act_(struct bw_upstream *upstream, curl_socket_t fd, int events)
 {
 	int running;
@@ -402,11 +414,10 @@
 	event.bytes_sent = call->sent;
 	if (event.cause != BW_UPSTREAM_CAUSE_NONE) {
 		event.kind = BW_UPSTREAM_FAILED;
-		event.reused_closed =
-			call->resend_refused ||
-			(event.cause == BW_UPSTREAM_RESET &&
-			 call->sent && !call->opened_socket &&
-			 !call->head_bytes);
+		event.reused_closed = call->resend_refused ||
+				      (event.cause == BW_UPSTREAM_RESET &&
+				       call->sent && !call->opened_socket &&
+				       !call->head_bytes);
 	}
 	call_emit_(call, &event);
 	free_(call);
@@ -431,6 +442,7 @@
 	else
 		upstream->calls = call->next;
 	upstream->counters.active--;
+	ev_timer_stop(upstream->loop, &call->timer);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->fields);
 	curl_slist_free_all(call->connect_to);
@@ -447,8 +459,7 @@
 	       (!request->source || address_valid_(request->source)) &&
 	       bw_http_name_valid(request->method) &&
 	       bw_http_target_valid(request->target) &&
-	       bw_http_headers_valid(request->headers,
-				     request->header_count) &&
+	       bw_http_headers_valid(request->headers, request->header_count) &&
 	       request->deadline_ms && body_valid_(request) &&
 	       !request->tls_trust_pem == !request->tls_name;
 }
--- a/src/test_libbwproxy/harness.c
+++ b/src/test_libbwproxy/harness.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "bwbase/clock.h"
+#include "bwbase/yaml.h"
 
 #define SPIN_WAIT_S 0.02
 #define READ_BYTES 4096
@@ -157,6 +158,24 @@
 
 struct bw_frontend *frontend_open(struct ev_loop *loop,
 				  struct bw_frontend_user user)
+{
+	return frontend_open_tls(loop, user, NULL, NULL);
+}
+
+char *text_read(const char *path)
+{
+	struct bw_buffer text = { 0 };
+	struct bw_yaml_error error;
+
+	assert_int_equal(bw_file_read(path, 65536, &text, &error), BW_OK);
+	assert_int_equal(bw_buffer_append(&text, "", 1), BW_OK);
+	return (char *)text.data;
+}
+
+struct bw_frontend *frontend_open_tls(struct ev_loop *loop,
+				      struct bw_frontend_user user,
+				      const char *certificate_pem,
+				      const char *key_pem)
 {
 	struct bw_frontend_listener listener = {
 		.address = "127.0.0.1",
@@ -164,6 +183,8 @@
 		.idle_timeout_s = 60,
 		.header_limit_bytes = TEST_HEADER_BYTES,
 		.body_limit_bytes = TEST_BODY_BYTES,
+		.certificate_pem = certificate_pem,
+		.key_pem = key_pem,
 	};
 	struct bw_frontend_config config = { .listeners = &listener,
 					     .listener_count = 1,
--- a/src/test_libbwproxy/harness.h
+++ b/src/test_libbwproxy/harness.h
@@ -42,14 +42,14 @@
 };
 
 /** Runs the loop until condition holds; fails the test after 30 s. */
-#define SPIN_UNTIL(loop, condition)                                           \
-	do {                                                                  \
-		int64_t spin_end_ = spin_now_ms() + 30000;                    \
-		while (!(condition)) {                                        \
-			if (spin_now_ms() > spin_end_)                        \
-				fail_msg("stalled: %s", #condition);          \
-			spin_once(loop);                                      \
-		}                                                             \
+#define SPIN_UNTIL(loop, condition)                                  \
+	do {                                                         \
+		int64_t spin_end_ = spin_now_ms() + 30000;           \
+		while (!(condition)) {                               \
+			if (spin_now_ms() > spin_end_)               \
+				fail_msg("stalled: %s", #condition); \
+			spin_once(loop);                             \
+		}                                                    \
 	} while (0)
 
 int64_t spin_now_ms(void);
@@ -80,6 +80,12 @@
 /** An upstream with small limits. */
 struct bw_upstream *upstream_open(struct ev_loop *loop);
 
+/** As frontend_open, with TLS when the texts are not NULL. */
+struct bw_frontend *frontend_open_tls(struct ev_loop *loop,
+				      struct bw_frontend_user user,
+				      const char *certificate_pem,
+				      const char *key_pem);
+
 /** Limits used by frontend_open and upstream_open. */
 #define TEST_RING_BYTES 8192
 #define TEST_HEADER_BYTES 4096
@@ -114,6 +120,9 @@
 	uint16_t target_port;
 	uint32_t done_count;
 };
+/** Reads a file into a text that ends in zero; the caller frees it. */
+char *text_read(const char *path);
+
 void relay_init(struct relay *relay, struct ev_loop *loop,
 		struct bw_upstream *upstream, uint16_t target_port);
 
--- a/src/test_libbwproxy/test_frontend.c
+++ b/src/test_libbwproxy/test_frontend.c
@@ -88,6 +88,11 @@
 			 BW_OK);
 }
 
+static void pause_(struct bw_request *request)
+{
+	bw_request_pause(request);
+}
+
 static void check_accessors_(struct bw_request *request)
 {
 	struct bw_http_header bad[] = { { "X-A", "b\r\nSet-Cookie: c" },
@@ -179,18 +184,33 @@
  * watch a connection that waits for its response. */
 static void test_caller_gone(void **state)
 {
+	static uint8_t block[TEST_RING_BYTES];
 	struct fixture f;
+	int kind;
 
 	(void)state;
-	open_(&f, NULL);
-	peer_text(&f.peer, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
-	SPIN_UNTIL(f.loop, f.seen.body_ends == 1);
-	peer_close(&f.peer);
-	SPIN_UNTIL(f.loop, f.seen.done == 1);
-	assert_int_equal(f.seen.gone, 1);
-	assert_false(f.seen.sent);
-	assert_int_equal(bw_frontend_counters(f.seen.frontend)->active, 0);
-	close_(&f);
+	for (kind = 0; kind < 3; kind++) {
+		open_(&f, kind == 1 ? pause_ : NULL);
+		peer_hold(&f.peer);
+		peer_text(&f.peer, "POST / HTTP/1.1\r\nHost: h\r\n"
+				   "Content-Length: 3\r\n\r\nabc");
+		SPIN_UNTIL(f.loop, kind == 1 ? f.seen.heads == 1
+					     : f.seen.body_ends == 1);
+		if (kind == 2) {
+			bw_request_start(f.seen.request, 200, NULL, 0,
+					 BW_HTTP_LENGTH_UNKNOWN);
+			SPIN_UNTIL(f.loop,
+				   !bw_request_append(f.seen.request, block,
+						      sizeof(block)));
+		}
+		peer_close(&f.peer);
+		SPIN_UNTIL(f.loop, f.seen.done == 1);
+		assert_int_equal(f.seen.gone, 1);
+		assert_false(f.seen.sent);
+		assert_int_equal(bw_frontend_counters(f.seen.frontend)->active,
+				 0);
+		close_(&f);
+	}
 }
 
 static void abort_at_head_(struct bw_request *request)
@@ -335,11 +355,6 @@
 	close_(&f);
 }
 
-static void pause_(struct bw_request *request)
-{
-	bw_request_pause(request);
-}
-
 /* Guards against a lost wake-up after resume, and against reading a body that
  * nobody can take yet. */
 static void test_pause_body(void **state)
@@ -366,6 +381,65 @@
 	close_(&f);
 }
 
+/* Guards against a lost response when a large body is refused some time after
+ * its head, for example by an admission queue. */
+static void test_late_refusal(void **state)
+{
+	static const char *const expect[] = { "", "Expect: 100-continue\r\n" };
+	static uint8_t body[1024];
+	struct bw_buffer text = { 0 };
+	struct fixture f;
+	int i;
+	int round;
+
+	(void)state;
+	for (i = 0; i < 4; i++) {
+		open_(&f, pause_);
+		bw_buffer_clear(&text);
+		bw_buffer_printf(&text,
+				 "POST / HTTP/1.1\r\nHost: h\r\n%s%s\r\n\r\n",
+				 expect[i % 2],
+				 i < 2 ? "Content-Length: 20000000"
+				       : "Transfer-Encoding: chunked");
+		peer_send(&f.peer, text.data, text.size_bytes);
+		if (!(i % 2))
+			peer_text(&f.peer, "400\r\n");
+		peer_send(&f.peer, body, i % 2 ? 0 : sizeof(body));
+		if (i == 2)
+			peer_text(&f.peer, "\r\n0\r\n\r\n");
+		for (round = 0; round < 5; round++)
+			spin_once(f.loop);
+		assert_int_equal(f.seen.heads, 1);
+		assert_int_equal(f.peer.in.size_bytes, 0);
+		respond_small_(f.seen.request);
+		SPIN_UNTIL(f.loop, peer_has(&f.peer, "\r\n\r\nframe"));
+		SPIN_UNTIL(f.loop, f.seen.done == 1);
+		assert_true(f.seen.sent);
+		assert_false(peer_has(&f.peer, "100 Continue"));
+		close_(&f);
+	}
+	bw_buffer_finish(&text);
+}
+
+/* Guards against a HEAD response that has a body or loses its length. */
+static void test_head_method(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	open_(&f, NULL);
+	peer_text(&f.peer, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+	SPIN_UNTIL(f.loop, f.seen.body_ends == 1);
+	bw_request_start(f.seen.request, 200, NULL, 0, 100);
+	assert_int_equal(bw_request_append(f.seen.request, "part", 4), 4);
+	bw_request_end(f.seen.request);
+	SPIN_UNTIL(f.loop, f.seen.done == 1);
+	assert_true(f.seen.sent);
+	SPIN_UNTIL(f.loop, peer_has(&f.peer, "Content-Length: 100\r\n"));
+	assert_false(peer_has(&f.peer, "part"));
+	close_(&f);
+}
+
 /* Guards against a graceful stop that cuts a request in progress. */
 static void test_graceful_stop(void **state)
 {
@@ -451,6 +525,8 @@
 		cmocka_unit_test(test_chunked_body_limit),
 		cmocka_unit_test(test_early_response),
 		cmocka_unit_test(test_pause_body),
+		cmocka_unit_test(test_late_refusal),
+		cmocka_unit_test(test_head_method),
 		cmocka_unit_test(test_graceful_stop),
 		cmocka_unit_test(test_free_in_progress),
 		cmocka_unit_test(test_slow_sender),
--- a/src/test_libbwproxy/test_relay.c
+++ b/src/test_libbwproxy/test_relay.c
@@ -7,7 +7,9 @@
 
 #define SEED 20261204
 #define REQUESTS 3000
-#define CONCURRENT 60
+/* Above the connection limit of 64, so that some calls wait for a connection.
+ */
+#define CONCURRENT 100
 #define BODY_MAX_BYTES 40000
 
 /* A server that sends each body back after it has received it, in an order
@@ -146,6 +148,62 @@
 	ev_loop_destroy(loop);
 }
 
+/* Guards against TLS bytes that stay buffered after suspend and resume, and
+ * against a server whose certificate is not trusted. */
+static void test_tls(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_upstream *callers = upstream_open(loop);
+	char *certificate =
+		text_read("src/test_libbwproxy/tls/certificate.pem");
+	char *key = text_read("src/test_libbwproxy/tls/key.pem");
+	struct echo echo;
+	struct bw_frontend_user user = { .context = &echo, .event = on_echo_ };
+	struct bw_upstream_request request = {
+		.address = "127.0.0.1",
+		.method = "POST",
+		.target = "/",
+		.body_kind = BW_UPSTREAM_BODY_COMPLETE,
+		.deadline_ms = 60000,
+		.tls_trust_pem = certificate,
+		.tls_name = "frontend.test",
+	};
+	struct slot slot = { 0 };
+	struct bw_upstream_user caller = { &slot.reply, reply_event };
+	struct bw_random random;
+	struct bw_call *call;
+	uint32_t i;
+
+	(void)state;
+	bw_random_init(&random, SEED);
+	bw_random_init(&echo.random, SEED);
+	echo.frontend = frontend_open_tls(loop, user, certificate, key);
+	request.port = bw_frontend_port(echo.frontend, 0);
+	for (i = 0; i < 50; i++) {
+		fill_(&slot.body, i, &random);
+		request.body = slot.body.data;
+		request.body_bytes = slot.body.size_bytes;
+		assert_int_equal(bw_upstream_start(callers, &request, &caller,
+						   &call),
+				 BW_OK);
+		SPIN_UNTIL(loop, slot.reply.over);
+		check_(&slot);
+	}
+	assert_int_equal(bw_upstream_counters(callers)->connections, 1);
+	request.tls_name = "other.test";
+	bw_upstream_start(callers, &request, &caller, &call);
+	SPIN_UNTIL(loop, slot.reply.over);
+	assert_int_equal(slot.reply.cause, BW_UPSTREAM_REFUSED);
+	assert_false(slot.reply.bytes_sent);
+	reply_finish(&slot.reply);
+	bw_buffer_finish(&slot.body);
+	bw_upstream_free(callers);
+	bw_frontend_free(echo.frontend);
+	ev_loop_destroy(loop);
+	free(certificate);
+	free(key);
+}
+
 /* Guards against a cut response that reaches the caller as complete, and
  * against an upstream call that outlives its caller. */
 static void test_faults_reach_the_other_side(void **state)
@@ -194,6 +252,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_never_mixed),
+		cmocka_unit_test(test_tls),
 		cmocka_unit_test(test_faults_reach_the_other_side),
 	};
 
--- a/src/test_libbwproxy/test_upstream.c
+++ b/src/test_libbwproxy/test_upstream.c
@@ -253,6 +253,103 @@
 	close_(&f);
 }
 
+/* Cancels at one kind of event. */
+struct canceller {
+	struct reply reply;
+	enum bw_upstream_event_kind kind;
+};
+
+static void cancel_at_(void *context, const struct bw_upstream_event *event)
+{
+	struct canceller *canceller = context;
+
+	if (event->kind == canceller->kind)
+		bw_upstream_cancel(event->call);
+	reply_event(&canceller->reply, event);
+}
+
+/* Guards against events or request bytes after a cancel from an event. */
+static void test_cancel_from_event(void **state)
+{
+	static const enum bw_upstream_event_kind kinds[] = {
+		BW_UPSTREAM_CONNECTED, BW_UPSTREAM_HEAD, BW_UPSTREAM_BODY
+	};
+	struct bw_upstream_request request = { .address = "127.0.0.1",
+					       .method = "GET",
+					       .target = "/",
+					       .deadline_ms = 60000 };
+	struct fixture f;
+	struct canceller canceller;
+	struct bw_upstream_user user = { &canceller, cancel_at_ };
+	struct bw_call *call;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		open_(&f);
+		memset(&canceller, 0, sizeof(canceller));
+		canceller.kind = kinds[i];
+		request.port = f.server.port;
+		bw_upstream_start(f.upstream, &request, &user, &call);
+		SPIN_UNTIL(f.loop, f.server.peer_count == 1);
+		if (i) {
+			SPIN_UNTIL(f.loop,
+				   peer_has(&f.server.peers[0], "GET /"));
+			peer_text(&f.server.peers[0],
+				  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+				  "\r\nframe");
+		}
+		SPIN_UNTIL(f.loop, canceller.reply.over);
+		assert_int_equal(canceller.reply.cause, BW_UPSTREAM_CANCELLED);
+		assert_int_equal(canceller.reply.bytes_sent, i > 0);
+		SPIN_UNTIL(f.loop, f.server.peers[0].eof);
+		assert_int_equal(f.server.peers[0].in.size_bytes > 0, i > 0);
+		reply_finish(&canceller.reply);
+		close_(&f);
+	}
+}
+
+/* Guards against a call that waits for a connection beyond its deadline, and
+ * against one that is forgotten when a connection becomes free. */
+static void test_connection_limit(void **state)
+{
+	struct bw_upstream_config config = { 1, 1, 30, 5000, 4096, 4096 };
+	struct bw_upstream_request request = { .address = "127.0.0.1",
+					       .method = "GET",
+					       .target = "/late",
+					       .deadline_ms = 100 };
+	struct fixture f;
+	struct reply second = { 0 };
+	struct bw_upstream_user user = { &second, reply_event };
+	struct bw_call *call;
+
+	(void)state;
+	open_(&f);
+	bw_upstream_free(f.upstream);
+	assert_int_equal(bw_upstream_new(&f.upstream, f.loop, &config), BW_OK);
+	post_(&f, 0);
+	request.port = f.server.port;
+	bw_upstream_start(f.upstream, &request, &user, &call);
+	SPIN_UNTIL(f.loop, second.over);
+	assert_int_equal(second.cause, BW_UPSTREAM_TIMEOUT);
+	assert_false(second.bytes_sent);
+	reply_finish(&second);
+	call_start(f.upstream, f.server.port, "GET", "/next", NULL, 0, &second);
+	spin_once(f.loop);
+	peer_text(&f.server.peers[0],
+		  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	SPIN_UNTIL(f.loop, peer_has(&f.server.peers[0], "GET /next"));
+	assert_true(f.reply.complete);
+	peer_text(&f.server.peers[0],
+		  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	SPIN_UNTIL(f.loop, second.over);
+	assert_true(second.complete);
+	assert_int_equal(f.server.peer_count, 1);
+	assert_false(peer_has(&f.server.peers[0], "/late"));
+	reply_finish(&second);
+	close_(&f);
+}
+
 /* Guards against unbounded response heads. */
 static void test_large_head(void **state)
 {
@@ -382,6 +479,8 @@
 		cmocka_unit_test(test_reused_connection_closed),
 		cmocka_unit_test(test_reuse),
 		cmocka_unit_test(test_cancel_and_deadline),
+		cmocka_unit_test(test_cancel_from_event),
+		cmocka_unit_test(test_connection_limit),
 		cmocka_unit_test(test_large_head),
 		cmocka_unit_test(test_pause_response),
 		cmocka_unit_test(test_streamed_request),
