Split the responses from the requests of the frontend

Change: response.c holds respond, start, append, end and abort; the body limit of the tests is 4 MiB.

--- a/src/libbwproxy/include/private/frontend_private.h
+++ b/src/libbwproxy/include/private/frontend_private.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * Shared by the two halves of the frontend: listeners (frontend.c) and
- * requests (request.c).
+ * Shared by the parts of the frontend: listeners (frontend.c),
+ * requests (request.c) and responses (response.c).
  */
 #ifndef PRIVATE_FRONTEND_PRIVATE_H
 #define PRIVATE_FRONTEND_PRIVATE_H
@@ -115,6 +115,8 @@
 void request_leave_(struct bw_request *request);
 /** Has the deferred pass look at the request. */
 void request_wake_(struct bw_request *request);
+/** Takes the connection out of MHD's hands until the request is woken. */
+void request_suspend_(struct bw_request *request);
 /** Work of one request in the deferred pass. */
 void request_resume_(struct bw_request *request);
 /** Runs the daemon of the listener soon, outside of any MHD callback. */
--- a/src/libbwproxy/request.c
+++ b/src/libbwproxy/request.c
@@ -15,7 +15,6 @@
 /* A caller that sends its body before it reads must see the response, so the
  * rest of the body of an answered request is read up to this size. */
 #define DRAIN_LIMIT_BYTES (1024 * 1024)
-#define RESPONSE_BLOCK_BYTES 16384
 #define MS_PER_S 1000.
 
 #define HTTP_VERSION_SERVED "HTTP/1.1"
@@ -38,18 +37,8 @@
 static bool must_answer_early_(const struct bw_request *request);
 static void refuse_(struct bw_request *request, uint32_t status_code);
 static enum MHD_Result queue_(struct bw_request *request);
-static void suspend_(struct bw_request *request);
 static void emit_(struct bw_request *request, enum bw_frontend_event_kind kind,
 		  const void *data, size_t size_bytes, bool sent);
-static enum bw_status check_response_(const struct bw_request *request,
-				      uint32_t status_code,
-				      const struct bw_http_header *headers,
-				      size_t count);
-static enum bw_status add_fields_(struct bw_request *request,
-				  struct MHD_Response *response,
-				  const struct bw_http_header *headers,
-				  size_t count);
-static ssize_t read_(void *context, uint64_t position, char *data, size_t max);
 static void on_receive_timeout_(struct ev_loop *loop, ev_timer *watcher,
 				int events);
 static void start_receive_timer_(struct bw_request *request);
@@ -266,132 +255,6 @@
 	request_wake_(request);
 }
 
-enum bw_status bw_request_respond(struct bw_request *request,
-				  uint32_t status_code,
-				  const struct bw_http_header *headers,
-				  size_t header_count, const void *body,
-				  size_t body_bytes)
-{
-	struct MHD_Response *response;
-	enum bw_status status;
-
-	status = check_response_(request, status_code, headers, header_count);
-	if (status != BW_OK)
-		return status;
-	response = MHD_create_response_from_buffer(
-		body_bytes, (void *)(body_bytes ? body : ""),
-		MHD_RESPMEM_MUST_COPY);
-	if (!response)
-		return BW_ENOMEM;
-	status = add_fields_(request, response, headers, header_count);
-	if (status != BW_OK) {
-		MHD_destroy_response(response);
-		return status;
-	}
-	request->response = response;
-	request->status_code = status_code;
-	request->kind = RESPONSE_WHOLE;
-	request_wake_(request);
-	return BW_OK;
-}
-
-enum bw_status bw_request_start(struct bw_request *request,
-				uint32_t status_code,
-				const struct bw_http_header *headers,
-				size_t header_count,
-				int64_t content_length_bytes)
-{
-	struct MHD_Response *response;
-	enum bw_status status;
-
-	status = check_response_(request, status_code, headers, header_count);
-	if (status != BW_OK)
-		return status;
-	if (content_length_bytes < BW_HTTP_LENGTH_UNKNOWN)
-		return BW_EINVAL;
-	status = bw_ring_init(&request->ring, request->frontend->ring_bytes);
-	if (status != BW_OK)
-		return status;
-	response = MHD_create_response_from_callback(
-		content_length_bytes == BW_HTTP_LENGTH_UNKNOWN
-			? MHD_SIZE_UNKNOWN
-			: (uint64_t)content_length_bytes,
-		RESPONSE_BLOCK_BYTES, read_, request, NULL);
-	if (!response) {
-		bw_ring_finish(&request->ring);
-		return BW_ENOMEM;
-	}
-	status = add_fields_(request, response, headers, header_count);
-	if (status != BW_OK) {
-		MHD_destroy_response(response);
-		bw_ring_finish(&request->ring);
-		return status;
-	}
-	request->response = response;
-	request->status_code = status_code;
-	request->kind = RESPONSE_STREAMED;
-	request->response_length = content_length_bytes;
-	request->no_body = status_code == MHD_HTTP_NO_CONTENT ||
-			   status_code == MHD_HTTP_NOT_MODIFIED ||
-			   !strcmp(request->method, MHD_HTTP_METHOD_HEAD);
-	request_wake_(request);
-	return BW_OK;
-}
-
-size_t bw_request_append(struct bw_request *request, const void *data,
-			 size_t size_bytes)
-{
-	struct bw_frontend_counters *counters = &request->frontend->counters;
-	size_t taken;
-
-	if (request->dead || request->ended ||
-	    request->kind != RESPONSE_STREAMED)
-		return 0;
-	if (request->no_body)
-		return size_bytes;
-	taken = bw_ring_write(&request->ring, data, size_bytes);
-	request->appended_bytes += (int64_t)taken;
-	if (request->response_length != BW_HTTP_LENGTH_UNKNOWN &&
-	    request->appended_bytes > request->response_length) {
-		bw_request_abort(request);
-		return 0;
-	}
-	if (taken < size_bytes)
-		request->want_room = true;
-	if (request->ring.size_bytes > counters->ring_peak_bytes)
-		counters->ring_peak_bytes = request->ring.size_bytes;
-	request_wake_(request);
-	return taken;
-}
-
-void bw_request_end(struct bw_request *request)
-{
-	if (request->dead || request->ended ||
-	    request->kind != RESPONSE_STREAMED)
-		return;
-	if (!request->no_body &&
-	    request->response_length != BW_HTTP_LENGTH_UNKNOWN &&
-	    request->appended_bytes != request->response_length) {
-		bw_request_abort(request);
-		return;
-	}
-	request->ended = true;
-	request_wake_(request);
-}
-
-void bw_request_abort(struct bw_request *request)
-{
-	if (request->dead || request->kind == RESPONSE_WHOLE)
-		return;
-	request->dead = true;
-	request->broken = true;
-	/* Without the shutdown a caller that does not read would keep the
-	 * aborted response until the idle timeout. */
-	if (request->queued)
-		shutdown(request->fd, SHUT_RDWR);
-	request_wake_(request);
-}
-
 static enum MHD_Result on_head_(struct bw_request *request, const char *method,
 				const char *version)
 {
@@ -432,7 +295,7 @@
 		return MHD_YES;
 	if (request->paused) {
 		request->head_held = true;
-		suspend_(request);
+		request_suspend_(request);
 		return MHD_YES;
 	}
 	start_receive_timer_(request);
@@ -470,7 +333,7 @@
 								  : MHD_YES;
 	}
 	if (request->paused) {
-		suspend_(request);
+		request_suspend_(request);
 		return MHD_YES;
 	}
 	request->body_bytes += *size_bytes;
@@ -488,7 +351,7 @@
 {
 	if (request->kind == RESPONSE_NONE && !request->body_ended) {
 		if (request->paused) {
-			suspend_(request);
+			request_suspend_(request);
 			return MHD_YES;
 		}
 		request->body_ended = true;
@@ -499,7 +362,7 @@
 		return MHD_NO;
 	if (request->kind != RESPONSE_NONE)
 		return queue_(request);
-	suspend_(request);
+	request_suspend_(request);
 	return MHD_YES;
 }
 
@@ -649,7 +512,7 @@
 	return result;
 }
 
-static void suspend_(struct bw_request *request)
+void request_suspend_(struct bw_request *request)
 {
 	request->suspended = true;
 	MHD_suspend_connection(request->connection);
@@ -667,62 +530,6 @@
 	request->frontend->user.event(request->frontend->user.context, &event);
 }
 
-static enum bw_status check_response_(const struct bw_request *request,
-				      uint32_t status_code,
-				      const struct bw_http_header *headers,
-				      size_t count)
-{
-	if (request->dead)
-		return BW_EUNAVAILABLE;
-	if (request->kind != RESPONSE_NONE)
-		return BW_ECONFLICT;
-	if (status_code < 200 || status_code > 599 ||
-	    !bw_http_headers_valid(headers, count))
-		return BW_EINVAL;
-	return BW_OK;
-}
-
-static enum bw_status add_fields_(struct bw_request *request,
-				  struct MHD_Response *response,
-				  const struct bw_http_header *headers,
-				  size_t count)
-{
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		/* MHD refuses empty values; they carry nothing. */
-		if (bw_http_hop_by_hop(headers[i].name) || !headers[i].value[0])
-			continue;
-		if (MHD_add_response_header(response, headers[i].name,
-					    headers[i].value) != MHD_YES)
-			return BW_EINVAL;
-	}
-	if (request->frontend->stopping)
-		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
-					"close");
-	return BW_OK;
-}
-
-static ssize_t read_(void *context, uint64_t position, char *data, size_t max)
-{
-	struct bw_request *request = context;
-	size_t count;
-
-	(void)position;
-	if (request->broken)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	count = bw_ring_read(&request->ring, data, max);
-	if (count) {
-		if (request->want_room)
-			request_wake_(request);
-		return (ssize_t)count;
-	}
-	if (request->ended)
-		return MHD_CONTENT_READER_END_OF_STREAM;
-	suspend_(request);
-	return 0;
-}
-
 static void start_receive_timer_(struct bw_request *request)
 {
 	uint32_t limit_ms = request->listener->config.receive_timeout_ms;
--- a/src/test_libbwproxy/harness.h
+++ b/src/test_libbwproxy/harness.h
@@ -89,7 +89,7 @@
 /** Limits used by frontend_open and upstream_open. */
 #define TEST_RING_BYTES 8192
 #define TEST_HEADER_BYTES 4096
-#define TEST_BODY_BYTES (64 * 1024 * 1024)
+#define TEST_BODY_BYTES (4 * 1024 * 1024)
 
 /** What a call has delivered. */
 struct reply {
