--- a/src/boragewingd/host.c
+++ b/src/boragewingd/host.c
@@ -266,7 +266,8 @@
 	snprintf(listen, sizeof(listen), "%s:%u", fleet->address, fleet->port);
 	snprintf(advertise, sizeof(advertise), "%s:%u",
 		 fleet->advertise ? fleet->advertise : fleet->address,
-		 fleet->advertise_port ? fleet->advertise_port : fleet->port);
+		 (unsigned)(fleet->advertise_port ? fleet->advertise_port
+						  : fleet->port));
 	status = transport_init(&host->transport, &config);
 	if (status != BW_OK) {
 		snprintf(error->text, sizeof(error->text),
--- a/src/boragewingd/transport.c
+++ b/src/boragewingd/transport.c
@@ -23,6 +23,7 @@
 #define IDLE_CONNECTION_S 120.0
 #define AUTHENTICATOR_ENDPOINT "inproc://zeromq.zap.01"
 #define AUTHENTICATOR_VERSION "1.0"
+#define MONITOR_ENDPOINT "inproc://router-monitor"
 #define KEY_BYTES 32
 #define ENDPOINT_BYTES (2 * TRANSPORT_ADDRESS_BYTES + 16)
 
@@ -37,6 +38,8 @@
 static void derive_keys_(struct transport *transport);
 static enum bw_status open_router_(struct transport *transport);
 static enum bw_status open_authenticator_(struct transport *transport);
+static enum bw_status open_monitor_(struct transport *transport);
+static void on_monitor_(struct ev_loop *loop, ev_io *watcher, int events);
 static enum bw_status watch_(struct transport *transport, void *socket,
 			     ev_io *watcher,
 			     void (*callback)(struct ev_loop *, ev_io *, int));
@@ -79,6 +82,8 @@
 	if (status != BW_OK)
 		return status;
 	status = open_router_(transport);
+	if (status == BW_OK)
+		status = open_monitor_(transport);
 	if (status != BW_OK)
 		return status;
 	ev_timer_init(&transport->sweep_timer, on_sweep_, SWEEP_INTERVAL_S,
@@ -94,7 +99,12 @@
 
 	ev_io_stop(loop, &transport->router_watcher);
 	ev_io_stop(loop, &transport->authenticator_watcher);
+	ev_io_stop(loop, &transport->monitor_watcher);
 	ev_timer_stop(loop, &transport->sweep_timer);
+	if (transport->monitor) {
+		zmq_socket_monitor(transport->router, NULL, 0);
+		zmq_close(transport->monitor);
+	}
 	if (transport->peers)
 		g_hash_table_destroy(transport->peers);
 	if (transport->router)
@@ -226,6 +236,43 @@
 		      &transport->authenticator_watcher, on_authenticator_);
 }
 
+/*
+ * A peer that uses another server key fails before the authenticator is
+ * asked; only the socket monitor reports it.
+ */
+static enum bw_status open_monitor_(struct transport *transport)
+{
+	if (zmq_socket_monitor(transport->router, MONITOR_ENDPOINT,
+			       ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL |
+				       ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
+				       ZMQ_EVENT_HANDSHAKE_FAILED_AUTH))
+		return BW_EIO;
+	transport->monitor = zmq_socket(transport->zmq, ZMQ_PAIR);
+	if (!transport->monitor)
+		return BW_ENOMEM;
+	set_int_(transport->monitor, ZMQ_LINGER, 0);
+	if (zmq_connect(transport->monitor, MONITOR_ENDPOINT))
+		return BW_EIO;
+	return watch_(transport, transport->monitor,
+		      &transport->monitor_watcher, on_monitor_);
+}
+
+/* Each event is a number and the address of the peer; both are discarded. */
+static void on_monitor_(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct transport *transport = watcher->data;
+	char ignored[ENDPOINT_BYTES];
+	bool more;
+
+	(void)loop;
+	(void)events;
+	while (receive_part_(transport->monitor, ignored, sizeof(ignored),
+			     &more) != SIZE_MAX) {
+		if (!more)
+			transport->counts.rejected_peers++;
+	}
+}
+
 static enum bw_status watch_(struct transport *transport, void *socket,
 			     ev_io *watcher,
 			     void (*callback)(struct ev_loop *, ev_io *, int))
@@ -389,8 +436,6 @@
 		   !strcmp(mechanism, "CURVE") && key_bytes == KEY_BYTES &&
 		   !sodium_memcmp(client_key, transport->public_key_bytes,
 				  KEY_BYTES);
-	if (!admitted)
-		transport->counts.rejected_peers++;
 	if (request_id_bytes > sizeof(request_id))
 		request_id_bytes = 0;
 	zmq_send(transport->authenticator, AUTHENTICATOR_VERSION, 3,
--- a/src/boragewingd/transport.h
+++ b/src/boragewingd/transport.h
@@ -31,7 +31,8 @@
 	uint64_t received_bytes;
 	uint64_t dropped_packets; /**< queue full or peer not connected */
 	uint64_t malformed_packets; /**< not a valid frame */
-	uint64_t rejected_peers; /**< handshakes with another key */
+	uint64_t rejected_peers; /**< failed handshakes, for example with
+				 another key */
 	uint64_t channel_sent_packets[BW_CHANNEL_COUNT];
 	uint64_t channel_sent_bytes[BW_CHANNEL_COUNT];
 };
@@ -65,9 +66,11 @@
 	void *zmq;
 	void *router;
 	void *authenticator;
+	void *monitor; /**< reports failed handshakes of the router */
 	GHashTable *peers; /**< name -> struct peer */
 	ev_io router_watcher;
 	ev_io authenticator_watcher;
+	ev_io monitor_watcher;
 	ev_timer sweep_timer;
 	struct bw_buffer frame;
 	struct transport_counts counts;
--- a/src/libbwproxy/call.c
+++ b/src/libbwproxy/call.c
@@ -82,6 +82,8 @@
 		return BW_UPSTREAM_CANCELLED;
 	if (call->bad_request_body)
 		return BW_UPSTREAM_INTERNAL;
+	if (call->late)
+		return BW_UPSTREAM_TIMEOUT;
 	if (call->bad_response)
 		return BW_UPSTREAM_BAD_RESPONSE;
 	if (call->resend_refused)
--- a/src/libbwproxy/upstream.c
+++ b/src/libbwproxy/upstream.c
@@ -22,6 +22,7 @@
 static void on_io_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_timeout_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void on_deferred_(struct ev_loop *loop, ev_prepare *watcher, int events);
+static void on_deadline_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void act_(struct bw_upstream *upstream, curl_socket_t fd, int events);
 static void collect_(struct bw_upstream *upstream);
 static void look_at_(struct bw_call *call);
@@ -135,6 +136,8 @@
 	if (new->next)
 		new->next->previous = new;
 	upstream->calls = new;
+	ev_init(&new->timer, on_deadline_);
+	new->timer.data = new;
 	upstream->counters.active++;
 	status = set_body_(new, request);
 	if (status == BW_OK)
@@ -144,6 +147,9 @@
 		return status;
 	}
 	upstream->counters.calls++;
+	ev_now_update(upstream->loop);
+	ev_timer_set(&new->timer, request->deadline_ms / MS_PER_S, 0.);
+	ev_timer_start(upstream->loop, &new->timer);
 	call_work_(new);
 	*call = new;
 	return BW_OK;
@@ -298,6 +304,16 @@
 	act_(watcher->data, CURL_SOCKET_TIMEOUT, 0);
 }
 
+static void on_deadline_(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	struct bw_call *call = watcher->data;
+
+	(void)loop;
+	(void)events;
+	call->late = true;
+	finish_(call, CURLE_OPERATION_TIMEDOUT);
+}
+
 static void act_(struct bw_upstream *upstream, curl_socket_t fd, int events)
 {
 	int running;
@@ -426,6 +442,7 @@
 	else
 		upstream->calls = call->next;
 	upstream->counters.active--;
+	ev_timer_stop(upstream->loop, &call->timer);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->fields);
 	curl_slist_free_all(call->connect_to);
--- a/src/test_libbwproxy/test_relay.c
+++ b/src/test_libbwproxy/test_relay.c
@@ -7,7 +7,9 @@
 
 #define SEED 20261204
 #define REQUESTS 3000
-#define CONCURRENT 60
+/* Above the connection limit of 64, so that some calls wait for a connection.
+ */
+#define CONCURRENT 100
 #define BODY_MAX_BYTES 40000
 
 /* A server that sends each body back after it has received it, in an order
--- a/src/test_libbwsteer/test_credit.c
+++ b/src/test_libbwsteer/test_credit.c
@@ -115,11 +115,12 @@
 		  const struct bw_packet *packet)
 {
 	uint32_t n = domain->flight_count;
-	struct bw_packet *copy = &domain->flight[n].packet;
+	struct bw_packet *copy;
 
-	if (n == FLIGHT_MAX ||
+	if (n >= FLIGHT_MAX ||
 	    bw_random_below(&domain->random, 100) < domain->loss_percent)
 		return;
+	copy = &domain->flight[n].packet;
 	*copy = *packet;
 	copy->data = malloc(packet->size_bytes);
 	memcpy(copy->data, packet->data, packet->size_bytes);
--- a/test/path.sh
+++ b/test/path.sh
@@ -57,6 +57,9 @@
 check "a look-up request is served" wait_until 30 served
 
 key=$(curl -s "$entry/v1/lookup?service=$urgent" | jq -r .request_key)
+# Guards against answers without a key when the owner's process is not known.
+check_equal "the answer carries a request key" 5 "$(echo "$key" | tr . '\n' |
+	wc -l)"
 urgent_served() {
 	[ "$(http_status -d order "$entry/v1/call/$urgent$urgent_path" \
 		-H "Boragewing-Key: $key")" = 200 ]
