Find the process that owns a request key after restarts

Keys of callers were all bound under the same id, because bw_keys_from_binding cleared its own input; look-ups after a restart carried no key; a dead owner's backup and successor were not asked; an idempotent request whose first attempt may have run could be told not-run by its second. Change: the binding keeps the id; look-ups always mint a key; the hosts of the owner's region are asked for its record; a sealed owner holds new keys until the handover is complete; an earlier attempt stays in doubt. The load caller writes a line for each request.

--- a/include/bwsteer/keys.h
+++ b/include/bwsteer/keys.h
@@ -308,6 +308,7 @@
 
 /**
  * Makes a key from a committed binding.
+ * @param id may be part of the key
  * @return BW_OK, or BW_EINVAL for a bad name or a zero incarnation
  */
 enum bw_status bw_keys_from_binding(const uint8_t id[BW_KEYS_ID_BYTES],
--- a/src/boragewingd/calls_private.h
+++ b/src/boragewingd/calls_private.h
@@ -17,6 +17,15 @@
 #include "host.h"
 #include "web.h"
 
+/** A host asks for the record of a key whose owner it cannot reach. */
+#define CALL_HEADER_OWNER_LOST "Boragewing-Owner-Lost"
+
+/** The response of a host that holds no record of such a key: "absent". */
+#define CALL_HEADER_RECORD "Boragewing-Record"
+
+/** Times that a request may pass from entry host to entry host. */
+#define CALL_HOPS_MAX 5
+
 /** Bodies up to this size are kept whole, so that a retry is possible. */
 #define CALL_BUFFER_MAX_BYTES (64 * 1024)
 
@@ -132,6 +141,9 @@
 	uint64_t run;
 	uint32_t hops;
 	char forward_host[BW_NAME_MAX];
+	bool owner_lost; /**< hosts that may hold its record are asked */
+	uint32_t asked_count; /**< hosts asked so far */
+	bool may_have_run; /**< bytes of an earlier attempt have left */
 
 	bool admitted; /**< counts as running in admission control */
 	uint32_t attempts_made;
@@ -184,6 +196,28 @@
 /** Action forward: sends the request to the entry host that owns its key. */
 void call_forward(struct call *call);
 
+/** Opens the upstream of a call to another entry host. */
+enum bw_status call_open_forward(struct call *call,
+				 struct call_attempt *attempt,
+				 const char *address, uint16_t port);
+
+/** Refuses a call for which its key allows no run. */
+void call_refuse_key(struct call *call,
+		     const struct bw_keys_decision *decision);
+
+/**
+ * The owner of the key cannot be asked: answers from a copy of the record, or
+ * asks the hosts that may hold one, or that may have become the owner.
+ */
+void call_owner_lost(struct call *call);
+
+/** Forwards to the successor that the key names, or waits until it is one. */
+void call_forward_key(struct call *call,
+		      const struct bw_keys_decision *decision);
+
+/** A host that was asked has no record: asks the next one. */
+bool call_ask_next(struct call *call, const struct call_attempt *attempt);
+
 /** Appends body bytes to the upstream of a streamed request. */
 void call_pump_body(struct call *call, const uint8_t *data, size_t size_bytes);
 
@@ -219,6 +253,22 @@
 void call_end_run(struct call *call, enum bw_keys_outcome outcome,
 		  const struct bw_keys_response *response);
 
+/**
+ * Lists the fields of a request to a backend server or another entry host.
+ * @param texts memory for the values
+ * @return number of fields, at most CALL_HEADERS_MAX
+ */
+uint32_t call_request_headers(struct call *call, bool forwarded,
+			      struct bw_http_header *headers,
+			      char texts[4][BW_KEYS_TEXT_MAX]);
+
+/** Keeps the fields of a response. */
+void call_save_headers(struct call_attempt *attempt,
+		       const struct bw_upstream_event *event);
+
+/** Returns the time until the deadline, 0 when it has passed. */
+uint32_t call_remaining_ms(const struct call *call);
+
 /** Parses a header blob into a list of fields; returns their count. */
 uint32_t call_read_headers(const uint8_t *blob, size_t size_bytes,
 			   struct bw_http_header *headers, uint32_t limit);
--- a/src/boragewingd/calls_respond.c
+++ b/src/boragewingd/calls_respond.c
@@ -27,12 +27,18 @@
 	char hosts[RETRY_HOSTS_BYTES];
 	struct bw_http_header headers[] = {
 		{ "Content-Type", "application/json" },
-		{ HEADER_OUTCOME, call_outcome_string[outcome] },
+		{ HEADER_OUTCOME, NULL },
 		{ "Retry-After", retry_after },
 		{ HEADER_RETRY_HOSTS, hosts },
+		{ CALL_HEADER_RECORD, code },
 	};
+	bool absent = !strcmp(code, "absent");
 	int length;
 
+	/* An earlier attempt at another backend server may have run. */
+	if (outcome == CALL_NOT_RUN && call->may_have_run)
+		outcome = CALL_MAY_HAVE_RUN;
+	headers[1].value = call_outcome_string[outcome];
 	if (!call->responded && call->request) {
 		call->responded = true;
 		retry_hosts_(call, hosts, sizeof(hosts));
@@ -45,8 +51,10 @@
 				  retry_after_ms);
 		count_(call, outcome);
 		bw_request_respond(call->request, status_code, headers,
-				   retry_after_ms ? 4 : 2, body,
-				   (size_t)length);
+				   absent	    ? 5
+				   : retry_after_ms ? 4
+						    : 2,
+				   body, (size_t)length);
 	} else if (call->request) {
 		bw_request_abort(call->request);
 	}
--- a/src/boragewingd/calls_run.c
+++ b/src/boragewingd/calls_run.c
@@ -1,43 +1,22 @@
 #include "calls_private.h"
 
-#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "directory.h"
 
 #define HEADER_OUTCOME "Boragewing-Outcome"
-#define HEADER_KEY "Boragewing-Key"
-#define HEADER_DEADLINE "Boragewing-Deadline-Ms"
-#define HEADER_RANK "Boragewing-Rank"
-#define HEADER_HOPS "Boragewing-Hops"
-#define HEADER_HOST "Host"
-#define HEADER_CLIENT "Boragewing-Client"
-
-/** Times that a request may pass from entry host to entry host. */
-#define HOPS_MAX 3
 
 /** Wait before another try when no backend server had a free slot. */
 #define PICK_RETRY_MS 10
 
 static void offer_(struct call *call);
-static void refuse_key_(struct call *call,
-			const struct bw_keys_decision *decision);
-static void forward_key_(struct call *call,
-			 const struct bw_keys_decision *decision);
-static void use_backup_(struct call *call);
 static bool start_attempt_(struct call *call, struct call_attempt *attempt,
 			   bool hedge);
 static enum bw_status open_upstream_(struct call *call,
 				     struct call_attempt *attempt,
 				     const char *address, uint16_t port,
 				     const char *target, bool forwarded);
-static uint32_t request_headers_(struct call *call, bool forwarded,
-				 struct bw_http_header *headers,
-				 char texts[4][BW_KEYS_TEXT_MAX]);
-static const char *bound_key_text_(const struct call *call,
-				   char text[BW_KEYS_TEXT_MAX]);
-static bool is_own_header_(const char *name);
 static void on_upstream_(void *context, const struct bw_upstream_event *event);
 static void on_head_(struct call_attempt *attempt,
 		     const struct bw_upstream_event *event);
@@ -59,9 +38,6 @@
 				const struct call_attempt *attempt);
 static void cancel_attempt_(struct call_attempt *attempt);
 static void arm_hedge_(struct call *call);
-static void save_headers_(struct call_attempt *attempt,
-			  const struct bw_upstream_event *event);
-static uint32_t remaining_ms_(const struct call *call);
 
 void call_use_key(struct call *call)
 {
@@ -87,13 +63,13 @@
 		break;
 	case BW_KEYS_NOT_OWNER:
 	case BW_KEYS_SEALED:
-		forward_key_(call, &decision);
+		call_forward_key(call, &decision);
 		break;
 	case BW_KEYS_OWNER_ENDED:
-		use_backup_(call);
+		call_owner_lost(call);
 		break;
 	default:
-		refuse_key_(call, &decision);
+		call_refuse_key(call, &decision);
 		break;
 	}
 }
@@ -125,12 +101,19 @@
 
 	attempt->backend = 0;
 	attempt->start_us = bw_clock_us();
-	if (!target || call->hops >= HOPS_MAX ||
-	    open_upstream_(call, attempt, target->address, target->port,
-			   call->path, true) != BW_OK)
+	if (!target || call->hops >= CALL_HOPS_MAX ||
+	    call_open_forward(call, attempt, target->address, target->port) !=
+		    BW_OK)
 		on_forward_failed_(attempt, false);
 }
 
+enum bw_status call_open_forward(struct call *call,
+				 struct call_attempt *attempt,
+				 const char *address, uint16_t port)
+{
+	return open_upstream_(call, attempt, address, port, call->path, true);
+}
+
 void call_pump_body(struct call *call, const uint8_t *data, size_t size_bytes)
 {
 	struct call_attempt *attempt = &call->attempts[0];
@@ -188,7 +171,10 @@
 	};
 
 	if (call->state == CALL_WAITING) {
-		call_admit(call);
+		if (call->has_key && !call->key_claimed)
+			call_use_key(call);
+		else
+			call_admit(call);
 		return;
 	}
 	if (call->state != CALL_RUNNING || call->winner ||
@@ -275,64 +261,6 @@
 	}
 }
 
-static void refuse_key_(struct call *call,
-			const struct bw_keys_decision *decision)
-{
-	enum call_outcome outcome = decision->not_run ? CALL_NOT_RUN
-						      : CALL_MAY_HAVE_RUN;
-
-	switch (decision->kind) {
-	case BW_KEYS_UNKNOWN:
-		if (decision->reason == BW_KEYS_RESPONSE_NOT_KEPT)
-			call_fail(call, 409, "response_not_kept", CALL_RAN, 0);
-		else
-			call_fail(call, 504, "outcome_unknown",
-				  CALL_MAY_HAVE_RUN, 0);
-		break;
-	case BW_KEYS_FULL:
-		call_fail(call, 503, "request_records_full", outcome, 1000);
-		break;
-	case BW_KEYS_CONFLICT:
-		call_fail(call, 422, "request_key_reused", outcome, 0);
-		break;
-	case BW_KEYS_EXPIRED:
-	case BW_KEYS_TOO_FAR:
-		call_fail(call, 410, "request_key_expired", outcome, 0);
-		break;
-	default:
-		call_fail(call, 503, bw_keys_decision_string[decision->kind],
-			  outcome, 1000);
-		break;
-	}
-}
-
-static void forward_key_(struct call *call,
-			 const struct bw_keys_decision *decision)
-{
-	if (!decision->host[0]) {
-		call_fail(call, 503, "host_is_leaving",
-			  decision->not_run ? CALL_NOT_RUN : CALL_MAY_HAVE_RUN,
-			  500);
-		return;
-	}
-	bw_name_set(call->forward_host, decision->host);
-	call_fire(call, CALL_EVENT_FORWARD);
-}
-
-/* The owner cannot be asked: a copy of its record may answer. */
-static void use_backup_(struct call *call)
-{
-	struct host *host = call->calls->host;
-	struct bw_keys_decision decision;
-
-	bw_keys_lookup_backup(&host->steering.keys, &call->key, call->digest,
-			      host_now(host), &decision);
-	if (decision.kind == BW_KEYS_REPLAY)
-		call_replay(call, &decision.response);
-	else
-		refuse_key_(call, &decision);
-}
-
 /* Returns false when no backend server can take the request now. */
 static bool start_attempt_(struct call *call, struct call_attempt *attempt,
 			   bool hedge)
@@ -342,7 +270,7 @@
 	struct bw_time now = host_now(host);
 	struct bw_backend_choice choice;
 
-	if (!remaining_ms_(call))
+	if (!call_remaining_ms(call))
 		return false;
 	if (bw_backend_pick(table, call->service, now, &host->random,
 			    call->tried, call->tried_count, &choice) != BW_OK &&
@@ -388,7 +316,7 @@
 		.target = target,
 		.headers = headers,
 		.body_kind = BW_UPSTREAM_BODY_NONE,
-		.deadline_ms = remaining_ms_(call),
+		.deadline_ms = call_remaining_ms(call),
 	};
 	enum bw_status status;
 
@@ -398,7 +326,7 @@
 	attempt->streaming = false;
 	attempt->status_code = 0;
 	request.header_count =
-		request_headers_(call, forwarded, headers, texts);
+		call_request_headers(call, forwarded, headers, texts);
 	if (call->body_large) {
 		request.body_kind = BW_UPSTREAM_BODY_STREAMED;
 		request.body_length_bytes =
@@ -416,66 +344,6 @@
 	return status;
 }
 
-static uint32_t request_headers_(struct call *call, bool forwarded,
-				 struct bw_http_header *headers,
-				 char texts[4][BW_KEYS_TEXT_MAX])
-{
-	const struct bw_http_header *given = NULL;
-	size_t given_count = 0;
-	uint32_t count = 0;
-	size_t i;
-
-	if (call->request)
-		given = bw_request_headers(call->request, &given_count);
-	for (i = 0; i < given_count && count < CALL_HEADERS_MAX - 4; i++) {
-		if (!is_own_header_(given[i].name))
-			headers[count++] = given[i];
-	}
-	snprintf(texts[0], sizeof(texts[0]), "%u", remaining_ms_(call));
-	headers[count++] = (struct bw_http_header){ HEADER_DEADLINE, texts[0] };
-	if (call->has_key && call->key_text[0])
-		headers[count++] =
-			(struct bw_http_header){ HEADER_KEY, call->key_text };
-	else if (call->has_key && !forwarded)
-		headers[count++] = (struct bw_http_header){
-			HEADER_KEY, bound_key_text_(call, texts[3])
-		};
-	if (forwarded) {
-		snprintf(texts[1], sizeof(texts[1]), "%u", call->hops + 1);
-		headers[count++] =
-			(struct bw_http_header){ HEADER_HOPS, texts[1] };
-	} else {
-		snprintf(texts[2], sizeof(texts[2]), "%u", call->rank);
-		headers[count++] =
-			(struct bw_http_header){ HEADER_RANK, texts[2] };
-	}
-	return count;
-}
-
-/* A backend server sees the hash of a key that the caller brought. */
-static const char *bound_key_text_(const struct call *call,
-				   char text[BW_KEYS_TEXT_MAX])
-{
-	strcpy(text, "bound.");
-	sodium_bin2hex(text + 6, BW_KEYS_TEXT_MAX - 6, call->key.id,
-		       sizeof(call->key.id));
-	return text;
-}
-
-static bool is_own_header_(const char *name)
-{
-	static const char *const own[] = { HEADER_KEY, HEADER_DEADLINE,
-					   HEADER_RANK, HEADER_HOPS,
-					   HEADER_HOST };
-	size_t i;
-
-	for (i = 0; i < sizeof(own) / sizeof(own[0]); i++) {
-		if (!g_ascii_strcasecmp(own[i], name))
-			return true;
-	}
-	return false;
-}
-
 static void on_upstream_(void *context, const struct bw_upstream_event *event)
 {
 	struct call_attempt *attempt = context;
@@ -515,7 +383,7 @@
 
 	attempt->status_code = event->status_code;
 	attempt->content_length_bytes = event->content_length_bytes;
-	save_headers_(attempt, event);
+	call_save_headers(attempt, event);
 	for (i = 0; i < event->header_count && attempt->backend; i++) {
 		if (!g_ascii_strcasecmp(event->headers[i].name,
 					HEADER_OUTCOME) &&
@@ -568,7 +436,8 @@
 	struct bw_keys_response response = { .status = 0 };
 
 	if (!attempt->backend) {
-		call_respond(call, attempt);
+		if (!call_ask_next(call, attempt))
+			call_respond(call, attempt);
 		return;
 	}
 	if (attempt->refused) {
@@ -612,6 +481,8 @@
 		on_forward_failed_(attempt, event->bytes_sent);
 		return;
 	}
+	if (!not_run)
+		call->may_have_run = true;
 	finish_backend_(attempt, backend_outcome_(event));
 	note_crash_(attempt, event);
 	if (attempt->streaming) {
@@ -628,19 +499,23 @@
 }
 
 /*
- * Without bytes sent the owner did not see this attempt. An earlier one may
- * have run, which a copy of the record can tell.
+ * The owner saw the request only when bytes were sent, but an earlier attempt
+ * may have run. A copy of the record can tell. The key makes it safe to ask
+ * other hosts: only a process that owns it runs the request.
  */
 static void on_forward_failed_(struct call_attempt *attempt, bool bytes_sent)
 {
 	struct call *call = attempt->call;
 
+	if (bytes_sent)
+		call->may_have_run = true;
 	if (attempt->streaming)
 		call_fail(call, 502, "response_broken", CALL_MAY_HAVE_RUN, 0);
-	else if (bytes_sent)
+	else if (!call->has_key ||
+		 (bytes_sent && (call->body_large || !call->request)))
 		call_fail(call, 504, "owner_lost", CALL_MAY_HAVE_RUN, 0);
 	else
-		use_backup_(call);
+		call_owner_lost(call);
 }
 
 static void finish_backend_(struct call_attempt *attempt,
@@ -774,20 +649,7 @@
 	ev_timer_start(host->loop, &call->timer);
 }
 
-static void save_headers_(struct call_attempt *attempt,
-			  const struct bw_upstream_event *event)
-{
-	size_t i;
-
-	for (i = 0; i < event->header_count; i++) {
-		bw_buffer_append(&attempt->headers, event->headers[i].name,
-				 strlen(event->headers[i].name) + 1);
-		bw_buffer_append(&attempt->headers, event->headers[i].value,
-				 strlen(event->headers[i].value) + 1);
-	}
-}
-
-static uint32_t remaining_ms_(const struct call *call)
+uint32_t call_remaining_ms(const struct call *call)
 {
 	int64_t left_ms =
 		bw_time_diff_ms(call->deadline, host_now(call->calls->host));
--- a/src/boragewingd/directory.c
+++ b/src/boragewingd/directory.c
@@ -7,6 +7,11 @@
 
 #define REBUILD_INTERVAL_MS 250
 
+/** Host names kept with their regions; twice the design size. */
+#define REGIONS_MAX 12200
+
+static void remember_(struct directory *directory, const char *name,
+		      const char *region);
 static void add_own_domain_(struct directory *directory);
 static void add_summary_(struct directory *directory,
 			 const struct bw_summary *summary, struct bw_time now);
@@ -17,8 +22,15 @@
 
 enum bw_status directory_init(struct directory *directory, struct host *host)
 {
+	uint32_t i;
+
 	memset(directory, 0, sizeof(*directory));
 	directory->host = host;
+	directory->regions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (i = 0; i < host->settings->seeds_count; i++)
+		remember_(directory, host->settings->seeds[i].name,
+			  host->settings->seeds[i].region);
 	directory->domains =
 		calloc(BW_SUMMARY_ROWS_MAX + 1, sizeof(*directory->domains));
 	return directory->domains ? BW_OK : BW_ENOMEM;
@@ -26,6 +38,9 @@
 
 void directory_finish(struct directory *directory)
 {
+	if (directory->regions)
+		g_hash_table_destroy(directory->regions);
+	directory->regions = NULL;
 	free(directory->domains);
 	directory->domains = NULL;
 	directory->domains_count = 0;
@@ -97,6 +112,24 @@
 	return found;
 }
 
+const char *directory_region(const struct directory *directory,
+			     const char *name)
+{
+	const char *region = g_hash_table_lookup(directory->regions, name);
+
+	return region ? region : directory->host->settings->host.region;
+}
+
+static void remember_(struct directory *directory, const char *name,
+		      const char *region)
+{
+	if (g_hash_table_contains(directory->regions, name) ||
+	    g_hash_table_size(directory->regions) == REGIONS_MAX)
+		return;
+	g_hash_table_insert(directory->regions, g_strdup(name),
+			    g_strdup(region));
+}
+
 static void add_own_domain_(struct directory *directory)
 {
 	const struct bw_member *member = &directory->host->member;
@@ -117,6 +150,7 @@
 			continue;
 		entry = &domain->hosts[domain->hosts_count++];
 		bw_name_set(entry->name, record->host.name);
+		remember_(directory, entry->name, domain->region);
 		memcpy(entry->address, record->host.entry_address,
 		       sizeof(entry->address));
 		entry->port = record->host.entry_port;
@@ -149,6 +183,7 @@
 	for (i = 0; i < summary->host_count; i++) {
 		entry = &domain->hosts[domain->hosts_count++];
 		bw_name_set(entry->name, summary->hosts[i].name);
+		remember_(directory, entry->name, domain->region);
 		memcpy(entry->address, summary->hosts[i].address,
 		       sizeof(entry->address));
 		entry->port = summary->hosts[i].port;
--- a/src/boragewingd/directory.h
+++ b/src/boragewingd/directory.h
@@ -10,6 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "bwbase/clock.h"
 #include "bwbase/packet.h"
 #include "bwmember/aggregator.h"
@@ -46,6 +48,7 @@
 	struct directory_domain *domains; /**< own domain first */
 	uint32_t domains_count;
 	struct bw_time next_rebuild;
+	GHashTable *regions; /**< host name -> region, of hosts ever seen */
 };
 
 /** Initialises with room for BW_SUMMARY_ROWS_MAX domains. */
@@ -65,6 +68,13 @@
 const struct directory_host *
 directory_find_host(const struct directory *directory, const char *name);
 
+/**
+ * Returns the region of a host that may have left or failed; the own region
+ * when the host is not known.
+ */
+const char *directory_region(const struct directory *directory,
+			     const char *name);
+
 /**
  * Chooses a host for copies of request records: one in another domain of the
  * same region, else one in the own domain.
--- a/src/boragewingd/lookup.c
+++ b/src/boragewingd/lookup.c
@@ -21,6 +21,8 @@
 			struct lookup_answer *answer);
 static void respond_(struct web_request *request, const char *service,
 		     const struct lookup_answer *answer);
+static void mint_key_(struct host *host, const struct lookup_answer *answer,
+		      char key[BW_KEYS_TEXT_MAX]);
 static enum bw_status write_hosts_(const struct lookup_answer *answer,
 				   struct bw_buffer *out);
 
@@ -157,10 +159,7 @@
 	struct bw_buffer body;
 	enum bw_status status;
 
-	if (answer->hosts[0]->incarnation)
-		bw_keys_mint(&host->steering.keys, answer->hosts[0]->name,
-			     answer->hosts[0]->incarnation, host_wall_ms(host),
-			     key);
+	mint_key_(host, answer, key);
 	bw_buffer_init(&body);
 	status = bw_buffer_printf(
 		&body,
@@ -184,6 +183,28 @@
 	bw_buffer_finish(&body);
 }
 
+/*
+ * The first host of the answer whose process is known owns the key. After a
+ * restart it is not known until the next report; then this host is the owner.
+ */
+static void mint_key_(struct host *host, const struct lookup_answer *answer,
+		      char key[BW_KEYS_TEXT_MAX])
+{
+	const char *owner = host->settings->host.name;
+	uint64_t incarnation = host->incarnation;
+	uint32_t i;
+
+	for (i = 0; i < answer->count; i++) {
+		if (answer->hosts[i]->incarnation) {
+			owner = answer->hosts[i]->name;
+			incarnation = answer->hosts[i]->incarnation;
+			break;
+		}
+	}
+	bw_keys_mint(&host->steering.keys, owner, incarnation,
+		     host_wall_ms(host), key);
+}
+
 static enum bw_status write_hosts_(const struct lookup_answer *answer,
 				   struct bw_buffer *out)
 {
--- a/src/libbwsteer/keys_text.c
+++ b/src/libbwsteer/keys_text.c
@@ -98,6 +98,9 @@
 				    const char *owner, uint64_t incarnation,
 				    int64_t expiry_ms, struct bw_key *key)
 {
+	uint8_t copy[BW_KEYS_ID_BYTES];
+
+	memcpy(copy, id, sizeof(copy));
 	memset(key, 0, sizeof(*key));
 	if (!*owner || !bw_name_set(key->owner, owner) || !incarnation ||
 	    expiry_ms < 0 || expiry_ms >= BW_KEYS_WALL_END_MS)
@@ -105,7 +108,7 @@
 	key->kind = BW_KEYS_BOUND;
 	key->incarnation = incarnation;
 	key->expiry_ms = expiry_ms;
-	memcpy(key->id, id, sizeof(key->id));
+	memcpy(key->id, copy, sizeof(key->id));
 	return BW_OK;
 }
 
--- a/test/deployment.sh
+++ b/test/deployment.sh
@@ -11,9 +11,10 @@
 # are signalled, by the process ids in FOLDER/pid.
 
 BUILD=${BUILD:-build}
-DEPLOYMENT_FLEET_PORT=7100
-DEPLOYMENT_ENTRY_PORT=7200
-DEPLOYMENT_OPERATOR_PORT=7300
+DEPLOYMENT_FLEET_PORT=${DEPLOYMENT_FLEET_PORT:-7100}
+DEPLOYMENT_ENTRY_PORT=${DEPLOYMENT_ENTRY_PORT:-7200}
+DEPLOYMENT_OPERATOR_PORT=${DEPLOYMENT_OPERATOR_PORT:-7300}
+DEPLOYMENT_BACKEND_PORT=${DEPLOYMENT_BACKEND_PORT:-8000}
 
 # Prints "name region failure_domain address control" for each host.
 deployment_hosts() {
@@ -201,7 +202,7 @@
 		"$BUILD/tools/bw-standin-backend" --service="$service" \
 			--failure-domain="$domain" \
 			--id-prefix="$service-$domain" \
-			--address="127.$net.$d.$s" --port-base=8000 \
+			--address="127.$net.$d.$s" --port-base=$DEPLOYMENT_BACKEND_PORT \
 			$(awk -v d="$domain" -v p=$DEPLOYMENT_ENTRY_PORT \
 				'$3 == d { print "--entry=" $4 ":" p }' \
 				"$folder/table") \
--- /dev/null
+++ b/test/once_kill.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Entry hosts are killed one after the other under load and restarted. Guards
+# against a request that runs at its owner and again at another host, and
+# against "not-run" for a request whose owner died while it ran.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. test/deployment.sh
+. test/check.sh
+. test/once.sh
+
+once_begin
+once_usual_load 40
+once_load_start
+sleep 3
+for name in $(deployment_names "$FOLDER"); do
+	deployment_kill "$FOLDER" "$name"
+	sleep 1
+	deployment_start "$FOLDER" "$name"
+	check "$name is back" wait_until 20 revision_in_force "$FOLDER" "$name" 1
+done
+once_load_wait
+once_check
+check "requests were sent again" [ "$(once_count resent)" -gt 0 ]
+echo "$CHECKS passed, 0 failed"
--- a/tools/load.h
+++ b/tools/load.h
@@ -37,6 +37,7 @@
 	uint32_t body_bytes; /**< 0: no body */
 	uint32_t deadline_ms; /**< over all attempts */
 	bool idempotent;
+	bool own_key; /**< brings its own Idempotency-Key */
 };
 
 /** Address of an entry host as written in the file. */
@@ -51,6 +52,7 @@
 	double duration_s;
 	uint32_t in_flight_limit; /**< arrivals above it are not sent */
 	uint32_t attempts; /**< of one request, over all hosts */
+	bool renew_keys; /**< a new key after "not-run" or no connection */
 	uint32_t backoff_ms; /**< mean before the second attempt, doubled */
 	struct load_entry *entry_hosts;
 	uint32_t entry_hosts_count;
--- a/tools/load_caller.c
+++ b/tools/load_caller.c
@@ -18,6 +18,7 @@
 #define REPLY_LIMIT_BYTES (16 * 1024 * 1024)
 #define LOOKUP_TIMEOUT_MS 2000
 #define BACKOFF_DOUBLINGS_MAX 6
+#define REASON_BYTES 48
 
 struct load;
 
@@ -61,12 +62,15 @@
 	uint32_t status_code;
 	enum load_outcome outcome;
 	enum load_outcome last; /**< what the caller knows so far */
+	char reason[REASON_BYTES]; /**< error code of the last refusal */
+	enum answer_check check; /**< of the response with outcome "ran" */
 	struct bw_buffer reply;
 };
 
 /** The process. */
 struct load {
 	struct load_config *config;
+	FILE *requests; /**< one JSON line per ended request; or NULL */
 	struct ev_loop *loop;
 	struct bw_upstream *upstream;
 	struct load_result result;
@@ -88,6 +92,8 @@
 static void resend_or_end_(struct job *job, enum load_outcome outcome);
 static void on_backoff_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void end_(struct job *job, enum load_outcome outcome);
+static void read_reason_(struct job *job);
+static void write_request_(struct job *job, enum load_outcome outcome);
 static void on_event_(void *context, const struct bw_upstream_event *event);
 static enum load_outcome read_outcome_(const struct bw_upstream_event *event);
 static uint32_t left_ms_(const struct job *job);
@@ -99,18 +105,22 @@
 	static struct load load;
 	char *config_path = NULL;
 	char *result_path = NULL;
+	char *requests_path = NULL;
 	gint64 seed = -1;
 	double duration_s = 0;
-	GOptionEntry entries[] = { { "config", 0, 0, G_OPTION_ARG_FILENAME,
-				     &config_path, "Load file", "FILE" },
-				   { "result", 0, 0, G_OPTION_ARG_FILENAME,
-				     &result_path, "Result file", "FILE" },
-				   { "seed", 0, 0, G_OPTION_ARG_INT64, &seed,
-				     "Replaces the seed of the file", "N" },
-				   { "duration-s", 0, 0, G_OPTION_ARG_DOUBLE,
-				     &duration_s,
-				     "Replaces the duration of the file", "S" },
-				   { NULL } };
+	GOptionEntry entries[] = {
+		{ "config", 0, 0, G_OPTION_ARG_FILENAME, &config_path,
+		  "Load file", "FILE" },
+		{ "result", 0, 0, G_OPTION_ARG_FILENAME, &result_path,
+		  "Result file", "FILE" },
+		{ "requests", 0, 0, G_OPTION_ARG_FILENAME, &requests_path,
+		  "Receives a JSON line per request", "FILE" },
+		{ "seed", 0, 0, G_OPTION_ARG_INT64, &seed,
+		  "Replaces the seed of the file", "N" },
+		{ "duration-s", 0, 0, G_OPTION_ARG_DOUBLE, &duration_s,
+		  "Replaces the duration of the file", "S" },
+		{ NULL }
+	};
 	GOptionContext *context = g_option_context_new("- load caller");
 	struct bw_yaml_error error = { 0 };
 	int result = 1;
@@ -130,6 +140,13 @@
 		load.config->seed = (uint64_t)seed;
 	if (duration_s > 0)
 		load.config->duration_s = duration_s;
+	if (requests_path) {
+		load.requests = fopen(requests_path, "w");
+		if (!load.requests) {
+			fprintf(stderr, "cannot write %s\n", requests_path);
+			goto out;
+		}
+	}
 	if (load.config->duration_s > LOAD_SECONDS_MAX || !run_(&load))
 		goto out;
 	if (!load_result_write(&load.result, result_path,
@@ -139,10 +156,13 @@
 	}
 	result = 0;
 out:
+	if (load.requests && fclose(load.requests))
+		result = 1;
 	load_result_finish(&load.result);
 	load_config_free(load.config);
 	g_free(config_path);
 	g_free(result_path);
+	g_free(requests_path);
 	g_option_context_free(context);
 	return result;
 }
@@ -244,7 +264,8 @@
 	cached = &arrival->cached[job->source];
 	/* A request key may be used by one request only. */
 	if (cached->expires_us <= job->started_us ||
-	    (!arrival->kind->idempotent && !cached->key[0])) {
+	    (!arrival->kind->idempotent && !arrival->kind->own_key &&
+	     !cached->key[0])) {
 		look_up_(job);
 		return;
 	}
@@ -349,7 +370,7 @@
 		&job->hosts.hosts[job->attempts % job->hosts.host_count];
 	struct bw_upstream_user user = { job, on_event_ };
 	struct bw_upstream_request request = { 0 };
-	struct bw_http_header headers[4];
+	struct bw_http_header headers[5];
 	struct bw_buffer body = { 0 };
 	char target[TARGET_BYTES];
 	char deadline[16];
@@ -366,10 +387,18 @@
 	headers[1] =
 		(struct bw_http_header){ "Boragewing-Deadline-Ms", deadline };
 	request.header_count = 2;
-	if (job->hosts.key[0] && !kind->idempotent)
+	if (kind->own_key)
+		headers[request.header_count++] =
+			(struct bw_http_header){ "Idempotency-Key", job->id };
+	else if (job->hosts.key[0] && !kind->idempotent)
 		headers[request.header_count++] =
 			(struct bw_http_header){ "Boragewing-Key",
 						 job->hosts.key };
+	if (!kind->idempotent &&
+	    (job->last == LOAD_NOT_RUN || job->last == LOAD_UNREACHABLE))
+		headers[request.header_count++] =
+			(struct bw_http_header){ "Boragewing-First-Attempt",
+						 "1" };
 	if (kind->marker)
 		headers[request.header_count++] =
 			(struct bw_http_header){ "Marker", kind->marker };
@@ -440,8 +469,10 @@
 	}
 	result->status[job->status_code]++;
 	if (job->status_code == 200 && job->outcome == LOAD_RAN)
-		result->checked[answer_verify(job->id, job->reply.data,
-					      job->reply.size_bytes)]++;
+		result->checked[job->check =
+					answer_verify(job->id, job->reply.data,
+						      job->reply.size_bytes)]++;
+	read_reason_(job);
 	if (job->outcome == LOAD_RAN || job->outcome == LOAD_NO_OUTCOME)
 		end_(job, job->outcome);
 	else
@@ -454,7 +485,8 @@
 {
 	struct load_config *config = job->load->config;
 	bool safe = outcome == LOAD_NOT_RUN || outcome == LOAD_UNREACHABLE ||
-		    job->arrival->kind->idempotent || job->hosts.key[0];
+		    job->arrival->kind->idempotent ||
+		    job->arrival->kind->own_key || job->hosts.key[0];
 	uint32_t doublings = job->attempts - 1;
 	double wait_ms;
 
@@ -475,9 +507,19 @@
 
 static void on_backoff_(struct ev_loop *loop, ev_timer *watcher, int events)
 {
+	struct job *job = watcher->data;
+
 	(void)loop;
 	(void)events;
-	call_(watcher->data);
+	/* No attempt has run, so that a new key cannot make a second run. */
+	if (job->load->config->renew_keys &&
+	    (job->last == LOAD_NOT_RUN || job->last == LOAD_UNREACHABLE) &&
+	    !job->arrival->kind->idempotent && !job->arrival->kind->own_key) {
+		job->lookup_attempts = 0;
+		look_up_(job);
+		return;
+	}
+	call_(job);
 }
 
 static void end_(struct job *job, enum load_outcome outcome)
@@ -486,6 +528,7 @@
 
 	load_ended(job->arrival->rank, outcome, bw_clock_us() - job->started_us,
 		   second_(load));
+	write_request_(job, outcome);
 	load->in_flight--;
 	bw_buffer_finish(&job->reply);
 	free(job);
@@ -493,6 +536,42 @@
 		ev_break(load->loop, EVBREAK_ALL);
 }
 
+/* Keeps the error code of a response that the system itself made. */
+static void read_reason_(struct job *job)
+{
+	json_t *root;
+	const char *error;
+
+	if (job->outcome == LOAD_RAN || !job->load->requests)
+		return;
+	root = json_loadb((const char *)job->reply.data, job->reply.size_bytes,
+			  0, NULL);
+	error = json_string_value(json_object_get(root, "error"));
+	snprintf(job->reason, sizeof(job->reason), "%s",
+		 error ? error : "no_code");
+	json_decref(root);
+}
+
+/* Shell runs compare these lines with the ledgers of the backend servers. */
+static void write_request_(struct job *job, enum load_outcome outcome)
+{
+	const struct load_kind *kind = job->arrival->kind;
+
+	if (!job->load->requests)
+		return;
+	fprintf(job->load->requests,
+		"{\"id\":\"%s\",\"kind\":\"%s\",\"idempotent\":%s,"
+		"\"outcome\":\"%s\",\"status\":%u,\"check\":\"%s\","
+		"\"attempts\":%u,\"reason\":\"%s\",\"key\":\"%s\","
+		"\"start_us\":%" PRIu64 ",\"end_us\":%" PRIu64 "}\n",
+		job->id, kind->name, kind->idempotent ? "true" : "false",
+		load_outcome_string[outcome], job->status_code,
+		answer_check_string[job->check], job->attempts, job->reason,
+		kind->idempotent || kind->own_key ? "" : job->hosts.key,
+		job->started_us - job->load->started_us,
+		bw_clock_us() - job->load->started_us);
+}
+
 static enum load_outcome read_outcome_(const struct bw_upstream_event *event)
 {
 	const char *value = NULL;
--- a/tools/load_config.c
+++ b/tools/load_config.c
@@ -33,6 +33,8 @@
 			 deadline_ms),
 	CYAML_FIELD_BOOL("idempotent", CYAML_FLAG_DEFAULT, struct load_kind,
 			 idempotent),
+	CYAML_FIELD_BOOL("own_key", CYAML_FLAG_OPTIONAL, struct load_kind,
+			 own_key),
 	CYAML_FIELD_END
 };
 static const cyaml_schema_value_t kind_schema_ = { CYAML_VALUE_MAPPING(
@@ -59,6 +61,8 @@
 			 attempts),
 	CYAML_FIELD_UINT("backoff_ms", CYAML_FLAG_OPTIONAL, struct load_config,
 			 backoff_ms),
+	CYAML_FIELD_BOOL("renew_keys", CYAML_FLAG_OPTIONAL, struct load_config,
+			 renew_keys),
 	CYAML_FIELD_SEQUENCE("entry_hosts", CYAML_FLAG_POINTER,
 			     struct load_config, entry_hosts, &entry_schema_, 1,
 			     LOAD_ENTRIES_MAX),
