Refuse requests at once where a domain has no backend server

Cause: test/once_drain.sh (6,525 requests, all servers of a service in a domain drained): 220 requests timed out in queues of hosts whose domain had no server left. Change: such requests, queued ones too, get not-run with other hosts to use. Conclusion: drained domains turn callers away until the plan moves them.

--- a/src/boragewingd/calls.c
+++ b/src/boragewingd/calls.c
@@ -640,6 +640,8 @@
 	struct bw_admission_request expired;
 	struct call *call;
 	GList *item = calls->list.head;
+	uint32_t queue = UINT32_MAX;
+	bool served = true;
 
 	while (bw_admission_expire(&steering->admission, now, &expired) ==
 	       BW_OK) {
@@ -653,6 +655,15 @@
 	while (item) {
 		call = item->data;
 		item = item->next;
+		if (call->state == CALL_QUEUED && call->queue != queue) {
+			queue = call->queue;
+			served = steering_has_servers(steering, call->service,
+						      now);
+		}
+		if (call->state == CALL_QUEUED && !served) {
+			call_no_server(call);
+			continue;
+		}
 		if (!bw_time_reached(now, call->deadline))
 			continue;
 		if (call->state == CALL_JOINED)
--- a/src/boragewingd/calls_headers.c
+++ b/src/boragewingd/calls_headers.c
@@ -18,8 +18,8 @@
 static bool is_own_header_(const char *name);
 
 uint32_t call_request_headers(struct call *call, bool forwarded,
-				 struct bw_http_header *headers,
-				 char texts[4][BW_KEYS_TEXT_MAX])
+			      struct bw_http_header *headers,
+			      char texts[4][BW_KEYS_TEXT_MAX])
 {
 	const struct bw_http_header *given = NULL;
 	size_t given_count = 0;
@@ -84,7 +84,7 @@
 }
 
 void call_save_headers(struct call_attempt *attempt,
-			  const struct bw_upstream_event *event)
+		       const struct bw_upstream_event *event)
 {
 	size_t i;
 
@@ -95,4 +95,3 @@
 				 strlen(event->headers[i].value) + 1);
 	}
 }
-
--- a/src/boragewingd/calls_private.h
+++ b/src/boragewingd/calls_private.h
@@ -187,6 +187,9 @@
 /** Continues once the key allows a run: admission control. */
 void call_admit(struct call *call);
 
+/** Refuses a call because the domain has no backend server for it. */
+void call_no_server(struct call *call);
+
 /** Asks the request keys what to do with the call's key. */
 void call_use_key(struct call *call);
 
--- a/src/boragewingd/calls_run.c
+++ b/src/boragewingd/calls_run.c
@@ -7,6 +7,9 @@
 
 #define HEADER_OUTCOME "Boragewing-Outcome"
 
+/** Wait that is told to callers when the domain has no backend server. */
+#define NO_SERVER_RETRY_MS 1000
+
 /** Wait before another try when no backend server had a free slot. */
 #define PICK_RETRY_MS 10
 
@@ -237,10 +240,16 @@
 		.deadline = call->deadline,
 	};
 	struct bw_admission_result result;
-	uint32_t free_slots = steering_free_slots(
+	uint32_t free_slots;
+
+	if (!steering_has_servers(&host->steering, call->service,
+				  host_now(host))) {
+		call_no_server(call);
+		return;
+	}
+	free_slots = steering_free_slots(
 		&host->steering, call->service,
 		admission->services[call->queue].running, host_now(host));
-
 	bw_admission_offer(admission, &offered, free_slots, host_now(host),
 			   &host->random, &result);
 	switch (result.outcome) {
@@ -261,6 +270,14 @@
 	}
 }
 
+/* Another domain of the plan may serve the request. */
+void call_no_server(struct call *call)
+{
+	call_fail(call, 503, "no_backend_server",
+		  call->key_was_run ? CALL_MAY_HAVE_RUN : CALL_NOT_RUN,
+		  NO_SERVER_RETRY_MS);
+}
+
 /* Returns false when no backend server can take the request now. */
 static bool start_attempt_(struct call *call, struct call_attempt *attempt,
 			   bool hedge)
--- a/src/boragewingd/steering.c
+++ b/src/boragewingd/steering.c
@@ -228,6 +228,18 @@
 	return leased < summary.free_slots ? leased : summary.free_slots;
 }
 
+bool steering_has_servers(struct steering *steering, const char *service,
+			  struct bw_time now)
+{
+	struct bw_backend_summary summary;
+
+	return bw_backend_summarise(&steering->backends, service, now,
+				    &summary) == BW_OK &&
+	       summary.healthy_slots + summary.warming_slots +
+			       summary.ejected_slots >
+		       0;
+}
+
 void steering_dump(const struct steering *steering, json_t *into)
 {
 	struct bw_time now = host_now(steering->host);
--- a/src/boragewingd/steering.h
+++ b/src/boragewingd/steering.h
@@ -86,6 +86,13 @@
 uint32_t steering_caller_region(const struct steering *steering,
 				const char *address);
 
+/**
+ * Returns whether this domain has a server of the service that takes new work
+ * now or after an ejection. Without one, waiting in the queue is useless.
+ */
+bool steering_has_servers(struct steering *steering, const char *service,
+			  struct bw_time now);
+
 /**
  * Returns the slots of a service that this host may still start now.
  * @param running requests of the service that this host runs
