Bound the memory of request records and their responses by settings

Cause: the default pools could grow to 128 MiB of responses and 41 MB of records, beyond the 32 MB of control state per host. Change: limits.response_pool_kb (3,072) and limits.request_records (32,768) bound both the own records and those kept as a backup. Conclusion: worst case of the key store 22 MiB by 248 bytes a record.

--- a/src/boragewingd/settings.c
+++ b/src/boragewingd/settings.c
@@ -18,7 +18,14 @@
 #define DEFAULT_CONNECTIONS 4096
 #define DEFAULT_BODY_KB 16384
 #define DEFAULT_QUEUED_REQUESTS 2048
-#define DEFAULT_REQUEST_RECORDS 100000
+/*
+ * A record takes 248 bytes (test_keys prints it). Own records, records kept as
+ * a backup and both pools of responses take 22 MiB at most, so that a host
+ * stays under 32 MB of control state.
+ */
+#define DEFAULT_REQUEST_RECORDS 32768
+#define DEFAULT_RESPONSE_POOL_KB 3072
+
 #define DEFAULT_DRAIN_S 30
 
 #define TEXT_(key, type)                                                      \
@@ -56,6 +63,7 @@
 	OPTIONAL_UINT_(body_kb, settings_limits),
 	OPTIONAL_UINT_(queued_requests, settings_limits),
 	OPTIONAL_UINT_(request_records, settings_limits),
+	OPTIONAL_UINT_(response_pool_kb, settings_limits),
 	OPTIONAL_UINT_(drain_s, settings_limits),
 	CYAML_FIELD_END
 };
@@ -183,6 +191,8 @@
 		limits->queued_requests = DEFAULT_QUEUED_REQUESTS;
 	if (!limits->request_records)
 		limits->request_records = DEFAULT_REQUEST_RECORDS;
+	if (!limits->response_pool_kb)
+		limits->response_pool_kb = DEFAULT_RESPONSE_POOL_KB;
 	if (!limits->drain_s)
 		limits->drain_s = DEFAULT_DRAIN_S;
 }
--- a/src/boragewingd/settings.h
+++ b/src/boragewingd/settings.h
@@ -55,7 +55,8 @@
 	uint32_t connections; /**< of callers */
 	uint32_t body_kb; /**< largest request body */
 	uint32_t queued_requests; /**< over all services */
-	uint32_t request_records; /**< request keys kept */
+	uint32_t request_records; /**< request keys kept, own and as backup */
+	uint32_t response_pool_kb; /**< responses kept, own and as backup */
 	uint32_t drain_s; /**< longest wait of a graceful shutdown */
 };
 
--- a/src/boragewingd/steering.c
+++ b/src/boragewingd/steering.c
@@ -324,6 +324,12 @@
 	config.chart = &steering->key_chart;
 	config.wall_ms = host->start_wall_ms;
 	config.records_max = host->settings->limits.request_records;
+	config.backup_records_max = config.records_max;
+	if (config.backup_records_per_owner_max > config.records_max)
+		config.backup_records_per_owner_max = config.records_max;
+	config.responses_max_bytes =
+		(uint64_t)host->settings->limits.response_pool_kb * 1024;
+	config.backup_responses_max_bytes = config.responses_max_bytes;
 	return bw_keys_init(&steering->keys, &config, now);
 }
 
--- a/src/test_libbwsteer/test_keys.c
+++ b/src/test_libbwsteer/test_keys.c
@@ -438,6 +438,21 @@
 }
 
 /* Guards against wrong decisions at the owner; each case is in the script. */
+/*
+ * Guards against callers' keys that all get the same id: the daemon passes
+ * the id within the key that is filled in.
+ */
+static void test_binding_in_place(void **state)
+{
+	struct bw_key key = { .id = { 1, 2, 3 } };
+	const uint8_t id[BW_KEYS_ID_BYTES] = { 1, 2, 3 };
+
+	(void)state;
+	assert_int_equal(bw_keys_from_binding(key.id, "a", 1, 1000, &key),
+			 BW_OK);
+	assert_memory_equal(key.id, id, sizeof(id));
+}
+
 static void test_owner_script(void **state)
 {
 	(void)state;
@@ -544,6 +559,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_binding_in_place),
 		cmocka_unit_test(test_owner_script),
 		cmocka_unit_test(test_backup_script),
 		cmocka_unit_test(test_handover_script),
