Keep the first plan while backend servers have not announced themselves

The first plan of a sheet is made before any backend server has announced itself. Reports without slots then made every capacity zero, and each row was spread evenly (16.7 % a domain with examples/kalahari.yaml). Rows without traffic now take a report without slots as unknown and assume the sheet's targets and slots. A site that never reported slots keeps its shares while no caller is affected. The flow uses parts of a milli-slot, because the demand assumed for quiet regions rounded away next to pinned shares.

--- a/include/bwsteer/plan.h
+++ b/include/bwsteer/plan.h
@@ -57,7 +57,11 @@
 /** Names that charts/shift.yaml must use, for bw_chart_load. */
 extern const struct bw_chart_names bw_shift_chart_names;
 
-/** What one failure domain reports about one service. */
+/**
+ * What one failure domain reports about one service. Zero slots before any
+ * slots were reported mean that the backend servers have not announced
+ * themselves yet.
+ */
 struct bw_plan_service_report {
 	uint32_t healthy_slots;
 	uint32_t warming_slots;
@@ -118,6 +122,7 @@
 	int64_t clock_ms; /**< time of the plan; never ahead of the wall clock's
 			       progress since the first step */
 
+	uint8_t *announced; /**< not encoded, by site: slots were reported */
 	uint32_t *seen_demand; /**< not encoded: demand when last seen whole,
 				    indexed like weights, in milli-slots */
 	const struct bw_chart *chart; /**< not encoded */
--- a/src/boragewingd/view.c
+++ b/src/boragewingd/view.c
@@ -283,8 +283,7 @@
 static json_t *shifts_(struct host *host)
 {
 	const struct bw_plan *plan = &host->steering.plan;
-	struct bw_shift_limits limits =
-		bw_plan_limits(plan);
+	struct bw_shift_limits limits = bw_plan_limits(plan);
 	const struct bw_plan_service *service;
 	json_t *rows = json_array();
 	uint32_t used;
--- a/src/libbwsteer/plan.c
+++ b/src/libbwsteer/plan.c
@@ -42,6 +42,10 @@
 static void copy_rows_(struct bw_plan *to, const struct bw_plan *from);
 static void copy_service_rows_(struct bw_plan *to, uint32_t service,
 			       const struct bw_plan *from, uint32_t old);
+static void copy_announced_(struct bw_plan *to,
+			    const struct bw_plan_service *service,
+			    const struct bw_plan *from,
+			    const struct bw_plan_service *old);
 static void adopt_limits_(struct bw_plan *to, const struct bw_plan *from,
 			  const struct bw_sheet *sheet);
 
@@ -59,6 +63,7 @@
 	free(plan->sites);
 	free(plan->shares);
 	free(plan->weights);
+	free(plan->announced);
 	free(plan->seen_demand);
 	memset(plan, 0, sizeof(*plan));
 }
@@ -109,11 +114,14 @@
 	plan->weights =
 		calloc((size_t)plan->service_count * plan->region_count + 1,
 		       sizeof(*plan->weights));
+	plan->announced =
+		calloc(plan->site_count + 1, sizeof(*plan->announced));
 	plan->seen_demand =
 		calloc((size_t)plan->service_count * plan->region_count + 1,
 		       sizeof(*plan->seen_demand));
 	if (plan->regions && plan->domains && plan->services && plan->sites &&
-	    plan->shares && plan->weights && plan->seen_demand)
+	    plan->shares && plan->weights && plan->announced &&
+	    plan->seen_demand)
 		return BW_OK;
 	return BW_ENOMEM;
 }
@@ -331,6 +339,7 @@
 	s->state = o->state;
 	s->last_step_ms = o->last_step_ms;
 	s->ledger = o->ledger;
+	copy_announced_(to, s, from, o);
 	for (r = 0; r < to->region_count; r++) {
 		row = bw_plan_find_region(from, to->regions[r]);
 		if (row == BW_SHEET_NONE)
@@ -358,6 +367,24 @@
 	}
 }
 
+static void copy_announced_(struct bw_plan *to,
+			    const struct bw_plan_service *service,
+			    const struct bw_plan *from,
+			    const struct bw_plan_service *old)
+{
+	uint32_t i, k;
+
+	for (i = service->site_begin;
+	     i < service->site_begin + service->site_count; i++) {
+		for (k = old->site_begin; k < old->site_begin + old->site_count;
+		     k++) {
+			if (!strcmp(to->domains[to->sites[i]],
+				    from->domains[from->sites[k]]))
+				to->announced[i] = from->announced[k];
+		}
+	}
+}
+
 static void adopt_limits_(struct bw_plan *to, const struct bw_plan *from,
 			  const struct bw_sheet *sheet)
 {
--- a/src/libbwsteer/plan_target.c
+++ b/src/libbwsteer/plan_target.c
@@ -10,6 +10,12 @@
  */
 #define NO_LINK_US 1000000
 
+/*
+ * Units of the flow in a milli-slot. Parts of the demand that is assumed for
+ * quiet regions are smaller than a milli-slot.
+ */
+#define FLOW_SCALE 1000
+
 /** Transport of demand (caller regions) to capacity (regions). */
 struct flow {
 	uint32_t region_count;
@@ -29,7 +35,7 @@
 };
 
 static void flow_init_(struct flow *flow, const struct bw_plan_problem *p,
-		       const int64_t *pinned);
+		       const double *pinned);
 static void add_spare_(struct flow *flow, const struct bw_plan_problem *p,
 		       bool beyond_ramp);
 static void place_local_(struct flow *flow);
@@ -41,7 +47,7 @@
 			      const struct paths *paths);
 static void augment_(struct flow *flow, const struct paths *paths,
 		     uint32_t sink);
-static void pin_held_(const struct bw_plan_problem *p, int64_t *pinned);
+static void pin_held_(const struct bw_plan_problem *p, double *pinned);
 static void split_(const struct bw_plan_problem *p, const struct flow *flow);
 static void place_rest_(const struct bw_plan_problem *p, uint32_t region,
 			double rest);
@@ -54,7 +60,7 @@
 void bw_plan_target(struct bw_plan_problem *p)
 {
 	struct flow flow;
-	int64_t pinned[BW_PLAN_REGIONS_MAX];
+	double pinned[BW_PLAN_REGIONS_MAX];
 	uint32_t r;
 
 	memset(p->target, 0,
@@ -73,7 +79,7 @@
 	place_remote_(&flow);
 	split_(p, &flow);
 	for (r = 0; r < p->region_count; r++) {
-		place_rest_(p, r, (double)flow.supply[r]);
+		place_rest_(p, r, (double)flow.supply[r] / FLOW_SCALE);
 		scale_row_(p, r);
 	}
 }
@@ -102,7 +108,7 @@
 }
 
 /* Held sites keep their current part of each row. */
-static void pin_held_(const struct bw_plan_problem *p, int64_t *pinned)
+static void pin_held_(const struct bw_plan_problem *p, double *pinned)
 {
 	uint32_t r, i, index;
 	double amount;
@@ -116,13 +122,13 @@
 			amount = (double)p->demand[r] * p->current[index] /
 				 BW_PLAN_SHARE_WHOLE;
 			p->target[index] = amount;
-			pinned[r] += (int64_t)amount;
+			pinned[r] += amount;
 		}
 	}
 }
 
 static void flow_init_(struct flow *flow, const struct bw_plan_problem *p,
-		       const int64_t *pinned)
+		       const double *pinned)
 {
 	const struct bw_plan_links *links = p->links;
 	uint32_t r, g, link;
@@ -131,7 +137,9 @@
 	memset(flow, 0, sizeof(*flow));
 	flow->region_count = p->region_count;
 	for (r = 0; r < p->region_count; r++) {
-		flow->supply[r] = p->demand[r] - pinned[r];
+		flow->supply[r] = (int64_t)(FLOW_SCALE * ((double)p->demand[r] -
+							  pinned[r]) +
+					    0.5);
 		for (g = 0; g < p->region_count; g++) {
 			link = links->link[r * links->region_count + g];
 			flow->room[r][g] = UNLIMITED;
@@ -146,9 +154,10 @@
 			room = links->limit_kbit[link] -
 			       links->reserved_kbit[link];
 			if (p->kbit_per_slot > 0 &&
-			    room / p->kbit_per_slot < (double)UNLIMITED)
+			    room / p->kbit_per_slot <
+				    (double)UNLIMITED / FLOW_SCALE)
 				flow->room[r][g] =
-					room > 0 ? (int64_t)(room /
+					room > 0 ? (int64_t)(FLOW_SCALE * room /
 							     p->kbit_per_slot)
 						 : 0;
 		}
@@ -164,8 +173,9 @@
 		if (p->site_class[i] != BW_SITE_USABLE)
 			continue;
 		flow->spare[p->site_region[i]] +=
-			beyond_ramp ? p->capacity[i] - p->ramped[i]
-				    : p->ramped[i];
+			FLOW_SCALE * (beyond_ramp
+					      ? p->capacity[i] - p->ramped[i]
+					      : p->ramped[i]);
 	}
 }
 
@@ -316,7 +326,7 @@
 
 	for (r = 0; r < p->region_count; r++) {
 		for (g = 0; g < p->region_count; g++)
-			into[g] += (double)flow->placed[r][g];
+			into[g] += (double)flow->placed[r][g] / FLOW_SCALE;
 	}
 	for (i = 0; i < p->site_count; i++) {
 		if (p->site_class[i] != BW_SITE_USABLE)
@@ -337,7 +347,7 @@
 		part /= extra > 0 ? into[g] : ramped[g];
 		for (r = 0; r < p->region_count; r++)
 			p->target[r * p->site_count + i] +=
-				part * (double)flow->placed[r][g];
+				part * (double)flow->placed[r][g] / FLOW_SCALE;
 	}
 }
 
--- a/src/libbwsteer/plan_work.c
+++ b/src/libbwsteer/plan_work.c
@@ -46,6 +46,13 @@
 				    uint32_t service, uint32_t site,
 				    bool first);
 static bool is_held_(const struct bw_plan_work *work, uint32_t domain);
+static uint32_t reported_slots_(const struct bw_plan_work *work,
+				uint32_t service, uint32_t domain);
+static void note_announced_(struct bw_plan_work *work, uint32_t service);
+static bool is_pending_(const struct bw_plan_work *work, uint32_t service,
+			uint32_t site);
+static bool has_demand_(const struct bw_plan_work *work, uint32_t service,
+			uint32_t domain);
 static int64_t capacity_(const struct bw_plan_work *work, uint32_t service,
 			 uint32_t site, bool first);
 static void load_demand_(struct bw_plan_work *work, uint32_t service);
@@ -110,6 +117,7 @@
 	p->site_count = of->site_count;
 	p->current = plan->shares + of->share_begin;
 	p->target = work->target;
+	note_announced_(work, service);
 	for (i = 0; i < of->site_count; i++) {
 		domain = plan->sites[of->site_begin + i];
 		p->site_region[i] =
@@ -271,6 +279,8 @@
 		return BW_SITE_DRAINED;
 	if (first)
 		return BW_SITE_USABLE;
+	if (is_pending_(work, service, site))
+		return BW_SITE_HELD;
 	if (report->known) {
 		measured_ms = work->now_ms - (int64_t)report->age_ms;
 		if (report->age_ms <= BW_PLAN_REPORT_FRESH_MS &&
@@ -291,7 +301,80 @@
 	       BW_PLAN_HOLD_MS;
 }
 
-/* A report is believed up to what the sheet expects in the domain. */
+/* Slots of a fresh report; 0 without one. */
+static uint32_t reported_slots_(const struct bw_plan_work *work,
+				uint32_t service, uint32_t domain)
+{
+	const struct bw_plan_report *report = report_of_(work, domain);
+	const struct bw_plan_service_report *said;
+
+	if (!report || !report->known ||
+	    report->age_ms > BW_PLAN_REPORT_FRESH_MS)
+		return 0;
+	said = &report->services[service];
+	return said->healthy_slots ? said->healthy_slots : said->warming_slots;
+}
+
+static void note_announced_(struct bw_plan_work *work, uint32_t service)
+{
+	struct bw_plan *plan = work->plan;
+	const struct bw_plan_service *of = &plan->services[service];
+	uint32_t i;
+
+	for (i = of->site_begin; i < of->site_begin + of->site_count; i++) {
+		if (reported_slots_(work, service, plan->sites[i]))
+			plan->announced[i] = 1;
+	}
+}
+
+/*
+ * A site whose backend servers have not announced themselves yet keeps its
+ * shares while no caller is affected: in a fresh deployment the servers come
+ * up one after the other, and moving shares away and back would use up the
+ * cap for nothing.
+ */
+static bool is_pending_(const struct bw_plan_work *work, uint32_t service,
+			uint32_t site)
+{
+	const struct bw_plan *plan = work->plan;
+	uint32_t index = plan->services[service].site_begin + site;
+	uint32_t i;
+
+	if (plan->announced[index])
+		return false;
+	if (work->reports[plan->sites[index]].known)
+		return !has_demand_(work, service, plan->sites[index]);
+	for (i = 0; i < work->sheet->services[service].placements_count; i++) {
+		if (has_demand_(work, service,
+				work->sheet->services[service]
+					.placements[i]
+					.domain))
+			return false;
+	}
+	return true;
+}
+
+static bool has_demand_(const struct bw_plan_work *work, uint32_t service,
+			uint32_t domain)
+{
+	const struct bw_plan_report *report = &work->reports[domain];
+	const uint32_t *demand;
+	uint32_t r;
+
+	if (!report->known)
+		return false;
+	demand = report->services[service].demand;
+	for (r = 0; demand && r < work->plan->region_count; r++) {
+		if (demand[r])
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A report is believed up to what the sheet expects in the domain. For shares
+ * that carry no traffic yet, a report without slots says nothing.
+ */
 static int64_t capacity_(const struct bw_plan_work *work, uint32_t service,
 			 uint32_t site, bool first)
 {
@@ -306,10 +389,10 @@
 	uint32_t region = work->sheet->domains[domain].region;
 
 	if (report->known &&
-	    (!first || report->age_ms <= BW_PLAN_REPORT_FRESH_MS)) {
+	    (!first || reported_slots_(work, service, domain))) {
 		const struct bw_plan_service_report *said =
 			&report->services[service];
-		int64_t ramp = said->ramp > 1000 ? 1000 : said->ramp;
+		int64_t ramp = first || said->ramp > 1000 ? 1000 : said->ramp;
 
 		slots = INT64_C(1000) * said->healthy_slots +
 			ramp * said->warming_slots;
