Plan large sheets in turns, and count what reports show on links

The load of a link is now at least what domains report to arrive over it, and a shift is expected to bring more in the same ratio. What finds no room stays where it is.

The flow visits only regions with sites, only the links of a service are measured, rows are checked before they are loaded, and 400 services are judged per call. The link load of all services is counted in each call.

--- a/include/bwsteer/plan.h
+++ b/include/bwsteer/plan.h
@@ -41,6 +41,12 @@
  */
 #define BW_PLAN_STEP_MAX_MS 2000
 
+/**
+ * Services whose shares one step may change. A larger sheet is planned in
+ * turns, because the planner runs in the daemon's only loop.
+ */
+#define BW_PLAN_SERVICES_PER_STEP 400
+
 /** States of the shift of a service (charts/shift.yaml). */
 enum bw_shift_state {
 	BW_SHIFT_SETTLED, /**< the shares are good enough */
@@ -122,6 +128,7 @@
 	int64_t clock_ms; /**< time of the plan; never ahead of the wall clock's
 			       progress since the first step */
 
+	uint32_t turn; /**< not encoded: counts steps */
 	uint8_t *announced; /**< not encoded, by site: slots were reported */
 	uint32_t *seen_demand; /**< not encoded: demand when last seen whole,
 				    indexed like weights, in milli-slots */
@@ -145,8 +152,8 @@
 
 /**
  * Takes one planning step, to be called about once a second: adopts the sheet
- *when it is new, then moves the shares of each service towards their target as
- *far as its ledger allows.
+ * when it is new, then moves the shares of each service whose turn it is
+ * towards their target as far as its ledger allows.
  * @param reports one entry for each failure domain of the sheet
  * @param now_ms wall clock in milliseconds since 1970
  * @param changed receives whether the plan has a new version that must be
--- a/src/libbwsteer/include/private/plan_internal.h
+++ b/src/libbwsteer/include/private/plan_internal.h
@@ -37,8 +37,16 @@
 	uint8_t *drained; /**< by site of the plan: the sheet drains it */
 	uint32_t *order; /**< services, the worthiest first */
 	double *links_memory; /**< holds the arrays of links */
+	uint32_t
+		*touched; /**< links between callers and sites of the service */
+	uint32_t touched_count;
+	uint32_t *touched_by; /**< by link: service + 1 that touched it last */
+	/** By region: per mille of the service's row on fresh domains. */
+	uint32_t seen_share[BW_PLAN_REGIONS_MAX];
 	double *step_link; /**< by link: load of the service's target */
 	double *current_link; /**< by link: load of its current shares */
+	double *planned_link; /**< by link: that load without what reports add
+			       */
 	double *target; /**< rows of the largest service */
 	uint16_t *rows; /**< rows of the largest service */
 };
@@ -70,6 +78,13 @@
  */
 bool bw_plan_work_load(struct bw_plan_work *work, uint32_t service, bool first);
 
+/** Returns the report of a domain, NULL when the sheet no longer has it. */
+const struct bw_plan_report *bw_plan_report_of(const struct bw_plan_work *work,
+					       uint32_t domain);
+
+/** Fills the demand of the problem and raises the weights of the plan. */
+void bw_plan_load_demand(struct bw_plan_work *work, uint32_t service);
+
 /**
  * Returns whether reports can show the effect of a service's last step.
  * Before that, demand does not correspond to the shares.
--- a/src/libbwsteer/include/private/plan_target.h
+++ b/src/libbwsteer/include/private/plan_target.h
@@ -39,6 +39,9 @@
 	int64_t capacity[BW_PLAN_DOMAINS_MAX]; /**< within the load limit */
 	int64_t ramped[BW_PLAN_DOMAINS_MAX]; /**< usable in this step */
 	int64_t demand[BW_PLAN_REGIONS_MAX]; /**< greater than zero */
+	/** By site: reported demand by region, NULL: none. The load of a link
+	 *  is at least what arrives over it. */
+	const uint32_t *claims[BW_PLAN_DOMAINS_MAX];
 	double kbit_per_slot; /**< link load of a milli-slot, per second */
 	const uint16_t *current; /**< rows of shares; a new row is all zero */
 	double *target; /**< receives rows of shares */
--- a/src/libbwsteer/plan.c
+++ b/src/libbwsteer/plan.c
@@ -155,6 +155,7 @@
 	to.revision = sheet->revision;
 	to.clock_ms = plan->clock_ms;
 	to.wall_ms = plan->wall_ms;
+	to.turn = plan->turn;
 	copy_names_(&to, sheet);
 	list_sites_(&to, plan, sheet);
 	copy_rows_(&to, plan);
--- a/src/libbwsteer/plan_step.c
+++ b/src/libbwsteer/plan_step.c
@@ -51,6 +51,8 @@
 static void load_links_(struct bw_plan_work *work);
 static bool place_new_rows_(struct bw_plan_work *work, uint32_t service);
 static bool row_is_new_(const struct bw_plan_problem *problem, uint32_t row);
+static void clear_links_(const struct bw_plan_work *work, double *load);
+static bool is_due_(const struct bw_plan_work *work, uint32_t service);
 static bool step_service_(struct bw_plan_work *work, uint32_t service);
 static enum bw_shift_event judge_(struct bw_plan_work *work, uint32_t service,
 				  bool usable, double *fraction);
@@ -58,6 +60,7 @@
 		   double fraction);
 static void update_links_(struct bw_plan_work *work, uint32_t service,
 			  bool planned);
+static void plan_links_(struct bw_plan_work *work);
 static double link_fraction_(const struct bw_plan_work *work);
 static void measure_(const struct bw_plan_work *work, const uint16_t *rows,
 		     const double *link_load, struct quality *quality);
@@ -97,6 +100,7 @@
 	status = bw_plan_work_init(&work);
 	if (status != BW_OK)
 		goto out;
+	plan->turn++;
 	note_missing_(&work);
 	forget_weights_(&work);
 	for (i = 0; i < plan->service_count; i++)
@@ -175,11 +179,13 @@
 	bool any = false;
 	uint32_t r;
 
-	bw_plan_work_load(work, service, true);
-	for (r = 0; r < p->region_count; r++)
+	p->site_count = work->plan->services[service].site_count;
+	p->current = shares;
+	for (r = 0; r < work->plan->region_count; r++)
 		any |= row_is_new_(p, r);
 	if (!any)
 		return false;
+	bw_plan_work_load(work, service, true);
 	bw_plan_target(p);
 	for (r = 0; r < p->region_count; r++) {
 		if (!row_is_new_(p, r))
@@ -216,6 +222,27 @@
 	}
 }
 
+static void clear_links_(const struct bw_plan_work *work, double *load)
+{
+	uint32_t k;
+
+	for (k = 0; k < work->touched_count; k++)
+		load[work->touched[k]] = 0;
+}
+
+/*
+ * Whether it is the turn of a service. The link load of the others is counted
+ * in every step, so that no limit depends on whose turn it is.
+ */
+static bool is_due_(const struct bw_plan_work *work, uint32_t service)
+{
+	const struct bw_plan *plan = work->plan;
+	uint32_t turns = (plan->service_count + BW_PLAN_SERVICES_PER_STEP - 1) /
+			 BW_PLAN_SERVICES_PER_STEP;
+
+	return service % turns == plan->turn % turns;
+}
+
 static bool step_service_(struct bw_plan_work *work, uint32_t service)
 {
 	struct bw_plan_service *of = &work->plan->services[service];
@@ -225,9 +252,13 @@
 	double fraction = 0;
 	bool moved = false;
 
-	memset(work->current_link, 0, work->links.link_count * sizeof(double));
+	clear_links_(work, work->current_link);
 	bw_plan_add_link_load(&work->problem, work->problem.current, 1,
 			      work->current_link);
+	if (!is_due_(work, service)) {
+		update_links_(work, service, false);
+		return false;
+	}
 	event = judge_(work, service, usable, &fraction);
 	if (bw_chart_next(work->plan->chart, of->state, event, &step) ==
 	    BW_OK) {
@@ -254,7 +285,7 @@
 		return BW_SHIFT_EFFECT_PENDING;
 	settle_ledger_(work, service);
 	bw_plan_target(p);
-	memset(work->step_link, 0, work->links.link_count * sizeof(double));
+	clear_links_(work, work->step_link);
 	bw_plan_add_link_load(p, NULL, 1, work->step_link);
 	measure_(work, p->current, work->current_link, &current);
 	measure_(work, NULL, work->step_link, &target);
@@ -269,21 +300,41 @@
 	if (available < least && available < amount)
 		return BW_SHIFT_CAP_REACHED;
 	*fraction = available < amount ? available / amount : 1;
+	plan_links_(work);
 	if (link_fraction_(work) < *fraction)
 		*fraction = link_fraction_(work);
 	return *fraction > 0 ? BW_SHIFT_GAIN : BW_SHIFT_CAP_REACHED;
 }
 
-/* Part of the way to the target for which all links have room now. */
+/* The load of the current shares if demand were as estimated. */
+static void plan_links_(struct bw_plan_work *work)
+{
+	const struct bw_plan_problem *p = &work->problem;
+	size_t size = (size_t)p->region_count * p->site_count;
+
+	memcpy(work->rows, p->current, size * sizeof(*work->rows));
+	clear_links_(work, work->planned_link);
+	bw_plan_add_link_load(p, work->rows, 1, work->planned_link);
+}
+
+/*
+ * Part of the way to the target for which all links have room now. Where more
+ * arrives over a link than was estimated, the shift is expected to bring more
+ * in the same ratio.
+ */
 static double link_fraction_(const struct bw_plan_work *work)
 {
 	const struct bw_plan_links *links = &work->links;
-	double fraction = 1, current, growth, room;
-	uint32_t i;
+	double fraction = 1, current, planned, growth, room;
+	uint32_t i, k;
 
-	for (i = 0; i < links->link_count; i++) {
+	for (k = 0; k < work->touched_count; k++) {
+		i = work->touched[k];
 		current = work->current_link[i];
-		growth = work->step_link[i] - current;
+		planned = work->planned_link[i];
+		growth = work->step_link[i] - planned;
+		if (current > planned && planned > 0)
+			growth *= current / planned;
 		room = links->limit_kbit[i] - links->used_kbit[i];
 		if (growth <= 0 || growth <= room)
 			continue;
@@ -339,9 +390,10 @@
 {
 	struct bw_plan_links *links = &work->links;
 	const struct bw_plan_problem *p = &work->problem;
-	uint32_t i;
+	uint32_t i, k;
 
-	for (i = 0; i < links->link_count; i++) {
+	for (k = 0; k < work->touched_count; k++) {
+		i = work->touched[k];
 		links->used_kbit[i] -= work->current_link[i];
 		work->current_link[i] = 0;
 	}
@@ -349,7 +401,8 @@
 			      work->plan->shares +
 				      work->plan->services[service].share_begin,
 			      1, work->current_link);
-	for (i = 0; i < links->link_count; i++) {
+	for (k = 0; k < work->touched_count; k++) {
+		i = work->touched[k];
 		double need = work->current_link[i];
 
 		links->used_kbit[i] += need;
@@ -366,7 +419,7 @@
 	const struct bw_plan_links *links = &work->links;
 	double load[BW_PLAN_DOMAINS_MAX] = { 0 };
 	double part, excess;
-	uint32_t r, i, index;
+	uint32_t r, i, k, index;
 
 	memset(quality, 0, sizeof(*quality));
 	for (r = 0; r < p->region_count; r++) {
@@ -381,7 +434,8 @@
 	}
 	quality->latency_ms /= quality->demand;
 	measure_sites_(p, load, quality);
-	for (i = 0; i < links->link_count; i++) {
+	for (k = 0; k < work->touched_count; k++) {
+		i = work->touched[k];
 		excess = links->used_kbit[i] - work->current_link[i] +
 			 link_load[i] - links->limit_kbit[i];
 		excess = excess < link_load[i] ? excess : link_load[i];
--- a/src/libbwsteer/plan_target.c
+++ b/src/libbwsteer/plan_target.c
@@ -19,6 +19,9 @@
 /** Transport of demand (caller regions) to capacity (regions). */
 struct flow {
 	uint32_t region_count;
+	/* Regions with sites; only they have spare capacity and flow. */
+	uint32_t sinks[BW_PLAN_REGIONS_MAX];
+	uint32_t sink_count;
 	int64_t supply[BW_PLAN_REGIONS_MAX]; /* not placed yet */
 	int64_t spare[BW_PLAN_REGIONS_MAX]; /* capacity not used yet */
 	int64_t placed[BW_PLAN_REGIONS_MAX][BW_PLAN_REGIONS_MAX];
@@ -36,6 +39,9 @@
 
 static void flow_init_(struct flow *flow, const struct bw_plan_problem *p,
 		       const double *pinned);
+static void list_sinks_(struct flow *flow, const struct bw_plan_problem *p);
+static void init_pair_(struct flow *flow, const struct bw_plan_problem *p,
+		       uint32_t r, uint32_t g);
 static void add_spare_(struct flow *flow, const struct bw_plan_problem *p,
 		       bool beyond_ramp);
 static void place_local_(struct flow *flow);
@@ -51,8 +57,9 @@
 static void split_(const struct bw_plan_problem *p, const struct flow *flow);
 static void place_rest_(const struct bw_plan_problem *p, uint32_t region,
 			double rest);
+static bool is_empty_(const struct bw_plan_problem *p, uint32_t site);
 static double add_by_current_(const struct bw_plan_problem *p, uint32_t region,
-			      enum bw_site_class class, double rest);
+			      bool empty, double rest);
 static bool add_by_capacity_(const struct bw_plan_problem *p, uint32_t region,
 			     bool home_only, double rest);
 static void scale_row_(const struct bw_plan_problem *p, uint32_t region);
@@ -89,7 +96,7 @@
 {
 	const struct bw_plan_links *links = p->links;
 	uint32_t r, i, link;
-	double share;
+	double share, load_now;
 
 	for (r = 0; r < p->region_count; r++) {
 		for (i = 0; i < p->site_count; i++) {
@@ -101,8 +108,12 @@
 				continue;
 			share = rows ? rows[r * p->site_count + i]
 				     : p->target[r * p->site_count + i];
-			load[link] += sign * share / BW_PLAN_SHARE_WHOLE *
-				      (double)p->demand[r] * p->kbit_per_slot;
+			load_now = share / BW_PLAN_SHARE_WHOLE *
+				   (double)p->demand[r];
+			if (rows == p->current && p->claims[i] &&
+			    p->claims[i][r] > load_now)
+				load_now = p->claims[i][r];
+			load[link] += sign * load_now * p->kbit_per_slot;
 		}
 	}
 }
@@ -130,40 +141,59 @@
 static void flow_init_(struct flow *flow, const struct bw_plan_problem *p,
 		       const double *pinned)
 {
-	const struct bw_plan_links *links = p->links;
-	uint32_t r, g, link;
-	double room;
+	uint32_t r, k;
 
-	memset(flow, 0, sizeof(*flow));
 	flow->region_count = p->region_count;
+	list_sinks_(flow, p);
 	for (r = 0; r < p->region_count; r++) {
 		flow->supply[r] = (int64_t)(FLOW_SCALE * ((double)p->demand[r] -
 							  pinned[r]) +
 					    0.5);
-		for (g = 0; g < p->region_count; g++) {
-			link = links->link[r * links->region_count + g];
-			flow->room[r][g] = UNLIMITED;
-			flow->cost[r][g] = r == g ? 0 : NO_LINK_US;
-			if (link == BW_SHEET_NONE)
-				continue;
-			flow->cost[r][g] =
-				(int64_t)(1000 *
-					  links->latency_ms
-						  [r * links->region_count +
-						   g]);
-			room = links->limit_kbit[link] -
-			       links->reserved_kbit[link];
-			if (p->kbit_per_slot > 0 &&
-			    room / p->kbit_per_slot <
-				    (double)UNLIMITED / FLOW_SCALE)
-				flow->room[r][g] =
-					room > 0 ? (int64_t)(FLOW_SCALE * room /
-							     p->kbit_per_slot)
-						 : 0;
-		}
+		flow->spare[r] = 0;
+		for (k = 0; k < flow->sink_count; k++)
+			init_pair_(flow, p, r, flow->sinks[k]);
 	}
 }
 
+static void list_sinks_(struct flow *flow, const struct bw_plan_problem *p)
+{
+	bool listed[BW_PLAN_REGIONS_MAX] = { false };
+	uint32_t i, g;
+
+	for (i = 0; i < p->site_count; i++) {
+		if (p->site_class[i] == BW_SITE_USABLE)
+			listed[p->site_region[i]] = true;
+	}
+	flow->sink_count = 0;
+	for (g = 0; g < p->region_count; g++) {
+		if (listed[g])
+			flow->sinks[flow->sink_count++] = g;
+	}
+}
+
+static void init_pair_(struct flow *flow, const struct bw_plan_problem *p,
+		       uint32_t r, uint32_t g)
+{
+	const struct bw_plan_links *links = p->links;
+	uint32_t link = links->link[r * links->region_count + g];
+	double room;
+
+	flow->placed[r][g] = 0;
+	flow->room[r][g] = UNLIMITED;
+	flow->cost[r][g] = r == g ? 0 : NO_LINK_US;
+	if (link == BW_SHEET_NONE)
+		return;
+	flow->cost[r][g] =
+		(int64_t)(1000 *
+			  links->latency_ms[r * links->region_count + g]);
+	room = links->limit_kbit[link] - links->reserved_kbit[link];
+	if (p->kbit_per_slot > 0 &&
+	    room / p->kbit_per_slot < (double)UNLIMITED / FLOW_SCALE)
+		flow->room[r][g] = room > 0 ? (int64_t)(FLOW_SCALE * room /
+							p->kbit_per_slot)
+					    : 0;
+}
+
 static void add_spare_(struct flow *flow, const struct bw_plan_problem *p,
 		       bool beyond_ramp)
 {
@@ -181,10 +211,11 @@
 
 static void place_local_(struct flow *flow)
 {
-	uint32_t r;
+	uint32_t k, r;
 	int64_t amount;
 
-	for (r = 0; r < flow->region_count; r++) {
+	for (k = 0; k < flow->sink_count; k++) {
+		r = flow->sinks[k];
 		amount = flow->supply[r] < flow->spare[r] ? flow->supply[r]
 							  : flow->spare[r];
 		flow->placed[r][r] += amount;
@@ -229,14 +260,15 @@
 
 static bool relax_sinks_(const struct flow *flow, struct paths *paths)
 {
-	uint32_t r, g;
+	uint32_t r, g, k;
 	int64_t distance;
 	bool changed = false;
 
 	for (r = 0; r < flow->region_count; r++) {
 		if (paths->to_source[r] >= UNLIMITED)
 			continue;
-		for (g = 0; g < flow->region_count; g++) {
+		for (k = 0; k < flow->sink_count; k++) {
+			g = flow->sinks[k];
 			distance = paths->to_source[r] + flow->cost[r][g];
 			if (distance >= paths->to_sink[g] ||
 			    flow->placed[r][g] >= flow->room[r][g])
@@ -251,11 +283,12 @@
 
 static bool relax_sources_(const struct flow *flow, struct paths *paths)
 {
-	uint32_t r, g;
+	uint32_t r, g, k;
 	int64_t distance;
 	bool changed = false;
 
-	for (g = 0; g < flow->region_count; g++) {
+	for (k = 0; k < flow->sink_count; k++) {
+		g = flow->sinks[k];
 		if (paths->to_sink[g] >= UNLIMITED)
 			continue;
 		for (r = 0; r < flow->region_count; r++) {
@@ -275,9 +308,10 @@
 			      const struct paths *paths)
 {
 	uint32_t best = BW_SHEET_NONE;
-	uint32_t g;
+	uint32_t g, k;
 
-	for (g = 0; g < flow->region_count; g++) {
+	for (k = 0; k < flow->sink_count; k++) {
+		g = flow->sinks[k];
 		if (flow->spare[g] <= 0 || paths->to_sink[g] >= UNLIMITED)
 			continue;
 		if (best == BW_SHEET_NONE ||
@@ -322,11 +356,13 @@
 	double ramped[BW_PLAN_REGIONS_MAX] = { 0 };
 	double beyond[BW_PLAN_REGIONS_MAX] = { 0 };
 	double part, extra;
-	uint32_t r, g, i;
+	uint32_t r, g, i, k;
 
 	for (r = 0; r < p->region_count; r++) {
-		for (g = 0; g < p->region_count; g++)
+		for (k = 0; k < flow->sink_count; k++) {
+			g = flow->sinks[k];
 			into[g] += (double)flow->placed[r][g] / FLOW_SCALE;
+		}
 	}
 	for (i = 0; i < p->site_count; i++) {
 		if (p->site_class[i] != BW_SITE_USABLE)
@@ -358,11 +394,11 @@
 
 	if (rest <= 0)
 		return;
-	rest = add_by_current_(p, region, BW_SITE_MISSING, rest);
+	rest = add_by_current_(p, region, true, rest);
 	/* Excess work is shed at home, where it loads no link. */
 	if (rest <= 0 || add_by_capacity_(p, region, true, rest))
 		return;
-	rest = add_by_current_(p, region, BW_SITE_USABLE, rest);
+	rest = add_by_current_(p, region, false, rest);
 	if (rest <= 0 || add_by_capacity_(p, region, false, rest))
 		return;
 	/* Nothing can serve: any division will do, the current one is best. */
@@ -374,12 +410,20 @@
 	}
 }
 
+/* A site that can take nothing as far as reports tell. */
+static bool is_empty_(const struct bw_plan_problem *p, uint32_t site)
+{
+	return p->site_class[site] == BW_SITE_MISSING ||
+	       (p->site_class[site] == BW_SITE_USABLE && !p->capacity[site]);
+}
+
 /*
- * Leaves demand where it is. Missing sites keep at most what they have, so
- * that no more than the rest stays there.
+ * Leaves demand where it is: on the empty sites at most what they have, so
+ * that no other site is pushed above its limit by their demand, or all of the
+ * rest on the sites with capacity.
  */
 static double add_by_current_(const struct bw_plan_problem *p, uint32_t region,
-			      enum bw_site_class class, double rest)
+			      bool empty, double rest)
 {
 	const uint16_t *row = p->current + (size_t)region * p->site_count;
 	double *target = p->target + (size_t)region * p->site_count;
@@ -387,18 +431,16 @@
 	uint32_t i;
 
 	for (i = 0; i < p->site_count; i++) {
-		if (p->site_class[i] == class &&
-		    (class == BW_SITE_MISSING || p->capacity[i] > 0))
+		if (empty ? is_empty_(p, i) : p->capacity[i] > 0)
 			sum += row[i];
 	}
 	if (rest <= 0 || sum <= 0)
 		return rest;
 	amount = sum * (double)p->demand[region] / BW_PLAN_SHARE_WHOLE;
-	if (class != BW_SITE_MISSING || amount > rest)
+	if (!empty || amount > rest)
 		amount = rest;
 	for (i = 0; i < p->site_count; i++) {
-		if (p->site_class[i] == class &&
-		    (class == BW_SITE_MISSING || p->capacity[i] > 0))
+		if (empty ? is_empty_(p, i) : p->capacity[i] > 0)
 			target[i] += amount * row[i] / sum;
 	}
 	return rest - amount;
--- a/src/libbwsteer/plan_work.c
+++ b/src/libbwsteer/plan_work.c
@@ -17,29 +17,12 @@
 #define RUN_US_MIN 1000
 #define RUN_US_MAX 60000000
 
-/* A domain is believed up to this multiple of its slots as its demand. */
-#define DEMAND_LIMIT_FACTOR 2
-
-/*
- * A site may claim this multiple of its share of the demand that its peers
- * imply, plus this many parts per mille for callers that fell back to it.
- */
-#define CLAIM_FACTOR 1.5
-#define CLAIM_EXTRA 100
-
-/*
- * Demand assumed for a region without any, as a fraction of the capacity, so
- * that its row has shares when callers arrive.
- */
-#define NOMINAL_DEMAND_DIVISOR 2000
-
 static enum bw_status init_links_(struct bw_plan_work *work);
+static void list_links_(struct bw_plan_work *work, uint32_t service);
 static void init_drains_(struct bw_plan_work *work);
 static int64_t drain_lead_ms_(const struct bw_plan_work *work);
 static void init_order_(struct bw_plan_work *work);
 static uint32_t worth_(const struct bw_sheet *sheet, uint32_t service);
-static const struct bw_plan_report *report_of_(const struct bw_plan_work *work,
-					       uint32_t domain);
 static bool is_draining_(const struct bw_plan_work *work, uint32_t service,
 			 uint32_t site);
 static enum bw_site_class classify_(const struct bw_plan_work *work,
@@ -55,17 +38,6 @@
 			uint32_t domain);
 static int64_t capacity_(const struct bw_plan_work *work, uint32_t service,
 			 uint32_t site, bool first);
-static void load_demand_(struct bw_plan_work *work, uint32_t service);
-static void raise_weights_(struct bw_plan_work *work, uint32_t service,
-			   const int64_t *demand);
-static void add_demand_(struct bw_plan_work *work, uint32_t service,
-			int64_t *claimed);
-static const uint32_t *claims_(const struct bw_plan_work *work,
-			       uint32_t service, uint32_t site, double *scale);
-static double typical_demand_(const struct bw_plan_problem *p, uint32_t region,
-			      const uint32_t *const *claims);
-static void estimate_unseen_(const struct bw_plan_work *work, uint32_t service,
-			     int64_t *demand);
 static void load_link_cost_(struct bw_plan_work *work, uint32_t service);
 static void load_ramps_(struct bw_plan_work *work, bool first);
 
@@ -99,6 +71,8 @@
 	free(work->order);
 	free(work->target);
 	free(work->rows);
+	free(work->touched);
+	free(work->touched_by);
 	free(work->links.link);
 	free(work->links_memory);
 }
@@ -129,12 +103,38 @@
 					 : 0;
 		usable |= p->site_class[i] == BW_SITE_USABLE;
 	}
-	load_demand_(work, service);
+	list_links_(work, service);
+	bw_plan_load_demand(work, service);
 	load_link_cost_(work, service);
 	load_ramps_(work, first);
 	return usable;
 }
 
+/* Lists each link once; a service uses few of the links of a large fleet. */
+static void list_links_(struct bw_plan_work *work, uint32_t service)
+{
+	const struct bw_plan_problem *p = &work->problem;
+	const struct bw_plan_links *links = p->links;
+	uint32_t i, r, link;
+
+	for (i = 0; i < work->touched_count; i++)
+		work->touched_by[work->touched[i]] = 0;
+	work->touched_count = 0;
+	for (i = 0; i < p->site_count; i++) {
+		if (p->site_region[i] == BW_SHEET_NONE)
+			continue;
+		for (r = 0; r < p->region_count; r++) {
+			link = links->link[r * links->region_count +
+					   p->site_region[i]];
+			if (link == BW_SHEET_NONE ||
+			    work->touched_by[link] == service + 1)
+				continue;
+			work->touched_by[link] = service + 1;
+			work->touched[work->touched_count++] = link;
+		}
+	}
+}
+
 static enum bw_status init_links_(struct bw_plan_work *work)
 {
 	const struct bw_sheet *sheet = work->sheet;
@@ -147,8 +147,11 @@
 	links->link_count = count;
 	links->link = malloc(((size_t)n * n + 1) * sizeof(*links->link));
 	work->links_memory =
-		calloc((size_t)n * n + 5 * (size_t)count + 1, sizeof(double));
-	if (!links->link || !work->links_memory)
+		calloc((size_t)n * n + 6 * (size_t)count + 1, sizeof(double));
+	work->touched = calloc((size_t)count + 1, sizeof(*work->touched));
+	work->touched_by = calloc((size_t)count + 1, sizeof(*work->touched_by));
+	if (!links->link || !work->links_memory || !work->touched ||
+	    !work->touched_by)
 		return BW_ENOMEM;
 	links->latency_ms = work->links_memory;
 	links->limit_kbit = links->latency_ms + (size_t)n * n;
@@ -156,6 +159,7 @@
 	links->reserved_kbit = links->used_kbit + count;
 	work->step_link = links->reserved_kbit + count;
 	work->current_link = work->step_link + count;
+	work->planned_link = work->current_link + count;
 	for (i = 0; i < n * n; i++)
 		links->link[i] = BW_SHEET_NONE;
 	for (i = 0; i < count; i++) {
@@ -243,8 +247,7 @@
 	return worth;
 }
 
-/* Returns NULL for a domain that the sheet no longer has. */
-static const struct bw_plan_report *report_of_(const struct bw_plan_work *work,
+const struct bw_plan_report *bw_plan_report_of(const struct bw_plan_work *work,
 					       uint32_t domain)
 {
 	return domain < work->sheet->domains_count ? &work->reports[domain]
@@ -256,7 +259,7 @@
 {
 	const struct bw_plan_service *of = &work->plan->services[service];
 	uint32_t domain = work->plan->sites[of->site_begin + site];
-	const struct bw_plan_report *report = report_of_(work, domain);
+	const struct bw_plan_report *report = bw_plan_report_of(work, domain);
 
 	if (!report ||
 	    site >= work->sheet->services[service].placements_count ||
@@ -271,7 +274,7 @@
 {
 	const struct bw_plan_service *of = &work->plan->services[service];
 	uint32_t domain = work->plan->sites[of->site_begin + site];
-	const struct bw_plan_report *report = report_of_(work, domain);
+	const struct bw_plan_report *report = bw_plan_report_of(work, domain);
 	int64_t measured_ms;
 
 	if (is_draining_(work, service, site))
@@ -292,7 +295,7 @@
 
 static bool is_held_(const struct bw_plan_work *work, uint32_t domain)
 {
-	const struct bw_plan_report *report = report_of_(work, domain);
+	const struct bw_plan_report *report = bw_plan_report_of(work, domain);
 
 	if (report->known)
 		return report->age_ms <= BW_PLAN_HOLD_MS;
@@ -304,7 +307,7 @@
 static uint32_t reported_slots_(const struct bw_plan_work *work,
 				uint32_t service, uint32_t domain)
 {
-	const struct bw_plan_report *report = report_of_(work, domain);
+	const struct bw_plan_report *report = bw_plan_report_of(work, domain);
 	const struct bw_plan_service_report *said;
 
 	if (!report || !report->known ||
@@ -379,7 +382,7 @@
 {
 	const struct bw_plan_service *of = &work->plan->services[service];
 	uint32_t domain = work->plan->sites[of->site_begin + site];
-	const struct bw_plan_report *report = report_of_(work, domain);
+	const struct bw_plan_report *report = bw_plan_report_of(work, domain);
 	const struct bw_sheet_placement *placement =
 		&work->sheet->services[service].placements[site];
 	int64_t declared = INT64_C(1000) * placement->targets *
@@ -401,231 +404,6 @@
 	       MARGIN_PERCENT / 100;
 }
 
-static void load_demand_(struct bw_plan_work *work, uint32_t service)
-{
-	struct bw_plan_problem *p = &work->problem;
-	int64_t claimed[BW_PLAN_REGIONS_MAX];
-	int64_t capacity = 0, nominal;
-	uint32_t i, r;
-
-	add_demand_(work, service, claimed);
-	raise_weights_(work, service, claimed);
-	/* Until a step shows its effect, claims do not match the shares. */
-	if (bw_plan_has_effect(work, service))
-		raise_weights_(work, service, p->demand);
-	estimate_unseen_(work, service, p->demand);
-	for (i = 0; i < p->site_count; i++)
-		capacity += p->capacity[i];
-	nominal = capacity / NOMINAL_DEMAND_DIVISOR + 1;
-	for (r = 0; r < p->region_count; r++) {
-		if (p->demand[r] < nominal)
-			p->demand[r] = nominal;
-	}
-}
-
-/*
- * The weight of a region is the largest that any reading of the reports
- * implies, so that no reading lets a shift exceed the cap. What is seen is
- * compared with the whole demand, the unseen part of it included.
- */
-static void raise_weights_(struct bw_plan_work *work, uint32_t service,
-			   const int64_t *seen)
-{
-	uint32_t regions = work->problem.region_count;
-	uint16_t *weights = work->plan->weights + (size_t)service * regions;
-	int64_t demand[BW_PLAN_REGIONS_MAX];
-	uint32_t r, weight = BW_PLAN_WEIGHT_WHOLE / regions + 1;
-	int64_t total = 0;
-
-	memcpy(demand, seen, regions * sizeof(*demand));
-	estimate_unseen_(work, service, demand);
-	for (r = 0; r < regions; r++)
-		total += demand[r];
-	for (r = 0; r < regions; r++) {
-		if (total)
-			weight = (uint32_t)((seen[r] * BW_PLAN_WEIGHT_WHOLE +
-					     total - 1) /
-					    total);
-		if (weight > weights[r])
-			weights[r] = (uint16_t)weight;
-	}
-}
-
-/*
- * Demand of a domain counts while its shares are held. Only sites count, and
- * what one claims is limited by what the others imply, so that a wrong report
- * neither displaces the demand of other regions nor makes the plan oscillate.
- */
-static void add_demand_(struct bw_plan_work *work, uint32_t service,
-			int64_t *claimed)
-{
-	const struct bw_plan_service *of = &work->plan->services[service];
-	struct bw_plan_problem *p = &work->problem;
-	const uint32_t *claims[BW_PLAN_DOMAINS_MAX];
-	double scale[BW_PLAN_DOMAINS_MAX];
-	double typical, claim, limit;
-	uint32_t i, r;
-
-	for (i = 0; i < of->site_count; i++)
-		claims[i] = claims_(work, service, i, &scale[i]);
-	for (r = 0; r < p->region_count; r++) {
-		const uint16_t *row = p->current + (size_t)r * p->site_count;
-
-		p->demand[r] = 0;
-		claimed[r] = 0;
-		typical = typical_demand_(p, r, claims);
-		for (i = 0; i < of->site_count; i++) {
-			if (!claims[i])
-				continue;
-			claimed[r] += claims[i][r];
-			limit = typical *
-				(CLAIM_FACTOR * row[i] + CLAIM_EXTRA) /
-				BW_PLAN_SHARE_WHOLE;
-			claim = claims[i][r];
-			if (typical <= 0)
-				claim *= scale[i];
-			else if (claim > limit)
-				claim = limit;
-			p->demand[r] += (int64_t)claim;
-		}
-	}
-}
-
-/* Returns what a site claims by region, NULL for nothing. The scale limits
- * the sum where no other site confirms it. */
-static const uint32_t *claims_(const struct bw_plan_work *work,
-			       uint32_t service, uint32_t site, double *scale)
-{
-	const struct bw_plan_service *of = &work->plan->services[service];
-	uint32_t domain = work->plan->sites[of->site_begin + site];
-	const struct bw_plan_report *report = report_of_(work, domain);
-	const struct bw_sheet_service *written =
-		&work->sheet->services[service];
-	const uint32_t *demand;
-	double sum = 0, limit;
-	uint32_t r;
-
-	if (!report || !report->known || report->age_ms > BW_PLAN_HOLD_MS)
-		return NULL;
-	demand = report->services[service].demand;
-	*scale = 1;
-	if (!demand || site >= written->placements_count)
-		return demand;
-	for (r = 0; r < work->problem.region_count; r++)
-		sum += demand[r];
-	limit = 1000.0 * DEMAND_LIMIT_FACTOR *
-		written->placements[site].targets *
-		written->placements[site].slots_per_target;
-	if (sum > limit)
-		*scale = limit / sum;
-	return demand;
-}
-
-/*
- * Demand of a region as implied by the claims of its sites: the median,
- * weighted by share, but at most what two sites imply. A flood that several
- * sites report is not limited by their slots: links would be loaded by more
- * than planned. Returns 0 when fewer than two sites can be compared.
- */
-static double typical_demand_(const struct bw_plan_problem *p, uint32_t region,
-			      const uint32_t *const *claims)
-{
-	const uint16_t *row = p->current + (size_t)region * p->site_count;
-	double implied[BW_PLAN_DOMAINS_MAX];
-	uint32_t share[BW_PLAN_DOMAINS_MAX];
-	uint32_t count = 0, sum = 0, i, k;
-	double value;
-
-	for (i = 0; i < p->site_count; i++) {
-		if (!claims[i] || !row[i])
-			continue;
-		value = (double)claims[i][region] * BW_PLAN_SHARE_WHOLE /
-			row[i];
-		for (k = count++; k > 0 && implied[k - 1] > value; k--) {
-			implied[k] = implied[k - 1];
-			share[k] = share[k - 1];
-		}
-		implied[k] = value;
-		share[k] = row[i];
-		sum += row[i];
-	}
-	if (count < 2)
-		return 0;
-	sum = (sum + 1) / 2;
-	for (i = 0; i + 2 < count && share[i] < sum; i++)
-		sum -= share[i];
-	return implied[i];
-}
-
-bool bw_plan_has_effect(const struct bw_plan_work *work, uint32_t service)
-{
-	const struct bw_plan_service *of = &work->plan->services[service];
-
-	return !of->last_step_ms ||
-	       work->now_ms - of->last_step_ms >=
-		       (int64_t)work->limits.ttl_ms + BW_PLAN_REPORT_LAG_MS;
-}
-
-uint32_t bw_plan_seen_share(const struct bw_plan_work *work, uint32_t service,
-			    uint32_t region)
-{
-	const struct bw_plan_service *of = &work->plan->services[service];
-	const uint16_t *row = bw_plan_shares(work->plan, service, region);
-	const struct bw_plan_report *report;
-	uint32_t unseen = 0, i;
-
-	for (i = 0; i < of->site_count; i++) {
-		report =
-			report_of_(work, work->plan->sites[of->site_begin + i]);
-		if (report && (!report->known ||
-			       report->age_ms > BW_PLAN_REPORT_FRESH_MS))
-			unseen += row[i];
-	}
-	return BW_PLAN_SHARE_WHOLE - unseen;
-}
-
-/*
- * Demand that goes to domains without reports is not seen. A row is assumed to
- * have kept the demand that it had when it was last seen whole, but no more
- * than the seen part implies if callers do not fall back to other domains.
- * After a change of leader the ratio of the weights takes its place.
- */
-static void estimate_unseen_(const struct bw_plan_work *work, uint32_t service,
-			     int64_t *demand)
-{
-	uint32_t regions = work->problem.region_count;
-	uint32_t *known = work->plan->seen_demand + (size_t)service * regions;
-	const uint16_t *weights =
-		work->plan->weights + (size_t)service * regions;
-	bool has_effect = bw_plan_has_effect(work, service);
-	uint32_t seen[BW_PLAN_REGIONS_MAX];
-	int64_t seen_demand = 0, seen_weight = 0, estimate, implied;
-	uint32_t r;
-
-	for (r = 0; r < regions; r++) {
-		seen[r] = bw_plan_seen_share(work, service, r);
-		if (seen[r] < BW_PLAN_SHARE_WHOLE)
-			continue;
-		seen_demand += demand[r];
-		seen_weight += weights[r];
-		if (has_effect)
-			known[r] = (uint32_t)demand[r];
-	}
-	for (r = 0; r < regions; r++) {
-		if (seen[r] == BW_PLAN_SHARE_WHOLE)
-			continue;
-		estimate = known[r];
-		if (!estimate && seen_weight)
-			estimate = seen_demand * weights[r] / seen_weight;
-		implied = estimate;
-		if (seen[r] && has_effect)
-			implied = demand[r] * BW_PLAN_SHARE_WHOLE / seen[r];
-		estimate = estimate < implied ? estimate : implied;
-		if (demand[r] < estimate)
-			demand[r] = estimate;
-	}
-}
-
 /* The median of the run times resists single wrong reports. */
 static void load_link_cost_(struct bw_plan_work *work, uint32_t service)
 {
