--- a/src/libbwsteer/plan_step.c
+++ b/src/libbwsteer/plan_step.c
@@ -29,7 +29,7 @@
 
 /*
  * Added to the amount of a shift, because the demand that weights it is known
- * only from reports of the last seconds.
+ * only from reports: rounding and lost reports change it by some percent.
  */
 #define AMOUNT_MARGIN 1.05
 
@@ -51,6 +51,8 @@
 static void load_links_(struct bw_plan_work *work);
 static bool place_new_rows_(struct bw_plan_work *work, uint32_t service);
 static bool row_is_new_(const struct bw_plan_problem *problem, uint32_t row);
+static void clear_links_(const struct bw_plan_work *work, double *load);
+static bool is_due_(const struct bw_plan_work *work, uint32_t service);
 static bool step_service_(struct bw_plan_work *work, uint32_t service);
 static enum bw_shift_event judge_(struct bw_plan_work *work, uint32_t service,
 				  bool usable, double *fraction);
@@ -58,6 +60,7 @@
 		   double fraction);
 static void update_links_(struct bw_plan_work *work, uint32_t service,
 			  bool planned);
+static void plan_links_(struct bw_plan_work *work);
 static double link_fraction_(const struct bw_plan_work *work);
 static void measure_(const struct bw_plan_work *work, const uint16_t *rows,
 		     const double *link_load, struct quality *quality);
@@ -67,8 +70,11 @@
 			       uint32_t region, uint32_t site);
 static bool is_worth_it_(const struct quality *current,
 			 const struct quality *target, bool moving);
-static double variation_(const struct bw_plan_work *work, uint32_t service,
-			 const uint16_t *rows);
+static double row_variation_(const struct bw_plan_problem *problem,
+			     const uint16_t *rows, uint32_t row);
+static double most_moved_(const struct bw_plan_problem *problem,
+			  const uint16_t *rows);
+static void settle_ledger_(struct bw_plan_work *work, uint32_t service);
 static void round_row_(const struct bw_plan_problem *problem, uint32_t row,
 		       double fraction, uint16_t *out);
 static void forget_weights_(const struct bw_plan_work *work);
@@ -94,6 +100,7 @@
 	status = bw_plan_work_init(&work);
 	if (status != BW_OK)
 		goto out;
+	plan->turn++;
 	note_missing_(&work);
 	forget_weights_(&work);
 	for (i = 0; i < plan->service_count; i++)
@@ -172,11 +179,13 @@
 	bool any = false;
 	uint32_t r;
 
-	bw_plan_work_load(work, service, true);
-	for (r = 0; r < p->region_count; r++)
+	p->site_count = work->plan->services[service].site_count;
+	p->current = shares;
+	for (r = 0; r < work->plan->region_count; r++)
 		any |= row_is_new_(p, r);
 	if (!any)
 		return false;
+	bw_plan_work_load(work, service, true);
 	bw_plan_target(p);
 	for (r = 0; r < p->region_count; r++) {
 		if (!row_is_new_(p, r))
@@ -213,6 +222,27 @@
 	}
 }
 
+static void clear_links_(const struct bw_plan_work *work, double *load)
+{
+	uint32_t k;
+
+	for (k = 0; k < work->touched_count; k++)
+		load[work->touched[k]] = 0;
+}
+
+/*
+ * Whether it is the turn of a service. The link load of the others is counted
+ * in every step, so that no limit depends on whose turn it is.
+ */
+static bool is_due_(const struct bw_plan_work *work, uint32_t service)
+{
+	const struct bw_plan *plan = work->plan;
+	uint32_t turns = (plan->service_count + BW_PLAN_SERVICES_PER_STEP - 1) /
+			 BW_PLAN_SERVICES_PER_STEP;
+
+	return service % turns == plan->turn % turns;
+}
+
 static bool step_service_(struct bw_plan_work *work, uint32_t service)
 {
 	struct bw_plan_service *of = &work->plan->services[service];
@@ -222,9 +252,13 @@
 	double fraction = 0;
 	bool moved = false;
 
-	memset(work->current_link, 0, work->links.link_count * sizeof(double));
+	clear_links_(work, work->current_link);
 	bw_plan_add_link_load(&work->problem, work->problem.current, 1,
 			      work->current_link);
+	if (!is_due_(work, service)) {
+		update_links_(work, service, false);
+		return false;
+	}
 	event = judge_(work, service, usable, &fraction);
 	if (bw_chart_next(work->plan->chart, of->state, event, &step) ==
 	    BW_OK) {
@@ -249,14 +283,15 @@
 		return BW_SHIFT_REPORTS_MISSING;
 	if (!bw_plan_has_effect(work, service))
 		return BW_SHIFT_EFFECT_PENDING;
+	settle_ledger_(work, service);
 	bw_plan_target(p);
-	memset(work->step_link, 0, work->links.link_count * sizeof(double));
+	clear_links_(work, work->step_link);
 	bw_plan_add_link_load(p, NULL, 1, work->step_link);
 	measure_(work, p->current, work->current_link, &current);
 	measure_(work, NULL, work->step_link, &target);
 	if (!is_worth_it_(&current, &target, of->state != BW_SHIFT_SETTLED))
 		return BW_SHIFT_NO_GAIN;
-	amount = variation_(work, service, NULL);
+	amount = most_moved_(p, NULL);
 	if (amount < (double)BW_SHIFT_WHOLE / BW_PLAN_SHARE_WHOLE)
 		return BW_SHIFT_NO_GAIN;
 	available = bw_shift_ledger_available(&of->ledger, &work->limits,
@@ -265,21 +300,41 @@
 	if (available < least && available < amount)
 		return BW_SHIFT_CAP_REACHED;
 	*fraction = available < amount ? available / amount : 1;
+	plan_links_(work);
 	if (link_fraction_(work) < *fraction)
 		*fraction = link_fraction_(work);
 	return *fraction > 0 ? BW_SHIFT_GAIN : BW_SHIFT_CAP_REACHED;
 }
 
-/* Part of the way to the target for which all links have room now. */
+/* The load of the current shares if demand were as estimated. */
+static void plan_links_(struct bw_plan_work *work)
+{
+	const struct bw_plan_problem *p = &work->problem;
+	size_t size = (size_t)p->region_count * p->site_count;
+
+	memcpy(work->rows, p->current, size * sizeof(*work->rows));
+	clear_links_(work, work->planned_link);
+	bw_plan_add_link_load(p, work->rows, 1, work->planned_link);
+}
+
+/*
+ * Part of the way to the target for which all links have room now. Where more
+ * arrives over a link than was estimated, the shift is expected to bring more
+ * in the same ratio.
+ */
 static double link_fraction_(const struct bw_plan_work *work)
 {
 	const struct bw_plan_links *links = &work->links;
-	double fraction = 1, current, growth, room;
-	uint32_t i;
+	double fraction = 1, current, planned, growth, room;
+	uint32_t i, k;
 
-	for (i = 0; i < links->link_count; i++) {
+	for (k = 0; k < work->touched_count; k++) {
+		i = work->touched[k];
 		current = work->current_link[i];
-		growth = work->step_link[i] - current;
+		planned = work->planned_link[i];
+		growth = work->step_link[i] - planned;
+		if (current > planned && planned > 0)
+			growth *= current / planned;
 		room = links->limit_kbit[i] - links->used_kbit[i];
 		if (growth <= 0 || growth <= room)
 			continue;
@@ -297,6 +352,8 @@
 	const struct bw_plan_problem *p = &work->problem;
 	uint32_t available = bw_shift_ledger_available(
 		&of->ledger, &work->limits, work->now_ms);
+	uint16_t *moves =
+		work->plan->last_moves + (size_t)service * p->region_count;
 	size_t size = (size_t)p->region_count * p->site_count;
 	uint32_t attempt, r;
 	double amount;
@@ -305,13 +362,17 @@
 		for (r = 0; r < p->region_count; r++)
 			round_row_(p, r, fraction,
 				   work->rows + (size_t)r * p->site_count);
-		amount = ceil(variation_(work, service, work->rows));
+		amount = ceil(most_moved_(p, work->rows));
 		if (amount <= available)
 			break;
 		fraction *= 0.9;
 	}
 	if (attempt == ROUNDING_ATTEMPTS || amount <= 0)
 		return false;
+	for (r = 0; r < p->region_count; r++)
+		moves[r] = (uint16_t)(2 * BW_PLAN_SHARE_WHOLE *
+					      row_variation_(p, work->rows, r) +
+				      0.5);
 	memcpy(work->plan->shares + of->share_begin, work->rows,
 	       size * sizeof(*work->rows));
 	bw_shift_ledger_add(&of->ledger, &work->limits, work->now_ms,
@@ -329,9 +390,10 @@
 {
 	struct bw_plan_links *links = &work->links;
 	const struct bw_plan_problem *p = &work->problem;
-	uint32_t i;
+	uint32_t i, k;
 
-	for (i = 0; i < links->link_count; i++) {
+	for (k = 0; k < work->touched_count; k++) {
+		i = work->touched[k];
 		links->used_kbit[i] -= work->current_link[i];
 		work->current_link[i] = 0;
 	}
@@ -339,7 +401,8 @@
 			      work->plan->shares +
 				      work->plan->services[service].share_begin,
 			      1, work->current_link);
-	for (i = 0; i < links->link_count; i++) {
+	for (k = 0; k < work->touched_count; k++) {
+		i = work->touched[k];
 		double need = work->current_link[i];
 
 		links->used_kbit[i] += need;
@@ -356,7 +419,7 @@
 	const struct bw_plan_links *links = &work->links;
 	double load[BW_PLAN_DOMAINS_MAX] = { 0 };
 	double part, excess;
-	uint32_t r, i, index;
+	uint32_t r, i, k, index;
 
 	memset(quality, 0, sizeof(*quality));
 	for (r = 0; r < p->region_count; r++) {
@@ -371,7 +434,8 @@
 	}
 	quality->latency_ms /= quality->demand;
 	measure_sites_(p, load, quality);
-	for (i = 0; i < links->link_count; i++) {
+	for (k = 0; k < work->touched_count; k++) {
+		i = work->touched[k];
 		excess = links->used_kbit[i] - work->current_link[i] +
 			 link_load[i] - links->limit_kbit[i];
 		excess = excess < link_load[i] ? excess : link_load[i];
@@ -454,27 +518,62 @@
 	       target->imbalance < current->imbalance - IMPROVEMENT_MIN;
 }
 
-/* Amount of a shift to rows, or to the target when rows is NULL. */
-static double variation_(const struct bw_plan_work *work, uint32_t service,
-			 const uint16_t *rows)
+/* Part of a row that moves to rows, or to the target when rows is NULL. */
+static double row_variation_(const struct bw_plan_problem *p,
+			     const uint16_t *rows, uint32_t row)
 {
-	const struct bw_plan_problem *p = &work->problem;
-	const uint16_t *weights =
-		work->plan->weights + (size_t)service * p->region_count;
-	double sum = 0, row;
-	uint32_t r, i, index;
+	double sum = 0;
+	uint32_t i, index;
+
+	for (i = 0; i < p->site_count; i++) {
+		index = row * p->site_count + i;
+		sum += fabs((rows ? rows[index] : p->target[index]) -
+			    p->current[index]);
+	}
+	return sum / 2 / BW_PLAN_SHARE_WHOLE;
+}
+
+/*
+ * Most traffic that a shift can move, however the demand is divided between
+ * the regions at this moment: a flood may have started after the reports were
+ * measured.
+ */
+static double most_moved_(const struct bw_plan_problem *p, const uint16_t *rows)
+{
+	double most = 0, row;
+	uint32_t r;
 
 	for (r = 0; r < p->region_count; r++) {
-		row = 0;
-		for (i = 0; i < p->site_count; i++) {
-			index = r * p->site_count + i;
-			row += fabs((rows ? rows[index] : p->target[index]) -
-				    p->current[index]);
-		}
-		sum += row / 2 * weights[r];
+		row = row_variation_(p, rows, r);
+		most = row > most ? row : most;
+	}
+	return most * BW_SHIFT_WHOLE;
+}
+
+/*
+ * A step is recorded with the most that it can move. Once reports cover the
+ * time of the step, the demand that they show takes the place of that.
+ */
+static void settle_ledger_(struct bw_plan_work *work, uint32_t service)
+{
+	struct bw_plan_service *of = &work->plan->services[service];
+	uint32_t regions = work->plan->region_count;
+	uint16_t *moves = work->plan->last_moves + (size_t)service * regions;
+	const uint16_t *weights =
+		work->plan->weights + (size_t)service * regions;
+	double amount = 0;
+	uint32_t r;
+
+	for (r = 0; r < regions; r++) {
+		amount += (double)moves[r] * weights[r];
+		moves[r] = 0;
 	}
-	return sum * AMOUNT_MARGIN * BW_SHIFT_WHOLE / BW_PLAN_WEIGHT_WHOLE /
-	       BW_PLAN_SHARE_WHOLE;
+	if (amount <= 0)
+		return;
+	amount *= AMOUNT_MARGIN * BW_SHIFT_WHOLE / BW_PLAN_WEIGHT_WHOLE /
+		  (2.0 * BW_PLAN_SHARE_WHOLE);
+	bw_shift_ledger_lower(&of->ledger, of->last_step_ms,
+			      (uint32_t)ceil(amount));
 }
 
 /* Rounds a row on its way to the target; remainders go to the largest. */
