Publish committed documents only after catching up

The planner kept an older sheet when distribution had brought the newer one before the log did.

Change: bw_replica_is_current tells whether everything committed has been applied once since the start; control hosts publish, confirm and plan only from then on. The planner's sheet follows the log. SIGXFSZ is ignored and EFBIG counts as a full disk.

Conclusion: a control host that starts alone shows no sheet until it reaches a majority or a host that has the sheet in force.

--- a/include/bwagree/replica.h
+++ b/include/bwagree/replica.h
@@ -185,6 +185,13 @@
  */
 bool bw_replica_has_lease(const struct bw_replica *replica, struct bw_time now);
 
+/**
+ * Returns whether the applied state has, at some time since the start, held
+ * everything that was committed by then. Before that it may be older than
+ * what this host showed before a restart.
+ */
+bool bw_replica_is_current(const struct bw_replica *replica);
+
 /** Returns the index up to which entries are known to be committed. */
 uint64_t bw_replica_commit_index(const struct bw_replica *replica);
 
--- a/src/boragewingd/control.c
+++ b/src/boragewingd/control.c
@@ -102,7 +102,8 @@
 	bool leader;
 
 	bw_replica_tick(control->replica, now, &control->host->out);
-	leader = bw_replica_has_lease(control->replica, now);
+	leader = control->current &&
+		 bw_replica_has_lease(control->replica, now);
 	if (leader && !control->leader)
 		take_office_(control);
 	control->leader = leader;
@@ -128,6 +129,10 @@
 	}
 	while (bw_replica_next_event(control->replica, &event))
 		handle_event_(control, &event, now);
+	if (!control->current && bw_replica_is_current(control->replica)) {
+		control->current = true;
+		publish_(control, now);
+	}
 }
 
 enum bw_status control_execute(struct control *control,
@@ -214,10 +219,8 @@
 	if (status == BW_OK)
 		status = bw_replica_new(&control->replica, &config,
 					host_now(host), cause);
-	if (status == BW_OK) {
-		publish_(control, host_now(host));
+	if (status == BW_OK)
 		return BW_OK;
-	}
 	error->line = 0;
 	snprintf(error->text, sizeof(error->text), "data folder %s: %s%s%s",
 		 settings->data_folder, bw_status_string[status],
@@ -400,18 +403,23 @@
 	g_hash_table_remove(control->waiting, &event->index);
 }
 
+/*
+ * After a restart the snapshot and the start of the log hold older documents
+ * than those that were in force. Nothing is published until the replica has
+ * caught up, so that no host goes back to an older sheet.
+ */
 static void publish_(struct control *control, struct bw_time now)
 {
 	const struct bw_state *state = bw_replica_state(control->replica);
 	struct bw_distribute *distribute = &control->host->distribute;
 
+	if (!control->current)
+		return;
 	if (state->revision >
-	    bw_distribute_number(distribute, BW_DOCUMENT_SHEET)) {
+	    bw_distribute_number(distribute, BW_DOCUMENT_SHEET))
 		bw_distribute_publish(distribute, BW_DOCUMENT_SHEET,
 				      state->revision, state->text.data,
 				      state->text.size_bytes, now);
-		load_sheet_(control);
-	}
 	if (state->plan_version >
 	    bw_distribute_number(distribute, BW_DOCUMENT_PLAN))
 		bw_distribute_publish(distribute, BW_DOCUMENT_PLAN,
@@ -419,12 +427,19 @@
 				      state->plan.size_bytes, now);
 }
 
+/*
+ * The planner's sheet follows the log, not the distribution: the latter may
+ * have brought the same revision before.
+ */
 static void load_sheet_(struct control *control)
 {
 	const struct bw_state *state = bw_replica_state(control->replica);
 	struct bw_sheet_errors errors;
 	struct bw_sheet *sheet = NULL;
 
+	if (!state->revision ||
+	    (control->sheet && control->sheet->revision == state->revision))
+		return;
 	bw_sheet_errors_init(&errors);
 	if (bw_sheet_load(state->text.data, state->text.size_bytes, &sheet,
 			  &errors) == BW_OK) {
@@ -465,8 +480,6 @@
 			   state->plan.size_bytes) != BW_OK)
 		bw_log_event(control->host->log, BW_LOG_ERROR, "control",
 			     "plan_malformed", NULL);
-	if (!control->sheet && state->revision)
-		load_sheet_(control);
 	bw_log_event(control->host->log, BW_LOG_INFO, "control", "leader_ready",
 		     "{s:I, s:I}", "revision", (json_int_t)state->revision,
 		     "plan", (json_int_t)state->plan_version);
@@ -482,6 +495,7 @@
 	bool changed = false;
 	size_t count;
 
+	load_sheet_(control);
 	/* One plan at a time: a step must be committed before the next. */
 	if (!control->sheet || control->plan_index)
 		return;
--- a/src/boragewingd/control.h
+++ b/src/boragewingd/control.h
@@ -30,9 +30,10 @@
 	struct bw_replica *replica;
 	GHashTable *waiting; /**< log index -> struct waiting_command */
 	struct bw_plan plan; /**< of the planner, ahead of the committed one */
-	struct bw_sheet *sheet; /**< accepted sheet, for the planner */
+	struct bw_sheet *sheet; /**< sheet that the planner uses */
 	uint64_t plan_index; /**< log index of the proposed plan; 0 none */
 	struct bw_time next_plan;
+	bool current; /**< whether committed documents are published */
 	bool leader; /**< whether this replica was leader at the last tick */
 	bool dirty; /**< proposals wait to be sent and synced */
 };
--- a/src/boragewingd/main.c
+++ b/src/boragewingd/main.c
@@ -3,6 +3,7 @@
  * of the replicated log.
  */
 #include <errno.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -36,6 +37,8 @@
 	struct settings *settings = NULL;
 	int code = EXIT_SETTINGS;
 
+	/* A write above the file size limit fails with EFBIG instead. */
+	signal(SIGXFSZ, SIG_IGN);
 	if (parse_options_(&argc, &argv, &options))
 		goto out;
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT)) {
--- a/src/libbwagree/include/private/replica.h
+++ b/src/libbwagree/include/private/replica.h
@@ -121,6 +121,7 @@
 	uint64_t snapshot_bytes;
 	uint64_t tail_bytes; /**< applied since the last snapshot */
 	uint64_t commit_index;
+	bool current; /**< see bw_replica_is_current */
 	uint64_t group_id; /**< as used in packets */
 	struct bw_group group; /**< newest in the log */
 	uint64_t group_index; /**< its entry; 0 when from the snapshot */
--- a/src/libbwagree/replica.c
+++ b/src/libbwagree/replica.c
@@ -247,6 +247,11 @@
 	       now.ms - ack_ms < replica->lease_ms;
 }
 
+bool bw_replica_is_current(const struct bw_replica *replica)
+{
+	return replica->current;
+}
+
 uint64_t bw_replica_commit_index(const struct bw_replica *replica)
 {
 	return replica->commit_index;
--- a/src/libbwagree/replica_append.c
+++ b/src/libbwagree/replica_append.c
@@ -27,6 +27,8 @@
 static bool truncate_(struct bw_replica *replica, uint64_t index);
 static void take_group_(struct bw_replica *replica, uint64_t index,
 			const uint8_t *data, size_t size_bytes);
+static void commit_to_(struct bw_replica *replica, uint64_t leader_index,
+		       uint64_t last_index);
 
 void replica_lead(struct bw_replica *replica)
 {
@@ -155,6 +157,7 @@
 	if (index <= replica->commit_index)
 		return;
 	replica->commit_index = index;
+	replica->current = true;
 	replica_apply(replica);
 	if (replica->role == BW_REPLICA_LEADER && !replica_is_voter(replica) &&
 	    replica->group_index <= replica->commit_index) {
@@ -194,12 +197,7 @@
 		return;
 	if (last_index)
 		replica_join_group(replica);
-	if (append.commit_index > last_index)
-		append.commit_index = last_index;
-	if (append.commit_index > replica->commit_index) {
-		replica->commit_index = append.commit_index;
-		replica_apply(replica);
-	}
+	commit_to_(replica, append.commit_index, last_index);
 	reply_(replica, head, true, last_index, &append);
 }
 
@@ -432,3 +430,23 @@
 	    bw_command_read_group(data, size_bytes, &group) == BW_OK)
 		replica_set_group(replica, &group, index);
 }
+
+/*
+ * The leader's commit index covers everything committed before its term only
+ * once it has committed an entry of its own term.
+ */
+static void commit_to_(struct bw_replica *replica, uint64_t leader_index,
+		       uint64_t last_index)
+{
+	uint64_t index = leader_index < last_index ? leader_index : last_index;
+	bool known;
+
+	if (index > replica->commit_index) {
+		replica->commit_index = index;
+		replica_apply(replica);
+	}
+	if (leader_index <= replica->commit_index &&
+	    replica_term_at(replica, leader_index, &known) ==
+		    replica->meta.term)
+		replica->current = true;
+}
--- a/src/libbwagree/storage.c
+++ b/src/libbwagree/storage.c
@@ -258,6 +258,7 @@
 		return BW_ENOTFOUND;
 	case ENOSPC:
 	case EDQUOT:
+	case EFBIG:
 		return BW_EFULL;
 	default:
 		return BW_EIO;
