--- /dev/null
+++ b/tools/bench/bench_main.c
@@ -0,0 +1,144 @@
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <glib.h>
+
+#include "bench.h"
+
+#define DEFAULT_SEED 1
+#define US_PER_S 1e6
+#define NS_PER_US 1e3
+
+void bench_add(struct bench *bench, const char *name, const char *unit,
+	       double value, json_t *sizes)
+{
+	char *text = json_dumps(sizes, JSON_COMPACT);
+
+	printf("%-36s %-12s %14.2f  %s\n", name, unit, value, text);
+	fflush(stdout);
+	free(text);
+	json_array_append_new(bench->entries,
+			      json_pack("{s:s, s:s, s:f, s:o}", "name", name,
+					"unit", unit, "value", value, "sizes",
+					sizes));
+}
+
+double bench_cpu_us(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+	return (double)time.tv_sec * US_PER_S +
+	       (double)time.tv_nsec / NS_PER_US;
+}
+
+double bench_heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return (double)info.uordblks + (double)info.hblkhd;
+}
+
+void bench_chart(struct bw_chart *chart, const char *path,
+		 const struct bw_chart_names *names)
+{
+	struct bw_yaml_error error;
+
+	if (bw_chart_load(chart, path, names, &error) == BW_OK)
+		return;
+	fprintf(stderr, "%s:%u: %s\n", path, error.line, error.text);
+	exit(EXIT_FAILURE);
+}
+
+static void measure_(struct bench *bench, const char *part)
+{
+	static const struct {
+		const char *name;
+		void (*run)(struct bench *bench);
+	} parts[] = {
+		{ "blocks", bench_blocks },   { "sheet", bench_sheet },
+		{ "plan", bench_plan },	      { "requests", bench_requests },
+		{ "keys", bench_keys },	      { "member", bench_member },
+		{ "agree", bench_agree },     { "lookup", bench_lookup },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		if (!part || !strcmp(part, parts[i].name))
+			parts[i].run(bench);
+	}
+}
+
+static int run_(const char *out, const char *part)
+{
+	struct bench bench = { .entries = json_array(), .seed = DEFAULT_SEED };
+	json_t *root;
+	int status;
+
+	measure_(&bench, part);
+	root = json_pack("{s:i, s:I, s:o}", "version", 1, "seed",
+			 (json_int_t)bench.seed, "entries", bench.entries);
+	status = json_dump_file(root, out,
+				JSON_INDENT(1) | JSON_REAL_PRECISION(6));
+	json_decref(root);
+	if (status)
+		fprintf(stderr, "%s: cannot be written\n", out);
+	return status ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	gboolean compare = FALSE;
+	char *plot = NULL;
+	char *merge = NULL;
+	char *out = NULL;
+	char *part = NULL;
+	char *load = NULL;
+	double rate_per_s = 100;
+	int seconds = 5;
+	GOptionEntry entries[] = {
+		{ "out", 0, 0, G_OPTION_ARG_FILENAME, &out, "Result file",
+		  "FILE" },
+		{ "part", 0, 0, G_OPTION_ARG_STRING, &part,
+		  "Measure one part only", "NAME" },
+		{ "compare", 0, 0, G_OPTION_ARG_NONE, &compare,
+		  "Compare the result files A and B", NULL },
+		{ "plot", 0, 0, G_OPTION_ARG_FILENAME, &plot,
+		  "Print a table of result file A, write SVG to FOLDER",
+		  "FOLDER" },
+		{ "merge", 0, 0, G_OPTION_ARG_FILENAME, &merge,
+		  "Add entries (JSON lines) to result file A", "FILE" },
+		{ "load", 0, 0, G_OPTION_ARG_STRING, &load,
+		  "Send look-ups to URL", "URL" },
+		{ "rate", 0, 0, G_OPTION_ARG_DOUBLE, &rate_per_s,
+		  "Look-ups per second", "RATE" },
+		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
+		  "Duration of the load", "SECONDS" },
+		{ NULL }
+	};
+	GOptionContext *context = g_option_context_new("[A [B]]");
+	GError *error = NULL;
+	int status = EXIT_FAILURE;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error))
+		fprintf(stderr, "%s\n", error->message);
+	else if (load && argc == 1 && rate_per_s > 0 && seconds > 0)
+		status = bench_load(load, rate_per_s, (uint32_t)seconds);
+	else if (compare && argc == 3)
+		status = bench_compare(argv[1], argv[2]);
+	else if (plot && argc == 2)
+		status = bench_plot(argv[1], plot);
+	else if (merge && argc == 2)
+		status = bench_merge(argv[1], merge);
+	else if (out && argc == 1)
+		status = run_(out, part);
+	else
+		fprintf(stderr, "see --help\n");
+	g_clear_error(&error);
+	g_option_context_free(context);
+	return status;
+}
--- /dev/null
+++ b/tools/bench/bench_plot.c
@@ -0,0 +1,227 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "bench.h"
+
+#define WIDTH 480
+#define HEIGHT 320
+#define MARGIN 50
+#define POINTS_MAX 64
+
+/** Points of one slope. */
+struct slope {
+	double x[POINTS_MAX];
+	double y[POINTS_MAX];
+	uint32_t count;
+	const char *axis;
+	const char *unit;
+};
+
+static json_t *load_(const char *path)
+{
+	json_error_t error;
+	json_t *root = json_load_file(path, 0, &error);
+
+	if (!root)
+		fprintf(stderr, "%s:%d: %s\n", path, error.line, error.text);
+	return root;
+}
+
+/* Name and sizes identify an entry. */
+static char *identity_(const json_t *entry)
+{
+	char *sizes = json_dumps(json_object_get(entry, "sizes"),
+				 JSON_COMPACT | JSON_SORT_KEYS);
+	char *text = g_strdup_printf(
+		"%s %s", json_string_value(json_object_get(entry, "name")),
+		sizes ? sizes : "");
+
+	free(sizes);
+	return text;
+}
+
+static const json_t *find_(const json_t *entries, const char *identity)
+{
+	const json_t *found = NULL;
+	const json_t *entry;
+	size_t i;
+	char *other;
+
+	json_array_foreach(entries, i, entry)
+	{
+		other = identity_(entry);
+		if (!strcmp(other, identity))
+			found = entry;
+		g_free(other);
+	}
+	return found;
+}
+
+static double value_(const json_t *entry)
+{
+	return json_number_value(json_object_get(entry, "value"));
+}
+
+int bench_compare(const char *path_a, const char *path_b)
+{
+	json_t *a = load_(path_a);
+	json_t *b = load_(path_b);
+	const json_t *entry;
+	const json_t *other;
+	char *identity;
+	size_t i;
+
+	if (!a || !b)
+		return EXIT_FAILURE;
+	json_array_foreach(json_object_get(a, "entries"), i, entry)
+	{
+		identity = identity_(entry);
+		other = find_(json_object_get(b, "entries"), identity);
+		printf("%-72s %14.2f ", identity, value_(entry));
+		if (!other)
+			printf("%14s\n", "absent");
+		else if (value_(entry) == 0)
+			printf("%14.2f\n", value_(other));
+		else
+			printf("%14.2f %8.2fx\n", value_(other),
+			       value_(other) / value_(entry));
+		g_free(identity);
+	}
+	json_decref(a);
+	json_decref(b);
+	return EXIT_SUCCESS;
+}
+
+int bench_merge(const char *path, const char *lines_path)
+{
+	json_t *root = load_(path);
+	FILE *lines = fopen(lines_path, "r");
+	json_t *entry;
+	int status;
+
+	if (!root || !lines)
+		return EXIT_FAILURE;
+	while ((entry = json_loadf(lines, JSON_DISABLE_EOF_CHECK, NULL)))
+		json_array_append_new(json_object_get(root, "entries"), entry);
+	status = json_dump_file(root, path,
+				JSON_INDENT(1) | JSON_REAL_PRECISION(6));
+	fclose(lines);
+	json_decref(root);
+	return status ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+/* The axis is the first size whose value differs between two entries. */
+static const char *axis_(json_t *entries, const char *name)
+{
+	json_t *first = NULL;
+	json_t *entry;
+	json_t *size;
+	const char *key;
+	size_t i;
+
+	json_array_foreach(entries, i, entry)
+	{
+		if (strcmp(json_string_value(json_object_get(entry, "name")),
+			   name))
+			continue;
+		if (!first)
+			first = json_object_get(entry, "sizes");
+		json_object_foreach(json_object_get(entry, "sizes"), key, size)
+		{
+			if (!json_equal(size, json_object_get(first, key)))
+				return key;
+		}
+	}
+	return NULL;
+}
+
+static void collect_(json_t *entries, const char *name, struct slope *slope)
+{
+	json_t *entry;
+	size_t i;
+
+	slope->count = 0;
+	slope->axis = axis_(entries, name);
+	json_array_foreach(entries, i, entry)
+	{
+		if (!slope->axis || slope->count == POINTS_MAX ||
+		    strcmp(json_string_value(json_object_get(entry, "name")),
+			   name))
+			continue;
+		slope->unit =
+			json_string_value(json_object_get(entry, "unit"));
+		slope->x[slope->count] = json_number_value(json_object_get(
+			json_object_get(entry, "sizes"), slope->axis));
+		slope->y[slope->count++] = value_(entry);
+	}
+}
+
+static void draw_(const char *folder, const char *name,
+		  const struct slope *slope)
+{
+	char *path = g_strdup_printf("%s/%s.svg", folder, name);
+	FILE *file = fopen(path, "w");
+	double x_max = 1e-9;
+	double y_max = 1e-9;
+	uint32_t i;
+
+	g_free(path);
+	if (!file)
+		return;
+	for (i = 0; i < slope->count; i++) {
+		x_max = MAX(x_max, slope->x[i]);
+		y_max = MAX(y_max, slope->y[i]);
+	}
+	fprintf(file,
+		"<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" "
+		"height=\"%d\" font-family=\"sans-serif\" font-size=\"11\">\n"
+		"<path d=\"M%d 20V%dH%d\" fill=\"none\" stroke=\"black\"/>\n"
+		"<text x=\"%d\" y=\"15\">%s (%s), largest %.6g</text>\n"
+		"<text x=\"%d\" y=\"%d\">%s, largest %.6g</text>\n",
+		WIDTH, HEIGHT, MARGIN, HEIGHT - MARGIN, WIDTH - 20, MARGIN,
+		name, slope->unit, y_max, MARGIN, HEIGHT - 20, slope->axis,
+		x_max);
+	for (i = 0; i < slope->count; i++)
+		fprintf(file,
+			"<circle cx=\"%.1f\" cy=\"%.1f\" r=\"4\">"
+			"<title>%.6g: %.6g</title></circle>\n",
+			MARGIN + slope->x[i] / x_max * (WIDTH - MARGIN - 30),
+			HEIGHT - MARGIN -
+				slope->y[i] / y_max * (HEIGHT - MARGIN - 30),
+			slope->x[i], slope->y[i]);
+	fprintf(file, "</svg>\n");
+	fclose(file);
+}
+
+int bench_plot(const char *path, const char *folder)
+{
+	json_t *root = load_(path);
+	json_t *entries = json_object_get(root, "entries");
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	struct slope slope = { .count = 0 };
+	const char *name;
+	json_t *entry;
+	size_t i;
+	char *identity;
+
+	g_mkdir_with_parents(folder, 0755);
+	json_array_foreach(entries, i, entry)
+	{
+		name = json_string_value(json_object_get(entry, "name"));
+		identity = identity_(entry);
+		printf("%-72s %14.2f %s\n", identity, value_(entry),
+		       json_string_value(json_object_get(entry, "unit")));
+		g_free(identity);
+		if (!g_hash_table_add(seen, (gpointer)name))
+			continue;
+		collect_(entries, name, &slope);
+		if (slope.count > 1)
+			draw_(folder, name, &slope);
+	}
+	g_hash_table_destroy(seen);
+	json_decref(root);
+	return root ? EXIT_SUCCESS : EXIT_FAILURE;
+}
