--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	sh tools/lint.sh $(BUILD)
 
 run: build
-	sh tools/run-local.sh $(BUILD)
+	bash tools/run-local.sh $(BUILD)
 
 bench: build
 	sh tools/bench.sh $(BUILD)
--- a/src/boragewingd/host.c
+++ b/src/boragewingd/host.c
@@ -8,6 +8,7 @@
 
 #include "calls.h"
 #include "control.h"
+#include "lifecycle.h"
 #include "web.h"
 
 #define TICK_S 0.05
@@ -26,42 +27,6 @@
 #define CONNECT_TIMEOUT_MS 1000
 #define PEM_LIMIT_BYTES (256 * 1024)
 
-/** Least time that a leaving host still serves callers' cached answers. */
-#define LEAVE_SERVE_MIN_MS 1000
-
-static const char *const event_string_[HOST_EVENT_COUNT] = {
-	[HOST_EVENT_LEAVE] = "leave",
-	[HOST_EVENT_HANDED_OVER] = "handed_over",
-	[HOST_EVENT_IDLE] = "idle",
-	[HOST_EVENT_FORCE] = "force",
-};
-
-/** Actions of the host's chart. */
-enum host_action {
-	HOST_ACTION_ANNOUNCE,
-	HOST_ACTION_CLOSE,
-	HOST_ACTION_STOP,
-	HOST_ACTION_COUNT
-};
-
-static const char *const action_string_[HOST_ACTION_COUNT] = {
-	[HOST_ACTION_ANNOUNCE] = "announce",
-	[HOST_ACTION_CLOSE] = "close",
-	[HOST_ACTION_STOP] = "stop",
-};
-
-const char *const host_state_string[HOST_STATE_COUNT] = {
-	[HOST_RUNNING] = "running",
-	[HOST_LEAVING] = "leaving",
-	[HOST_STOPPING] = "stopping",
-	[HOST_STOPPED] = "stopped",
-};
-
-static const struct bw_chart_names chart_names_ = {
-	host_state_string, HOST_STATE_COUNT, event_string_,
-	HOST_EVENT_COUNT,  action_string_,   HOST_ACTION_COUNT
-};
-
 static json_t *dump_transport_(const struct transport_counts *counts);
 static enum bw_status init_transport_(struct host *host,
 				      struct bw_yaml_error *error);
@@ -83,18 +48,12 @@
 static void take_member_events_(struct host *host);
 static void take_documents_(struct host *host);
 static void update_peers_(struct host *host);
-static void fire_(struct host *host, enum host_event event);
-static void announce_leave_(struct host *host);
-static void hand_over_(struct host *host);
-static void stop_(struct host *host);
-static void check_leave_(struct host *host, struct bw_time now);
 static void log_dump_(struct host *host);
 
 enum bw_status host_init(struct host *host, const struct settings *settings,
 			 struct ev_loop *loop, struct bw_log *log,
 			 struct bw_yaml_error *error)
 {
-	char path[CHART_PATH_BYTES];
 	enum bw_status status;
 
 	memset(host, 0, sizeof(*host));
@@ -112,8 +71,7 @@
 	host->start_wall_ms = bw_wall_ms();
 	host->state_since = host->start;
 	command_client_init(&host->commands, host);
-	snprintf(path, sizeof(path), "%s/host.yaml", settings->charts_folder);
-	status = bw_chart_load(&host->chart, path, &chart_names_, error);
+	status = lifecycle_init(host, error);
 	if (status == BW_OK)
 		status = init_transport_(host, error);
 	if (status == BW_OK)
@@ -178,7 +136,7 @@
 
 void host_leave(struct host *host)
 {
-	fire_(host, HOST_EVENT_LEAVE);
+	lifecycle_fire(host, HOST_EVENT_LEAVE);
 }
 
 bool host_is_leaving(const struct host *host)
@@ -517,7 +475,7 @@
 	command_tick(&host->commands, now);
 	calls_tick(host->calls, now);
 	update_peers_(host);
-	check_leave_(host, now);
+	lifecycle_tick(host, now);
 }
 
 /* Runs before the loop blocks: handles events and sends what is queued. */
@@ -553,7 +511,7 @@
 	struct host *host = context;
 
 	if (host->state == HOST_STOPPING)
-		fire_(host, HOST_EVENT_IDLE);
+		lifecycle_fire(host, HOST_EVENT_IDLE);
 }
 
 static void take_member_events_(struct host *host)
@@ -607,93 +565,6 @@
 	}
 }
 
-static void fire_(struct host *host, enum host_event event)
-{
-	struct bw_chart_step step;
-
-	if (bw_chart_next(&host->chart, host->state, (uint8_t)event, &step) !=
-	    BW_OK)
-		return;
-	bw_log_event(host->log, BW_LOG_INFO, "host", "state_changed",
-		     "{s:s, s:s}", "from", host_state_string[host->state], "to",
-		     host_state_string[step.state]);
-	host->state = step.state;
-	host->state_since = host_now(host);
-	switch (step.action) {
-	case HOST_ACTION_ANNOUNCE:
-		announce_leave_(host);
-		break;
-	case HOST_ACTION_CLOSE:
-		bw_frontend_stop(host->frontend);
-		break;
-	case HOST_ACTION_STOP:
-		stop_(host);
-		break;
-	default:
-		break;
-	}
-}
-
-static void announce_leave_(struct host *host)
-{
-	bw_member_leave(&host->member, host->state_since);
-	hand_over_(host);
-}
-
-/*
- * Names the successor of the request keys. It is chosen anew while the
- * handover runs, because the successor may leave or fail as well: when all
- * hosts of a region leave at once, the last one has no successor.
- */
-static void hand_over_(struct host *host)
-{
-	const struct directory_host *successor =
-		directory_choose_backup(&host->directory);
-
-	if (bw_keys_is_handed_over(&host->steering.keys))
-		return;
-	if (successor)
-		bw_keys_seal(&host->steering.keys, successor->name,
-			     successor->incarnation);
-	else
-		bw_keys_seal(&host->steering.keys, "", 0);
-}
-
-static void stop_(struct host *host)
-{
-	bw_member_leave_end(&host->member, host_now(host), &host->out);
-	transport_flush(&host->transport, &host->out);
-	ev_break(host->loop, EVBREAK_ALL);
-}
-
-/*
- * A leaving host serves until the answers that name it have expired, and
- * until its request records are handed over.
- */
-static void check_leave_(struct host *host, struct bw_time now)
-{
-	const struct bw_sheet *sheet = host->steering.sheet;
-	int64_t elapsed_ms = bw_time_diff_ms(now, host->state_since);
-	int64_t serve_ms = LEAVE_SERVE_MIN_MS;
-
-	if (host->state == HOST_RUNNING || host->state == HOST_STOPPED)
-		return;
-	if (elapsed_ms > (int64_t)host->settings->limits.drain_s * 1000) {
-		bw_log_event(host->log, BW_LOG_WARNING, "host", "drain_timeout",
-			     "{s:i}", "active_requests",
-			     (int)calls_active(host->calls));
-		fire_(host, HOST_EVENT_FORCE);
-		return;
-	}
-	if (host->state == HOST_LEAVING)
-		hand_over_(host);
-	if (sheet)
-		serve_ms += (int64_t)sheet->shift.answer_ttl_s * 1000;
-	if (host->state == HOST_LEAVING && elapsed_ms >= serve_ms &&
-	    bw_keys_is_handed_over(&host->steering.keys))
-		fire_(host, HOST_EVENT_HANDED_OVER);
-}
-
 static void log_dump_(struct host *host)
 {
 	json_t *dump = json_object();
--- a/src/test_libbwsteer/sheet_builder.c
+++ b/src/test_libbwsteer/sheet_builder.c
@@ -4,11 +4,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-static char *name_(const char *format, uint32_t a, uint32_t b)
+static char *name_(const char *stem, uint32_t number)
 {
 	char text[BW_NAME_MAX];
 
-	snprintf(text, sizeof(text), format, a, b);
+	snprintf(text, sizeof(text), "%s-%u", stem, number);
+	return strdup(text);
+}
+
+static char *domain_name_(uint32_t region, uint32_t number)
+{
+	char text[BW_NAME_MAX];
+
+	snprintf(text, sizeof(text), "region-%u-%u", region, number);
 	return strdup(text);
 }
 
@@ -37,7 +45,7 @@
 	uint32_t domains = sheet->domains_count;
 	uint32_t i;
 
-	service->name = name_("service-%u", index, 0);
+	service->name = name_("service", index);
 	service->mean_answer_kb = 16;
 	service->placements_count = size->sites_per_service;
 	service->placements =
@@ -75,14 +83,14 @@
 	sheet->domains_count = size->regions * size->domains_per_region;
 	sheet->domains = calloc(sheet->domains_count, sizeof(*sheet->domains));
 	for (i = 0; i < size->regions; i++) {
-		sheet->regions[i].name = name_("region-%u", i, 0);
+		sheet->regions[i].name = name_("region", i);
 		sheet->regions[i].max_load_percent = 85;
 	}
 	for (i = 0; i < sheet->domains_count; i++) {
 		sheet->domains[i].region = i / size->domains_per_region;
-		sheet->domains[i].name = name_("region-%u-%u",
-					       i / size->domains_per_region,
-					       i % size->domains_per_region);
+		sheet->domains[i].name =
+			domain_name_(i / size->domains_per_region,
+				     i % size->domains_per_region);
 	}
 	build_links_(sheet, size);
 	sheet->services_count = size->services;
--- a/test/settings.sh
+++ b/test/settings.sh
@@ -27,7 +27,7 @@
 	"FOLDER/case.yaml:3: Unexpected key: entri"
 wrong "bad address" 's/^fleet: {address: [0-9.]*/fleet: {address: nowhere/' \
 	"FOLDER/case.yaml:2: 'nowhere' is not an IPv4 address"
-wrong "bad port" 's/^entry: \(.*\)port: 7200/entry: \1port: 70000/' \
+wrong "bad port" "s/^entry: \(.*\)port: $DEPLOYMENT_ENTRY_PORT/entry: \1port: 70000/" \
 	"FOLDER/case.yaml:3: Invalid UINT value: '70000'"
 wrong "bad log level" 's/level: info/level: loud/' \
 	"FOLDER/case.yaml:9: unknown log level 'loud'"
@@ -49,7 +49,7 @@
 check_code "a second daemon on its addresses ends with 2" 2 \
 	"$DAEMON" --settings "$good"
 check_code "the client says when no host is reached" 3 \
-	"$BUILD/src/boragewingctl/boragewingctl" --host 127.11.99.9:7300 \
+	"$BUILD/src/boragewingctl/boragewingctl" --host 127.11.99.9:$DEPLOYMENT_OPERATOR_PORT \
 	--token-file "$FOLDER/token" status
 check_code "the client refuses unknown commands" 2 \
 	"$BUILD/src/boragewingctl/boragewingctl" nothing
--- a/tools/bench/bench_lookup.c
+++ b/tools/bench/bench_lookup.c
@@ -60,8 +60,7 @@
 	struct report_domain *report = malloc(sizeof(*report));
 	struct bw_buffer body;
 	json_t *sizes = json_pack("{s:i, s:i, s:i}", "services", (int)services,
-				  "regions", (int)regions, "hosts",
-				  (int)hosts);
+				  "regions", (int)regions, "hosts", (int)hosts);
 	double start_us;
 	uint32_t i;
 
@@ -84,7 +83,8 @@
 	struct bw_time now = { START_MS };
 	struct bw_member_config member = { .random_seed = 1 };
 	struct bw_aggregator_config aggregator = {
-		.member = &fixture->host.member, .random_seed = 2,
+		.member = &fixture->host.member,
+		.random_seed = 2,
 		.wall_ms = WALL_MS
 	};
 
