Apply only the client blocks that differ between two sheets

Change: bw_blocks_apply removes and inserts the difference of two sheets; the daemon uses it. The sheet refuses prefixes shorter than 8 bits, which the table does not hold and which were dropped without a word before. Conclusion: the cost of a revision follows the change.

--- a/include/bwsteer/blocks.h
+++ b/include/bwsteer/blocks.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "bwbase/status.h"
+#include "bwsteer/sheet.h"
 
 /** Result of a look-up that matches no block. */
 #define BW_BLOCKS_NONE UINT16_MAX
@@ -64,4 +65,18 @@
  */
 uint16_t bw_blocks_find(const struct bw_blocks *blocks, uint32_t address);
 
+/**
+ * Brings a table from the client blocks of one sheet to those of the next.
+ * Only blocks that differ are touched; the group of a block is the index of
+ * its region.
+ * @param from sheet whose blocks are in the table; NULL: the table is empty
+ * @param to checked sheet, whose blocks do not overlap
+ * @param changed receives the number of blocks inserted, replaced or removed
+ * @return BW_OK; BW_ENOMEM or BW_EINVAL with the table partly updated, after
+ *	which it must be built anew
+ */
+enum bw_status bw_blocks_apply(struct bw_blocks *blocks,
+			       const struct bw_sheet *from,
+			       const struct bw_sheet *to, uint32_t *changed);
+
 #endif
--- a/src/boragewingd/steering.c
+++ b/src/boragewingd/steering.c
@@ -25,7 +25,8 @@
 static enum bw_status init_admission_(struct steering *steering,
 				      struct bw_time now);
 static void configure_admission_(struct steering *steering);
-static void rebuild_blocks_(struct steering *steering);
+static void update_blocks_(struct steering *steering,
+			   const struct bw_sheet *previous);
 static void check_servers_(struct steering *steering, struct bw_time now);
 static void set_capacities_(struct steering *steering, struct bw_time now);
 static uint32_t capacity_(const struct steering *steering,
@@ -106,6 +107,7 @@
 {
 	struct host *host = steering->host;
 	struct bw_sheet_errors errors;
+	struct bw_sheet *previous;
 	struct bw_sheet *sheet = NULL;
 
 	bw_sheet_errors_init(&errors);
@@ -117,12 +119,13 @@
 		return;
 	}
 	bw_sheet_errors_finish(&errors);
-	bw_sheet_free(steering->sheet);
+	previous = steering->sheet;
 	steering->sheet = sheet;
 	steering->sheet_since_wall_ms = host_wall_ms(host);
 	steering->next_check = host_now(host);
 	configure_admission_(steering);
-	rebuild_blocks_(steering);
+	update_blocks_(steering, previous);
+	bw_sheet_free(previous);
 	bw_log_event(host->log, BW_LOG_INFO, "steering", "sheet_in_force",
 		     "{s:I}", "revision", (json_int_t)sheet->revision);
 }
@@ -361,19 +364,21 @@
 	bw_admission_configure(&steering->admission, &config);
 }
 
-static void rebuild_blocks_(struct steering *steering)
+/* Applies the difference between two sheets; builds anew if that fails. */
+static void update_blocks_(struct steering *steering,
+			   const struct bw_sheet *previous)
 {
-	const struct bw_sheet *sheet = steering->sheet;
-	uint32_t i;
+	uint32_t changed = 0;
 
-	bw_blocks_finish(&steering->blocks);
-	if (bw_blocks_init(&steering->blocks) != BW_OK)
+	if (bw_blocks_apply(&steering->blocks, previous, steering->sheet,
+			    &changed) == BW_OK)
 		return;
-	for (i = 0; i < sheet->client_blocks_count; i++)
-		bw_blocks_insert(
-			&steering->blocks, sheet->client_blocks[i].prefix,
-			sheet->client_blocks[i].prefix_bits,
-			(uint16_t)sheet->client_blocks[i].region_index);
+	bw_blocks_finish(&steering->blocks);
+	if (bw_blocks_init(&steering->blocks) != BW_OK ||
+	    bw_blocks_apply(&steering->blocks, NULL, steering->sheet,
+			    &changed) != BW_OK)
+		bw_log_event(steering->host->log, BW_LOG_ERROR, "steering",
+			     "blocks_incomplete", NULL);
 }
 
 /*
--- a/src/libbwsteer/sheet_check.c
+++ b/src/libbwsteer/sheet_check.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define WINDOW_MAX_S 3600
+#define PREFIX_BITS_MIN 8 /* as the block table */
 #define LATENCY_MAX_MS 60000
 
 /** What the check functions work on. */
@@ -353,8 +354,8 @@
 		ERROR_AT_(check,
 			  bw_yaml_line(check->lines, "client_blocks[%u].block",
 				       i),
-			  "'%s' is not an IPv4 prefix with its host "
-			  "bits zero",
+			  "'%s' is not an IPv4 prefix of 8 to 32 bits with "
+			  "its host bits zero",
 			  block->block);
 	}
 	if (all_valid)
@@ -378,7 +379,8 @@
 	if (slash[1] < '0' || slash[1] > '9')
 		return false;
 	bits = strtoul(slash + 1, &end, 10);
-	if (*end || bits > 32 || inet_pton(AF_INET, address, &parsed) != 1)
+	if (*end || bits < PREFIX_BITS_MIN || bits > 32 ||
+	    inet_pton(AF_INET, address, &parsed) != 1)
 		return false;
 	block->prefix = ntohl(parsed.s_addr);
 	block->prefix_bits = (uint32_t)bits;
