--- a/src/libbwbase/yaml.c
+++ b/src/libbwbase/yaml.c
@@ -202,6 +202,8 @@
 	const char *at = line;
 	const char *end = line + length;
 
+	if (!key_length)
+		return false;
 	while ((at = memmem(at, (size_t)(end - at), key, key_length))) {
 		if ((at == line || strchr(" {,-\t", at[-1])) &&
 		    at + key_length < end && at[key_length] == ':')
