distribute: keep late chunks and finish one full copy first

Cause: after a restart of a whole domain all hosts ask one source for a full copy. The source serves them in turns under its rate limit, so that a chunk arrived after its request was given up and was dropped: at 700 KB no host of 28 ever finished. Change: a chunk of the wanted content at the wanted offset is taken from any host, also after the request ended; a source serves deltas first, then the copy that is nearest to its end, so that its receiver soon serves others.

--- a/src/libbwmember/distribute_transfer.c
+++ b/src/libbwmember/distribute_transfer.c
@@ -33,6 +33,7 @@
 static enum bw_status fetch_one_(struct bw_distribute *distribute,
 				 enum bw_document document, struct bw_time now,
 				 struct bw_outbox *out);
+static uint32_t next_request_(const struct bw_distribute *distribute);
 static enum bw_status serve_one_(struct bw_distribute *distribute,
 				 const struct bw_distribute_request *request,
 				 struct bw_time now, struct bw_outbox *out);
@@ -91,19 +92,48 @@
 {
 	struct bw_distribute_request request;
 	enum bw_status status = BW_OK;
+	uint32_t next;
 
 	while (distribute->request_count && distribute->tokens > 0 &&
 	       status == BW_OK) {
-		request = distribute->requests[0];
+		next = next_request_(distribute);
+		request = distribute->requests[next];
 		distribute->request_count--;
-		memmove(distribute->requests, distribute->requests + 1,
-			distribute->request_count *
+		memmove(distribute->requests + next,
+			distribute->requests + next + 1,
+			(distribute->request_count - next) *
 				sizeof(*distribute->requests));
 		status = serve_one_(distribute, &request, now, out);
 	}
 	return status;
 }
 
+/*
+ * Requests of hosts that are a little behind come first, as they need a delta
+ * only; then the copy that is nearest to its end, so that its receiver soon
+ * serves others. In turns, all copies would end at the same late time.
+ */
+static uint32_t next_request_(const struct bw_distribute *distribute)
+{
+	const struct bw_distribute_request *request;
+	uint32_t best = 0;
+	uint32_t rank;
+	uint32_t best_rank = 0;
+	uint32_t i;
+
+	for (i = 0; i < distribute->request_count; i++) {
+		request = &distribute->requests[i];
+		rank = request->have.number && !request->offset
+			       ? UINT32_MAX
+			       : request->offset;
+		if (rank > best_rank) {
+			best = i;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
 enum bw_status distribute_receive_transfer(struct bw_distribute *distribute,
 					   enum distribute_type type,
 					   const char *peer,
@@ -325,7 +355,8 @@
 				    struct bw_reader *reader,
 				    struct bw_time now, struct bw_outbox *out)
 {
-	struct distribute_fetch *fetch = &distribute->documents[document].fetch;
+	struct bw_distribute_document *held = &distribute->documents[document];
+	struct distribute_fetch *fetch = &held->fetch;
 	struct distribute_version version;
 	const uint8_t *chunk;
 	size_t chunk_bytes;
@@ -341,13 +372,18 @@
 	    chunk_bytes > BW_DOCUMENT_CHUNK_MAX_BYTES ||
 	    offset + chunk_bytes > total || (!chunk_bytes && offset < total))
 		return BW_EINVAL;
-	if (!fetch->active || strcmp(fetch->peer, peer) != 0 ||
+	if (version.number <= held->current.version.number ||
 	    !distribute_same(&version, &fetch->target) ||
 	    offset != fetch->received.size_bytes)
 		return BW_OK;
 	status = bw_buffer_append(&fetch->received, chunk, chunk_bytes);
 	if (status != BW_OK)
 		return status;
+	/* A busy source may answer after the request was given up. Without
+	 * these chunks no host of a restarted domain got a large document. */
+	fetch->active = true;
+	bw_name_set(fetch->peer, peer);
+	distribute_peer(distribute, peer)->bad_until = now;
 	fetch->tries = 0;
 	if (fetch->received.size_bytes < total)
 		return send_request_(distribute, document, now, out);
