--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -4,6 +4,7 @@
 #
 # BENCH_OUT      result folder, default $1/bench
 # BENCH_SIZES    numbers of daemons, default "10 50 150"
+# BENCH_SKIP_PACKAGES  not empty: keeps the package figures of the last run
 # BENCH_IDLE_S   length of one measuring window, default 20
 #
 # CPU time is that of each process (/proc/PID/stat); wall-clock figures depend
@@ -83,8 +84,8 @@
 				'$2 == r { print $3 }' "$1/table" | sort -u |
 				paste -sd,)]}"
 	done
-	echo "links:"
 	awk '{ print $2 }' "$1/table" | sort -u | awk '
+		NR == 2 { print "links:" }
 		{ for (i = 0; i < n; i++)
 			print "  - {between: [" seen[i] ", " $1 "]," \
 				" limit_mbit_per_s: 4000, latency_ms: 20}"
@@ -256,7 +257,7 @@
 	ctl "$folder" "$(awk 'NR == 1 { print $1 }' "$folder/table")" \
 		--json hosts >"$folder/hosts.json"
 	emit "$folder" daemon.in_force_spread ms "$(jq \
-		'[.hosts[].since_wall_ms] | max - min' \
+		'[.failure_domains[].hosts[].since_wall_ms] | max - min' \
 		"$folder/hosts.json" 2>/dev/null || echo -1)" "{\"hosts\":$2}"
 }
 
@@ -286,7 +287,9 @@
 
 measure_deployment() {
 	local count=$1 folder
-	folder=$(mktemp -d)
+	folder=$(realpath "$OUT")/run-$count
+	rm -rf "$folder"
+	mkdir -p "$folder"
 	trap 'deployment_stop_all "$folder"; rm -rf "$folder"' EXIT
 	make_settings "$folder" "$count"
 	# shellcheck disable=SC2046
@@ -311,7 +314,8 @@
 mkdir -p "$OUT"
 rm -f "$OUT/lines"
 status=0
-"$BUILD/tools/bw-bench" --out "$OUT/results.json" || exit 1
+[ -n "${BENCH_SKIP_PACKAGES:-}" ] ||
+	"$BUILD/tools/bw-bench" --out "$OUT/results.json" || exit 1
 for count in $SIZES; do
 	measure_deployment "$count" || status=1
 done
