Count an answered doubt as such in the load caller

Cause: in test/once_kill.sh with runs of 50 ms 6 of 5,209 requests counted as broken, although later attempts got the answer may-have-run. Change: a later may-have-run replaces the broken transfer; the run keeps runs of 50 ms, so that some are in progress at each kill. Conclusion: these six were in progress at a host that was killed.

--- a/tools/load_caller.c
+++ b/tools/load_caller.c
@@ -491,7 +491,8 @@
 	double wait_ms;
 
 	/* What an earlier attempt may have done stays possible. */
-	if (job->last != LOAD_MAY_HAVE_RUN && job->last != LOAD_BROKEN)
+	if (outcome == LOAD_MAY_HAVE_RUN ||
+	    (job->last != LOAD_MAY_HAVE_RUN && job->last != LOAD_BROKEN))
 		job->last = outcome;
 	if (!safe || job->attempts >= config->attempts) {
 		end_(job, job->last);
