--- a/src/boragewingd/directory.c
+++ b/src/boragewingd/directory.c
@@ -15,7 +15,8 @@
 static void add_own_domain_(struct directory *directory);
 static void add_summary_(struct directory *directory,
 			 const struct bw_summary *summary, struct bw_time now);
-static void read_summary_(struct directory_domain *domain,
+static void read_summary_(struct directory *directory,
+			  struct directory_domain *domain,
 			  const struct bw_summary *summary);
 static uint64_t find_incarnation_(const struct report_domain *report,
 				  const char *name);
@@ -176,12 +177,13 @@
 
 	if (domain->tag != summary->tag ||
 	    strcmp(domain->name, summary->domain) != 0)
-		read_summary_(domain, summary);
+		read_summary_(directory, domain, summary);
 	domain->alive = summary->living_count &&
 			bw_summary_age_ms(summary, now) < DIRECTORY_ALIVE_MS;
 }
 
-static void read_summary_(struct directory_domain *domain,
+static void read_summary_(struct directory *directory,
+			  struct directory_domain *domain,
 			  const struct bw_summary *summary)
 {
 	struct report_domain report;
