--- /dev/null
+++ b/test/control_majority.sh
@@ -0,0 +1,112 @@
+#!/usr/bin/env bash
+# Loss of the majority of control hosts, and a control host that is isolated
+# for 20 seconds by SIGSTOP. Guards against an acceptance without a majority,
+# against look-ups that fail or hide that they are stale, against an answer
+# from old state, and against a returning host that ends the leader's term.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. test/deployment.sh
+. test/check.sh
+. test/control.sh
+
+lookup_field() {
+	curl -s --max-time 5 "http://$(deployment_address "$FOLDER" \
+		"$1"):$DEPLOYMENT_ENTRY_PORT/v1/lookup?service=plan-reader" |
+		jq -r ".$2"
+}
+
+# lookups_stale true|false HOST...
+lookups_stale() {
+	local expected=$1 host
+	shift
+	for host; do
+		[ "$(lookup_field "$host" stale)" = "$expected" ] || return 1
+	done
+}
+
+lookups_answered() {
+	local host
+	for host; do
+		[ "$(lookup_field "$host" 'hosts | length > 0')" = true ] ||
+			return 1
+	done
+}
+
+control_begin
+first=$(sheet_make 1)
+check_equal "a sheet is accepted" accepted \
+	"$(submit_until "$LEADER" "$first" first | cut -d ' ' -f 1)"
+check "it is in force on every host" wait_until 60 all_show "$first" $HOSTS
+deployment_start_backends "$FOLDER" $CONTROL_USER --service-ms=2
+check "look-ups are answered and not stale" \
+	wait_until 60 lookups_stale false $HOSTS
+check "look-ups name hosts" wait_until 60 lookups_answered $HOSTS
+
+# Majority lost.
+lost=$(echo "$CONTROLS" | head -3)
+left=$(echo "$HOSTS" | grep -vxF "$lost")
+deployment_kill "$FOLDER" $lost
+check "look-ups at the hosts that are left are marked stale" \
+	wait_until 60 lookups_stale true $left
+check "and are answered" lookups_answered $left
+second=$(sheet_make 2)
+for host in $(echo "$left" | head -3); do
+	check_equal "a submission at $host is answered as not known" unknown \
+		"$(submit "$host" "$second" second)"
+	check_code "$host does not tell what is accepted" 3 \
+		ctl "$FOLDER" "$host" sheet accepted
+done
+check "no host has the sheet in force" in_force_at 1 $left
+deployment_start "$FOLDER" $lost
+check "a leader is elected" wait_until 60 leader_known
+answer=$(submit_until "$(pick 0 $left)" "$second" second)
+check_equal "the submission is accepted once a majority is back" accepted \
+	"${answer%% *}"
+check "it is in force on every host" wait_until 60 all_show "$second" $HOSTS
+check "look-ups are not stale" wait_until 60 lookups_stale false $HOSTS
+
+# A follower, then the leader isolated.
+leader_known
+for isolated in "$(echo "$CONTROLS" | grep -vx "$LEADER" | head -1)" \
+	"$LEADER"; do
+	leader_known
+	before=$LEADER
+	term=$(replica_field "$before" term)
+	revision=$(($(accepted) + 1))
+	deployment_signal STOP "$FOLDER" "$isolated"
+	others=$(echo "$HOSTS" | grep -vx "$isolated")
+	stopped_at=$SECONDS
+	answer=$(submit_until "$(echo "$others" | tail -1)" \
+		"$(sheet_make $revision)" "isolated-$revision")
+	check_equal "a sheet is accepted while $isolated is isolated" accepted \
+		"${answer%% *}"
+	check "it is in force on the others" wait_until 60 \
+		all_show "$FOLDER/sheets/$revision-20" $others
+	sleep $((20 - (SECONDS - stopped_at) > 0 ? \
+		20 - (SECONDS - stopped_at) : 0))
+	HOSTS=$others leader_known
+	during=$LEADER
+	term_during=$(replica_field "$during" term)
+	# The question waits in the socket of the stopped process.
+	operator_get "$isolated" /v1/accepted >"$FOLDER/old_answer" &
+	asked=$!
+	sleep 0.2
+	deployment_signal CONT "$FOLDER" "$isolated"
+	wait $asked
+	check_equal "it does not answer from old state" $revision \
+		"$(jq ".revision // $revision" "$FOLDER/old_answer")"
+	check "it catches up" wait_until 60 \
+		all_show "$FOLDER/sheets/$revision-20" "$isolated"
+	# Longer than several election timeouts of at most 1 s.
+	sleep 5
+	check_equal "the leader stays" "$during" "$(accepted leader)"
+	check_equal "and its term" "$term_during" \
+		"$(replica_field "$during" term)"
+	[ "$isolated" = "$before" ] ||
+		check_equal "which began before the isolation" "$term" \
+			"$term_during"
+	check_equal "the returned host follows in that term" \
+		"follower $term_during" "$(replica_field "$isolated" role) $(
+			replica_field "$isolated" term)"
+done
+echo "$CHECKS passed, 0 failed"
--- a/test/deployment.sh
+++ b/test/deployment.sh
@@ -7,7 +7,9 @@
 # deployment_kill FOLDER HOST...                kills daemons
 # deployment_stop_all FOLDER                    stops all that still runs
 #
-# BUILD names the build folder. Only processes that these functions started
+# BUILD names the build folder. DEPLOYMENT_NET and DEPLOYMENT_BACKEND_NET are
+# the second bytes of the addresses of karst-armor, so that two work trees can
+# run it at the same time. Only processes that these functions started
 # are signalled, by the process ids in FOLDER/pid.
 
 BUILD=${BUILD:-build}
@@ -20,7 +22,7 @@
 	local net regions r d h letter region count control
 	case "$1" in
 	kalahari) net=11 regions="khomas erongo oshana" ;;
-	karst-armor) net=12 regions="finistere morbihan ille-vilaine" ;;
+	karst-armor) net=${DEPLOYMENT_NET:-12} regions="finistere morbihan ille-vilaine" ;;
 	*) echo "unknown deployment $1" >&2; return 1 ;;
 	esac
 	r=0
@@ -184,7 +186,7 @@
 deployment_start_backends() {
 	local folder=$1 user=$2 net d s domain service targets slots entry name
 	shift 2
-	[ "$user" = kalahari ] && net=21 || net=22
+	[ "$user" = kalahari ] && net=21 || net=${DEPLOYMENT_BACKEND_NET:-22}
 	mkdir -p "$folder/ledger"
 	awk '/- name:/ && !/kinds/ { name = $3 }
 	     /failure_domain:/ && /targets/ {
