--- a/test/control.sh
+++ b/test/control.sh
@@ -99,7 +99,7 @@
 
 # replica_field HOST FIELD: of the state dump of a control host.
 replica_field() {
-	operator_get "$1" /v1/dump | jq -r ".control.replica.$2"
+	operator_get "$1" /v1/dump | jq -r ".control.replica.replica.$2"
 }
 
 # All named hosts have the text of the file in force.
