Share the decoding of texts and the proposal of commands

Cause: the duplicates report showed the same address decoder twice in bwmember and once more in the daemon, the same proposal steps twice in control.c and in replica_member.c, and the same search twice in blocks_apply.c. Change: bw_read_text in the codec, propose_encoded_, store_group_ on top of propose_group_, find_next_.

--- a/include/bwbase/codec.h
+++ b/include/bwbase/codec.h
@@ -80,6 +80,13 @@
 double bw_read_double(struct bw_reader *reader); /**< 0 on failure */
 bool bw_read_bool(struct bw_reader *reader); /**< false on failure */
 
+/**
+ * Reads text without zero bytes into an array, which becomes empty on
+ * failure.
+ * @param text_bytes size of the array; the text must be shorter
+ */
+void bw_read_text(struct bw_reader *reader, char *text, size_t text_bytes);
+
 /** Reads text of at most BW_NAME_MAX - 1 bytes into name. */
 void bw_read_name(struct bw_reader *reader, char name[BW_NAME_MAX]);
 
--- a/src/boragewingd/command.c
+++ b/src/boragewingd/command.c
@@ -54,7 +54,6 @@
 			 const struct command_reply *reply);
 static void copy_bytes_(struct bw_reader *reader, uint8_t *out,
 			size_t out_bytes);
-static void copy_text_(struct bw_reader *reader, char *out, size_t out_bytes);
 
 void command_client_init(struct command_client *client, struct host *host)
 {
@@ -366,7 +365,7 @@
 	command->kind = (enum command_kind)bw_read_uint(reader);
 	switch (command->kind) {
 	case COMMAND_SUBMIT:
-		copy_text_(reader, command->submit.id, BW_SUBMISSION_ID_MAX);
+		bw_read_text(reader, command->submit.id, BW_SUBMISSION_ID_MAX);
 		command->submit.revision = bw_read_uint(reader);
 		copy_bytes_(reader, command->submit.hash, BW_HASH_BYTES);
 		command->submit.text =
@@ -435,16 +434,3 @@
 	}
 	memcpy(out, data, out_bytes);
 }
-
-static void copy_text_(struct bw_reader *reader, char *out, size_t out_bytes)
-{
-	size_t size_bytes = 0;
-	const uint8_t *data = bw_read_bin(reader, &size_bytes);
-
-	if (!data || size_bytes >= out_bytes || memchr(data, 0, size_bytes)) {
-		reader->failed = true;
-		return;
-	}
-	memcpy(out, data, size_bytes);
-	out[size_bytes] = '\0';
-}
--- a/src/boragewingd/control.c
+++ b/src/boragewingd/control.c
@@ -38,6 +38,11 @@
 				     struct bw_time now);
 static enum bw_status execute_read_(struct control *control, const char *origin,
 				    uint64_t call, struct bw_time now);
+static enum bw_status propose_encoded_(struct control *control,
+				       enum bw_status encoded,
+				       const struct bw_buffer *data,
+				       const char *origin, uint64_t call,
+				       struct bw_time now);
 static enum bw_status propose_(struct control *control,
 			       const struct bw_buffer *data, const char *origin,
 			       uint64_t call, struct bw_time now);
@@ -240,12 +245,9 @@
 	submit.accept_wall_ms = host_wall_ms(control->host);
 	bw_buffer_init(&data);
 	status = bw_command_submit(&data, &submit);
-	if (status == BW_OK)
-		status = propose_(control, &data, origin, call, now);
-	else
-		respond_(control, origin, call, status, NULL);
+	status = propose_encoded_(control, status, &data, origin, call, now);
 	bw_buffer_finish(&data);
-	return status == BW_EUNAVAILABLE ? status : BW_OK;
+	return status;
 }
 
 static enum bw_status execute_bind_(struct control *control,
@@ -267,12 +269,9 @@
 	}
 	bw_buffer_init(&data);
 	status = bw_command_bind_key(&data, &bind);
-	if (status == BW_OK)
-		status = propose_(control, &data, origin, call, now);
-	else
-		respond_(control, origin, call, status, NULL);
+	status = propose_encoded_(control, status, &data, origin, call, now);
 	bw_buffer_finish(&data);
-	return status == BW_EUNAVAILABLE ? status : BW_OK;
+	return status;
 }
 
 static enum bw_status execute_group_(struct control *control,
@@ -309,6 +308,19 @@
 	return BW_OK;
 }
 
+/* Responds at once when the command could not be encoded. */
+static enum bw_status propose_encoded_(struct control *control,
+				       enum bw_status encoded,
+				       const struct bw_buffer *data,
+				       const char *origin, uint64_t call,
+				       struct bw_time now)
+{
+	if (encoded == BW_OK)
+		return propose_(control, data, origin, call, now);
+	respond_(control, origin, call, encoded, NULL);
+	return BW_OK;
+}
+
 static enum bw_status propose_(struct control *control,
 			       const struct bw_buffer *data, const char *origin,
 			       uint64_t call, struct bw_time now)
--- a/src/libbwagree/replica_member.c
+++ b/src/libbwagree/replica_member.c
@@ -376,15 +376,8 @@
 static bool store_group_(struct bw_replica *replica,
 			 const struct bw_group *group)
 {
-	struct bw_buffer command;
-	enum bw_status status;
+	enum bw_status status = propose_group_(replica, group);
 
-	bw_buffer_init(&command);
-	status = bw_command_group(&command, group);
-	if (status == BW_OK)
-		status = replica_append_own(replica, command.data,
-					    command.size_bytes);
-	bw_buffer_finish(&command);
 	if (status != BW_OK) {
 		replica_fail(replica, status);
 		return false;
--- a/src/libbwbase/codec.c
+++ b/src/libbwbase/codec.c
@@ -177,19 +177,24 @@
 	return object->via.boolean;
 }
 
-void bw_read_name(struct bw_reader *reader, char name[BW_NAME_MAX])
+void bw_read_text(struct bw_reader *reader, char *text, size_t text_bytes)
 {
 	size_t size_bytes = 0;
-	const uint8_t *text = bw_read_bin(reader, &size_bytes);
+	const uint8_t *data = bw_read_bin(reader, &size_bytes);
 
-	memset(name, 0, BW_NAME_MAX);
-	if (!text)
+	memset(text, 0, text_bytes);
+	if (!size_bytes)
 		return;
-	if (size_bytes >= BW_NAME_MAX || memchr(text, 0, size_bytes)) {
+	if (size_bytes >= text_bytes || memchr(data, 0, size_bytes)) {
 		reader->failed = true;
 		return;
 	}
-	memcpy(name, text, size_bytes);
+	memcpy(text, data, size_bytes);
+}
+
+void bw_read_name(struct bw_reader *reader, char name[BW_NAME_MAX])
+{
+	bw_read_text(reader, name, BW_NAME_MAX);
 }
 
 const uint8_t *bw_read_bin(struct bw_reader *reader, size_t *size_bytes)
--- a/src/libbwmember/aggregator_rows.c
+++ b/src/libbwmember/aggregator_rows.c
@@ -13,8 +13,6 @@
 
 static void adopt_(struct bw_aggregator *aggregator, struct bw_summary *known,
 		   struct bw_summary *row);
-static void read_address_(struct bw_reader *reader,
-			  char address[BW_MEMBER_ADDRESS_MAX]);
 static void read_hosts_(struct bw_reader *reader, struct bw_summary *row);
 static void read_controls_(struct bw_reader *reader, struct bw_summary *row);
 
@@ -245,21 +243,6 @@
 				       known->controls[i].address);
 }
 
-static void read_address_(struct bw_reader *reader,
-			  char address[BW_MEMBER_ADDRESS_MAX])
-{
-	size_t size_bytes;
-	const uint8_t *text = bw_read_bin(reader, &size_bytes);
-
-	if (size_bytes >= BW_MEMBER_ADDRESS_MAX ||
-	    (size_bytes && memchr(text, 0, size_bytes))) {
-		reader->failed = true;
-		return;
-	}
-	if (size_bytes)
-		memcpy(address, text, size_bytes);
-}
-
 static void read_hosts_(struct bw_reader *reader, struct bw_summary *row)
 {
 	uint32_t count = bw_read_array(reader);
@@ -273,7 +256,8 @@
 	for (i = 0; i < count; i++) {
 		bw_read_array(reader);
 		bw_read_name(reader, row->hosts[i].name);
-		read_address_(reader, row->hosts[i].address);
+		bw_read_text(reader, row->hosts[i].address,
+			     BW_MEMBER_ADDRESS_MAX);
 		port = bw_read_uint(reader);
 		if (port > UINT16_MAX)
 			reader->failed = true;
@@ -297,7 +281,8 @@
 	for (i = 0; i < count; i++) {
 		bw_read_array(reader);
 		bw_read_name(reader, row->controls[i].name);
-		read_address_(reader, row->controls[i].address);
+		bw_read_text(reader, row->controls[i].address,
+			     BW_MEMBER_ADDRESS_MAX);
 		bw_read_end(reader);
 	}
 	bw_read_end(reader);
--- a/src/libbwmember/member_wire.c
+++ b/src/libbwmember/member_wire.c
@@ -35,8 +35,6 @@
 static void read_record_(const struct bw_member *member,
 			 struct bw_reader *reader,
 			 struct bw_member_record *record);
-static void read_address_(struct bw_reader *reader,
-			  char address[BW_MEMBER_ADDRESS_MAX]);
 static uint16_t read_port_(struct bw_reader *reader);
 static void read_lists_(const struct bw_member *member,
 			struct bw_reader *reader,
@@ -361,8 +359,8 @@
 	if (bw_read_array(reader) != RECORD_FIELDS)
 		reader->failed = true;
 	bw_read_name(reader, host->name);
-	read_address_(reader, host->address);
-	read_address_(reader, host->entry_address);
+	bw_read_text(reader, host->address, BW_MEMBER_ADDRESS_MAX);
+	bw_read_text(reader, host->entry_address, BW_MEMBER_ADDRESS_MAX);
 	host->entry_port = read_port_(reader);
 	host->operator_port = read_port_(reader);
 	flags = bw_read_uint(reader);
@@ -383,21 +381,6 @@
 	memcpy(host->region, member->config.self.region, BW_NAME_MAX);
 }
 
-static void read_address_(struct bw_reader *reader,
-			  char address[BW_MEMBER_ADDRESS_MAX])
-{
-	size_t size_bytes;
-	const uint8_t *text = bw_read_bin(reader, &size_bytes);
-
-	if (size_bytes >= BW_MEMBER_ADDRESS_MAX ||
-	    (size_bytes && memchr(text, 0, size_bytes))) {
-		reader->failed = true;
-		return;
-	}
-	if (size_bytes)
-		memcpy(address, text, size_bytes);
-}
-
 static uint16_t read_port_(struct bw_reader *reader)
 {
 	uint64_t port = bw_read_uint(reader);
--- a/src/libbwsteer/blocks_apply.c
+++ b/src/libbwsteer/blocks_apply.c
@@ -13,6 +13,9 @@
 static int compare_entries_(const void *a, const void *b);
 static int compare_(const struct bw_sheet_block *a,
 		    const struct bw_sheet_block *b);
+static const struct bw_sheet_block *
+find_next_(const struct sorted_blocks *sorted, uint32_t *at,
+	   const struct bw_sheet_block *wanted);
 static enum bw_status insert_(struct bw_blocks *blocks,
 			      const struct bw_sheet_block *block);
 static enum bw_status remove_old_(struct bw_blocks *blocks,
@@ -76,10 +79,7 @@
 	uint32_t i;
 
 	for (i = 0; i < from->count && status == BW_OK; i++) {
-		while (at < to->count &&
-		       compare_(to->items[at], from->items[i]) < 0)
-			at++;
-		if (at < to->count && !compare_(to->items[at], from->items[i]))
+		if (find_next_(to, &at, from->items[i]))
 			continue;
 		status = bw_blocks_remove(blocks, from->items[i]->prefix,
 					  from->items[i]->prefix_bits);
@@ -93,17 +93,14 @@
 				  const struct sorted_blocks *to,
 				  uint32_t *changed)
 {
+	const struct bw_sheet_block *same;
 	enum bw_status status = BW_OK;
 	uint32_t at = 0;
 	uint32_t i;
 
 	for (i = 0; i < to->count && status == BW_OK; i++) {
-		while (at < from->count &&
-		       compare_(from->items[at], to->items[i]) < 0)
-			at++;
-		if (at < from->count &&
-		    !compare_(from->items[at], to->items[i]) &&
-		    from->items[at]->region_index == to->items[i]->region_index)
+		same = find_next_(from, &at, to->items[i]);
+		if (same && same->region_index == to->items[i]->region_index)
 			continue;
 		status = insert_(blocks, to->items[i]);
 		(*changed)++;
@@ -111,6 +108,18 @@
 	return status;
 }
 
+/* Advances at to the first block not before wanted; NULL if it differs. */
+static const struct bw_sheet_block *
+find_next_(const struct sorted_blocks *sorted, uint32_t *at,
+	   const struct bw_sheet_block *wanted)
+{
+	while (*at < sorted->count && compare_(sorted->items[*at], wanted) < 0)
+		(*at)++;
+	if (*at == sorted->count || compare_(sorted->items[*at], wanted))
+		return NULL;
+	return sorted->items[*at];
+}
+
 static enum bw_status insert_(struct bw_blocks *blocks,
 			      const struct bw_sheet_block *block)
 {
--- a/tools/fuzz/fuzz_parsers.c
+++ b/tools/fuzz/fuzz_parsers.c
@@ -39,8 +39,8 @@
 static const struct bw_time now_ = { 1000000 };
 
 static void fuzz_sheet_(const uint8_t *data, size_t size_bytes);
-static void fuzz_member_(const struct bw_packet *packet,
-			 enum decoder decoder, struct bw_outbox *out);
+static void fuzz_member_(const struct bw_packet *packet, enum decoder decoder,
+			 struct bw_outbox *out);
 static void fuzz_replica_(const struct bw_packet *packet,
 			  struct bw_outbox *out);
 static void fuzz_state_(const uint8_t *data, size_t size_bytes);
@@ -49,8 +49,7 @@
 static void fuzz_keys_(const struct bw_packet *packet, struct bw_outbox *out);
 static void fuzz_backend_(const uint8_t *data, size_t size_bytes);
 static void fuzz_poison_(const uint8_t *data, size_t size_bytes);
-static void fuzz_credit_(const struct bw_packet *packet,
-			 struct bw_outbox *out);
+static void fuzz_credit_(const struct bw_packet *packet, struct bw_outbox *out);
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
@@ -118,8 +117,8 @@
 	bw_sheet_errors_finish(&errors);
 }
 
-static void fuzz_member_(const struct bw_packet *packet,
-			 enum decoder decoder, struct bw_outbox *out)
+static void fuzz_member_(const struct bw_packet *packet, enum decoder decoder,
+			 struct bw_outbox *out)
 {
 	struct bw_member_seed seed = { .name = "b",
 				       .domain = "d",
@@ -165,8 +164,7 @@
 	bw_member_finish(&member);
 }
 
-static void fuzz_replica_(const struct bw_packet *packet,
-			  struct bw_outbox *out)
+static void fuzz_replica_(const struct bw_packet *packet, struct bw_outbox *out)
 {
 	static const char hosts[2][BW_NAME_MAX] = { "a", "b" };
 	struct bw_replica_config config = { .initial_hosts = hosts,
@@ -292,13 +290,11 @@
 	bw_poison_finish(&poison);
 }
 
-static void fuzz_credit_(const struct bw_packet *packet,
-			 struct bw_outbox *out)
+static void fuzz_credit_(const struct bw_packet *packet, struct bw_outbox *out)
 {
-	struct bw_credit_config config = { .self = "a",
-					   .domain = "d",
-					   .incarnation = 1,
-					   .host_count = 2 };
+	struct bw_credit_config config = {
+		.self = "a", .domain = "d", .incarnation = 1, .host_count = 2
+	};
 	struct bw_credit_capacity capacity = { .service = "s", .slots = 9 };
 	struct bw_credit credit;
 
