--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -261,6 +261,44 @@
 		"$folder/hosts.json" 2>/dev/null || echo -1)" "{\"hosts\":$2}"
 }
 
+control_ticks() {
+	awk '$5 == "true" { print $1 }' "$1/table" | while read -r name; do
+		awk '{ print $14 + $15 }' "/proc/$(cat "$1/pid/$name")/stat"
+	done | awk '{ sum += $1 } END { print sum / NR }'
+}
+
+# names_in_force FOLDER REVISION NAME...
+names_in_force() {
+	local folder=$1 revision=$2 name
+	shift 2
+	for name; do
+		revision_in_force "$folder" "$name" "$revision" || return 1
+	done
+}
+
+# All hosts of a domain but its control hosts are killed and started at once.
+measure_restart() {
+	local folder=$1 names count before start revision
+	names=$(awk '$3 == "d2" && $5 == "false" { print $1 }' "$1/table")
+	count=$(echo "$names" | wc -l)
+	revision=$(awk '{ print $2; exit }' "$folder/sheet.yaml")
+	# shellcheck disable=SC2086
+	deployment_kill "$folder" $names
+	before=$(control_ticks "$folder")
+	start=$(date +%s%N)
+	# shellcheck disable=SC2086
+	deployment_start "$folder" $names
+	# shellcheck disable=SC2086
+	wait_until 60 names_in_force "$folder" "$revision" $names ||
+		echo "restarted hosts are behind" >&2
+	emit "$folder" daemon.restart_time ms $((($(date +%s%N) - start) / \
+		1000000)) "{\"hosts\":$2,\"restarted\":$count}"
+	emit "$folder" daemon.restart_control_cpu ms "$(awk -v a="$before" \
+		-v b="$(control_ticks "$folder")" -v t="$TICKS_PER_S" \
+		'BEGIN { print (b - a) * 1000 / t }')" \
+		"{\"hosts\":$2,\"restarted\":$count}"
+}
+
 # Look-ups at one host, open loop: latency, and CPU time per look-up.
 measure_lookups() {
 	local folder=$1 rate pid before after address
@@ -306,6 +344,7 @@
 	measure_memory "$folder" "$count"
 	measure_changes "$folder" "$count"
 	[ "$count" != 10 ] || measure_lookups "$folder"
+	[ "$count" = 10 ] || measure_restart "$folder" "$count"
 	deployment_stop_all "$folder"
 	rm -rf "$folder"
 	trap - EXIT
--- a/tools/bench/bench_member.c
+++ b/tools/bench/bench_member.c
@@ -12,6 +12,8 @@
 #define CHANGE_SPACING_MS (60000 / 35)
 #define DOCUMENT_BYTES 20000
 #define SAMPLES_MAX 20000
+#define DETECT_MS 15000
+#define SINGLE_CRASHES 6
 
 /** Documents and delays of one run. */
 struct run {
@@ -214,27 +216,45 @@
 	return (double)samples[index];
 }
 
-/* Crashes hosts at once: one, or the last quarter of the domain (a rack). */
-static void measure_crash_(struct bench *bench, struct fleet *fleet,
-			   const char *name, uint32_t count)
+/* Crashes the last running hosts at once and waits. */
+static void crash_(struct fleet *fleet, uint32_t count)
 {
 	struct run *run = fleet->context;
-	uint32_t hosts = fleet->host_count;
-	uint32_t i;
+	uint32_t i = fleet->host_count;
 
-	run->detections = 0;
 	run->crashed_ms = fleet->now.ms;
-	for (i = 0; i < hosts; i++) {
-		if (i >= hosts - count && fleet->hosts[i].running)
-			fleet_crash(fleet, i);
+	while (count && i--) {
+		if (!fleet->hosts[i].running)
+			continue;
+		fleet_crash(fleet, i);
+		count--;
 	}
-	fleet_run(fleet, 15000);
+	fleet_run(fleet, DETECT_MS);
+}
+
+static void add_detection_(struct bench *bench, const char *name,
+			   uint32_t hosts, uint32_t crashed, struct run *run)
+{
 	bench_add(bench, name, "ms",
 		  quantile_(run->detected_ms, run->detections, 99),
-		  sizes_(hosts, 0));
-	bench_add(bench, "member.failures_seen", "events", run->detections,
-		  json_pack("{s:i, s:i}", "hosts", (int)hosts, "crashed",
-			    (int)count));
+		  json_pack("{s:i, s:i, s:i}", "hosts", (int)hosts, "crashed",
+			    (int)crashed, "samples", (int)run->detections));
+	run->detections = 0;
+}
+
+/* Single hosts one after another, then a fifth of the domain (a rack). */
+static void measure_crashes_(struct bench *bench, struct fleet *fleet)
+{
+	struct run *run = fleet->context;
+	uint32_t hosts = fleet->host_count;
+	uint32_t i;
+
+	run->detections = 0;
+	for (i = 0; i < SINGLE_CRASHES; i++)
+		crash_(fleet, 1);
+	add_detection_(bench, "member.detect_host_p99", hosts, 1, run);
+	crash_(fleet, hosts / 5);
+	add_detection_(bench, "member.detect_rack_p99", hosts, hosts / 5, run);
 }
 
 static void measure_(struct bench *bench, uint32_t hosts, uint32_t rows)
@@ -272,11 +292,8 @@
 	bench_add(bench, "distribute.delay_p99", "ms",
 		  quantile_(run->delay_ms, run->delays, 99),
 		  sizes_(hosts, rows));
-	if (!rows) {
-		measure_crash_(bench, &fleet, "member.detect_host_p99", 1);
-		measure_crash_(bench, &fleet, "member.detect_rack_p99",
-			       hosts / 4);
-	}
+	if (!rows)
+		measure_crashes_(bench, &fleet);
 	fleet_finish(&fleet);
 	free(run->document);
 	free(run);
