--- a/src/libbwsteer/plan_demand.c
+++ b/src/libbwsteer/plan_demand.c
@@ -206,8 +206,8 @@
 	uint32_t unseen = 0, i;
 
 	for (i = 0; i < of->site_count; i++) {
-		report =
-			bw_plan_report_of(work, work->plan->sites[of->site_begin + i]);
+		report = bw_plan_report_of(
+			work, work->plan->sites[of->site_begin + i]);
 		if (report && (!report->known ||
 			       report->age_ms > BW_PLAN_REPORT_FRESH_MS))
 			unseen += row[i];
