--- a/src/boragewingd/command.h
+++ b/src/boragewingd/command.h
@@ -24,7 +24,7 @@
 #define COMMAND_TIMEOUT_MS 8000
 
 /** Time after which a command is sent to the next control host. */
-#define COMMAND_RESEND_MS 700
+#define COMMAND_RESEND_MS 400
 
 /** Most commands that wait for a reply. */
 #define COMMAND_WAITING_MAX 4096
--- /dev/null
+++ b/test/steer_begin.sh
@@ -0,0 +1,126 @@
+# Sourced by the steering runs: starts karst-armor with its backend servers and
+# has the functions for loads and their checks.
+. test/deployment.sh
+. test/check.sh
+USER_NAME=karst-armor
+CAP_PERCENT=20
+WINDOW_MS=10000
+FOLDER=$(mktemp -d)
+trap 'deployment_stop_all "$FOLDER"; rm -rf "$FOLDER"' EXIT
+FIRST=finistere-a-1
+
+# sheet REVISION [DRAINS]: prints the sheet with a short window.
+sheet() {
+	sed "s/^revision: .*/revision: $1/
+		s/^shift: .*/shift: {cap_percent: $CAP_PERCENT, window_s: $((WINDOW_MS / 1000)), answer_ttl_s: 2}/
+		s/^drains: .*/drains: ${2:-[]}/" "examples/$USER_NAME.yaml"
+}
+
+# load NAME SECONDS KIND...: runs a load; KIND is name:service:method:rank:rate.
+load() {
+	local name=$1 seconds=$2 kind file
+	shift 2
+	file=$FOLDER/load-$name.yaml
+	{
+		echo "seed: 7"
+		echo "duration_s: $seconds"
+		echo "entry_hosts:"
+		awk -v p=$DEPLOYMENT_ENTRY_PORT \
+			'{ print "  - {address: " $4 ", port: " p "}" }' \
+			"$FOLDER/table"
+		echo "sources: [127.31.0.1, 127.32.0.1, 127.33.0.1]"
+		echo "kinds:"
+		for kind; do
+			echo "$kind" | awk -F: '{
+				printf "  - {name: %s, service: %s, method: %s, path: /%s, rank: %s, rate_per_s: %s, deadline_ms: 2000, idempotent: %s}\n",
+				$1, $2, $3, $1, $4, $5, ($3 == "GET" ? "true" : "false")
+			}'
+		done
+	} >"$file"
+	"$BUILD/tools/bw-load-caller" --config="$file" \
+		--result="$FOLDER/result-$name.json"
+}
+
+result() { jq -r "$2" "$FOLDER/result-$1.json"; }
+
+# ran_percent NAME RANK LEAST: at least this part of the rank's requests ran.
+ran_percent() {
+	result "$1" ".ranks.$2 | .outcomes.ran * 100 >= .started * $3" |
+		grep -q true
+}
+
+# kept_share NAME RANK PERCENT: part of all runs that the rank has.
+kept_share() {
+	result "$1" "(.ranks.$2.outcomes.ran * 100) >=
+		([.ranks[].outcomes.ran] | add) * $3" | grep -q true
+}
+
+shares_on() {
+	ctl "$FOLDER" "$FIRST" --json shifts | jq "[.services[].shares[] |
+		to_entries[] | select(.key | startswith(\"$1\")) | .value] | add // 0"
+}
+no_share_on() { [ "$(shares_on "$1")" = 0 ]; }
+
+# record NAME: appends the shifts of every second until record_stop.
+record() {
+	touch "$FOLDER/recording"
+	while [ -f "$FOLDER/recording" ]; do
+		ctl "$FOLDER" "$FIRST" --json shifts 2>/dev/null |
+			jq -c .services >>"$FOLDER/shifts-$1"
+		sleep 0.5
+	done &
+	RECORDER=$!
+}
+record_stop() {
+	rm -f "$FOLDER/recording"
+	wait "$RECORDER"
+}
+
+# Largest traffic moved in one window, in percent, by the plan's own time. The
+# load is spread evenly over the three regions.
+largest_window() {
+	jq -s --argjson window $WINDOW_MS '
+		def moved(a; b): [a, b | keys[]] | unique | map(. as $r |
+			[(a[$r] // {}), (b[$r] // {}) | keys[]] | unique |
+			map(((a[$r][.] // 0) - (b[$r][.] // 0)) | fabs) |
+			add // 0) | add / 20 / 3;
+		[.[][].service] | unique as $services | [$services[] as $s |
+			($all | map(.[] | select(.service == $s))) as $seen |
+			[range(1; $seen | length) as $i |
+				{at: $seen[$i].last_step_wall_ms,
+				 moved: moved($seen[$i - 1].shares; $seen[$i].shares)} |
+				select(.moved > 0)] as $steps |
+			$steps[] as $last | [$steps[] | select(
+				.at <= $last.at and .at > $last.at - $window) |
+				.moved] | add] | max // 0' \
+		--slurpfile all "$FOLDER/shifts-$1" "$FOLDER/shifts-$1"
+}
+within_cap() {
+	local most
+	most=$(largest_window "$1")
+	echo "# $1: at most $most % moved in a window" >&3
+	jq -ne "$most > 0 and $most <= $CAP_PERCENT"
+}
+exec 3>&1
+
+deployment_make "$FOLDER" "$USER_NAME"
+deployment_start "$FOLDER" $(deployment_names "$FOLDER")
+leader_known() { ctl "$FOLDER" "$FIRST" sheet accepted; }
+check "a leader is elected" wait_until 30 leader_known
+sheet 1 >"$FOLDER/1.yaml"
+check "the sheet is accepted" ctl "$FOLDER" "$FIRST" sheet submit "$FOLDER/1.yaml"
+check "it is in force" wait_until 30 all_in_force "$FOLDER" 1
+planned() { [ "$(shares_on "")" = 9000 ]; }
+check "a plan is in force" wait_until 30 planned
+at_home() {
+	ctl "$FOLDER" "$FIRST" --json shifts | jq -e '[.services[].shares |
+		to_entries[] | .key as $r | .value | keys[] |
+		startswith($r)] | all'
+}
+check "the first plan serves every region at home" at_home
+deployment_start_backends "$FOLDER" "$USER_NAME" --service-ms=100 \
+	--service-time=fixed
+check "backend servers announce themselves" \
+	wait_until 30 backends_known "$FOLDER" "$FIRST" 8
+sleep 20 # the servers' ramp and the hold time of a plan without reports
+check "it still does when all servers have started" at_home
