--- a/src/boragewingd/calls.c
+++ b/src/boragewingd/calls.c
@@ -40,6 +40,12 @@
 	[CALL_MAY_HAVE_RUN] = "may-have-run",
 };
 
+/** A call whose key is being bound; the call may end before the reply. */
+struct binding {
+	struct calls *calls;
+	uint64_t id;
+};
+
 static void make_metrics_(struct calls *calls);
 static bool handle_event_(const struct bw_frontend_event *event);
 static struct call *new_call_(struct calls *calls, struct bw_request *request);
@@ -513,7 +519,7 @@
 	struct host *host = call->calls->host;
 	struct command command = { .kind = COMMAND_BIND_KEY };
 	const struct directory_host *owner = call_choose_owner(call);
-	uint64_t *id = g_new(uint64_t, 1);
+	struct binding *binding = g_new(struct binding, 1);
 
 	memcpy(command.bind.key, call->key.id, sizeof(command.bind.key));
 	bw_name_set(command.bind.owner,
@@ -521,22 +527,20 @@
 	command.bind.owner_incarnation = owner ? owner->incarnation
 					       : host->incarnation;
 	command.bind.expiry_wall_ms = host_wall_ms(host) + BINDING_VALIDITY_MS;
-	*id = call->id;
+	binding->calls = call->calls;
+	binding->id = call->id;
 	g_hash_table_insert(call->calls->by_id, &call->id, call);
-	command_call(&host->commands, &command, on_bound_,
-		     g_list_prepend(g_list_prepend(NULL, id), call->calls));
+	command_call(&host->commands, &command, on_bound_, binding);
 }
 
 static void on_bound_(void *context, const struct command_reply *reply)
 {
-	GList *list = context;
-	struct calls *calls = list->data;
-	uint64_t *id = list->next->data;
-	struct call *call = find_(calls, *id);
+	struct binding *binding = context;
+	struct calls *calls = binding->calls;
+	struct call *call = find_(calls, binding->id);
 	const struct bw_outcome *outcome = &reply->outcome;
 
-	g_free(id);
-	g_list_free(list);
+	g_free(binding);
 	if (!call || call->state != CALL_BINDING)
 		return;
 	g_hash_table_remove(calls->by_id, &call->id);
