Show the planner's state of a shift at the leader

Cause: a plan is committed only when shares change, so that the state of a shift and the moved part in the views stayed as they were at the last change; a settled plan was shown as held for ever, and test/steer.sh waited in vain. Change: the leader shows state and moved part from its planner (member live); the run asks the leader.

--- a/src/boragewingd/view.c
+++ b/src/boragewingd/view.c
@@ -17,6 +17,8 @@
 static json_t *backends_(struct host *host);
 static json_t *drains_(struct host *host);
 static json_t *shifts_(struct host *host);
+static json_t *shift_(const struct bw_plan *plan, const struct bw_plan *planner,
+		      uint32_t index);
 static json_t *shares_(const struct bw_plan *plan, uint32_t service);
 static json_t *dump_(struct host *host);
 static bool read_report_(struct host *host, const char *domain,
@@ -280,33 +282,47 @@
 	return json_pack("{s:o}", "drains", rows);
 }
 
+/*
+ * The shares are those in force here. State and moved part change without a
+ * new plan; the leader shows them as its planner has them now, other hosts as
+ * of the plan in force.
+ */
 static json_t *shifts_(struct host *host)
 {
 	const struct bw_plan *plan = &host->steering.plan;
-	struct bw_shift_limits limits = bw_plan_limits(plan);
-	const struct bw_plan_service *service;
+	const struct bw_plan *planner = plan;
 	json_t *rows = json_array();
-	uint32_t used;
 	uint32_t i;
 
-	for (i = 0; i < plan->service_count; i++) {
-		service = &plan->services[i];
-		used = bw_shift_ledger_used(&service->ledger, &limits,
-					    plan->clock_ms);
-		json_array_append_new(
-			rows,
-			json_pack("{s:s, s:s, s:f, s:f, s:I, s:o}", "service",
-				  service->name, "state",
-				  bw_shift_state_string[service->state],
-				  "moved_percent",
-				  used * 100.0 / BW_SHIFT_WHOLE, "cap_percent",
-				  limits.cap * 100.0 / BW_SHIFT_WHOLE,
-				  "last_step_wall_ms",
-				  (json_int_t)service->last_step_ms, "shares",
-				  shares_(plan, i)));
-	}
-	return json_pack("{s:I, s:o}", "plan_version",
-			 (json_int_t)plan->version, "services", rows);
+	if (host->control && host->control->leader &&
+	    host->control->plan.version)
+		planner = &host->control->plan;
+	for (i = 0; i < plan->service_count; i++)
+		json_array_append_new(rows, shift_(plan, planner, i));
+	return json_pack("{s:I, s:b, s:o}", "plan_version",
+			 (json_int_t)plan->version, "live",
+			 (int)(planner != plan), "services", rows);
+}
+
+static json_t *shift_(const struct bw_plan *plan, const struct bw_plan *planner,
+		      uint32_t index)
+{
+	const struct bw_plan_service *service = &plan->services[index];
+	struct bw_shift_limits limits = bw_plan_limits(planner);
+	uint32_t current = bw_plan_find_service(planner, service->name);
+	uint32_t used;
+
+	if (current != BW_SHEET_NONE)
+		service = &planner->services[current];
+	used = bw_shift_ledger_used(&service->ledger, &limits,
+				    planner->clock_ms);
+	return json_pack("{s:s, s:s, s:f, s:f, s:I, s:o}", "service",
+			 service->name, "state",
+			 bw_shift_state_string[service->state], "moved_percent",
+			 used * 100.0 / BW_SHIFT_WHOLE, "cap_percent",
+			 limits.cap * 100.0 / BW_SHIFT_WHOLE,
+			 "last_step_wall_ms", (json_int_t)service->last_step_ms,
+			 "shares", shares_(plan, index));
 }
 
 static json_t *shares_(const struct bw_plan *plan, uint32_t service)
--- a/test/steer.sh
+++ b/test/steer.sh
@@ -21,8 +21,11 @@
 		"$(result $name '.responses | .cut + .foreign + .damaged')"
 done
 
-settled() { ctl "$FOLDER" "$FIRST" --json shifts |
-	jq -e 'all(.services[]; .state == "settled")'; }
+# The leader shows the state of its planner; other hosts show it as of the plan
+# in force, which does not change when the planner settles.
+leader() { ctl "$FOLDER" "$FIRST" --json sheet accepted | jq -r .leader; }
+settled() { ctl "$FOLDER" "$(leader)" --json shifts |
+	jq -e '.live and all(.services[]; .state == "settled")'; }
 check "the plan settles after the floods" wait_until 60 settled
 start=$(date -u -d '+90 seconds' +%Y-%m-%dT%H:%M:%SZ)
 stop=$(date -u -d '+1 hour' +%Y-%m-%dT%H:%M:%SZ)
