Measure both deployments with one script, and test TLS of the daemon

Cause: the measuring scripts knew one deployment each; TLS had a test at the front end only. Change: ONCE_USER and CONTROL_USER choose the deployment; test/settings.sh runs a daemon with a certificate.

--- a/test/control.sh
+++ b/test/control.sh
@@ -3,7 +3,7 @@
 # after deployment.sh and check.sh by test/control_*.sh and
 # test/measure_control.sh; the deployment is karst-armor.
 
-CONTROL_USER=karst-armor
+CONTROL_USER=${CONTROL_USER:-karst-armor}
 
 # control_begin: starts all ten hosts and waits for a leader.
 control_begin() {
--- a/test/measure_requests.sh
+++ b/test/measure_requests.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Measures requests and look-ups of the deployment kalahari; not part of CI.
+# Measures requests and look-ups of the deployment ONCE_USER (kalahari or
+# karst-armor); not part of CI.
 # Prints latency added by the daemon against direct calls to a stand-in in the
 # same run, look-up latency and rate of one host, and drain times.
 set -u
@@ -8,6 +9,11 @@
 . test/check.sh
 . test/once.sh
 N=${N:-3000}
+case $ONCE_USER in
+kalahari) LOOKUP=certdesk FILING=defectbook BACKENDS=127.21.11 ;;
+*) LOOKUP=plan-reader FILING=revision-desk
+	BACKENDS=127.${DEPLOYMENT_BACKEND_NET:-22}.11 ;;
+esac
 
 # times FILE: prints count, p50, p99 and p999 in milliseconds.
 times() {
@@ -29,13 +35,13 @@
 keyed() {
 	local out=$1 host=$2 n key
 	for n in $(seq "$N"); do
-		echo "url = \"$(once_url "$host")/v1/lookup?service=defectbook\""
+		echo "url = \"$(once_url "$host")/v1/lookup?service=$FILING\""
 		echo 'output = "/dev/stdout"'
 	done >"$FOLDER/lookups.conf"
 	curl -s -K "$FOLDER/lookups.conf" | jq -r .request_key |
 		grep "^$host\." >"$FOLDER/keys"
 	while read -r key; do
-		echo "url = \"$(once_url "$host")/v1/call/defectbook/measured\""
+		echo "url = \"$(once_url "$host")/v1/call/$FILING/measured\""
 		echo "header = \"Boragewing-Key: $key\""
 		echo "data = \"filing\""
 		echo 'output = "/dev/null"'
@@ -46,11 +52,11 @@
 }
 
 once_begin --service-time=fixed --service-ms=2
-host=khomas-a-1
-direct="http://127.21.11.1:$DEPLOYMENT_BACKEND_PORT/items"
+host=$FIRST
+direct="http://$BACKENDS.1:$DEPLOYMENT_BACKEND_PORT/items"
 repeat "$FOLDER/direct" "$direct"
-repeat "$FOLDER/through" "$(once_url $host)/v1/call/certdesk/items"
-repeat "$FOLDER/direct2" "http://127.21.11.2:$DEPLOYMENT_BACKEND_PORT/f" -d x
+repeat "$FOLDER/through" "$(once_url $host)/v1/call/$LOOKUP/items"
+repeat "$FOLDER/direct2" "http://$BACKENDS.2:$DEPLOYMENT_BACKEND_PORT/f" -d x
 keyed "$FOLDER/keyed" $host
 echo "direct GET:      $(times "$FOLDER/direct")"
 echo "through GET:     $(times "$FOLDER/through")"
@@ -59,7 +65,7 @@
 # Look-up rate: 16 connections, each asks again as soon as it has the answer.
 ticks() { awk '{ print $14 + $15 }' "/proc/$(cat "$FOLDER/pid/$host")/stat"; }
 for n in $(seq 20000); do
-	echo "url = \"$(once_url $host)/v1/lookup?service=certdesk\""
+	echo "url = \"$(once_url $host)/v1/lookup?service=$LOOKUP\""
 	echo 'output = "/dev/null"'
 	echo 'write-out = "%{time_total}\n"'
 done >"$FOLDER/rate.conf"
--- a/test/once.sh
+++ b/test/once.sh
@@ -3,14 +3,19 @@
 # ledgers of the backend servers show. Sourced after deployment.sh, check.sh.
 
 ONCE_SEED=${ONCE_SEED:-1}
+ONCE_USER=${ONCE_USER:-kalahari}
+case $ONCE_USER in
+kalahari) ONCE_SERVICES="certdesk defectbook closurehub" ;;
+*) ONCE_SERVICES="plan-reader revision-desk rescue-issuer" ;;
+esac
 
 # once_begin [OPTION...]: starts ten hosts, the sheet in $ONCE_SHEET and all
 # stand-in backend servers with the given options, and waits until they serve.
 once_begin() {
 	FOLDER=$(mktemp -d)
 	trap 'once_end' EXIT
-	ONCE_SHEET=${ONCE_SHEET:-examples/kalahari.yaml}
-	deployment_make "$FOLDER" kalahari
+	ONCE_SHEET=${ONCE_SHEET:-examples/$ONCE_USER.yaml}
+	deployment_make "$FOLDER" "$ONCE_USER"
 	[ "$DEPLOYMENT_PROXY_OFFSET" = 0 ] || deployment_proxy_start "$FOLDER"
 	deployment_start "$FOLDER" $(deployment_names "$FOLDER")
 	once_prepare "$@"
@@ -24,7 +29,7 @@
 		ctl "$FOLDER" "$FIRST" sheet submit "$ONCE_SHEET"
 	check "it is in force on all ten hosts" \
 		wait_until 30 all_in_force "$FOLDER" 1
-	deployment_start_backends "$FOLDER" kalahari --service-ms=5 "$@"
+	deployment_start_backends "$FOLDER" "$ONCE_USER" --service-ms=5 "$@"
 	check "every domain serves every service" wait_until 30 once_all_serve
 }
 
@@ -45,7 +50,7 @@
 once_all_serve() {
 	local name service
 	for name in $(deployment_names "$FOLDER"); do
-		for service in certdesk defectbook closurehub; do
+		for service in $ONCE_SERVICES; do
 			[ "$(http_status \
 				"$(once_url "$name")/v1/call/$service/warm")" \
 				= 200 ] || return 1
--- a/test/settings.sh
+++ b/test/settings.sh
@@ -58,4 +58,19 @@
 check "the client checks a sheet" \
 	"$BUILD/src/boragewingctl/boragewingctl" sheet check \
 	examples/karst-armor.yaml
+
+# TLS of the entry listener, with a certificate made for this run.
+openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=127.11.11.2 \
+	-addext subjectAltName=IP:127.11.11.2 -keyout "$FOLDER/entry.key" \
+	-out "$FOLDER/entry.pem" 2>/dev/null
+echo "tls: {certificate_file: $FOLDER/entry.pem, key_file: $FOLDER/entry.key}" \
+	>>"$FOLDER/hosts/khomas-a-2.yaml"
+deployment_start "$FOLDER" khomas-a-2
+secure() {
+	curl -s --max-time 5 --cacert "$FOLDER/entry.pem" \
+		"https://127.11.11.2:$DEPLOYMENT_ENTRY_PORT/healthz"
+}
+check "the entry listener serves TLS" wait_until 10 secure
+check_equal "and no plain HTTP" 000 "$(http_status \
+	"http://127.11.11.2:$DEPLOYMENT_ENTRY_PORT/healthz")"
 echo "$CHECKS passed, 0 failed"
