--- a/include/bwagree/replica.h
+++ b/include/bwagree/replica.h
@@ -57,6 +57,7 @@
 	uint32_t segment_bytes; /**< default BW_WAL_SEGMENT_BYTES */
 	uint32_t submissions_max; /**< see bw_state_init */
 	uint32_t bindings_max; /**< see bw_state_init */
+	bool join_only; /**< never starts a group, whatever its disk holds */
 };
 
 /** Kinds of event. */
@@ -170,6 +171,17 @@
 enum bw_status bw_replica_remove(struct bw_replica *replica, const char *host,
 				 struct bw_time now);
 
+/**
+ * Admits one host that announced an empty disk within the last seconds and is
+ * not a member yet, as a voter once it has caught up. For groups whose hosts
+ * are not listed in the settings.
+ * @param host receives the admitted host
+ * @return BW_OK when proposed; BW_ENOTFOUND when there is none; otherwise as
+ *	bw_replica_add
+ */
+enum bw_status bw_replica_admit(struct bw_replica *replica,
+				char host[BW_NAME_MAX], struct bw_time now);
+
 /** Returns the role. */
 enum bw_replica_role bw_replica_role(const struct bw_replica *replica);
 
--- a/include/bwagree/state.h
+++ b/include/bwagree/state.h
@@ -30,6 +30,9 @@
 /** Most members of a group, pending ones included. */
 #define BW_GROUP_MAX 18
 
+/** Most failure domains that are evacuated at once. */
+#define BW_EVACUATIONS_MAX 64
+
 /** Default bounds of the tables. */
 #define BW_SUBMISSIONS_MAX 100000
 #define BW_BINDINGS_MAX 65536
@@ -41,6 +44,7 @@
 	BW_COMMAND_SET_PLAN = 2,
 	BW_COMMAND_BIND_KEY = 3,
 	BW_COMMAND_GROUP = 4,
+	BW_COMMAND_EVACUATE = 5,
 	BW_COMMAND_KIND_COUNT
 };
 
@@ -60,6 +64,7 @@
 	BW_OUTCOME_EXPIRED, /**< the binding had expired on arrival */
 	BW_OUTCOME_GROUP_CHANGED,
 	BW_OUTCOME_INVALID, /**< the command cannot be decoded */
+	BW_OUTCOME_EVACUATION_SET, /**< revision: log index of the change */
 	BW_OUTCOME_KIND_COUNT
 };
 
@@ -134,6 +139,9 @@
 	struct bw_buffer plan;
 	uint64_t plan_version; /**< log index; 0 none */
 	struct bw_group group; /**< of the last applied change */
+	char evacuated[BW_EVACUATIONS_MAX][BW_NAME_MAX]; /**< domains */
+	uint32_t evacuated_count;
+	uint64_t evacuation_index; /**< log index of the last change */
 	uint32_t submissions_max;
 	uint32_t bindings_max;
 	int64_t wall_ms; /**< latest time seen in bind commands */
@@ -201,6 +209,13 @@
 enum bw_status bw_command_group(struct bw_buffer *out,
 				const struct bw_group *group);
 
+/**
+ * Starts or ends the evacuation of a failure domain.
+ * @return BW_OK, BW_EINVAL or BW_ENOMEM
+ */
+enum bw_status bw_command_evacuate(struct bw_buffer *out, const char *domain,
+				   bool active);
+
 /** Decodes a BW_COMMAND_GROUP. @return BW_OK or BW_EINVAL */
 enum bw_status bw_command_read_group(const uint8_t *data, size_t size_bytes,
 				     struct bw_group *group);
--- a/include/bwbase/log.h
+++ b/include/bwbase/log.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 #include <stdio.h>
 
+#include "bwbase/buffer.h"
 #include "bwbase/packet.h"
 
 /** Severity of a log line. */
@@ -28,6 +29,11 @@
 	enum bw_log_level threshold; /**< lines below it are not written */
 	char host[BW_NAME_MAX];
 	uint64_t line_count[BW_LOG_LEVEL_COUNT]; /**< written, by level */
+	int fd; /**< of a buffered logger; -1 otherwise */
+	struct bw_buffer pending; /**< lines of a buffered logger */
+	uint32_t pending_max_bytes;
+	uint64_t dropped_count; /**< lines that did not fit */
+	uint64_t dropped_told; /**< of these, already reported in a line */
 };
 
 /**
@@ -38,6 +44,22 @@
 void bw_log_init(struct bw_log *log, FILE *stream, enum bw_log_level threshold,
 		 const char *host);
 
+/**
+ * Initialises a logger that never blocks: lines wait in a bounded buffer
+ * until bw_log_flush. When the buffer is three quarters full, lines below
+ * BW_LOG_WARNING are dropped, so that failures keep their lines; a later line
+ * says how many were dropped.
+ * @param fd destination; stays owned by the caller
+ */
+void bw_log_init_buffered(struct bw_log *log, int fd, uint32_t pending_max_bytes,
+			  enum bw_log_level threshold, const char *host);
+
+/** Writes as much of the buffer as the destination takes at once. */
+void bw_log_flush(struct bw_log *log);
+
+/** Frees the buffer; what it still holds is lost. */
+void bw_log_finish(struct bw_log *log);
+
 /**
  * Writes one line with the fields time (UTC, milliseconds), level, host,
  * module and event, followed by the given fields.
--- /dev/null
+++ b/include/bwproxy/listener.h
@@ -0,0 +1,99 @@
+/**
+ * @file
+ * HTTP/1.1 server on the event loop. Requests are read whole and are answered
+ * whole, one at a time on each connection; bytes of a pipelined request wait
+ * until the response before it has been queued.
+ */
+#ifndef BWPROXY_LISTENER_H
+#define BWPROXY_LISTENER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <ev.h>
+
+#include "bwbase/buffer.h"
+#include "bwbase/status.h"
+#include "bwproxy/http1.h"
+
+struct bw_listener;
+struct bw_server_connection;
+
+/** What a listener calls; the context is that of the configuration. */
+struct bw_listener_handler {
+	/** A complete request; answered by bw_connection_respond. */
+	void (*request)(void *context, struct bw_server_connection *connection,
+			const struct bw_http_message *request);
+	/** The client went away before it got the answer. */
+	void (*gone)(void *context, struct bw_server_connection *connection);
+};
+
+/** Settings; texts and the handler are not copied. */
+struct bw_listener_config {
+	struct ev_loop *loop;
+	const char *address; /**< IPv4 address and port */
+	struct bw_http_limits limits;
+	uint32_t connections_max;
+	uint32_t head_timeout_ms; /**< from the first byte to the whole request
+				   */
+	uint32_t idle_timeout_ms; /**< between requests */
+	const struct bw_listener_handler *handler;
+	void *context;
+};
+
+/** A listening socket and its connections. */
+struct bw_listener {
+	struct bw_listener_config config;
+	int fd;
+	ev_io accept_watcher;
+	ev_timer sweep_timer;
+	struct bw_server_connection *connections; /**< linked list */
+	uint32_t connection_count;
+	uint32_t busy_count; /**< connections with a request in progress */
+	bool closing; /**< answers carry "Connection: close" */
+	uint64_t accepted_count;
+	uint64_t refused_count; /**< closed because of connections_max */
+};
+
+/**
+ * Binds and starts to accept.
+ * @return BW_OK; BW_EIO with errno set
+ */
+enum bw_status bw_listener_init(struct bw_listener *listener,
+				const struct bw_listener_config *config);
+
+/** Closes the socket and all connections; the handler is not called. */
+void bw_listener_finish(struct bw_listener *listener);
+
+/** Changes the timeouts of later reads. */
+void bw_listener_set_timeouts(struct bw_listener *listener,
+			      uint32_t head_timeout_ms,
+			      uint32_t idle_timeout_ms);
+
+/** Marks every later answer as the last one of its connection. */
+void bw_listener_begin_close(struct bw_listener *listener);
+
+/** Stops accepting, and closes the connections that wait for a request. */
+void bw_listener_close_idle(struct bw_listener *listener);
+
+/** Context of the handler for one connection; NULL at first. */
+void **bw_connection_context(struct bw_server_connection *connection);
+
+/** Returns the IPv4 address of the client, in network byte order. */
+uint32_t bw_connection_peer(const struct bw_server_connection *connection);
+
+/** Returns the request in progress. */
+const struct bw_http_message *
+bw_connection_request(const struct bw_server_connection *connection);
+
+/**
+ * Answers the request in progress.
+ * @param fields header lines, each with its line end; without Content-Length,
+ *	Connection and Date
+ * @param close whether the connection ends after the answer
+ */
+void bw_connection_respond(struct bw_server_connection *connection,
+			   uint16_t status_code, const struct bw_buffer *fields,
+			   const void *body, size_t body_bytes, bool close);
+
+#endif
--- /dev/null
+++ b/include/bwsteer/routing.h
@@ -0,0 +1,123 @@
+/**
+ * @file
+ * Routing table of one configuration: which route serves a request, and which
+ * services, limits and times belong to it. A table does not change once it is
+ * in force; a new version replaces it whole.
+ */
+#ifndef BWSTEER_ROUTING_H
+#define BWSTEER_ROUTING_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "bwbase/status.h"
+
+/** Sizes of texts with their final zero. */
+#define BW_ROUTE_NAME_MAX 64
+#define BW_ROUTE_HOST_MAX 128
+#define BW_ROUTE_PREFIX_MAX 256
+#define BW_ROUTE_ERROR_MAX 256
+
+/** Most services and home regions of one route. */
+#define BW_ROUTE_CHOICES_MAX 8
+#define BW_ROUTE_HOMES_MAX 8
+
+/** Index of no service. */
+#define BW_ROUTING_NONE UINT32_MAX
+
+/** One service that a route uses. */
+struct bw_route_choice {
+	char service[BW_ROUTE_NAME_MAX];
+	uint32_t service_index; /**< into services; set by bw_routing_check */
+	uint32_t weight;
+};
+
+/** One route. */
+struct bw_route {
+	char name[BW_ROUTE_NAME_MAX];
+	char host[BW_ROUTE_HOST_MAX];
+	char prefix[BW_ROUTE_PREFIX_MAX]; /**< begins and ends with a slash */
+	bool idempotent; /**< a request may run more than once */
+	bool keyed_placement; /**< an object runs faster where it ran before */
+	uint32_t timeout_ms; /**< longest time that a request is kept waiting */
+	uint32_t target_latency_ms; /**< latency objective */
+	uint32_t
+		attempts_max; /**< backend servers that one request may reach */
+	uint32_t rank; /**< 0 is the most urgent */
+	struct bw_route_choice choices[BW_ROUTE_CHOICES_MAX];
+	uint32_t choice_count;
+	char homes[BW_ROUTE_HOMES_MAX][BW_ROUTE_NAME_MAX]; /**< regions; none:
+							      any */
+	uint32_t home_count;
+};
+
+/** Properties of a service. */
+struct bw_routing_service {
+	char name[BW_ROUTE_NAME_MAX];
+	char health_path[BW_ROUTE_PREFIX_MAX];
+	uint32_t connections_max; /**< of one backend server, all callers */
+	uint32_t cold_start_ms; /**< time that a started server stays slow */
+	double cold_requests_per_s; /**< that a cold server bears; 0: any */
+};
+
+/** Bounds on what clients send. */
+struct bw_routing_limits {
+	uint32_t head_max_bytes;
+	uint32_t body_max_bytes;
+	uint32_t head_timeout_ms;
+	uint32_t idle_timeout_ms;
+};
+
+/** A routing table. */
+struct bw_routing {
+	uint64_t version;
+	struct bw_route *routes;
+	uint32_t route_count;
+	struct bw_routing_service *services;
+	uint32_t service_count;
+	struct bw_routing_limits limits;
+	uint32_t references;
+};
+
+/**
+ * Allocates an empty table that the caller fills before bw_routing_check.
+ * @return NULL when memory is exhausted
+ */
+struct bw_routing *bw_routing_new(uint32_t route_count, uint32_t service_count);
+
+/** Adds a reference. */
+struct bw_routing *bw_routing_ref(struct bw_routing *routing);
+
+/** Drops a reference; the last one frees the table. NULL is allowed. */
+void bw_routing_unref(struct bw_routing *routing);
+
+/**
+ * Checks the table and resolves the services of its routes.
+ * @param error receives the reason of BW_EINVAL; BW_ROUTE_ERROR_MAX bytes
+ * @return BW_OK or BW_EINVAL
+ */
+enum bw_status bw_routing_check(struct bw_routing *routing, char *error);
+
+/**
+ * Finds the route of a request: among the routes of the host, the one with
+ * the longest prefix of the path.
+ * @param target request target; a query is not part of the path
+ * @return NULL when there is none
+ */
+const struct bw_route *bw_routing_find(const struct bw_routing *routing,
+				       const char *host, size_t host_bytes,
+				       const char *target, size_t target_bytes);
+
+/** Finds a service by name. @return its index or BW_ROUTING_NONE */
+uint32_t bw_routing_service_find(const struct bw_routing *routing,
+				 const char *name);
+
+/**
+ * Chooses a service of a route by weight.
+ * @param point uniformly distributed over all 64-bit values
+ * @return index of the choice
+ */
+uint32_t bw_route_choose(const struct bw_route *route, uint64_t point);
+
+#endif
--- /dev/null
+++ b/src/boragewingd/gate_control.c
@@ -0,0 +1,422 @@
+#include "gate_control.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "gate_control_private.h"
+
+/** Packets queued between two rounds of the loop. */
+#define OUTBOX_LIMIT 4096
+
+/** Bounds of calls. */
+#define HEAD_MAX_BYTES 16384
+#define CONNECTIONS_MAX 1500
+#define HEAD_TIMEOUT_MS 5000
+#define IDLE_TIMEOUT_MS 30000
+
+/** Outcomes of submissions that are remembered; versions make them
+ * idempotent, so that few are needed. */
+#define SUBMISSIONS_MAX 256
+#define BINDINGS_MAX 16
+
+/** Interval at which members are admitted and removed. */
+#define MEMBER_CHECK_MS 200
+
+/**
+ * Time for which a member is silent before its successor takes its place.
+ * Longer than a restart, so that a host that comes back keeps its vote.
+ */
+#define REMOVE_AFTER_MS 4000
+
+/** Path of the chart of the replica's roles, relative to the start folder. */
+#define CHART_PATH "charts/replica.yaml"
+
+static enum bw_status open_replica_(struct gate_control *control);
+static enum bw_status open_listener_(struct gate_control *control,
+				     struct bw_listener *listener,
+				     const char *address);
+static void handle_event_(struct gate_control *control,
+			  const struct bw_replica_event *event);
+static void finish_commit_(struct gate_control *control,
+			   const struct bw_replica_event *event);
+static void answer_commit_(struct gate_wait *wait,
+			   const struct bw_replica_event *event);
+static void expire_waiting_(struct gate_control *control, struct bw_time now);
+static void check_members_(struct gate_control *control, struct bw_time now);
+static void note_silent_(struct gate_control *control,
+			 const struct bw_replica_member *member,
+			 struct bw_time now);
+static void remove_gone_(struct gate_control *control,
+			 const struct bw_replica_member *members,
+			 uint32_t count, struct bw_time now);
+static void note_leader_(struct gate_control *control);
+
+static const struct bw_listener_handler handler = {
+	.request = gate_control_call,
+	.gone = gate_control_gone,
+};
+
+enum bw_status gate_control_init(struct gate_control *control,
+				 struct gate_node *node)
+{
+	const struct gate_settings *settings = &node->settings;
+	enum bw_status status;
+
+	memset(control, 0, sizeof(*control));
+	control->node = node;
+	control->storage.kind = BW_STORAGE_FOLDER;
+	control->entries =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	control->gone_since =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	control->waiting = g_ptr_array_new_with_free_func(g_free);
+	bw_outbox_init(&control->out, OUTBOX_LIMIT);
+	control->announcements = bw_metrics_get(
+		&node->metrics, BW_METRIC_COUNTER, "bw_announcements_total",
+		"Announcements of backend servers", "");
+	control->lookups = bw_metrics_get(&node->metrics, BW_METRIC_COUNTER,
+					  "bw_lookups_total",
+					  "Directory answers", "");
+	status = open_replica_(control);
+	if (status == BW_OK)
+		status = open_listener_(control, &control->api,
+					settings->control_address);
+	if (status == BW_OK && settings->directory_address[0] &&
+	    strcmp(settings->directory_address, settings->control_address) != 0)
+		status = open_listener_(control, &control->directory,
+					settings->directory_address);
+	return status;
+}
+
+void gate_control_finish(struct gate_control *control)
+{
+	if (!control->node)
+		return;
+	bw_listener_finish(&control->api);
+	bw_listener_finish(&control->directory);
+	if (control->replica) {
+		bw_replica_free(control->replica);
+		bw_storage_finish(&control->storage);
+	}
+	bw_outbox_finish(&control->out);
+	g_ptr_array_free(control->waiting, TRUE);
+	g_hash_table_destroy(control->entries);
+	g_hash_table_destroy(control->gone_since);
+}
+
+void gate_control_receive(struct gate_control *control,
+			  const struct bw_packet *packet, struct bw_time now)
+{
+	if (packet->channel == BW_CHANNEL_REPLICA) {
+		gate_node_add_control(control->node, packet->peer, true, now);
+		bw_replica_receive(control->replica, packet, now,
+				   &control->out);
+	} else if (packet->channel == BW_CHANNEL_GATE) {
+		gate_control_message(control, packet, now);
+	}
+}
+
+void gate_control_tick(struct gate_control *control, struct bw_time now)
+{
+	bw_replica_tick(control->replica, now, &control->out);
+	expire_waiting_(control, now);
+	if (bw_time_reached(now, control->next_member_check)) {
+		control->next_member_check = bw_time_add(now, MEMBER_CHECK_MS);
+		check_members_(control, now);
+		note_leader_(control);
+	}
+	if (bw_time_reached(now, control->next_hello)) {
+		control->next_hello = bw_time_add(now, GATE_HELLO_INTERVAL_MS);
+		gate_node_check_controls(control->node, now);
+		gate_control_talk(control, now);
+	}
+}
+
+void gate_control_settle(struct gate_control *control, struct bw_time now)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct bw_replica_event event;
+
+	if (control->dirty) {
+		control->dirty = false;
+		bw_replica_flush(control->replica, now, &control->out);
+		transport_flush(&control->node->transport, &control->out);
+		bw_replica_sync(control->replica, now, &control->out);
+	}
+	while (bw_replica_next_event(control->replica, &event))
+		handle_event_(control, &event);
+	transport_flush(&control->node->transport, &control->out);
+	if (!control->current && bw_replica_is_current(control->replica)) {
+		control->current = true;
+		bw_log_event(control->node->log, BW_LOG_INFO, "configuration",
+			     "state_current", "{s:I,s:I}", "version",
+			     (json_int_t)state->revision, "index",
+			     (json_int_t)state->applied_index);
+	}
+	if (control->current &&
+	    (control->told_sheet != state->sheet_index ||
+	     control->told_evacuation != state->evacuation_index)) {
+		control->told_sheet = state->sheet_index;
+		control->told_evacuation = state->evacuation_index;
+		gate_control_send_status_all(control);
+	}
+}
+
+void gate_control_stop(struct gate_control *control)
+{
+	bw_listener_begin_close(&control->api);
+	bw_listener_begin_close(&control->directory);
+}
+
+bool gate_control_is_idle(const struct gate_control *control)
+{
+	return !control->api.busy_count && !control->directory.busy_count;
+}
+
+static enum bw_status open_replica_(struct gate_control *control)
+{
+	struct gate_node *node = control->node;
+	const struct gate_settings *settings = &node->settings;
+	struct bw_replica_config config = { .storage = &control->storage };
+	struct bw_yaml_error yaml_error = { 0 };
+	char error[BW_WAL_ERROR_BYTES] = "";
+	enum bw_status status;
+
+	status =
+		bw_replica_chart_load(&control->chart, CHART_PATH, &yaml_error);
+	if (status == BW_OK)
+		status = bw_storage_init_folder(&control->storage,
+						settings->data_folder);
+	if (status != BW_OK) {
+		bw_log_event(node->log, BW_LOG_ERROR, "replica", "open_failed",
+			     "{s:s,s:s,s:s}", "folder", settings->data_folder,
+			     "status", bw_status_string[status], "cause",
+			     yaml_error.text);
+		return status;
+	}
+	bw_name_set(config.host, node->name);
+	config.initial_hosts = settings->seeds;
+	config.initial_count = settings->seed_count;
+	config.chart = &control->chart;
+	config.seed = bw_random_next(&node->random);
+	config.submissions_max = SUBMISSIONS_MAX;
+	config.bindings_max = BINDINGS_MAX;
+	config.join_only = !settings->first_start;
+	status = bw_replica_new(&control->replica, &config, gate_node_now(node),
+				error);
+	if (status != BW_OK)
+		bw_log_event(node->log, BW_LOG_ERROR, "replica", "start_failed",
+			     "{s:s,s:s}", "status", bw_status_string[status],
+			     "cause", error);
+	return status;
+}
+
+static enum bw_status open_listener_(struct gate_control *control,
+				     struct bw_listener *listener,
+				     const char *address)
+{
+	struct bw_listener_config config = { .loop = control->node->loop };
+	enum bw_status status;
+
+	config.address = address;
+	config.limits.head_max_bytes = HEAD_MAX_BYTES;
+	config.limits.body_max_bytes = BW_SHEET_TEXT_MAX_BYTES;
+	config.connections_max = CONNECTIONS_MAX;
+	config.head_timeout_ms = HEAD_TIMEOUT_MS;
+	config.idle_timeout_ms = IDLE_TIMEOUT_MS;
+	config.handler = &handler;
+	config.context = control;
+	status = bw_listener_init(listener, &config);
+	if (status != BW_OK)
+		bw_log_event(control->node->log, BW_LOG_ERROR, "listener",
+			     "listen_failed", "{s:s}", "address", address);
+	return status;
+}
+
+static void handle_event_(struct gate_control *control,
+			  const struct bw_replica_event *event)
+{
+	struct bw_log *log = control->node->log;
+
+	switch (event->kind) {
+	case BW_REPLICA_APPLIED:
+		finish_commit_(control, event);
+		if (event->command != BW_COMMAND_NONE)
+			bw_log_event(
+				log, BW_LOG_INFO, "replica", "command_applied",
+				"{s:s,s:s,s:I,s:I,s:I}", "command",
+				bw_command_kind_string[event->command],
+				"outcome",
+				bw_outcome_kind_string[event->outcome.kind],
+				"index", (json_int_t)event->index, "term",
+				(json_int_t)event->term, "version",
+				(json_int_t)event->outcome.revision);
+		break;
+	case BW_REPLICA_STORAGE_FAILED:
+		bw_log_event(log, BW_LOG_ERROR, "replica", "storage_failed",
+			     "{s:s}", "status",
+			     bw_status_string[event->status]);
+		break;
+	case BW_REPLICA_LEADER_CHANGED:
+	case BW_REPLICA_SNAPSHOT_INSTALLED:
+	case BW_REPLICA_MEMBER_CHANGED:
+		bw_log_event(log, BW_LOG_INFO, "replica",
+			     bw_replica_event_kind_string[event->kind],
+			     "{s:I,s:I,s:s}", "index", (json_int_t)event->index,
+			     "term", (json_int_t)event->term, "leader",
+			     event->leader);
+		break;
+	case BW_REPLICA_EVENT_KIND_COUNT:
+		break;
+	}
+}
+
+static void finish_commit_(struct gate_control *control,
+			   const struct bw_replica_event *event)
+{
+	guint i = 0;
+
+	while (i < control->waiting->len) {
+		struct gate_wait *wait = control->waiting->pdata[i];
+
+		if (wait->kind != GATE_WAIT_COMMIT ||
+		    wait->index != event->index) {
+			i++;
+			continue;
+		}
+		if (wait->connection)
+			answer_commit_(wait, event);
+		g_ptr_array_remove_index_fast(control->waiting, i);
+	}
+}
+
+/* Another leader's entry may have taken the place of the proposal. */
+static void answer_commit_(struct gate_wait *wait,
+			   const struct bw_replica_event *event)
+{
+	if (wait->term != event->term) {
+		gate_respond_error(wait->connection, 503,
+				   "the leader changed; the outcome is not "
+				   "known");
+		return;
+	}
+	switch (event->outcome.kind) {
+	case BW_OUTCOME_ACCEPTED:
+	case BW_OUTCOME_ALREADY_ACCEPTED:
+	case BW_OUTCOME_CONFLICT: /* not newer than the version in force */
+	case BW_OUTCOME_EVACUATION_SET:
+		gate_respond(wait->connection, 200, NULL, NULL);
+		break;
+	default:
+		gate_respond_error(wait->connection, 503,
+				   bw_outcome_kind_string[event->outcome.kind]);
+		break;
+	}
+}
+
+static void expire_waiting_(struct gate_control *control, struct bw_time now)
+{
+	guint i = 0;
+
+	while (i < control->waiting->len) {
+		struct gate_wait *wait = control->waiting->pdata[i];
+
+		if (!bw_time_reached(now, wait->deadline)) {
+			i++;
+			continue;
+		}
+		if (wait->connection)
+			gate_respond_error(wait->connection, 503,
+					   "not confirmed by most control "
+					   "hosts in time");
+		g_ptr_array_remove_index_fast(control->waiting, i);
+	}
+}
+
+static void check_members_(struct gate_control *control, struct bw_time now)
+{
+	struct bw_replica_member members[BW_GROUP_MAX];
+	char host[BW_NAME_MAX];
+	enum bw_status status;
+	uint32_t count;
+	uint32_t i;
+
+	if (bw_replica_role(control->replica) != BW_REPLICA_LEADER) {
+		g_hash_table_remove_all(control->gone_since);
+		return;
+	}
+	count = bw_replica_members(control->replica, now, members);
+	for (i = 0; i < count; i++)
+		note_silent_(control, &members[i], now);
+	status = bw_replica_admit(control->replica, host, now);
+	if (status == BW_OK) {
+		control->dirty = true;
+		bw_log_event(control->node->log, BW_LOG_INFO, "replica",
+			     "host_admitted", "{s:s}", "peer", host);
+	} else if (status == BW_ENOTFOUND) {
+		remove_gone_(control, members, count, now);
+	}
+}
+
+static void note_silent_(struct gate_control *control,
+			 const struct bw_replica_member *member,
+			 struct bw_time now)
+{
+	int64_t *since =
+		g_hash_table_lookup(control->gone_since, member->member.host);
+
+	if (member->caught_up) {
+		g_hash_table_remove(control->gone_since, member->member.host);
+	} else if (!since) {
+		since = g_new(int64_t, 1);
+		*since = now.ms;
+		g_hash_table_insert(control->gone_since,
+				    g_strdup(member->member.host), since);
+	}
+}
+
+/*
+ * A silent member is removed only when the group has grown beyond the number
+ * of hosts that it needs without it: its successor has then joined. Without
+ * a successor it stays, because each removal lowers the quorum.
+ */
+static void remove_gone_(struct gate_control *control,
+			 const struct bw_replica_member *members,
+			 uint32_t count, struct bw_time now)
+{
+	uint32_t caught_up = 0;
+	const char *gone = NULL;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const int64_t *since = g_hash_table_lookup(
+			control->gone_since, members[i].member.host);
+
+		if (members[i].caught_up)
+			caught_up++;
+		else if (since && now.ms - *since > REMOVE_AFTER_MS)
+			gone = members[i].member.host;
+	}
+	if (!gone || caught_up <= control->node->settings.seed_count * 2 ||
+	    caught_up + 1 < count)
+		return;
+	if (bw_replica_remove(control->replica, gone, now) != BW_OK)
+		return;
+	control->dirty = true;
+	bw_log_event(control->node->log, BW_LOG_WARNING, "replica",
+		     "host_removed", "{s:s,s:i}", "peer", gone, "members",
+		     (int)count);
+}
+
+static void note_leader_(struct gate_control *control)
+{
+	const char *leader = bw_replica_leader(control->replica);
+
+	if (!strcmp(leader, control->leader))
+		return;
+	bw_name_set(control->leader, leader);
+	bw_log_event(control->node->log, BW_LOG_INFO, "replica",
+		     leader[0] ? "leader_known" : "leader_lost", "{s:s,s:I}",
+		     "leader", leader, "term",
+		     (json_int_t)bw_replica_term(control->replica));
+}
--- /dev/null
+++ b/src/boragewingd/gate_control_calls.c
@@ -0,0 +1,433 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "gate_control_private.h"
+#include "platform.h"
+
+/** Time that a call waits for a commit. */
+#define COMMIT_TIMEOUT_MS 3000
+
+/** Time that a call waits for copies; callers wait one second. */
+#define COPIES_TIMEOUT_MS 800
+
+/** Validity of a directory answer. Short, so that a lost host is soon left. */
+#define ANSWER_TTL_MS 2000
+
+/** Most entry hosts in a directory answer. */
+#define ANSWER_HOSTS_MAX 64
+
+static void submit_(struct gate_control *control,
+		    struct bw_server_connection *connection,
+		    const struct bw_http_message *request, struct bw_time now);
+static void read_(struct gate_control *control,
+		  struct bw_server_connection *connection, struct bw_time now);
+static void evacuate_(struct gate_control *control,
+		      struct bw_server_connection *connection,
+		      const struct gate_call *call, struct bw_time now);
+static void announce_(struct gate_control *control,
+		      struct bw_server_connection *connection,
+		      const struct gate_call *call,
+		      const struct bw_http_message *request,
+		      struct bw_time now);
+static void leave_(struct gate_control *control,
+		   struct bw_server_connection *connection,
+		   const struct gate_call *call, struct bw_time now);
+static void wait_copies_(struct gate_control *control,
+			 struct bw_server_connection *connection,
+			 const struct bw_server *server, struct bw_time now);
+static bool redirect_(struct gate_control *control,
+		      struct bw_server_connection *connection,
+		      struct bw_time now);
+static void propose_(struct gate_control *control,
+		     struct bw_server_connection *connection,
+		     const struct bw_buffer *command, struct bw_time now);
+static uint32_t pick_entries_(const struct gate_control *control,
+			      const struct gate_call *call, int scope,
+			      char (*addresses)[BW_NAME_MAX]);
+
+const char *const gate_call_kind_string[GATE_CALL_KIND_COUNT] = {
+	[GATE_CALL_UNKNOWN] = "unknown",     [GATE_CALL_READY] = "ready",
+	[GATE_CALL_LOOK_UP] = "look_up",     [GATE_CALL_ANNOUNCE] = "announce",
+	[GATE_CALL_LEAVE] = "leave",	     [GATE_CALL_SUBMIT] = "submit",
+	[GATE_CALL_READ] = "read",	     [GATE_CALL_EVACUATE] = "evacuate",
+	[GATE_CALL_REINSTATE] = "reinstate",
+};
+
+void gate_control_call(void *context, struct bw_server_connection *connection,
+		       const struct bw_http_message *request)
+{
+	struct gate_control *control = context;
+	struct bw_time now = gate_node_now(control->node);
+	struct gate_call call;
+
+	platform_call_read(request, &call);
+	switch (call.kind) {
+	case GATE_CALL_LOOK_UP:
+		gate_control_look_up(control, connection, &call, now);
+		break;
+	case GATE_CALL_ANNOUNCE:
+		announce_(control, connection, &call, request, now);
+		break;
+	case GATE_CALL_LEAVE:
+		leave_(control, connection, &call, now);
+		break;
+	case GATE_CALL_SUBMIT:
+		submit_(control, connection, request, now);
+		break;
+	case GATE_CALL_READ:
+		read_(control, connection, now);
+		break;
+	case GATE_CALL_EVACUATE:
+	case GATE_CALL_REINSTATE:
+		evacuate_(control, connection, &call, now);
+		break;
+	case GATE_CALL_READY:
+	case GATE_CALL_UNKNOWN:
+	case GATE_CALL_KIND_COUNT:
+		gate_respond_error(connection, 404, "no such call");
+		break;
+	}
+}
+
+void gate_control_gone(void *context, struct bw_server_connection *connection)
+{
+	struct gate_control *control = context;
+	guint i;
+
+	for (i = 0; i < control->waiting->len; i++) {
+		struct gate_wait *wait = control->waiting->pdata[i];
+
+		if (wait->connection == connection)
+			wait->connection = NULL;
+	}
+}
+
+void gate_respond(struct bw_server_connection *connection, uint16_t status_code,
+		  const struct bw_buffer *body, const char *location)
+{
+	struct bw_buffer fields;
+
+	bw_buffer_init(&fields);
+	bw_buffer_printf(&fields, "Content-Type: application/json\r\n");
+	if (location)
+		bw_buffer_printf(&fields, "Location: %s\r\n", location);
+	if (body)
+		bw_connection_respond(connection, status_code, &fields,
+				      body->data, body->size_bytes, false);
+	else
+		bw_connection_respond(connection, status_code, &fields, "{}", 2,
+				      false);
+	bw_buffer_finish(&fields);
+}
+
+void gate_respond_error(struct bw_server_connection *connection,
+			uint16_t status_code, const char *text)
+{
+	struct bw_buffer body;
+
+	bw_buffer_init(&body);
+	platform_error_write(&body, text);
+	gate_respond(connection, status_code, &body, NULL);
+	bw_buffer_finish(&body);
+}
+
+void gate_control_copied(struct gate_control *control, const char *host,
+			 const struct gate_sign *sign)
+{
+	guint i = 0;
+
+	while (i < control->waiting->len) {
+		struct gate_wait *wait = control->waiting->pdata[i];
+		uint32_t k = 0;
+
+		i++;
+		if (wait->kind != GATE_WAIT_COPIES ||
+		    wait->sign.id_hash != sign->id_hash ||
+		    wait->sign.sequence > sign->sequence)
+			continue;
+		while (k < wait->holder_count &&
+		       strcmp(wait->holders[k], host) != 0)
+			k++;
+		if (k == wait->holder_count && k < GATE_CONTROLS_MAX)
+			bw_name_set(wait->holders[wait->holder_count++], host);
+		/* This host holds the record too. */
+		if (wait->holder_count + 1 < gate_control_quorum(control))
+			continue;
+		if (wait->connection)
+			gate_respond(wait->connection, 200, NULL, NULL);
+		g_ptr_array_remove_index_fast(control->waiting, --i);
+	}
+}
+
+uint32_t gate_control_quorum(const struct gate_control *control)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	uint32_t count = state->group.count;
+
+	if (!count)
+		count = control->node->settings.seed_count;
+	return count / 2 + 1;
+}
+
+bool gate_control_in_majority(const struct gate_control *control,
+			      struct bw_time now)
+{
+	const struct gate_node *node = control->node;
+	uint32_t alive = 1;
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++) {
+		if (gate_peer_is_alive(&node->controls[i], now))
+			alive++;
+	}
+	return alive >= gate_control_quorum(control);
+}
+
+void gate_control_look_up(struct gate_control *control,
+			  struct bw_server_connection *connection,
+			  const struct gate_call *call, struct bw_time now)
+{
+	static char addresses[ANSWER_HOSTS_MAX][BW_NAME_MAX];
+	struct bw_buffer body;
+	uint32_t count = 0;
+	int scope;
+
+	(void)now;
+	bw_metric_add(control->lookups, 1);
+	for (scope = 0; scope < 3 && !count; scope++)
+		count = pick_entries_(control, call, scope, addresses);
+	if (!count) {
+		gate_respond_error(connection, 503, "no entry host is known");
+		return;
+	}
+	bw_buffer_init(&body);
+	platform_lookup_write(&body,
+			      (const char(*)[BW_NAME_MAX])(void *)addresses,
+			      count,
+			      MIN((uint32_t)ANSWER_TTL_MS,
+				  control->node->settings.answer_ttl_max_ms));
+	gate_respond(connection, 200, &body, NULL);
+	bw_buffer_finish(&body);
+}
+
+static void submit_(struct gate_control *control,
+		    struct bw_server_connection *connection,
+		    const struct bw_http_message *request, struct bw_time now)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct bw_submit submit = { .accept_wall_ms = bw_wall_ms() };
+	struct bw_routing *routing;
+	struct bw_buffer command;
+	char error[PLATFORM_ERROR_BYTES] = "";
+	enum bw_status status;
+
+	status = platform_routing_read(
+		request->body.data, request->body.size_bytes, &routing, error);
+	if (status != BW_OK) {
+		bw_log_event(control->node->log, BW_LOG_WARNING,
+			     "configuration", "submission_invalid", "{s:s,s:I}",
+			     "cause", error, "version_in_force",
+			     (json_int_t)state->revision);
+		gate_respond_error(connection, 400, error);
+		return;
+	}
+	submit.revision = routing->version;
+	bw_routing_unref(routing);
+	if (redirect_(control, connection, now))
+		return;
+	submit.text = request->body.data;
+	submit.text_size_bytes = request->body.size_bytes;
+	crypto_generichash(submit.hash, BW_HASH_BYTES, submit.text,
+			   submit.text_size_bytes, NULL, 0);
+	sodium_bin2hex(submit.id, sizeof(submit.id), submit.hash,
+		       BW_HASH_BYTES);
+	bw_buffer_init(&command);
+	if (bw_command_submit(&command, &submit) == BW_OK)
+		propose_(control, connection, &command, now);
+	else
+		gate_respond_error(connection, 413, "configuration too large");
+	bw_buffer_finish(&command);
+}
+
+static void read_(struct gate_control *control,
+		  struct bw_server_connection *connection, struct bw_time now)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+
+	if (redirect_(control, connection, now))
+		return;
+	if (!state->revision)
+		gate_respond_error(connection, 503, "no configuration yet");
+	else
+		gate_respond(connection, 200, &state->text, NULL);
+}
+
+static void evacuate_(struct gate_control *control,
+		      struct bw_server_connection *connection,
+		      const struct gate_call *call, struct bw_time now)
+{
+	struct bw_buffer command;
+
+	if (!gate_node_region(control->node, call->domain)[0]) {
+		gate_respond_error(connection, 404, "no such failure domain");
+		return;
+	}
+	if (redirect_(control, connection, now))
+		return;
+	bw_buffer_init(&command);
+	if (bw_command_evacuate(&command, call->domain,
+				call->kind == GATE_CALL_EVACUATE) == BW_OK)
+		propose_(control, connection, &command, now);
+	else
+		gate_respond_error(connection, 400, "wrong failure domain");
+	bw_buffer_finish(&command);
+}
+
+static void announce_(struct gate_control *control,
+		      struct bw_server_connection *connection,
+		      const struct gate_call *call,
+		      const struct bw_http_message *request, struct bw_time now)
+{
+	struct gate_node *node = control->node;
+	struct bw_server_record record;
+	struct bw_server *server = NULL;
+	enum bw_registry_outcome outcome;
+	char error[PLATFORM_ERROR_BYTES] = "";
+
+	if (platform_announcement_read(call->server, request->body.data,
+				       request->body.size_bytes, &record,
+				       error) != BW_OK) {
+		bw_log_event(node->log, BW_LOG_WARNING, "registry",
+			     "announcement_invalid", "{s:s,s:s}", "server",
+			     call->server, "cause", error);
+		gate_respond_error(connection, 400, error);
+		return;
+	}
+	bw_metric_add(control->announcements, 1);
+	outcome = gate_node_merge(node, &record, "announcement", now, &server);
+	if (outcome != BW_REGISTRY_STALE)
+		server->first_hand = true;
+	if (outcome == BW_REGISTRY_CHANGED)
+		gate_control_spread(control, server);
+	if (record.state == BW_SERVER_DRAINING)
+		wait_copies_(control, connection, server, now);
+	else
+		gate_respond(connection, 200, NULL, NULL);
+}
+
+static void leave_(struct gate_control *control,
+		   struct bw_server_connection *connection,
+		   const struct gate_call *call, struct bw_time now)
+{
+	struct bw_server *server =
+		bw_registry_find(&control->node->registry, call->server);
+	struct bw_server_record record = { .slots = 0 };
+
+	/* Other hosts may know a server of which this one has not heard. */
+	if (server)
+		record = server->record;
+	g_strlcpy(record.id, call->server, sizeof(record.id));
+	record.state = BW_SERVER_LEFT;
+	record.sequence++;
+	if (gate_node_merge(control->node, &record, "goodbye", now, &server) ==
+	    BW_REGISTRY_CHANGED)
+		gate_control_spread(control, server);
+	wait_copies_(control, connection, server, now);
+}
+
+/*
+ * The acknowledgement binds all entry hosts. It waits until most control
+ * hosts hold the record, so that a host that is cut off gives none.
+ */
+static void wait_copies_(struct gate_control *control,
+			 struct bw_server_connection *connection,
+			 const struct bw_server *server, struct bw_time now)
+{
+	struct gate_wait *wait;
+
+	if (!gate_control_in_majority(control, now)) {
+		gate_respond_error(connection, 503,
+				   "cut off from most control hosts");
+		return;
+	}
+	gate_control_spread(control, server);
+	wait = g_new0(struct gate_wait, 1);
+	wait->kind = GATE_WAIT_COPIES;
+	wait->connection = connection;
+	wait->deadline = bw_time_add(now, COPIES_TIMEOUT_MS);
+	wait->sign.id_hash = server->id_hash;
+	wait->sign.sequence = server->record.sequence;
+	wait->sign.state = server->record.state;
+	g_ptr_array_add(control->waiting, wait);
+}
+
+/* @return whether the call was answered, because this is not the leader */
+static bool redirect_(struct gate_control *control,
+		      struct bw_server_connection *connection,
+		      struct bw_time now)
+{
+	const struct bw_http_message *request =
+		bw_connection_request(connection);
+	const char *leader = bw_replica_leader(control->replica);
+	char location[512];
+
+	if (control->current && bw_replica_has_lease(control->replica, now))
+		return false;
+	if (!leader[0] || !strcmp(leader, control->node->name)) {
+		gate_respond_error(connection, 503, "no leader is known");
+		return true;
+	}
+	snprintf(location, sizeof(location), "http://%s%.*s", leader,
+		 (int)MIN(request->target.size_bytes, 400U),
+		 bw_http_text(request, request->target));
+	gate_respond(connection, 307, NULL, location);
+	return true;
+}
+
+static void propose_(struct gate_control *control,
+		     struct bw_server_connection *connection,
+		     const struct bw_buffer *command, struct bw_time now)
+{
+	struct gate_wait *wait;
+	uint64_t index;
+	enum bw_status status =
+		bw_replica_propose(control->replica, command->data,
+				   command->size_bytes, now, &index);
+
+	if (status != BW_OK) {
+		gate_respond_error(connection, 503, bw_status_string[status]);
+		return;
+	}
+	control->dirty = true;
+	wait = g_new0(struct gate_wait, 1);
+	wait->kind = GATE_WAIT_COMMIT;
+	wait->connection = connection;
+	wait->deadline = bw_time_add(now, COMMIT_TIMEOUT_MS);
+	wait->index = index;
+	wait->term = bw_replica_term(control->replica);
+	g_ptr_array_add(control->waiting, wait);
+}
+
+/* Scopes: 0 the client's failure domain, 1 its region, 2 everywhere. */
+static uint32_t pick_entries_(const struct gate_control *control,
+			      const struct gate_call *call, int scope,
+			      char (*addresses)[BW_NAME_MAX])
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, control->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value) &&
+	       count < ANSWER_HOSTS_MAX) {
+		const struct gate_entry_host *entry = value;
+
+		if (entry->state != GATE_HOST_READY ||
+		    (scope == 0 && strcmp(entry->domain, call->domain) != 0) ||
+		    (scope == 1 && strcmp(entry->region, call->region) != 0))
+			continue;
+		bw_name_set(addresses[count++], entry->name);
+	}
+	return count;
+}
--- /dev/null
+++ b/src/boragewingd/gate_control_talk.c
@@ -0,0 +1,377 @@
+#include <string.h>
+
+#include "gate_control_private.h"
+
+static void send_hello_(struct gate_control *control);
+static void send_signs_(struct gate_control *control);
+static void send_to_all_(struct gate_control *control, bool entries);
+static void flush_signs_(struct gate_control *control,
+			 struct gate_servers *batch);
+static void send_table_(struct gate_control *control, const char *peer);
+static void send_wanted_(struct gate_control *control, const char *peer,
+			 const struct gate_servers *wanted);
+static void send_routing_(struct gate_control *control, const char *peer);
+static void confirm_(struct gate_control *control, const char *peer,
+		     const struct gate_servers *servers);
+static void handle_servers_(struct gate_control *control,
+			    const struct bw_packet *packet,
+			    const struct gate_servers *servers,
+			    struct bw_time now);
+static void forget_entries_(struct gate_control *control, struct bw_time now);
+static uint32_t place_of_(const struct gate_control *control, const char *name);
+
+void gate_control_message(struct gate_control *control,
+			  const struct bw_packet *packet, struct bw_time now)
+{
+	static struct gate_servers servers;
+	static struct gate_status status;
+	struct gate_hello hello;
+	struct bw_reader reader;
+	uint32_t i;
+	int type;
+
+	bw_reader_init(&reader, packet->data, packet->size_bytes);
+	type = gate_message_type(&reader);
+	switch (type) {
+	case GATE_HELLO:
+		gate_hello_read(&reader, &hello);
+		if (bw_reader_status(&reader) == BW_OK)
+			gate_control_hello(control, packet, &hello, now);
+		break;
+	case GATE_STATUS:
+		gate_status_read(&reader, &status);
+		if (bw_reader_status(&reader) != BW_OK)
+			break;
+		for (i = 0; i < status.control_count; i++)
+			gate_node_add_control(control->node, status.controls[i],
+					      false, now);
+		break;
+	case GATE_SERVERS:
+	case GATE_SERVERS_HELD:
+	case GATE_RECORDS_WANTED:
+		gate_servers_read(&reader, &servers);
+		if (bw_reader_status(&reader) != BW_OK)
+			break;
+		if (type == GATE_SERVERS)
+			handle_servers_(control, packet, &servers, now);
+		else if (type == GATE_RECORDS_WANTED)
+			send_wanted_(control, packet->peer, &servers);
+		for (i = 0; type == GATE_SERVERS_HELD && i < servers.sign_count;
+		     i++)
+			gate_control_copied(control, packet->peer,
+					    &servers.signs[i]);
+		break;
+	case GATE_ROUTING_WANTED:
+		send_routing_(control, packet->peer);
+		break;
+	default:
+		bw_log_event(control->node->log, BW_LOG_WARNING, "membership",
+			     "message_unknown", "{s:s}", "peer", packet->peer);
+		break;
+	}
+	bw_reader_finish(&reader);
+}
+
+void gate_control_hello(struct gate_control *control,
+			const struct bw_packet *packet,
+			const struct gate_hello *hello, struct bw_time now)
+{
+	struct gate_entry_host *entry;
+	bool fresh;
+
+	if (hello->control) {
+		gate_node_add_control(control->node, packet->peer, true, now);
+		return;
+	}
+	entry = g_hash_table_lookup(control->entries, packet->peer);
+	fresh = !entry || entry->incarnation != packet->incarnation;
+	if (!entry) {
+		entry = g_new0(struct gate_entry_host, 1);
+		bw_name_set(entry->name, packet->peer);
+		g_hash_table_insert(control->entries, entry->name, entry);
+	}
+	if (fresh || entry->state != hello->state)
+		bw_log_event(control->node->log, BW_LOG_INFO, "directory",
+			     "entry_host_changed", "{s:s,s:s,s:i,s:b}", "peer",
+			     packet->peer, "domain", hello->domain, "state",
+			     (int)hello->state, "new_process", fresh);
+	bw_name_set(entry->domain, hello->domain);
+	bw_name_set(entry->region, hello->region);
+	entry->state = hello->state;
+	entry->incarnation = packet->incarnation;
+	entry->heard = now;
+	if (fresh)
+		send_table_(control, packet->peer);
+	gate_control_send_status(control, entry);
+}
+
+void gate_control_spread(struct gate_control *control,
+			 const struct bw_server *server)
+{
+	static struct gate_servers batch;
+
+	batch.record_count = 1;
+	batch.sign_count = 0;
+	batch.records[0] = server->record;
+	gate_servers_write(gate_node_frame(control->node), GATE_SERVERS,
+			   &batch);
+	send_to_all_(control, true);
+}
+
+void gate_control_talk(struct gate_control *control, struct bw_time now)
+{
+	forget_entries_(control, now);
+	send_hello_(control);
+	send_signs_(control);
+}
+
+void gate_control_send_status(struct gate_control *control,
+			      const struct gate_entry_host *entry)
+{
+	static struct gate_status status;
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct gate_node *node = control->node;
+	struct bw_time now = gate_node_now(node);
+	uint32_t i;
+
+	memset(&status, 0, sizeof(status));
+	status.current = control->current;
+	status.routing_version = state->revision;
+	status.evacuation_index = state->evacuation_index;
+	status.evacuated_count = state->evacuated_count;
+	memcpy(status.evacuated, state->evacuated, sizeof(status.evacuated));
+	for (i = 0; i < node->control_count; i++) {
+		if (gate_peer_is_alive(&node->controls[i], now))
+			bw_name_set(status.controls[status.control_count++],
+				    node->controls[i].name);
+	}
+	status.entry_count = g_hash_table_size(control->entries);
+	status.entry_place = place_of_(control, entry->name);
+	gate_status_write(gate_node_frame(node), &status);
+	gate_node_send(node, entry->name);
+}
+
+void gate_control_send_status_all(struct gate_control *control)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, control->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		gate_control_send_status(control, value);
+}
+
+static void send_hello_(struct gate_control *control)
+{
+	struct gate_node *node = control->node;
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct gate_hello hello = { .control = true };
+
+	hello.state = node->stopping ? GATE_HOST_LEAVING : GATE_HOST_READY;
+	bw_name_set(hello.domain, node->settings.domain);
+	bw_name_set(hello.region, node->settings.region);
+	hello.routing_version = state->revision;
+	gate_hello_write(gate_node_frame(node), &hello);
+	send_to_all_(control, false);
+}
+
+/* Sends what backend servers have told this host itself since last time. */
+static void send_signs_(struct gate_control *control)
+{
+	static struct gate_servers batch;
+	struct gate_node *node = control->node;
+	GHashTableIter iter;
+	gpointer value;
+
+	batch.record_count = 0;
+	batch.sign_count = 0;
+	g_hash_table_iter_init(&iter, node->registry.servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bw_server *server = value;
+		struct gate_sign *sign;
+
+		if (!server->first_hand)
+			continue;
+		server->first_hand = false;
+		sign = &batch.signs[batch.sign_count++];
+		sign->id_hash = server->id_hash;
+		sign->sequence = server->record.sequence;
+		sign->state = server->record.state;
+		if (batch.sign_count == GATE_BATCH_MAX)
+			flush_signs_(control, &batch);
+	}
+	if (batch.sign_count)
+		flush_signs_(control, &batch);
+}
+
+static void flush_signs_(struct gate_control *control,
+			 struct gate_servers *batch)
+{
+	gate_servers_write(gate_node_frame(control->node), GATE_SERVERS, batch);
+	send_to_all_(control, true);
+	batch->sign_count = 0;
+}
+
+static void send_to_all_(struct gate_control *control, bool entries)
+{
+	struct gate_node *node = control->node;
+	GHashTableIter iter;
+	gpointer key;
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++)
+		gate_node_send(node, node->controls[i].name);
+	if (!entries)
+		return;
+	g_hash_table_iter_init(&iter, control->entries);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		gate_node_send(node, key);
+}
+
+static void send_table_(struct gate_control *control, const char *peer)
+{
+	static struct gate_servers batch;
+	struct gate_node *node = control->node;
+	GHashTableIter iter;
+	gpointer value;
+
+	batch.record_count = 0;
+	batch.sign_count = 0;
+	g_hash_table_iter_init(&iter, node->registry.servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch.records[batch.record_count++] =
+			((struct bw_server *)value)->record;
+		if (batch.record_count < GATE_BATCH_MAX)
+			continue;
+		gate_servers_write(gate_node_frame(node), GATE_SERVERS, &batch);
+		gate_node_send(node, peer);
+		batch.record_count = 0;
+	}
+	if (!batch.record_count)
+		return;
+	gate_servers_write(gate_node_frame(node), GATE_SERVERS, &batch);
+	gate_node_send(node, peer);
+}
+
+static void send_wanted_(struct gate_control *control, const char *peer,
+			 const struct gate_servers *wanted)
+{
+	static struct gate_servers batch;
+	uint32_t i;
+
+	batch.record_count = 0;
+	batch.sign_count = 0;
+	for (i = 0; i < wanted->sign_count && i < GATE_BATCH_MAX; i++) {
+		const struct bw_server *server =
+			g_hash_table_lookup(control->node->registry.by_hash,
+					    &wanted->signs[i].id_hash);
+
+		if (server)
+			batch.records[batch.record_count++] = server->record;
+	}
+	gate_servers_write(gate_node_frame(control->node), GATE_SERVERS,
+			   &batch);
+	gate_node_send(control->node, peer);
+}
+
+static void send_routing_(struct gate_control *control, const char *peer)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct gate_routing routing = { .version = state->revision };
+
+	if (!control->current || !state->revision)
+		return;
+	routing.text = state->text.data;
+	routing.text_bytes = state->text.size_bytes;
+	gate_routing_write(gate_node_frame(control->node), GATE_ROUTING,
+			   &routing);
+	gate_node_send(control->node, peer);
+}
+
+/* Changes that another control host heard go on to the entry hosts, which
+ * may not reach that host. */
+static void handle_servers_(struct gate_control *control,
+			    const struct bw_packet *packet,
+			    const struct gate_servers *servers,
+			    struct bw_time now)
+{
+	struct gate_node *node = control->node;
+	uint64_t generation = node->registry.generation;
+	uint32_t i;
+
+	gate_node_add_control(node, packet->peer, true, now);
+	gate_node_receive_servers(node, packet->peer, servers, now);
+	if (servers->record_count)
+		confirm_(control, packet->peer, servers);
+	if (generation == node->registry.generation)
+		return;
+	for (i = 0; i < servers->record_count; i++) {
+		const struct bw_server *known = bw_registry_find(
+			&node->registry, servers->records[i].id);
+		GHashTableIter iter;
+		gpointer key;
+		static struct gate_servers batch;
+
+		if (!known || known->changed.ms != now.ms)
+			continue;
+		batch.record_count = 1;
+		batch.sign_count = 0;
+		batch.records[0] = known->record;
+		gate_servers_write(gate_node_frame(node), GATE_SERVERS, &batch);
+		g_hash_table_iter_init(&iter, control->entries);
+		while (g_hash_table_iter_next(&iter, &key, NULL))
+			gate_node_send(node, key);
+	}
+}
+
+static void confirm_(struct gate_control *control, const char *peer,
+		     const struct gate_servers *servers)
+{
+	static struct gate_servers held;
+	uint32_t i;
+
+	held.record_count = 0;
+	held.sign_count = servers->record_count;
+	for (i = 0; i < servers->record_count; i++) {
+		held.signs[i].id_hash =
+			bw_registry_hash(servers->records[i].id);
+		held.signs[i].sequence = servers->records[i].sequence;
+		held.signs[i].state = servers->records[i].state;
+	}
+	gate_servers_write(gate_node_frame(control->node), GATE_SERVERS_HELD,
+			   &held);
+	gate_node_send(control->node, peer);
+}
+
+static void forget_entries_(struct gate_control *control, struct bw_time now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, control->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gate_entry_host *entry = value;
+
+		if (bw_time_diff_ms(now, entry->heard) <= GATE_SILENT_MS)
+			continue;
+		bw_log_event(control->node->log, BW_LOG_WARNING, "directory",
+			     "entry_host_lost", "{s:s,s:s,s:I}", "peer",
+			     entry->name, "domain", entry->domain, "silent_ms",
+			     (json_int_t)bw_time_diff_ms(now, entry->heard));
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static uint32_t place_of_(const struct gate_control *control, const char *name)
+{
+	GHashTableIter iter;
+	gpointer key;
+	uint32_t place = 0;
+
+	g_hash_table_iter_init(&iter, control->entries);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		if (strcmp(key, name) < 0)
+			place++;
+	}
+	return place;
+}
--- /dev/null
+++ b/src/boragewingd/gate_node.c
@@ -0,0 +1,354 @@
+#include "gate_node.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+
+/** Connection checks between hosts; a silent path is found within 1.5 s. */
+#define HEARTBEAT_MS 500
+
+/** Time after which a control host that nobody names is forgotten. */
+#define FORGET_MS 20000
+
+/** Time after which a silent backend server is removed from the table. */
+#define SERVER_FORGET_MS 60000
+
+/** Bounds of the calls to the metrics address. */
+#define METRICS_HEAD_MAX_BYTES 8192
+#define METRICS_CONNECTIONS_MAX 16
+#define METRICS_TIMEOUT_MS 5000
+
+static enum bw_status open_transport_(struct gate_node *node,
+				      transport_receive_fn *receive,
+				      void *context);
+static enum bw_status open_metrics_(struct gate_node *node);
+static void on_metrics_(void *context, struct bw_server_connection *connection,
+			const struct bw_http_message *request);
+static void on_metrics_gone_(void *context,
+			     struct bw_server_connection *connection);
+static struct gate_peer *find_control_(struct gate_node *node,
+				       const char *name);
+static void ask_for_(struct gate_node *node, const char *sender,
+		     struct gate_servers *wanted);
+
+static const struct bw_listener_handler metrics_handler = {
+	.request = on_metrics_,
+	.gone = on_metrics_gone_,
+};
+
+enum bw_status gate_node_init(struct gate_node *node,
+			      const struct gate_settings *settings,
+			      struct ev_loop *loop, struct bw_log *log,
+			      transport_receive_fn *receive, void *context)
+{
+	enum bw_status status;
+
+	memset(node, 0, sizeof(*node));
+	node->settings = *settings;
+	node->loop = loop;
+	node->log = log;
+	bw_metrics_init(&node->metrics);
+	bw_random_init_system(&node->random);
+	node->incarnation = bw_random_next(&node->random) | 1;
+	bw_name_set(node->name, settings->control_address[0]
+					? settings->control_address
+					: settings->entry_address);
+	bw_registry_init(&node->registry);
+	status = open_transport_(node, receive, context);
+	if (status == BW_OK)
+		status = open_metrics_(node);
+	if (status == BW_OK)
+		gate_node_reload(node, settings, gate_node_now(node));
+	return status;
+}
+
+void gate_node_finish(struct gate_node *node)
+{
+	bw_listener_finish(&node->metrics_listener);
+	if (node->transport.zmq)
+		transport_finish(&node->transport);
+	bw_registry_finish(&node->registry);
+	bw_metrics_finish(&node->metrics);
+	bw_buffer_finish(&node->frame);
+}
+
+struct bw_time gate_node_now(const struct gate_node *node)
+{
+	struct bw_time now = { (int64_t)(1000.0 * ev_now(node->loop)) };
+
+	return now;
+}
+
+void gate_node_add_control(struct gate_node *node, const char *name, bool heard,
+			   struct bw_time now)
+{
+	struct gate_peer *peer;
+	char inner[GATE_ADDRESS_BYTES];
+
+	if (!strcmp(name, node->name) || !gate_inner_address(node, name, inner))
+		return;
+	peer = find_control_(node, name);
+	if (!peer) {
+		if (node->control_count == GATE_CONTROLS_MAX)
+			return;
+		peer = &node->controls[node->control_count++];
+		memset(peer, 0, sizeof(*peer));
+		bw_name_set(peer->name, name);
+		transport_set_address(&node->transport, name, inner);
+		bw_log_event(node->log, BW_LOG_INFO, "membership",
+			     "control_host_known", "{s:s,s:b}", "peer", name,
+			     "heard", heard);
+	}
+	peer->named = now;
+	if (!heard)
+		return;
+	if (peer->lost)
+		bw_log_event(node->log, BW_LOG_INFO, "membership",
+			     "control_host_regained", "{s:s}", "peer", name);
+	peer->lost = false;
+	peer->heard = now;
+}
+
+void gate_node_reload(struct gate_node *node,
+		      const struct gate_settings *settings, struct bw_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++)
+		node->controls[i].seed = false;
+	for (i = 0; i < settings->seed_count; i++) {
+		struct gate_peer *peer;
+
+		gate_node_add_control(node, settings->seeds[i], false, now);
+		peer = find_control_(node, settings->seeds[i]);
+		if (peer)
+			peer->seed = true;
+	}
+}
+
+void gate_node_check_controls(struct gate_node *node, struct bw_time now)
+{
+	uint32_t i = 0;
+
+	while (i < node->control_count) {
+		struct gate_peer *peer = &node->controls[i];
+
+		if (peer->heard.ms && !peer->lost &&
+		    !gate_peer_is_alive(peer, now)) {
+			peer->lost = true;
+			bw_log_event(node->log, BW_LOG_WARNING, "membership",
+				     "control_host_lost", "{s:s,s:I}", "peer",
+				     peer->name, "silent_ms",
+				     (json_int_t)bw_time_diff_ms(now,
+								 peer->heard));
+		}
+		if (!peer->seed &&
+		    bw_time_diff_ms(now, peer->named) > FORGET_MS &&
+		    bw_time_diff_ms(now, peer->heard) > FORGET_MS)
+			*peer = node->controls[--node->control_count];
+		else
+			i++;
+	}
+	bw_registry_expire(&node->registry, now, SERVER_FORGET_MS);
+}
+
+bool gate_peer_is_alive(const struct gate_peer *peer, struct bw_time now)
+{
+	return peer->heard.ms &&
+	       bw_time_diff_ms(now, peer->heard) <= GATE_SILENT_MS;
+}
+
+void gate_node_send(struct gate_node *node, const char *peer)
+{
+	struct bw_packet packet = { .channel = BW_CHANNEL_GATE };
+
+	bw_name_set(packet.peer, peer);
+	packet.data = node->frame.data;
+	packet.size_bytes = (uint32_t)node->frame.size_bytes;
+	transport_send(&node->transport, &packet);
+}
+
+struct bw_buffer *gate_node_frame(struct gate_node *node)
+{
+	bw_buffer_clear(&node->frame);
+	return &node->frame;
+}
+
+bool gate_inner_address(const struct gate_node *node, const char *address,
+			char inner[GATE_ADDRESS_BYTES])
+{
+	const char *colon = strrchr(address, ':');
+	struct in_addr parsed;
+	char ip[16];
+
+	if (!colon || (size_t)(colon - address) >= sizeof(ip))
+		return false;
+	memcpy(ip, address, (size_t)(colon - address));
+	ip[colon - address] = '\0';
+	if (inet_pton(AF_INET, ip, &parsed) != 1)
+		return false;
+	snprintf(inner, GATE_ADDRESS_BYTES, "%s:%u", ip,
+		 node->settings.inner_port);
+	return true;
+}
+
+const char *gate_node_region(const struct gate_node *node, const char *domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < node->settings.place_count; i++) {
+		if (!strcmp(node->settings.places[i].domain, domain))
+			return node->settings.places[i].region;
+	}
+	return "";
+}
+
+uint32_t gate_node_region_index(const struct gate_node *node,
+				const char *region)
+{
+	uint32_t i;
+
+	for (i = 0; i < node->settings.place_count; i++) {
+		if (!strcmp(node->settings.places[i].region, region))
+			return i % 32;
+	}
+	return 31;
+}
+
+enum bw_registry_outcome gate_node_merge(struct gate_node *node,
+					 const struct bw_server_record *record,
+					 const char *source, struct bw_time now,
+					 struct bw_server **server)
+{
+	enum bw_registry_outcome outcome =
+		bw_registry_merge(&node->registry, record, now, server);
+
+	if (outcome == BW_REGISTRY_CHANGED)
+		bw_log_event(node->log, BW_LOG_INFO, "registry",
+			     "server_changed", "{s:s,s:s,s:s,s:s,s:s,s:I,s:i}",
+			     "server", record->id, "service", record->service,
+			     "domain", record->domain, "state",
+			     bw_server_state_string[record->state], "source",
+			     source, "sequence", (json_int_t)record->sequence,
+			     "cold_ms", (int)record->cold_ms);
+	return outcome;
+}
+
+void gate_node_receive_servers(struct gate_node *node, const char *sender,
+			       const struct gate_servers *servers,
+			       struct bw_time now)
+{
+	struct gate_servers wanted = { .record_count = 0 };
+	uint32_t i;
+
+	for (i = 0; i < servers->record_count; i++)
+		gate_node_merge(node, &servers->records[i], sender, now, NULL);
+	for (i = 0; i < servers->sign_count; i++) {
+		const struct gate_sign *sign = &servers->signs[i];
+		struct bw_server *known = g_hash_table_lookup(
+			node->registry.by_hash, &sign->id_hash);
+
+		if (!known || (known->record.state != sign->state &&
+			       known->record.sequence < sign->sequence))
+			wanted.signs[wanted.sign_count++] = *sign;
+		else
+			bw_registry_touch(&node->registry, sign->id_hash,
+					  sign->sequence, now);
+	}
+	if (wanted.sign_count)
+		ask_for_(node, sender, &wanted);
+}
+
+static enum bw_status open_transport_(struct gate_node *node,
+				      transport_receive_fn *receive,
+				      void *context)
+{
+	struct transport_config config = { .loop = node->loop };
+	char listen[GATE_ADDRESS_BYTES];
+	enum bw_status status;
+
+	snprintf(listen, sizeof(listen), "%s:%u", node->settings.ip,
+		 node->settings.inner_port);
+	config.self = node->name;
+	config.incarnation = node->incarnation;
+	config.listen_address = listen;
+	config.advertise_address = listen;
+	config.source_address = node->settings.ip;
+	config.receive = receive;
+	config.context = context;
+	config.heartbeat_ms = HEARTBEAT_MS;
+	status = transport_init(&node->transport, &config);
+	node->transport.config.self = node->name;
+	if (status != BW_OK)
+		bw_log_event(node->log, BW_LOG_ERROR, "transport",
+			     "listen_failed", "{s:s,s:s}", "address", listen,
+			     "status", bw_status_string[status]);
+	return status;
+}
+
+static enum bw_status open_metrics_(struct gate_node *node)
+{
+	struct bw_listener_config config = { .loop = node->loop };
+	enum bw_status status;
+
+	if (!node->settings.metrics_address[0])
+		return BW_OK;
+	config.address = node->settings.metrics_address;
+	config.limits.head_max_bytes = METRICS_HEAD_MAX_BYTES;
+	config.limits.body_max_bytes = METRICS_HEAD_MAX_BYTES;
+	config.connections_max = METRICS_CONNECTIONS_MAX;
+	config.head_timeout_ms = METRICS_TIMEOUT_MS;
+	config.idle_timeout_ms = METRICS_TIMEOUT_MS;
+	config.handler = &metrics_handler;
+	config.context = node;
+	status = bw_listener_init(&node->metrics_listener, &config);
+	if (status != BW_OK)
+		bw_log_event(node->log, BW_LOG_ERROR, "metrics",
+			     "listen_failed", "{s:s}", "address",
+			     config.address);
+	return status;
+}
+
+static void on_metrics_(void *context, struct bw_server_connection *connection,
+			const struct bw_http_message *request)
+{
+	struct gate_node *node = context;
+	struct bw_buffer fields;
+	struct bw_buffer body;
+
+	(void)request;
+	bw_buffer_init(&fields);
+	bw_buffer_init(&body);
+	bw_buffer_printf(&fields,
+			 "Content-Type: text/plain; version=0.0.4\r\n");
+	bw_metrics_print(&node->metrics, &body);
+	bw_connection_respond(connection, 200, &fields, body.data,
+			      body.size_bytes, false);
+	bw_buffer_finish(&fields);
+	bw_buffer_finish(&body);
+}
+
+static void on_metrics_gone_(void *context,
+			     struct bw_server_connection *connection)
+{
+	(void)context;
+	(void)connection;
+}
+
+static struct gate_peer *find_control_(struct gate_node *node, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++) {
+		if (!strcmp(node->controls[i].name, name))
+			return &node->controls[i];
+	}
+	return NULL;
+}
+
+static void ask_for_(struct gate_node *node, const char *sender,
+		     struct gate_servers *wanted)
+{
+	gate_servers_write(gate_node_frame(node), GATE_RECORDS_WANTED, wanted);
+	gate_node_send(node, sender);
+}
--- /dev/null
+++ b/src/boragewingd/gate_request.c
@@ -0,0 +1,611 @@
+#include "gate_request.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform.h"
+
+/** Reserve for the way of an answer back to the client. */
+#define ANSWER_RESERVE_MS 10
+
+/** Least time for which a request is sent once more. */
+#define RETRY_LEFT_MS 30
+
+/** Connections that may fail before a request is rejected. */
+#define CONNECT_FAILURES_MAX 3
+
+/** Deadline of a request that names none. */
+#define DEADLINE_DEFAULT_MS 10000
+
+/** Rejected clients without a better estimate come back after this time. */
+#define RETRY_AFTER_DEFAULT_MS 500
+
+/** Part of the fleet's retries per request that hosts use. */
+#define RETRY_SHARE 0.6
+
+static struct gate_request *
+new_request_(struct gate_entry *entry, struct bw_server_connection *connection,
+	     const struct bw_http_message *message);
+static void read_times_(struct gate_request *request,
+			const struct bw_http_message *message,
+			struct bw_time now);
+static void read_object_(struct gate_request *request,
+			 const struct bw_http_message *message);
+static void copy_head_(struct gate_request *request,
+		       const struct bw_http_message *message);
+static void choose_service_(struct gate_request *request);
+static void offer_(struct gate_request *request);
+static void send_(struct gate_request *request);
+static void write_head_(const struct gate_request *request,
+			struct bw_buffer *head, struct bw_time now);
+static void handle_response_(struct gate_request *request,
+			     const struct bw_http_message *response);
+static void handle_failure_(struct gate_request *request,
+			    enum bw_pool_result result);
+static bool may_retry_(struct gate_request *request, struct bw_time now,
+		       bool not_run);
+static void retry_(struct gate_request *request, const char *cause);
+static void relay_(struct gate_request *request,
+		   const struct bw_http_message *response);
+static void reject_(struct gate_request *request, enum bw_reject reason,
+		    uint32_t retry_after_ms);
+static void fail_(struct gate_request *request, uint16_t status_code,
+		  enum gate_end end, const char *cause);
+static void respond_(struct gate_request *request, uint16_t status_code,
+		     uint32_t retry_after_ms, const char *text);
+static void finish_(struct gate_request *request, enum gate_end end,
+		    uint16_t status_code, const char *cause);
+static void end_job_(struct gate_request *request, enum bw_job_result result,
+		     const struct bw_http_message *response);
+static void give_up_upstream_(struct gate_request *request);
+static void on_deadline_(struct ev_loop *loop, ev_timer *timer, int events);
+static void answer_unrouted_(struct gate_entry *entry,
+			     struct bw_server_connection *connection,
+			     const struct bw_http_message *message);
+static int64_t left_ms_(const struct gate_request *request, struct bw_time now);
+
+void gate_request_begin(struct gate_entry *entry,
+			struct bw_server_connection *connection,
+			const struct bw_http_message *message)
+{
+	struct gate_request *request;
+	const struct bw_route *route = NULL;
+	char host[BW_ROUTE_HOST_MAX];
+
+	if (entry->routing && bw_http_find(message, "Host", host, sizeof(host)))
+		route = bw_routing_find(entry->routing, host, strlen(host),
+					bw_http_text(message, message->target),
+					message->target.size_bytes);
+	if (!route) {
+		answer_unrouted_(entry, connection, message);
+		return;
+	}
+	request = new_request_(entry, connection, message);
+	request->route = route;
+	read_times_(request, message, gate_node_now(entry->node));
+	choose_service_(request);
+	read_object_(request, message);
+	copy_head_(request, message);
+	entry->retry_tokens += RETRY_SHARE * entry->node->settings.retry_ratio;
+	offer_(request);
+}
+
+void gate_request_client_gone(struct gate_request *request)
+{
+	request->connection = NULL;
+	if (request->detached)
+		return;
+	give_up_upstream_(request);
+	finish_(request, GATE_END_CANCELLED, 0, "client_gone");
+}
+
+void gate_request_ended(void *context, void *owner, enum bw_pool_result result,
+			const struct bw_http_message *response)
+{
+	struct gate_entry *entry = context;
+	struct gate_request *request = owner;
+
+	request->upstream = NULL;
+	bw_metric_observe(entry->upstream_us, bw_clock_us() - request->sent_us);
+	if (result == BW_POOL_RESPONSE)
+		handle_response_(request, response);
+	else
+		handle_failure_(request, result);
+	gate_request_run_queue(entry);
+}
+
+void gate_request_run_queue(struct gate_entry *entry)
+{
+	struct bw_rejection rejection;
+	enum bw_verdict verdict;
+	struct bw_job *job;
+
+	while ((job = bw_dispatch_next(&entry->dispatch,
+				       gate_node_now(entry->node), &verdict,
+				       &rejection))) {
+		if (verdict == BW_VERDICT_SEND)
+			send_(job->owner);
+		else
+			reject_(job->owner, rejection.reason,
+				rejection.retry_after_ms);
+	}
+}
+
+void gate_request_free(struct gate_request *request)
+{
+	struct gate_entry *entry = request->entry;
+
+	if (request->upstream)
+		bw_pool_cancel(request->upstream);
+	if (request->job.target)
+		end_job_(request, BW_JOB_CANCELLED, NULL);
+	bw_dispatch_remove(&entry->dispatch, &request->job);
+	ev_timer_stop(entry->node->loop, &request->deadline_timer);
+	*request->previous = request->next;
+	if (request->next)
+		request->next->previous = request->previous;
+	entry->request_count--;
+	bw_routing_unref(request->routing);
+	bw_buffer_finish(&request->head);
+	bw_buffer_finish(&request->body);
+	g_free(request);
+}
+
+static struct gate_request *
+new_request_(struct gate_entry *entry, struct bw_server_connection *connection,
+	     const struct bw_http_message *message)
+{
+	struct gate_request *request = g_new0(struct gate_request, 1);
+
+	request->entry = entry;
+	request->connection = connection;
+	*bw_connection_context(connection) = request;
+	request->routing = bw_routing_ref(entry->routing);
+	request->method = message->method;
+	request->arrived_us = bw_clock_us();
+	request->job.owner = request;
+	bw_http_find(message, PLATFORM_FIELD_REQUEST_ID, request->id,
+		     sizeof(request->id));
+	if (message->body.size_bytes)
+		bw_buffer_append(&request->body, message->body.data,
+				 message->body.size_bytes);
+	request->next = entry->requests;
+	request->previous = &entry->requests;
+	if (request->next)
+		request->next->previous = &request->next;
+	entry->requests = request;
+	entry->request_count++;
+	return request;
+}
+
+static void read_times_(struct gate_request *request,
+			const struct bw_http_message *message,
+			struct bw_time now)
+{
+	const struct bw_route *route = request->route;
+	struct bw_job *job = &request->job;
+	int64_t wait_ms = DEADLINE_DEFAULT_MS;
+	char text[24];
+
+	if (bw_http_find(message, PLATFORM_FIELD_DEADLINE, text, sizeof(text)))
+		wait_ms = strtoll(text, NULL, 10);
+	wait_ms = MIN(wait_ms, (int64_t)route->timeout_ms);
+	wait_ms = MAX(wait_ms - ANSWER_RESERVE_MS, 1);
+	job->arrived = now;
+	job->deadline = bw_time_add(now, wait_ms);
+	job->objective = bw_time_add(now, route->target_latency_ms);
+	job->rank = route->rank;
+	ev_timer_init(&request->deadline_timer, on_deadline_,
+		      (double)wait_ms / 1000.0, 0.0);
+	request->deadline_timer.data = request;
+	ev_timer_start(request->entry->node->loop, &request->deadline_timer);
+}
+
+static void read_object_(struct gate_request *request,
+			 const struct bw_http_message *message)
+{
+	char key[256];
+
+	if (request->route->keyed_placement &&
+	    bw_http_find(message, PLATFORM_FIELD_OBJECT, key, sizeof(key)))
+		request->job.object =
+			bw_dispatch_object(request->job.service->name, key);
+}
+
+static void copy_head_(struct gate_request *request,
+		       const struct bw_http_message *message)
+{
+	struct bw_buffer *head = &request->head;
+	uint32_t i;
+
+	bw_buffer_printf(head, "%s %.*s HTTP/1.1\r\n",
+			 http_method_str((enum http_method)message->method),
+			 (int)message->target.size_bytes,
+			 bw_http_text(message, message->target));
+	for (i = 0; i < message->field_count; i++) {
+		const struct bw_http_field *field = &message->fields[i];
+
+		if (bw_http_is_hop_field(message, field) ||
+		    bw_http_field_is(message, field, PLATFORM_FIELD_DEADLINE) ||
+		    bw_http_field_is(message, field,
+				     PLATFORM_FIELD_EXPECTED_SERVER))
+			continue;
+		bw_buffer_append(head, bw_http_text(message, field->name),
+				 field->name.size_bytes);
+		bw_buffer_append(head, ": ", 2);
+		bw_buffer_append(head, bw_http_text(message, field->value),
+				 field->value.size_bytes);
+		bw_buffer_append(head, "\r\n", 2);
+	}
+	if (message->body.size_bytes || message->method == HTTP_POST ||
+	    message->method == HTTP_PUT)
+		bw_buffer_printf(head, "Content-Length: %zu\r\n",
+				 message->body.size_bytes);
+}
+
+static void choose_service_(struct gate_request *request)
+{
+	struct gate_entry *entry = request->entry;
+	const struct bw_route *route = request->route;
+	uint64_t point = bw_random_next(&entry->node->random);
+	uint32_t i;
+
+	request->job.service = bw_dispatch_service(
+		&entry->dispatch,
+		route->choices[bw_route_choose(route, point)].service);
+	for (i = 0; i < route->home_count; i++)
+		request->job.regions |= 1U << gate_node_region_index(
+						entry->node, route->homes[i]);
+}
+
+static void offer_(struct gate_request *request)
+{
+	struct gate_entry *entry = request->entry;
+	struct bw_rejection rejection;
+
+	switch (bw_dispatch_offer(&entry->dispatch, &request->job,
+				  gate_node_now(entry->node), &rejection)) {
+	case BW_VERDICT_SEND:
+		send_(request);
+		break;
+	case BW_VERDICT_WAIT:
+		bw_log_event(entry->node->log, BW_LOG_DEBUG, "request",
+			     "queued", "{s:s,s:s,s:i,s:i}", "request",
+			     request->id, "service", request->job.service->name,
+			     "waiting",
+			     (int)request->job.service->waiting.length, "rank",
+			     (int)request->job.rank);
+		break;
+	case BW_VERDICT_REJECT:
+		reject_(request, rejection.reason, rejection.retry_after_ms);
+		break;
+	}
+}
+
+static void send_(struct gate_request *request)
+{
+	struct gate_entry *entry = request->entry;
+	struct bw_job *job = &request->job;
+	struct bw_time now = gate_node_now(entry->node);
+	struct bw_pool_request send = { .request = request };
+	struct bw_buffer head;
+
+	bw_dispatch_sent(&entry->dispatch, job, now);
+	request->sent_us = bw_clock_us();
+	bw_buffer_init(&head);
+	write_head_(request, &head, now);
+	send.address = job->target->address;
+	send.id = request->id;
+	send.head = &head;
+	send.body = request->body.data;
+	send.body_bytes = request->body.size_bytes;
+	send.head_response = request->method == HTTP_HEAD;
+	if (!request->attempts)
+		bw_metric_observe(entry->queue_us,
+				  request->sent_us - request->arrived_us);
+	request->attempts++;
+	bw_log_event(entry->node->log, BW_LOG_DEBUG, "request", "sent",
+		     "{s:s,s:s,s:s,s:s,s:i,s:f,s:b,s:i,s:f,s:I,s:I}", "request",
+		     request->id, "service", job->service->name, "server",
+		     job->target->id, "distance",
+		     bw_distance_string[job->target->distance], "attempt",
+		     (int)request->attempts, "expected_ms", job->expected_ms,
+		     "warm", job->warm, "in_flight",
+		     (int)job->target->in_flight, "others", job->target->others,
+		     "report_age_ms",
+		     (json_int_t)bw_time_diff_ms(now, job->target->reported),
+		     "version", (json_int_t)request->routing->version);
+	request->upstream = bw_pool_send(&entry->pool, &send);
+	bw_buffer_finish(&head);
+	if (!request->upstream)
+		handle_failure_(request, BW_POOL_NOT_SENT);
+}
+
+static void write_head_(const struct gate_request *request,
+			struct bw_buffer *head, struct bw_time now)
+{
+	bw_buffer_append(head, request->head.data, request->head.size_bytes);
+	bw_buffer_printf(head, "%s: %lld\r\n%s: %s\r\n\r\n",
+			 PLATFORM_FIELD_DEADLINE,
+			 (long long)MAX(left_ms_(request, now), 1),
+			 PLATFORM_FIELD_EXPECTED_SERVER,
+			 request->job.target->id);
+}
+
+static void handle_response_(struct gate_request *request,
+			     const struct bw_http_message *response)
+{
+	struct bw_time now = gate_node_now(request->entry->node);
+	uint16_t code = response->status_code;
+	char text[16];
+	bool not_run = code == 421 ||
+		       bw_http_find(response, PLATFORM_FIELD_NOT_RUN, text,
+				    sizeof(text));
+	bool is_signed = bw_http_find(response, PLATFORM_FIELD_SIGNATURE,
+				      (char[256]){ 0 }, 256);
+	bool encoded =
+		bw_http_find(response, "Content-Encoding", (char[64]){ 0 }, 64);
+	bool promise = code == 429 || code == 503 || code == 408 || code == 421;
+
+	if (not_run) {
+		end_job_(request, BW_JOB_REFUSED, response);
+		if (request->detached)
+			gate_request_free(request);
+		else if (may_retry_(request, now, true))
+			retry_(request, "refused_by_server");
+		else
+			reject_(request, BW_REJECT_OVERLOAD,
+				RETRY_AFTER_DEFAULT_MS);
+		return;
+	}
+	if (!is_signed || encoded || promise) {
+		handle_failure_(request, BW_POOL_INVALID);
+		return;
+	}
+	end_job_(request, code >= 500 ? BW_JOB_FAILED : BW_JOB_ANSWERED,
+		 response);
+	request->may_have_run = true;
+	if (request->detached)
+		gate_request_free(request);
+	else if (code >= 500 && may_retry_(request, now, false))
+		retry_(request, "server_error");
+	else
+		relay_(request, response);
+}
+
+static void handle_failure_(struct gate_request *request,
+			    enum bw_pool_result result)
+{
+	struct gate_entry *entry = request->entry;
+	struct bw_time now = gate_node_now(entry->node);
+	bool not_sent = result == BW_POOL_NOT_SENT;
+
+	if (not_sent)
+		bw_pool_forget(&entry->pool, request->job.target->address);
+	end_job_(request, not_sent ? BW_JOB_UNREACHABLE : BW_JOB_FAILED, NULL);
+	request->may_have_run = request->may_have_run || !not_sent;
+	if (not_sent) {
+		request->attempts--;
+		request->connect_failures++;
+	}
+	if (request->detached) {
+		gate_request_free(request);
+	} else if (not_sent) {
+		if (request->connect_failures <= CONNECT_FAILURES_MAX)
+			offer_(request);
+		else
+			reject_(request, BW_REJECT_NO_SERVER,
+				RETRY_AFTER_DEFAULT_MS);
+	} else if (may_retry_(request, now, false)) {
+		retry_(request, bw_pool_result_string[result]);
+	} else {
+		fail_(request, 502, GATE_END_FAILED,
+		      bw_pool_result_string[result]);
+	}
+}
+
+/* A retry needs the right to run again, time, attempts and budget. */
+static bool may_retry_(struct gate_request *request, struct bw_time now,
+		       bool not_run)
+{
+	struct gate_entry *entry = request->entry;
+
+	return (not_run || request->route->idempotent) &&
+	       request->attempts < request->route->attempts_max &&
+	       left_ms_(request, now) > RETRY_LEFT_MS &&
+	       entry->retry_tokens >= 1.0;
+}
+
+static void retry_(struct gate_request *request, const char *cause)
+{
+	struct gate_entry *entry = request->entry;
+
+	entry->retry_tokens -= 1.0;
+	bw_metric_add(entry->retries, 1);
+	bw_log_event(entry->node->log, BW_LOG_INFO, "request", "retried",
+		     "{s:s,s:s,s:i,s:f}", "request", request->id, "cause",
+		     cause, "attempts", (int)request->attempts, "budget",
+		     entry->retry_tokens);
+	offer_(request);
+}
+
+static void relay_(struct gate_request *request,
+		   const struct bw_http_message *response)
+{
+	struct bw_buffer fields;
+	uint16_t code = response->status_code;
+	uint32_t i;
+
+	bw_buffer_init(&fields);
+	for (i = 0; i < response->field_count; i++) {
+		const struct bw_http_field *field = &response->fields[i];
+
+		if (bw_http_is_hop_field(response, field))
+			continue;
+		bw_buffer_append(&fields, bw_http_text(response, field->name),
+				 field->name.size_bytes);
+		bw_buffer_append(&fields, ": ", 2);
+		bw_buffer_append(&fields, bw_http_text(response, field->value),
+				 field->value.size_bytes);
+		bw_buffer_append(&fields, "\r\n", 2);
+	}
+	bw_connection_respond(request->connection, code, &fields,
+			      response->body.data, response->body.size_bytes,
+			      false);
+	request->connection = NULL;
+	bw_buffer_finish(&fields);
+	finish_(request, GATE_END_ANSWERED, code, "");
+}
+
+static void reject_(struct gate_request *request, enum bw_reject reason,
+		    uint32_t retry_after_ms)
+{
+	struct gate_entry *entry = request->entry;
+
+	bw_metric_add(entry->rejects[reason], 1);
+	/* An earlier attempt that failed may have run. */
+	if (request->may_have_run) {
+		fail_(request, 502, GATE_END_FAILED, bw_reject_string[reason]);
+		return;
+	}
+	respond_(request, 503, retry_after_ms, bw_reject_string[reason]);
+	finish_(request, GATE_END_REJECTED, 503, bw_reject_string[reason]);
+}
+
+static void fail_(struct gate_request *request, uint16_t status_code,
+		  enum gate_end end, const char *cause)
+{
+	respond_(request, status_code, 0, cause);
+	finish_(request, end, status_code, cause);
+}
+
+static void respond_(struct gate_request *request, uint16_t status_code,
+		     uint32_t retry_after_ms, const char *text)
+{
+	struct bw_buffer fields;
+	struct bw_buffer body;
+
+	if (!request->connection)
+		return;
+	bw_buffer_init(&fields);
+	bw_buffer_init(&body);
+	bw_buffer_printf(&fields,
+			 "Content-Type: application/json\r\n%s: %s\r\n",
+			 PLATFORM_FIELD_REQUEST_ID, request->id);
+	if (retry_after_ms)
+		bw_buffer_printf(&fields, "%s: %.3f\r\n",
+				 PLATFORM_FIELD_RETRY_AFTER,
+				 retry_after_ms / 1000.0);
+	platform_error_write(&body, text);
+	bw_connection_respond(request->connection, status_code, &fields,
+			      body.data, body.size_bytes, false);
+	request->connection = NULL;
+	bw_buffer_finish(&fields);
+	bw_buffer_finish(&body);
+}
+
+/* Ends a request for its client; one in flight is awaited. */
+static void finish_(struct gate_request *request, enum gate_end end,
+		    uint16_t status_code, const char *cause)
+{
+	struct gate_entry *entry = request->entry;
+	uint64_t took_us = bw_clock_us() - request->arrived_us;
+	bool good = end == GATE_END_ANSWERED && status_code < 500;
+
+	if (request->connection)
+		*bw_connection_context(request->connection) = NULL;
+	request->connection = NULL;
+	bw_metric_add(entry->ends[end], 1);
+	bw_metric_observe(entry->total_us[request->route->idempotent], took_us);
+	bw_log_event(entry->node->log, good ? BW_LOG_INFO : BW_LOG_WARNING,
+		     "request", gate_end_string[end],
+		     "{s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "request",
+		     request->id, "route", request->route->name, "service",
+		     request->job.service->name, "status", (int)status_code,
+		     "cause", cause, "attempts", (int)request->attempts,
+		     "took_ms", (json_int_t)(took_us / 1000), "version",
+		     (json_int_t)request->routing->version);
+	request->detached = true;
+	ev_timer_stop(entry->node->loop, &request->deadline_timer);
+	if (!request->upstream)
+		gate_request_free(request);
+}
+
+static void end_job_(struct gate_request *request, enum bw_job_result result,
+		     const struct bw_http_message *response)
+{
+	struct gate_entry *entry = request->entry;
+	struct bw_load_report load;
+	bool known = false;
+	char text[64];
+
+	if (response &&
+	    bw_http_find(response, PLATFORM_FIELD_LOAD, text, sizeof(text)))
+		known = platform_load_read(text, &load);
+	bw_dispatch_ended(&entry->dispatch, &request->job, result,
+			  known ? &load : NULL, gate_node_now(entry->node));
+}
+
+/*
+ * Cancels what is idempotent or has not left this host. Other work runs on:
+ * stopping it would only leave its outcome unknown.
+ */
+static void give_up_upstream_(struct gate_request *request)
+{
+	bool sent;
+
+	if (!request->upstream)
+		return;
+	sent = bw_pool_was_sent(request->upstream);
+	if (sent && !request->route->idempotent)
+		return;
+	request->may_have_run = request->may_have_run || sent;
+	bw_pool_cancel(request->upstream);
+	request->upstream = NULL;
+	end_job_(request, BW_JOB_CANCELLED, NULL);
+}
+
+static void on_deadline_(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct gate_request *request = timer->data;
+	struct gate_entry *entry = request->entry;
+
+	(void)loop;
+	(void)events;
+	if (request->job.queued) {
+		bw_dispatch_remove(&entry->dispatch, &request->job);
+		reject_(request, BW_REJECT_DEADLINE, RETRY_AFTER_DEFAULT_MS);
+		return;
+	}
+	give_up_upstream_(request);
+	if (!request->upstream && !request->may_have_run)
+		reject_(request, BW_REJECT_DEADLINE, RETRY_AFTER_DEFAULT_MS);
+	else
+		fail_(request, 504, GATE_END_TIMEOUT, "deadline");
+}
+
+static void answer_unrouted_(struct gate_entry *entry,
+			     struct bw_server_connection *connection,
+			     const struct bw_http_message *message)
+{
+	bool known = entry->routing != NULL;
+	char id[GATE_REQUEST_ID_BYTES] = "";
+
+	bw_http_find(message, PLATFORM_FIELD_REQUEST_ID, id, sizeof(id));
+	bw_metric_add(entry->ends[GATE_END_NO_ROUTE], 1);
+	bw_log_event(entry->node->log, BW_LOG_WARNING, "request", "no_route",
+		     "{s:s,s:s%,s:I}", "request", id, "target",
+		     bw_http_text(message, message->target),
+		     (size_t)message->target.size_bytes, "version",
+		     (json_int_t)(known ? entry->routing->version : 0));
+	if (known)
+		bw_connection_respond(connection, 404, NULL, NULL, 0, false);
+	else
+		bw_connection_respond(connection, 503, NULL, NULL, 0, false);
+}
+
+static int64_t left_ms_(const struct gate_request *request, struct bw_time now)
+{
+	return bw_time_diff_ms(request->job.deadline, now);
+}
--- /dev/null
+++ b/src/boragewingd/gate_request.h
@@ -0,0 +1,55 @@
+/**
+ * @file
+ * One client's request at an entry host, from arrival to end.
+ */
+#ifndef BORAGEWINGD_GATE_REQUEST_H
+#define BORAGEWINGD_GATE_REQUEST_H
+
+#include "gate_entry.h"
+
+/** Size of a request id with its final zero. */
+#define GATE_REQUEST_ID_BYTES 128
+
+/** One request. */
+struct gate_request {
+	struct gate_entry *entry;
+	struct gate_request *next;
+	struct gate_request **previous;
+	struct bw_server_connection *connection; /**< NULL: client is gone */
+	struct bw_pool_connection *upstream; /**< NULL: not sent */
+	struct bw_routing *routing; /**< in force at its arrival */
+	const struct bw_route *route;
+	struct bw_job job;
+	struct bw_buffer head; /**< fields that are forwarded */
+	struct bw_buffer body;
+	char id[GATE_REQUEST_ID_BYTES];
+	uint8_t method;
+	uint32_t attempts; /**< backend servers that it was sent to */
+	uint32_t connect_failures;
+	bool may_have_run; /**< an attempt ended without a clear outcome */
+	bool detached; /**< answered or left; only its end is awaited */
+	ev_timer deadline_timer;
+	uint64_t arrived_us;
+	uint64_t sent_us;
+};
+
+/** Handles a complete request of a client. */
+void gate_request_begin(struct gate_entry *entry,
+			struct bw_server_connection *connection,
+			const struct bw_http_message *message);
+
+/** The client of a request went away. */
+void gate_request_client_gone(struct gate_request *request);
+
+/** The pool reports the end of a request. */
+void gate_request_ended(void *context, void *request,
+			enum bw_pool_result result,
+			const struct bw_http_message *response);
+
+/** Sends or rejects waiting requests for which it is time. */
+void gate_request_run_queue(struct gate_entry *entry);
+
+/** Frees a request without any answer. */
+void gate_request_free(struct gate_request *request);
+
+#endif
--- /dev/null
+++ b/src/boragewingd/gate_settings.h
@@ -0,0 +1,59 @@
+/**
+ * @file
+ * Settings of a gateway host, whatever the format that they came in.
+ */
+#ifndef BORAGEWINGD_GATE_SETTINGS_H
+#define BORAGEWINGD_GATE_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bwbase/packet.h"
+
+/** Most failure domains and seeds in the settings. */
+#define GATE_PLACES_MAX 64
+#define GATE_SEEDS_MAX 8
+
+/** Size of an address text with its final zero. */
+#define GATE_ADDRESS_BYTES 32
+
+/** Size of the path of the data folder with its final zero. */
+#define GATE_PATH_BYTES 256
+
+/** A failure domain and its region. */
+struct gate_place {
+	char domain[BW_NAME_MAX];
+	char region[BW_NAME_MAX];
+};
+
+/** Settings of one process. */
+struct gate_settings {
+	char host[64]; /**< name for logs */
+	char ip[16];
+	char domain[BW_NAME_MAX];
+	char region[BW_NAME_MAX];
+	struct gate_place places[GATE_PLACES_MAX];
+	uint32_t place_count;
+	char entry_address[GATE_ADDRESS_BYTES]; /**< empty: no entry role */
+	char ready_address[GATE_ADDRESS_BYTES];
+	char control_address[GATE_ADDRESS_BYTES]; /**< empty: no control role */
+	char directory_address[GATE_ADDRESS_BYTES]; /**< may be empty */
+	char metrics_address[GATE_ADDRESS_BYTES]; /**< may be empty */
+	uint16_t inner_port; /**< traffic between hosts, the same on all */
+	char seeds[GATE_SEEDS_MAX][BW_NAME_MAX]; /**< control addresses */
+	uint32_t seed_count;
+	bool first_start; /**< the whole system starts with empty disks */
+	char data_folder[GATE_PATH_BYTES];
+	uint32_t memory_mb;
+	uint32_t descriptors_max;
+	uint32_t announce_interval_ms; /**< of backend servers */
+	uint32_t answer_ttl_max_ms; /**< of directory answers */
+	uint32_t grace_ms; /**< from SIGTERM to SIGKILL */
+	uint32_t drain_ms; /**< after which a leaving server gets no work */
+	uint32_t apply_ms; /**< after which a configuration is in force */
+	double retry_ratio; /**< retries per request, over all hosts */
+	uint32_t retry_window_ms;
+	uint32_t retry_extra; /**< retries beside the ratio, a window */
+};
+
+#endif
--- /dev/null
+++ b/src/boragewingd/gate_wire.c
@@ -0,0 +1,157 @@
+#include "gate_wire.h"
+
+#include <string.h>
+
+#define MESSAGE_VERSION 1
+
+static void write_head_(struct bw_writer *writer, struct bw_buffer *out,
+			enum gate_message_type type, uint32_t fields);
+static uint32_t read_count_(struct bw_reader *reader, uint32_t limit);
+
+void gate_hello_write(struct bw_buffer *out, const struct gate_hello *hello)
+{
+	struct bw_writer writer;
+
+	write_head_(&writer, out, GATE_HELLO, 5);
+	bw_write_bool(&writer, hello->control);
+	bw_write_uint(&writer, hello->state);
+	bw_write_str(&writer, hello->domain);
+	bw_write_str(&writer, hello->region);
+	bw_write_uint(&writer, hello->routing_version);
+}
+
+void gate_status_write(struct bw_buffer *out, const struct gate_status *status)
+{
+	struct bw_writer writer;
+	uint32_t i;
+
+	write_head_(&writer, out, GATE_STATUS, 7);
+	bw_write_bool(&writer, status->current);
+	bw_write_uint(&writer, status->routing_version);
+	bw_write_uint(&writer, status->evacuation_index);
+	bw_write_array(&writer, status->evacuated_count);
+	for (i = 0; i < status->evacuated_count; i++)
+		bw_write_str(&writer, status->evacuated[i]);
+	bw_write_array(&writer, status->control_count);
+	for (i = 0; i < status->control_count; i++)
+		bw_write_str(&writer, status->controls[i]);
+	bw_write_uint(&writer, status->entry_count);
+	bw_write_uint(&writer, status->entry_place);
+}
+
+void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
+			const struct gate_servers *servers)
+{
+	struct bw_writer writer;
+	uint32_t i;
+
+	write_head_(&writer, out, type, 2);
+	bw_write_array(&writer, servers->record_count);
+	for (i = 0; i < servers->record_count; i++)
+		bw_server_record_write(&writer, &servers->records[i]);
+	bw_write_array(&writer, 3 * servers->sign_count);
+	for (i = 0; i < servers->sign_count; i++) {
+		bw_write_uint(&writer, servers->signs[i].id_hash);
+		bw_write_uint(&writer, servers->signs[i].sequence);
+		bw_write_uint(&writer, servers->signs[i].state);
+	}
+}
+
+void gate_routing_write(struct bw_buffer *out, enum gate_message_type type,
+			const struct gate_routing *routing)
+{
+	struct bw_writer writer;
+
+	write_head_(&writer, out, type, 2);
+	bw_write_uint(&writer, routing->version);
+	bw_write_bin(&writer, routing->text, routing->text_bytes);
+}
+
+int gate_message_type(struct bw_reader *reader)
+{
+	uint64_t type;
+
+	bw_read_array(reader);
+	if (bw_read_uint(reader) != MESSAGE_VERSION)
+		return 0;
+	type = bw_read_uint(reader);
+	return type <= GATE_ROUTING ? (int)type : 0;
+}
+
+void gate_hello_read(struct bw_reader *reader, struct gate_hello *hello)
+{
+	uint64_t state;
+
+	memset(hello, 0, sizeof(*hello));
+	hello->control = bw_read_bool(reader);
+	state = bw_read_uint(reader);
+	bw_read_name(reader, hello->domain);
+	bw_read_name(reader, hello->region);
+	hello->routing_version = bw_read_uint(reader);
+	if (state >= GATE_HOST_STATE_COUNT)
+		reader->failed = true;
+	else
+		hello->state = (enum gate_host_state)state;
+}
+
+void gate_status_read(struct bw_reader *reader, struct gate_status *status)
+{
+	uint32_t i;
+
+	memset(status, 0, sizeof(*status));
+	status->current = bw_read_bool(reader);
+	status->routing_version = bw_read_uint(reader);
+	status->evacuation_index = bw_read_uint(reader);
+	status->evacuated_count = read_count_(reader, BW_EVACUATIONS_MAX);
+	for (i = 0; i < status->evacuated_count; i++)
+		bw_read_name(reader, status->evacuated[i]);
+	bw_read_end(reader);
+	status->control_count = read_count_(reader, GATE_CONTROLS_MAX);
+	for (i = 0; i < status->control_count; i++)
+		bw_read_name(reader, status->controls[i]);
+	bw_read_end(reader);
+	status->entry_count = (uint32_t)bw_read_uint(reader);
+	status->entry_place = (uint32_t)bw_read_uint(reader);
+}
+
+void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers)
+{
+	uint32_t i;
+
+	servers->record_count = read_count_(reader, GATE_BATCH_MAX);
+	for (i = 0; i < servers->record_count; i++)
+		bw_server_record_read(reader, &servers->records[i]);
+	bw_read_end(reader);
+	servers->sign_count = read_count_(reader, 3 * GATE_BATCH_MAX) / 3;
+	for (i = 0; i < servers->sign_count; i++) {
+		servers->signs[i].id_hash = bw_read_uint(reader);
+		servers->signs[i].sequence = bw_read_uint(reader);
+		servers->signs[i].state = (uint32_t)bw_read_uint(reader);
+	}
+	bw_read_end(reader);
+}
+
+void gate_routing_read(struct bw_reader *reader, struct gate_routing *routing)
+{
+	routing->version = bw_read_uint(reader);
+	routing->text = bw_read_bin(reader, &routing->text_bytes);
+}
+
+static void write_head_(struct bw_writer *writer, struct bw_buffer *out,
+			enum gate_message_type type, uint32_t fields)
+{
+	bw_writer_init(writer, out);
+	bw_write_array(writer, 2 + fields);
+	bw_write_uint(writer, MESSAGE_VERSION);
+	bw_write_uint(writer, type);
+}
+
+static uint32_t read_count_(struct bw_reader *reader, uint32_t limit)
+{
+	uint32_t count = bw_read_array(reader);
+
+	if (count <= limit)
+		return count;
+	reader->failed = true;
+	return 0;
+}
--- /dev/null
+++ b/src/boragewingd/gate_wire.h
@@ -0,0 +1,113 @@
+/**
+ * @file
+ * Messages between the hosts of a gateway (BW_CHANNEL_GATE).
+ *
+ * - Every host says hello to all control hosts.
+ * - Control hosts answer with their status: numbers in force, evacuations,
+ *   control hosts, and the receiver's place among the entry hosts.
+ * - Control hosts send what backend servers told them: whole records when
+ *   something changed, else signs of life. A receiver asks for the records of
+ *   signs of life that do not match its own.
+ * - Hosts fetch a configuration by its version.
+ */
+#ifndef BORAGEWINGD_GATE_WIRE_H
+#define BORAGEWINGD_GATE_WIRE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bwagree/state.h"
+#include "bwbase/buffer.h"
+#include "bwbase/codec.h"
+#include "bwsteer/registry.h"
+
+/** Most control hosts named in one message. */
+#define GATE_CONTROLS_MAX 24
+
+/** Most records, signs of life or requests in one message. */
+#define GATE_BATCH_MAX 64
+
+/** Types of message. The values are part of the wire format. */
+enum gate_message_type {
+	GATE_HELLO = 1,
+	GATE_STATUS = 2,
+	GATE_SERVERS = 3,
+	GATE_SERVERS_HELD = 4, /**< confirms records to a control host */
+	GATE_RECORDS_WANTED = 5,
+	GATE_ROUTING_WANTED = 6,
+	GATE_ROUTING = 7
+};
+
+/** Whether a host takes requests. */
+enum gate_host_state {
+	GATE_HOST_STARTING,
+	GATE_HOST_READY,
+	GATE_HOST_LEAVING,
+	GATE_HOST_STATE_COUNT
+};
+
+/** GATE_HELLO */
+struct gate_hello {
+	bool control; /**< a control host; else an entry host */
+	enum gate_host_state state;
+	char domain[BW_NAME_MAX];
+	char region[BW_NAME_MAX];
+	uint64_t routing_version; /**< in force at the sender */
+};
+
+/** GATE_STATUS */
+struct gate_status {
+	bool current; /**< routing and evacuations may be used */
+	uint64_t routing_version;
+	uint64_t evacuation_index;
+	char evacuated[BW_EVACUATIONS_MAX][BW_NAME_MAX];
+	uint32_t evacuated_count;
+	char controls[GATE_CONTROLS_MAX][BW_NAME_MAX];
+	uint32_t control_count;
+	uint32_t entry_count; /**< entry hosts that the sender knows */
+	uint32_t entry_place; /**< of the receiver among them */
+};
+
+/** A sign of life of a backend server, or what confirms or asks for it. */
+struct gate_sign {
+	uint64_t id_hash;
+	uint64_t sequence;
+	uint32_t state; /**< an enum bw_server_state */
+};
+
+/** GATE_SERVERS, GATE_SERVERS_HELD and GATE_RECORDS_WANTED */
+struct gate_servers {
+	struct bw_server_record records[GATE_BATCH_MAX];
+	uint32_t record_count;
+	struct gate_sign signs[GATE_BATCH_MAX];
+	uint32_t sign_count;
+};
+
+/** GATE_ROUTING and GATE_ROUTING_WANTED (without a text) */
+struct gate_routing {
+	uint64_t version;
+	const uint8_t *text; /**< points into the message */
+	size_t text_bytes;
+};
+
+/** Encode a message at the end of out. */
+void gate_hello_write(struct bw_buffer *out, const struct gate_hello *hello);
+void gate_status_write(struct bw_buffer *out, const struct gate_status *status);
+void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
+			const struct gate_servers *servers);
+void gate_routing_write(struct bw_buffer *out, enum gate_message_type type,
+			const struct gate_routing *routing);
+
+/**
+ * Reads version and type of a message; its content follows.
+ * @return the type, or 0 for an unknown version or type
+ */
+int gate_message_type(struct bw_reader *reader);
+
+/** Decode the content of a message; the reader fails on bad values. */
+void gate_hello_read(struct bw_reader *reader, struct gate_hello *hello);
+void gate_status_read(struct bw_reader *reader, struct gate_status *status);
+void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers);
+void gate_routing_read(struct bw_reader *reader, struct gate_routing *routing);
+
+#endif
--- a/src/boragewingd/main.c
+++ b/src/boragewingd/main.c
@@ -13,6 +13,7 @@
 #include <glib.h>
 #include <sodium.h>
 
+#include "gate.h"
 #include "host.h"
 #include "settings.h"
 
@@ -23,6 +24,8 @@
 struct options {
 	char *settings_path;
 	gboolean check_settings;
+	gboolean gateway;
+	int metrics_port;
 };
 
 static int parse_options_(int *argc, char ***argv, struct options *options);
@@ -41,6 +44,15 @@
 	signal(SIGXFSZ, SIG_IGN);
 	if (parse_options_(&argc, &argv, &options))
 		goto out;
+	if (options.gateway) {
+		code = sodium_init() < 0
+			       ? EXIT_SETTINGS
+			       : gate_run(options.settings_path,
+					  options.metrics_port,
+					  options.check_settings);
+		g_free(options.settings_path);
+		return code;
+	}
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT)) {
 		fprintf(stderr, "boragewingd: a library failed to start\n");
 		goto out;
@@ -70,6 +82,13 @@
 		{ "check-settings", 0, 0, G_OPTION_ARG_NONE,
 		  &options->check_settings,
 		  "Check the settings and exit with 0 or 2", NULL },
+		{ "gateway", 0, 0, G_OPTION_ARG_NONE, &options->gateway,
+		  "Run on the platform of docs/platform.md; --settings "
+		  "defaults to the platform's file",
+		  NULL },
+		{ "metrics-port", 0, 0, G_OPTION_ARG_INT,
+		  &options->metrics_port,
+		  "With --gateway: port of the metrics", "PORT" },
 		{ 0 }
 	};
 	GOptionContext *context =
@@ -89,7 +108,8 @@
 		fprintf(stderr, "boragewingd: %s\n", error->message);
 		g_error_free(error);
 		failed = 1;
-	} else if (!options->settings_path || *argc > 1) {
+	} else if ((!options->settings_path && !options->gateway) ||
+		   *argc > 1) {
 		fprintf(stderr, "boragewingd: use --settings FILE; --help "
 				"explains more\n");
 		failed = 1;
--- a/src/boragewingd/transport.c
+++ b/src/boragewingd/transport.c
@@ -13,7 +13,7 @@
 #define QUEUE_LIMIT 1000
 #define MESSAGE_LIMIT_BYTES (BW_PACKET_MAX_BYTES + 4096)
 #define HEARTBEAT_INTERVAL_MS 1000
-#define HEARTBEAT_TIMEOUT_MS 3000
+#define HEARTBEAT_TIMEOUT_INTERVALS 3
 #define RECONNECT_MIN_MS 100
 #define RECONNECT_MAX_MS 1000
 #define HANDSHAKE_TIMEOUT_MS 5000
@@ -59,6 +59,7 @@
 static void encode_frame_(struct transport *transport,
 			  const struct bw_packet *packet);
 static void set_int_(void *socket, int option, int value);
+static void set_heartbeat_(const struct transport *transport, void *socket);
 
 enum bw_status transport_init(struct transport *transport,
 			      const struct transport_config *config)
@@ -72,17 +73,18 @@
 		 config->source_address);
 	snprintf(transport->advertised, sizeof(transport->advertised), "%s",
 		 config->advertise_address);
-	derive_keys_(transport);
+	if (config->fleet_key)
+		derive_keys_(transport);
 	transport->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_peer_);
 	transport->zmq = zmq_ctx_new();
 	if (!transport->zmq)
 		return BW_ENOMEM;
-	status = open_authenticator_(transport);
+	status = config->fleet_key ? open_authenticator_(transport) : BW_OK;
 	if (status != BW_OK)
 		return status;
 	status = open_router_(transport);
-	if (status == BW_OK)
+	if (status == BW_OK && config->fleet_key)
 		status = open_monitor_(transport);
 	if (status != BW_OK)
 		return status;
@@ -98,8 +100,10 @@
 	struct ev_loop *loop = transport->config.loop;
 
 	ev_io_stop(loop, &transport->router_watcher);
-	ev_io_stop(loop, &transport->authenticator_watcher);
-	ev_io_stop(loop, &transport->monitor_watcher);
+	if (transport->config.fleet_key) {
+		ev_io_stop(loop, &transport->authenticator_watcher);
+		ev_io_stop(loop, &transport->monitor_watcher);
+	}
 	ev_timer_stop(loop, &transport->sweep_timer);
 	if (transport->monitor) {
 		zmq_socket_monitor(transport->router, NULL, 0);
@@ -203,13 +207,14 @@
 	set_int_(transport->router, ZMQ_LINGER, 0);
 	set_int_(transport->router, ZMQ_RCVHWM, QUEUE_LIMIT);
 	set_int_(transport->router, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
-	set_int_(transport->router, ZMQ_HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS);
-	set_int_(transport->router, ZMQ_HEARTBEAT_TIMEOUT,
-		 HEARTBEAT_TIMEOUT_MS);
-	set_int_(transport->router, ZMQ_CURVE_SERVER, 1);
-	zmq_setsockopt(transport->router, ZMQ_CURVE_SECRETKEY,
-		       transport->secret_key, sizeof(transport->secret_key));
-	zmq_setsockopt(transport->router, ZMQ_ZAP_DOMAIN, "fleet", 5);
+	set_heartbeat_(transport, transport->router);
+	if (transport->config.fleet_key) {
+		set_int_(transport->router, ZMQ_CURVE_SERVER, 1);
+		zmq_setsockopt(transport->router, ZMQ_CURVE_SECRETKEY,
+			       transport->secret_key,
+			       sizeof(transport->secret_key));
+		zmq_setsockopt(transport->router, ZMQ_ZAP_DOMAIN, "fleet", 5);
+	}
 	zmq_setsockopt(transport->router, ZMQ_MAXMSGSIZE, &message_limit_bytes,
 		       sizeof(message_limit_bytes));
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s",
@@ -484,14 +489,18 @@
 	set_int_(peer->dealer, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
 	set_int_(peer->dealer, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	set_int_(peer->dealer, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
-	set_int_(peer->dealer, ZMQ_HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS);
-	set_int_(peer->dealer, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
-	zmq_setsockopt(peer->dealer, ZMQ_CURVE_SERVERKEY, transport->public_key,
-		       sizeof(transport->public_key));
-	zmq_setsockopt(peer->dealer, ZMQ_CURVE_PUBLICKEY, transport->public_key,
-		       sizeof(transport->public_key));
-	zmq_setsockopt(peer->dealer, ZMQ_CURVE_SECRETKEY, transport->secret_key,
-		       sizeof(transport->secret_key));
+	set_heartbeat_(transport, peer->dealer);
+	if (transport->config.fleet_key) {
+		zmq_setsockopt(peer->dealer, ZMQ_CURVE_SERVERKEY,
+			       transport->public_key,
+			       sizeof(transport->public_key));
+		zmq_setsockopt(peer->dealer, ZMQ_CURVE_PUBLICKEY,
+			       transport->public_key,
+			       sizeof(transport->public_key));
+		zmq_setsockopt(peer->dealer, ZMQ_CURVE_SECRETKEY,
+			       transport->secret_key,
+			       sizeof(transport->secret_key));
+	}
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s:0;%s", transport->source,
 		 peer->address);
 	if (zmq_connect(peer->dealer, endpoint))
@@ -531,3 +540,14 @@
 {
 	zmq_setsockopt(socket, option, &value, sizeof(value));
 }
+
+static void set_heartbeat_(const struct transport *transport, void *socket)
+{
+	int interval_ms = transport->config.heartbeat_ms
+				  ? (int)transport->config.heartbeat_ms
+				  : HEARTBEAT_INTERVAL_MS;
+
+	set_int_(socket, ZMQ_HEARTBEAT_IVL, interval_ms);
+	set_int_(socket, ZMQ_HEARTBEAT_TIMEOUT,
+		 interval_ms * HEARTBEAT_TIMEOUT_INTERVALS);
+}
--- a/src/boragewingd/transport.h
+++ b/src/boragewingd/transport.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * Encrypted packet transport between hosts (ZeroMQ with CURVE).
+ * Packet transport between hosts (ZeroMQ), encrypted with CURVE when the
+ * fleet has a key.
  */
 #ifndef BORAGEWINGD_TRANSPORT_H
 #define BORAGEWINGD_TRANSPORT_H
@@ -46,7 +47,10 @@
 	const char *advertise_address; /**< address:port that peers use */
 	const char *source_address; /**< IPv4 address that connections leave
 					from */
-	const uint8_t *fleet_key; /**< 32 bytes, seed of the key pair */
+	const uint8_t *fleet_key; /**< 32 bytes, seed of the key pair; NULL
+				     sends in the clear */
+	uint32_t heartbeat_ms; /**< interval of connection checks; 0 for the
+				  default */
 	transport_receive_fn *receive;
 	void *context;
 };
--- a/src/libbwagree/command.c
+++ b/src/libbwagree/command.c
@@ -9,7 +9,7 @@
 const char *const bw_command_kind_string[BW_COMMAND_KIND_COUNT] = {
 	[BW_COMMAND_NONE] = "none",	    [BW_COMMAND_SUBMIT] = "submit",
 	[BW_COMMAND_SET_PLAN] = "set_plan", [BW_COMMAND_BIND_KEY] = "bind_key",
-	[BW_COMMAND_GROUP] = "group",
+	[BW_COMMAND_GROUP] = "group",	    [BW_COMMAND_EVACUATE] = "evacuate",
 };
 
 const char *const bw_member_kind_string[BW_MEMBER_KIND_COUNT] = {
@@ -90,6 +90,19 @@
 	return writer.status;
 }
 
+enum bw_status bw_command_evacuate(struct bw_buffer *out, const char *domain,
+				   bool active)
+{
+	struct bw_writer writer;
+
+	if (!domain[0] || strlen(domain) >= BW_NAME_MAX)
+		return BW_EINVAL;
+	write_head_(&writer, out, BW_COMMAND_EVACUATE, 2);
+	bw_write_str(&writer, domain);
+	bw_write_bool(&writer, active);
+	return writer.status;
+}
+
 enum bw_status bw_command_read_group(const uint8_t *data, size_t size_bytes,
 				     struct bw_group *group)
 {
--- a/src/libbwagree/include/private/replica.h
+++ b/src/libbwagree/include/private/replica.h
@@ -104,6 +104,7 @@
 	char host[BW_NAME_MAX];
 	char initial_hosts[BW_GROUP_MAX][BW_NAME_MAX];
 	uint32_t initial_count;
+	bool join_only;
 	const struct bw_chart *chart;
 	struct bw_storage *storage;
 	struct bw_random random;
--- a/src/libbwagree/replica.c
+++ b/src/libbwagree/replica.c
@@ -399,6 +399,7 @@
 	replica->compact_bytes = config->compact_bytes ? config->compact_bytes
 						       : DEFAULT_COMPACT_BYTES;
 	replica->initial_count = config->initial_count;
+	replica->join_only = config->join_only;
 	for (i = 0; i < config->initial_count; i++) {
 		memcpy(replica->initial_hosts[i], config->initial_hosts[i],
 		       BW_NAME_MAX);
--- a/src/libbwagree/replica_member.c
+++ b/src/libbwagree/replica_member.c
@@ -200,6 +200,24 @@
 	return status == BW_OK ? propose_group_(replica, &group) : status;
 }
 
+enum bw_status bw_replica_admit(struct bw_replica *replica,
+				char host[BW_NAME_MAX], struct bw_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < replica->contact_count; i++) {
+		const struct replica_contact *contact = &replica->contacts[i];
+
+		if (!contact->disk_incarnation || !contact->empty ||
+		    now.ms - contact->confirmed_ms > CONFIRMED_FOR_MS ||
+		    bw_group_find(&replica->group, contact->host))
+			continue;
+		bw_name_set(host, contact->host);
+		return bw_replica_add(replica, host, true, now);
+	}
+	return BW_ENOTFOUND;
+}
+
 enum bw_status bw_replica_remove(struct bw_replica *replica, const char *host,
 				 struct bw_time now)
 {
@@ -325,7 +343,7 @@
 	bool self = false;
 	uint32_t i;
 
-	if (replica->role != BW_REPLICA_UNINITIALISED)
+	if (replica->role != BW_REPLICA_UNINITIALISED || replica->join_only)
 		return false;
 	for (i = 0; i < replica->initial_count; i++) {
 		const char *host = replica->initial_hosts[i];
--- a/src/libbwagree/state.c
+++ b/src/libbwagree/state.c
@@ -37,6 +37,10 @@
 				  struct bw_outcome *outcome);
 static void apply_bind_(struct bw_state *state, const struct bw_bind_key *bind,
 			struct bw_outcome *outcome);
+static void apply_evacuate_(struct bw_state *state, uint64_t index,
+			    struct bw_reader *reader,
+			    struct bw_outcome *outcome);
+static void read_evacuations_(struct bw_state *state, struct bw_reader *reader);
 static void add_binding_(struct bw_state *state, const struct binding *binding);
 static void remove_expired_(struct bw_state *state);
 static void outcome_of_binding_(const struct binding *binding,
@@ -64,6 +68,7 @@
 	[BW_OUTCOME_EXPIRED] = "expired",
 	[BW_OUTCOME_GROUP_CHANGED] = "group_changed",
 	[BW_OUTCOME_INVALID] = "invalid",
+	[BW_OUTCOME_EVACUATION_SET] = "evacuation_set",
 };
 
 void bw_state_init(struct bw_state *state, uint32_t submissions_max,
@@ -122,6 +127,9 @@
 		state->group = group;
 		outcome->kind = BW_OUTCOME_GROUP_CHANGED;
 		break;
+	case BW_COMMAND_EVACUATE:
+		apply_evacuate_(state, index, &reader, outcome);
+		break;
 	case BW_COMMAND_KIND_COUNT:
 		break;
 	}
@@ -133,9 +141,10 @@
 			     struct bw_buffer *out)
 {
 	struct bw_writer writer;
+	uint32_t i;
 
 	bw_writer_init(&writer, out);
-	bw_write_array(&writer, 13);
+	bw_write_array(&writer, 15);
 	bw_write_uint(&writer, COMMAND_VERSION);
 	bw_write_uint(&writer, state->applied_index);
 	bw_write_uint(&writer, state->revision);
@@ -151,6 +160,10 @@
 	bw_write_array(&writer,
 		       (uint32_t)g_tree_nnodes(state->binding_by_expiry));
 	g_tree_foreach(state->binding_by_expiry, write_binding_, &writer);
+	bw_write_uint(&writer, state->evacuation_index);
+	bw_write_array(&writer, state->evacuated_count);
+	for (i = 0; i < state->evacuated_count; i++)
+		bw_write_str(&writer, state->evacuated[i]);
 	return writer.status;
 }
 
@@ -176,6 +189,8 @@
 	command_read_group_value(&reader, &state->group);
 	state->wall_ms = bw_read_int(&reader);
 	read_tables_(state, &reader);
+	if (bw_read_more(&reader))
+		read_evacuations_(state, &reader);
 	status = bw_reader_status(&reader);
 	bw_reader_finish(&reader);
 	if (status != BW_OK)
@@ -315,6 +330,56 @@
 	memcpy(outcome->submission, submission->id, BW_SUBMISSION_ID_MAX);
 }
 
+/* Repeated orders change nothing, so that an operator may send them again. */
+static void apply_evacuate_(struct bw_state *state, uint64_t index,
+			    struct bw_reader *reader,
+			    struct bw_outcome *outcome)
+{
+	char domain[BW_NAME_MAX];
+	bool active;
+	uint32_t at = 0;
+
+	bw_read_name(reader, domain);
+	active = bw_read_bool(reader);
+	if (bw_reader_status(reader) != BW_OK || !domain[0])
+		return;
+	outcome->kind = BW_OUTCOME_EVACUATION_SET;
+	outcome->revision = index;
+	while (at < state->evacuated_count &&
+	       strcmp(state->evacuated[at], domain) != 0)
+		at++;
+	if (active == (at < state->evacuated_count))
+		return;
+	if (active && at == BW_EVACUATIONS_MAX) {
+		outcome->kind = BW_OUTCOME_FULL;
+		return;
+	}
+	state->evacuation_index = index;
+	if (active) {
+		bw_name_set(state->evacuated[at], domain);
+		state->evacuated_count++;
+	} else {
+		state->evacuated_count--;
+		memmove(state->evacuated[at],
+			state->evacuated[state->evacuated_count], BW_NAME_MAX);
+	}
+}
+
+static void read_evacuations_(struct bw_state *state, struct bw_reader *reader)
+{
+	uint32_t count;
+	uint32_t i;
+
+	state->evacuation_index = bw_read_uint(reader);
+	count = bw_read_array(reader);
+	if (count > BW_EVACUATIONS_MAX)
+		reader->failed = true;
+	for (i = 0; i < count && !reader->failed; i++)
+		bw_read_name(reader, state->evacuated[i]);
+	state->evacuated_count = reader->failed ? 0 : count;
+	bw_read_end(reader);
+}
+
 static enum bw_status apply_plan_(struct bw_state *state, uint64_t index,
 				  struct bw_reader *reader,
 				  struct bw_outcome *outcome)
--- a/src/libbwbase/log.c
+++ b/src/libbwbase/log.c
@@ -2,15 +2,23 @@
 
 #include <assert.h>
 #include <jansson.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "bwbase/clock.h"
 
 #define TIME_TEXT_BYTES 32
 
+/** Bytes written at once; a pipe that is writable takes them without a wait. */
+#define FLUSH_BYTES 4096
+
 static void format_time_(char text[TIME_TEXT_BYTES]);
+static bool has_room_(const struct bw_log *log, enum bw_log_level level);
+static void write_(struct bw_log *log, const json_t *line);
 
 const char *const bw_log_level_string[BW_LOG_LEVEL_COUNT] = {
 	[BW_LOG_DEBUG] = "debug",
@@ -25,9 +33,52 @@
 	memset(log, 0, sizeof(*log));
 	log->stream = stream;
 	log->threshold = threshold;
+	log->fd = -1;
 	bw_name_set(log->host, host);
 }
 
+void bw_log_init_buffered(struct bw_log *log, int fd, uint32_t pending_max_bytes,
+			  enum bw_log_level threshold, const char *host)
+{
+	bw_log_init(log, NULL, threshold, host);
+	log->fd = fd;
+	log->pending_max_bytes = pending_max_bytes;
+}
+
+void bw_log_flush(struct bw_log *log)
+{
+	struct pollfd poller = { .fd = log->fd, .events = POLLOUT };
+	size_t done_bytes = 0;
+
+	while (done_bytes < log->pending.size_bytes &&
+	       poll(&poller, 1, 0) == 1 && (poller.revents & POLLOUT)) {
+		size_t part_bytes = log->pending.size_bytes - done_bytes;
+		ssize_t written;
+
+		if (part_bytes > FLUSH_BYTES)
+			part_bytes = FLUSH_BYTES;
+		written = write(log->fd, log->pending.data + done_bytes,
+				part_bytes);
+		if (written <= 0)
+			break;
+		done_bytes += (size_t)written;
+	}
+	bw_buffer_consume(&log->pending, done_bytes);
+	if (log->dropped_count > log->dropped_told &&
+	    log->pending.size_bytes < log->pending_max_bytes / 2) {
+		uint64_t count = log->dropped_count - log->dropped_told;
+
+		log->dropped_told = log->dropped_count;
+		bw_log_event(log, BW_LOG_WARNING, "log", "lines_dropped",
+			     "{s:I}", "count", (json_int_t)count);
+	}
+}
+
+void bw_log_finish(struct bw_log *log)
+{
+	bw_buffer_finish(&log->pending);
+}
+
 void bw_log_event(struct bw_log *log, enum bw_log_level level,
 		  const char *module, const char *event, const char *fields,
 		  ...)
@@ -39,6 +90,10 @@
 
 	if (level < log->threshold)
 		return;
+	if (log->fd >= 0 && !has_room_(log, level)) {
+		log->dropped_count++;
+		return;
+	}
 	format_time_(time_text);
 	line = json_pack("{s:s, s:s, s:s, s:s, s:s}", "time", time_text,
 			 "level", bw_log_level_string[level], "host", log->host,
@@ -53,9 +108,7 @@
 			json_object_update(line, extra);
 		json_decref(extra);
 	}
-	json_dumpf(line, log->stream, JSON_COMPACT);
-	fputc('\n', log->stream);
-	fflush(log->stream);
+	write_(log, line);
 	json_decref(line);
 	log->line_count[level]++;
 }
@@ -83,3 +136,28 @@
 	snprintf(text + length, TIME_TEXT_BYTES - length, ".%03dZ",
 		 (int)(now_ms % 1000));
 }
+
+static bool has_room_(const struct bw_log *log, enum bw_log_level level)
+{
+	size_t limit_bytes = log->pending_max_bytes;
+
+	if (level < BW_LOG_WARNING)
+		limit_bytes = limit_bytes / 4 * 3;
+	return log->pending.size_bytes < limit_bytes;
+}
+
+static void write_(struct bw_log *log, const json_t *line)
+{
+	char *text;
+
+	if (log->fd < 0) {
+		json_dumpf(line, log->stream, JSON_COMPACT);
+		fputc('\n', log->stream);
+		fflush(log->stream);
+		return;
+	}
+	text = json_dumps(line, JSON_COMPACT);
+	if (!text || bw_buffer_printf(&log->pending, "%s\n", text) != BW_OK)
+		log->dropped_count++;
+	free(text);
+}
--- a/src/libbwbase/packet.c
+++ b/src/libbwbase/packet.c
@@ -20,6 +20,7 @@
 	[BW_CHANNEL_OPERATOR] = "operator",
 	[BW_CHANNEL_PLAN] = "plan",
 	[BW_CHANNEL_BACKEND] = "backend",
+	[BW_CHANNEL_GATE] = "gate",
 };
 
 void bw_outbox_init(struct bw_outbox *out, uint32_t limit)
--- /dev/null
+++ b/src/libbwproxy/http1.c
@@ -0,0 +1,277 @@
+#include "bwproxy/http1.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "bwproxy/http.h"
+
+static int on_target_(http_parser *parser, const char *data, size_t size_bytes);
+static int on_name_(http_parser *parser, const char *data, size_t size_bytes);
+static int on_value_(http_parser *parser, const char *data, size_t size_bytes);
+static int on_head_(http_parser *parser);
+static int on_body_(http_parser *parser, const char *data, size_t size_bytes);
+static int on_complete_(http_parser *parser);
+static int append_(struct bw_http_reader *reader, struct bw_http_span *span,
+		   const char *data, size_t size_bytes);
+static int fail_(struct bw_http_reader *reader, enum bw_http_progress failure);
+static bool list_names_(const char *list, size_t list_bytes, const char *name,
+			size_t name_bytes);
+static enum bw_http_progress progress_(struct bw_http_reader *reader);
+
+static const http_parser_settings settings = {
+	.on_url = on_target_,
+	.on_header_field = on_name_,
+	.on_header_value = on_value_,
+	.on_headers_complete = on_head_,
+	.on_body = on_body_,
+	.on_message_complete = on_complete_,
+};
+
+/** Longest name of a field that may concern one connection only. */
+#define HOP_NAME_BYTES 64
+
+void bw_http_reader_init(struct bw_http_reader *reader,
+			 enum http_parser_type type,
+			 const struct bw_http_limits *limits)
+{
+	memset(reader, 0, sizeof(*reader));
+	http_parser_init(&reader->parser, type);
+	reader->parser.data = reader;
+	reader->limits = *limits;
+}
+
+void bw_http_reader_finish(struct bw_http_reader *reader)
+{
+	bw_buffer_finish(&reader->message.text);
+	bw_buffer_finish(&reader->message.body);
+}
+
+void bw_http_reader_next(struct bw_http_reader *reader)
+{
+	struct bw_buffer text = reader->message.text;
+	struct bw_buffer body = reader->message.body;
+
+	bw_buffer_clear(&text);
+	bw_buffer_clear(&body);
+	memset(&reader->message, 0, sizeof(reader->message));
+	reader->message.text = text;
+	reader->message.body = body;
+	reader->failure = BW_HTTP_MORE;
+	reader->started = false;
+	reader->value_last = false;
+	http_parser_init(&reader->parser,
+			 (enum http_parser_type)reader->parser.type);
+	reader->parser.data = reader;
+}
+
+enum bw_http_progress bw_http_reader_feed(struct bw_http_reader *reader,
+					  const uint8_t *data,
+					  size_t size_bytes, size_t *used_bytes)
+{
+	*used_bytes = 0;
+	if (!size_bytes)
+		return progress_(reader);
+	reader->started = true;
+	if (HTTP_PARSER_ERRNO(&reader->parser) == HPE_PAUSED)
+		http_parser_pause(&reader->parser, 0);
+	*used_bytes = http_parser_execute(&reader->parser, &settings,
+					  (const char *)data, size_bytes);
+	return progress_(reader);
+}
+
+enum bw_http_progress bw_http_reader_end(struct bw_http_reader *reader)
+{
+	if (reader->failure == BW_HTTP_MORE && reader->message.head_complete &&
+	    !reader->message.complete)
+		http_parser_execute(&reader->parser, &settings, NULL, 0);
+	if (reader->message.complete)
+		return BW_HTTP_COMPLETE;
+	return BW_HTTP_MALFORMED;
+}
+
+bool bw_http_find(const struct bw_http_message *message, const char *name,
+		  char *value, size_t value_bytes)
+{
+	uint32_t i;
+
+	for (i = 0; i < message->field_count; i++) {
+		const struct bw_http_field *field = &message->fields[i];
+
+		if (!bw_http_field_is(message, field, name))
+			continue;
+		if (field->value.size_bytes >= value_bytes)
+			return false;
+		memcpy(value, bw_http_text(message, field->value),
+		       field->value.size_bytes);
+		value[field->value.size_bytes] = '\0';
+		return true;
+	}
+	return false;
+}
+
+const char *bw_http_text(const struct bw_http_message *message,
+			 struct bw_http_span span)
+{
+	if (!message->text.data)
+		return "";
+	return (const char *)message->text.data + span.at_bytes;
+}
+
+bool bw_http_field_is(const struct bw_http_message *message,
+		      const struct bw_http_field *field, const char *name)
+{
+	return strlen(name) == field->name.size_bytes &&
+	       !strncasecmp(bw_http_text(message, field->name), name,
+			    field->name.size_bytes);
+}
+
+bool bw_http_is_hop_field(const struct bw_http_message *message,
+			  const struct bw_http_field *field)
+{
+	char name[HOP_NAME_BYTES];
+	uint32_t i;
+
+	if (field->name.size_bytes >= sizeof(name))
+		return false;
+	memcpy(name, bw_http_text(message, field->name),
+	       field->name.size_bytes);
+	name[field->name.size_bytes] = '\0';
+	if (bw_http_hop_by_hop(name) || !strcasecmp(name, "Expect"))
+		return true;
+	for (i = 0; i < message->field_count; i++) {
+		const struct bw_http_field *other = &message->fields[i];
+
+		if (bw_http_field_is(message, other, "Connection") &&
+		    list_names_(bw_http_text(message, other->value),
+				other->value.size_bytes, name,
+				field->name.size_bytes))
+			return true;
+	}
+	return false;
+}
+
+static int on_target_(http_parser *parser, const char *data, size_t size_bytes)
+{
+	struct bw_http_reader *reader = parser->data;
+
+	return append_(reader, &reader->message.target, data, size_bytes);
+}
+
+static int on_name_(http_parser *parser, const char *data, size_t size_bytes)
+{
+	struct bw_http_reader *reader = parser->data;
+	struct bw_http_message *message = &reader->message;
+
+	if (message->head_complete)
+		return 0; /* trailers are not forwarded */
+	if (!message->field_count || reader->value_last) {
+		if (message->field_count == BW_HTTP_FIELDS_MAX)
+			return fail_(reader, BW_HTTP_HEAD_TOO_LARGE);
+		message->field_count++;
+	}
+	reader->value_last = false;
+	return append_(reader, &message->fields[message->field_count - 1].name,
+		       data, size_bytes);
+}
+
+static int on_value_(http_parser *parser, const char *data, size_t size_bytes)
+{
+	struct bw_http_reader *reader = parser->data;
+	struct bw_http_message *message = &reader->message;
+
+	if (message->head_complete || !message->field_count)
+		return 0;
+	reader->value_last = true;
+	return append_(reader, &message->fields[message->field_count - 1].value,
+		       data, size_bytes);
+}
+
+static int on_head_(http_parser *parser)
+{
+	struct bw_http_reader *reader = parser->data;
+	struct bw_http_message *message = &reader->message;
+
+	message->head_complete = true;
+	message->method = (uint8_t)parser->method;
+	message->status_code = (uint16_t)parser->status_code;
+	message->keep_alive = http_should_keep_alive(parser);
+	return reader->head_response ? 1 : 0;
+}
+
+static int on_body_(http_parser *parser, const char *data, size_t size_bytes)
+{
+	struct bw_http_reader *reader = parser->data;
+	struct bw_buffer *body = &reader->message.body;
+
+	if (body->size_bytes + size_bytes > reader->limits.body_max_bytes ||
+	    bw_buffer_append(body, data, size_bytes) != BW_OK)
+		return fail_(reader, BW_HTTP_BODY_TOO_LARGE);
+	return 0;
+}
+
+static int on_complete_(http_parser *parser)
+{
+	struct bw_http_reader *reader = parser->data;
+
+	reader->message.complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+/* Texts of one span arrive in one or more parts without a gap. */
+static int append_(struct bw_http_reader *reader, struct bw_http_span *span,
+		   const char *data, size_t size_bytes)
+{
+	struct bw_buffer *text = &reader->message.text;
+
+	if (text->size_bytes + size_bytes > reader->limits.head_max_bytes)
+		return fail_(reader, BW_HTTP_HEAD_TOO_LARGE);
+	if (!span->size_bytes)
+		span->at_bytes = (uint32_t)text->size_bytes;
+	if (bw_buffer_append(text, data, size_bytes) != BW_OK)
+		return fail_(reader, BW_HTTP_HEAD_TOO_LARGE);
+	span->size_bytes += (uint32_t)size_bytes;
+	return 0;
+}
+
+static int fail_(struct bw_http_reader *reader, enum bw_http_progress failure)
+{
+	reader->failure = failure;
+	return -1;
+}
+
+static bool list_names_(const char *list, size_t list_bytes, const char *name,
+			size_t name_bytes)
+{
+	size_t at = 0;
+
+	while (at < list_bytes) {
+		size_t start = at;
+
+		while (at < list_bytes && list[at] != ',')
+			at++;
+		while (start < at && list[start] == ' ')
+			start++;
+		if (at - start == name_bytes &&
+		    !strncasecmp(list + start, name, name_bytes))
+			return true;
+		at++;
+	}
+	return false;
+}
+
+static enum bw_http_progress progress_(struct bw_http_reader *reader)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
+
+	if (reader->failure != BW_HTTP_MORE)
+		return reader->failure;
+	if (reader->message.complete)
+		return BW_HTTP_COMPLETE;
+	if (error == HPE_HEADER_OVERFLOW)
+		return reader->failure = BW_HTTP_HEAD_TOO_LARGE;
+	if ((error != HPE_OK && error != HPE_PAUSED) || reader->parser.upgrade)
+		return reader->failure = BW_HTTP_MALFORMED;
+	return BW_HTTP_MORE;
+}
--- /dev/null
+++ b/src/libbwproxy/listener.c
@@ -0,0 +1,442 @@
+#include "bwproxy/listener.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "private/address.h"
+
+/** Pending connections of the kernel; a burst of clients fits. */
+#define BACKLOG 1024
+
+/** Bytes read at once. */
+#define READ_BYTES 16384
+
+/** Bytes kept of a client that sends ahead of its answer. */
+#define AHEAD_MAX_BYTES 65536
+
+/** Connections accepted in one round of the loop. */
+#define ACCEPT_BATCH 64
+
+/** Resolution of the timeouts of connections. */
+#define SWEEP_INTERVAL_S 0.25
+
+struct bw_server_connection {
+	struct bw_listener *listener;
+	struct bw_server_connection *next;
+	struct bw_server_connection **previous;
+	int fd;
+	uint32_t peer;
+	ev_io read_watcher;
+	ev_io write_watcher;
+	struct bw_http_reader reader;
+	struct bw_buffer in; /**< bytes not yet read by the reader */
+	struct bw_buffer out;
+	double since_s; /**< of the present state, for timeouts */
+	void *context;
+	bool busy; /**< a request waits for its answer */
+	bool close_after_write;
+	bool continue_sent;
+};
+
+static int open_socket_(const char *address);
+static void on_accept_(struct ev_loop *loop, ev_io *watcher, int events);
+static void add_connection_(struct bw_listener *listener, int fd,
+			    uint32_t peer);
+static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
+static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
+static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
+static void read_request_(struct bw_server_connection *connection);
+static void send_continue_(struct bw_server_connection *connection);
+static void reject_(struct bw_server_connection *connection,
+		    uint16_t status_code);
+static bool flush_(struct bw_server_connection *connection);
+static void close_(struct bw_server_connection *connection, bool report);
+static void write_head_(struct bw_buffer *out, uint16_t status_code,
+			const struct bw_buffer *fields, size_t body_bytes,
+			bool close);
+
+enum bw_status bw_listener_init(struct bw_listener *listener,
+				const struct bw_listener_config *config)
+{
+	memset(listener, 0, sizeof(*listener));
+	listener->config = *config;
+	listener->fd = open_socket_(config->address);
+	if (listener->fd < 0)
+		return BW_EIO;
+	ev_io_init(&listener->accept_watcher, on_accept_, listener->fd,
+		   EV_READ);
+	listener->accept_watcher.data = listener;
+	ev_io_start(config->loop, &listener->accept_watcher);
+	ev_timer_init(&listener->sweep_timer, on_sweep_, SWEEP_INTERVAL_S,
+		      SWEEP_INTERVAL_S);
+	listener->sweep_timer.data = listener;
+	ev_timer_start(config->loop, &listener->sweep_timer);
+	return BW_OK;
+}
+
+void bw_listener_finish(struct bw_listener *listener)
+{
+	if (!listener->config.loop)
+		return;
+	while (listener->connections)
+		close_(listener->connections, false);
+	ev_timer_stop(listener->config.loop, &listener->sweep_timer);
+	ev_io_stop(listener->config.loop, &listener->accept_watcher);
+	if (listener->fd >= 0)
+		close(listener->fd);
+	listener->fd = -1;
+}
+
+void bw_listener_set_timeouts(struct bw_listener *listener,
+			      uint32_t head_timeout_ms,
+			      uint32_t idle_timeout_ms)
+{
+	listener->config.head_timeout_ms = head_timeout_ms;
+	listener->config.idle_timeout_ms = idle_timeout_ms;
+}
+
+void bw_listener_begin_close(struct bw_listener *listener)
+{
+	listener->closing = true;
+}
+
+void bw_listener_close_idle(struct bw_listener *listener)
+{
+	struct bw_server_connection *connection = listener->connections;
+	struct bw_server_connection *next;
+
+	if (listener->fd >= 0) {
+		ev_io_stop(listener->config.loop, &listener->accept_watcher);
+		close(listener->fd);
+		listener->fd = -1;
+	}
+	for (; connection; connection = next) {
+		next = connection->next;
+		if (!connection->busy && !connection->out.size_bytes &&
+		    !connection->reader.started)
+			close_(connection, false);
+	}
+}
+
+void **bw_connection_context(struct bw_server_connection *connection)
+{
+	return &connection->context;
+}
+
+uint32_t bw_connection_peer(const struct bw_server_connection *connection)
+{
+	return connection->peer;
+}
+
+const struct bw_http_message *
+bw_connection_request(const struct bw_server_connection *connection)
+{
+	return &connection->reader.message;
+}
+
+void bw_connection_respond(struct bw_server_connection *connection,
+			   uint16_t status_code, const struct bw_buffer *fields,
+			   const void *body, size_t body_bytes, bool close)
+{
+	struct bw_listener *listener = connection->listener;
+	bool last = close || listener->closing ||
+		    !connection->reader.message.keep_alive;
+
+	write_head_(&connection->out, status_code, fields, body_bytes, last);
+	if (connection->reader.message.method != HTTP_HEAD && body_bytes)
+		bw_buffer_append(&connection->out, body, body_bytes);
+	connection->busy = false;
+	listener->busy_count--;
+	connection->context = NULL;
+	connection->close_after_write = last;
+	connection->continue_sent = false;
+	connection->since_s = ev_now(listener->config.loop);
+	bw_http_reader_next(&connection->reader);
+	if (!flush_(connection))
+		return;
+	/* Requests sent ahead are read from the loop, not from the handler. */
+	if (connection->in.size_bytes && !last)
+		ev_feed_event(listener->config.loop, &connection->read_watcher,
+			      EV_CUSTOM);
+}
+
+static int open_socket_(const char *address)
+{
+	struct sockaddr_in name;
+	int on = 1;
+	int fd;
+
+	if (!address_parse(address, &name)) {
+		errno = EINVAL;
+		return -1;
+	}
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&name, sizeof(name)) ||
+	    listen(fd, BACKLOG)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static void on_accept_(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct bw_listener *listener = watcher->data;
+	struct sockaddr_in name;
+	socklen_t name_bytes;
+	int fd;
+	int i;
+
+	(void)loop;
+	(void)events;
+	for (i = 0; i < ACCEPT_BATCH; i++) {
+		name_bytes = sizeof(name);
+		fd = accept4(listener->fd, (struct sockaddr *)&name,
+			     &name_bytes, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		listener->accepted_count++;
+		if (listener->connection_count >=
+		    listener->config.connections_max) {
+			listener->refused_count++;
+			close(fd);
+			continue;
+		}
+		add_connection_(listener, fd, name.sin_addr.s_addr);
+	}
+}
+
+static void add_connection_(struct bw_listener *listener, int fd, uint32_t peer)
+{
+	struct bw_server_connection *connection =
+		calloc(1, sizeof(*connection));
+	int on = 1;
+
+	if (!connection) {
+		listener->refused_count++;
+		close(fd);
+		return;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	connection->listener = listener;
+	connection->fd = fd;
+	connection->peer = peer;
+	connection->since_s = ev_now(listener->config.loop);
+	bw_http_reader_init(&connection->reader, HTTP_REQUEST,
+			    &listener->config.limits);
+	connection->next = listener->connections;
+	connection->previous = &listener->connections;
+	if (connection->next)
+		connection->next->previous = &connection->next;
+	listener->connections = connection;
+	listener->connection_count++;
+	ev_io_init(&connection->read_watcher, on_readable_, fd, EV_READ);
+	connection->read_watcher.data = connection;
+	ev_io_init(&connection->write_watcher, on_writable_, fd, EV_WRITE);
+	connection->write_watcher.data = connection;
+	ev_io_start(listener->config.loop, &connection->read_watcher);
+	/* The request has usually arrived with the connection. */
+	ev_feed_event(listener->config.loop, &connection->read_watcher,
+		      EV_READ);
+}
+
+static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct bw_server_connection *connection = watcher->data;
+	static uint8_t bytes[READ_BYTES];
+	ssize_t got;
+
+	(void)loop;
+	if (!(events & EV_CUSTOM)) {
+		got = recv(connection->fd, bytes, sizeof(bytes), 0);
+		if (got < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		if (got <= 0) {
+			close_(connection, true);
+			return;
+		}
+		if (bw_buffer_append(&connection->in, bytes, (size_t)got) !=
+		    BW_OK) {
+			close_(connection, true);
+			return;
+		}
+	}
+	if (!connection->busy && !connection->close_after_write)
+		read_request_(connection);
+	else if (connection->in.size_bytes > AHEAD_MAX_BYTES)
+		close_(connection, true);
+}
+
+static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	(void)loop;
+	(void)events;
+	flush_(watcher->data);
+}
+
+static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	struct bw_listener *listener = watcher->data;
+	struct bw_server_connection *connection = listener->connections;
+	struct bw_server_connection *next;
+	double now_s = ev_now(loop);
+
+	(void)events;
+	for (; connection; connection = next) {
+		double age_ms = 1000.0 * (now_s - connection->since_s);
+
+		next = connection->next;
+		if (connection->busy)
+			continue;
+		if (connection->reader.started) {
+			if (age_ms > listener->config.head_timeout_ms)
+				reject_(connection, 408);
+		} else if (age_ms > listener->config.idle_timeout_ms) {
+			close_(connection, false);
+		}
+	}
+}
+
+static void read_request_(struct bw_server_connection *connection)
+{
+	struct bw_listener *listener = connection->listener;
+	enum bw_http_progress progress;
+	size_t used_bytes;
+
+	if (!connection->in.size_bytes)
+		return;
+	if (!connection->reader.started)
+		connection->since_s = ev_now(listener->config.loop);
+	progress = bw_http_reader_feed(&connection->reader, connection->in.data,
+				       connection->in.size_bytes, &used_bytes);
+	bw_buffer_consume(&connection->in, used_bytes);
+	switch (progress) {
+	case BW_HTTP_MORE:
+		send_continue_(connection);
+		break;
+	case BW_HTTP_COMPLETE:
+		connection->busy = true;
+		listener->busy_count++;
+		listener->config.handler->request(listener->config.context,
+						  connection,
+						  &connection->reader.message);
+		break;
+	case BW_HTTP_MALFORMED:
+		reject_(connection, 400);
+		break;
+	case BW_HTTP_HEAD_TOO_LARGE:
+		reject_(connection, 431);
+		break;
+	case BW_HTTP_BODY_TOO_LARGE:
+		reject_(connection, 413);
+		break;
+	}
+}
+
+static void send_continue_(struct bw_server_connection *connection)
+{
+	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	const struct bw_http_message *message = &connection->reader.message;
+	char value[16];
+
+	if (!message->head_complete || connection->continue_sent ||
+	    !bw_http_find(message, "Expect", value, sizeof(value)))
+		return;
+	connection->continue_sent = true;
+	bw_buffer_append(&connection->out, text, sizeof(text) - 1);
+	flush_(connection);
+}
+
+/* Answers a request that could not be read, and ends the connection. */
+static void reject_(struct bw_server_connection *connection,
+		    uint16_t status_code)
+{
+	connection->reader.started = false;
+	connection->since_s = ev_now(connection->listener->config.loop);
+	connection->close_after_write = true;
+	write_head_(&connection->out, status_code, NULL, 0, true);
+	flush_(connection);
+}
+
+/* @return whether the connection still exists */
+static bool flush_(struct bw_server_connection *connection)
+{
+	struct ev_loop *loop = connection->listener->config.loop;
+	ssize_t sent;
+
+	while (connection->out.size_bytes) {
+		sent = send(connection->fd, connection->out.data,
+			    connection->out.size_bytes, MSG_NOSIGNAL);
+		if (sent < 0 && errno == EINTR)
+			continue;
+		if (sent < 0 && errno == EAGAIN) {
+			ev_io_start(loop, &connection->write_watcher);
+			return true;
+		}
+		if (sent < 0) {
+			close_(connection, true);
+			return false;
+		}
+		bw_buffer_consume(&connection->out, (size_t)sent);
+	}
+	ev_io_stop(loop, &connection->write_watcher);
+	if (connection->close_after_write) {
+		close_(connection, false);
+		return false;
+	}
+	if (!connection->out.size_bytes && connection->out.capacity_bytes)
+		bw_buffer_finish(&connection->out);
+	return true;
+}
+
+static void close_(struct bw_server_connection *connection, bool report)
+{
+	struct bw_listener *listener = connection->listener;
+	struct ev_loop *loop = listener->config.loop;
+
+	if (connection->busy) {
+		listener->busy_count--;
+		if (report)
+			listener->config.handler->gone(listener->config.context,
+						       connection);
+	}
+	ev_io_stop(loop, &connection->read_watcher);
+	ev_io_stop(loop, &connection->write_watcher);
+	/* Unread bytes would turn the close into a reset of the answer. */
+	shutdown(connection->fd, SHUT_WR);
+	close(connection->fd);
+	*connection->previous = connection->next;
+	if (connection->next)
+		connection->next->previous = connection->previous;
+	listener->connection_count--;
+	bw_http_reader_finish(&connection->reader);
+	bw_buffer_finish(&connection->in);
+	bw_buffer_finish(&connection->out);
+	free(connection);
+}
+
+static void write_head_(struct bw_buffer *out, uint16_t status_code,
+			const struct bw_buffer *fields, size_t body_bytes,
+			bool close)
+{
+	bw_buffer_printf(out, "HTTP/1.1 %u %s\r\n", status_code,
+			 http_status_str((enum http_status)status_code));
+	if (fields)
+		bw_buffer_append(out, fields->data, fields->size_bytes);
+	if (status_code != 204 && status_code != 304)
+		bw_buffer_printf(out, "Content-Length: %zu\r\n", body_bytes);
+	if (close)
+		bw_buffer_printf(out, "Connection: close\r\n");
+	bw_buffer_append(out, "\r\n", 2);
+}
--- /dev/null
+++ b/src/libbwproxy/pool.c
@@ -0,0 +1,451 @@
+#include "bwproxy/pool.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "private/address.h"
+
+/** Bytes read at once. */
+#define READ_BYTES 16384
+
+/** Resolution of the connect and idle timeouts. */
+#define SWEEP_INTERVAL_S 0.1
+
+/** Size of the copies of an address and of an id. */
+#define ADDRESS_BYTES 32
+#define ID_BYTES 128
+
+/** Share of the server's announced idle time for which a connection is kept. */
+#define KEEP_ALIVE_SHARE 0.7
+
+/** Responses to other requests that are skipped before giving up. */
+#define SKIPPED_MAX 4
+
+struct bw_pool_connection {
+	struct bw_pool *pool;
+	struct bw_pool_connection *next;
+	struct bw_pool_connection **previous;
+	struct bw_pool_connection *next_idle;
+	char address[ADDRESS_BYTES];
+	char id[ID_BYTES];
+	int fd;
+	bool connected;
+	bool busy;
+	bool sent; /**< a byte of the request in progress was written */
+	uint32_t skipped;
+	double since_s; /**< start of the connect or of the idle time */
+	double idle_s; /**< longest idle time of this connection */
+	void *request;
+	ev_io read_watcher;
+	ev_io write_watcher;
+	struct bw_buffer out;
+	struct bw_http_reader reader;
+};
+
+static struct bw_pool_connection *take_idle_(struct bw_pool *pool,
+					     const char *address);
+static struct bw_pool_connection *open_(struct bw_pool *pool,
+					const char *address);
+static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
+static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
+static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
+static void read_(struct bw_pool_connection *connection, const uint8_t *data,
+		  size_t size_bytes);
+static void handle_response_(struct bw_pool_connection *connection,
+			     size_t rest_bytes);
+static bool is_answer_(const struct bw_pool_connection *connection);
+static void write_(struct bw_pool_connection *connection);
+static void fail_(struct bw_pool_connection *connection,
+		  enum bw_pool_result result);
+static void keep_(struct bw_pool_connection *connection);
+static void unlink_idle_(struct bw_pool_connection *connection);
+static void close_(struct bw_pool_connection *connection);
+
+const char *const bw_pool_result_string[BW_POOL_RESULT_COUNT] = {
+	[BW_POOL_RESPONSE] = "response",
+	[BW_POOL_NOT_SENT] = "not_sent",
+	[BW_POOL_CLOSED] = "closed",
+	[BW_POOL_INVALID] = "invalid",
+};
+
+enum bw_status bw_pool_init(struct bw_pool *pool,
+			    const struct bw_pool_config *config)
+{
+	memset(pool, 0, sizeof(*pool));
+	pool->config = *config;
+	pool->idle =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ev_timer_init(&pool->sweep_timer, on_sweep_, SWEEP_INTERVAL_S,
+		      SWEEP_INTERVAL_S);
+	pool->sweep_timer.data = pool;
+	ev_timer_start(config->loop, &pool->sweep_timer);
+	return BW_OK;
+}
+
+void bw_pool_finish(struct bw_pool *pool)
+{
+	if (!pool->idle)
+		return;
+	while (pool->connections)
+		close_(pool->connections);
+	ev_timer_stop(pool->config.loop, &pool->sweep_timer);
+	g_hash_table_destroy(pool->idle);
+	pool->idle = NULL;
+}
+
+struct bw_pool_connection *bw_pool_send(struct bw_pool *pool,
+					const struct bw_pool_request *request)
+{
+	struct bw_pool_connection *connection =
+		take_idle_(pool, request->address);
+
+	if (connection)
+		pool->reused_count++;
+	else
+		connection = open_(pool, request->address);
+	if (!connection)
+		return NULL;
+	g_strlcpy(connection->id, request->id, sizeof(connection->id));
+	connection->busy = true;
+	connection->sent = false;
+	connection->skipped = 0;
+	connection->request = request->request;
+	bw_http_reader_next(&connection->reader);
+	connection->reader.head_response = request->head_response;
+	bw_buffer_clear(&connection->out);
+	if (bw_buffer_append(&connection->out, request->head->data,
+			     request->head->size_bytes) != BW_OK ||
+	    (request->body_bytes &&
+	     bw_buffer_append(&connection->out, request->body,
+			      request->body_bytes) != BW_OK)) {
+		close_(connection);
+		return NULL;
+	}
+	ev_io_start(pool->config.loop, &connection->write_watcher);
+	if (connection->connected)
+		ev_feed_event(pool->config.loop, &connection->write_watcher,
+			      EV_WRITE);
+	return connection;
+}
+
+void bw_pool_cancel(struct bw_pool_connection *connection)
+{
+	close_(connection);
+}
+
+bool bw_pool_was_sent(const struct bw_pool_connection *connection)
+{
+	return connection->sent;
+}
+
+void bw_pool_forget(struct bw_pool *pool, const char *address)
+{
+	struct bw_pool_connection *connection;
+
+	while ((connection = take_idle_(pool, address)))
+		close_(connection);
+}
+
+static struct bw_pool_connection *take_idle_(struct bw_pool *pool,
+					     const char *address)
+{
+	struct bw_pool_connection *connection;
+	uint8_t byte;
+
+	while ((connection = g_hash_table_lookup(pool->idle, address))) {
+		/* The server may have closed it since the last event. */
+		if (recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+			    0 &&
+		    errno == EAGAIN) {
+			unlink_idle_(connection);
+			return connection;
+		}
+		close_(connection);
+	}
+	return NULL;
+}
+
+static struct bw_pool_connection *open_(struct bw_pool *pool,
+					const char *address)
+{
+	struct bw_pool_connection *connection;
+	struct sockaddr_in name;
+	int on = 1;
+	int fd;
+
+	if (pool->connection_count >= pool->config.connections_max ||
+	    !address_parse(address, &name))
+		return NULL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return NULL;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (connect(fd, (struct sockaddr *)&name, sizeof(name)) &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	connection = calloc(1, sizeof(*connection));
+	if (!connection) {
+		close(fd);
+		return NULL;
+	}
+	connection->pool = pool;
+	connection->fd = fd;
+	connection->since_s = ev_now(pool->config.loop);
+	connection->idle_s = pool->config.idle_ms / 1000.0;
+	g_strlcpy(connection->address, address, sizeof(connection->address));
+	bw_http_reader_init(&connection->reader, HTTP_RESPONSE,
+			    &pool->config.limits);
+	connection->next = pool->connections;
+	connection->previous = &pool->connections;
+	if (connection->next)
+		connection->next->previous = &connection->next;
+	pool->connections = connection;
+	pool->connection_count++;
+	pool->opened_count++;
+	ev_io_init(&connection->read_watcher, on_readable_, fd, EV_READ);
+	connection->read_watcher.data = connection;
+	ev_io_init(&connection->write_watcher, on_writable_, fd, EV_WRITE);
+	connection->write_watcher.data = connection;
+	return connection;
+}
+
+static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct bw_pool_connection *connection = watcher->data;
+	static uint8_t bytes[READ_BYTES];
+	ssize_t got = recv(connection->fd, bytes, sizeof(bytes), 0);
+
+	(void)loop;
+	(void)events;
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (!connection->busy) {
+		/* An idle connection carries nothing but its end. */
+		close_(connection);
+	} else if (got > 0) {
+		read_(connection, bytes, (size_t)got);
+	} else if (!got && bw_http_reader_end(&connection->reader) ==
+				   BW_HTTP_COMPLETE) {
+		connection->reader.message.keep_alive = false;
+		handle_response_(connection, 0);
+	} else {
+		fail_(connection, BW_POOL_CLOSED);
+	}
+}
+
+static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	struct bw_pool_connection *connection = watcher->data;
+	int error = 0;
+	socklen_t error_bytes = sizeof(error);
+
+	(void)events;
+	if (!connection->connected) {
+		getsockopt(connection->fd, SOL_SOCKET, SO_ERROR, &error,
+			   &error_bytes);
+		if (error) {
+			fail_(connection, BW_POOL_NOT_SENT);
+			return;
+		}
+		connection->connected = true;
+		ev_io_start(loop, &connection->read_watcher);
+	}
+	write_(connection);
+}
+
+static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	struct bw_pool *pool = watcher->data;
+	struct bw_pool_connection *connection = pool->connections;
+	struct bw_pool_connection *next;
+	double now_s = ev_now(loop);
+
+	(void)events;
+	while (connection) {
+		double age_s = now_s - connection->since_s;
+
+		next = connection->next;
+		if (!connection->busy && age_s > connection->idle_s) {
+			close_(connection);
+		} else if (connection->busy && !connection->connected &&
+			   1000.0 * age_s > pool->config.connect_timeout_ms) {
+			fail_(connection, BW_POOL_NOT_SENT);
+			/* The handler may have closed the next one. */
+			next = pool->connections;
+		}
+		connection = next;
+	}
+}
+
+static void read_(struct bw_pool_connection *connection, const uint8_t *data,
+		  size_t size_bytes)
+{
+	enum bw_http_progress progress;
+	size_t used_bytes;
+
+	while (size_bytes) {
+		progress = bw_http_reader_feed(&connection->reader, data,
+					       size_bytes, &used_bytes);
+		data += used_bytes;
+		size_bytes -= used_bytes;
+		if (progress == BW_HTTP_MORE)
+			return;
+		if (progress != BW_HTTP_COMPLETE) {
+			fail_(connection, BW_POOL_INVALID);
+			return;
+		}
+		if (is_answer_(connection)) {
+			handle_response_(connection, size_bytes);
+			return;
+		}
+		if (connection->reader.message.status_code >= 200) {
+			connection->pool->skipped_count++;
+			connection->skipped++;
+		}
+		if (connection->skipped > SKIPPED_MAX ||
+		    !connection->reader.message.keep_alive) {
+			fail_(connection, BW_POOL_INVALID);
+			return;
+		}
+		bw_http_reader_next(&connection->reader);
+	}
+}
+
+/* Hands on the response; bytes after it make the connection useless. */
+static void handle_response_(struct bw_pool_connection *connection,
+			     size_t rest_bytes)
+{
+	struct bw_pool *pool = connection->pool;
+	struct bw_http_message message = connection->reader.message;
+	void *request = connection->request;
+	bool reusable = message.keep_alive && !rest_bytes &&
+			!connection->out.size_bytes;
+	char value[64];
+	const char *timeout;
+
+	if (!is_answer_(connection)) {
+		fail_(connection, BW_POOL_INVALID);
+		return;
+	}
+	if (bw_http_find(&message, "Keep-Alive", value, sizeof(value))) {
+		timeout = strstr(value, "timeout=");
+		if (timeout)
+			connection->idle_s =
+				MIN(connection->idle_s,
+				    KEEP_ALIVE_SHARE * atoi(timeout + 8));
+	}
+	/* The message outlives its connection until it was handed on. */
+	bw_buffer_init(&connection->reader.message.text);
+	bw_buffer_init(&connection->reader.message.body);
+	connection->request = NULL;
+	connection->busy = false;
+	if (reusable)
+		keep_(connection);
+	else
+		close_(connection);
+	pool->config.ended(pool->config.context, request, BW_POOL_RESPONSE,
+			   &message);
+	bw_buffer_finish(&message.text);
+	bw_buffer_finish(&message.body);
+}
+
+static bool is_answer_(const struct bw_pool_connection *connection)
+{
+	char id[ID_BYTES];
+
+	if (connection->reader.message.status_code < 200)
+		return false;
+	if (!bw_http_find(&connection->reader.message,
+			  connection->pool->config.id_field, id, sizeof(id)))
+		return false;
+	return !strcmp(id, connection->id);
+}
+
+static void write_(struct bw_pool_connection *connection)
+{
+	struct ev_loop *loop = connection->pool->config.loop;
+	ssize_t sent;
+
+	while (connection->out.size_bytes) {
+		sent = send(connection->fd, connection->out.data,
+			    connection->out.size_bytes, MSG_NOSIGNAL);
+		if (sent < 0 && errno == EINTR)
+			continue;
+		if (sent < 0 && errno == EAGAIN)
+			return;
+		if (sent < 0) {
+			fail_(connection, connection->sent ? BW_POOL_CLOSED
+							   : BW_POOL_NOT_SENT);
+			return;
+		}
+		connection->sent = true;
+		bw_buffer_consume(&connection->out, (size_t)sent);
+	}
+	ev_io_stop(loop, &connection->write_watcher);
+}
+
+static void fail_(struct bw_pool_connection *connection,
+		  enum bw_pool_result result)
+{
+	struct bw_pool *pool = connection->pool;
+	void *request = connection->request;
+
+	close_(connection);
+	pool->config.ended(pool->config.context, request, result, NULL);
+}
+
+static void keep_(struct bw_pool_connection *connection)
+{
+	struct bw_pool *pool = connection->pool;
+
+	connection->since_s = ev_now(pool->config.loop);
+	bw_buffer_finish(&connection->out);
+	connection->next_idle =
+		g_hash_table_lookup(pool->idle, connection->address);
+	g_hash_table_replace(pool->idle, g_strdup(connection->address),
+			     connection);
+}
+
+static void unlink_idle_(struct bw_pool_connection *connection)
+{
+	struct bw_pool *pool = connection->pool;
+	struct bw_pool_connection *other =
+		g_hash_table_lookup(pool->idle, connection->address);
+
+	if (other == connection && connection->next_idle) {
+		g_hash_table_replace(pool->idle, g_strdup(connection->address),
+				     connection->next_idle);
+	} else if (other == connection) {
+		g_hash_table_remove(pool->idle, connection->address);
+	} else {
+		while (other && other->next_idle != connection)
+			other = other->next_idle;
+		if (other)
+			other->next_idle = connection->next_idle;
+	}
+	connection->next_idle = NULL;
+}
+
+static void close_(struct bw_pool_connection *connection)
+{
+	struct bw_pool *pool = connection->pool;
+
+	if (!connection->busy)
+		unlink_idle_(connection);
+	ev_io_stop(pool->config.loop, &connection->read_watcher);
+	ev_io_stop(pool->config.loop, &connection->write_watcher);
+	close(connection->fd);
+	*connection->previous = connection->next;
+	if (connection->next)
+		connection->next->previous = connection->previous;
+	pool->connection_count--;
+	bw_http_reader_finish(&connection->reader);
+	bw_buffer_finish(&connection->out);
+	free(connection);
+}
--- /dev/null
+++ b/src/libbwsteer/dispatch.c
@@ -0,0 +1,469 @@
+#include "bwsteer/dispatch.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "private/dispatch.h"
+
+/** Longest wait that a rejected client is asked for. */
+#define RETRY_AFTER_MAX_MS 2000
+
+/** Shortest wait that a rejected client is asked for. */
+#define RETRY_AFTER_MIN_MS 100
+
+/** Window of the completion rate of a service. */
+#define RATE_WINDOW_MS 500
+
+/** Part of a new rate in the smoothed rate. */
+#define RATE_GAIN 0.5
+
+/** Rejects when the expected wait is above this part of the time left. */
+#define WAIT_SHARE 0.9
+
+static void free_service_(gpointer data);
+static void free_target_(gpointer data);
+static void remove_target_(struct bw_dispatch *dispatch,
+			   struct bw_target *target);
+static void insert_(struct bw_job *job);
+static bool goes_before_(const struct bw_job *a, const struct bw_job *b);
+static double expected_wait_ms_(const struct bw_dispatch_service *service,
+				uint32_t ahead);
+static void reject_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		    enum bw_reject reason, struct bw_rejection *rejection);
+static bool any_target_(const struct bw_job *job);
+static uint32_t ahead_of_(const struct bw_job *job);
+static struct bw_job *next_of_service_(struct bw_dispatch *dispatch,
+				       struct bw_dispatch_service *service,
+				       struct bw_time now,
+				       enum bw_verdict *verdict,
+				       struct bw_rejection *rejection);
+static struct bw_job *next_by_urgency_(struct bw_dispatch *dispatch,
+				       struct bw_dispatch_service *service,
+				       bool on_time, struct bw_time now);
+static void count_completion_(struct bw_dispatch_service *service,
+			      struct bw_time now);
+static json_t *dump_target_(const struct bw_target *target, struct bw_time now);
+
+const char *const bw_reject_string[BW_REJECT_COUNT] = {
+	[BW_REJECT_NONE] = "none",
+	[BW_REJECT_NO_SERVER] = "no_server",
+	[BW_REJECT_OVERLOAD] = "overload",
+	[BW_REJECT_DEADLINE] = "deadline",
+};
+
+const char *const bw_distance_string[BW_DISTANCE_COUNT] = {
+	[BW_DISTANCE_DOMAIN] = "domain",
+	[BW_DISTANCE_REGION] = "region",
+	[BW_DISTANCE_FAR] = "far",
+};
+
+void bw_dispatch_init(struct bw_dispatch *dispatch, uint64_t seed)
+{
+	memset(dispatch, 0, sizeof(*dispatch));
+	dispatch->services = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, free_service_);
+	dispatch->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  NULL, free_target_);
+	dispatch->warm_at = g_new0(uint32_t, DISPATCH_WARM_ENTRIES);
+	bw_random_init(&dispatch->random, seed);
+	dispatch->host_count = 1;
+}
+
+void bw_dispatch_finish(struct bw_dispatch *dispatch)
+{
+	if (!dispatch->services)
+		return;
+	g_hash_table_destroy(dispatch->targets);
+	g_hash_table_destroy(dispatch->services);
+	g_free(dispatch->warm_at);
+	memset(dispatch, 0, sizeof(*dispatch));
+}
+
+struct bw_dispatch_service *bw_dispatch_service(struct bw_dispatch *dispatch,
+						const char *name)
+{
+	struct bw_dispatch_service *service =
+		g_hash_table_lookup(dispatch->services, name);
+
+	if (service)
+		return service;
+	service = g_new0(struct bw_dispatch_service, 1);
+	g_strlcpy(service->name, name, sizeof(service->name));
+	g_queue_init(&service->waiting);
+	service->targets = g_ptr_array_new();
+	g_hash_table_insert(dispatch->services, service->name, service);
+	return service;
+}
+
+void bw_dispatch_begin_update(struct bw_dispatch *dispatch)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct bw_target *)value)->present = false;
+}
+
+void bw_dispatch_update(struct bw_dispatch *dispatch,
+			const struct bw_target_update *update,
+			struct bw_time now)
+{
+	const struct bw_server *server = update->server;
+	struct bw_target *target =
+		g_hash_table_lookup(dispatch->targets, &server->id_hash);
+
+	/* A server that started anew has forgotten its objects and load. */
+	if (target &&
+	    (target->started_wall_ms != server->record.started_wall_ms ||
+	     strcmp(target->address, server->record.address) != 0 ||
+	     strcmp(target->service->name, server->record.service) != 0)) {
+		remove_target_(dispatch, target);
+		target = NULL;
+	}
+	if (!target) {
+		target = g_new0(struct bw_target, 1);
+		target->id_hash = server->id_hash;
+		target->slowness = 1.0;
+		target->started_wall_ms = server->record.started_wall_ms;
+		target->cold_refilled = now;
+		g_strlcpy(target->id, server->record.id, sizeof(target->id));
+		g_strlcpy(target->address, server->record.address,
+			  sizeof(target->address));
+		target->service =
+			bw_dispatch_service(dispatch, server->record.service);
+		g_ptr_array_add(target->service->targets, target);
+		g_hash_table_insert(dispatch->targets, &target->id_hash,
+				    target);
+	}
+	target->present = true;
+	target->distance = update->distance;
+	target->region = update->region;
+	target->slots = server->record.slots;
+	target->cold_until = server->cold_until;
+	target->accepts = update->accepts &&
+			  (update->cold_allowed ||
+			   bw_time_reached(now, server->cold_until));
+}
+
+void bw_dispatch_end_update(struct bw_dispatch *dispatch)
+{
+	GList *all = g_hash_table_get_values(dispatch->targets);
+	GList *item;
+
+	for (item = all; item; item = item->next) {
+		struct bw_target *target = item->data;
+
+		if (!target->present)
+			remove_target_(dispatch, target);
+	}
+	g_list_free(all);
+}
+
+enum bw_verdict bw_dispatch_offer(struct bw_dispatch *dispatch,
+				  struct bw_job *job, struct bw_time now,
+				  struct bw_rejection *rejection)
+{
+	uint32_t ahead;
+	double left_ms;
+
+	if (!any_target_(job)) {
+		reject_(dispatch, job, BW_REJECT_NO_SERVER, rejection);
+		return BW_VERDICT_REJECT;
+	}
+	ahead = ahead_of_(job);
+	if (!ahead && dispatch_place(dispatch, job, now))
+		return BW_VERDICT_SEND;
+	left_ms = (double)bw_time_diff_ms(job->deadline, now) -
+		  dispatch_expected_ms(job->service);
+	if (expected_wait_ms_(job->service, ahead + 1) > WAIT_SHARE * left_ms) {
+		reject_(dispatch, job, BW_REJECT_OVERLOAD, rejection);
+		return BW_VERDICT_REJECT;
+	}
+	insert_(job);
+	return BW_VERDICT_WAIT;
+}
+
+struct bw_job *bw_dispatch_next(struct bw_dispatch *dispatch,
+				struct bw_time now, enum bw_verdict *verdict,
+				struct bw_rejection *rejection)
+{
+	GHashTableIter iter;
+	gpointer value;
+	struct bw_job *job;
+
+	g_hash_table_iter_init(&iter, dispatch->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bw_dispatch_service *service = value;
+
+		if (!service->waiting.length)
+			continue;
+		job = next_of_service_(dispatch, service, now, verdict,
+				       rejection);
+		if (job)
+			return job;
+	}
+	return NULL;
+}
+
+void bw_dispatch_sent(struct bw_dispatch *dispatch, struct bw_job *job,
+		      struct bw_time now)
+{
+	struct bw_target *target = job->target;
+
+	job->sent = now;
+	target->in_flight++;
+	target->references++;
+	target->service->in_flight++;
+	if (job->tried_count < BW_JOB_TRIED_MAX)
+		job->tried[job->tried_count++] = target->id_hash;
+	if (!bw_time_reached(now, target->cold_until))
+		target->cold_tokens -= 1.0;
+	dispatch_remember(dispatch, job, now);
+}
+
+void bw_dispatch_ended(struct bw_dispatch *dispatch, struct bw_job *job,
+		       enum bw_job_result result,
+		       const struct bw_load_report *load, struct bw_time now)
+{
+	struct bw_target *target = job->target;
+
+	job->target = NULL;
+	target->in_flight--;
+	target->service->in_flight--;
+	if (result == BW_JOB_ANSWERED || result == BW_JOB_FAILED)
+		count_completion_(target->service, now);
+	dispatch_learn(target, job, result, load, now);
+	if (result != BW_JOB_ANSWERED)
+		dispatch_forget(dispatch, job, target);
+	if (!--target->references && target->removed)
+		free_target_(target);
+}
+
+void bw_dispatch_remove(struct bw_dispatch *dispatch, struct bw_job *job)
+{
+	(void)dispatch;
+	if (job->queued)
+		g_queue_remove(&job->service->waiting, job);
+	job->queued = false;
+}
+
+uint64_t bw_dispatch_object(const char *service, const char *key)
+{
+	uint64_t hash =
+		XXH64(key, strlen(key), XXH64(service, strlen(service), 0));
+
+	return hash ? hash : 1;
+}
+
+uint32_t bw_dispatch_waiting(const struct bw_dispatch *dispatch)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, dispatch->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((struct bw_dispatch_service *)value)->waiting.length;
+	return count;
+}
+
+void bw_dispatch_dump(const struct bw_dispatch *dispatch, struct bw_time now,
+		      json_t *into)
+{
+	json_t *services = json_object();
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+
+	g_hash_table_iter_init(&iter, dispatch->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct bw_dispatch_service *service = value;
+		json_t *targets = json_object();
+
+		for (i = 0; i < service->targets->len; i++) {
+			const struct bw_target *target =
+				service->targets->pdata[i];
+
+			json_object_set_new(targets, target->id,
+					    dump_target_(target, now));
+		}
+		json_object_set_new(
+			services, service->name,
+			json_pack("{s:i,s:i,s:f,s:o}", "waiting",
+				  (int)service->waiting.length, "in_flight",
+				  (int)service->in_flight, "completions_per_s",
+				  service->completions_per_s, "servers",
+				  targets));
+	}
+	json_object_set_new(into, "services", services);
+}
+
+static void free_service_(gpointer data)
+{
+	struct bw_dispatch_service *service = data;
+
+	g_queue_clear(&service->waiting);
+	g_ptr_array_free(service->targets, TRUE);
+	g_free(service);
+}
+
+static void free_target_(gpointer data)
+{
+	struct bw_target *target = data;
+
+	if (target->references) {
+		target->removed = true;
+		return;
+	}
+	g_free(target);
+}
+
+static void remove_target_(struct bw_dispatch *dispatch,
+			   struct bw_target *target)
+{
+	g_ptr_array_remove(target->service->targets, target);
+	g_hash_table_remove(dispatch->targets, &target->id_hash);
+}
+
+static void insert_(struct bw_job *job)
+{
+	GQueue *waiting = &job->service->waiting;
+	GList *item = waiting->tail;
+
+	while (item && goes_before_(job, item->data))
+		item = item->prev;
+	g_queue_insert_after(waiting, item, job);
+	job->queued = true;
+}
+
+static bool goes_before_(const struct bw_job *a, const struct bw_job *b)
+{
+	if (a->rank != b->rank)
+		return a->rank < b->rank;
+	return a->arrived.ms < b->arrived.ms;
+}
+
+/* Without completions so far the queue is allowed to build up. */
+static double expected_wait_ms_(const struct bw_dispatch_service *service,
+				uint32_t ahead)
+{
+	if (service->completions_per_s < 1.0)
+		return 0.0;
+	return 1000.0 * ahead / service->completions_per_s;
+}
+
+static void reject_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		    enum bw_reject reason, struct bw_rejection *rejection)
+{
+	double wait_ms = expected_wait_ms_(job->service,
+					   job->service->waiting.length + 1);
+	/* Returns are spread, so that they do not form a new burst. */
+	double spread = 0.5 + bw_random_unit(&dispatch->random);
+
+	rejection->reason = reason;
+	rejection->retry_after_ms = (uint32_t)CLAMP(
+		wait_ms * spread, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+}
+
+static bool any_target_(const struct bw_job *job)
+{
+	const GPtrArray *targets = job->service->targets;
+	uint32_t i;
+
+	for (i = 0; i < targets->len; i++) {
+		if (dispatch_is_allowed(job, targets->pdata[i]))
+			return true;
+	}
+	return false;
+}
+
+/* Counts the waiting jobs that go before this one. */
+static uint32_t ahead_of_(const struct bw_job *job)
+{
+	const GList *item;
+	uint32_t count = 0;
+
+	for (item = job->service->waiting.head; item; item = item->next) {
+		if (goes_before_(item->data, job))
+			count++;
+	}
+	return count;
+}
+
+/* Jobs that can still be on time go first; late ones use what is left. */
+static struct bw_job *next_of_service_(struct bw_dispatch *dispatch,
+				       struct bw_dispatch_service *service,
+				       struct bw_time now,
+				       enum bw_verdict *verdict,
+				       struct bw_rejection *rejection)
+{
+	double needed_ms = dispatch_expected_ms(service);
+	struct bw_job *job;
+	GList *item;
+
+	for (item = service->waiting.head; item; item = item->next) {
+		job = item->data;
+		if (bw_time_diff_ms(job->deadline, now) > needed_ms)
+			continue;
+		bw_dispatch_remove(dispatch, job);
+		reject_(dispatch, job, BW_REJECT_DEADLINE, rejection);
+		*verdict = BW_VERDICT_REJECT;
+		return job;
+	}
+	job = next_by_urgency_(dispatch, service, true, now);
+	if (!job)
+		job = next_by_urgency_(dispatch, service, false, now);
+	if (job) {
+		bw_dispatch_remove(dispatch, job);
+		*verdict = BW_VERDICT_SEND;
+	}
+	return job;
+}
+
+static struct bw_job *next_by_urgency_(struct bw_dispatch *dispatch,
+				       struct bw_dispatch_service *service,
+				       bool on_time, struct bw_time now)
+{
+	double needed_ms = dispatch_expected_ms(service);
+	GList *item;
+
+	if (!dispatch_has_room(service, now))
+		return NULL;
+	for (item = service->waiting.head; item; item = item->next) {
+		struct bw_job *job = item->data;
+		bool can = bw_time_diff_ms(job->objective, now) > needed_ms;
+
+		if (can == on_time && dispatch_place(dispatch, job, now))
+			return job;
+	}
+	return NULL;
+}
+
+static void count_completion_(struct bw_dispatch_service *service,
+			      struct bw_time now)
+{
+	int64_t age_ms = bw_time_diff_ms(now, service->rate_at);
+
+	service->rate_count++;
+	if (age_ms < RATE_WINDOW_MS)
+		return;
+	service->completions_per_s +=
+		RATE_GAIN * (1000.0 * service->rate_count / (double)age_ms -
+			     service->completions_per_s);
+	service->rate_count = 0;
+	service->rate_at = now;
+}
+
+static json_t *dump_target_(const struct bw_target *target, struct bw_time now)
+{
+	return json_pack("{s:s,s:s,s:i,s:i,s:f,s:f,s:f,s:b,s:b}", "address",
+			 target->address, "distance",
+			 bw_distance_string[target->distance], "slots",
+			 (int)target->slots, "in_flight",
+			 (int)target->in_flight, "others", target->others,
+			 "slowness", target->slowness, "failures",
+			 target->failures, "accepts", target->accepts,
+			 "ejected",
+			 !bw_time_reached(now, target->ejected_until));
+}
--- /dev/null
+++ b/src/libbwsteer/dispatch_place.c
@@ -0,0 +1,326 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "private/dispatch.h"
+
+/** Time after which an unused object is no longer expected to be warm. */
+#define WARM_MS 60000
+
+/** Part of a new value in a smoothed one. */
+#define TIME_GAIN 0.1
+#define HEALTH_GAIN 0.2
+#define LOAD_GAIN 0.5
+
+/** Time in which reported load of other hosts fades to a third. */
+#define LOAD_FADE_MS 1000.0
+
+/** A server whose share of failures is above this is ejected. */
+#define FAILURES_MAX 0.4
+
+/** Time of the first ejection; doubles with each further failure. */
+#define EJECT_MS 500
+#define EJECT_MAX_MS 4000
+
+/** Bounds of the slowness of one server. */
+#define SLOWNESS_MIN 0.2
+#define SLOWNESS_MAX 20.0
+
+/** Share of the bound of a cold server that all hosts together use. */
+#define COLD_SHARE 0.8
+
+/** Candidate of a placement. */
+struct candidate {
+	struct bw_target *target;
+	uint64_t weight; /**< rendezvous weight of the object */
+	double expected_ms;
+	bool warm;
+};
+
+static bool is_usable_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		       struct bw_target *target, struct bw_time now);
+static bool has_slot_(const struct bw_target *target, struct bw_time now);
+static double others_(const struct bw_target *target, struct bw_time now);
+static bool has_cold_token_(const struct bw_dispatch *dispatch,
+			    struct bw_target *target, struct bw_time now);
+static bool choose_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		    enum bw_distance distance, struct bw_time now,
+		    struct candidate *best);
+static uint64_t weight_(const struct bw_job *job,
+			const struct bw_target *target);
+static uint32_t *warm_entry_(const struct bw_dispatch *dispatch,
+			     const struct bw_job *job,
+			     const struct bw_target *target);
+static bool is_warm_(const struct bw_dispatch *dispatch,
+		     const struct bw_job *job, const struct bw_target *target,
+		     struct bw_time now);
+static double estimate_ms_(const struct bw_target *target, bool warm);
+static void smooth_(double *value, double sample, double gain);
+static void learn_time_(struct bw_target *target, const struct bw_job *job,
+			double took_ms);
+static void learn_failure_(struct bw_target *target, struct bw_time now);
+
+bool dispatch_place(struct bw_dispatch *dispatch, struct bw_job *job,
+		    struct bw_time now)
+{
+	struct candidate best = { .target = NULL };
+	struct candidate candidate;
+	double left_ms = (double)bw_time_diff_ms(job->objective, now);
+	int distance;
+
+	/* The nearest place that is on time, else the earliest one. */
+	for (distance = 0; distance < BW_DISTANCE_COUNT; distance++) {
+		if (!choose_(dispatch, job, (enum bw_distance)distance, now,
+			     &candidate))
+			continue;
+		if (!best.target || candidate.expected_ms < best.expected_ms)
+			best = candidate;
+		if (candidate.expected_ms <= left_ms)
+			break;
+	}
+	if (!best.target)
+		return false;
+	job->target = best.target;
+	job->warm = best.warm;
+	job->expected_ms = best.expected_ms;
+	return true;
+}
+
+bool dispatch_is_allowed(const struct bw_job *job,
+			 const struct bw_target *target)
+{
+	uint32_t i;
+
+	if (!target->accepts || !target->slots)
+		return false;
+	if (job->regions && !(job->regions & (1U << target->region)))
+		return false;
+	for (i = 0; i < job->tried_count; i++) {
+		if (job->tried[i] == target->id_hash)
+			return false;
+	}
+	return true;
+}
+
+bool dispatch_has_room(const struct bw_dispatch_service *service,
+		       struct bw_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < service->targets->len; i++) {
+		const struct bw_target *target = service->targets->pdata[i];
+
+		if (target->accepts && has_slot_(target, now))
+			return true;
+	}
+	return false;
+}
+
+double dispatch_expected_ms(const struct bw_dispatch_service *service)
+{
+	double least_ms = 0.0;
+	int i;
+
+	for (i = 0; i < BW_DISTANCE_COUNT; i++) {
+		double warm_ms = service->times[i].warm_ms;
+
+		if (warm_ms > 0.0 && (least_ms <= 0.0 || warm_ms < least_ms))
+			least_ms = warm_ms;
+	}
+	return least_ms;
+}
+
+void dispatch_remember(struct bw_dispatch *dispatch, const struct bw_job *job,
+		       struct bw_time now)
+{
+	if (job->object)
+		*warm_entry_(dispatch, job, job->target) = (uint32_t)now.ms;
+}
+
+void dispatch_forget(struct bw_dispatch *dispatch, const struct bw_job *job,
+		     const struct bw_target *target)
+{
+	if (job->object)
+		*warm_entry_(dispatch, job, target) = 0;
+}
+
+void dispatch_learn(struct bw_target *target, const struct bw_job *job,
+		    enum bw_job_result result,
+		    const struct bw_load_report *load, struct bw_time now)
+{
+	double busy;
+
+	if (load) {
+		busy = (double)load->running + load->waiting -
+		       (double)target->in_flight;
+		smooth_(&target->others, busy > 0.0 ? busy : 0.0, LOAD_GAIN);
+		target->reported = now;
+		if (load->slots)
+			target->slots = load->slots;
+	}
+	switch (result) {
+	case BW_JOB_ANSWERED:
+		target->failures_in_row = 0;
+		smooth_(&target->failures, 0.0, HEALTH_GAIN);
+		learn_time_(target, job,
+			    (double)bw_time_diff_ms(now, job->sent));
+		break;
+	case BW_JOB_FAILED:
+	case BW_JOB_UNREACHABLE:
+		learn_failure_(target, now);
+		break;
+	case BW_JOB_REFUSED:
+		/* A full server says so; its slots are taken by others. */
+		target->others = MAX(target->others, (double)target->slots);
+		target->reported = now;
+		break;
+	case BW_JOB_CANCELLED:
+		break;
+	}
+}
+
+static bool is_usable_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		       struct bw_target *target, struct bw_time now)
+{
+	return dispatch_is_allowed(job, target) && has_slot_(target, now) &&
+	       bw_time_reached(now, target->ejected_until) &&
+	       has_cold_token_(dispatch, target, now);
+}
+
+static bool has_slot_(const struct bw_target *target, struct bw_time now)
+{
+	double free_slots = (double)target->slots - (double)target->in_flight -
+			    others_(target, now);
+
+	return free_slots >= 0.5;
+}
+
+static double others_(const struct bw_target *target, struct bw_time now)
+{
+	double age_ms = (double)bw_time_diff_ms(now, target->reported);
+
+	if (age_ms <= 0.0)
+		return target->others;
+	return target->others * LOAD_FADE_MS / (LOAD_FADE_MS + age_ms);
+}
+
+/* The hosts that may use a cold server share what it bears. */
+static bool has_cold_token_(const struct bw_dispatch *dispatch,
+			    struct bw_target *target, struct bw_time now)
+{
+	double per_s = target->service->cold_requests_per_s * COLD_SHARE;
+	double age_s;
+
+	if (bw_time_reached(now, target->cold_until) || per_s <= 0.0)
+		return true;
+	per_s /= MAX(dispatch->cold_hosts_max, 1U);
+	age_s = (double)bw_time_diff_ms(now, target->cold_refilled) / 1000.0;
+	target->cold_refilled = now;
+	target->cold_tokens = MIN(1.0, target->cold_tokens + age_s * per_s);
+	return target->cold_tokens >= 1.0;
+}
+
+static bool choose_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		    enum bw_distance distance, struct bw_time now,
+		    struct candidate *best)
+{
+	const GPtrArray *targets = job->service->targets;
+	uint64_t first_weight = 0;
+	uint32_t i;
+
+	memset(best, 0, sizeof(*best));
+	for (i = 0; i < targets->len; i++) {
+		struct bw_target *target = targets->pdata[i];
+		uint64_t weight;
+
+		if (target->distance != distance)
+			continue;
+		weight = job->object ? weight_(job, target)
+				     : bw_random_next(&dispatch->random);
+		if (weight > first_weight)
+			first_weight = weight;
+		if (!is_usable_(dispatch, job, target, now))
+			continue;
+		if (best->target && weight <= best->weight)
+			continue;
+		best->target = target;
+		best->weight = weight;
+	}
+	if (!best->target)
+		return false;
+	best->warm = job->object &&
+		     (best->weight == first_weight ||
+		      is_warm_(dispatch, job, best->target, now));
+	best->expected_ms = estimate_ms_(best->target, best->warm);
+	return true;
+}
+
+static uint64_t weight_(const struct bw_job *job,
+			const struct bw_target *target)
+{
+	uint64_t pair[2] = { job->object, target->id_hash };
+
+	return XXH64(pair, sizeof(pair), 0);
+}
+
+static uint32_t *warm_entry_(const struct bw_dispatch *dispatch,
+			     const struct bw_job *job,
+			     const struct bw_target *target)
+{
+	uint64_t weight = weight_(job, target);
+
+	return &dispatch->warm_at[weight & (DISPATCH_WARM_ENTRIES - 1)];
+}
+
+static bool is_warm_(const struct bw_dispatch *dispatch,
+		     const struct bw_job *job, const struct bw_target *target,
+		     struct bw_time now)
+{
+	uint32_t at = *warm_entry_(dispatch, job, target);
+
+	return at && (uint32_t)now.ms - at < WARM_MS;
+}
+
+static double estimate_ms_(const struct bw_target *target, bool warm)
+{
+	const struct bw_dispatch_times *times =
+		&target->service->times[target->distance];
+	double base_ms = warm ? times->warm_ms : times->cold_ms;
+
+	return base_ms * target->slowness;
+}
+
+static void smooth_(double *value, double sample, double gain)
+{
+	*value += gain * (sample - *value);
+}
+
+static void learn_time_(struct bw_target *target, const struct bw_job *job,
+			double took_ms)
+{
+	struct bw_dispatch_times *times =
+		&target->service->times[target->distance];
+	double *known_ms = job->warm ? &times->warm_ms : &times->cold_ms;
+	double ratio;
+
+	if (*known_ms <= 0.0) {
+		*known_ms = took_ms;
+		return;
+	}
+	ratio = CLAMP(took_ms / *known_ms, SLOWNESS_MIN, SLOWNESS_MAX);
+	smooth_(&target->slowness, ratio, HEALTH_GAIN);
+	smooth_(known_ms, took_ms, TIME_GAIN);
+}
+
+static void learn_failure_(struct bw_target *target, struct bw_time now)
+{
+	uint32_t shift;
+	int64_t eject_ms;
+
+	target->failures_in_row++;
+	smooth_(&target->failures, 1.0, HEALTH_GAIN);
+	if (target->failures < FAILURES_MAX && target->failures_in_row < 2)
+		return;
+	shift = MIN(target->failures_in_row, 4U);
+	eject_ms = MIN((int64_t)EJECT_MS << shift, EJECT_MAX_MS);
+	target->ejected_until = bw_time_add(now, eject_ms);
+}
--- /dev/null
+++ b/src/libbwsteer/registry.c
@@ -0,0 +1,177 @@
+#include "bwsteer/registry.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static bool is_newer_(const struct bw_server_record *known,
+		      const struct bw_server_record *record);
+static bool differs_(const struct bw_server *server,
+		     const struct bw_server_record *record, struct bw_time now);
+
+const char *const bw_server_state_string[BW_SERVER_STATE_COUNT] = {
+	[BW_SERVER_READY] = "ready",
+	[BW_SERVER_DRAINING] = "draining",
+	[BW_SERVER_LEFT] = "left",
+};
+
+void bw_registry_init(struct bw_registry *registry)
+{
+	registry->servers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	registry->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	registry->generation = 0;
+}
+
+void bw_registry_finish(struct bw_registry *registry)
+{
+	if (!registry->servers)
+		return;
+	g_hash_table_destroy(registry->by_hash);
+	g_hash_table_destroy(registry->servers);
+	registry->servers = NULL;
+}
+
+enum bw_registry_outcome
+bw_registry_merge(struct bw_registry *registry,
+		  const struct bw_server_record *record, struct bw_time now,
+		  struct bw_server **server)
+{
+	struct bw_server *known =
+		g_hash_table_lookup(registry->servers, record->id);
+	enum bw_registry_outcome outcome = BW_REGISTRY_CHANGED;
+
+	if (!known) {
+		known = g_new0(struct bw_server, 1);
+		known->record = *record;
+		known->id_hash = bw_registry_hash(record->id);
+		g_hash_table_insert(registry->servers, known->record.id, known);
+		g_hash_table_insert(registry->by_hash, &known->id_hash, known);
+	} else if (!is_newer_(&known->record, record)) {
+		if (server)
+			*server = known;
+		return BW_REGISTRY_STALE;
+	} else if (!differs_(known, record, now)) {
+		outcome = BW_REGISTRY_ALIVE;
+	}
+	known->record = *record;
+	known->heard = now;
+	known->cold_until = bw_time_add(now, record->cold_ms);
+	if (outcome == BW_REGISTRY_CHANGED) {
+		known->changed = now;
+		registry->generation++;
+	}
+	if (server)
+		*server = known;
+	return outcome;
+}
+
+void bw_registry_touch(struct bw_registry *registry, uint64_t id_hash,
+		       uint64_t sequence, struct bw_time now)
+{
+	struct bw_server *server =
+		g_hash_table_lookup(registry->by_hash, &id_hash);
+
+	if (!server || sequence < server->record.sequence)
+		return;
+	server->record.sequence = sequence;
+	server->heard = now;
+}
+
+struct bw_server *bw_registry_find(const struct bw_registry *registry,
+				   const char *id)
+{
+	return g_hash_table_lookup(registry->servers, id);
+}
+
+uint32_t bw_registry_expire(struct bw_registry *registry, struct bw_time now,
+			    uint32_t silent_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, registry->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bw_server *server = value;
+
+		if (bw_time_diff_ms(now, server->heard) <= silent_ms)
+			continue;
+		g_hash_table_remove(registry->by_hash, &server->id_hash);
+		g_hash_table_iter_remove(&iter);
+		count++;
+	}
+	if (count)
+		registry->generation++;
+	return count;
+}
+
+uint64_t bw_registry_hash(const char *id)
+{
+	return XXH64(id, strlen(id), 0);
+}
+
+void bw_server_record_write(struct bw_writer *writer,
+			    const struct bw_server_record *record)
+{
+	bw_write_array(writer, 9);
+	bw_write_str(writer, record->id);
+	bw_write_str(writer, record->address);
+	bw_write_str(writer, record->service);
+	bw_write_str(writer, record->domain);
+	bw_write_uint(writer, record->slots);
+	bw_write_uint(writer, record->state);
+	bw_write_uint(writer, record->sequence);
+	bw_write_int(writer, record->started_wall_ms);
+	bw_write_uint(writer, record->cold_ms);
+}
+
+void bw_server_record_read(struct bw_reader *reader,
+			   struct bw_server_record *record)
+{
+	uint64_t state;
+
+	memset(record, 0, sizeof(*record));
+	bw_read_array(reader);
+	bw_read_text(reader, record->id, sizeof(record->id));
+	bw_read_text(reader, record->address, sizeof(record->address));
+	bw_read_text(reader, record->service, sizeof(record->service));
+	bw_read_text(reader, record->domain, sizeof(record->domain));
+	record->slots = (uint32_t)bw_read_uint(reader);
+	state = bw_read_uint(reader);
+	record->sequence = bw_read_uint(reader);
+	record->started_wall_ms = bw_read_int(reader);
+	record->cold_ms = (uint32_t)bw_read_uint(reader);
+	bw_read_end(reader);
+	if (state >= BW_SERVER_STATE_COUNT)
+		reader->failed = true;
+	else
+		record->state = (enum bw_server_state)state;
+}
+
+/* A start may be unknown (0) in a goodbye, which then belongs to any start. */
+static bool is_newer_(const struct bw_server_record *known,
+		      const struct bw_server_record *record)
+{
+	if (record->started_wall_ms != known->started_wall_ms &&
+	    record->started_wall_ms && known->started_wall_ms)
+		return record->started_wall_ms > known->started_wall_ms;
+	if (record->state == BW_SERVER_LEFT)
+		return known->state != BW_SERVER_LEFT;
+	if (known->state == BW_SERVER_LEFT)
+		return false;
+	return record->sequence > known->sequence;
+}
+
+static bool differs_(const struct bw_server *server,
+		     const struct bw_server_record *record, struct bw_time now)
+{
+	const struct bw_server_record *known = &server->record;
+	bool was_cold = !bw_time_reached(now, server->cold_until);
+
+	return record->state != known->state || record->slots != known->slots ||
+	       record->started_wall_ms != known->started_wall_ms ||
+	       (record->cold_ms > 0) != was_cold ||
+	       strcmp(record->address, known->address) != 0 ||
+	       strcmp(record->service, known->service) != 0 ||
+	       strcmp(record->domain, known->domain) != 0;
+}
