Send objects to their home servers, and bound moves between regions

A request now waits for the server where its object is warm unless another server has a third of its slots free. Overloaded servers give up objects by a share that all hosts apply to the same hash. The share of requests in another region grows by a bounded step in each window.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -66,6 +66,9 @@
 	uint32_t region; /**< index of its region; see bw_job.regions */
 	uint32_t slots;
 	uint32_t in_flight; /**< requests of this host */
+	uint32_t waiting; /**< jobs in the queue that are placed there */
+	double share; /**< part of the objects that it takes, 0 to 1 */
+	struct bw_time share_at; /**< last change of share */
 	double others; /**< smoothed requests of other hosts, as reported */
 	struct bw_time reported;
 	double slowness; /**< smoothed response time over the expected one */
@@ -106,6 +109,7 @@
 	uint64_t tried[BW_JOB_TRIED_MAX]; /**< id hashes to avoid */
 	uint32_t tried_count;
 	bool queued;
+	struct bw_target *home; /**< where its object belongs; may be NULL */
 	struct bw_target *target; /**< set while it is in flight */
 	struct bw_time sent;
 	bool warm; /**< the object was expected to be warm */
@@ -141,6 +145,15 @@
 	uint32_t retry_after_ms; /**< when there may be room */
 };
 
+/** Most regions; the last index stands for unknown ones. */
+#define BW_REGIONS_MAX 32
+
+/** Requests that run in one region. */
+struct bw_region_use {
+	uint32_t count; /**< in the present window */
+	double share; /**< in the window before */
+};
+
 /** State of the module. */
 struct bw_dispatch {
 	GHashTable *services; /**< name -> struct bw_dispatch_service */
@@ -148,6 +161,12 @@
 	uint32_t *warm_at; /**< time of the last use, by object and server */
 	struct bw_random random;
 	uint32_t host_count; /**< entry hosts that share the servers */
+	uint32_t own_region; /**< index of the region of this host */
+	struct bw_region_use regions[BW_REGIONS_MAX];
+	double region_step_max; /**< most that a share moves in one window */
+	uint32_t region_window_ms;
+	struct bw_time region_window_at;
+	uint32_t region_total; /**< requests of the present window */
 	uint32_t cold_hosts_max;
 };
 
@@ -178,8 +197,11 @@
 			const struct bw_target_update *update,
 			struct bw_time now);
 
-/** Ends an update; servers that were not named are removed. */
-void bw_dispatch_end_update(struct bw_dispatch *dispatch);
+/**
+ * Ends an update; servers that were not named are removed, and the others
+ * take more or fewer objects as their load says.
+ */
+void bw_dispatch_end_update(struct bw_dispatch *dispatch, struct bw_time now);
 
 /**
  * Places a new job, or one that was refused elsewhere.
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -42,6 +42,9 @@
 /** Entry hosts that may use one cold backend server. */
 #define COLD_HOSTS_MAX 4
 
+/** Window in which the move of requests between regions is bounded. */
+#define REGION_WINDOW_MS 2000
+
 /** Part of the fleet's retry budget that the hosts use together. */
 #define RETRY_SHARE 0.6
 
@@ -103,6 +106,10 @@
 	entry->entry_count = 1;
 	entry->update_due = true;
 	bw_dispatch_init(&entry->dispatch, bw_random_next(&node->random));
+	entry->dispatch.own_region =
+		gate_node_region_index(node, node->settings.region);
+	entry->dispatch.region_step_max = node->settings.region_step_max;
+	entry->dispatch.region_window_ms = REGION_WINDOW_MS;
 	open_metrics_(entry);
 	pool.limits.head_max_bytes = HEAD_MAX_BYTES;
 	pool.limits.body_max_bytes = BODY_MAX_BYTES;
@@ -483,7 +490,7 @@
 	g_hash_table_iter_init(&iter, node->registry.servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		update_target_(entry, value, any_control, now);
-	bw_dispatch_end_update(&entry->dispatch);
+	bw_dispatch_end_update(&entry->dispatch, now);
 }
 
 static void update_target_(struct gate_entry *entry,
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -7,7 +7,7 @@
 #include "platform.h"
 
 /** Reserve for the way of an answer back to the client. */
-#define ANSWER_RESERVE_MS 10
+#define ANSWER_RESERVE_MS 25
 
 /** Least time for which a request is sent once more. */
 #define RETRY_LEFT_MS 30
--- a/src/boragewingd/gate_settings.h
+++ b/src/boragewingd/gate_settings.h
@@ -51,6 +51,8 @@
 	uint32_t grace_ms; /**< from SIGTERM to SIGKILL */
 	uint32_t drain_ms; /**< after which a leaving server gets no work */
 	uint32_t apply_ms; /**< after which a configuration is in force */
+	double region_step_max; /**< most of a region's requests that move to
+				   another one within two seconds; 0: any */
 	double retry_ratio; /**< retries per request, over all hosts */
 	uint32_t retry_window_ms;
 	uint32_t retry_extra; /**< retries beside the ratio, a window */
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -26,6 +26,8 @@
 			   struct bw_target *target);
 static void insert_(struct bw_job *job);
 static bool goes_before_(const struct bw_job *a, const struct bw_job *b);
+static void release_home_(struct bw_job *job);
+static double wait_ms_(const struct bw_job *job);
 static double expected_wait_ms_(const struct bw_dispatch_service *service,
 				uint32_t ahead);
 static void reject_(struct bw_dispatch *dispatch, const struct bw_job *job,
@@ -125,6 +127,8 @@
 		target = g_new0(struct bw_target, 1);
 		target->id_hash = server->id_hash;
 		target->slowness = 1.0;
+		target->share = 1.0;
+		target->share_at = now;
 		target->started_wall_ms = server->record.started_wall_ms;
 		target->cold_refilled = now;
 		g_strlcpy(target->id, server->record.id, sizeof(target->id));
@@ -146,7 +150,7 @@
 			   bw_time_reached(now, server->cold_until));
 }
 
-void bw_dispatch_end_update(struct bw_dispatch *dispatch)
+void bw_dispatch_end_update(struct bw_dispatch *dispatch, struct bw_time now)
 {
 	GList *all = g_hash_table_get_values(dispatch->targets);
 	GList *item;
@@ -156,6 +160,8 @@
 
 		if (!target->present)
 			remove_target_(dispatch, target);
+		else
+			dispatch_adapt(dispatch, target, now);
 	}
 	g_list_free(all);
 }
@@ -164,19 +170,20 @@
 				  struct bw_job *job, struct bw_time now,
 				  struct bw_rejection *rejection)
 {
-	uint32_t ahead;
 	double left_ms;
+	double wait_ms;
 
 	if (!any_target_(job)) {
 		reject_(dispatch, job, BW_REJECT_NO_SERVER, rejection);
 		return BW_VERDICT_REJECT;
 	}
-	ahead = ahead_of_(job);
-	if (!ahead && dispatch_place(dispatch, job, now))
+	dispatch_find_home(dispatch, job, now);
+	if (!ahead_of_(job) && dispatch_place(dispatch, job, now))
 		return BW_VERDICT_SEND;
 	left_ms = (double)bw_time_diff_ms(job->deadline, now) -
 		  dispatch_expected_ms(job->service);
-	if (expected_wait_ms_(job->service, ahead + 1) > WAIT_SHARE * left_ms) {
+	wait_ms = wait_ms_(job);
+	if (wait_ms > WAIT_SHARE * left_ms) {
 		reject_(dispatch, job, BW_REJECT_OVERLOAD, rejection);
 		return BW_VERDICT_REJECT;
 	}
@@ -220,6 +227,7 @@
 	if (!bw_time_reached(now, target->cold_until))
 		target->cold_tokens -= 1.0;
 	dispatch_remember(dispatch, job, now);
+	dispatch_region_count(dispatch, target->region, now);
 }
 
 void bw_dispatch_ended(struct bw_dispatch *dispatch, struct bw_job *job,
@@ -243,9 +251,11 @@
 void bw_dispatch_remove(struct bw_dispatch *dispatch, struct bw_job *job)
 {
 	(void)dispatch;
-	if (job->queued)
-		g_queue_remove(&job->service->waiting, job);
+	if (!job->queued)
+		return;
+	g_queue_remove(&job->service->waiting, job);
 	job->queued = false;
+	release_home_(job);
 }
 
 uint64_t bw_dispatch_object(const char *service, const char *key)
@@ -335,6 +345,10 @@
 		item = item->prev;
 	g_queue_insert_after(waiting, item, job);
 	job->queued = true;
+	if (job->home) {
+		job->home->waiting++;
+		job->home->references++;
+	}
 }
 
 static bool goes_before_(const struct bw_job *a, const struct bw_job *b)
@@ -344,6 +358,26 @@
 	return a->arrived.ms < b->arrived.ms;
 }
 
+/* A waiting job keeps its home, even after that server was removed. */
+static void release_home_(struct bw_job *job)
+{
+	struct bw_target *home = job->home;
+
+	job->home = NULL;
+	if (!home)
+		return;
+	home->waiting--;
+	if (!--home->references && home->removed)
+		free_target_(home);
+}
+
+static double wait_ms_(const struct bw_job *job)
+{
+	if (job->home)
+		return dispatch_wait_ms(job->home, job->home->waiting + 1);
+	return expected_wait_ms_(job->service, ahead_of_(job) + 1);
+}
+
 /* Without completions so far the queue is allowed to build up. */
 static double expected_wait_ms_(const struct bw_dispatch_service *service,
 				uint32_t ahead)
@@ -356,8 +390,7 @@
 static void reject_(struct bw_dispatch *dispatch, const struct bw_job *job,
 		    enum bw_reject reason, struct bw_rejection *rejection)
 {
-	double wait_ms = expected_wait_ms_(job->service,
-					   job->service->waiting.length + 1);
+	double wait_ms = wait_ms_(job);
 	/* Returns are spread, so that they do not form a new burst. */
 	double spread = 0.5 + bw_random_unit(&dispatch->random);
 
@@ -385,7 +418,9 @@
 	uint32_t count = 0;
 
 	for (item = job->service->waiting.head; item; item = item->next) {
-		if (goes_before_(item->data, job))
+		const struct bw_job *other = item->data;
+
+		if (goes_before_(other, job) && other->home == job->home)
 			count++;
 	}
 	return count;
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -28,23 +28,56 @@
 /** Share of the bound of a cold server that all hosts together use. */
 #define COLD_SHARE 0.8
 
-/** Candidate of a placement. */
-struct candidate {
-	struct bw_target *target;
-	uint64_t weight; /**< rendezvous weight of the object */
-	double expected_ms;
-	bool warm;
+/** Part of a server's slots that is free when it takes objects of others. */
+#define SPARE_SHARE 0.34
+
+/** Load above which a server gives up objects, and below which it takes more.
+ */
+#define LOAD_HIGH 1.0
+#define LOAD_LOW 0.75
+
+/** Change of the share of objects in one second. */
+#define SHARE_STEP_PER_S 0.08
+
+/** Bounds of the share; a server always keeps some objects. */
+#define SHARE_MIN 0.1
+#define SHARE_MAX 1.0
+
+/** Slowness above which a server takes fewer objects. */
+#define SLOWNESS_TOLERATED 1.6
+
+/** Servers that are weighed for one object. */
+#define CANDIDATES_MAX 3
+
+/** Servers that an object may use, best first. */
+struct candidates {
+	struct bw_target *target[CANDIDATES_MAX];
+	uint32_t count;
 };
 
-static bool is_usable_(struct bw_dispatch *dispatch, const struct bw_job *job,
-		       struct bw_target *target, struct bw_time now);
+static bool place_object_(struct bw_dispatch *dispatch, struct bw_job *job,
+			  struct bw_time now);
+static bool place_anywhere_(struct bw_dispatch *dispatch, struct bw_job *job,
+			    struct bw_time now);
+static void find_candidates_(struct bw_dispatch *dispatch,
+			     const struct bw_job *job, struct bw_time now,
+			     struct candidates *found);
+static void add_by_weight_(struct bw_dispatch *dispatch,
+			   const struct bw_job *job, enum bw_distance distance,
+			   bool any_share, struct bw_time now,
+			   struct candidates *found);
+static bool takes_object_(const struct bw_job *job,
+			  const struct bw_target *target);
+static bool is_sound_(const struct bw_job *job, const struct bw_target *target,
+		      struct bw_time now);
+static void set_target_(struct bw_dispatch *dispatch, struct bw_job *job,
+			struct bw_target *target, struct bw_time now);
+static double load_(const struct bw_target *target, struct bw_time now);
+static double free_slots_(const struct bw_target *target, struct bw_time now);
 static bool has_slot_(const struct bw_target *target, struct bw_time now);
 static double others_(const struct bw_target *target, struct bw_time now);
 static bool has_cold_token_(const struct bw_dispatch *dispatch,
 			    struct bw_target *target, struct bw_time now);
-static bool choose_(struct bw_dispatch *dispatch, const struct bw_job *job,
-		    enum bw_distance distance, struct bw_time now,
-		    struct candidate *best);
 static uint64_t weight_(const struct bw_job *job,
 			const struct bw_target *target);
 static uint32_t *warm_entry_(const struct bw_dispatch *dispatch,
@@ -62,27 +95,48 @@
 bool dispatch_place(struct bw_dispatch *dispatch, struct bw_job *job,
 		    struct bw_time now)
 {
-	struct candidate best = { .target = NULL };
-	struct candidate candidate;
-	double left_ms = (double)bw_time_diff_ms(job->objective, now);
-	int distance;
+	if (job->object)
+		return place_object_(dispatch, job, now);
+	return place_anywhere_(dispatch, job, now);
+}
 
-	/* The nearest place that is on time, else the earliest one. */
-	for (distance = 0; distance < BW_DISTANCE_COUNT; distance++) {
-		if (!choose_(dispatch, job, (enum bw_distance)distance, now,
-			     &candidate))
-			continue;
-		if (!best.target || candidate.expected_ms < best.expected_ms)
-			best = candidate;
-		if (candidate.expected_ms <= left_ms)
-			break;
-	}
-	if (!best.target)
-		return false;
-	job->target = best.target;
-	job->warm = best.warm;
-	job->expected_ms = best.expected_ms;
-	return true;
+void dispatch_find_home(struct bw_dispatch *dispatch, struct bw_job *job,
+			struct bw_time now)
+{
+	struct candidates found;
+
+	job->home = NULL;
+	if (!job->object)
+		return;
+	find_candidates_(dispatch, job, now, &found);
+	if (found.count)
+		job->home = found.target[0];
+}
+
+double dispatch_wait_ms(const struct bw_target *target, uint32_t ahead)
+{
+	double work_ms = target->service->times[target->distance].warm_ms;
+
+	if (work_ms <= 0.0)
+		work_ms = target->service->times[target->distance].cold_ms;
+	return work_ms * target->slowness * ahead / MAX(target->in_flight, 1U);
+}
+
+void dispatch_adapt(struct bw_dispatch *dispatch, struct bw_target *target,
+		    struct bw_time now)
+{
+	double load = load_(target, now) +
+		      (double)target->waiting / MAX(target->slots, 1U);
+	double age_s = (double)bw_time_diff_ms(now, target->share_at) / 1000.0;
+	double step = SHARE_STEP_PER_S * MIN(age_s, 1.0);
+
+	(void)dispatch;
+	target->share_at = now;
+	if (load > LOAD_HIGH)
+		target->share -= step;
+	else if (load < LOAD_LOW)
+		target->share += step;
+	target->share = CLAMP(target->share, SHARE_MIN, SHARE_MAX);
 }
 
 bool dispatch_is_allowed(const struct bw_job *job,
@@ -178,20 +232,158 @@
 	}
 }
 
-static bool is_usable_(struct bw_dispatch *dispatch, const struct bw_job *job,
-		       struct bw_target *target, struct bw_time now)
+/*
+ * An object runs where it is warm. It waits for its home rather than take a
+ * slot elsewhere, unless that server has slots to spare: a cold run takes
+ * several times as long, and removes another object from the server's memory.
+ */
+static bool place_object_(struct bw_dispatch *dispatch, struct bw_job *job,
+			  struct bw_time now)
 {
-	return dispatch_is_allowed(job, target) && has_slot_(target, now) &&
-	       bw_time_reached(now, target->ejected_until) &&
-	       has_cold_token_(dispatch, target, now);
+	struct candidates found;
+	uint32_t i;
+
+	find_candidates_(dispatch, job, now, &found);
+	for (i = 0; i < found.count; i++) {
+		struct bw_target *target = found.target[i];
+		bool spare = free_slots_(target, now) >
+			     SPARE_SHARE * target->slots;
+
+		if (!has_slot_(target, now) ||
+		    !has_cold_token_(dispatch, target, now) ||
+		    !dispatch_region_allowed(dispatch, target->region, now))
+			continue;
+		if (i && !spare && !is_warm_(dispatch, job, target, now))
+			continue;
+		set_target_(dispatch, job, target, now);
+		return true;
+	}
+	return false;
 }
 
-static bool has_slot_(const struct bw_target *target, struct bw_time now)
+/* Without an object: the nearest place, and there the least loaded server. */
+static bool place_anywhere_(struct bw_dispatch *dispatch, struct bw_job *job,
+			    struct bw_time now)
+{
+	const GPtrArray *targets = job->service->targets;
+	struct bw_target *best = NULL;
+	double best_cost = 0.0;
+	uint32_t i;
+
+	for (i = 0; i < targets->len; i++) {
+		struct bw_target *target = targets->pdata[i];
+		double cost = load_(target, now) * target->slowness +
+			      (double)target->distance;
+
+		if (!is_sound_(job, target, now) || !has_slot_(target, now) ||
+		    !has_cold_token_(dispatch, target, now) ||
+		    !dispatch_region_allowed(dispatch, target->region, now))
+			continue;
+		if (best && cost >= best_cost)
+			continue;
+		best = target;
+		best_cost = cost;
+	}
+	if (!best)
+		return false;
+	set_target_(dispatch, job, best, now);
+	return true;
+}
+
+static void find_candidates_(struct bw_dispatch *dispatch,
+			     const struct bw_job *job, struct bw_time now,
+			     struct candidates *found)
 {
-	double free_slots = (double)target->slots - (double)target->in_flight -
-			    others_(target, now);
+	int distance;
 
-	return free_slots >= 0.5;
+	found->count = 0;
+	for (distance = 0; distance < BW_DISTANCE_COUNT; distance++)
+		add_by_weight_(dispatch, job, (enum bw_distance)distance, false,
+			       now, found);
+	/* When every server has given the object up, the nearest keeps it. */
+	for (distance = 0; distance < BW_DISTANCE_COUNT && !found->count;
+	     distance++)
+		add_by_weight_(dispatch, job, (enum bw_distance)distance, true,
+			       now, found);
+}
+
+/* Adds the servers of one distance in the order of their weights. */
+static void add_by_weight_(struct bw_dispatch *dispatch,
+			   const struct bw_job *job, enum bw_distance distance,
+			   bool any_share, struct bw_time now,
+			   struct candidates *found)
+{
+	const GPtrArray *targets = job->service->targets;
+	uint32_t first = found->count;
+	uint32_t i;
+
+	(void)dispatch;
+	for (i = 0; i < targets->len; i++) {
+		struct bw_target *target = targets->pdata[i];
+		uint64_t weight;
+		uint32_t at;
+
+		if (target->distance != distance ||
+		    !is_sound_(job, target, now) ||
+		    (!any_share && !takes_object_(job, target)))
+			continue;
+		weight = weight_(job, target);
+		at = found->count;
+		while (at > first &&
+		       weight > weight_(job, found->target[at - 1]))
+			at--;
+		if (at >= CANDIDATES_MAX)
+			continue;
+		if (found->count < CANDIDATES_MAX)
+			found->count++;
+		memmove(&found->target[at + 1], &found->target[at],
+			(found->count - 1 - at) * sizeof(found->target[0]));
+		found->target[at] = target;
+	}
+}
+
+/* Every host gives up the same objects first, so that they stay together. */
+static bool takes_object_(const struct bw_job *job,
+			  const struct bw_target *target)
+{
+	double point = (double)(uint32_t)weight_(job, target) / UINT32_MAX;
+	double share = target->share;
+
+	if (target->slowness > SLOWNESS_TOLERATED)
+		share *= SLOWNESS_TOLERATED / target->slowness;
+	return point <= share;
+}
+
+static bool is_sound_(const struct bw_job *job, const struct bw_target *target,
+		      struct bw_time now)
+{
+	return dispatch_is_allowed(job, target) &&
+	       bw_time_reached(now, target->ejected_until);
+}
+
+static void set_target_(struct bw_dispatch *dispatch, struct bw_job *job,
+			struct bw_target *target, struct bw_time now)
+{
+	job->target = target;
+	job->warm = job->object && is_warm_(dispatch, job, target, now);
+	job->expected_ms = estimate_ms_(target, job->warm);
+}
+
+static double load_(const struct bw_target *target, struct bw_time now)
+{
+	return ((double)target->in_flight + others_(target, now)) /
+	       MAX(target->slots, 1U);
+}
+
+static double free_slots_(const struct bw_target *target, struct bw_time now)
+{
+	return (double)target->slots - (double)target->in_flight -
+	       others_(target, now);
+}
+
+static bool has_slot_(const struct bw_target *target, struct bw_time now)
+{
+	return free_slots_(target, now) >= 0.5;
 }
 
 static double others_(const struct bw_target *target, struct bw_time now)
@@ -219,41 +411,6 @@
 	return target->cold_tokens >= 1.0;
 }
 
-static bool choose_(struct bw_dispatch *dispatch, const struct bw_job *job,
-		    enum bw_distance distance, struct bw_time now,
-		    struct candidate *best)
-{
-	const GPtrArray *targets = job->service->targets;
-	uint64_t first_weight = 0;
-	uint32_t i;
-
-	memset(best, 0, sizeof(*best));
-	for (i = 0; i < targets->len; i++) {
-		struct bw_target *target = targets->pdata[i];
-		uint64_t weight;
-
-		if (target->distance != distance)
-			continue;
-		weight = job->object ? weight_(job, target)
-				     : bw_random_next(&dispatch->random);
-		if (weight > first_weight)
-			first_weight = weight;
-		if (!is_usable_(dispatch, job, target, now))
-			continue;
-		if (best->target && weight <= best->weight)
-			continue;
-		best->target = target;
-		best->weight = weight;
-	}
-	if (!best->target)
-		return false;
-	best->warm = job->object &&
-		     (best->weight == first_weight ||
-		      is_warm_(dispatch, job, best->target, now));
-	best->expected_ms = estimate_ms_(best->target, best->warm);
-	return true;
-}
-
 static uint64_t weight_(const struct bw_job *job,
 			const struct bw_target *target)
 {
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -17,6 +17,28 @@
 bool dispatch_place(struct bw_dispatch *dispatch, struct bw_job *job,
 		    struct bw_time now);
 
+/** Sets job->home to the server to which the object of a job belongs. */
+void dispatch_find_home(struct bw_dispatch *dispatch, struct bw_job *job,
+			struct bw_time now);
+
+/** Returns the wait for a server behind some jobs of this host. */
+double dispatch_wait_ms(const struct bw_target *target, uint32_t ahead);
+
+/** Moves the share of objects that a server takes towards its load. */
+void dispatch_adapt(struct bw_dispatch *dispatch, struct bw_target *target,
+		    struct bw_time now);
+
+/**
+ * Returns whether one more request may run in a region: the share of a region
+ * grows by a bounded step from one window to the next.
+ */
+bool dispatch_region_allowed(struct bw_dispatch *dispatch, uint32_t region,
+			     struct bw_time now);
+
+/** Counts a request that runs in a region. */
+void dispatch_region_count(struct bw_dispatch *dispatch, uint32_t region,
+			   struct bw_time now);
+
 /** Returns whether a server may get a job, regardless of its load. */
 bool dispatch_is_allowed(const struct bw_job *job,
 			 const struct bw_target *target);
