Log the load of each service

Every four seconds an entry host logs what its dispatcher believes of each service: queue, servers in use, smoothed times of warm and cold objects.

--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -45,6 +45,9 @@
 /** Window in which the move of requests between regions is bounded. */
 #define REGION_WINDOW_MS 2000
 
+/** Interval of the lines on the load of each service. */
+#define REPORT_INTERVAL_MS 4000
+
 /** Part of the fleet's retry budget that the hosts use together. */
 #define RETRY_SHARE 0.6
 
@@ -77,6 +80,7 @@
 			   const struct bw_server *server);
 static bool is_evacuated_(const struct gate_entry *entry, const char *domain);
 static void refill_retries_(struct gate_entry *entry, struct bw_time now);
+static void report_load_(struct gate_entry *entry, struct bw_time now);
 
 const char *const gate_end_string[GATE_END_COUNT] = {
 	[GATE_END_ANSWERED] = "answered", [GATE_END_REJECTED] = "rejected",
@@ -194,6 +198,8 @@
 	    bw_time_reached(now, entry->next_update))
 		update_targets_(entry, now);
 	refill_retries_(entry, now);
+	if (bw_time_reached(now, entry->next_report))
+		report_load_(entry, now);
 	gate_request_run_queue(entry);
 }
 
@@ -569,3 +575,41 @@
 	entry->retry_tokens += share * age_ms / settings->retry_window_ms;
 	entry->retry_tokens = MIN(entry->retry_tokens, MAX(share, 1.0));
 }
+
+/* What the dispatcher believes, for those who read the log later. */
+static void report_load_(struct gate_entry *entry, struct bw_time now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+
+	entry->next_report = bw_time_add(now, REPORT_INTERVAL_MS);
+	g_hash_table_iter_init(&iter, entry->dispatch.services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct bw_dispatch_service *service = value;
+		uint32_t accepting = 0;
+		double share = 0.0;
+
+		for (i = 0; i < service->targets->len; i++) {
+			const struct bw_target *target =
+				service->targets->pdata[i];
+
+			accepting += target->accepts;
+			share += target->share;
+		}
+		bw_log_event(entry->node->log, BW_LOG_INFO, "dispatch", "load",
+			     "{s:s,s:i,s:i,s:i,s:i,s:f,s:f,s:f,s:f,s:f}",
+			     "service", service->name, "waiting",
+			     (int)service->waiting.length, "in_flight",
+			     (int)service->in_flight, "servers",
+			     (int)service->targets->len, "accepting",
+			     (int)accepting, "shares", share, "near_warm_ms",
+			     service->times[BW_DISTANCE_DOMAIN].warm_ms,
+			     "near_cold_ms",
+			     service->times[BW_DISTANCE_DOMAIN].cold_ms,
+			     "far_warm_ms",
+			     service->times[BW_DISTANCE_FAR].warm_ms,
+			     "far_cold_ms",
+			     service->times[BW_DISTANCE_FAR].cold_ms);
+	}
+}
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -49,6 +49,7 @@
 	struct bw_time started;
 	struct bw_time next_hello;
 	struct bw_time next_update;
+	struct bw_time next_report;
 	struct gate_request *requests; /**< linked list */
 	uint32_t request_count;
 	struct bw_metric *ends[GATE_END_COUNT];
