Spread demand over failure domains by the same plan on all hosts

Entry hosts report their demand by service, control hosts pass on the sums, and every entry host works out the same spread: own domain, own region, then the rest, in proportion to room. Objects follow by weighted rendezvous hashing, in bounded steps, with a correction by observed load. Before, each host moved objects by the load that it saw, and a load above the bound everywhere made every server give up objects at once.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -21,6 +21,7 @@
 #include "bwbase/random.h"
 #include "bwsteer/registry.h"
 #include "bwsteer/routing.h"
+#include "bwsteer/spread.h"
 
 /** Most backend servers that one request excludes. */
 #define BW_JOB_TRIED_MAX 4
@@ -52,6 +53,10 @@
 	struct bw_time rate_at;
 	uint32_t rate_count; /**< completions since rate_at */
 	uint32_t in_flight;
+	double arrivals_per_s; /**< at this host, smoothed */
+	uint32_t arrival_count; /**< since arrivals_at */
+	struct bw_time arrivals_at;
+	double demand_per_s[BW_SPREAD_DOMAINS_MAX]; /**< by domain, reported */
 	double cold_requests_per_s; /**< that a cold server bears */
 };
 
@@ -67,8 +72,11 @@
 	uint32_t slots;
 	uint32_t in_flight; /**< requests of this host */
 	uint32_t waiting; /**< jobs in the queue that are placed there */
-	double share; /**< part of the objects that it takes, 0 to 1 */
-	struct bw_time share_at; /**< last change of share */
+	double part; /**< of the requests of this host's domain, planned */
+	double planned; /**< part towards which it moves */
+	double correction; /**< of the part, by the load that it shows */
+	struct bw_time adapted; /**< last change of part and correction */
+	uint32_t place; /**< index of its failure domain */
 	double others; /**< smoothed requests of other hosts, as reported */
 	struct bw_time reported;
 	double slowness; /**< smoothed response time over the expected one */
@@ -161,6 +169,9 @@
 	uint32_t *warm_at; /**< time of the last use, by object and server */
 	struct bw_random random;
 	uint32_t host_count; /**< entry hosts that share the servers */
+	uint32_t own_place; /**< index of the failure domain of this host */
+	uint32_t place_count;
+	uint32_t place_region[BW_SPREAD_DOMAINS_MAX];
 	uint32_t own_region; /**< index of the region of this host */
 	struct bw_region_use regions[BW_REGIONS_MAX];
 	double region_step_max; /**< most that a share moves in one window */
@@ -175,6 +186,7 @@
 	const struct bw_server *server;
 	enum bw_distance distance;
 	uint32_t region;
+	uint32_t place; /**< index of its failure domain */
 	bool accepts;
 	bool cold_allowed; /**< this host may use the server while it is cold */
 };
@@ -185,6 +197,10 @@
 /** Frees the module. No job may be queued or in flight. */
 void bw_dispatch_finish(struct bw_dispatch *dispatch);
 
+/** Returns the smoothed rate of requests for a service at this host. */
+double bw_dispatch_arrivals_per_s(struct bw_dispatch_service *service,
+				  struct bw_time now);
+
 /** Finds or adds a service. */
 struct bw_dispatch_service *bw_dispatch_service(struct bw_dispatch *dispatch,
 						const char *name);
@@ -198,8 +214,8 @@
 			struct bw_time now);
 
 /**
- * Ends an update; servers that were not named are removed, and the others
- * take more or fewer objects as their load says.
+ * Ends an update; servers that were not named are removed. The parts of the
+ * others move towards the spread of the demand over all failure domains.
  */
 void bw_dispatch_end_update(struct bw_dispatch *dispatch, struct bw_time now);
 
--- a/src/boragewingd/gate_control_private.h
+++ b/src/boragewingd/gate_control_private.h
@@ -7,6 +7,9 @@
 
 #include "gate_control.h"
 
+/** Most services whose demand is summed up. */
+#define GATE_SERVICES_MAX 32
+
 /** An entry host as this control host knows it. */
 struct gate_entry_host {
 	char name[BW_NAME_MAX]; /**< its entry address */
@@ -15,6 +18,8 @@
 	enum gate_host_state state;
 	uint64_t incarnation;
 	struct bw_time heard;
+	struct gate_demand demands[GATE_SERVICES_MAX];
+	uint32_t demand_count;
 };
 
 /** What a waiting call waits for. */
--- a/src/boragewingd/gate_control_talk.c
+++ b/src/boragewingd/gate_control_talk.c
@@ -19,13 +19,17 @@
 			    struct bw_time now);
 static void forget_entries_(struct gate_control *control, struct bw_time now);
 static uint32_t place_of_(const struct gate_control *control, const char *name);
+static void sum_demands_(const struct gate_control *control,
+			 struct gate_status *status);
+static void add_demand_(struct gate_status *status, const char *domain,
+			const struct gate_demand *demand);
 
 void gate_control_message(struct gate_control *control,
 			  const struct bw_packet *packet, struct bw_time now)
 {
 	static struct gate_servers servers;
 	static struct gate_status status;
-	struct gate_hello hello;
+	static struct gate_hello hello;
 	struct bw_reader reader;
 	uint32_t i;
 	int type;
@@ -100,6 +104,10 @@
 	entry->state = hello->state;
 	entry->incarnation = packet->incarnation;
 	entry->heard = now;
+	entry->demand_count =
+		MIN(hello->demand_count, (uint32_t)GATE_SERVICES_MAX);
+	memcpy(entry->demands, hello->demands,
+	       entry->demand_count * sizeof(entry->demands[0]));
 	if (fresh)
 		send_table_(control, packet->peer);
 	gate_control_send_status(control, entry);
@@ -147,6 +155,7 @@
 	}
 	status.entry_count = g_hash_table_size(control->entries);
 	status.entry_place = place_of_(control, entry->name);
+	sum_demands_(control, &status);
 	gate_status_write(gate_node_frame(node), &status);
 	gate_node_send(node, entry->name);
 }
@@ -165,8 +174,9 @@
 {
 	struct gate_node *node = control->node;
 	const struct bw_state *state = bw_replica_state(control->replica);
-	struct gate_hello hello = { .control = true };
+	static struct gate_hello hello;
 
+	hello.control = true;
 	hello.state = node->stopping ? GATE_HOST_LEAVING : GATE_HOST_READY;
 	bw_name_set(hello.domain, node->settings.domain);
 	bw_name_set(hello.region, node->settings.region);
@@ -375,3 +385,40 @@
 	}
 	return place;
 }
+
+static void sum_demands_(const struct gate_control *control,
+			 struct gate_status *status)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+
+	g_hash_table_iter_init(&iter, control->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gate_entry_host *entry = value;
+
+		for (i = 0; i < entry->demand_count; i++)
+			add_demand_(status, entry->domain, &entry->demands[i]);
+	}
+}
+
+static void add_demand_(struct gate_status *status, const char *domain,
+			const struct gate_demand *demand)
+{
+	struct gate_demand *sum;
+	uint32_t i;
+
+	for (i = 0; i < status->demand_count; i++) {
+		sum = &status->demands[i];
+		if (sum->service_hash == demand->service_hash &&
+		    !strcmp(sum->domain, domain)) {
+			sum->per_s_milli += demand->per_s_milli;
+			return;
+		}
+	}
+	if (status->demand_count == GATE_DEMANDS_MAX)
+		return;
+	sum = &status->demands[status->demand_count++];
+	*sum = *demand;
+	bw_name_set(sum->domain, domain);
+}
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -81,6 +81,11 @@
 static bool is_evacuated_(const struct gate_entry *entry, const char *domain);
 static void refill_retries_(struct gate_entry *entry, struct bw_time now);
 static void report_load_(struct gate_entry *entry, struct bw_time now);
+static void set_places_(struct gate_entry *entry);
+static void handle_demands_(struct gate_entry *entry,
+			    const struct gate_status *status);
+static void fill_demands_(struct gate_entry *entry, struct gate_hello *hello,
+			  struct bw_time now);
 
 const char *const gate_end_string[GATE_END_COUNT] = {
 	[GATE_END_ANSWERED] = "answered", [GATE_END_REJECTED] = "rejected",
@@ -110,6 +115,7 @@
 	entry->entry_count = 1;
 	entry->update_due = true;
 	bw_dispatch_init(&entry->dispatch, bw_random_next(&node->random));
+	set_places_(entry);
 	entry->dispatch.own_region =
 		gate_node_region_index(node, node->settings.region);
 	entry->dispatch.region_step_max = node->settings.region_step_max;
@@ -361,10 +367,10 @@
 static void say_hello_(struct gate_entry *entry, struct bw_time now)
 {
 	struct gate_node *node = entry->node;
-	struct gate_hello hello = { .control = false };
+	static struct gate_hello hello;
 	uint32_t i;
 
-	(void)now;
+	fill_demands_(entry, &hello, now);
 	if (node->stopping)
 		hello.state = GATE_HOST_LEAVING;
 	else
@@ -391,6 +397,7 @@
 		entry->entry_count = status->entry_count;
 		entry->entry_place = status->entry_place;
 	}
+	handle_demands_(entry, status);
 	if (!status->current)
 		return;
 	if (status->evacuation_index > entry->evacuation_index) {
@@ -520,6 +527,9 @@
 	else
 		update.distance = BW_DISTANCE_FAR;
 	update.region = gate_node_region_index(node, region);
+	update.place = gate_node_place_index(node, server->record.domain);
+	if (update.place >= settings->place_count)
+		return;
 	/* A host that hears no control host goes on with what it knows. */
 	update.accepts = server->record.state == BW_SERVER_READY &&
 			 (!any_control ||
@@ -595,21 +605,82 @@
 				service->targets->pdata[i];
 
 			accepting += target->accepts;
-			share += target->share;
+			share += target->part * target->correction;
+		}
+		bw_log_event(
+			entry->node->log, BW_LOG_INFO, "dispatch", "load",
+			"{s:s,s:i,s:i,s:i,s:i,s:f,s:f,s:f,s:f,s:f}", "service",
+			service->name, "waiting", (int)service->waiting.length,
+			"in_flight", (int)service->in_flight, "servers",
+			(int)service->targets->len, "accepting", (int)accepting,
+			"shares", share, "near_warm_ms",
+			service->times[BW_DISTANCE_DOMAIN].warm_ms,
+			"near_cold_ms",
+			service->times[BW_DISTANCE_DOMAIN].cold_ms,
+			"far_warm_ms", service->times[BW_DISTANCE_FAR].warm_ms,
+			"far_cold_ms", service->times[BW_DISTANCE_FAR].cold_ms);
+	}
+}
+
+static void set_places_(struct gate_entry *entry)
+{
+	const struct gate_node *node = entry->node;
+	uint32_t i;
+
+	entry->dispatch.place_count = node->settings.place_count;
+	entry->dispatch.own_place =
+		gate_node_place_index(node, node->settings.domain);
+	for (i = 0; i < node->settings.place_count; i++)
+		entry->dispatch.place_region[i] = gate_node_region_index(
+			node, node->settings.places[i].region);
+}
+
+static void handle_demands_(struct gate_entry *entry,
+			    const struct gate_status *status)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+
+	if (!status->demand_count)
+		return;
+	g_hash_table_iter_init(&iter, entry->dispatch.services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bw_dispatch_service *service = value;
+		uint64_t hash = bw_registry_hash(service->name);
+
+		memset(service->demand_per_s, 0, sizeof(service->demand_per_s));
+		for (i = 0; i < status->demand_count; i++) {
+			const struct gate_demand *demand = &status->demands[i];
+			uint32_t place = gate_node_place_index(entry->node,
+							       demand->domain);
+
+			if (demand->service_hash == hash &&
+			    place < BW_SPREAD_DOMAINS_MAX)
+				service->demand_per_s[place] =
+					demand->per_s_milli / 1000.0;
 		}
-		bw_log_event(entry->node->log, BW_LOG_INFO, "dispatch", "load",
-			     "{s:s,s:i,s:i,s:i,s:i,s:f,s:f,s:f,s:f,s:f}",
-			     "service", service->name, "waiting",
-			     (int)service->waiting.length, "in_flight",
-			     (int)service->in_flight, "servers",
-			     (int)service->targets->len, "accepting",
-			     (int)accepting, "shares", share, "near_warm_ms",
-			     service->times[BW_DISTANCE_DOMAIN].warm_ms,
-			     "near_cold_ms",
-			     service->times[BW_DISTANCE_DOMAIN].cold_ms,
-			     "far_warm_ms",
-			     service->times[BW_DISTANCE_FAR].warm_ms,
-			     "far_cold_ms",
-			     service->times[BW_DISTANCE_FAR].cold_ms);
+	}
+}
+
+static void fill_demands_(struct gate_entry *entry, struct gate_hello *hello,
+			  struct bw_time now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	hello->demand_count = 0;
+	g_hash_table_iter_init(&iter, entry->dispatch.services);
+	while (g_hash_table_iter_next(&iter, NULL, &value) &&
+	       hello->demand_count < GATE_DEMANDS_MAX) {
+		struct bw_dispatch_service *service = value;
+		struct gate_demand *demand =
+			&hello->demands[hello->demand_count++];
+
+		demand->domain[0] = '\0';
+		demand->service_hash = bw_registry_hash(service->name);
+		demand->per_s_milli =
+			(uint32_t)(1000.0 *
+				   bw_dispatch_arrivals_per_s(service, now));
 	}
 }
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -215,6 +215,16 @@
 	return 31;
 }
 
+uint32_t gate_node_place_index(const struct gate_node *node, const char *domain)
+{
+	uint32_t i = 0;
+
+	while (i < node->settings.place_count &&
+	       strcmp(node->settings.places[i].domain, domain) != 0)
+		i++;
+	return i;
+}
+
 enum bw_registry_outcome gate_node_merge(struct gate_node *node,
 					 const struct bw_server_record *record,
 					 const char *source, struct bw_time now,
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -102,6 +102,10 @@
 uint32_t gate_node_region_index(const struct gate_node *node,
 				const char *region);
 
+/** Returns the index of a failure domain; the count of them when unknown. */
+uint32_t gate_node_place_index(const struct gate_node *node,
+			       const char *domain);
+
 /** Merges a record; logs changes. */
 enum bw_registry_outcome gate_node_merge(struct gate_node *node,
 					 const struct bw_server_record *record,
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -37,6 +37,7 @@
 static void choose_service_(struct gate_request *request);
 static void offer_(struct gate_request *request);
 static void send_(struct gate_request *request);
+static void note_attempt_(struct gate_request *request, struct bw_time now);
 static void write_head_(const struct gate_request *request,
 			struct bw_buffer *head, struct bw_time now);
 static void handle_response_(struct gate_request *request,
@@ -301,9 +302,13 @@
 	send.body = request->body.data;
 	send.body_bytes = request->body.size_bytes;
 	send.head_response = request->method == HTTP_HEAD;
-	if (!request->attempts)
-		bw_metric_observe(entry->queue_us,
-				  request->sent_us - request->arrived_us);
+	if (!request->attempts) {
+		uint64_t queue_us = request->sent_us - request->arrived_us;
+
+		request->queue_ms = (uint32_t)(queue_us / 1000);
+		bw_metric_observe(entry->queue_us, queue_us);
+	}
+	note_attempt_(request, now);
 	request->attempts++;
 	bw_log_event(entry->node->log, BW_LOG_DEBUG, "request", "sent",
 		     "{s:s,s:s,s:s,s:s,s:i,s:f,s:b,s:i,s:f,s:I,s:I}", "request",
@@ -322,6 +327,21 @@
 		handle_failure_(request, BW_POOL_NOT_SENT);
 }
 
+static void note_attempt_(struct gate_request *request, struct bw_time now)
+{
+	const struct bw_job *job = &request->job;
+	struct gate_attempt *last = &request->last;
+
+	memset(last, 0, sizeof(*last));
+	g_strlcpy(last->server, job->target->id, sizeof(last->server));
+	last->distance = job->target->distance;
+	last->warm = job->warm;
+	last->home = job->object && job->home == job->target;
+	last->expected_ms = job->expected_ms;
+	last->others = job->target->others;
+	last->report_age_ms = bw_time_diff_ms(now, job->target->reported);
+}
+
 static void write_head_(const struct gate_request *request,
 			struct bw_buffer *head, struct bw_time now)
 {
@@ -511,6 +531,7 @@
 {
 	struct gate_entry *entry = request->entry;
 	uint64_t took_us = bw_clock_us() - request->arrived_us;
+	const struct gate_attempt *last = &request->last;
 	bool good = end == GATE_END_ANSWERED && status_code < 500;
 
 	if (request->connection)
@@ -520,12 +541,23 @@
 	bw_metric_observe(entry->total_us[request->route->idempotent], took_us);
 	bw_log_event(entry->node->log, good ? BW_LOG_INFO : BW_LOG_WARNING,
 		     "request", gate_end_string[end],
-		     "{s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "request",
-		     request->id, "route", request->route->name, "service",
-		     request->job.service->name, "status", (int)status_code,
-		     "cause", cause, "attempts", (int)request->attempts,
-		     "took_ms", (json_int_t)(took_us / 1000), "version",
-		     (json_int_t)request->routing->version);
+		     "{s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i,s:I,s:s,s:s,s:b,s:b,s:i,"
+		     "s:f,s:f,s:I,s:i,s:i,s:I}",
+		     "request", request->id, "route", request->route->name,
+		     "service", request->job.service->name, "status",
+		     (int)status_code, "cause", cause, "attempts",
+		     (int)request->attempts, "took_ms",
+		     (json_int_t)(took_us / 1000), "queue_ms",
+		     (int)request->queue_ms, "version",
+		     (json_int_t)request->routing->version, "server",
+		     last->server, "distance",
+		     bw_distance_string[last->distance], "home", last->home,
+		     "warm", last->warm, "upstream_ms", (int)last->took_ms,
+		     "expected_ms", last->expected_ms, "others", last->others,
+		     "report_age_ms", (json_int_t)last->report_age_ms,
+		     "running", (int)last->load.running, "server_waiting",
+		     (int)last->load.waiting, "object",
+		     (json_int_t)(request->job.object >> 40));
 	request->detached = true;
 	ev_timer_stop(entry->node->loop, &request->deadline_timer);
 	if (!request->upstream)
@@ -543,6 +575,10 @@
 	if (response &&
 	    bw_http_find(response, PLATFORM_FIELD_LOAD, text, sizeof(text)))
 		known = platform_load_read(text, &load);
+	if (known)
+		request->last.load = load;
+	request->last.took_ms =
+		(uint32_t)((bw_clock_us() - request->sent_us) / 1000);
 	bw_dispatch_ended(&entry->dispatch, &request->job, result,
 			  known ? &load : NULL, gate_node_now(entry->node));
 }
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -10,6 +10,19 @@
 /** Size of a request id with its final zero. */
 #define GATE_REQUEST_ID_BYTES 128
 
+/** The last attempt of a request, for its log line. */
+struct gate_attempt {
+	char server[BW_SERVER_ID_MAX];
+	enum bw_distance distance;
+	bool warm; /**< the object was expected to be warm */
+	bool home; /**< the server is the home of the object */
+	double expected_ms;
+	double others; /**< requests of other hosts that were assumed */
+	int64_t report_age_ms; /**< of that assumption */
+	uint32_t took_ms; /**< 0 while it is in flight */
+	struct bw_load_report load; /**< as reported in the response */
+};
+
 /** One request. */
 struct gate_request {
 	struct gate_entry *entry;
@@ -24,6 +37,8 @@
 	struct bw_buffer body;
 	char id[GATE_REQUEST_ID_BYTES];
 	uint8_t method;
+	struct gate_attempt last;
+	uint32_t queue_ms; /**< until it was first sent */
 	uint32_t attempts; /**< backend servers that it was sent to */
 	uint32_t connect_failures;
 	bool may_have_run; /**< an attempt ended without a clear outcome */
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -7,17 +7,22 @@
 static void write_head_(struct bw_writer *writer, struct bw_buffer *out,
 			enum gate_message_type type, uint32_t fields);
 static uint32_t read_count_(struct bw_reader *reader, uint32_t limit);
+static void write_demands_(struct bw_writer *writer,
+			   const struct gate_demand *demands, uint32_t count);
+static uint32_t read_demands_(struct bw_reader *reader,
+			      struct gate_demand *demands);
 
 void gate_hello_write(struct bw_buffer *out, const struct gate_hello *hello)
 {
 	struct bw_writer writer;
 
-	write_head_(&writer, out, GATE_HELLO, 5);
+	write_head_(&writer, out, GATE_HELLO, 6);
 	bw_write_bool(&writer, hello->control);
 	bw_write_uint(&writer, hello->state);
 	bw_write_str(&writer, hello->domain);
 	bw_write_str(&writer, hello->region);
 	bw_write_uint(&writer, hello->routing_version);
+	write_demands_(&writer, hello->demands, hello->demand_count);
 }
 
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status)
@@ -25,7 +30,7 @@
 	struct bw_writer writer;
 	uint32_t i;
 
-	write_head_(&writer, out, GATE_STATUS, 7);
+	write_head_(&writer, out, GATE_STATUS, 8);
 	bw_write_bool(&writer, status->current);
 	bw_write_uint(&writer, status->routing_version);
 	bw_write_uint(&writer, status->evacuation_index);
@@ -37,6 +42,7 @@
 		bw_write_str(&writer, status->controls[i]);
 	bw_write_uint(&writer, status->entry_count);
 	bw_write_uint(&writer, status->entry_place);
+	write_demands_(&writer, status->demands, status->demand_count);
 }
 
 void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
@@ -88,6 +94,7 @@
 	bw_read_name(reader, hello->domain);
 	bw_read_name(reader, hello->region);
 	hello->routing_version = bw_read_uint(reader);
+	hello->demand_count = read_demands_(reader, hello->demands);
 	if (state >= GATE_HOST_STATE_COUNT)
 		reader->failed = true;
 	else
@@ -112,6 +119,7 @@
 	bw_read_end(reader);
 	status->entry_count = (uint32_t)bw_read_uint(reader);
 	status->entry_place = (uint32_t)bw_read_uint(reader);
+	status->demand_count = read_demands_(reader, status->demands);
 }
 
 void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers)
@@ -155,3 +163,31 @@
 	reader->failed = true;
 	return 0;
 }
+
+static void write_demands_(struct bw_writer *writer,
+			   const struct gate_demand *demands, uint32_t count)
+{
+	uint32_t i;
+
+	bw_write_array(writer, 3 * count);
+	for (i = 0; i < count; i++) {
+		bw_write_str(writer, demands[i].domain);
+		bw_write_uint(writer, demands[i].service_hash);
+		bw_write_uint(writer, demands[i].per_s_milli);
+	}
+}
+
+static uint32_t read_demands_(struct bw_reader *reader,
+			      struct gate_demand *demands)
+{
+	uint32_t count = read_count_(reader, 3 * GATE_DEMANDS_MAX) / 3;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		bw_read_name(reader, demands[i].domain);
+		demands[i].service_hash = bw_read_uint(reader);
+		demands[i].per_s_milli = (uint32_t)bw_read_uint(reader);
+	}
+	bw_read_end(reader);
+	return reader->failed ? 0 : count;
+}
--- a/src/boragewingd/gate_wire.h
+++ b/src/boragewingd/gate_wire.h
@@ -46,6 +46,16 @@
 	GATE_HOST_STATE_COUNT
 };
 
+/** Most demands in one message. */
+#define GATE_DEMANDS_MAX 256
+
+/** Requests for a service in a failure domain. */
+struct gate_demand {
+	char domain[BW_NAME_MAX];
+	uint64_t service_hash; /**< see bw_registry_hash */
+	uint32_t per_s_milli; /**< thousandths of a request a second */
+};
+
 /** GATE_HELLO */
 struct gate_hello {
 	bool control; /**< a control host; else an entry host */
@@ -53,6 +63,8 @@
 	char domain[BW_NAME_MAX];
 	char region[BW_NAME_MAX];
 	uint64_t routing_version; /**< in force at the sender */
+	struct gate_demand demands[GATE_DEMANDS_MAX]; /**< at the sender */
+	uint32_t demand_count;
 };
 
 /** GATE_STATUS */
@@ -66,6 +78,8 @@
 	uint32_t control_count;
 	uint32_t entry_count; /**< entry hosts that the sender knows */
 	uint32_t entry_place; /**< of the receiver among them */
+	struct gate_demand demands[GATE_DEMANDS_MAX]; /**< of all domains */
+	uint32_t demand_count;
 };
 
 /** A sign of life of a backend server, or what confirms or asks for it. */
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -127,8 +127,9 @@
 		target = g_new0(struct bw_target, 1);
 		target->id_hash = server->id_hash;
 		target->slowness = 1.0;
-		target->share = 1.0;
-		target->share_at = now;
+		target->part = -1.0;
+		target->correction = 1.0;
+		target->adapted = now;
 		target->started_wall_ms = server->record.started_wall_ms;
 		target->cold_refilled = now;
 		g_strlcpy(target->id, server->record.id, sizeof(target->id));
@@ -143,6 +144,7 @@
 	target->present = true;
 	target->distance = update->distance;
 	target->region = update->region;
+	target->place = update->place;
 	target->slots = server->record.slots;
 	target->cold_until = server->cold_until;
 	target->accepts = update->accepts &&
@@ -153,6 +155,8 @@
 void bw_dispatch_end_update(struct bw_dispatch *dispatch, struct bw_time now)
 {
 	GList *all = g_hash_table_get_values(dispatch->targets);
+	GHashTableIter iter;
+	gpointer value;
 	GList *item;
 
 	for (item = all; item; item = item->next) {
@@ -160,10 +164,11 @@
 
 		if (!target->present)
 			remove_target_(dispatch, target);
-		else
-			dispatch_adapt(dispatch, target, now);
 	}
 	g_list_free(all);
+	g_hash_table_iter_init(&iter, dispatch->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		dispatch_adapt(dispatch, value, now);
 }
 
 enum bw_verdict bw_dispatch_offer(struct bw_dispatch *dispatch,
@@ -177,6 +182,8 @@
 		reject_(dispatch, job, BW_REJECT_NO_SERVER, rejection);
 		return BW_VERDICT_REJECT;
 	}
+	if (!job->tried_count)
+		job->service->arrival_count++;
 	dispatch_find_home(dispatch, job, now);
 	if (!ahead_of_(job) && dispatch_place(dispatch, job, now))
 		return BW_VERDICT_SEND;
@@ -363,7 +370,6 @@
 {
 	struct bw_target *home = job->home;
 
-	job->home = NULL;
 	if (!home)
 		return;
 	home->waiting--;
--- /dev/null
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -0,0 +1,181 @@
+/*
+ * Parts of the servers of a service: the spread of the demand over failure
+ * domains, approached in bounded steps, and a correction by observed load.
+ */
+#include <string.h>
+
+#include "private/dispatch.h"
+
+/** Most that the part of a failure domain moves in one second. */
+#define STEP_PER_S 0.04
+
+/** Part of the way to the planned part in one second. */
+#define APPROACH_PER_S 0.3
+
+/** Change of the correction in one second, and its bounds. */
+#define CORRECTION_PER_S 0.05
+#define CORRECTION_MIN 0.3
+#define CORRECTION_MAX 1.5
+
+/** Load beside the mean of the servers in use that is left as it is. */
+#define LOAD_TOLERANCE 0.15
+
+/** Reports older than this do not correct anything. */
+#define REPORT_AGE_MAX_MS 1500
+
+/** A part above which a server counts as in use. */
+#define PART_USED 0.005
+
+/** Time of a request before any was observed. */
+#define WORK_DEFAULT_MS 300.0
+
+/** Window and gain of the arrival rate. */
+#define ARRIVALS_WINDOW_MS 500
+#define ARRIVALS_GAIN 0.3
+
+static void plan_(struct bw_dispatch *dispatch,
+		  struct bw_dispatch_service *service);
+static void fill_domains_(const struct bw_dispatch *dispatch,
+			  const struct bw_dispatch_service *service,
+			  struct bw_spread_domain *domains);
+static void move_(struct bw_target *target, double age_s);
+static double mean_load_(const struct bw_dispatch_service *service,
+			 struct bw_time now);
+static void correct_(struct bw_target *target, double mean, double age_s,
+		     struct bw_time now);
+static bool is_reported_(const struct bw_target *target, struct bw_time now);
+
+void dispatch_adapt(struct bw_dispatch *dispatch,
+		    struct bw_dispatch_service *service, struct bw_time now)
+{
+	double mean;
+	uint32_t i;
+
+	plan_(dispatch, service);
+	mean = mean_load_(service, now);
+	for (i = 0; i < service->targets->len; i++) {
+		struct bw_target *target = service->targets->pdata[i];
+		double age_s =
+			(double)bw_time_diff_ms(now, target->adapted) / 1000.0;
+
+		target->adapted = now;
+		age_s = MIN(age_s, 1.0);
+		move_(target, age_s);
+		correct_(target, mean, age_s, now);
+	}
+}
+
+double bw_dispatch_arrivals_per_s(struct bw_dispatch_service *service,
+				  struct bw_time now)
+{
+	int64_t age_ms = bw_time_diff_ms(now, service->arrivals_at);
+
+	if (age_ms < ARRIVALS_WINDOW_MS)
+		return service->arrivals_per_s;
+	service->arrivals_per_s +=
+		ARRIVALS_GAIN *
+		(1000.0 * service->arrival_count / (double)age_ms -
+		 service->arrivals_per_s);
+	service->arrival_count = 0;
+	service->arrivals_at = now;
+	return service->arrivals_per_s;
+}
+
+static void plan_(struct bw_dispatch *dispatch,
+		  struct bw_dispatch_service *service)
+{
+	struct bw_spread_domain domains[BW_SPREAD_DOMAINS_MAX];
+	double parts[BW_SPREAD_DOMAINS_MAX];
+	uint32_t i;
+
+	if (!dispatch->place_count)
+		return;
+	fill_domains_(dispatch, service, domains);
+	bw_spread(domains, dispatch->place_count, dispatch->own_place, parts);
+	for (i = 0; i < service->targets->len; i++) {
+		struct bw_target *target = service->targets->pdata[i];
+		double slots = domains[target->place].slots;
+
+		target->planned = 0.0;
+		if (target->accepts && slots > 0.0)
+			target->planned =
+				parts[target->place] * target->slots / slots;
+	}
+}
+
+static void fill_domains_(const struct bw_dispatch *dispatch,
+			  const struct bw_dispatch_service *service,
+			  struct bw_spread_domain *domains)
+{
+	double work_ms = dispatch_expected_ms(service);
+	uint32_t i;
+
+	if (work_ms <= 0.0)
+		work_ms = WORK_DEFAULT_MS;
+	memset(domains, 0, dispatch->place_count * sizeof(*domains));
+	for (i = 0; i < dispatch->place_count; i++) {
+		domains[i].region = dispatch->place_region[i];
+		domains[i].demand_slots =
+			service->demand_per_s[i] * work_ms / 1000.0;
+	}
+	for (i = 0; i < service->targets->len; i++) {
+		const struct bw_target *target = service->targets->pdata[i];
+
+		if (target->accepts)
+			domains[target->place].slots += target->slots;
+	}
+}
+
+/* A new server starts with its planned part; others move in steps. */
+static void move_(struct bw_target *target, double age_s)
+{
+	double gap = target->planned - target->part;
+	double step = gap * MIN(APPROACH_PER_S * age_s, 1.0);
+	double most = STEP_PER_S * age_s;
+
+	if (target->part < 0.0)
+		target->part = target->planned;
+	else
+		target->part += CLAMP(step, -most, most);
+}
+
+static double mean_load_(const struct bw_dispatch_service *service,
+			 struct bw_time now)
+{
+	double sum = 0.0;
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < service->targets->len; i++) {
+		const struct bw_target *target = service->targets->pdata[i];
+
+		if (target->part < PART_USED || !is_reported_(target, now))
+			continue;
+		sum += dispatch_load(target, now);
+		count++;
+	}
+	return count ? sum / count : 0.0;
+}
+
+static void correct_(struct bw_target *target, double mean, double age_s,
+		     struct bw_time now)
+{
+	double step = CORRECTION_PER_S * age_s;
+	double load;
+
+	if (!is_reported_(target, now))
+		return;
+	load = dispatch_load(target, now) +
+	       (double)target->waiting / MAX(target->slots, 1U);
+	if (load > mean + LOAD_TOLERANCE)
+		target->correction -= step;
+	else if (load < mean - LOAD_TOLERANCE)
+		target->correction += step;
+	target->correction =
+		CLAMP(target->correction, CORRECTION_MIN, CORRECTION_MAX);
+}
+
+static bool is_reported_(const struct bw_target *target, struct bw_time now)
+{
+	return bw_time_diff_ms(now, target->reported) < REPORT_AGE_MAX_MS;
+}
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -31,27 +32,15 @@
 /** Part of a server's slots that is free when it takes objects of others. */
 #define SPARE_SHARE 0.34
 
-/** Load above which a server gives up objects, and below which it takes more.
- */
-#define LOAD_HIGH 1.0
-#define LOAD_LOW 0.75
-
-/** Change of the share of objects in one second. */
-#define SHARE_STEP_PER_S 0.08
-
-/** Bounds of the share; a server always keeps some objects. */
-#define SHARE_MIN 0.1
-#define SHARE_MAX 1.0
-
-/** Slowness above which a server takes fewer objects. */
-#define SLOWNESS_TOLERATED 1.6
+/** Part of a server that the spread does not use; it is the last choice. */
+#define PART_MIN 1e-6
 
 /** Servers that are weighed for one object. */
 #define CANDIDATES_MAX 3
 
 /** Servers that an object may use, best first. */
 struct candidates {
-	struct bw_target *target[CANDIDATES_MAX];
+	struct bw_target *target[CANDIDATES_MAX + 1];
 	uint32_t count;
 };
 
@@ -62,17 +51,11 @@
 static void find_candidates_(struct bw_dispatch *dispatch,
 			     const struct bw_job *job, struct bw_time now,
 			     struct candidates *found);
-static void add_by_weight_(struct bw_dispatch *dispatch,
-			   const struct bw_job *job, enum bw_distance distance,
-			   bool any_share, struct bw_time now,
-			   struct candidates *found);
-static bool takes_object_(const struct bw_job *job,
-			  const struct bw_target *target);
+static double score_(const struct bw_job *job, const struct bw_target *target);
 static bool is_sound_(const struct bw_job *job, const struct bw_target *target,
 		      struct bw_time now);
 static void set_target_(struct bw_dispatch *dispatch, struct bw_job *job,
 			struct bw_target *target, struct bw_time now);
-static double load_(const struct bw_target *target, struct bw_time now);
 static double free_slots_(const struct bw_target *target, struct bw_time now);
 static bool has_slot_(const struct bw_target *target, struct bw_time now);
 static double others_(const struct bw_target *target, struct bw_time now);
@@ -122,23 +105,6 @@
 	return work_ms * target->slowness * ahead / MAX(target->in_flight, 1U);
 }
 
-void dispatch_adapt(struct bw_dispatch *dispatch, struct bw_target *target,
-		    struct bw_time now)
-{
-	double load = load_(target, now) +
-		      (double)target->waiting / MAX(target->slots, 1U);
-	double age_s = (double)bw_time_diff_ms(now, target->share_at) / 1000.0;
-	double step = SHARE_STEP_PER_S * MIN(age_s, 1.0);
-
-	(void)dispatch;
-	target->share_at = now;
-	if (load > LOAD_HIGH)
-		target->share -= step;
-	else if (load < LOAD_LOW)
-		target->share += step;
-	target->share = CLAMP(target->share, SHARE_MIN, SHARE_MAX);
-}
-
 bool dispatch_is_allowed(const struct bw_job *job,
 			 const struct bw_target *target)
 {
@@ -272,7 +238,7 @@
 
 	for (i = 0; i < targets->len; i++) {
 		struct bw_target *target = targets->pdata[i];
-		double cost = load_(target, now) * target->slowness +
+		double cost = dispatch_load(target, now) * target->slowness +
 			      (double)target->distance;
 
 		if (!is_sound_(job, target, now) || !has_slot_(target, now) ||
@@ -293,44 +259,22 @@
 static void find_candidates_(struct bw_dispatch *dispatch,
 			     const struct bw_job *job, struct bw_time now,
 			     struct candidates *found)
-{
-	int distance;
-
-	found->count = 0;
-	for (distance = 0; distance < BW_DISTANCE_COUNT; distance++)
-		add_by_weight_(dispatch, job, (enum bw_distance)distance, false,
-			       now, found);
-	/* When every server has given the object up, the nearest keeps it. */
-	for (distance = 0; distance < BW_DISTANCE_COUNT && !found->count;
-	     distance++)
-		add_by_weight_(dispatch, job, (enum bw_distance)distance, true,
-			       now, found);
-}
-
-/* Adds the servers of one distance in the order of their weights. */
-static void add_by_weight_(struct bw_dispatch *dispatch,
-			   const struct bw_job *job, enum bw_distance distance,
-			   bool any_share, struct bw_time now,
-			   struct candidates *found)
 {
 	const GPtrArray *targets = job->service->targets;
-	uint32_t first = found->count;
+	double scores[CANDIDATES_MAX + 1];
 	uint32_t i;
 
 	(void)dispatch;
+	found->count = 0;
 	for (i = 0; i < targets->len; i++) {
 		struct bw_target *target = targets->pdata[i];
-		uint64_t weight;
-		uint32_t at;
+		uint32_t at = found->count;
+		double score;
 
-		if (target->distance != distance ||
-		    !is_sound_(job, target, now) ||
-		    (!any_share && !takes_object_(job, target)))
+		if (!is_sound_(job, target, now))
 			continue;
-		weight = weight_(job, target);
-		at = found->count;
-		while (at > first &&
-		       weight > weight_(job, found->target[at - 1]))
+		score = score_(job, target);
+		while (at > 0 && score > scores[at - 1])
 			at--;
 		if (at >= CANDIDATES_MAX)
 			continue;
@@ -338,20 +282,24 @@
 			found->count++;
 		memmove(&found->target[at + 1], &found->target[at],
 			(found->count - 1 - at) * sizeof(found->target[0]));
+		memmove(&scores[at + 1], &scores[at],
+			(found->count - 1 - at) * sizeof(scores[0]));
 		found->target[at] = target;
+		scores[at] = score;
 	}
 }
 
-/* Every host gives up the same objects first, so that they stay together. */
-static bool takes_object_(const struct bw_job *job,
-			  const struct bw_target *target)
+/*
+ * Weighted rendezvous hashing: a server gets its part of the objects, and a
+ * change of parts moves only the difference.
+ */
+static double score_(const struct bw_job *job, const struct bw_target *target)
 {
-	double point = (double)(uint32_t)weight_(job, target) / UINT32_MAX;
-	double share = target->share;
+	double point = ((double)(weight_(job, target) >> 11) + 0.5) /
+		       (double)(1ULL << 53);
+	double part = target->part * target->correction;
 
-	if (target->slowness > SLOWNESS_TOLERATED)
-		share *= SLOWNESS_TOLERATED / target->slowness;
-	return point <= share;
+	return MAX(part, PART_MIN) / -log(point);
 }
 
 static bool is_sound_(const struct bw_job *job, const struct bw_target *target,
@@ -369,7 +317,7 @@
 	job->expected_ms = estimate_ms_(target, job->warm);
 }
 
-static double load_(const struct bw_target *target, struct bw_time now)
+double dispatch_load(const struct bw_target *target, struct bw_time now)
 {
 	return ((double)target->in_flight + others_(target, now)) /
 	       MAX(target->slots, 1U);
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -24,9 +24,12 @@
 /** Returns the wait for a server behind some jobs of this host. */
 double dispatch_wait_ms(const struct bw_target *target, uint32_t ahead);
 
-/** Moves the share of objects that a server takes towards its load. */
-void dispatch_adapt(struct bw_dispatch *dispatch, struct bw_target *target,
-		    struct bw_time now);
+/** Returns the requests at a server over its slots. */
+double dispatch_load(const struct bw_target *target, struct bw_time now);
+
+/** Moves the parts of all servers of a service towards the spread. */
+void dispatch_adapt(struct bw_dispatch *dispatch,
+		    struct bw_dispatch_service *service, struct bw_time now);
 
 /**
  * Returns whether one more request may run in a region: the share of a region
