Send a quarter of the slots ahead, and estimate waits by server load

A slot stayed idle until a report or the fading estimate showed it free: servers ran 6.5 of 9 slots while requests waited 200 to 600 ms at entry hosts, and waits were estimated from this host's own completions, which rejected requests although servers had room.

--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -12,8 +12,8 @@
 #define HEALTH_GAIN 0.2
 #define LOAD_GAIN 0.5
 
-/** Time in which reported load of other hosts fades to a third. */
-#define LOAD_FADE_MS 1000.0
+/** Time in which reported load of other hosts fades to a half. */
+#define LOAD_FADE_MS 500.0
 
 /** A server whose share of failures is above this is ejected. */
 #define FAILURES_MAX 0.4
@@ -35,6 +35,15 @@
 /** Part of a server that the spread does not use; it is the last choice. */
 #define PART_MIN 1e-6
 
+/**
+ * Requests sent ahead of a free slot, as a part of the slots: the load of
+ * other hosts is known late, and a slot must not stay idle meanwhile.
+ */
+#define AHEAD_SHARE 0.25
+
+/** Other hosts have waiting requests too, which no report shows. */
+#define QUEUE_OF_OTHERS 1.5
+
 /** Servers that are weighed for one object. */
 #define CANDIDATES_MAX 3
 
@@ -99,10 +108,15 @@
 double dispatch_wait_ms(const struct bw_target *target, uint32_t ahead)
 {
 	double work_ms = target->service->times[target->distance].warm_ms;
+	double before = (double)target->in_flight + target->others + ahead -
+			(double)target->slots;
 
 	if (work_ms <= 0.0)
 		work_ms = target->service->times[target->distance].cold_ms;
-	return work_ms * target->slowness * ahead / MAX(target->in_flight, 1U);
+	if (before <= 0.0)
+		return 0.0;
+	return QUEUE_OF_OTHERS * work_ms * target->slowness * before /
+	       MAX(target->slots, 1U);
 }
 
 bool dispatch_is_allowed(const struct bw_job *job,
@@ -331,7 +345,8 @@
 
 static bool has_slot_(const struct bw_target *target, struct bw_time now)
 {
-	return free_slots_(target, now) >= 0.5;
+	return free_slots_(target, now) >=
+	       0.5 - AHEAD_SHARE * (double)target->slots;
 }
 
 static double others_(const struct bw_target *target, struct bw_time now)
