--- a/src/boragewingd/gate.c
+++ b/src/boragewingd/gate.c
@@ -30,7 +30,7 @@
 #define LINGER_SHARE 0.5
 
 /** Part of the grace time after which the process ends in any case. */
-#define END_SHARE 0.95
+#define END_SHARE 0.85
 
 /** A gateway host. */
 struct gate {
--- a/src/boragewingd/transport.c
+++ b/src/boragewingd/transport.c
@@ -15,8 +15,14 @@
 #define HEARTBEAT_INTERVAL_MS 1000
 #define HEARTBEAT_TIMEOUT_INTERVALS 3
 #define RECONNECT_MIN_MS 100
-#define RECONNECT_MAX_MS 1000
+#define RECONNECT_MAX_MS 400
 #define HANDSHAKE_TIMEOUT_MS 5000
+/*
+ * A connection attempt or retransmission that began behind a partition backs
+ * off for many seconds after it has healed; a new attempt does not.
+ */
+#define CONNECT_TIMEOUT_MS 600
+#define UNACKNOWLEDGED_MAX_MS 1500
 #define LINGER_MS 200
 #define RECEIVE_BATCH 256
 #define SWEEP_INTERVAL_S 30.0
@@ -489,6 +495,8 @@
 	set_int_(peer->dealer, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
 	set_int_(peer->dealer, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	set_int_(peer->dealer, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
+	set_int_(peer->dealer, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
+	set_int_(peer->dealer, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_MAX_MS);
 	set_heartbeat_(transport, peer->dealer);
 	if (transport->config.fleet_key) {
 		zmq_setsockopt(peer->dealer, ZMQ_CURVE_SERVERKEY,
