--- a/include/bwbase/log.h
+++ b/include/bwbase/log.h
@@ -51,7 +51,8 @@
  * says how many were dropped.
  * @param fd destination; stays owned by the caller
  */
-void bw_log_init_buffered(struct bw_log *log, int fd, uint32_t pending_max_bytes,
+void bw_log_init_buffered(struct bw_log *log, int fd,
+			  uint32_t pending_max_bytes,
 			  enum bw_log_level threshold, const char *host);
 
 /** Writes as much of the buffer as the destination takes at once. */
--- a/src/boragewingd/main.c
+++ b/src/boragewingd/main.c
@@ -45,11 +45,10 @@
 	if (parse_options_(&argc, &argv, &options))
 		goto out;
 	if (options.gateway) {
-		code = sodium_init() < 0
-			       ? EXIT_SETTINGS
-			       : gate_run(options.settings_path,
-					  options.metrics_port,
-					  options.check_settings);
+		code = sodium_init() < 0 ? EXIT_SETTINGS
+					 : gate_run(options.settings_path,
+						    options.metrics_port,
+						    options.check_settings);
 		g_free(options.settings_path);
 		return code;
 	}
@@ -87,8 +86,8 @@
 		  "defaults to the platform's file",
 		  NULL },
 		{ "metrics-port", 0, 0, G_OPTION_ARG_INT,
-		  &options->metrics_port,
-		  "With --gateway: port of the metrics", "PORT" },
+		  &options->metrics_port, "With --gateway: port of the metrics",
+		  "PORT" },
 		{ 0 }
 	};
 	GOptionContext *context =
--- a/src/libbwbase/log.c
+++ b/src/libbwbase/log.c
@@ -37,7 +37,8 @@
 	bw_name_set(log->host, host);
 }
 
-void bw_log_init_buffered(struct bw_log *log, int fd, uint32_t pending_max_bytes,
+void bw_log_init_buffered(struct bw_log *log, int fd,
+			  uint32_t pending_max_bytes,
 			  enum bw_log_level threshold, const char *host)
 {
 	bw_log_init(log, NULL, threshold, host);
