--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -29,6 +29,12 @@
 /** Time of a request before any was observed. */
 #define WORK_DEFAULT_MS 300.0
 
+/** Reported demand below which it says nothing. */
+#define DEMAND_MIN_SLOTS 0.5
+
+/** Load of all servers that is assumed until demand is reported. */
+#define LOAD_ASSUMED 0.75
+
 /** Window and gain of the arrival rate. */
 #define ARRIVALS_WINDOW_MS 500
 #define ARRIVALS_GAIN 0.3
@@ -38,6 +44,7 @@
 static void fill_domains_(const struct bw_dispatch *dispatch,
 			  const struct bw_dispatch_service *service,
 			  struct bw_spread_domain *domains);
+static void assume_demand_(struct bw_spread_domain *domains, uint32_t count);
 static void move_(struct bw_target *target, double age_s);
 static double mean_load_(const struct bw_dispatch_service *service,
 			 struct bw_time now);
@@ -124,6 +131,22 @@
 		if (target->accepts)
 			domains[target->place].slots += target->slots;
 	}
+	assume_demand_(domains, dispatch->place_count);
+}
+
+/* Until demand is reported, every domain is taken for equally busy. */
+static void assume_demand_(struct bw_spread_domain *domains, uint32_t count)
+{
+	double demand = 0.0;
+	double slots = 0.0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		demand += domains[i].demand_slots;
+		slots += domains[i].slots;
+	}
+	for (i = 0; i < count && demand < DEMAND_MIN_SLOTS; i++)
+		domains[i].demand_slots = LOAD_ASSUMED * slots / count;
 }
 
 /* A new server starts with its planned part; others move in steps. */
