--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -17,6 +17,9 @@
 /** Part of a new rate in the smoothed rate. */
 #define RATE_GAIN 0.5
 
+/** Reserve for the spread of response times when a job counts as on time. */
+#define ON_TIME_MARGIN 1.2
+
 /** Rejects when the expected wait is above this part of the time left. */
 #define WAIT_SHARE 0.9
 
@@ -466,14 +469,14 @@
 				       struct bw_dispatch_service *service,
 				       bool on_time, struct bw_time now)
 {
-	double needed_ms = dispatch_expected_ms(service);
 	GList *item;
 
 	if (!dispatch_has_room(service, now))
 		return NULL;
 	for (item = service->waiting.head; item; item = item->next) {
 		struct bw_job *job = item->data;
-		bool can = bw_time_diff_ms(job->objective, now) > needed_ms;
+		bool can = bw_time_diff_ms(job->objective, now) >
+			   ON_TIME_MARGIN * dispatch_needed_ms(job);
 
 		if (can == on_time && dispatch_place(dispatch, job, now))
 			return job;
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -105,6 +105,13 @@
 		job->home = found.target[0];
 }
 
+double dispatch_needed_ms(const struct bw_job *job)
+{
+	if (!job->home)
+		return dispatch_expected_ms(job->service);
+	return estimate_ms_(job->home, true);
+}
+
 double dispatch_wait_ms(const struct bw_target *target, uint32_t ahead)
 {
 	double work_ms = target->service->times[target->distance].warm_ms;
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -50,6 +50,9 @@
 bool dispatch_has_room(const struct bw_dispatch_service *service,
 		       struct bw_time now);
 
+/** Returns the response time to expect of a job at its home. */
+double dispatch_needed_ms(const struct bw_job *job);
+
 /** Returns the response time to expect of a service, 0 when unknown. */
 double dispatch_expected_ms(const struct bw_dispatch_service *service);
 
