--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -39,7 +39,7 @@
  * Requests sent ahead of a free slot, as a part of the slots: the load of
  * other hosts is known late, and a slot must not stay idle meanwhile.
  */
-#define AHEAD_SHARE 0.25
+#define AHEAD_SHARE 0.5
 
 /** Other hosts have waiting requests too, which no report shows. */
 #define QUEUE_OF_OTHERS 1.5
