--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -2,6 +2,7 @@
  * Parts of the servers of a service: the spread of the demand over failure
  * domains, approached in bounded steps, and a correction by observed load.
  */
+#include <math.h>
 #include <string.h>
 
 #include "private/dispatch.h"
@@ -12,8 +13,8 @@
 /** Part of the way to the planned part in one second. */
 #define APPROACH_PER_S 0.3
 
-/** Change of the correction in one second, and its bounds. */
-#define CORRECTION_PER_S 0.05
+/** Change of the correction in one second by a load of one, and its bounds. */
+#define CORRECTION_PER_S 0.25
 #define CORRECTION_MIN 0.3
 #define CORRECTION_MAX 1.5
 
@@ -183,17 +184,16 @@
 static void correct_(struct bw_target *target, double mean, double age_s,
 		     struct bw_time now)
 {
-	double step = CORRECTION_PER_S * age_s;
-	double load;
+	double excess;
 
 	if (!is_reported_(target, now))
 		return;
-	load = dispatch_load(target, now) +
-	       (double)target->waiting / MAX(target->slots, 1U);
-	if (load > mean + LOAD_TOLERANCE)
-		target->correction -= step;
-	else if (load < mean - LOAD_TOLERANCE)
-		target->correction += step;
+	excess = dispatch_load(target, now) +
+		 (double)target->waiting / MAX(target->slots, 1U) - mean;
+	if (fabs(excess) < LOAD_TOLERANCE)
+		return;
+	target->correction -=
+		CORRECTION_PER_S * age_s * CLAMP(excess, -1.0, 1.0);
 	target->correction =
 		CLAMP(target->correction, CORRECTION_MIN, CORRECTION_MAX);
 }
--- a/src/libbwsteer/spread.c
+++ b/src/libbwsteer/spread.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /** Load of a server up to which requests rarely wait for a slot. */
-#define LOAD_FREE 0.65
+#define LOAD_FREE 0.5
 
 /** The bound over the load of the service, which leaves room to move. */
 #define LOAD_MARGIN 1.05
