--- /dev/null
+++ b/src/test_libbwsteer/dispatch_model.h
@@ -0,0 +1,40 @@
+/*
+ * A model of backend servers that remember a bounded number of objects, and
+ * of the entry hosts before them. Plays a load against three policies.
+ */
+#ifndef TEST_DISPATCH_MODEL_H
+#define TEST_DISPATCH_MODEL_H
+
+#include <stdint.h>
+
+/* How requests are placed. */
+enum model_policy {
+	MODEL_DISPATCH, /* the dispatcher of the product on every host */
+	MODEL_NAIVE, /* a random server, first come first served, no rejection
+		      */
+	MODEL_BOUND /* one queue over all slots, every object warm */
+};
+
+/* A load. */
+struct model_load {
+	uint32_t rates_per_s[6]; /* by failure domain */
+	uint32_t burst_percent; /* of the rates, from 20 s to 24 s */
+	int64_t length_ms;
+	uint32_t lost_domain; /* without servers from 15 s to 25 s; 6: none */
+	uint64_t seed;
+};
+
+/* What callers got from 10 s on. */
+struct model_result {
+	uint32_t asked;
+	uint32_t on_time;
+	uint32_t late;
+	uint32_t rejected;
+	int64_t rejected_wait_ms; /* longest time before a rejection */
+	double far_share; /* of the answers */
+};
+
+void model_play(enum model_policy policy, const struct model_load *load,
+		struct model_result *result);
+
+#endif
--- /dev/null
+++ b/src/test_libbwsteer/test_registry.c
@@ -0,0 +1,151 @@
+/*
+ * Announcements of backend servers. Guards against a delayed announcement
+ * that brings back a server that left, and against records of an earlier
+ * start that replace those of a later one.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "bwsteer/registry.h"
+
+static struct bw_time at_(int64_t ms)
+{
+	struct bw_time time = { ms };
+
+	return time;
+}
+
+static struct bw_server_record record_(uint64_t sequence, int64_t started)
+{
+	struct bw_server_record record = { .slots = 5 };
+
+	strcpy(record.id, "i-1");
+	strcpy(record.address, "127.0.0.1:80");
+	strcpy(record.service, "s");
+	strcpy(record.domain, "d");
+	record.sequence = sequence;
+	record.started_wall_ms = started;
+	return record;
+}
+
+static enum bw_registry_outcome merge_(struct bw_registry *registry,
+				       const struct bw_server_record *record,
+				       int64_t ms)
+{
+	return bw_registry_merge(registry, record, at_(ms), NULL);
+}
+
+static void test_order(void **state)
+{
+	struct bw_registry registry;
+	struct bw_server_record record = record_(4, 1000);
+
+	(void)state;
+	bw_registry_init(&registry);
+	assert_int_equal(merge_(&registry, &record, 0), BW_REGISTRY_CHANGED);
+	assert_int_equal(merge_(&registry, &record, 1), BW_REGISTRY_STALE);
+	record.sequence = 3;
+	assert_int_equal(merge_(&registry, &record, 2), BW_REGISTRY_STALE);
+	record.sequence = 5;
+	assert_int_equal(merge_(&registry, &record, 3), BW_REGISTRY_ALIVE);
+	assert_int_equal(bw_registry_find(&registry, "i-1")->heard.ms, 3);
+	record.sequence = 6;
+	record.state = BW_SERVER_DRAINING;
+	assert_int_equal(merge_(&registry, &record, 4), BW_REGISTRY_CHANGED);
+	/* A later start counts anew. */
+	record = record_(1, 2000);
+	assert_int_equal(merge_(&registry, &record, 5), BW_REGISTRY_CHANGED);
+	record = record_(99, 1000);
+	assert_int_equal(merge_(&registry, &record, 6), BW_REGISTRY_STALE);
+	bw_registry_finish(&registry);
+}
+
+static void test_goodbye(void **state)
+{
+	struct bw_registry registry;
+	struct bw_server_record record = record_(4, 1000);
+
+	(void)state;
+	bw_registry_init(&registry);
+	merge_(&registry, &record, 0);
+	record.state = BW_SERVER_LEFT;
+	assert_int_equal(merge_(&registry, &record, 1), BW_REGISTRY_CHANGED);
+	/* Announcements that were on their way do not bring it back. */
+	record = record_(9, 1000);
+	assert_int_equal(merge_(&registry, &record, 2), BW_REGISTRY_STALE);
+	record = record_(1, 3000);
+	assert_int_equal(merge_(&registry, &record, 3), BW_REGISTRY_CHANGED);
+	/* A goodbye that knows no start belongs to the one that is known. */
+	record = record_(0, 0);
+	record.state = BW_SERVER_LEFT;
+	assert_int_equal(merge_(&registry, &record, 4), BW_REGISTRY_CHANGED);
+	bw_registry_finish(&registry);
+}
+
+static void test_signs_of_life(void **state)
+{
+	struct bw_registry registry;
+	struct bw_server_record record = record_(4, 1000);
+	uint64_t hash = bw_registry_hash("i-1");
+
+	(void)state;
+	bw_registry_init(&registry);
+	merge_(&registry, &record, 0);
+	bw_registry_touch(&registry, hash, 3, at_(500));
+	assert_int_equal(bw_registry_find(&registry, "i-1")->heard.ms, 0);
+	bw_registry_touch(&registry, hash, 5, at_(600));
+	assert_int_equal(bw_registry_find(&registry, "i-1")->heard.ms, 600);
+	bw_registry_touch(&registry, 12345, 5, at_(700));
+	assert_int_equal(bw_registry_expire(&registry, at_(1600), 1000), 0);
+	assert_int_equal(bw_registry_expire(&registry, at_(1601), 1000), 1);
+	assert_null(bw_registry_find(&registry, "i-1"));
+	bw_registry_touch(&registry, hash, 9, at_(1700));
+	bw_registry_finish(&registry);
+}
+
+static void test_codec(void **state)
+{
+	struct bw_server_record record = record_(4, 1000);
+	struct bw_server_record read;
+	struct bw_buffer buffer;
+	struct bw_writer writer;
+	struct bw_reader reader;
+
+	(void)state;
+	bw_buffer_init(&buffer);
+	record.cold_ms = 2500;
+	bw_writer_init(&writer, &buffer);
+	bw_server_record_write(&writer, &record);
+	bw_reader_init(&reader, buffer.data, buffer.size_bytes);
+	bw_server_record_read(&reader, &read);
+	assert_int_equal(bw_reader_status(&reader), BW_OK);
+	assert_memory_equal(&record, &read, sizeof(read));
+	bw_reader_finish(&reader);
+	bw_buffer_clear(&buffer);
+	record.state = BW_SERVER_STATE_COUNT;
+	bw_writer_init(&writer, &buffer);
+	bw_server_record_write(&writer, &record);
+	bw_reader_init(&reader, buffer.data, buffer.size_bytes);
+	bw_server_record_read(&reader, &read);
+	assert_int_equal(bw_reader_status(&reader), BW_EINVAL);
+	bw_reader_finish(&reader);
+	bw_buffer_finish(&buffer);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_order),
+		cmocka_unit_test(test_goodbye),
+		cmocka_unit_test(test_signs_of_life),
+		cmocka_unit_test(test_codec),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_libbwsteer/test_routing.c
@@ -0,0 +1,151 @@
+/*
+ * Routing tables. Guards against requests that go to a wrong service, and
+ * against configurations that are accepted although they are ambiguous.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "bwsteer/routing.h"
+
+static struct bw_routing *table_(void)
+{
+	struct bw_routing *routing = bw_routing_new(3, 2);
+	uint32_t i;
+
+	assert_non_null(routing);
+	routing->version = 7;
+	for (i = 0; i < 2; i++)
+		snprintf(routing->services[i].name,
+			 sizeof(routing->services[i].name), "service-%u", i);
+	for (i = 0; i < 3; i++) {
+		struct bw_route *route = &routing->routes[i];
+
+		snprintf(route->name, sizeof(route->name), "route-%u", i);
+		snprintf(route->host, sizeof(route->host), "%s",
+			 i < 2 ? "a.example" : "b.example");
+		snprintf(route->prefix, sizeof(route->prefix), "%s",
+			 i == 1 ? "/x/y/" : "/x/");
+		route->timeout_ms = 1000;
+		route->attempts_max = 2;
+		route->choice_count = 1;
+		route->choices[0].weight = 1;
+		snprintf(route->choices[0].service,
+			 sizeof(route->choices[0].service), "service-%u",
+			 i % 2);
+	}
+	return routing;
+}
+
+static const char *find_(const struct bw_routing *routing, const char *host,
+			 const char *target)
+{
+	const struct bw_route *route = bw_routing_find(
+		routing, host, strlen(host), target, strlen(target));
+
+	return route ? route->name : "none";
+}
+
+static void test_find(void **state)
+{
+	struct bw_routing *routing = table_();
+	char error[BW_ROUTE_ERROR_MAX];
+
+	(void)state;
+	assert_int_equal(bw_routing_check(routing, error), BW_OK);
+	assert_string_equal(find_(routing, "a.example", "/x/1"), "route-0");
+	assert_string_equal(find_(routing, "A.Example:80", "/x/1"), "route-0");
+	assert_string_equal(find_(routing, "a.example", "/x/y/1"), "route-1");
+	assert_string_equal(find_(routing, "a.example", "/x/y"), "route-0");
+	assert_string_equal(find_(routing, "a.example", "/x/y?/x/y/"),
+			    "route-0");
+	assert_string_equal(find_(routing, "b.example", "/x/y/1"), "route-2");
+	assert_string_equal(find_(routing, "c.example", "/x/"), "none");
+	assert_string_equal(find_(routing, "a.example", "/z/"), "none");
+	assert_string_equal(find_(routing, "a.exampl", "/x/"), "none");
+	assert_int_equal(routing->routes[1].choices[0].service_index, 1);
+	bw_routing_unref(routing);
+}
+
+static void expect_invalid_(struct bw_routing *routing, const char *reason)
+{
+	char error[BW_ROUTE_ERROR_MAX] = "";
+
+	assert_int_equal(bw_routing_check(routing, error), BW_EINVAL);
+	assert_non_null(strstr(error, reason));
+	bw_routing_unref(routing);
+}
+
+static void test_invalid(void **state)
+{
+	struct bw_routing *routing;
+
+	(void)state;
+	routing = table_();
+	routing->version = 0;
+	expect_invalid_(routing, "version");
+	routing = table_();
+	routing->routes[0].host[0] = '\0';
+	expect_invalid_(routing, "no host");
+	routing = table_();
+	strcpy(routing->routes[0].prefix, "/x");
+	expect_invalid_(routing, "slash");
+	routing = table_();
+	strcpy(routing->routes[1].prefix, "/x/");
+	expect_invalid_(routing, "share host and prefix");
+	routing = table_();
+	strcpy(routing->routes[2].choices[0].service, "service-9");
+	expect_invalid_(routing, "unknown service");
+	routing = table_();
+	routing->routes[2].choices[0].weight = 0;
+	expect_invalid_(routing, "add up to zero");
+	routing = table_();
+	routing->routes[2].timeout_ms = 0;
+	expect_invalid_(routing, "timeout");
+}
+
+static void test_weights(void **state)
+{
+	struct bw_route route = { .choice_count = 3 };
+	uint32_t counts[3] = { 0 };
+	uint64_t point;
+
+	(void)state;
+	route.choices[0].weight = 90;
+	route.choices[1].weight = 0;
+	route.choices[2].weight = 10;
+	for (point = 0; point < 1000; point++)
+		counts[bw_route_choose(&route, point)]++;
+	assert_int_equal(counts[0], 900);
+	assert_int_equal(counts[1], 0);
+	assert_int_equal(counts[2], 100);
+}
+
+static void test_references(void **state)
+{
+	struct bw_routing *routing = table_();
+
+	(void)state;
+	bw_routing_ref(routing);
+	bw_routing_unref(routing);
+	assert_int_equal(routing->route_count, 3);
+	bw_routing_unref(routing);
+	bw_routing_unref(NULL);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_find),
+		cmocka_unit_test(test_invalid),
+		cmocka_unit_test(test_weights),
+		cmocka_unit_test(test_references),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
