--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -30,7 +30,7 @@
 #define COLD_SHARE 0.8
 
 /** Part of a server's slots that is free when it takes objects of others. */
-#define SPARE_SHARE 0.34
+#define SPARE_SHARE 0.5
 
 /** Part of a server that the spread does not use; it is the last choice. */
 #define PART_MIN 1e-6
