--- a/include/bwbase/log.h
+++ b/include/bwbase/log.h
@@ -5,6 +5,7 @@
 #ifndef BWBASE_LOG_H
 #define BWBASE_LOG_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 
@@ -55,6 +56,13 @@
 			  uint32_t pending_max_bytes,
 			  enum bw_log_level threshold, const char *host);
 
+/**
+ * Returns whether the decisions on one request are logged. While the buffer
+ * of a buffered logger is a quarter full, one of 16 requests is chosen by its
+ * hash, so that a request is logged on all hosts or on none.
+ */
+bool bw_log_traces(const struct bw_log *log, uint64_t request_hash);
+
 /** Writes as much of the buffer as the destination takes at once. */
 void bw_log_flush(struct bw_log *log);
 
--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -82,6 +82,7 @@
 	double slowness; /**< smoothed response time over the expected one */
 	double failures; /**< smoothed share of failed requests */
 	uint32_t failures_in_row;
+	struct bw_time failed_at; /**< latest failure */
 	struct bw_time ejected_until;
 	struct bw_time cold_until;
 	double cold_tokens;
--- a/src/boragewingctl/commands.c
+++ b/src/boragewingctl/commands.c
@@ -14,6 +14,7 @@
 #include "bwbase/chart.h"
 #include "bwsteer/sheet.h"
 
+#include "explain.h"
 #include "print.h"
 
 #define PATH_BYTES 256
@@ -36,6 +37,7 @@
 static int leave_(const struct options *options, char **arguments);
 static int group_add_(const struct options *options, char **arguments);
 static int group_remove_(const struct options *options, char **arguments);
+static int explain_(const struct options *options, char **arguments);
 static int key_generate_(const struct options *options, char **arguments);
 static int chart_draw_(const struct options *options, char **arguments);
 static int read_sheet_(const char *path, struct bw_buffer *text,
@@ -84,6 +86,8 @@
 	  group_add_ },
 	{ "group remove", "HOST", "remove a control host from the group", 1,
 	  true, group_remove_ },
+	{ "explain", "ID LOG...", "what became of a request, from log files",
+	  -2, false, explain_ },
 	{ "key generate", "FILE", "write a new fleet key or token", 1, false,
 	  key_generate_ },
 	{ "chart draw", "FILE", "print a state chart as a Mermaid diagram", 1,
@@ -238,6 +242,12 @@
 }
 
 /* An existing file is not replaced: the fleet may depend on it. */
+static int explain_(const struct options *options, char **arguments)
+{
+	(void)options;
+	return explain_request(arguments[0], arguments + 1);
+}
+
 static int key_generate_(const struct options *options, char **arguments)
 {
 	uint8_t secret[SECRET_BYTES];
--- a/src/boragewingctl/commands.h
+++ b/src/boragewingctl/commands.h
@@ -33,7 +33,7 @@
 	const char *words; /**< for example "sheet submit" */
 	const char *arguments; /**< for the help text */
 	const char *help;
-	int argument_count;
+	int argument_count; /**< negative: at least so many */
 	bool needs_host;
 	int (*run)(const struct options *options, char **arguments);
 };
--- a/src/boragewingctl/main.c
+++ b/src/boragewingctl/main.c
@@ -23,6 +23,7 @@
 static char *description_(void);
 static const struct command *find_command_(int argc, char **argv, int *used);
 static int read_token_(const char *path, char token[TOKEN_LIMIT_BYTES]);
+static bool count_fits_(int count, int wanted);
 
 int main(int argc, char **argv)
 {
@@ -44,7 +45,7 @@
 				"them\n");
 		goto out;
 	}
-	if (argc - 1 - used != command->argument_count) {
+	if (!count_fits_(argc - 1 - used, command->argument_count)) {
 		fprintf(stderr, "boragewingctl: use %s %s\n", command->words,
 			command->arguments);
 		goto out;
@@ -170,3 +171,8 @@
 	bw_buffer_finish(&text);
 	return failed;
 }
+
+static bool count_fits_(int count, int wanted)
+{
+	return wanted < 0 ? count >= -wanted : count == wanted;
+}
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -37,6 +37,7 @@
 static void choose_service_(struct gate_request *request);
 static void offer_(struct gate_request *request);
 static void send_(struct gate_request *request);
+static void log_sent_(const struct gate_request *request, struct bw_time now);
 static void note_attempt_(struct gate_request *request, struct bw_time now);
 static void write_head_(const struct gate_request *request,
 			struct bw_buffer *head, struct bw_time now);
@@ -57,8 +58,12 @@
 		     uint32_t retry_after_ms, const char *text);
 static void finish_(struct gate_request *request, enum gate_end end,
 		    uint16_t status_code, const char *cause);
+static void log_end_(const struct gate_request *request, enum gate_end end,
+		     uint16_t status_code, const char *cause, uint64_t took_us);
 static void end_job_(struct gate_request *request, enum bw_job_result result,
 		     const struct bw_http_message *response);
+static void log_ejection_(const struct gate_request *request, uint64_t id_hash,
+			  struct bw_time now);
 static void give_up_upstream_(struct gate_request *request);
 static void on_deadline_(struct ev_loop *loop, ev_timer *timer, int events);
 static void answer_unrouted_(struct gate_entry *entry,
@@ -168,6 +173,8 @@
 	request->job.owner = request;
 	bw_http_find(message, PLATFORM_FIELD_REQUEST_ID, request->id,
 		     sizeof(request->id));
+	request->traced =
+		bw_log_traces(entry->node->log, bw_registry_hash(request->id));
 	if (message->body.size_bytes)
 		bw_buffer_append(&request->body, message->body.data,
 				 message->body.size_bytes);
@@ -271,10 +278,11 @@
 		send_(request);
 		break;
 	case BW_VERDICT_WAIT:
-		bw_log_event(entry->node->log, BW_LOG_DEBUG, "request",
-			     "queued", "{s:s,s:s,s:i,s:i}", "request",
-			     request->id, "service", request->job.service->name,
-			     "waiting",
+		if (!request->traced)
+			break;
+		bw_log_event(entry->node->log, BW_LOG_INFO, "request", "queued",
+			     "{s:s,s:s,s:i,s:i}", "request", request->id,
+			     "service", request->job.service->name, "waiting",
 			     (int)request->job.service->waiting.length, "rank",
 			     (int)request->job.rank);
 		break;
@@ -310,7 +318,19 @@
 	}
 	note_attempt_(request, now);
 	request->attempts++;
-	bw_log_event(entry->node->log, BW_LOG_DEBUG, "request", "sent",
+	request->upstream = bw_pool_send(&entry->pool, &send);
+	bw_buffer_finish(&head);
+	if (request->traced)
+		log_sent_(request, now);
+	if (!request->upstream)
+		handle_failure_(request, BW_POOL_NOT_SENT);
+}
+
+static void log_sent_(const struct gate_request *request, struct bw_time now)
+{
+	const struct bw_job *job = &request->job;
+
+	bw_log_event(request->entry->node->log, BW_LOG_INFO, "request", "sent",
 		     "{s:s,s:s,s:s,s:s,s:i,s:f,s:b,s:i,s:f,s:I,s:I}", "request",
 		     request->id, "service", job->service->name, "server",
 		     job->target->id, "distance",
@@ -321,10 +341,6 @@
 		     "report_age_ms",
 		     (json_int_t)bw_time_diff_ms(now, job->target->reported),
 		     "version", (json_int_t)request->routing->version);
-	request->upstream = bw_pool_send(&entry->pool, &send);
-	bw_buffer_finish(&head);
-	if (!request->upstream)
-		handle_failure_(request, BW_POOL_NOT_SENT);
 }
 
 static void note_attempt_(struct gate_request *request, struct bw_time now)
@@ -531,7 +547,6 @@
 {
 	struct gate_entry *entry = request->entry;
 	uint64_t took_us = bw_clock_us() - request->arrived_us;
-	const struct gate_attempt *last = &request->last;
 	bool good = end == GATE_END_ANSWERED && status_code < 500;
 
 	if (request->connection)
@@ -539,35 +554,46 @@
 	request->connection = NULL;
 	bw_metric_add(entry->ends[end], 1);
 	bw_metric_observe(entry->total_us[request->route->idempotent], took_us);
-	bw_log_event(entry->node->log, good ? BW_LOG_INFO : BW_LOG_WARNING,
-		     "request", gate_end_string[end],
-		     "{s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i,s:I,s:s,s:s,s:b,s:b,s:i,"
-		     "s:f,s:f,s:I,s:i,s:i,s:I}",
-		     "request", request->id, "route", request->route->name,
-		     "service", request->job.service->name, "status",
-		     (int)status_code, "cause", cause, "attempts",
-		     (int)request->attempts, "took_ms",
-		     (json_int_t)(took_us / 1000), "queue_ms",
-		     (int)request->queue_ms, "version",
-		     (json_int_t)request->routing->version, "server",
-		     last->server, "distance",
-		     bw_distance_string[last->distance], "home", last->home,
-		     "warm", last->warm, "upstream_ms", (int)last->took_ms,
-		     "expected_ms", last->expected_ms, "others", last->others,
-		     "report_age_ms", (json_int_t)last->report_age_ms,
-		     "running", (int)last->load.running, "server_waiting",
-		     (int)last->load.waiting, "object",
-		     (json_int_t)(request->job.object >> 40));
+	if (!good || request->traced)
+		log_end_(request, end, status_code, cause, took_us);
 	request->detached = true;
 	ev_timer_stop(entry->node->loop, &request->deadline_timer);
 	if (!request->upstream)
 		gate_request_free(request);
 }
 
+static void log_end_(const struct gate_request *request, enum gate_end end,
+		     uint16_t status_code, const char *cause, uint64_t took_us)
+{
+	const struct gate_attempt *last = &request->last;
+	bool good = end == GATE_END_ANSWERED && status_code < 500;
+
+	bw_log_event(
+		request->entry->node->log, good ? BW_LOG_INFO : BW_LOG_WARNING,
+		"request", gate_end_string[end],
+		"{s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i,s:I,s:s,s:s,s:b,s:b,s:i,"
+		"s:f,s:f,s:I,s:i,s:i,s:I}",
+		"request", request->id, "route", request->route->name,
+		"service", request->job.service->name, "status",
+		(int)status_code, "cause", cause, "attempts",
+		(int)request->attempts, "took_ms", (json_int_t)(took_us / 1000),
+		"queue_ms", (int)request->queue_ms, "version",
+		(json_int_t)request->routing->version, "server", last->server,
+		"distance", bw_distance_string[last->distance], "home",
+		last->home, "warm", last->warm, "upstream_ms",
+		(int)last->took_ms, "expected_ms", last->expected_ms, "others",
+		last->others, "report_age_ms", (json_int_t)last->report_age_ms,
+		"running", (int)last->load.running, "server_waiting",
+		(int)last->load.waiting, "object",
+		(json_int_t)(request->job.object >> 40));
+}
+
 static void end_job_(struct gate_request *request, enum bw_job_result result,
 		     const struct bw_http_message *response)
 {
 	struct gate_entry *entry = request->entry;
+	struct bw_time now = gate_node_now(entry->node);
+	uint64_t id_hash = request->job.target->id_hash;
 	struct bw_load_report load;
 	bool known = false;
 	char text[64];
@@ -580,7 +606,27 @@
 	request->last.took_ms =
 		(uint32_t)((bw_clock_us() - request->sent_us) / 1000);
 	bw_dispatch_ended(&entry->dispatch, &request->job, result,
-			  known ? &load : NULL, gate_node_now(entry->node));
+			  known ? &load : NULL, now);
+	log_ejection_(request, id_hash, now);
+}
+
+/* A failure may have made the dispatcher avoid the server for a time. */
+static void log_ejection_(const struct gate_request *request, uint64_t id_hash,
+			  struct bw_time now)
+{
+	struct gate_entry *entry = request->entry;
+	const struct bw_target *target =
+		g_hash_table_lookup(entry->dispatch.targets, &id_hash);
+
+	if (!target || target->failed_at.ms != now.ms ||
+	    bw_time_reached(now, target->ejected_until))
+		return;
+	bw_log_event(entry->node->log, BW_LOG_WARNING, "registry",
+		     "server_avoided", "{s:s,s:s,s:f,s:i,s:I}", "server",
+		     target->id, "request", request->id, "failures",
+		     target->failures, "failures_in_row",
+		     (int)target->failures_in_row, "for_ms",
+		     (json_int_t)bw_time_diff_ms(target->ejected_until, now));
 }
 
 /*
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -41,6 +41,7 @@
 	uint32_t queue_ms; /**< until it was first sent */
 	uint32_t attempts; /**< backend servers that it was sent to */
 	uint32_t connect_failures;
+	bool traced; /**< each of its decisions gets a log line */
 	bool may_have_run; /**< an attempt ended without a clear outcome */
 	bool detached; /**< answered or left; only its end is awaited */
 	ev_timer deadline_timer;
--- a/src/libbwbase/log.c
+++ b/src/libbwbase/log.c
@@ -13,6 +13,9 @@
 
 #define TIME_TEXT_BYTES 32
 
+/** Requests of which one is traced while the buffer fills. */
+#define SAMPLED_ONE_IN 16
+
 /** Bytes written at once; a pipe that is writable takes them without a wait. */
 #define FLUSH_BYTES 4096
 
@@ -75,6 +78,13 @@
 	}
 }
 
+bool bw_log_traces(const struct bw_log *log, uint64_t request_hash)
+{
+	if (log->fd < 0 || log->pending.size_bytes < log->pending_max_bytes / 4)
+		return true;
+	return request_hash % SAMPLED_ONE_IN == 0;
+}
+
 void bw_log_finish(struct bw_log *log)
 {
 	bw_buffer_finish(&log->pending);
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -444,6 +444,7 @@
 	int64_t eject_ms;
 
 	target->failures_in_row++;
+	target->failed_at = now;
 	smooth_(&target->failures, 1.0, HEALTH_GAIN);
 	if (target->failures < FAILURES_MAX && target->failures_in_row < 2)
 		return;
--- /dev/null
+++ b/test/gateway.sh
@@ -0,0 +1,228 @@
+#!/usr/bin/env bash
+# Runs three control hosts and two entry hosts of a gateway as real processes,
+# with stand-in backend servers, and checks what clients, operators and backend
+# servers see: routing, at most one run, truthful rejections, draining,
+# evacuation, explanation of failures, loss and restart of control hosts, and a
+# graceful stop.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD:-build}
+port=${DEPLOYMENT_FLEET_PORT:-29000}
+work=$(mktemp -d)
+declare -A pids
+passed=0
+failed=0
+
+finish() {
+	for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null; done
+	wait 2>/dev/null
+	if [ "$failed" -gt 0 ]; then
+		echo "logs: $work"
+	else
+		rm -rf "$work"
+	fi
+	echo "$passed passed, $failed failed"
+}
+trap 'finish; [ "$failed" -eq 0 ]' EXIT
+
+check() { # NAME CONDITION...
+	if "${@:2}"; then
+		passed=$((passed + 1))
+	else
+		failed=$((failed + 1))
+		echo "failed: $1"
+	fi
+}
+
+control() { echo "127.0.1.$1:$((port + 4))"; }
+entry() { echo "127.0.2.$1:$((port + 1))"; }
+
+settings() { # NAME IP ZONE LISTEN FIRST DATA
+	cat > "$work/$1.yaml" <<END
+node: "$1"
+ip: "$2"
+zone: "$3"
+region: "r"
+zones: {a: "r", b: "r"}
+listen: {$4}
+innerPorts: [$port, $((port + 9))]
+seeds: ["$(control 1)", "$(control 2)", "$(control 3)"]
+bootstrap: $5
+dataDir: $6
+limits: {memoryMb: 256, maxFds: 1024}
+beatIntervalS: 0.5
+bounds: {graceS: 4, drainS: 2.5}
+END
+}
+
+start() { # NAME
+	BORAGEWING_NODE_FILE="$work/$1.yaml" "$build/src/boragewingd/boragewingd" \
+		--gateway --metrics-port $((port + 8)) >> "$work/$1.log" 2>&1 &
+	pids[$1]=$!
+}
+
+start_control() { # NUMBER FIRST
+	mkdir -p "$work/data-$1"
+	settings "control-$1" "127.0.1.$1" a "control: \"$(control "$1")\"" \
+		"$2" "\"$work/data-$1\""
+	start "control-$1"
+}
+
+start_entry() { # NUMBER
+	settings "entry-$1" "127.0.2.$1" a "front: \"$(entry "$1")\", readinessAddr: \"127.0.2.$1:$((port + 2))\"" true null
+	start "entry-$1"
+}
+
+call() { curl -s -L --max-time 4 "$@"; }
+code() { curl -s -L --max-time 6 -o /dev/null -w '%{http_code}' "$@"; }
+
+configuration() { # VERSION
+	cat <<END
+{"version":$1,"routes":{
+"read":{"host":"h.example","pathPrefix":"/read/","kind":"safe","timeoutS":3,"sloS":0.5,"priority":1,"service":"s","attempts":2,"sticky":true},
+"file":{"host":"h.example","pathPrefix":"/file/","kind":"unsafe","timeoutS":1.5,"sloS":0.5,"priority":0,"service":"s","attempts":2}},
+"services":{"s":{"healthPath":"/health","maxConns":100,"coldStartS":1,"coldPerS":5}},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutS":3,"idleTimeoutS":15}}
+END
+}
+
+submit() { # VERSION
+	configuration "$1" > "$work/configuration.json"
+	code --post301 -X POST --data-binary "@$work/configuration.json" \
+		"http://$(control $((RANDOM % 3 + 1)))/-/config/put"
+}
+
+until_is() { # VALUE SECONDS COMMAND...
+	local end=$((SECONDS + $2))
+	while [ "$SECONDS" -lt "$end" ]; do
+		[ "$("${@:3}")" = "$1" ] && return 0
+		sleep 0.1
+	done
+	return 1
+}
+
+beat() { # SERVER ZONE ADDRESS STATE SEQUENCE CONTROL
+	code -X POST -d "{\"address\":\"$3\",\"born\":1700000000000,\"info\":{\"service\":\"s\",\"version\":\"v1\",\"zone\":\"$2\",\"slots\":4},\"status\":{\"state\":\"$4\",\"seq\":$5,\"coldLeftS\":0}}" \
+		"http://$(control "$6")/-/instances/$1/heartbeat"
+}
+
+beats() { # announces two servers until the file "one" or "two" is removed
+	local n=1
+	while [ -e "$work/beats" ]; do
+		for k in 1 2 3; do
+			[ -e "$work/one" ] && beat i-one a "127.0.3.1:$((port + 6))" ready $n $k > /dev/null
+			[ -e "$work/two" ] && beat i-two b "127.0.3.2:$((port + 6))" ready $n $k > /dev/null
+		done
+		n=$((n + 1))
+		echo $n > "$work/sequence"
+		sleep 0.2
+	done
+}
+
+request() { # ENTRY METHOD PATH ID [OPTION...]
+	curl -s --max-time 6 -o "$work/body" -w '%{http_code}' -X "$2" \
+		-H 'Host: h.example' -H "Request-Id: $4" -H 'Deadline-Ms: 4000' \
+		"${@:5}" "http://$(entry "$1")$3"
+}
+
+runs() { grep -c "^$1 " "$work/ledger" 2>/dev/null; }
+explain() { "$build/src/boragewingctl/boragewingctl" explain "$1" "$work"/*.log 2>&1; }
+explains() { explain "$1" | grep -q "^cause: $2"; }
+
+ulimit -n 4096
+for i in 1 2 3; do start_control $i true; done
+for i in 1 2; do start_entry $i; done
+touch "$work/ledger" "$work/beats" "$work/one" "$work/two"
+for name in one two; do
+	number=$([ $name = one ] && echo 1 || echo 2)
+	"$build/tools/bw-gate-backend" "127.0.3.$number:$((port + 6))" "i-$name" "$work/ledger" &
+	pids[backend-$name]=$!
+done
+beats &
+pids[beats]=$!
+
+check "a first configuration is accepted" until_is 200 20 submit 3
+check "both entry hosts become ready" until_is 200 10 code "http://127.0.2.1:$((port + 2))/-/ready"
+check "both entry hosts become ready" until_is 200 10 code "http://127.0.2.2:$((port + 2))/-/ready"
+check "the directory names both" until_is 2 10 bash -c "curl -s 'http://$(control 2)/-/resolve?name=h&region=r&zone=a' | grep -o '127.0.2' | wc -l"
+check "a request is served" until_is 200 10 request 1 GET /read/x first
+check "its answer is whole" grep -q '^first /read/x 0$' "$work/body"
+check "an unknown path gets 404" test "$(request 1 GET /other/x nothing)" = 404
+check "a body arrives" test "$(request 2 POST /file/x body -d hello)" = 200
+check "a body arrives whole" grep -q '^body /file/x 5$' "$work/body"
+
+# Configurations.
+check "an invalid one is refused" test "$(code -X POST -d '{"version":9}' "http://$(control 1)/-/config/put")" = 400
+check "a lower version is acknowledged" test "$(submit 2)" = 200
+check "and changes nothing" until_is 3 5 bash -c "curl -s -L http://$(control 1)/-/config/get | jq .version"
+check "a higher version is accepted" test "$(submit 5)" = 200
+check "and is read back" until_is 5 5 bash -c "curl -s -L http://$(control 3)/-/config/get | jq .version"
+
+# Three kinds of failed request, and the way from the id to the cause.
+check "an answer is lost" test "$(request 1 POST /file/lost unsafe-lost)" = 502
+check "it ran once" test "$(runs unsafe-lost)" = 1
+check "a silent server: 504" test "$(request 1 POST /file/silent held)" = 504
+check "it ran once" test "$(runs held)" = 1
+check "full servers: 503" test "$(request 2 POST /file/full refused)" = 503
+check "it has not run" test "$(runs refused)" = 0
+for domain in a b; do
+	check "an evacuation is accepted" test "$(code --post301 -X POST "http://$(control 1)/-/evacuations/$domain/start")" = 200
+done
+check "evacuated domains get nothing" until_is 503 5 request 1 GET /read/y "evacuated-$RANDOM"
+check "a request is rejected though servers are free" test "$(request 1 GET /read/y free-but-rejected)" = 503
+check "it has not run" test "$(runs free-but-rejected)" = 0
+sleep 0.5
+check "the lost answer is explained" explains unsafe-lost "failed, \(closed\|invalid\)"
+check "the held request is explained" explains held "timeout, deadline"
+check "the rejection is explained" explains free-but-rejected "rejected, no_server"
+check "its timeline names the evacuation" grep -q evacuations_in_force <(explain free-but-rejected)
+for domain in a b; do
+	check "an evacuation ends" test "$(code --post301 -X POST "http://$(control 2)/-/evacuations/$domain/end")" = 200
+done
+check "requests are served again" until_is 200 5 request 1 GET /read/y again
+
+# Draining.
+rm "$work/one"
+sleep 0.5
+check "draining is acknowledged" test "$(beat i-one a "127.0.3.1:$((port + 6))" draining 100000 1)" = 200
+sleep 2.5
+: > "$work/ledger"
+for i in $(seq 20); do request $((i % 2 + 1)) GET "/read/$i" "drained-$i" > /dev/null; done
+check "a draining server gets nothing" test "$(grep -c i-one "$work/ledger")" = 0
+check "the other one serves" test "$(grep -c i-two "$work/ledger")" = 20
+
+# Loss of a control host, and of all of them.
+kill -9 "${pids[control-1]}"
+wait "${pids[control-1]}" 2>/dev/null
+submit_to() { configuration "$1" > "$work/configuration.json"; code --post301 -X POST --data-binary "@$work/configuration.json" "http://$(control $((RANDOM % 2 + 2)))/-/config/put"; }
+check "two of three accept a configuration" until_is 200 15 submit_to 8
+check "requests go on" test "$(request 1 GET /read/z during-loss)" = 200
+kill -9 "${pids[control-2]}" "${pids[control-3]}"
+wait "${pids[control-2]}" "${pids[control-3]}" 2>/dev/null
+check "without control hosts requests go on" test "$(request 1 GET /read/z without-control)" = 200
+for i in 1 2 3; do start_control $i false; done
+check "the newest configuration survives" until_is 8 20 bash -c "curl -s -L --max-time 2 http://$(control 2)/-/config/get | jq .version"
+
+# A host that lost its disk takes part again.
+kill -9 "${pids[control-3]}"
+wait "${pids[control-3]}" 2>/dev/null
+rm -rf "$work/data-3"
+start_control 3 false
+check "an empty control host is admitted" until_is 1 20 bash -c "grep -c '\"first_start\":false' '$work/control-3.log' > /dev/null; grep -q state_current <(tail -n +1 '$work/control-3.log' | tac | sed '/\"started\"/q') && echo 1"
+kill -9 "${pids[control-1]}"
+wait "${pids[control-1]}" 2>/dev/null
+check "it counts in a majority" until_is 200 20 submit_to 11
+
+# Metrics and a graceful stop.
+check "metrics have histograms" grep -q 'bw_answer_seconds_bucket' <(curl -s "http://127.0.2.1:$((port + 8))/metrics")
+request 1 GET /read/slow slow-one > "$work/slow" &
+slow=$!
+sleep 0.3
+kill -TERM "${pids[entry-1]}"
+check "a stopping host is not ready" until_is 503 2 code "http://127.0.2.1:$((port + 2))/-/ready"
+wait "$slow"
+check "it finishes its requests" test "$(cat "$work/slow")" = 200
+check "the directory leaves it out" until_is 1 5 bash -c "curl -s 'http://$(control 2)/-/resolve?name=h&region=r&zone=a' | grep -o '127.0.2' | wc -l"
+wait "${pids[entry-1]}"
+check "it ends without an error" test $? = 0
+check "its log says so" grep -q '"event":"stopped"' "$work/entry-1.log"
--- /dev/null
+++ b/tools/gate_backend.c
@@ -0,0 +1,196 @@
+/*
+ * Stand-in for a backend server behind a gateway, for tests. The last part of
+ * the path chooses what happens: "lost" runs the request and closes the
+ * connection, "silent" runs it and never answers, "full" refuses it, "slow"
+ * answers after a second, and anything else is answered at once. Each run is
+ * appended to a ledger file.
+ */
+#include <ev.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bwproxy/listener.h"
+
+#define CONNECTIONS_MAX 256
+#define LIMIT_BYTES 65536
+#define TIMEOUT_MS 60000
+#define SLOW_S 1.0
+
+/** The stand-in. */
+struct backend {
+	struct ev_loop *loop;
+	struct bw_listener listener;
+	const char *id;
+	const char *ledger;
+	uint32_t running;
+};
+
+/** An answer that is due later. */
+struct later {
+	struct backend *backend;
+	struct bw_server_connection *connection;
+	ev_timer timer;
+};
+
+static void on_request_(void *context, struct bw_server_connection *connection,
+			const struct bw_http_message *request);
+static void on_gone_(void *context, struct bw_server_connection *connection);
+static void on_later_(struct ev_loop *loop, ev_timer *timer, int events);
+static void answer_(struct backend *backend,
+		    struct bw_server_connection *connection);
+static bool ends_with_(const struct bw_http_message *request,
+		       const char *ending);
+static void note_run_(const struct backend *backend,
+		      const struct bw_http_message *request);
+
+static const struct bw_listener_handler handler = {
+	.request = on_request_,
+	.gone = on_gone_,
+};
+
+int main(int argc, char **argv)
+{
+	struct backend backend = { .loop = ev_default_loop(EVFLAG_AUTO) };
+	struct bw_listener_config config = { .handler = &handler };
+
+	if (argc != 4) {
+		fprintf(stderr, "use: bw-gate-backend ADDRESS ID LEDGER\n");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	backend.id = argv[2];
+	backend.ledger = argv[3];
+	config.loop = backend.loop;
+	config.address = argv[1];
+	config.limits.head_max_bytes = LIMIT_BYTES;
+	config.limits.body_max_bytes = LIMIT_BYTES;
+	config.connections_max = CONNECTIONS_MAX;
+	config.head_timeout_ms = TIMEOUT_MS;
+	config.idle_timeout_ms = TIMEOUT_MS;
+	config.context = &backend;
+	if (bw_listener_init(&backend.listener, &config) != BW_OK) {
+		perror("bw-gate-backend");
+		return 2;
+	}
+	ev_run(backend.loop, 0);
+	return 0;
+}
+
+static void on_request_(void *context, struct bw_server_connection *connection,
+			const struct bw_http_message *request)
+{
+	struct backend *backend = context;
+	struct later *later;
+	struct bw_buffer fields;
+	char expected[128];
+
+	if (bw_http_find(request, "Expect-Instance", expected,
+			 sizeof(expected)) &&
+	    strcmp(expected, backend->id) != 0) {
+		bw_connection_respond(connection, 421, NULL, NULL, 0, false);
+		return;
+	}
+	if (ends_with_(request, "/full")) {
+		char id[128] = "";
+
+		bw_http_find(request, "Request-Id", id, sizeof(id));
+		bw_buffer_init(&fields);
+		bw_buffer_printf(&fields,
+				 "Not-Executed: 1\r\nRequest-Id: %s\r\n", id);
+		bw_connection_respond(connection, 503, &fields, NULL, 0, false);
+		bw_buffer_finish(&fields);
+		return;
+	}
+	note_run_(backend, request);
+	if (ends_with_(request, "/silent"))
+		return;
+	if (ends_with_(request, "/lost")) {
+		/* An answer to no request: the client drops the connection. */
+		bw_connection_respond(connection, 200, NULL, NULL, 0, true);
+		return;
+	}
+	if (!ends_with_(request, "/slow")) {
+		answer_(backend, connection);
+		return;
+	}
+	later = calloc(1, sizeof(*later));
+	later->backend = backend;
+	later->connection = connection;
+	*bw_connection_context(connection) = later;
+	ev_timer_init(&later->timer, on_later_, SLOW_S, 0.0);
+	later->timer.data = later;
+	ev_timer_start(backend->loop, &later->timer);
+}
+
+static void on_gone_(void *context, struct bw_server_connection *connection)
+{
+	struct backend *backend = context;
+	struct later *later = *bw_connection_context(connection);
+
+	if (!later)
+		return;
+	ev_timer_stop(backend->loop, &later->timer);
+	free(later);
+}
+
+static void on_later_(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct later *later = timer->data;
+
+	(void)loop;
+	(void)events;
+	answer_(later->backend, later->connection);
+	free(later);
+}
+
+static void answer_(struct backend *backend,
+		    struct bw_server_connection *connection)
+{
+	const struct bw_http_message *request =
+		bw_connection_request(connection);
+	struct bw_buffer fields;
+	struct bw_buffer body;
+	char id[128] = "";
+
+	bw_http_find(request, "Request-Id", id, sizeof(id));
+	bw_buffer_init(&fields);
+	bw_buffer_init(&body);
+	bw_buffer_printf(&fields,
+			 "Request-Id: %s\r\nResponse-Stamp: %s\r\n"
+			 "Server-Load: 1,0,4\r\n",
+			 id, backend->id);
+	bw_buffer_printf(&body, "%s %.*s %zu\n", id,
+			 (int)request->target.size_bytes,
+			 bw_http_text(request, request->target),
+			 request->body.size_bytes);
+	bw_connection_respond(connection, 200, &fields, body.data,
+			      body.size_bytes, false);
+	bw_buffer_finish(&fields);
+	bw_buffer_finish(&body);
+}
+
+static bool ends_with_(const struct bw_http_message *request,
+		       const char *ending)
+{
+	size_t length = strlen(ending);
+
+	return request->target.size_bytes >= length &&
+	       !memcmp(bw_http_text(request, request->target) +
+			       request->target.size_bytes - length,
+		       ending, length);
+}
+
+static void note_run_(const struct backend *backend,
+		      const struct bw_http_message *request)
+{
+	FILE *ledger = fopen(backend->ledger, "a");
+	char id[128] = "";
+
+	bw_http_find(request, "Request-Id", id, sizeof(id));
+	if (!ledger)
+		return;
+	fprintf(ledger, "%s %s\n", id, backend->id);
+	fclose(ledger);
+}
