Add a randomized soak of the gateway with checks that prove themselves

Processes are stopped, killed, terminated and restarted, connections to servers are cut, frozen and delayed, in series and overlapping. verify.sh checks doubled runs, false refusals, mixed and made-up answers, old and lost configurations and drained servers; plant.sh plants each of them.

--- /dev/null
+++ b/soak/plant.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Proves the checks of verify.sh: clean facts pass, and each planted fault is
+# found under its name.
+set -uo pipefail
+cd "$(dirname "$0")"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+passed=0
+failed=0
+
+clean() {
+	rm -rf "${work:?}"/*
+	printf '%s\n' "a s1 1000" "b s1 2000" "c s2 3000" > "$work/ledger"
+	printf '%s\n' "a safe 200 a" "b unsafe 200 b" "c unsafe 502 -" \
+		"d unsafe 503 -" > "$work/results"
+	printf '%s\n' "5 1000" "7 8000" > "$work/acks"
+	printf '%s\n' "5 4000" "5 9000" "7 12000" > "$work/reads"
+	printf '%s\n' "s1 1900" > "$work/drains"
+	echo 7 > "$work/final"
+}
+
+expect() { # NAME FILE LINE
+	clean
+	[ -n "$2" ] && echo "$3" >> "$work/$2"
+	out=$(bash verify.sh "$work")
+	code=$?
+	if [ -z "$2" ] && [ $code = 0 ] || { [ -n "$2" ] && [ $code = 1 ] &&
+		grep -q "^$1:" <<< "$out"; }; then
+		passed=$((passed + 1))
+	else
+		failed=$((failed + 1))
+		echo "failed: $1: $out"
+	fi
+}
+
+expect clean "" ""
+expect doubled ledger "b s2 2100"
+expect "false refusal" ledger "d s2 2100"
+expect mixed results "e safe 200 a"
+expect "made up" results "f safe 200 f"
+expect "old configuration" reads "5 12000"
+expect lost final "6"
+expect drained ledger "g s1 4500"
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/soak/soak.sh
@@ -0,0 +1,159 @@
+#!/usr/bin/env bash
+# Randomized soak of a gateway. Real processes run on loopback addresses; faults
+# come from outside, in series and overlapping: processes are stopped, killed,
+# terminated and restarted, and connections to backend servers are cut, frozen
+# and delayed by the fault proxy. Usage: soak.sh SEED [SECONDS]. The seed
+# decides kinds and times of the faults. Prints broken promises; keeps the
+# folder with all facts and logs when there are any.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+seed=${1:?use: soak.sh SEED [SECONDS]}
+length=${2:-20}
+build=${BUILD:-build}
+port=${DEPLOYMENT_FLEET_PORT:-$((30000 + seed % 500 * 20))}
+work=$(mktemp -d)
+. test/gateway_lib.sh
+servers=4
+RANDOM=$seed
+trap 'rm -f "$work/running"; for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; done; finish > /dev/null' EXIT
+
+now_ms() { date +%s%3N; }
+address() { echo "127.0.3.$1:$((port + 6))"; } # of a server
+proxied() { echo "127.0.3.$1:$((port + 7))"; } # as it is announced
+proxy() { curl -s --max-time 2 -d "$*" "http://127.0.0.1:$((port + 9))/" > /dev/null; }
+
+announce() { # repeats the announcements of one server
+	local n=1 zone=a
+	[ $(($1 % 2)) = 0 ] && zone=b
+	while [ -e "$work/running" ]; do
+		if [ -e "$work/draining-$1" ]; then
+			[ "$(beat "i-$1" $zone "$(proxied "$1")" draining $n $((n % 3 + 1)))" = 200 ] &&
+				echo "i-$1 $(now_ms)" >> "$work/drains"
+		else
+			beat "i-$1" $zone "$(proxied "$1")" ready $n $((n % 3 + 1)) > /dev/null
+		fi
+		n=$((n + 1))
+		sleep 0.3
+	done
+}
+
+# One connection carries ten requests, as long as its host lives.
+client() { # NUMBER
+	local n=0 i id host kind
+	while [ -e "$work/running" ]; do
+		host=$(entry $((n % 3 + 1)))
+		local args=()
+		for i in 1 2 3 4 5 6 7 8 9 10; do
+			id="c$1-$n-$i"
+			kind=$([ $((i % 2)) = 0 ] && echo safe || echo unsafe)
+			case $i in
+			1 | 3 | 5) args+=(-X POST -d "body-$id" "http://$host/file/$id") ;;
+			7) args+=(-X POST -d x "http://$host/file/full") ;;
+			9) args+=(-X POST -d x "http://$host/file/lost") ;;
+			10) args+=("http://$host/read/slow") ;;
+			*) args+=("http://$host/read/$((n % 7))") ;;
+			esac
+			args+=(-s --max-time 4 -H "Host: h.example" -H "Request-Id: $id"
+				-H "Deadline-Ms: 3500" -o "$work/body-$1-$i"
+				-w "$id $kind %{http_code}\n")
+			[ $i -lt 10 ] && args+=(--next)
+		done
+		rm -f "$work/body-$1-"*
+		curl "${args[@]}" 2>/dev/null | while read -r id kind code; do
+			i=${id##*-}
+			echo "$id $kind $code $(head -c 200 "$work/body-$1-$i" 2>/dev/null | head -1 | cut -d' ' -f1)" >> "$work/results-$1"
+		done
+		n=$((n + 1))
+	done
+}
+
+operator() {
+	local version=10 at code
+	while [ -e "$work/running" ]; do
+		configuration "$version" > "$work/order.json"
+		code=$(code --post301 -X POST --data-binary "@$work/order.json" "http://$(control $((version % 3 + 1)))/-/config/put")
+		[ "$code" = 200 ] && { echo "$version $(now_ms)" >> "$work/acks"; version=$((version + 1 + version % 3)); }
+		at=$(now_ms)
+		read_version "$((version % 3 + 1))" "$at"
+		sleep 0.4
+	done
+}
+
+read_version() { # CONTROL TIME
+	local version
+	version=$(call "http://$(control "$1")/-/config/get" | jq -r '.version // empty' 2>/dev/null)
+	[ -n "$version" ] && echo "$version $2" >> "$work/reads"
+}
+
+restart() { # NAME SIGNAL PAUSE
+	kill "-$2" "${pids[$1]}" 2>/dev/null
+	wait "${pids[$1]}" 2>/dev/null
+	sleep "$3"
+	sed -i 's/^bootstrap: true/bootstrap: false/' "$work/$1.yaml"
+	start "$1"
+}
+
+pause() { # NAME SECONDS
+	local pid=${pids[$1]}
+	kill -STOP "$pid" 2>/dev/null
+	(sleep "$2"; kill -CONT "$pid" 2>/dev/null) &
+}
+
+fault() {
+	local i=$((RANDOM % 3 + 1)) k=$((RANDOM % servers + 1)) s="0.$((RANDOM % 9 + 1))"
+	local kind=$((RANDOM % 9))
+	echo "$(now_ms) fault $kind host $i server $k for $s" >> "$work/faults"
+	case $kind in
+	0) restart "control-$i" KILL "$s" ;;
+	1) restart "entry-$i" KILL "$s" ;;
+	2) restart "entry-$i" TERM "$s" ;;
+	3) pause "control-$i" "1$s" ;;
+	4) pause "entry-$i" "$s" ;;
+	5) proxy "cut 0.0.0.0/0 127.0.3.$k/32"; (sleep "1$s"; proxy clear) & ;;
+	6) proxy "freeze 0.0.0.0/0 127.0.3.$k/32"; (sleep "$s"; proxy clear) & ;;
+	7) proxy "delay 0.0.0.0/0 127.0.3.$k/32 200"; (sleep "1$s"; proxy clear) & ;;
+	8) for i in 1 2 3; do kill -KILL "${pids[control-$i]}" 2>/dev/null; done
+		for i in 1 2 3; do restart "control-$i" KILL 0.1; done ;;
+	esac
+}
+
+ulimit -n 4096
+touch "$work/running" "$work/ledger"
+for i in 1 2 3; do start_control $i true; done
+for i in 1 2 3; do start_entry $i; done
+echo "pairs:" > "$work/proxy.yaml"
+for k in $(seq $servers); do
+	echo "  - {listen: \"$(proxied "$k")\", target: \"$(address "$k")\"}" >> "$work/proxy.yaml"
+	"$build/tools/bw-gate-backend" "$(address "$k")" "i-$k" "$work/ledger" &
+	pids[backend-$k]=$!
+done
+"$build/tools/bw-fault-proxy" --config="$work/proxy.yaml" --command-port=$((port + 9)) > "$work/proxy.log" 2>&1 &
+pids[proxy]=$!
+until_is 200 20 submit 3 || { echo "seed $seed: no first configuration"; exit 1; }
+for k in $(seq $servers); do announce "$k" & pids[announce-$k]=$!; done
+sleep 1.5
+for c in 1 2 3 4; do client $c & pids[client-$c]=$!; done
+operator & pids[operator]=$!
+end=$((SECONDS + length))
+while [ "$SECONDS" -lt "$end" ]; do
+	fault
+	sleep "0.$((RANDOM % 9 + 1))"
+	[ "$SECONDS" -ge $((end - length / 2)) ] && touch "$work/draining-1"
+done
+sleep 5
+rm "$work/running"
+wait "${pids[operator]}" "${pids[client-1]}" "${pids[client-2]}" "${pids[client-3]}" "${pids[client-4]}"
+cat "$work"/results-* > "$work/results" 2>/dev/null
+until_is 200 10 code "http://$(control 1)/-/config/get" > /dev/null
+call "http://$(control 1)/-/config/get" | jq -r .version > "$work/final"
+served=$(grep -c ' 200 ' "$work/results")
+asked=$(wc -l < "$work/results")
+if bash soak/verify.sh "$work" > "$work/broken" && [ "$served" -gt 20 ]; then
+	echo "seed $seed: $asked requests, $served served, $(wc -l < "$work/faults") faults, $(wc -l < "$work/acks") configurations: kept"
+	rm -rf "$work"
+	exit 0
+fi
+cat "$work/broken"
+echo "seed $seed: $asked requests, $served served: BROKEN; facts and logs in $work"
+failed=1
+exit 1
--- /dev/null
+++ b/test/gateway_lib.sh
@@ -0,0 +1,121 @@
+# Functions of the runs of a gateway: settings, processes, calls and checks. The
+# caller sets build, port and work.
+# shellcheck shell=bash
+declare -A pids
+passed=0
+failed=0
+
+finish() {
+	for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null; done
+	wait 2>/dev/null
+	if [ "$failed" -gt 0 ]; then
+		echo "logs: $work"
+	else
+		rm -rf "$work"
+	fi
+	echo "$passed passed, $failed failed"
+}
+check() { # NAME CONDITION...
+	if "${@:2}"; then
+		passed=$((passed + 1))
+	else
+		failed=$((failed + 1))
+		echo "failed: $1"
+	fi
+}
+
+control() { echo "127.0.1.$1:$((port + 4))"; }
+entry() { echo "127.0.2.$1:$((port + 1))"; }
+
+settings() { # NAME IP ZONE LISTEN FIRST DATA
+	cat > "$work/$1.yaml" <<END
+node: "$1"
+ip: "$2"
+zone: "$3"
+region: "r"
+zones: {a: "r", b: "r"}
+listen: {$4}
+innerPorts: [$port, $((port + 9))]
+seeds: ["$(control 1)", "$(control 2)", "$(control 3)"]
+bootstrap: $5
+dataDir: $6
+limits: {memoryMb: 256, maxFds: 1024}
+beatIntervalS: 0.5
+bounds: {graceS: 4, drainS: 2.5}
+END
+}
+
+start() { # NAME
+	BORAGEWING_NODE_FILE="$work/$1.yaml" "$build/src/boragewingd/boragewingd" \
+		--gateway --metrics-port $((port + 8)) >> "$work/$1.log" 2>&1 &
+	pids[$1]=$!
+}
+
+start_control() { # NUMBER FIRST
+	mkdir -p "$work/data-$1"
+	settings "control-$1" "127.0.1.$1" a "control: \"$(control "$1")\"" \
+		"$2" "\"$work/data-$1\""
+	start "control-$1"
+}
+
+start_entry() { # NUMBER
+	settings "entry-$1" "127.0.2.$1" a "front: \"$(entry "$1")\", readinessAddr: \"127.0.2.$1:$((port + 2))\"" true null
+	start "entry-$1"
+}
+
+call() { curl -s -L --max-time 4 "$@"; }
+code() { curl -s -L --max-time 6 -o /dev/null -w '%{http_code}' "$@"; }
+
+configuration() { # VERSION
+	cat <<END
+{"version":$1,"routes":{
+"read":{"host":"h.example","pathPrefix":"/read/","kind":"safe","timeoutS":3,"sloS":0.5,"priority":1,"service":"s","attempts":2,"sticky":true},
+"file":{"host":"h.example","pathPrefix":"/file/","kind":"unsafe","timeoutS":1.5,"sloS":0.5,"priority":0,"service":"s","attempts":2}},
+"services":{"s":{"healthPath":"/health","maxConns":100,"coldStartS":1,"coldPerS":5}},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutS":3,"idleTimeoutS":15}}
+END
+}
+
+submit() { # VERSION
+	configuration "$1" > "$work/configuration.json"
+	code --post301 -X POST --data-binary "@$work/configuration.json" \
+		"http://$(control $((RANDOM % 3 + 1)))/-/config/put"
+}
+
+until_is() { # VALUE SECONDS COMMAND...
+	local end=$((SECONDS + $2))
+	while [ "$SECONDS" -lt "$end" ]; do
+		[ "$("${@:3}")" = "$1" ] && return 0
+		sleep 0.1
+	done
+	return 1
+}
+
+beat() { # SERVER ZONE ADDRESS STATE SEQUENCE CONTROL
+	code --max-time 1 -X POST -d "{\"address\":\"$3\",\"born\":1700000000000,\"info\":{\"service\":\"s\",\"version\":\"v1\",\"zone\":\"$2\",\"slots\":4},\"status\":{\"state\":\"$4\",\"seq\":$5,\"coldLeftS\":0}}" \
+		"http://$(control "$6")/-/instances/$1/heartbeat"
+}
+
+beats() { # announces two servers until the file "one" or "two" is removed
+	local n=1
+	while [ -e "$work/beats" ]; do
+		for k in 1 2 3; do
+			[ -e "$work/one" ] && beat i-one a "127.0.3.1:$((port + 6))" ready $n $k > /dev/null
+			[ -e "$work/two" ] && beat i-two b "127.0.3.2:$((port + 6))" ready $n $k > /dev/null
+		done
+		n=$((n + 1))
+		echo $n > "$work/sequence"
+		sleep 0.2
+	done
+}
+
+request() { # ENTRY METHOD PATH ID [OPTION...]
+	curl -s --max-time 6 -o "$work/body" -w '%{http_code}' -X "$2" \
+		-H 'Host: h.example' -H "Request-Id: $4" -H 'Deadline-Ms: 4000' \
+		"${@:5}" "http://$(entry "$1")$3"
+}
+
+runs() { grep -c "^$1 " "$work/ledger" 2>/dev/null; }
+explain() { "$build/src/boragewingctl/boragewingctl" explain "$1" "$work"/*.log 2>&1; }
+explains() { explain "$1" | grep -q "^cause: $2"; }
+
--- a/tools/gate_backend.c
+++ b/tools/gate_backend.c
@@ -3,7 +3,7 @@
  * the path chooses what happens: "lost" runs the request and closes the
  * connection, "silent" runs it and never answers, "full" refuses it, "slow"
  * answers after a second, and anything else is answered at once. Each run is
- * appended to a ledger file.
+ * appended to a ledger file: id, server, wall clock in ms.
  */
 #include <ev.h>
 #include <signal.h>
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "bwbase/clock.h"
 #include "bwproxy/listener.h"
 
 #define CONNECTIONS_MAX 256
@@ -191,6 +192,7 @@
 	bw_http_find(request, "Request-Id", id, sizeof(id));
 	if (!ledger)
 		return;
-	fprintf(ledger, "%s %s\n", id, backend->id);
+	fprintf(ledger, "%s %s %lld\n", id, backend->id,
+		(long long)bw_wall_ms());
 	fclose(ledger);
 }
