--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -78,7 +78,10 @@
 	struct bw_time adapted; /**< last change of part and correction */
 	uint32_t place; /**< index of its failure domain */
 	double others; /**< smoothed requests of other hosts, as reported */
-	struct bw_time reported;
+	struct bw_time reported; /**< last report, direct or passed on */
+	struct bw_time seen; /**< last report in an answer to this host */
+	uint32_t busy; /**< requests in that report */
+	bool load_unsent; /**< it was not yet passed on */
 	double slowness; /**< smoothed response time over the expected one */
 	double failures; /**< smoothed share of failed requests */
 	uint32_t failures_in_row;
@@ -246,6 +249,13 @@
 		       enum bw_job_result result,
 		       const struct bw_load_report *load, struct bw_time now);
 
+/**
+ * Records the load of a server that another host saw. Reports that this host
+ * got itself lately go first.
+ */
+void bw_dispatch_note_load(struct bw_dispatch *dispatch, uint64_t id_hash,
+			   uint32_t busy, struct bw_time now);
+
 /** Removes a waiting job. */
 void bw_dispatch_remove(struct bw_dispatch *dispatch, struct bw_job *job);
 
--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -78,6 +78,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	control->gone_since =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	control->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, g_free);
 	control->waiting = g_ptr_array_new_with_free_func(g_free);
 	bw_outbox_init(&control->out, OUTBOX_LIMIT);
 	control->announcements = bw_metrics_get(
@@ -111,6 +113,7 @@
 	g_ptr_array_free(control->waiting, TRUE);
 	g_hash_table_destroy(control->entries);
 	g_hash_table_destroy(control->gone_since);
+	g_hash_table_destroy(control->loads);
 }
 
 void gate_control_receive(struct gate_control *control,
--- a/src/boragewingd/gate_control.h
+++ b/src/boragewingd/gate_control.h
@@ -33,6 +33,7 @@
 	char leader[BW_NAME_MAX]; /**< last one reported in the log */
 	struct bw_time next_hello;
 	struct bw_time next_member_check;
+	GHashTable *loads; /**< id hash -> struct gate_load, since last sent */
 	GHashTable *gone_since; /**< member -> time at which it fell silent */
 	struct bw_metric *announcements;
 	struct bw_metric *lookups;
--- a/src/boragewingd/gate_control_talk.c
+++ b/src/boragewingd/gate_control_talk.c
@@ -19,6 +19,12 @@
 			    struct bw_time now);
 static void forget_entries_(struct gate_control *control, struct bw_time now);
 static uint32_t place_of_(const struct gate_control *control, const char *name);
+static void keep_loads_(struct gate_control *control,
+			const struct gate_hello *hello);
+static void send_loads_(struct gate_control *control, struct bw_time now);
+static bool is_first_(const struct gate_control *control, struct bw_time now);
+static void flush_loads_(struct gate_control *control,
+			 const struct gate_loads *batch);
 static void sum_demands_(const struct gate_control *control,
 			 struct gate_status *status);
 static void add_demand_(struct gate_status *status, const char *domain,
@@ -108,6 +114,7 @@
 		MIN(hello->demand_count, (uint32_t)GATE_SERVICES_MAX);
 	memcpy(entry->demands, hello->demands,
 	       entry->demand_count * sizeof(entry->demands[0]));
+	keep_loads_(control, hello);
 	if (fresh)
 		send_table_(control, packet->peer);
 	gate_control_send_status(control, entry);
@@ -131,6 +138,7 @@
 	forget_entries_(control, now);
 	send_hello_(control);
 	send_signs_(control);
+	send_loads_(control, now);
 }
 
 void gate_control_send_status(struct gate_control *control,
@@ -422,3 +430,66 @@
 	*sum = *demand;
 	bw_name_set(sum->domain, domain);
 }
+
+static void keep_loads_(struct gate_control *control,
+			const struct gate_hello *hello)
+{
+	uint32_t i;
+
+	for (i = 0; i < hello->load_count; i++) {
+		struct gate_load *load = g_new(struct gate_load, 1);
+
+		*load = hello->loads[i];
+		g_hash_table_replace(control->loads, &load->id_hash, load);
+	}
+}
+
+/*
+ * Entry hosts see few answers of most servers. One control host passes on what
+ * all of them were told; the others only forget it.
+ */
+static void send_loads_(struct gate_control *control, struct bw_time now)
+{
+	static struct gate_loads batch;
+	GHashTableIter iter;
+	gpointer value;
+
+	batch.count = 0;
+	g_hash_table_iter_init(&iter, control->loads);
+	while (is_first_(control, now) &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch.loads[batch.count++] = *(struct gate_load *)value;
+		if (batch.count == GATE_LOADS_MAX) {
+			flush_loads_(control, &batch);
+			batch.count = 0;
+		}
+	}
+	if (batch.count)
+		flush_loads_(control, &batch);
+	g_hash_table_remove_all(control->loads);
+}
+
+static bool is_first_(const struct gate_control *control, struct bw_time now)
+{
+	const struct gate_node *node = control->node;
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++) {
+		if (gate_peer_is_alive(&node->controls[i], now) &&
+		    strcmp(node->controls[i].name, node->name) < 0)
+			return false;
+	}
+	return true;
+}
+
+static void flush_loads_(struct gate_control *control,
+			 const struct gate_loads *batch)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	gate_loads_write(gate_node_frame(control->node), batch);
+	g_hash_table_iter_init(&iter, control->entries);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		gate_node_send(control->node, key);
+}
--- /dev/null
+++ b/src/boragewingd/gate_entry_talk.c
@@ -0,0 +1,266 @@
+#include <string.h>
+
+#include "gate_entry_private.h"
+#include "platform.h"
+
+/** Time after which a configuration is asked for at another host. */
+#define WANTED_TIMEOUT_MS 300
+
+static void handle_status_(struct gate_entry *entry, const char *sender,
+			   const struct gate_status *status,
+			   struct bw_time now);
+static void want_routing_(struct gate_entry *entry, const char *sender,
+			  uint64_t version, struct bw_time now);
+static void handle_routing_(struct gate_entry *entry, const char *sender,
+			    const struct gate_routing *routing,
+			    struct bw_time now);
+static void apply_routing_(struct gate_entry *entry,
+			   struct bw_routing *routing);
+static void handle_demands_(struct gate_entry *entry,
+			    const struct gate_status *status);
+static void fill_demands_(struct gate_entry *entry, struct gate_hello *hello,
+			  struct bw_time now);
+static void handle_loads_(struct gate_entry *entry,
+			  const struct gate_loads *loads, struct bw_time now);
+static void fill_loads_(struct gate_entry *entry, struct gate_hello *hello);
+
+void gate_entry_receive(struct gate_entry *entry,
+			const struct bw_packet *packet, struct bw_time now)
+{
+	static struct gate_servers servers;
+	static struct gate_status status;
+	static struct gate_loads loads;
+	struct gate_routing routing;
+	struct bw_reader reader;
+
+	if (packet->channel != BW_CHANNEL_GATE)
+		return;
+	gate_node_add_control(entry->node, packet->peer, true, now);
+	bw_reader_init(&reader, packet->data, packet->size_bytes);
+	switch (gate_message_type(&reader)) {
+	case GATE_STATUS:
+		gate_status_read(&reader, &status);
+		if (bw_reader_status(&reader) == BW_OK)
+			handle_status_(entry, packet->peer, &status, now);
+		break;
+	case GATE_SERVERS:
+		gate_servers_read(&reader, &servers);
+		if (bw_reader_status(&reader) == BW_OK)
+			gate_node_receive_servers(entry->node, packet->peer,
+						  &servers, now);
+		break;
+	case GATE_ROUTING:
+		gate_routing_read(&reader, &routing);
+		if (bw_reader_status(&reader) == BW_OK)
+			handle_routing_(entry, packet->peer, &routing, now);
+		break;
+	case GATE_LOADS:
+		gate_loads_read(&reader, &loads);
+		if (bw_reader_status(&reader) == BW_OK)
+			handle_loads_(entry, &loads, now);
+		break;
+	default:
+		break;
+	}
+	bw_reader_finish(&reader);
+}
+
+void gate_entry_say_hello(struct gate_entry *entry, struct bw_time now)
+{
+	struct gate_node *node = entry->node;
+	static struct gate_hello hello;
+	uint32_t i;
+
+	fill_demands_(entry, &hello, now);
+	fill_loads_(entry, &hello);
+	if (node->stopping)
+		hello.state = GATE_HOST_LEAVING;
+	else
+		hello.state = entry->is_ready ? GATE_HOST_READY
+					      : GATE_HOST_STARTING;
+	bw_name_set(hello.domain, node->settings.domain);
+	bw_name_set(hello.region, node->settings.region);
+	hello.routing_version = entry->routing ? entry->routing->version : 0;
+	gate_hello_write(gate_node_frame(node), &hello);
+	for (i = 0; i < node->control_count; i++)
+		gate_node_send(node, node->controls[i].name);
+}
+
+static void handle_status_(struct gate_entry *entry, const char *sender,
+			   const struct gate_status *status, struct bw_time now)
+{
+	uint64_t version = entry->routing ? entry->routing->version : 0;
+	uint32_t i;
+
+	for (i = 0; i < status->control_count; i++)
+		gate_node_add_control(entry->node, status->controls[i], false,
+				      now);
+	if (status->entry_count) {
+		entry->entry_count = status->entry_count;
+		entry->entry_place = status->entry_place;
+	}
+	handle_demands_(entry, status);
+	if (!status->current)
+		return;
+	if (status->evacuation_index > entry->evacuation_index) {
+		entry->evacuation_index = status->evacuation_index;
+		entry->evacuated_count = status->evacuated_count;
+		memcpy(entry->evacuated, status->evacuated,
+		       sizeof(entry->evacuated));
+		entry->update_due = true;
+		bw_log_event(entry->node->log, BW_LOG_INFO, "configuration",
+			     "evacuations_in_force", "{s:I,s:i,s:s}", "index",
+			     (json_int_t)status->evacuation_index, "domains",
+			     (int)status->evacuated_count, "source", sender);
+	}
+	if (status->routing_version > version)
+		want_routing_(entry, sender, status->routing_version, now);
+}
+
+static void want_routing_(struct gate_entry *entry, const char *sender,
+			  uint64_t version, struct bw_time now)
+{
+	struct gate_routing wanted = { .version = version };
+
+	if (version <= entry->wanted_version &&
+	    bw_time_diff_ms(now, entry->wanted_at) < WANTED_TIMEOUT_MS)
+		return;
+	entry->wanted_version = version;
+	entry->wanted_at = now;
+	gate_routing_write(gate_node_frame(entry->node), GATE_ROUTING_WANTED,
+			   &wanted);
+	gate_node_send(entry->node, sender);
+}
+
+static void handle_routing_(struct gate_entry *entry, const char *sender,
+			    const struct gate_routing *message,
+			    struct bw_time now)
+{
+	struct bw_routing *routing;
+	char error[PLATFORM_ERROR_BYTES] = "";
+	enum bw_status status;
+
+	(void)now;
+	if (entry->routing && message->version <= entry->routing->version)
+		return;
+	status = platform_routing_read(message->text, message->text_bytes,
+				       &routing, error);
+	if (status != BW_OK) {
+		bw_log_event(entry->node->log, BW_LOG_ERROR, "configuration",
+			     "routing_unreadable", "{s:I,s:s,s:s}", "version",
+			     (json_int_t)message->version, "source", sender,
+			     "cause", error);
+		return;
+	}
+	bw_log_event(entry->node->log, BW_LOG_INFO, "configuration",
+		     "routing_in_force", "{s:I,s:I,s:s,s:i}", "version",
+		     (json_int_t)routing->version, "previous",
+		     (json_int_t)(entry->routing ? entry->routing->version : 0),
+		     "source", sender, "routes", (int)routing->route_count);
+	apply_routing_(entry, routing);
+}
+
+static void apply_routing_(struct gate_entry *entry, struct bw_routing *routing)
+{
+	const struct bw_routing_limits *limits = &routing->limits;
+	uint32_t i;
+
+	bw_routing_unref(entry->routing);
+	entry->routing = routing;
+	entry->clients.config.limits.head_max_bytes = limits->head_max_bytes;
+	entry->clients.config.limits.body_max_bytes =
+		MIN(limits->body_max_bytes, (uint32_t)GATE_BODY_MAX_BYTES);
+	bw_listener_set_timeouts(&entry->clients, limits->head_timeout_ms,
+				 limits->idle_timeout_ms);
+	for (i = 0; i < routing->service_count; i++) {
+		struct bw_dispatch_service *service = bw_dispatch_service(
+			&entry->dispatch, routing->services[i].name);
+
+		service->cold_requests_per_s =
+			routing->services[i].cold_requests_per_s;
+	}
+	bw_metric_set(entry->in_force, (int64_t)routing->version);
+	entry->update_due = true;
+}
+
+static void handle_demands_(struct gate_entry *entry,
+			    const struct gate_status *status)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+
+	if (!status->demand_count)
+		return;
+	g_hash_table_iter_init(&iter, entry->dispatch.services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bw_dispatch_service *service = value;
+		uint64_t hash = bw_registry_hash(service->name);
+
+		memset(service->demand_per_s, 0, sizeof(service->demand_per_s));
+		for (i = 0; i < status->demand_count; i++) {
+			const struct gate_demand *demand = &status->demands[i];
+			uint32_t place = gate_node_place_index(entry->node,
+							       demand->domain);
+
+			if (demand->service_hash == hash &&
+			    place < BW_SPREAD_DOMAINS_MAX)
+				service->demand_per_s[place] =
+					demand->per_s_milli / 1000.0;
+		}
+	}
+}
+
+static void fill_demands_(struct gate_entry *entry, struct gate_hello *hello,
+			  struct bw_time now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	hello->demand_count = 0;
+	g_hash_table_iter_init(&iter, entry->dispatch.services);
+	while (g_hash_table_iter_next(&iter, NULL, &value) &&
+	       hello->demand_count < GATE_DEMANDS_MAX) {
+		struct bw_dispatch_service *service = value;
+		struct gate_demand *demand =
+			&hello->demands[hello->demand_count++];
+
+		demand->domain[0] = '\0';
+		demand->service_hash = bw_registry_hash(service->name);
+		demand->per_s_milli =
+			(uint32_t)(1000.0 *
+				   bw_dispatch_arrivals_per_s(service, now));
+	}
+}
+
+static void handle_loads_(struct gate_entry *entry,
+			  const struct gate_loads *loads, struct bw_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < loads->count; i++)
+		bw_dispatch_note_load(&entry->dispatch, loads->loads[i].id_hash,
+				      loads->loads[i].busy, now);
+}
+
+/* Loads that servers reported in answers since the last hello. */
+static void fill_loads_(struct gate_entry *entry, struct gate_hello *hello)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	hello->load_count = 0;
+	g_hash_table_iter_init(&iter, entry->dispatch.targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value) &&
+	       hello->load_count < GATE_LOADS_MAX) {
+		struct bw_target *target = value;
+		struct gate_load *load;
+
+		if (!target->load_unsent)
+			continue;
+		target->load_unsent = false;
+		load = &hello->loads[hello->load_count++];
+		load->id_hash = target->id_hash;
+		load->busy = target->busy;
+	}
+}
--- /dev/null
+++ b/src/boragewingd/gate_entry_targets.c
@@ -0,0 +1,166 @@
+#include <string.h>
+
+#include "gate_entry_private.h"
+
+/**
+ * A backend server that no control host heard for so many of its intervals is
+ * taken for lost; announcements may be seconds late.
+ */
+#define SILENT_INTERVALS 3
+
+/** Interval at which the age of signs of life is checked. */
+#define UPDATE_INTERVAL_MS 100
+
+/** Entry hosts that may use one cold backend server. */
+#define COLD_HOSTS_MAX 4
+
+/** Interval of the lines on the load of each service. */
+#define REPORT_INTERVAL_MS 4000
+
+static void update_target_(struct gate_entry *entry,
+			   const struct bw_server *server, bool any_control,
+			   struct bw_time now);
+static bool is_superseded_(const struct gate_entry *entry,
+			   const struct bw_server *server);
+static bool is_evacuated_(const struct gate_entry *entry, const char *domain);
+
+void gate_entry_update_targets(struct gate_entry *entry, struct bw_time now)
+{
+	struct gate_node *node = entry->node;
+	GHashTableIter iter;
+	gpointer value;
+	bool any_control = false;
+	uint32_t i;
+
+	entry->update_due = false;
+	entry->generation = node->registry.generation;
+	entry->next_update = bw_time_add(now, UPDATE_INTERVAL_MS);
+	entry->dispatch.host_count = entry->entry_count;
+	entry->dispatch.cold_hosts_max =
+		MIN(entry->entry_count, (uint32_t)COLD_HOSTS_MAX);
+	for (i = 0; i < node->control_count; i++) {
+		if (gate_peer_is_alive(&node->controls[i], now))
+			any_control = true;
+	}
+	bw_dispatch_begin_update(&entry->dispatch);
+	g_hash_table_iter_init(&iter, node->registry.servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		update_target_(entry, value, any_control, now);
+	bw_dispatch_end_update(&entry->dispatch, now);
+}
+
+void gate_entry_set_places(struct gate_entry *entry)
+{
+	const struct gate_node *node = entry->node;
+	uint32_t i;
+
+	entry->dispatch.place_count = node->settings.place_count;
+	entry->dispatch.own_place =
+		gate_node_place_index(node, node->settings.domain);
+	for (i = 0; i < node->settings.place_count; i++)
+		entry->dispatch.place_region[i] = gate_node_region_index(
+			node, node->settings.places[i].region);
+}
+
+/* What the dispatcher believes, for those who read the log later. */
+void gate_entry_report_load(struct gate_entry *entry, struct bw_time now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+
+	entry->next_report = bw_time_add(now, REPORT_INTERVAL_MS);
+	g_hash_table_iter_init(&iter, entry->dispatch.services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct bw_dispatch_service *service = value;
+		uint32_t accepting = 0;
+		double share = 0.0;
+
+		for (i = 0; i < service->targets->len; i++) {
+			const struct bw_target *target =
+				service->targets->pdata[i];
+
+			accepting += target->accepts;
+			share += target->part * target->correction;
+		}
+		bw_log_event(
+			entry->node->log, BW_LOG_INFO, "dispatch", "load",
+			"{s:s,s:i,s:i,s:i,s:i,s:f,s:f,s:f,s:f,s:f}", "service",
+			service->name, "waiting", (int)service->waiting.length,
+			"in_flight", (int)service->in_flight, "servers",
+			(int)service->targets->len, "accepting", (int)accepting,
+			"shares", share, "near_warm_ms",
+			service->times[BW_DISTANCE_DOMAIN].warm_ms,
+			"near_cold_ms",
+			service->times[BW_DISTANCE_DOMAIN].cold_ms,
+			"far_warm_ms", service->times[BW_DISTANCE_FAR].warm_ms,
+			"far_cold_ms", service->times[BW_DISTANCE_FAR].cold_ms);
+	}
+}
+
+static void update_target_(struct gate_entry *entry,
+			   const struct bw_server *server, bool any_control,
+			   struct bw_time now)
+{
+	struct gate_node *node = entry->node;
+	const struct gate_settings *settings = &node->settings;
+	struct bw_target_update update = { .server = server };
+	const char *region = gate_node_region(node, server->record.domain);
+	int64_t silent_ms =
+		(int64_t)settings->announce_interval_ms * SILENT_INTERVALS;
+	uint32_t turn;
+
+	if (!server->record.address[0])
+		return;
+	if (!strcmp(server->record.domain, settings->domain))
+		update.distance = BW_DISTANCE_DOMAIN;
+	else if (!strcmp(region, settings->region))
+		update.distance = BW_DISTANCE_REGION;
+	else
+		update.distance = BW_DISTANCE_FAR;
+	update.region = gate_node_region_index(node, region);
+	update.place = gate_node_place_index(node, server->record.domain);
+	if (update.place >= settings->place_count)
+		return;
+	/* A host that hears no control host goes on with what it knows. */
+	update.accepts = server->record.state == BW_SERVER_READY &&
+			 (!any_control ||
+			  bw_time_diff_ms(now, server->heard) <= silent_ms) &&
+			 !is_evacuated_(entry, server->record.domain) &&
+			 !is_superseded_(entry, server);
+	turn = (uint32_t)((server->id_hash + entry->entry_place) %
+			  MAX(entry->entry_count, 1U));
+	update.cold_allowed = turn < COLD_HOSTS_MAX;
+	bw_dispatch_update(&entry->dispatch, &update, now);
+}
+
+/* An address belongs to the server that started there last. */
+static bool is_superseded_(const struct gate_entry *entry,
+			   const struct bw_server *server)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->node->registry.servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct bw_server *other = value;
+
+		if (other != server &&
+		    other->record.started_wall_ms >
+			    server->record.started_wall_ms &&
+		    !strcmp(other->record.address, server->record.address))
+			return true;
+	}
+	return false;
+}
+
+static bool is_evacuated_(const struct gate_entry *entry, const char *domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < entry->evacuated_count; i++) {
+		if (!strcmp(entry->evacuated[i], domain))
+			return true;
+	}
+	return false;
+}
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -9,6 +9,9 @@
 static uint32_t read_count_(struct bw_reader *reader, uint32_t limit);
 static void write_demands_(struct bw_writer *writer,
 			   const struct gate_demand *demands, uint32_t count);
+static void write_loads_(struct bw_writer *writer,
+			 const struct gate_load *loads, uint32_t count);
+static uint32_t read_loads_(struct bw_reader *reader, struct gate_load *loads);
 static uint32_t read_demands_(struct bw_reader *reader,
 			      struct gate_demand *demands);
 
@@ -16,13 +19,14 @@
 {
 	struct bw_writer writer;
 
-	write_head_(&writer, out, GATE_HELLO, 6);
+	write_head_(&writer, out, GATE_HELLO, 7);
 	bw_write_bool(&writer, hello->control);
 	bw_write_uint(&writer, hello->state);
 	bw_write_str(&writer, hello->domain);
 	bw_write_str(&writer, hello->region);
 	bw_write_uint(&writer, hello->routing_version);
 	write_demands_(&writer, hello->demands, hello->demand_count);
+	write_loads_(&writer, hello->loads, hello->load_count);
 }
 
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status)
@@ -63,6 +67,19 @@
 	}
 }
 
+void gate_loads_write(struct bw_buffer *out, const struct gate_loads *loads)
+{
+	struct bw_writer writer;
+
+	write_head_(&writer, out, GATE_LOADS, 1);
+	write_loads_(&writer, loads->loads, loads->count);
+}
+
+void gate_loads_read(struct bw_reader *reader, struct gate_loads *loads)
+{
+	loads->count = read_loads_(reader, loads->loads);
+}
+
 void gate_routing_write(struct bw_buffer *out, enum gate_message_type type,
 			const struct gate_routing *routing)
 {
@@ -81,7 +98,7 @@
 	if (bw_read_uint(reader) != MESSAGE_VERSION)
 		return 0;
 	type = bw_read_uint(reader);
-	return type <= GATE_ROUTING ? (int)type : 0;
+	return type <= GATE_LOADS ? (int)type : 0;
 }
 
 void gate_hello_read(struct bw_reader *reader, struct gate_hello *hello)
@@ -95,6 +112,7 @@
 	bw_read_name(reader, hello->region);
 	hello->routing_version = bw_read_uint(reader);
 	hello->demand_count = read_demands_(reader, hello->demands);
+	hello->load_count = read_loads_(reader, hello->loads);
 	if (state >= GATE_HOST_STATE_COUNT)
 		reader->failed = true;
 	else
@@ -191,3 +209,28 @@
 	bw_read_end(reader);
 	return reader->failed ? 0 : count;
 }
+
+static void write_loads_(struct bw_writer *writer,
+			 const struct gate_load *loads, uint32_t count)
+{
+	uint32_t i;
+
+	bw_write_array(writer, 2 * count);
+	for (i = 0; i < count; i++) {
+		bw_write_uint(writer, loads[i].id_hash);
+		bw_write_uint(writer, loads[i].busy);
+	}
+}
+
+static uint32_t read_loads_(struct bw_reader *reader, struct gate_load *loads)
+{
+	uint32_t count = read_count_(reader, 2 * GATE_LOADS_MAX) / 2;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		loads[i].id_hash = bw_read_uint(reader);
+		loads[i].busy = (uint32_t)bw_read_uint(reader);
+	}
+	bw_read_end(reader);
+	return reader->failed ? 0 : count;
+}
--- a/src/boragewingd/gate_wire.h
+++ b/src/boragewingd/gate_wire.h
@@ -35,7 +35,8 @@
 	GATE_SERVERS_HELD = 4, /**< confirms records to a control host */
 	GATE_RECORDS_WANTED = 5,
 	GATE_ROUTING_WANTED = 6,
-	GATE_ROUTING = 7
+	GATE_ROUTING = 7,
+	GATE_LOADS = 8 /**< loads of backend servers, from one control host */
 };
 
 /** Whether a host takes requests. */
@@ -56,6 +57,15 @@
 	uint32_t per_s_milli; /**< thousandths of a request a second */
 };
 
+/** Most loads in one message. */
+#define GATE_LOADS_MAX 256
+
+/** Requests at a backend server, as it reported them itself. */
+struct gate_load {
+	uint64_t id_hash;
+	uint32_t busy; /**< running and waiting */
+};
+
 /** GATE_HELLO */
 struct gate_hello {
 	bool control; /**< a control host; else an entry host */
@@ -65,6 +75,8 @@
 	uint64_t routing_version; /**< in force at the sender */
 	struct gate_demand demands[GATE_DEMANDS_MAX]; /**< at the sender */
 	uint32_t demand_count;
+	struct gate_load loads[GATE_LOADS_MAX]; /**< reported lately */
+	uint32_t load_count;
 };
 
 /** GATE_STATUS */
@@ -104,11 +116,18 @@
 	size_t text_bytes;
 };
 
+/** GATE_LOADS */
+struct gate_loads {
+	struct gate_load loads[GATE_LOADS_MAX];
+	uint32_t count;
+};
+
 /** Encode a message at the end of out. */
 void gate_hello_write(struct bw_buffer *out, const struct gate_hello *hello);
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status);
 void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
 			const struct gate_servers *servers);
+void gate_loads_write(struct bw_buffer *out, const struct gate_loads *loads);
 void gate_routing_write(struct bw_buffer *out, enum gate_message_type type,
 			const struct gate_routing *routing);
 
@@ -122,6 +141,7 @@
 void gate_hello_read(struct bw_reader *reader, struct gate_hello *hello);
 void gate_status_read(struct bw_reader *reader, struct gate_status *status);
 void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers);
+void gate_loads_read(struct bw_reader *reader, struct gate_loads *loads);
 void gate_routing_read(struct bw_reader *reader, struct gate_routing *routing);
 
 #endif
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -15,6 +15,9 @@
 /** Time in which reported load of other hosts fades to a half. */
 #define LOAD_FADE_MS 500.0
 
+/** Time for which a report in an answer goes before those of other hosts. */
+#define OWN_REPORT_MS 400
+
 /** A server whose share of failures is above this is ejected. */
 #define FAILURES_MAX 0.4
 
@@ -195,6 +198,9 @@
 		       (double)target->in_flight;
 		smooth_(&target->others, busy > 0.0 ? busy : 0.0, LOAD_GAIN);
 		target->reported = now;
+		target->seen = now;
+		target->busy = load->running + load->waiting;
+		target->load_unsent = true;
 		if (load->slots)
 			target->slots = load->slots;
 	}
@@ -323,6 +329,20 @@
 	return MAX(part, PART_MIN) / -log(point);
 }
 
+void bw_dispatch_note_load(struct bw_dispatch *dispatch, uint64_t id_hash,
+			   uint32_t busy, struct bw_time now)
+{
+	struct bw_target *target =
+		g_hash_table_lookup(dispatch->targets, &id_hash);
+
+	if (!target || bw_time_diff_ms(now, target->seen) < OWN_REPORT_MS)
+		return;
+	target->others = busy > target->in_flight
+				 ? (double)(busy - target->in_flight)
+				 : 0.0;
+	target->reported = now;
+}
+
 static bool is_sound_(const struct bw_job *job, const struct bw_target *target,
 		      struct bw_time now)
 {
--- a/src/libbwsteer/dispatch_region.c
+++ b/src/libbwsteer/dispatch_region.c
@@ -51,7 +51,6 @@
 			use->share = (double)use->count / total;
 		use->count = 0;
 	}
-	dispatch->regions_known =
-		dispatch->regions_known || total >= TOTAL_MIN;
+	dispatch->regions_known = dispatch->regions_known || total >= TOTAL_MIN;
 	dispatch->region_total = 0;
 }
