--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -594,7 +594,7 @@
 	struct gate_entry *entry = request->entry;
 	struct bw_time now = gate_node_now(entry->node);
 	uint64_t id_hash = request->job.target->id_hash;
-	struct bw_load_report load;
+	struct bw_load_report load = { 0 };
 	bool known = false;
 	char text[64];
 
