--- a/src/boragewingd/gate_control_talk.c
+++ b/src/boragewingd/gate_control_talk.c
@@ -4,7 +4,10 @@
 
 static void send_hello_(struct gate_control *control);
 static void send_signs_(struct gate_control *control);
-static void send_to_all_(struct gate_control *control, bool entries);
+static void write_record_(struct gate_control *control,
+			  const struct bw_server *server);
+static void send_to_controls_(struct gate_control *control);
+static void send_to_entries_(struct gate_control *control);
 static void flush_signs_(struct gate_control *control,
 			 struct gate_servers *batch);
 static void send_table_(struct gate_control *control, const char *peer);
@@ -123,14 +126,9 @@
 void gate_control_spread(struct gate_control *control,
 			 const struct bw_server *server)
 {
-	static struct gate_servers batch;
-
-	batch.record_count = 1;
-	batch.sign_count = 0;
-	batch.records[0] = server->record;
-	gate_servers_write(gate_node_frame(control->node), GATE_SERVERS,
-			   &batch);
-	send_to_all_(control, true);
+	write_record_(control, server);
+	send_to_controls_(control);
+	send_to_entries_(control);
 }
 
 void gate_control_talk(struct gate_control *control, struct bw_time now)
@@ -190,7 +188,7 @@
 	bw_name_set(hello.region, node->settings.region);
 	hello.routing_version = state->revision;
 	gate_hello_write(gate_node_frame(node), &hello);
-	send_to_all_(control, false);
+	send_to_controls_(control);
 }
 
 /* Sends what backend servers have told this host itself since last time. */
@@ -226,24 +224,40 @@
 			 struct gate_servers *batch)
 {
 	gate_servers_write(gate_node_frame(control->node), GATE_SERVERS, batch);
-	send_to_all_(control, true);
+	send_to_controls_(control);
+	send_to_entries_(control);
 	batch->sign_count = 0;
 }
 
-static void send_to_all_(struct gate_control *control, bool entries)
+static void write_record_(struct gate_control *control,
+			  const struct bw_server *server)
+{
+	static struct gate_servers batch;
+
+	batch.record_count = 1;
+	batch.sign_count = 0;
+	batch.records[0] = server->record;
+	gate_servers_write(gate_node_frame(control->node), GATE_SERVERS,
+			   &batch);
+}
+
+static void send_to_controls_(struct gate_control *control)
 {
 	struct gate_node *node = control->node;
-	GHashTableIter iter;
-	gpointer key;
 	uint32_t i;
 
 	for (i = 0; i < node->control_count; i++)
 		gate_node_send(node, node->controls[i].name);
-	if (!entries)
-		return;
+}
+
+static void send_to_entries_(struct gate_control *control)
+{
+	GHashTableIter iter;
+	gpointer key;
+
 	g_hash_table_iter_init(&iter, control->entries);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
-		gate_node_send(node, key);
+		gate_node_send(control->node, key);
 }
 
 static void send_table_(struct gate_control *control, const char *peer)
@@ -326,19 +340,11 @@
 	for (i = 0; i < servers->record_count; i++) {
 		const struct bw_server *known = bw_registry_find(
 			&node->registry, servers->records[i].id);
-		GHashTableIter iter;
-		gpointer key;
-		static struct gate_servers batch;
 
 		if (!known || known->changed.ms != now.ms)
 			continue;
-		batch.record_count = 1;
-		batch.sign_count = 0;
-		batch.records[0] = known->record;
-		gate_servers_write(gate_node_frame(node), GATE_SERVERS, &batch);
-		g_hash_table_iter_init(&iter, control->entries);
-		while (g_hash_table_iter_next(&iter, &key, NULL))
-			gate_node_send(node, key);
+		write_record_(control, known);
+		send_to_entries_(control);
 	}
 }
 
@@ -485,11 +491,6 @@
 static void flush_loads_(struct gate_control *control,
 			 const struct gate_loads *batch)
 {
-	GHashTableIter iter;
-	gpointer key;
-
 	gate_loads_write(gate_node_frame(control->node), batch);
-	g_hash_table_iter_init(&iter, control->entries);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		gate_node_send(control->node, key);
+	send_to_entries_(control);
 }
