Estimate the work of a service from answers without a queue

A host among 14 rarely sends one object twice, so that it knew no warm times, and the spread was worked out with a default of 300 ms for work of 750 ms and more.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -49,6 +49,8 @@
 	struct bw_dispatch_times times[BW_DISTANCE_COUNT];
 	GQueue waiting; /**< struct bw_job, by rank and arrival */
 	GPtrArray *targets; /**< struct bw_target */
+	double work_ms; /**< smoothed time of answers that had no queue at their
+			     server; 0 unknown */
 	double completions_per_s; /**< smoothed */
 	struct bw_time rate_at;
 	uint32_t rate_count; /**< completions since rate_at */
--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -115,7 +115,7 @@
 			  const struct bw_dispatch_service *service,
 			  struct bw_spread_domain *domains)
 {
-	double work_ms = dispatch_expected_ms(service);
+	double work_ms = service->work_ms;
 	uint32_t i;
 
 	if (work_ms <= 0.0)
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -85,6 +85,8 @@
 static void smooth_(double *value, double sample, double gain);
 static void learn_time_(struct bw_target *target, const struct bw_job *job,
 			double took_ms);
+static void learn_work_(struct bw_dispatch_service *service,
+			const struct bw_load_report *load, double took_ms);
 static void learn_failure_(struct bw_target *target, struct bw_time now);
 
 bool dispatch_place(struct bw_dispatch *dispatch, struct bw_job *job,
@@ -208,6 +210,8 @@
 	case BW_JOB_ANSWERED:
 		target->failures_in_row = 0;
 		smooth_(&target->failures, 0.0, HEALTH_GAIN);
+		learn_work_(target->service, load,
+			    (double)bw_time_diff_ms(now, job->sent));
 		learn_time_(target, job,
 			    (double)bw_time_diff_ms(now, job->sent));
 		break;
@@ -458,6 +462,18 @@
 	smooth_(known_ms, took_ms, TIME_GAIN);
 }
 
+/* Time in a queue is no work; without any other answer it is the best guess. */
+static void learn_work_(struct bw_dispatch_service *service,
+			const struct bw_load_report *load, double took_ms)
+{
+	bool queued = load && load->waiting > 0;
+
+	if (service->work_ms <= 0.0)
+		service->work_ms = took_ms;
+	else if (!queued)
+		smooth_(&service->work_ms, took_ms, TIME_GAIN);
+}
+
 static void learn_failure_(struct bw_target *target, struct bw_time now)
 {
 	uint32_t shift;
