--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -49,6 +49,7 @@
 	struct bw_dispatch_times times[BW_DISTANCE_COUNT];
 	GQueue waiting; /**< struct bw_job, by rank and arrival */
 	GPtrArray *targets; /**< struct bw_target */
+	uint32_t target_latency_ms; /**< least one of its routes; 0 unknown */
 	double work_ms; /**< smoothed time of answers that had no queue at their
 			     server; 0 unknown */
 	double completions_per_s; /**< smoothed */
--- a/src/boragewingd/gate_entry_talk.c
+++ b/src/boragewingd/gate_entry_talk.c
@@ -16,6 +16,8 @@
 			    struct bw_time now);
 static void apply_routing_(struct gate_entry *entry,
 			   struct bw_routing *routing);
+static void note_target_latency_(struct gate_entry *entry,
+				 const struct bw_route *route);
 static void handle_demands_(struct gate_entry *entry,
 			    const struct gate_status *status);
 static void fill_demands_(struct gate_entry *entry, struct gate_hello *hello,
@@ -179,6 +181,8 @@
 		service->cold_requests_per_s =
 			routing->services[i].cold_requests_per_s;
 	}
+	for (i = 0; i < routing->route_count; i++)
+		note_target_latency_(entry, &routing->routes[i]);
 	bw_metric_set(entry->in_force, (int64_t)routing->version);
 	entry->update_due = true;
 }
@@ -264,3 +268,18 @@
 		load->busy = target->busy;
 	}
 }
+
+static void note_target_latency_(struct gate_entry *entry,
+				 const struct bw_route *route)
+{
+	uint32_t i;
+
+	for (i = 0; i < route->choice_count; i++) {
+		struct bw_dispatch_service *service = bw_dispatch_service(
+			&entry->dispatch, route->choices[i].service);
+
+		if (!service->target_latency_ms ||
+		    route->target_latency_ms < service->target_latency_ms)
+			service->target_latency_ms = route->target_latency_ms;
+	}
+}
--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -27,7 +27,13 @@
 /** A part above which a server counts as in use. */
 #define PART_USED 0.005
 
-/** Time of a request before any was observed. */
+/**
+ * Time of a request before any was observed, as a part of the latency that
+ * the operator aims at; half of it leaves room for a queue.
+ */
+#define WORK_OF_TARGET 0.5
+
+/** The same, when no such latency is known. */
 #define WORK_DEFAULT_MS 300.0
 
 /** Reported demand below which it says nothing. */
@@ -118,6 +124,8 @@
 	double work_ms = service->work_ms;
 	uint32_t i;
 
+	if (work_ms <= 0.0)
+		work_ms = WORK_OF_TARGET * service->target_latency_ms;
 	if (work_ms <= 0.0)
 		work_ms = WORK_DEFAULT_MS;
 	memset(domains, 0, dispatch->place_count * sizeof(*domains));
