Do not use a removed server when its waiting request is rejected

The rejection of a waiting request read the queue of its home after the request had given up its reference; a home that was removed meanwhile had been freed. Found by reading; test_dispatch fails on it with the address sanitizer ('heap-use-after-free') and passes now. Settings and a field that nothing used are gone.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -175,7 +175,6 @@
 	GHashTable *targets; /**< id hash -> struct bw_target */
 	uint32_t *warm_at; /**< time of the last use, by object and server */
 	struct bw_random random;
-	uint32_t host_count; /**< entry hosts that share the servers */
 	uint32_t own_place; /**< index of the failure domain of this host */
 	uint32_t place_count;
 	uint32_t place_region[BW_SPREAD_DOMAINS_MAX];
@@ -186,7 +185,7 @@
 	struct bw_time region_window_at;
 	uint32_t region_total; /**< requests of the present window */
 	bool regions_known; /**< a window has passed since the start */
-	uint32_t cold_hosts_max;
+	uint32_t cold_hosts_max; /**< hosts that share one cold server */
 };
 
 /** What the update says of one backend server. */
--- a/src/boragewingd/gate_entry_targets.c
+++ b/src/boragewingd/gate_entry_targets.c
@@ -37,7 +37,6 @@
 	entry->update_due = false;
 	entry->generation = node->registry.generation;
 	entry->next_update = bw_time_add(now, UPDATE_INTERVAL_MS);
-	entry->dispatch.host_count = entry->entry_count;
 	entry->dispatch.cold_hosts_max =
 		MIN(entry->entry_count, (uint32_t)COLD_HOSTS_MAX);
 	/* A host that hears no control host goes on with what it knows. */
--- a/src/boragewingd/gate_settings.h
+++ b/src/boragewingd/gate_settings.h
@@ -44,13 +44,11 @@
 	uint32_t seed_count;
 	bool first_start; /**< the whole system starts with empty disks */
 	char data_folder[GATE_PATH_BYTES];
-	uint32_t memory_mb;
 	uint32_t descriptors_max;
 	uint32_t announce_interval_ms; /**< of backend servers */
 	uint32_t answer_ttl_max_ms; /**< of directory answers */
 	uint32_t grace_ms; /**< from SIGTERM to SIGKILL */
 	uint32_t drain_ms; /**< after which a leaving server gets no work */
-	uint32_t apply_ms; /**< after which a configuration is in force */
 	double region_step_max; /**< most of a region's requests that move to
 				   another one within two seconds; 0: any */
 	double retry_ratio; /**< retries per request, over all hosts */
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -413,7 +413,7 @@
 	}
 	ev_io_stop(loop, &connection->read_watcher);
 	ev_io_stop(loop, &connection->write_watcher);
-	/* Unread bytes would turn the close into a reset of the answer. */
+	/* The answer goes first; what the client still sends is reset. */
 	shutdown(connection->fd, SHUT_WR);
 	close(connection->fd);
 	*connection->previous = connection->next;
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -71,7 +71,6 @@
 						  NULL, free_target_);
 	dispatch->warm_at = g_new0(uint32_t, DISPATCH_WARM_ENTRIES);
 	bw_random_init(&dispatch->random, seed);
-	dispatch->host_count = 1;
 }
 
 void bw_dispatch_finish(struct bw_dispatch *dispatch)
@@ -376,8 +375,10 @@
 	if (!home)
 		return;
 	home->waiting--;
-	if (!--home->references && home->removed)
-		free_target_(home);
+	if (--home->references || !home->removed)
+		return;
+	job->home = NULL;
+	free_target_(home);
 }
 
 static double wait_ms_(const struct bw_job *job)
