--- a/test/gateway.sh
+++ b/test/gateway.sh
@@ -64,6 +64,24 @@
 done
 check "requests are served again" until_is 200 5 request 1 GET /read/y again
 
+# A host whose standard output nobody reads goes on serving, and its log is
+# whole once somebody does.
+settings entry-3 127.0.2.3 a "front: \"$(entry 3)\", readinessAddr: \"127.0.2.3:$((port + 2))\"" true null
+mkfifo "$work/stalled"
+exec 7<> "$work/stalled"
+BORAGEWING_NODE_FILE="$work/entry-3.yaml" "$build/src/boragewingd/boragewingd" --gateway > "$work/stalled" &
+pids[entry-3]=$!
+check "a host with a stalled log becomes ready" until_is 200 10 code "http://127.0.2.3:$((port + 2))/-/ready"
+check "it knows the servers" until_is 200 10 request 3 GET /read/x stalled-first
+served=0
+for i in $(seq 300); do [ "$(request 3 POST "/file/$i" "stalled-$i")" = 200 ] && served=$((served + 1)); done
+check "a stalled log delays no request" test "$served" = 300
+timeout 3 cat <&7 > "$work/stalled.log"
+check "the log begins where it should" grep -q '"event":"started"' "$work/stalled.log"
+check "its lines are whole" test "$(head -n -1 "$work/stalled.log" | jq -c .event 2>/dev/null | wc -l)" = "$(head -n -1 "$work/stalled.log" | wc -l)"
+kill -9 "${pids[entry-3]}"
+wait "${pids[entry-3]}" 2>/dev/null
+
 # Draining.
 rm "$work/one"
 sleep 0.5
