--- a/tools/fuzz/fuzz_parsers.c
+++ b/tools/fuzz/fuzz_parsers.c
@@ -16,6 +16,7 @@
 
 #include "../../src/boragewingd/report.h"
 #include "fuzz_parsers.h"
+#include "platform.h"
 
 #define OUTBOX_LIMIT 256
 
@@ -33,6 +34,9 @@
 	DECODER_BACKEND,
 	DECODER_POISON,
 	DECODER_CREDIT,
+	DECODER_ANNOUNCEMENT,
+	DECODER_CONFIGURATION,
+	DECODER_HTTP,
 	DECODER_COUNT
 };
 
@@ -50,6 +54,9 @@
 static void fuzz_backend_(const uint8_t *data, size_t size_bytes);
 static void fuzz_poison_(const uint8_t *data, size_t size_bytes);
 static void fuzz_credit_(const struct bw_packet *packet, struct bw_outbox *out);
+static void fuzz_announcement_(const uint8_t *data, size_t size_bytes);
+static void fuzz_configuration_(const uint8_t *data, size_t size_bytes);
+static void fuzz_http_(const uint8_t *data, size_t size_bytes);
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
@@ -99,6 +106,15 @@
 	case DECODER_CREDIT:
 		fuzz_credit_(&packet, &out);
 		break;
+	case DECODER_ANNOUNCEMENT:
+		fuzz_announcement_(data, size);
+		break;
+	case DECODER_CONFIGURATION:
+		fuzz_configuration_(data, size);
+		break;
+	case DECODER_HTTP:
+		fuzz_http_(data, size);
+		break;
 	case DECODER_COUNT:
 		break;
 	}
@@ -305,3 +321,55 @@
 	bw_credit_receive(&credit, packet, now_, out);
 	bw_credit_finish(&credit);
 }
+
+static void fuzz_announcement_(const uint8_t *data, size_t size_bytes)
+{
+	struct bw_server_record record;
+	char error[PLATFORM_ERROR_BYTES];
+
+	platform_announcement_read("i", data, size_bytes, &record, error);
+}
+
+static void fuzz_configuration_(const uint8_t *data, size_t size_bytes)
+{
+	struct bw_routing *routing;
+	char error[PLATFORM_ERROR_BYTES];
+
+	if (platform_routing_read(data, size_bytes, &routing, error) == BW_OK)
+		bw_routing_unref(routing);
+}
+
+/* The first byte chooses the kind of message and how it is split. */
+static void fuzz_http_(const uint8_t *data, size_t size_bytes)
+{
+	const struct bw_http_limits limits = { .head_max_bytes = 4096,
+					       .body_max_bytes = 4096 };
+	struct bw_http_reader reader;
+	struct gate_call call;
+	size_t step;
+	size_t used;
+
+	if (!size_bytes)
+		return;
+	step = 1 + data[0] / 2;
+	bw_http_reader_init(&reader, data[0] % 2 ? HTTP_REQUEST : HTTP_RESPONSE,
+			    &limits);
+	data++;
+	size_bytes--;
+	while (size_bytes) {
+		size_t part = size_bytes < step ? size_bytes : step;
+		enum bw_http_progress progress =
+			bw_http_reader_feed(&reader, data, part, &used);
+
+		if (progress == BW_HTTP_COMPLETE) {
+			platform_call_read(&reader.message, &call);
+			bw_http_reader_next(&reader);
+		} else if (progress != BW_HTTP_MORE) {
+			break;
+		}
+		data += used;
+		size_bytes -= used;
+	}
+	bw_http_reader_end(&reader);
+	bw_http_reader_finish(&reader);
+}
