Let control hosts reach all members of their group after a restart

A restarted host knew the seeds only; when just hosts that are no seeds held the newest entry, none of them could reach a majority. Members' addresses are now taken from the group's configuration. Ruled out: damaged logs and removed members.

--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -384,11 +384,18 @@
 	uint32_t count;
 	uint32_t i;
 
+	count = bw_replica_members(control->replica, now, members);
+	/*
+	 * After the loss of all processes a host knows the seeds only. Members
+	 * that are no seeds have to reach each other to elect one of them.
+	 */
+	for (i = 0; i < count; i++)
+		gate_node_add_control(control->node, members[i].member.host,
+				      false, now);
 	if (bw_replica_role(control->replica) != BW_REPLICA_LEADER) {
 		g_hash_table_remove_all(control->gone_since);
 		return;
 	}
-	count = bw_replica_members(control->replica, now, members);
 	for (i = 0; i < count; i++)
 		note_silent_(control, &members[i], now);
 	status = bw_replica_admit(control->replica, host, now);
