Do not send requests whose client has left

The entry host has a tenth of a core and gets its turn every 250 ms; it read requests, or finished connections to servers, before it saw the end of the clients' connections in the same turn.

The end of the client's connection is now looked for right before a request is sent, and once more when a new connection to a server is open.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -82,6 +82,12 @@
 /** Returns the IPv4 address of the client, in network byte order. */
 uint32_t bw_connection_peer(const struct bw_server_connection *connection);
 
+/**
+ * Returns whether the client has closed the connection. Sees it before the
+ * event loop does, which matters on a host that is behind with its events.
+ */
+bool bw_connection_is_closed(const struct bw_server_connection *connection);
+
 /** Returns the request in progress. */
 const struct bw_http_message *
 bw_connection_request(const struct bw_server_connection *connection);
--- a/include/bwproxy/pool.h
+++ b/include/bwproxy/pool.h
@@ -46,6 +46,12 @@
 	 */
 	void (*ended)(void *context, void *request, enum bw_pool_result result,
 		      const struct bw_http_message *response);
+	/**
+	 * Called when a new connection is open, before the request is sent on
+	 * it; may be NULL. The connection may have taken long.
+	 * @return false when the call has cancelled the request
+	 */
+	bool (*connected)(void *context, void *request);
 	void *context;
 };
 
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -85,6 +85,7 @@
 	pool.connections_max =
 		(node->settings.descriptors_max - DESCRIPTORS_RESERVED) / 2;
 	pool.ended = gate_request_ended;
+	pool.connected = gate_request_connected;
 	pool.context = entry;
 	status = bw_pool_init(&entry->pool, &pool);
 	if (status == BW_OK)
--- /dev/null
+++ b/src/boragewingd/gate_log.c
@@ -0,0 +1,96 @@
+#include "gate_log.h"
+
+#include "bwproxy/http1.h"
+
+void gate_log_queued(const struct gate_request *request)
+{
+	const struct bw_job *job = &request->job;
+
+	bw_log_event(request->entry->node->log, BW_LOG_INFO, "request",
+		     "queued", "{s:s,s:s,s:i,s:i}", "request", request->id,
+		     "service", job->service->name, "waiting",
+		     (int)job->service->waiting.length, "rank", (int)job->rank);
+}
+
+void gate_log_sent(const struct gate_request *request, struct bw_time now)
+{
+	const struct bw_job *job = &request->job;
+
+	bw_log_event(request->entry->node->log, BW_LOG_INFO, "request", "sent",
+		     "{s:s,s:s,s:s,s:s,s:i,s:f,s:b,s:i,s:f,s:I,s:I}", "request",
+		     request->id, "service", job->service->name, "server",
+		     job->target->id, "distance",
+		     bw_distance_string[job->target->distance], "attempt",
+		     (int)request->attempts, "expected_ms", job->expected_ms,
+		     "warm", job->warm, "in_flight",
+		     (int)job->target->in_flight, "others", job->target->others,
+		     "report_age_ms",
+		     (json_int_t)bw_time_diff_ms(now, job->target->reported),
+		     "version", (json_int_t)request->routing->version);
+}
+
+void gate_log_retried(const struct gate_request *request, const char *cause)
+{
+	const struct gate_entry *entry = request->entry;
+
+	bw_log_event(entry->node->log, BW_LOG_INFO, "request", "retried",
+		     "{s:s,s:s,s:i,s:f}", "request", request->id, "cause",
+		     cause, "attempts", (int)request->attempts, "budget",
+		     entry->retry_tokens);
+}
+
+void gate_log_end(const struct gate_request *request, enum gate_end end,
+		  uint16_t status_code, const char *cause, uint64_t took_us)
+{
+	const struct gate_attempt *last = &request->last;
+	bool good = end == GATE_END_ANSWERED && status_code < 500;
+
+	bw_log_event(
+		request->entry->node->log, good ? BW_LOG_INFO : BW_LOG_WARNING,
+		"request", gate_end_string[end],
+		"{s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i,s:I,s:s,s:s,s:b,s:b,s:i,"
+		"s:f,s:f,s:I,s:i,s:i,s:I}",
+		"request", request->id, "route", request->route->name,
+		"service", request->job.service->name, "status",
+		(int)status_code, "cause", cause, "attempts",
+		(int)request->attempts, "took_ms", (json_int_t)(took_us / 1000),
+		"queue_ms", (int)request->queue_ms, "version",
+		(json_int_t)request->routing->version, "server", last->server,
+		"distance", bw_distance_string[last->distance], "home",
+		last->home, "warm", last->warm, "upstream_ms",
+		(int)last->took_ms, "expected_ms", last->expected_ms, "others",
+		last->others, "report_age_ms", (json_int_t)last->report_age_ms,
+		"running", (int)last->load.running, "server_waiting",
+		(int)last->load.waiting, "object",
+		(json_int_t)(request->job.object >> 40));
+}
+
+/* A failure may have made the dispatcher avoid the server for a time. */
+void gate_log_ejection(const struct gate_request *request, uint64_t id_hash,
+		       struct bw_time now)
+{
+	struct gate_entry *entry = request->entry;
+	const struct bw_target *target =
+		g_hash_table_lookup(entry->dispatch.targets, &id_hash);
+
+	if (!target || target->failed_at.ms != now.ms ||
+	    bw_time_reached(now, target->ejected_until))
+		return;
+	bw_log_event(entry->node->log, BW_LOG_WARNING, "registry",
+		     "server_avoided", "{s:s,s:s,s:f,s:i,s:I}", "server",
+		     target->id, "request", request->id, "failures",
+		     target->failures, "failures_in_row",
+		     (int)target->failures_in_row, "for_ms",
+		     (json_int_t)bw_time_diff_ms(target->ejected_until, now));
+}
+
+void gate_log_no_route(const struct gate_entry *entry,
+		       const struct bw_http_message *message, const char *id)
+{
+	bw_log_event(entry->node->log, BW_LOG_WARNING, "request", "no_route",
+		     "{s:s,s:s%,s:I}", "request", id, "target",
+		     bw_http_text(message, message->target),
+		     (size_t)message->target.size_bytes, "version",
+		     (json_int_t)(entry->routing ? entry->routing->version
+						 : 0));
+}
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "gate_log.h"
 #include "platform.h"
 
 /** Reserve for the way of an answer back to the client. */
@@ -37,7 +38,6 @@
 static void choose_service_(struct gate_request *request);
 static void offer_(struct gate_request *request);
 static void send_(struct gate_request *request);
-static void log_sent_(const struct gate_request *request, struct bw_time now);
 static void note_attempt_(struct gate_request *request, struct bw_time now);
 static void write_head_(const struct gate_request *request,
 			struct bw_buffer *head, struct bw_time now);
@@ -58,12 +58,8 @@
 		     uint32_t retry_after_ms, const char *text);
 static void finish_(struct gate_request *request, enum gate_end end,
 		    uint16_t status_code, const char *cause);
-static void log_end_(const struct gate_request *request, enum gate_end end,
-		     uint16_t status_code, const char *cause, uint64_t took_us);
 static void end_job_(struct gate_request *request, enum bw_job_result result,
 		     const struct bw_http_message *response);
-static void log_ejection_(const struct gate_request *request, uint64_t id_hash,
-			  struct bw_time now);
 static void give_up_upstream_(struct gate_request *request);
 static void on_deadline_(struct ev_loop *loop, ev_timer *timer, int events);
 static void answer_unrouted_(struct gate_entry *entry,
@@ -121,6 +117,19 @@
 	gate_request_run_queue(entry);
 }
 
+bool gate_request_connected(void *context, void *owner)
+{
+	struct gate_request *request = owner;
+
+	(void)context;
+	if (!request->connection ||
+	    !bw_connection_is_closed(request->connection))
+		return true;
+	*bw_connection_context(request->connection) = NULL;
+	gate_request_client_gone(request);
+	return false;
+}
+
 void gate_request_run_queue(struct gate_entry *entry)
 {
 	struct bw_rejection rejection;
@@ -278,13 +287,8 @@
 		send_(request);
 		break;
 	case BW_VERDICT_WAIT:
-		if (!request->traced)
-			break;
-		bw_log_event(entry->node->log, BW_LOG_INFO, "request", "queued",
-			     "{s:s,s:s,s:i,s:i}", "request", request->id,
-			     "service", request->job.service->name, "waiting",
-			     (int)request->job.service->waiting.length, "rank",
-			     (int)request->job.rank);
+		if (request->traced)
+			gate_log_queued(request);
 		break;
 	case BW_VERDICT_REJECT:
 		reject_(request, rejection.reason, rejection.retry_after_ms);
@@ -300,6 +304,12 @@
 	struct bw_pool_request send = { .request = request };
 	struct bw_buffer head;
 
+	/* Nobody waits for the answer, and the server may stay idle for it. */
+	if (bw_connection_is_closed(request->connection)) {
+		job->target = NULL;
+		finish_(request, GATE_END_CANCELLED, 0, "client_gone");
+		return;
+	}
 	bw_dispatch_sent(&entry->dispatch, job, now);
 	request->sent_us = bw_clock_us();
 	bw_buffer_init(&head);
@@ -321,28 +331,11 @@
 	request->upstream = bw_pool_send(&entry->pool, &send);
 	bw_buffer_finish(&head);
 	if (request->traced)
-		log_sent_(request, now);
+		gate_log_sent(request, now);
 	if (!request->upstream)
 		handle_failure_(request, BW_POOL_NOT_SENT);
 }
 
-static void log_sent_(const struct gate_request *request, struct bw_time now)
-{
-	const struct bw_job *job = &request->job;
-
-	bw_log_event(request->entry->node->log, BW_LOG_INFO, "request", "sent",
-		     "{s:s,s:s,s:s,s:s,s:i,s:f,s:b,s:i,s:f,s:I,s:I}", "request",
-		     request->id, "service", job->service->name, "server",
-		     job->target->id, "distance",
-		     bw_distance_string[job->target->distance], "attempt",
-		     (int)request->attempts, "expected_ms", job->expected_ms,
-		     "warm", job->warm, "in_flight",
-		     (int)job->target->in_flight, "others", job->target->others,
-		     "report_age_ms",
-		     (json_int_t)bw_time_diff_ms(now, job->target->reported),
-		     "version", (json_int_t)request->routing->version);
-}
-
 static void note_attempt_(struct gate_request *request, struct bw_time now)
 {
 	const struct bw_job *job = &request->job;
@@ -459,10 +452,7 @@
 
 	entry->retry_tokens -= 1.0;
 	bw_metric_add(entry->retries, 1);
-	bw_log_event(entry->node->log, BW_LOG_INFO, "request", "retried",
-		     "{s:s,s:s,s:i,s:f}", "request", request->id, "cause",
-		     cause, "attempts", (int)request->attempts, "budget",
-		     entry->retry_tokens);
+	gate_log_retried(request, cause);
 	offer_(request);
 }
 
@@ -555,39 +545,13 @@
 	bw_metric_add(entry->ends[end], 1);
 	bw_metric_observe(entry->total_us[request->route->idempotent], took_us);
 	if (!good || request->traced)
-		log_end_(request, end, status_code, cause, took_us);
+		gate_log_end(request, end, status_code, cause, took_us);
 	request->detached = true;
 	ev_timer_stop(entry->node->loop, &request->deadline_timer);
 	if (!request->upstream)
 		gate_request_free(request);
 }
 
-static void log_end_(const struct gate_request *request, enum gate_end end,
-		     uint16_t status_code, const char *cause, uint64_t took_us)
-{
-	const struct gate_attempt *last = &request->last;
-	bool good = end == GATE_END_ANSWERED && status_code < 500;
-
-	bw_log_event(
-		request->entry->node->log, good ? BW_LOG_INFO : BW_LOG_WARNING,
-		"request", gate_end_string[end],
-		"{s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i,s:I,s:s,s:s,s:b,s:b,s:i,"
-		"s:f,s:f,s:I,s:i,s:i,s:I}",
-		"request", request->id, "route", request->route->name,
-		"service", request->job.service->name, "status",
-		(int)status_code, "cause", cause, "attempts",
-		(int)request->attempts, "took_ms", (json_int_t)(took_us / 1000),
-		"queue_ms", (int)request->queue_ms, "version",
-		(json_int_t)request->routing->version, "server", last->server,
-		"distance", bw_distance_string[last->distance], "home",
-		last->home, "warm", last->warm, "upstream_ms",
-		(int)last->took_ms, "expected_ms", last->expected_ms, "others",
-		last->others, "report_age_ms", (json_int_t)last->report_age_ms,
-		"running", (int)last->load.running, "server_waiting",
-		(int)last->load.waiting, "object",
-		(json_int_t)(request->job.object >> 40));
-}
-
 static void end_job_(struct gate_request *request, enum bw_job_result result,
 		     const struct bw_http_message *response)
 {
@@ -607,26 +571,7 @@
 		(uint32_t)((bw_clock_us() - request->sent_us) / 1000);
 	bw_dispatch_ended(&entry->dispatch, &request->job, result,
 			  known ? &load : NULL, now);
-	log_ejection_(request, id_hash, now);
-}
-
-/* A failure may have made the dispatcher avoid the server for a time. */
-static void log_ejection_(const struct gate_request *request, uint64_t id_hash,
-			  struct bw_time now)
-{
-	struct gate_entry *entry = request->entry;
-	const struct bw_target *target =
-		g_hash_table_lookup(entry->dispatch.targets, &id_hash);
-
-	if (!target || target->failed_at.ms != now.ms ||
-	    bw_time_reached(now, target->ejected_until))
-		return;
-	bw_log_event(entry->node->log, BW_LOG_WARNING, "registry",
-		     "server_avoided", "{s:s,s:s,s:f,s:i,s:I}", "server",
-		     target->id, "request", request->id, "failures",
-		     target->failures, "failures_in_row",
-		     (int)target->failures_in_row, "for_ms",
-		     (json_int_t)bw_time_diff_ms(target->ejected_until, now));
+	gate_log_ejection(request, id_hash, now);
 }
 
 /*
@@ -676,11 +621,7 @@
 
 	bw_http_find(message, PLATFORM_FIELD_REQUEST_ID, id, sizeof(id));
 	bw_metric_add(entry->ends[GATE_END_NO_ROUTE], 1);
-	bw_log_event(entry->node->log, BW_LOG_WARNING, "request", "no_route",
-		     "{s:s,s:s%,s:I}", "request", id, "target",
-		     bw_http_text(message, message->target),
-		     (size_t)message->target.size_bytes, "version",
-		     (json_int_t)(known ? entry->routing->version : 0));
+	gate_log_no_route(entry, message, id);
 	if (known)
 		bw_connection_respond(connection, 404, NULL, NULL, 0, false);
 	else
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -57,6 +57,10 @@
 /** The client of a request went away. */
 void gate_request_client_gone(struct gate_request *request);
 
+/** Ends a request whose client left while a connection was made; see
+ *  struct bw_pool_config. */
+bool gate_request_connected(void *context, void *request);
+
 /** The pool reports the end of a request. */
 void gate_request_ended(void *context, void *request,
 			enum bw_pool_result result,
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -136,6 +136,16 @@
 	return connection->peer;
 }
 
+bool bw_connection_is_closed(const struct bw_server_connection *connection)
+{
+	uint8_t byte;
+	ssize_t got = recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	if (got < 0)
+		return errno != EAGAIN && errno != EINTR;
+	return got == 0;
+}
+
 const struct bw_http_message *
 bw_connection_request(const struct bw_server_connection *connection)
 {
--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -242,6 +242,7 @@
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	struct bw_pool_connection *connection = watcher->data;
+	const struct bw_pool_config *config = &connection->pool->config;
 	int error = 0;
 	socklen_t error_bytes = sizeof(error);
 
@@ -254,6 +255,9 @@
 			return;
 		}
 		connection->connected = true;
+		if (config->connected &&
+		    !config->connected(config->context, connection->request))
+			return;
 		ev_io_start(loop, &connection->read_watcher);
 	}
 	write_(connection);
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -16,6 +16,8 @@
 	uint16_t codes[8];
 	char bodies[8][32];
 	uint32_t count;
+	struct bw_pool_connection *connection; /* to cancel */
+	bool cancelled;
 };
 
 static void ended_(void *context, void *request, enum bw_pool_result result,
@@ -86,6 +88,17 @@
 	return connection;
 }
 
+/* The client left while the connection was made. */
+static bool cancel_(void *context, void *request)
+{
+	struct ends *ends = context;
+
+	(void)request;
+	bw_pool_cancel(ends->connection);
+	ends->cancelled = true;
+	return false;
+}
+
 static void answer_(struct peer *peer, const char *id, const char *body)
 {
 	char text[256];
@@ -119,6 +132,27 @@
 	close_(&rig);
 }
 
+/* Guards against a request that is sent although its owner gave it up in the
+ * same turn of the loop in which the connection was made. */
+static void test_cancel_when_connected(void **state)
+{
+	struct rig rig;
+
+	(void)state;
+	open_(&rig);
+	rig.pool.config.connected = cancel_;
+	rig.ends.connection = send_(&rig, "one");
+	SPIN_UNTIL(rig.loop, rig.ends.cancelled && rig.server.peer_count == 1);
+	assert_int_equal(rig.pool.connection_count, 0);
+	assert_int_equal(rig.ends.count, 0);
+	rig.pool.config.connected = NULL;
+	send_(&rig, "two");
+	SPIN_UNTIL(rig.loop, rig.server.peer_count == 2 &&
+				     peer_has(&rig.server.peers[1], "/two"));
+	assert_false(peer_has(&rig.server.peers[0], "/one"));
+	close_(&rig);
+}
+
 static void test_extra_answer(void **state)
 {
 	struct rig rig;
@@ -341,6 +375,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_reuse),
+		cmocka_unit_test(test_cancel_when_connected),
 		cmocka_unit_test(test_extra_answer),
 		cmocka_unit_test(test_broken_answers),
 		cmocka_unit_test(test_stale_connection),
--- a/test/gateway.sh
+++ b/test/gateway.sh
@@ -64,6 +64,19 @@
 done
 check "requests are served again" until_is 200 5 request 1 GET /read/y again
 
+# A host that is behind with its work reads a request after its client has left.
+late_request() { # ID
+	exec 8<> "/dev/tcp/127.0.2.1/$((port + 1))" || return 1
+	printf 'GET /read/gone HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\n\r\n' "$1" >&8
+	exec 8>&-
+}
+kill -STOP "${pids[entry-1]}"
+for i in 1 2 3; do late_request "left-$i"; done
+kill -CONT "${pids[entry-1]}"
+check "the host goes on" until_is 200 5 request 1 GET /read/y after-left
+check "a request without a client is not sent" test "$(grep -c '^left-' "$work/ledger")" = 0
+check "its end is logged" until_is 3 5 grep -c '"event":"cancelled","request":"left-' "$work/entry-1.log"
+
 # A host whose standard output nobody reads goes on serving, and its log is
 # whole once somebody does.
 settings entry-3 127.0.2.3 a "front: \"$(entry 3)\", readinessAddr: \"127.0.2.3:$((port + 2))\"" true null
