Reject waiting requests when their turn would come too late

Every 50 ms the dispatcher estimates the wait of each queued request from its place among those that can be on time, or behind all of them when it cannot. test_dispatch has a case that fails without it.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -55,6 +55,8 @@
 	double completions_per_s; /**< smoothed */
 	struct bw_time rate_at;
 	uint32_t rate_count; /**< completions since rate_at */
+	struct bw_time review_at; /**< next estimate for waiting jobs */
+	uint32_t reviewed; /**< jobs without a home, seen by the review */
 	uint32_t in_flight;
 	double arrivals_per_s; /**< at this host, smoothed */
 	uint32_t arrival_count; /**< since arrivals_at */
@@ -75,6 +77,7 @@
 	uint32_t slots;
 	uint32_t in_flight; /**< requests of this host */
 	uint32_t waiting; /**< jobs in the queue that are placed there */
+	uint32_t reviewed; /**< of them, seen by the review in progress */
 	double part; /**< of the requests of this host's domain, planned */
 	double planned; /**< part towards which it moves */
 	double correction; /**< of the part, by the load that it shows */
@@ -103,7 +106,8 @@
 enum bw_reject {
 	BW_REJECT_NONE,
 	BW_REJECT_NO_SERVER, /**< no backend server may get the request */
-	BW_REJECT_OVERLOAD, /**< the wait would exceed the deadline */
+	BW_REJECT_OVERLOAD, /**< the wait would exceed the deadline, as
+				 estimated on arrival or while it waited */
 	BW_REJECT_DEADLINE, /**< the deadline came while it waited */
 	BW_REJECT_COUNT
 };
@@ -124,6 +128,7 @@
 	uint64_t tried[BW_JOB_TRIED_MAX]; /**< id hashes to avoid */
 	uint32_t tried_count;
 	bool queued;
+	bool hopeless; /**< its turn comes after its deadline */
 	struct bw_target *home; /**< where its object belongs; may be NULL */
 	struct bw_target *target; /**< set while it is in flight */
 	struct bw_time sent;
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -23,6 +23,9 @@
 /** Rejects when the expected wait is above this part of the time left. */
 #define WAIT_SHARE 0.9
 
+/** Time between two estimates of the wait of jobs in the queue. */
+#define REVIEW_INTERVAL_MS 50
+
 static void free_service_(gpointer data);
 static void free_target_(gpointer data);
 static void remove_target_(struct bw_dispatch *dispatch,
@@ -37,6 +40,10 @@
 		    enum bw_reject reason, struct bw_rejection *rejection);
 static bool any_target_(const struct bw_job *job);
 static uint32_t ahead_of_(const struct bw_job *job);
+static void review_(struct bw_dispatch_service *service, struct bw_time now);
+static void review_part_(struct bw_dispatch_service *service, bool on_time,
+			 struct bw_time now);
+static bool can_be_on_time_(const struct bw_job *job, struct bw_time now);
 static struct bw_job *next_of_service_(struct bw_dispatch *dispatch,
 				       struct bw_dispatch_service *service,
 				       struct bw_time now,
@@ -196,6 +203,7 @@
 		reject_(dispatch, job, BW_REJECT_OVERLOAD, rejection);
 		return BW_VERDICT_REJECT;
 	}
+	job->hopeless = false;
 	insert_(job);
 	return BW_VERDICT_WAIT;
 }
@@ -436,6 +444,60 @@
 	return count;
 }
 
+/*
+ * Marks the jobs whose turn comes after their deadline by the present load.
+ * On arrival the load of other hosts is known late, and urgent requests that
+ * come later go first, so a job may have been accepted that has no chance any
+ * more.
+ */
+static void review_(struct bw_dispatch_service *service, struct bw_time now)
+{
+	GList *item;
+
+	if (!bw_time_reached(now, service->review_at))
+		return;
+	service->review_at = bw_time_add(now, REVIEW_INTERVAL_MS);
+	service->reviewed = 0;
+	for (item = service->waiting.head; item; item = item->next) {
+		struct bw_job *job = item->data;
+
+		if (job->home)
+			job->home->reviewed = 0;
+	}
+	/* Late jobs go after all that can be on time. */
+	review_part_(service, true, now);
+	review_part_(service, false, now);
+}
+
+static void review_part_(struct bw_dispatch_service *service, bool on_time,
+			 struct bw_time now)
+{
+	double needed_ms = dispatch_expected_ms(service);
+	double left_ms;
+	double wait_ms;
+	GList *item;
+
+	for (item = service->waiting.head; item; item = item->next) {
+		struct bw_job *job = item->data;
+
+		if (can_be_on_time_(job, now) != on_time)
+			continue;
+		left_ms =
+			(double)bw_time_diff_ms(job->deadline, now) - needed_ms;
+		wait_ms = job->home ? dispatch_wait_ms(job->home,
+						       ++job->home->reviewed)
+				    : expected_wait_ms_(service,
+							++service->reviewed);
+		job->hopeless = wait_ms > left_ms;
+	}
+}
+
+static bool can_be_on_time_(const struct bw_job *job, struct bw_time now)
+{
+	return bw_time_diff_ms(job->objective, now) >
+	       ON_TIME_MARGIN * dispatch_needed_ms(job);
+}
+
 /* Jobs that can still be on time go first; late ones use what is left. */
 static struct bw_job *next_of_service_(struct bw_dispatch *dispatch,
 				       struct bw_dispatch_service *service,
@@ -445,14 +507,19 @@
 {
 	double needed_ms = dispatch_expected_ms(service);
 	struct bw_job *job;
+	bool expired;
 	GList *item;
 
+	review_(service, now);
 	for (item = service->waiting.head; item; item = item->next) {
 		job = item->data;
-		if (bw_time_diff_ms(job->deadline, now) > needed_ms)
+		expired = bw_time_diff_ms(job->deadline, now) <= needed_ms;
+		if (!expired && !job->hopeless)
 			continue;
 		bw_dispatch_remove(dispatch, job);
-		reject_(dispatch, job, BW_REJECT_DEADLINE, rejection);
+		reject_(dispatch, job,
+			expired ? BW_REJECT_DEADLINE : BW_REJECT_OVERLOAD,
+			rejection);
 		*verdict = BW_VERDICT_REJECT;
 		return job;
 	}
@@ -476,10 +543,9 @@
 		return NULL;
 	for (item = service->waiting.head; item; item = item->next) {
 		struct bw_job *job = item->data;
-		bool can = bw_time_diff_ms(job->objective, now) >
-			   ON_TIME_MARGIN * dispatch_needed_ms(job);
 
-		if (can == on_time && dispatch_place(dispatch, job, now))
+		if (can_be_on_time_(job, now) == on_time &&
+		    dispatch_place(dispatch, job, now))
 			return job;
 	}
 	return NULL;
--- a/src/test_libbwsteer/test_dispatch.c
+++ b/src/test_libbwsteer/test_dispatch.c
@@ -178,6 +178,54 @@
 }
 
 /* A server that fails twice in a row is avoided for a time. */
+/* Teaches the response time of the only server: 100 ms for a warm object. */
+static void learn_times_(struct bw_dispatch *dispatch)
+{
+	struct bw_rejection rejection;
+	struct bw_job job;
+	uint32_t i;
+
+	for (i = 0; i < 2; i++) {
+		prepare_(dispatch, &job, 1, -400 + 200 * (int64_t)i);
+		bw_dispatch_offer(dispatch, &job, job.arrived, &rejection);
+		bw_dispatch_sent(dispatch, &job, job.arrived);
+		bw_dispatch_ended(dispatch, &job, BW_JOB_ANSWERED, NULL,
+				  bw_time_add(job.arrived, 100));
+	}
+}
+
+/* Guards against a request that is held to its deadline although the load of
+ * other hosts, known after it was queued, leaves it no chance. */
+static void test_hopeless_wait(void **state)
+{
+	struct bw_dispatch dispatch;
+	struct bw_rejection rejection;
+	enum bw_verdict verdict;
+	struct bw_job sent[16];
+	struct bw_job waiting;
+	uint32_t count;
+
+	(void)state;
+	open_(&dispatch);
+	update_(&dispatch, 1, -500);
+	learn_times_(&dispatch);
+	count = fill_(&dispatch, sent);
+	prepare_(&dispatch, &waiting, 1, 0);
+	assert_int_equal(bw_dispatch_offer(&dispatch, &waiting, at_(0),
+					   &rejection),
+			 BW_VERDICT_WAIT);
+	assert_null(bw_dispatch_next(&dispatch, at_(50), &verdict, &rejection));
+	bw_dispatch_note_load(&dispatch, bw_registry_hash("i-0"), 100, at_(60));
+	assert_ptr_equal(bw_dispatch_next(&dispatch, at_(120), &verdict,
+					  &rejection),
+			 &waiting);
+	assert_int_equal(verdict, BW_VERDICT_REJECT);
+	assert_int_equal(rejection.reason, BW_REJECT_OVERLOAD);
+	assert_false(waiting.queued);
+	drain_(&dispatch, sent, count);
+	bw_dispatch_finish(&dispatch);
+}
+
 static void test_failures_eject(void **state)
 {
 	struct bw_dispatch dispatch;
@@ -215,6 +263,7 @@
 		cmocka_unit_test(test_no_server),
 		cmocka_unit_test(test_ranks),
 		cmocka_unit_test(test_home_is_removed),
+		cmocka_unit_test(test_hopeless_wait),
 		cmocka_unit_test(test_failures_eject),
 	};
 
