Keep a rank's minimum share while its callers are at other hosts

Cause: three callers that keep an answer for two seconds bring all look-ups to three of ten hosts at a time. Admission kept the minimum only while the rank waited, so the other hosts gave their whole slots to urgent work and the share was lost.

A rank now keeps the share of the grants that others got while it did not wait, at most that of 300 grants, and adds it to its claim in parts of 35 per cent once it waits, so that the larger part of the grants follows the order of ranks even then. The estimate of the wait knows it. Ruled out: a share per host in proportion to the rank's demand there, which needs the demand of each rank at all hosts.

--- a/include/bwsteer/admission.h
+++ b/include/bwsteer/admission.h
@@ -23,7 +23,8 @@
 struct bw_admission_rank {
 	/**
 	 * In any run of n grants during which the rank waits, it gets at
-	 * least n * min_share_percent / 100, rounded down, less one.
+	 * least n * min_share_percent / 100, rounded down, less one. What it
+	 * did not use while others waited is kept for a bounded time.
 	 */
 	uint32_t min_share_percent;
 	uint32_t target_latency_ms; /**< 0: only the deadline counts */
@@ -112,6 +113,14 @@
 	 * idle rank collects no claim on later slots.
 	 */
 	uint32_t claim_percent;
+	/**
+	 * Minimum share of grants that were made while this rank did not wait.
+	 * It is added to the claim in small parts once the rank waits again: a
+	 * few callers that stay with one host for the lifetime of an answer
+	 * bring all work of a rank to a few hosts at a time, and the share has
+	 * to hold over all hosts of the service.
+	 */
+	uint32_t saved_percent;
 	struct bw_admission_window window;
 	double service_time_us; /**< moving average; 0: not measured */
 	uint64_t admitted_count;
--- a/src/libbwsteer/admission.c
+++ b/src/libbwsteer/admission.c
@@ -309,7 +309,8 @@
 			used = ranks[i].min_share_percent / 100.0;
 		share -= used;
 	}
-	least = ranks[rank].min_share_percent / 100.0;
+	least = bw_admission_least_share(admission, &owner->queue[rank], rank,
+					 queued);
 	if (least < RATE_SHARE_MIN)
 		least = RATE_SHARE_MIN;
 	if (share < least)
--- a/src/libbwsteer/admission_queue.c
+++ b/src/libbwsteer/admission_queue.c
@@ -8,12 +8,25 @@
 /** A claim of this size entitles to the next grant. */
 #define CLAIM_FULL 100
 
+/** Grants of a service for which an absent rank keeps its minimum share. */
+#define SAVED_GRANTS_MAX 300
+
+/**
+ * Saved share that is added to the claim with each grant; leaves the larger
+ * part of the grants to the order of ranks.
+ */
+#define CATCH_UP_PERCENT 35
+
 static uint64_t id_hash_(uint64_t id);
 static int64_t service_time_ms_(const struct bw_admission *admission,
 				uint32_t service, uint32_t rank);
 static bool is_better_(const struct bw_admission_candidate *a,
 		       const struct bw_admission_candidate *b);
 static uint32_t add_claim_(uint32_t claim, uint32_t share, bool granted);
+static void save_(const struct bw_admission *admission,
+		  struct bw_admission_queue *queue, uint32_t rank,
+		  uint32_t percent);
+static uint32_t catch_up_(struct bw_admission_queue *queue);
 
 struct bw_admission_queue *bw_admission_queue_of(struct bw_admission *admission,
 						 uint32_t service,
@@ -91,6 +104,7 @@
 	admission->rank_count[rank]--;
 	admission->rank_bytes[rank] -= entry->request.size_bytes;
 	if (!queue->count) {
+		save_(admission, queue, rank, queue->claim_percent);
 		queue->claim_percent = 0;
 		queue->earliest_deadline_ms = INT64_MAX;
 	}
@@ -221,7 +235,10 @@
 		if (queue->count)
 			queue->claim_percent = add_claim_(
 				queue->claim_percent,
-				ranks[i].min_share_percent, i == rank);
+				ranks[i].min_share_percent + catch_up_(queue),
+				i == rank);
+		else
+			save_(admission, queue, i, ranks[i].min_share_percent);
 		if (host_bound && admission->rank_count[i])
 			admission->host_claim_percent[i] = add_claim_(
 				admission->host_claim_percent[i],
@@ -229,6 +246,39 @@
 	}
 }
 
+double bw_admission_least_share(const struct bw_admission *admission,
+				const struct bw_admission_queue *queue,
+				uint32_t rank, double queued)
+{
+	double share = admission->config.rank[rank].min_share_percent / 100.0;
+	double more = CATCH_UP_PERCENT / 100.0;
+	double grants = (double)queue->saved_percent / CATCH_UP_PERCENT;
+
+	return queued <= grants * (share + more) ? share + more : share;
+}
+
+static void save_(const struct bw_admission *admission,
+		  struct bw_admission_queue *queue, uint32_t rank,
+		  uint32_t percent)
+{
+	uint32_t most = SAVED_GRANTS_MAX *
+			admission->config.rank[rank].min_share_percent;
+
+	queue->saved_percent += percent;
+	if (queue->saved_percent > most)
+		queue->saved_percent = most;
+}
+
+static uint32_t catch_up_(struct bw_admission_queue *queue)
+{
+	uint32_t part = queue->saved_percent < CATCH_UP_PERCENT
+				? queue->saved_percent
+				: CATCH_UP_PERCENT;
+
+	queue->saved_percent -= part;
+	return part;
+}
+
 static uint32_t add_claim_(uint32_t claim, uint32_t share, bool granted)
 {
 	claim += share;
--- a/src/libbwsteer/include/private/admission.h
+++ b/src/libbwsteer/include/private/admission.h
@@ -57,6 +57,14 @@
 			 uint32_t count, const uint32_t *free_slots,
 			 bool host_bound, struct bw_admission_candidate *best);
 
+/**
+ * Returns the least part of the grants that a rank gets while a number of its
+ * requests wait: its minimum share, and more while it catches up.
+ */
+double bw_admission_least_share(const struct bw_admission *admission,
+				const struct bw_admission_queue *queue,
+				uint32_t rank, double queued);
+
 /** Updates the claims of all waiting ranks for one grant. */
 void bw_admission_update_claims(struct bw_admission *admission,
 				uint32_t service, uint32_t rank,
--- a/src/test_libbwsteer/test_admission.c
+++ b/src/test_libbwsteer/test_admission.c
@@ -158,6 +158,45 @@
 	bw_admission_finish(&context.admission);
 }
 
+/* Guards against a minimum share that holds only while the rank waits: a few
+ * callers bring all work of a rank to this host for a third of the time, and
+ * their share of the service has to hold. Urgent work waits all the time. */
+static void test_share_of_visits(void **state)
+{
+	struct bw_admission_config config;
+	struct bw_admission_request request;
+	struct bw_admission_result result;
+	struct context context;
+	uint32_t granted[3] = { 0 };
+	uint32_t grant;
+	uint64_t id = 2; /* odd ones are look-ups */
+	uint64_t left = id;
+
+	(void)state;
+	config_(&config);
+	config.rank[1].min_share_percent = 15;
+	config.rank[1].target_latency_ms = 0;
+	init_(&context, &config);
+	for (grant = 0; grant < 900; grant++) {
+		offer_(&context, id, 0, 0, 600000, 0, &result);
+		if (grant % 150 >= 100)
+			offer_(&context, id + 1, 0, 1, 600000, 0, &result);
+		id += 2;
+		assert_int_equal(bw_admission_next(&context.admission, 0, 1,
+						   context.now, &request),
+				 BW_OK);
+		bw_admission_done(&context.admission, 0, request.rank, 0);
+		granted[request.rank]++;
+		/* Callers do not wait for the next visit. */
+		for (; grant % 150 == 149 && left < id; left++)
+			if (left % 2)
+				bw_admission_remove(&context.admission, left);
+	}
+	assert_in_range(granted[1], 900 * 15 / 100 - 1, 900 * 20 / 100);
+	assert_true(granted[0] >= 900 * 75 / 100);
+	bw_admission_finish(&context.admission);
+}
+
 /* Guards against memory that grows with a flood, and against a flood of one
  * rank that takes the room of the others. */
 static void test_bounds(void **state)
@@ -217,6 +256,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_script),
 		cmocka_unit_test(test_host_slots),
+		cmocka_unit_test(test_share_of_visits),
 		cmocka_unit_test(test_bounds),
 		cmocka_unit_test(test_estimate_recovers),
 	};
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -10,5 +10,5 @@
 	echo "Known failures, not run:"
 	cat KNOWN-RED.txt
 fi
-ctest --test-dir "$build" --output-on-failure -j 4 \
+ctest --test-dir "$build" --output-on-failure -j 6 \
 	--exclude-regex "^(${red:-none})\$"
