--- a/src/libbwsteer/admission_queue.c
+++ b/src/libbwsteer/admission_queue.c
@@ -15,7 +15,7 @@
  * Saved share that is added to the claim with each grant; leaves the larger
  * part of the grants to the order of ranks.
  */
-#define CATCH_UP_PERCENT 35
+#define CATCH_UP_PERCENT 45
 
 static uint64_t id_hash_(uint64_t id);
 static int64_t service_time_ms_(const struct bw_admission *admission,
