--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -121,6 +121,11 @@
 			      bw_dispatch_waiting(&entry->dispatch));
 		bw_metric_set(entry->servers_known,
 			      g_hash_table_size(node->registry.servers));
+		if (entry->routing)
+			bw_metric_set(entry->routing_age_s,
+				      bw_time_diff_ms(now,
+						      entry->routing_since) /
+					      1000);
 	}
 	if (entry->update_due ||
 	    entry->generation != node->registry.generation ||
@@ -227,6 +232,9 @@
 	entry->in_force = bw_metrics_get(metrics, BW_METRIC_GAUGE,
 					 "bw_routing_version",
 					 "Configuration in force", "");
+	entry->routing_age_s = bw_metrics_get(
+		metrics, BW_METRIC_GAUGE, "bw_routing_age_seconds",
+		"Time since the configuration came into force here", "");
 	entry->servers_known =
 		bw_metrics_get(metrics, BW_METRIC_GAUGE, "bw_servers_known",
 			       "Backend servers that announced themselves", "");
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -34,6 +34,7 @@
 	struct bw_pool pool;
 	struct bw_dispatch dispatch;
 	struct bw_routing *routing; /**< in force; NULL at first */
+	struct bw_time routing_since; /**< it came into force here */
 	char evacuated[BW_EVACUATIONS_MAX][BW_NAME_MAX];
 	uint32_t evacuated_count;
 	uint64_t evacuation_index;
@@ -61,6 +62,7 @@
 	struct bw_metric *waiting;
 	struct bw_metric *in_force;
 	struct bw_metric *servers_known;
+	struct bw_metric *routing_age_s;
 };
 
 /** Opens the listeners. @return BW_OK or BW_EIO, which is logged */
--- a/src/boragewingd/gate_entry_talk.c
+++ b/src/boragewingd/gate_entry_talk.c
@@ -142,7 +142,6 @@
 	char error[PLATFORM_ERROR_BYTES] = "";
 	enum bw_status status;
 
-	(void)now;
 	if (entry->routing && message->version <= entry->routing->version)
 		return;
 	status = platform_routing_read(message->text, message->text_bytes,
@@ -159,6 +158,7 @@
 		     (json_int_t)routing->version, "previous",
 		     (json_int_t)(entry->routing ? entry->routing->version : 0),
 		     "source", sender, "routes", (int)routing->route_count);
+	entry->routing_since = now;
 	apply_routing_(entry, routing);
 }
 
--- a/test/gateway.sh
+++ b/test/gateway.sh
@@ -136,6 +136,7 @@
 
 # Metrics and a graceful stop.
 check "metrics have histograms" grep -q 'bw_answer_seconds_bucket' <(curl -s "http://127.0.2.1:$((port + 8))/metrics")
+check "metrics have the age of the configuration" grep -Eq '^bw_routing_age_seconds [0-9]+$' <(curl -s "http://127.0.2.1:$((port + 8))/metrics")
 request 1 GET /read/slow slow-one > "$work/slow" &
 slow=$!
 sleep 0.3
--- a/tools/bench/bench.h
+++ b/tools/bench/bench.h
@@ -50,6 +50,8 @@
 void bench_agree(struct bench *bench);
 /** Measures the load report, the directory and the choice of a look-up. */
 void bench_lookup(struct bench *bench);
+/** Measures log lines, with a destination that reads and one that does not. */
+void bench_log(struct bench *bench);
 
 /** Prints entries of two result files side by side. @return exit status */
 int bench_compare(const char *path_a, const char *path_b);
--- /dev/null
+++ b/tools/bench/bench_log.c
@@ -0,0 +1,83 @@
+#include <fcntl.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "bench.h"
+#include "bwbase/log.h"
+
+/** Lines of one measurement. */
+#define LINES 100000
+
+/** Buffer of the gateway's logger. */
+#define PENDING_MAX_BYTES (256 * 1024)
+
+static double line_us_(struct bw_log *log, enum bw_log_level level);
+static void measure_open_(struct bench *bench, const char *name,
+			  enum bw_log_level threshold);
+static void measure_stalled_(struct bench *bench);
+
+/* A reader that keeps up costs what a line costs; one that does not read must
+ * not cost more, since lines are dropped instead. */
+void bench_log(struct bench *bench)
+{
+	measure_open_(bench, "log.line", BW_LOG_INFO);
+	measure_open_(bench, "log.below_threshold", BW_LOG_ERROR);
+	measure_stalled_(bench);
+}
+
+static void measure_open_(struct bench *bench, const char *name,
+			  enum bw_log_level threshold)
+{
+	struct bw_log log;
+	int fd = open("/dev/null", O_WRONLY | O_CLOEXEC);
+
+	if (fd < 0) {
+		perror("/dev/null");
+		return;
+	}
+	bw_log_init_buffered(&log, fd, PENDING_MAX_BYTES, threshold, "host");
+	bench_add(bench, name, "us", line_us_(&log, BW_LOG_INFO),
+		  json_object());
+	bw_log_finish(&log);
+	close(fd);
+}
+
+static void measure_stalled_(struct bench *bench)
+{
+	struct bw_log log;
+	int ends[2];
+
+	if (pipe2(ends, O_NONBLOCK | O_CLOEXEC)) {
+		perror("pipe");
+		return;
+	}
+	bw_log_init_buffered(&log, ends[1], PENDING_MAX_BYTES, BW_LOG_INFO,
+			     "host");
+	bench_add(bench, "log.stalled", "us", line_us_(&log, BW_LOG_INFO),
+		  json_object());
+	bench_add(bench, "log.stalled_failure", "us",
+		  line_us_(&log, BW_LOG_WARNING), json_object());
+	bw_log_finish(&log);
+	close(ends[0]);
+	close(ends[1]);
+}
+
+/* Lines as long as those of an answered request. */
+static double line_us_(struct bw_log *log, enum bw_log_level level)
+{
+	double start_us = bench_cpu_us();
+	uint32_t i;
+
+	for (i = 0; i < LINES; i++) {
+		bw_log_event(log, level, "request", "answered",
+			     "{s:s,s:s,s:s,s:i,s:i,s:i,s:f,s:b,s:I}", "request",
+			     "b19c4e7f02a35d68", "route", "status", "server",
+			     "rescue-issuer-4", "status", 200, "took_ms",
+			     (int)(i % 900), "queue_ms", (int)(i % 7),
+			     "expected_ms", 264.5, "warm", i % 2, "version",
+			     (json_int_t)14);
+		if (i % 16 == 15)
+			bw_log_flush(log);
+	}
+	return (bench_cpu_us() - start_us) / LINES;
+}
--- a/tools/bench/bench_main.c
+++ b/tools/bench/bench_main.c
@@ -63,6 +63,7 @@
 		{ "plan", bench_plan },	    { "requests", bench_requests },
 		{ "keys", bench_keys },	    { "member", bench_member },
 		{ "agree", bench_agree },   { "lookup", bench_lookup },
+		{ "log", bench_log },
 	};
 	size_t i;
 
