--- a/include/bwsteer/admission.h
+++ b/include/bwsteer/admission.h
@@ -115,7 +115,7 @@
 	uint32_t claim_percent;
 	/**
 	 * Minimum share of grants that were made while this rank did not wait.
-	 * It is added to the claim in small parts once the rank waits again: a
+	 * It is added to the claim in parts once the rank waits again: a
 	 * few callers that stay with one host for the lifetime of an answer
 	 * bring all work of a rank to a few hosts at a time, and the share has
 	 * to hold over all hosts of the service.
--- a/src/libbwsteer/admission_queue.c
+++ b/src/libbwsteer/admission_queue.c
@@ -12,8 +12,8 @@
 #define SAVED_GRANTS_MAX 300
 
 /**
- * Saved share that is added to the claim with each grant; leaves the larger
- * part of the grants to the order of ranks.
+ * Saved share that is added to the claim with each grant. Paying it back in
+ * parts leaves grants to the other ranks meanwhile.
  */
 #define CATCH_UP_PERCENT 45
 
