Report requests that a listener does not accept

A listener answered an invalid request with 400, 408, 413 or 431 by itself, and its owner never learned of it: such an answer was neither logged nor counted, so nothing could tell whether a proper request got one.

The optional callback `rejected` gets what was read of the request, the cause, the parser's error, the received bytes, and both the limit that applied to the connection and the one for new connections. The two differ when a newer configuration changed the limit, because a reader keeps the limits with which its connection was accepted. Too many fields are told apart from too long a head, and a late head from a late body.

The responses stay the same.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -19,6 +19,36 @@
 struct bw_listener;
 struct bw_server_connection;
 
+/** Why a listener did not accept a request. */
+enum bw_listener_cause {
+	BW_LISTENER_MALFORMED, /**< not HTTP/1.x; see parser_error */
+	BW_LISTENER_UPGRADE, /**< asks for another protocol */
+	BW_LISTENER_HEAD_TOO_LARGE,
+	BW_LISTENER_TOO_MANY_FIELDS,
+	BW_LISTENER_BODY_TOO_LARGE,
+	BW_LISTENER_HEAD_TIMEOUT, /**< the head was not complete in time */
+	BW_LISTENER_BODY_TIMEOUT, /**< the head was, the body was not */
+	BW_LISTENER_CAUSE_COUNT
+};
+
+/** Stable names of enum bw_listener_cause. */
+extern const char *const bw_listener_cause_string[BW_LISTENER_CAUSE_COUNT];
+
+/** Status codes that answer a request, by enum bw_listener_cause. */
+extern const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT];
+
+/** A request that the listener did not accept. */
+struct bw_listener_rejection {
+	enum bw_listener_cause cause;
+	uint16_t status_code; /**< of the response */
+	const char *parser_error; /**< name of the parser's error */
+	const char *address; /**< of the listener */
+	uint64_t received_bytes; /**< of the request and of those behind it */
+	uint32_t age_ms; /**< since the first byte of the request */
+	uint32_t limit; /**< that applied: bytes, fields or ms; 0: none */
+	uint32_t limit_current; /**< the same for a new connection */
+};
+
 /** Callbacks of a listener; context is bw_listener_config.context. */
 struct bw_listener_handler {
 	/** A request is complete; respond with bw_connection_respond. */
@@ -27,6 +57,15 @@
 	/** The client disconnected before it was sent the response. */
 	void (*disconnected)(void *context,
 			     struct bw_server_connection *connection);
+	/**
+	 * Optional. A request is not accepted, and the listener is about to
+	 * respond with an error; it must not be responded to.
+	 * @param request what was read of it
+	 */
+	void (*rejected)(void *context,
+			 const struct bw_server_connection *connection,
+			 const struct bw_http_message *request,
+			 const struct bw_listener_rejection *rejection);
 };
 
 /** Settings; strings and the handler are not copied. */
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -40,6 +40,7 @@
 	struct bw_buffer in; /**< bytes not yet parsed */
 	struct bw_buffer out;
 	double state_since_s; /**< entry into the state, for timeouts */
+	uint64_t parsed_bytes; /**< of the request that is being read */
 	void *context;
 	bool busy; /**< a request is in progress */
 	bool close_after_write;
@@ -56,7 +57,14 @@
 static void read_request_(struct bw_server_connection *connection);
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
-			    uint16_t status_code);
+			    enum bw_listener_cause cause);
+static enum bw_listener_cause
+head_cause_(const struct bw_server_connection *connection);
+static void report_rejection_(struct bw_server_connection *connection,
+			      enum bw_listener_cause cause);
+static uint32_t limit_(const struct bw_server_connection *connection,
+		       const struct bw_http_limits *limits,
+		       enum bw_listener_cause cause);
 static bool flush_output_(struct bw_server_connection *connection);
 static void close_connection_(struct bw_server_connection *connection,
 			      bool notify_handler);
@@ -64,6 +72,23 @@
 			const struct bw_buffer *fields, size_t body_bytes,
 			bool close);
 
+const char *const bw_listener_cause_string[BW_LISTENER_CAUSE_COUNT] = {
+	[BW_LISTENER_MALFORMED] = "malformed",
+	[BW_LISTENER_UPGRADE] = "upgrade",
+	[BW_LISTENER_HEAD_TOO_LARGE] = "head_too_large",
+	[BW_LISTENER_TOO_MANY_FIELDS] = "too_many_fields",
+	[BW_LISTENER_BODY_TOO_LARGE] = "body_too_large",
+	[BW_LISTENER_HEAD_TIMEOUT] = "head_timeout",
+	[BW_LISTENER_BODY_TIMEOUT] = "body_timeout",
+};
+
+const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT] = {
+	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UPGRADE] = 400,
+	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_TOO_MANY_FIELDS] = 431,
+	[BW_LISTENER_BODY_TOO_LARGE] = 413, [BW_LISTENER_HEAD_TIMEOUT] = 408,
+	[BW_LISTENER_BODY_TIMEOUT] = 408,
+};
+
 enum bw_status bw_listener_init(struct bw_listener *listener,
 				const struct bw_listener_config *config)
 {
@@ -313,7 +338,11 @@
 			continue;
 		if (connection->reader.started) {
 			if (age_ms > listener->config.head_timeout_ms)
-				reject_request_(connection, 408);
+				reject_request_(
+					connection,
+					connection->reader.message.head_complete
+						? BW_LISTENER_BODY_TIMEOUT
+						: BW_LISTENER_HEAD_TIMEOUT);
 		} else if (age_ms > listener->config.idle_timeout_ms) {
 			close_connection_(connection, false);
 		}
@@ -328,11 +357,14 @@
 
 	if (!connection->in.size_bytes)
 		return;
-	if (!connection->reader.started)
+	if (!connection->reader.started) {
 		connection->state_since_s = ev_now(listener->config.loop);
+		connection->parsed_bytes = 0;
+	}
 	progress = bw_http_reader_feed(&connection->reader, connection->in.data,
 				       connection->in.size_bytes, &used_bytes);
 	bw_buffer_consume(&connection->in, used_bytes);
+	connection->parsed_bytes += used_bytes;
 	switch (progress) {
 	case BW_HTTP_INCOMPLETE:
 		send_continue_(connection);
@@ -345,13 +377,15 @@
 						  &connection->reader.message);
 		break;
 	case BW_HTTP_MALFORMED:
-		reject_request_(connection, 400);
+		reject_request_(connection, connection->reader.parser.upgrade
+						    ? BW_LISTENER_UPGRADE
+						    : BW_LISTENER_MALFORMED);
 		break;
 	case BW_HTTP_HEAD_TOO_LARGE:
-		reject_request_(connection, 431);
+		reject_request_(connection, head_cause_(connection));
 		break;
 	case BW_HTTP_BODY_TOO_LARGE:
-		reject_request_(connection, 413);
+		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
 		break;
 	}
 }
@@ -372,15 +406,80 @@
 
 /* Responds with an error to an invalid request and closes the connection. */
 static void reject_request_(struct bw_server_connection *connection,
-			    uint16_t status_code)
+			    enum bw_listener_cause cause)
 {
+	report_rejection_(connection, cause);
 	connection->reader.started = false;
 	connection->state_since_s = ev_now(connection->listener->config.loop);
 	connection->close_after_write = true;
-	write_head_(&connection->out, status_code, NULL, 0, true);
+	write_head_(&connection->out, bw_listener_cause_status[cause], NULL, 0,
+		    true);
 	flush_output_(connection);
 }
 
+/* The reader reports both as a head that is too large. */
+static enum bw_listener_cause
+head_cause_(const struct bw_server_connection *connection)
+{
+	const struct bw_http_reader *reader = &connection->reader;
+	enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
+
+	/* The name of the field beyond the limit was not read. */
+	if (error == HPE_CB_header_field && reader->last_was_value &&
+	    reader->message.field_count == BW_HTTP_FIELDS_MAX)
+		return BW_LISTENER_TOO_MANY_FIELDS;
+	return BW_LISTENER_HEAD_TOO_LARGE;
+}
+
+static void report_rejection_(struct bw_server_connection *connection,
+			      enum bw_listener_cause cause)
+{
+	const struct bw_listener_config *config = &connection->listener->config;
+	const struct bw_http_reader *reader = &connection->reader;
+	struct bw_listener_rejection rejection = { .cause = cause };
+	double age_s = ev_now(config->loop) - connection->state_since_s;
+
+	if (!config->handler->rejected)
+		return;
+	rejection.status_code = bw_listener_cause_status[cause];
+	rejection.parser_error =
+		http_errno_name(HTTP_PARSER_ERRNO(&reader->parser));
+	rejection.address = config->address;
+	rejection.received_bytes =
+		connection->parsed_bytes + connection->in.size_bytes;
+	rejection.age_ms = age_s > 0.0 ? (uint32_t)(1000.0 * age_s) : 0;
+	rejection.limit = limit_(connection, &reader->limits, cause);
+	rejection.limit_current = limit_(connection, &config->limits, cause);
+	config->handler->rejected(config->context, connection, &reader->message,
+				  &rejection);
+}
+
+/* A connection keeps the size limits with which it was accepted. */
+static uint32_t limit_(const struct bw_server_connection *connection,
+		       const struct bw_http_limits *limits,
+		       enum bw_listener_cause cause)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&connection->reader.parser);
+
+	switch (cause) {
+	case BW_LISTENER_HEAD_TOO_LARGE:
+		return error == HPE_HEADER_OVERFLOW ? HTTP_MAX_HEADER_SIZE
+						    : limits->head_max_bytes;
+	case BW_LISTENER_TOO_MANY_FIELDS:
+		return BW_HTTP_FIELDS_MAX;
+	case BW_LISTENER_BODY_TOO_LARGE:
+		return limits->body_max_bytes;
+	case BW_LISTENER_HEAD_TIMEOUT:
+	case BW_LISTENER_BODY_TIMEOUT:
+		return connection->listener->config.head_timeout_ms;
+	case BW_LISTENER_MALFORMED:
+	case BW_LISTENER_UPGRADE:
+	case BW_LISTENER_CAUSE_COUNT:
+		break;
+	}
+	return 0;
+}
+
 /* @return whether the connection still exists */
 static bool flush_output_(struct bw_server_connection *connection)
 {
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -3,6 +3,7 @@
  * against responses delivered to the wrong request, requests sent twice because
  * of a stale connection, and accepting responses truncated by a reset.
  */
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -270,6 +271,9 @@
 	uint32_t requests;
 	uint32_t disconnected_count;
 	bool withhold_response;
+	struct bw_listener_rejection rejection; /**< the last one */
+	uint32_t rejected_count;
+	char rejected_id[16]; /**< field Id of the last one */
 };
 
 static void on_request_(void *context, struct bw_server_connection *connection,
@@ -291,9 +295,26 @@
 	((struct echo *)context)->disconnected_count++;
 }
 
+static void on_rejected_(void *context,
+			 const struct bw_server_connection *connection,
+			 const struct bw_http_message *request,
+			 const struct bw_listener_rejection *rejection)
+{
+	struct echo *echo = context;
+
+	assert_int_equal(bw_connection_peer(connection),
+			 htonl(INADDR_LOOPBACK));
+	echo->rejection = *rejection;
+	echo->rejected_count++;
+	echo->rejected_id[0] = '\0';
+	bw_http_find(request, "Id", echo->rejected_id,
+		     sizeof(echo->rejected_id));
+}
+
 static const struct bw_listener_handler echo_handler = {
 	.request = on_request_,
 	.disconnected = on_disconnected_,
+	.rejected = on_rejected_,
 };
 
 static void listen_(struct bw_listener *listener, struct ev_loop *loop,
@@ -357,6 +378,120 @@
 	ev_loop_destroy(loop);
 }
 
+/* A request that the listener rejects, and what it reports. */
+struct rejection_case {
+	const char *text; /**< of the request, up to the repeated part */
+	const char *repeated; /**< sent repeat_count times */
+	uint32_t repeat_count;
+	enum bw_listener_cause cause;
+	uint16_t status_code;
+	const char *parser_error;
+	uint32_t limit;
+	const char *id;
+};
+
+static const struct rejection_case rejection_cases[] = {
+	{ "GET /x HTTP/1.1\r\nId: a\r\n\x01: x\r\n\r\n", "", 0,
+	  BW_LISTENER_MALFORMED, 400, "HPE_INVALID_HEADER_TOKEN", 0, "a" },
+	{ "POST /x HTTP/1.1\r\nId: b\r\nConnection: upgrade\r\n"
+	  "Upgrade: x\r\nContent-Length: 9\r\n\r\n",
+	  "", 0, BW_LISTENER_UPGRADE, 400, "HPE_OK", 0, "b" },
+	{ "GET /x HTTP/1.1\r\nId: c\r\n", "Name: 0123456789\r\n", 95,
+	  BW_LISTENER_HEAD_TOO_LARGE, 431, "HPE_CB_header_value", 1024, "c" },
+	{ "GET /x HTTP/1.1\r\nId: d\r\n", "N: 0\r\n", BW_HTTP_FIELDS_MAX,
+	  BW_LISTENER_TOO_MANY_FIELDS, 431, "HPE_CB_header_field",
+	  BW_HTTP_FIELDS_MAX, "d" },
+	{ "POST /x HTTP/1.1\r\nId: e\r\nContent-Length: 2000\r\n\r\n",
+	  "0123456789", 200, BW_LISTENER_BODY_TOO_LARGE, 413, "HPE_CB_body",
+	  1024, "e" },
+	{ "GET /x HTTP/1.1\r\nId: f\r\n", "", 0, BW_LISTENER_HEAD_TIMEOUT, 408,
+	  "HPE_OK", 300, "f" },
+	{ "POST /x HTTP/1.1\r\nId: g\r\nContent-Length: 9\r\n\r\n", "", 0,
+	  BW_LISTENER_BODY_TIMEOUT, 408, "HPE_OK", 300, "g" },
+};
+
+static void check_rejection_(struct ev_loop *loop, struct echo *echo,
+			     uint16_t port,
+			     const struct rejection_case *rejected)
+{
+	const struct bw_listener_rejection *rejection = &echo->rejection;
+	uint32_t count = echo->rejected_count;
+	struct peer peer;
+	char status[32];
+	char text[4096];
+	size_t length;
+	uint32_t i;
+
+	length = (size_t)snprintf(text, sizeof(text), "%s", rejected->text);
+	for (i = 0; i < rejected->repeat_count; i++)
+		length += (size_t)snprintf(text + length, sizeof(text) - length,
+					   "%s", rejected->repeated);
+	assert_true(length < sizeof(text));
+	peer_connect(&peer, loop, port);
+	peer_send_text(&peer, text);
+	snprintf(status, sizeof(status), "HTTP/1.1 %u", rejected->status_code);
+	SPIN_UNTIL(loop, peer_has(&peer, status));
+	assert_int_equal(echo->rejected_count, count + 1);
+	assert_int_equal(rejection->cause, rejected->cause);
+	assert_int_equal(rejection->status_code, rejected->status_code);
+	if (rejected->parser_error)
+		assert_string_equal(rejection->parser_error,
+				    rejected->parser_error);
+	assert_int_equal(rejection->limit, rejected->limit);
+	assert_int_equal(rejection->received_bytes, strlen(text));
+	assert_string_equal(echo->rejected_id, rejected->id);
+	peer_finish(&peer);
+}
+
+/* Guards against a request that is rejected without a report of its cause. */
+static void test_listener_rejections(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	uint16_t port;
+	size_t i;
+
+	(void)state;
+	listen_(&listener, loop, &echo, &port);
+	for (i = 0; i < sizeof(rejection_cases) / sizeof(rejection_cases[0]);
+	     i++)
+		check_rejection_(loop, &echo, port, &rejection_cases[i]);
+	assert_int_equal(echo.requests, 0);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
+/* Guards against a report with the limits of new connections in place of those
+ * that applied to the connection. */
+static void test_listener_old_limit(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	struct peer peer;
+	uint16_t port;
+	int i;
+
+	(void)state;
+	listen_(&listener, loop, &echo, &port);
+	peer_connect(&peer, loop, port);
+	peer_send_text(&peer, "GET /one HTTP/1.1\r\nHost: x\r\n\r\n");
+	SPIN_UNTIL(loop, peer_has(&peer, "/one"));
+	listener.config.limits.body_max_bytes = 512;
+	peer_send_text(&peer, "POST /two HTTP/1.1\r\nTransfer-Encoding: "
+			      "chunked\r\n\r\n");
+	peer_send_text(&peer, "500\r\n");
+	for (i = 0; i < 0x50; i++)
+		peer_send_text(&peer, "0123456789abcdef");
+	SPIN_UNTIL(loop, peer_has(&peer, "HTTP/1.1 413"));
+	assert_int_equal(echo.rejection.limit, 1024);
+	assert_int_equal(echo.rejection.limit_current, 512);
+	bw_listener_finish(&listener);
+	peer_finish(&peer);
+	ev_loop_destroy(loop);
+}
+
 /* Guards against a close that drops a request on an open connection, or that
  * leaves idle connections open. */
 static void test_listener_close(void **state)
@@ -396,6 +531,8 @@
 		cmocka_unit_test(test_stale_connection),
 		cmocka_unit_test(test_not_sent),
 		cmocka_unit_test(test_listener),
+		cmocka_unit_test(test_listener_rejections),
+		cmocka_unit_test(test_listener_old_limit),
 		cmocka_unit_test(test_listener_close),
 	};
 
