--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -56,6 +56,10 @@
 static enum bw_status open_listener_(struct gate_control *control,
 				     struct bw_listener *listener,
 				     const char *address);
+static void on_rejected_(void *context,
+			 const struct bw_server_connection *connection,
+			 const struct bw_http_message *request,
+			 const struct bw_listener_rejection *rejection);
 static void handle_event_(struct gate_control *control,
 			  const struct bw_replica_event *event);
 static void log_members_(struct gate_control *control,
@@ -78,6 +82,7 @@
 static const struct bw_listener_handler handler = {
 	.request = gate_control_handle_call,
 	.disconnected = gate_control_connection_closed,
+	.rejected = on_rejected_,
 };
 
 enum bw_status gate_control_init(struct gate_control *control,
@@ -105,6 +110,7 @@
 	control->lookups = bw_metrics_get(&node->metrics, BW_METRIC_COUNTER,
 					  "bw_lookups_total",
 					  "Directory answers", "");
+	gate_refusals_init(&control->refusals, node, "control");
 	status = open_replica_(control);
 	if (status == BW_OK)
 		status = open_listener_(control, &control->api,
@@ -276,6 +282,18 @@
 	return status;
 }
 
+static void on_rejected_(void *context,
+			 const struct bw_server_connection *connection,
+			 const struct bw_http_message *request,
+			 const struct bw_listener_rejection *rejection)
+{
+	struct gate_control *control = context;
+
+	gate_refusals_note_invalid(
+		&control->refusals, connection, request, rejection,
+		bw_replica_state(control->replica)->revision);
+}
+
 static void handle_event_(struct gate_control *control,
 			  const struct bw_replica_event *event)
 {
--- a/src/boragewingd/gate_control.h
+++ b/src/boragewingd/gate_control.h
@@ -14,6 +14,7 @@
 #include "bwsteer/routing.h"
 #include "gate_api.h"
 #include "gate_node.h"
+#include "gate_refusal.h"
 
 /** The control role of a host. */
 struct gate_control {
@@ -45,6 +46,7 @@
 				     silent; kept by the leader only */
 	struct bw_metric *announcements;
 	struct bw_metric *lookups;
+	struct gate_refusals refusals;
 };
 
 /**
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -43,6 +43,10 @@
 			const struct bw_http_message *request);
 static void on_disconnected_(void *context,
 			     struct bw_server_connection *connection);
+static void on_rejected_(void *context,
+			 const struct bw_server_connection *connection,
+			 const struct bw_http_message *request,
+			 const struct bw_listener_rejection *rejection);
 static void on_ready_(void *context, struct bw_server_connection *connection,
 		      const struct bw_http_message *request);
 static void on_ready_disconnected_(void *context,
@@ -64,6 +68,7 @@
 static const struct bw_listener_handler client_handler = {
 	.request = on_request_,
 	.disconnected = on_disconnected_,
+	.rejected = on_rejected_,
 };
 
 static const struct bw_listener_handler ready_handler = {
@@ -90,6 +95,7 @@
 	entry->dispatch.region_step_max = node->settings.region_step_max;
 	entry->dispatch.region_window_ms = REGION_WINDOW_MS;
 	open_metrics_(entry);
+	gate_refusals_init(&entry->refusals, node, "entry");
 	pool_config.limits.head_max_bytes = HEAD_MAX_BYTES;
 	pool_config.limits.body_max_bytes = GATE_BODY_MAX_BYTES;
 	pool_config.id_field = PLATFORM_FIELD_REQUEST_ID;
@@ -277,6 +283,18 @@
 		gate_request_client_disconnected(request);
 }
 
+static void on_rejected_(void *context,
+			 const struct bw_server_connection *connection,
+			 const struct bw_http_message *request,
+			 const struct bw_listener_rejection *rejection)
+{
+	struct gate_entry *entry = context;
+
+	gate_refusals_note_invalid(
+		&entry->refusals, connection, request, rejection,
+		entry->routing ? entry->routing->version : 0);
+}
+
 static void on_ready_(void *context, struct bw_server_connection *connection,
 		      const struct bw_http_message *request)
 {
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -13,6 +13,7 @@
 #include "bwsteer/poison.h"
 #include "bwsteer/routing.h"
 #include "gate_node.h"
+#include "gate_refusal.h"
 
 /** Outcome of a client request. */
 enum gate_outcome {
@@ -81,6 +82,7 @@
 	struct bw_metric *routing_version;
 	struct bw_metric *servers_known;
 	struct bw_metric *routing_age_s;
+	struct gate_refusals refusals;
 };
 
 /** Opens the listeners. @return BW_OK, or BW_EIO, which is logged */
