Log what a request without a route asked for

The line `no_route` had the id, the target and the version in force. Whether the host name was unknown or only the path, whether the host lagged behind the others, and whether it knew so, could not be seen.

The line now has the status and a cause (no_configuration, host_missing, host_too_long, host_unknown, path_unknown), the host name asked for, the number of routes, the age of the version, the newest version that any control host announced to this host, for how long it has known that it is outdated, and its source of details with the time since the last message.

It separates: a request that no configuration allows (path_unknown with version equal to newest_version), a host that knows of a newer version but has not fetched it (behind_ms), a host that no longer hears of new versions (feed_silent_ms, a version behind the one of other hosts), and a newer version announced only by control hosts that are not current themselves (newest_version above version while behind_ms is 0).

The field is named asked_host, as `host` is the host that logs. Texts of clients are cut and made printable: a target that was not UTF-8 cost the line all its fields.

--- a/include/bwsteer/routing.h
+++ b/include/bwsteer/routing.h
@@ -112,6 +112,10 @@
 				       const char *host, size_t host_bytes,
 				       const char *target, size_t target_bytes);
 
+/** Returns whether a host has a route, whatever its prefix. */
+bool bw_routing_has_host(const struct bw_routing *routing, const char *host,
+			 size_t host_bytes);
+
 /** Finds a service by name. @return its index or BW_ROUTING_NONE */
 uint32_t bw_routing_service_find(const struct bw_routing *routing,
 				 const char *name);
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -174,6 +174,13 @@
 	return !entry->request_count && !entry->clients.busy_count;
 }
 
+int64_t gate_entry_behind_ms(const struct gate_entry *entry, struct bw_time now)
+{
+	if (!entry->outdated)
+		return 0;
+	return bw_time_diff_ms(now, entry->outdated_since);
+}
+
 void gate_entry_dump(const struct gate_entry *entry, json_t *into)
 {
 	json_object_set_new(
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -54,6 +54,7 @@
 	uint64_t feed_incarnation; /**< identifies the feed's process */
 	struct bw_time feed_continuous_since; /**< end of the last gap */
 	struct bw_time feed_received_at; /**< latest message of the feed */
+	uint64_t newest_version; /**< announced by any control host */
 	bool outdated; /**< a version newer than the active one is known */
 	struct bw_time outdated_since;
 	uint64_t requested_version; /**< last requested; 0: none */
@@ -105,6 +106,13 @@
 /** Returns whether no request is in progress. */
 bool gate_entry_is_idle(const struct gate_entry *entry);
 
+/**
+ * Returns for how long the host has known that its configuration is outdated;
+ * 0 when it is not.
+ */
+int64_t gate_entry_behind_ms(const struct gate_entry *entry,
+			     struct bw_time now);
+
 /** Adds the state of the role to a dump. */
 void gate_entry_dump(const struct gate_entry *entry, json_t *into);
 
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -225,6 +225,8 @@
 		entry->dispatch.peer_count = status->domain_entry_count;
 	}
 	handle_demands_(entry, status);
+	entry->newest_version =
+		MAX(entry->newest_version, status->routing_version);
 	if (!status->current)
 		return;
 	if (status->evacuation_index > entry->evacuation_index) {
--- a/src/boragewingd/gate_log.c
+++ b/src/boragewingd/gate_log.c
@@ -1,6 +1,13 @@
 #include "gate_log.h"
 
+#include <string.h>
+
 #include "bwproxy/http1.h"
+#include "gate_refusal.h"
+#include "platform.h"
+
+static const char *no_route_cause_(const struct bw_routing *routing,
+				   const struct bw_http_message *message);
 
 void gate_log_queued(const struct gate_request *request)
 {
@@ -87,12 +94,54 @@
 }
 
 void gate_log_no_route(const struct gate_entry *entry,
-		       const struct bw_http_message *message, const char *id)
+		       const struct bw_http_message *message,
+		       uint16_t status_code)
 {
-	bw_log_event(entry->node->log, BW_LOG_WARNING, "request", "no_route",
-		     "{s:s,s:s%,s:I}", "request", id, "target",
-		     bw_http_text(message, message->target),
-		     (size_t)message->target.size_bytes, "version",
-		     (json_int_t)(entry->routing ? entry->routing->version
-						 : 0));
+	const struct gate_node *node = entry->node;
+	const struct bw_routing *routing = entry->routing;
+	struct bw_time now = gate_node_now(node);
+	char id[GATE_REFUSAL_TEXT_BYTES];
+	char host[GATE_REFUSAL_TEXT_BYTES];
+	char target[GATE_REFUSAL_TEXT_BYTES];
+
+	gate_refusal_copy_field(id, message, PLATFORM_FIELD_REQUEST_ID);
+	gate_refusal_copy_field(host, message, "Host");
+	gate_refusal_copy(target, bw_http_text(message, message->target),
+			  message->target.size_bytes);
+	bw_log_event(
+		node->log, BW_LOG_WARNING, "request", "no_route",
+		"{s:s,s:i,s:s,s:s,s:s,s:I,s:i,s:I,s:I,s:I,s:s,s:I}", "request",
+		id, "status", (int)status_code, "cause",
+		no_route_cause_(routing, message), "asked_host", host, "target",
+		target, "version", (json_int_t)(routing ? routing->version : 0),
+		"routes", routing ? (int)routing->route_count : 0,
+		"version_age_ms",
+		routing ? (json_int_t)bw_time_diff_ms(now, entry->routing_since)
+			: (json_int_t)0,
+		"newest_version", (json_int_t)entry->newest_version,
+		"behind_ms", (json_int_t)gate_entry_behind_ms(entry, now),
+		"feed", entry->feed.source, "feed_silent_ms",
+		entry->feed_received_at.ms
+			? (json_int_t)bw_time_diff_ms(now,
+						      entry->feed_received_at)
+			: (json_int_t)-1);
+}
+
+static const char *no_route_cause_(const struct bw_routing *routing,
+				   const struct bw_http_message *message)
+{
+	char host[BW_ROUTE_HOST_MAX];
+	uint32_t i;
+
+	if (!routing)
+		return "no_configuration";
+	if (bw_http_find(message, "Host", host, sizeof(host)))
+		return bw_routing_has_host(routing, host, strlen(host))
+			       ? "path_unknown"
+			       : "host_unknown";
+	for (i = 0; i < message->field_count; i++) {
+		if (bw_http_field_is(message, &message->fields[i], "Host"))
+			return "host_too_long";
+	}
+	return "host_missing";
 }
--- a/src/boragewingd/gate_log.h
+++ b/src/boragewingd/gate_log.h
@@ -26,8 +26,12 @@
 void gate_log_ejection(const struct gate_request *request, uint64_t id_hash,
 		       struct bw_time now);
 
-/** Logs that no route matches a request. */
+/**
+ * Logs that no route matches a request, what it asked for, and how far the
+ * routes of this host may be behind.
+ */
 void gate_log_no_route(const struct gate_entry *entry,
-		       const struct bw_http_message *message, const char *id);
+		       const struct bw_http_message *message,
+		       uint16_t status_code);
 
 #endif
--- a/src/boragewingd/gate_refusal.h
+++ b/src/boragewingd/gate_refusal.h
@@ -38,7 +38,7 @@
 				uint64_t version);
 
 /** Size of a text in a log line that came from a client. */
-#define GATE_REFUSAL_TEXT_BYTES 128
+#define GATE_REFUSAL_TEXT_BYTES 256
 
 /**
  * Copies bytes of a client for a log line: cut to the size of the line's text,
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -654,16 +654,11 @@
 			     struct bw_server_connection *connection,
 			     const struct bw_http_message *message)
 {
-	bool has_routing = entry->routing != NULL;
-	char id[GATE_REQUEST_ID_BYTES] = "";
+	uint16_t status_code = entry->routing ? 404 : 503;
 
-	bw_http_find(message, PLATFORM_FIELD_REQUEST_ID, id, sizeof(id));
 	bw_metric_add(entry->outcomes[GATE_OUTCOME_NO_ROUTE], 1);
-	gate_log_no_route(entry, message, id);
-	if (has_routing)
-		bw_connection_respond(connection, 404, NULL, NULL, 0, false);
-	else
-		bw_connection_respond(connection, 503, NULL, NULL, 0, false);
+	gate_log_no_route(entry, message, status_code);
+	bw_connection_respond(connection, status_code, NULL, NULL, 0, false);
 }
 
 static int64_t remaining_ms_(const struct gate_request *request,
--- a/src/libbwsteer/routing.c
+++ b/src/libbwsteer/routing.c
@@ -92,6 +92,18 @@
 	return best;
 }
 
+bool bw_routing_has_host(const struct bw_routing *routing, const char *host,
+			 size_t host_bytes)
+{
+	uint32_t i;
+
+	for (i = 0; i < routing->route_count; i++) {
+		if (host_matches_(&routing->routes[i], host, host_bytes))
+			return true;
+	}
+	return false;
+}
+
 uint32_t bw_routing_service_find(const struct bw_routing *routing,
 				 const char *name)
 {
--- a/src/test_libbwsteer/test_routing.c
+++ b/src/test_libbwsteer/test_routing.c
@@ -51,6 +51,11 @@
 	return route ? route->name : "none";
 }
 
+static bool has_host_(const struct bw_routing *routing, const char *host)
+{
+	return bw_routing_has_host(routing, host, strlen(host));
+}
+
 static void test_find(void **state)
 {
 	struct bw_routing *routing = build_table_();
@@ -68,6 +73,10 @@
 	assert_string_equal(find_(routing, "c.example", "/x/"), "none");
 	assert_string_equal(find_(routing, "a.example", "/z/"), "none");
 	assert_string_equal(find_(routing, "a.exampl", "/x/"), "none");
+	assert_true(has_host_(routing, "A.Example:80"));
+	assert_true(has_host_(routing, "b.example"));
+	assert_false(has_host_(routing, "c.example"));
+	assert_false(has_host_(routing, "a.exampl"));
 	assert_int_equal(routing->routes[1].choices[0].service_index, 1);
 	bw_routing_unref(routing);
 }
