Log the limits of a configuration and the time behind it

A configuration also sets what a client may send, but `routing_in_force` did not name these limits, nor how long this host had known of a newer version before it had it. Now it does: head_max_bytes, body_max_bytes, head_timeout_ms, idle_timeout_ms, behind_ms and newest_version.

Together with limit and limit_current of an `invalid` line this tells whether a limit was that of an older configuration; a large behind_ms tells that the host was slow to fetch the version, a small one that it came into force as soon as it was announced here.

--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -41,6 +41,9 @@
 static void handle_routing_(struct gate_entry *entry, const char *sender,
 			    const struct gate_routing *message,
 			    struct bw_time now);
+static void log_routing_(const struct gate_entry *entry,
+			 const struct bw_routing *routing, const char *sender,
+			 struct bw_time now);
 static void apply_routing_(struct gate_entry *entry,
 			   struct bw_routing *routing);
 static void set_target_latency_(struct gate_entry *entry,
@@ -295,13 +298,29 @@
 			     "cause", error);
 		return;
 	}
+	log_routing_(entry, routing, sender, now);
+	entry->routing_since = now;
+	apply_routing_(entry, routing);
+}
+
+static void log_routing_(const struct gate_entry *entry,
+			 const struct bw_routing *routing, const char *sender,
+			 struct bw_time now)
+{
+	const struct bw_routing_limits *limits = &routing->limits;
+
 	bw_log_event(entry->node->log, BW_LOG_INFO, "configuration",
-		     "routing_in_force", "{s:I,s:I,s:s,s:i}", "version",
+		     "routing_in_force",
+		     "{s:I,s:I,s:s,s:i,s:I,s:I,s:I,s:I,s:I,s:I}", "version",
 		     (json_int_t)routing->version, "previous",
 		     (json_int_t)(entry->routing ? entry->routing->version : 0),
-		     "source", sender, "routes", (int)routing->route_count);
-	entry->routing_since = now;
-	apply_routing_(entry, routing);
+		     "source", sender, "routes", (int)routing->route_count,
+		     "newest_version", (json_int_t)entry->newest_version,
+		     "behind_ms", (json_int_t)gate_entry_behind_ms(entry, now),
+		     "head_max_bytes", (json_int_t)limits->head_max_bytes,
+		     "body_max_bytes", (json_int_t)limits->body_max_bytes,
+		     "head_timeout_ms", (json_int_t)limits->head_timeout_ms,
+		     "idle_timeout_ms", (json_int_t)limits->idle_timeout_ms);
 }
 
 static void apply_routing_(struct gate_entry *entry, struct bw_routing *routing)
