Log and count calls that a control host refuses

Of the calls that a control host ends with a 3xx or 4xx status only invalid submissions and announcements were logged, and none was counted.

`call`/`refused` now has the kind of call, status, cause, method, target and peer, and `call`/`redirected`, at level info, names the leader. `bw_calls_refused_total` counts them by status, with the two kinds that have a line of their own. The lines are limited together with those of invalid requests.

They separate calls for a path that no control host serves, such as a readiness check that is sent to a control address, from calls for an unknown failure domain, too large a configuration, and proper calls that only reached a host other than the leader.

--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -111,6 +111,7 @@
 					  "bw_lookups_total",
 					  "Directory answers", "");
 	gate_refusals_init(&control->refusals, node, "control");
+	gate_refusals_init_calls(&control->refusals);
 	status = open_replica_(control);
 	if (status == BW_OK)
 		status = open_listener_(control, &control->api,
--- a/src/boragewingd/gate_control_calls.c
+++ b/src/boragewingd/gate_control_calls.c
@@ -42,6 +42,9 @@
 static bool redirect_to_leader_(struct gate_control *control,
 				struct bw_server_connection *connection,
 				struct bw_time now);
+static void refuse_(struct gate_control *control,
+		    struct bw_server_connection *connection,
+		    uint16_t status_code, const char *cause);
 static void propose_command_(struct gate_control *control,
 			     struct bw_server_connection *connection,
 			     const struct bw_buffer *command,
@@ -90,7 +93,7 @@
 	case GATE_CALL_READY:
 	case GATE_CALL_UNKNOWN:
 	case GATE_CALL_KIND_COUNT:
-		gate_respond_error(connection, 404, "unknown method or path");
+		refuse_(control, connection, 404, "unknown method or path");
 		break;
 	}
 }
@@ -237,6 +240,7 @@
 			     "configuration", "submission_invalid", "{s:s,s:I}",
 			     "cause", error, "version_in_force",
 			     (json_int_t)state->revision);
+		gate_refusals_count_call(&control->refusals, 400);
 		gate_respond_error(connection, 400, error);
 		return;
 	}
@@ -254,7 +258,7 @@
 	if (bw_command_submit(&command, &submit) == BW_OK)
 		propose_command_(control, connection, &command, now);
 	else
-		gate_respond_error(connection, 413, "configuration too large");
+		refuse_(control, connection, 413, "configuration too large");
 	bw_buffer_finish(&command);
 }
 
@@ -279,7 +283,7 @@
 	struct bw_buffer command;
 
 	if (!gate_node_region(control->node, call->domain)[0]) {
-		gate_respond_error(connection, 404, "no such failure domain");
+		refuse_(control, connection, 404, "no such failure domain");
 		return;
 	}
 	if (redirect_to_leader_(control, connection, now))
@@ -289,7 +293,7 @@
 				call->kind == GATE_CALL_EVACUATE) == BW_OK)
 		propose_command_(control, connection, &command, now);
 	else
-		gate_respond_error(connection, 400, "invalid failure domain");
+		refuse_(control, connection, 400, "invalid failure domain");
 	bw_buffer_finish(&command);
 }
 
@@ -311,6 +315,7 @@
 		bw_log_event(node->log, BW_LOG_WARNING, "registry",
 			     "announcement_invalid", "{s:s,s:s}", "server",
 			     call->server, "cause", error);
+		gate_refusals_count_call(&control->refusals, 400);
 		gate_respond_error(connection, 400, error);
 		return;
 	}
@@ -382,6 +387,7 @@
 		bw_connection_request(connection);
 	const char *leader = bw_replica_leader(control->replica);
 	char location[512];
+	char cause[BW_NAME_MAX + 16];
 
 	if (control->current && bw_replica_has_lease(control->replica, now))
 		return false;
@@ -392,10 +398,21 @@
 	snprintf(location, sizeof(location), "http://%s%.*s", leader,
 		 (int)MIN(request->target.size_bytes, 400U),
 		 bw_http_text(request, request->target));
+	snprintf(cause, sizeof(cause), "the leader is %s", leader);
+	gate_refusals_note_call(&control->refusals, connection, 307, cause);
 	gate_respond(connection, 307, NULL, location);
 	return true;
 }
 
+static void refuse_(struct gate_control *control,
+		    struct bw_server_connection *connection,
+		    uint16_t status_code, const char *cause)
+{
+	gate_refusals_note_call(&control->refusals, connection, status_code,
+				cause);
+	gate_respond_error(connection, status_code, cause);
+}
+
 static void propose_command_(struct gate_control *control,
 			     struct bw_server_connection *connection,
 			     const struct bw_buffer *command,
--- a/src/boragewingd/gate_refusal.c
+++ b/src/boragewingd/gate_refusal.c
@@ -9,6 +9,11 @@
 /** Maximum number of lines per second of one role. */
 #define LINES_PER_S_MAX 50
 
+/** Status codes with which a control host refuses or redirects calls. */
+static const uint16_t refused_status_codes[GATE_REFUSED_STATUS_COUNT] = {
+	307, 400, 404, 413
+};
+
 static bool may_log_(struct gate_refusals *refusals, const char *id);
 static void format_peer_(const struct bw_server_connection *connection,
 			 char text[INET_ADDRSTRLEN]);
@@ -66,6 +71,65 @@
 	refusals->unlogged_count = 0;
 }
 
+void gate_refusals_init_calls(struct gate_refusals *refusals)
+{
+	char labels[BW_LABELS_MAX];
+	int i;
+
+	for (i = 0; i < GATE_REFUSED_STATUS_COUNT; i++) {
+		snprintf(labels, sizeof(labels), "status=\"%u\"",
+			 refused_status_codes[i]);
+		refusals->refused[i] = bw_metrics_get(
+			&refusals->node->metrics, BW_METRIC_COUNTER,
+			"bw_calls_refused_total",
+			"Calls refused or redirected by a control host",
+			labels);
+	}
+}
+
+void gate_refusals_count_call(struct gate_refusals *refusals,
+			      uint16_t status_code)
+{
+	int i;
+
+	for (i = 0; i < GATE_REFUSED_STATUS_COUNT; i++) {
+		if (refused_status_codes[i] == status_code)
+			bw_metric_add(refusals->refused[i], 1);
+	}
+}
+
+void gate_refusals_note_call(struct gate_refusals *refusals,
+			     const struct bw_server_connection *connection,
+			     uint16_t status_code, const char *cause)
+{
+	const struct bw_http_message *request =
+		bw_connection_request(connection);
+	bool redirected = status_code < 400;
+	char id[GATE_REFUSAL_TEXT_BYTES];
+	char target[GATE_REFUSAL_TEXT_BYTES];
+	char peer[INET_ADDRSTRLEN];
+	struct gate_call call;
+
+	gate_refusals_count_call(refusals, status_code);
+	gate_refusal_copy_field(id, request, PLATFORM_FIELD_REQUEST_ID);
+	if (!may_log_(refusals, id))
+		return;
+	platform_call_read(request, &call);
+	gate_refusal_copy(target, bw_http_text(request, request->target),
+			  request->target.size_bytes);
+	format_peer_(connection, peer);
+	bw_log_event(refusals->node->log,
+		     redirected ? BW_LOG_INFO : BW_LOG_WARNING, "call",
+		     redirected ? "redirected" : "refused",
+		     "{s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:i}", "request", id, "call",
+		     gate_call_kind_string[call.kind], "status",
+		     (int)status_code, "cause", cause, "method",
+		     http_method_str((enum http_method)request->method),
+		     "target", target, "peer", peer, "unlogged",
+		     (int)refusals->unlogged_count);
+	refusals->unlogged_count = 0;
+}
+
 void gate_refusal_copy(char text[GATE_REFUSAL_TEXT_BYTES], const char *bytes,
 		       size_t size_bytes)
 {
--- a/src/boragewingd/gate_refusal.h
+++ b/src/boragewingd/gate_refusal.h
@@ -9,10 +9,14 @@
 #include "bwproxy/listener.h"
 #include "gate_node.h"
 
+/** Number of status codes with which a control host refuses calls. */
+#define GATE_REFUSED_STATUS_COUNT 4
+
 /** Requests that one role turned away. */
 struct gate_refusals {
 	struct gate_node *node;
 	struct bw_metric *invalid[BW_LISTENER_CAUSE_COUNT];
+	struct bw_metric *refused[GATE_REFUSED_STATUS_COUNT]; /**< calls */
 	uint64_t seen_count;
 	int64_t second; /**< in which line_count lines were written */
 	uint32_t line_count;
@@ -37,6 +41,22 @@
 				const struct bw_listener_rejection *rejection,
 				uint64_t version);
 
+/** Creates the counters of calls. */
+void gate_refusals_init_calls(struct gate_refusals *refusals);
+
+/** Counts a call that is answered with a 3xx or 4xx status code. */
+void gate_refusals_count_call(struct gate_refusals *refusals,
+			      uint16_t status_code);
+
+/**
+ * Counts and logs such a call; the lines are limited together with those of
+ * invalid requests.
+ * @param connection with the call in progress
+ */
+void gate_refusals_note_call(struct gate_refusals *refusals,
+			     const struct bw_server_connection *connection,
+			     uint16_t status_code, const char *cause);
+
 /** Size of a text in a log line that came from a client. */
 #define GATE_REFUSAL_TEXT_BYTES 256
 
