Explain requests that got a 4xx status from a host

`boragewingctl explain` ended with "The log files do not show how the request ended" for a request without a route, and knew none of the new lines.

--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -30,7 +30,7 @@
 /** Explanation of an outcome. */
 struct outcome {
 	const char *event; /**< event of the last line */
-	const char *cause; /**< cause of the last line */
+	const char *cause; /**< cause of the last line; NULL: any */
 	const char *explanation;
 };
 
@@ -44,6 +44,8 @@
 static gint compare_times_(gconstpointer a, gconstpointer b);
 static void print_line_(const json_t *fields);
 static void print_outcome_(const struct search *search);
+static const struct outcome *find_outcome_(const char *event,
+					   const char *cause);
 static void free_lines_(struct search *search);
 
 static const struct outcome outcomes[] = {
@@ -71,6 +73,47 @@
 	  "of the route or the\nclient; compare queue_ms with upstream_ms." },
 	{ "cancelled", "client_gone", "The client closed its connection." },
 	{ "answered", "", "Its server responded." },
+	{ "invalid", "malformed",
+	  "It has not run. Its entry host could not read it as HTTP/1.x; see "
+	  "parser and\nreceived_bytes." },
+	{ "invalid", "upgrade",
+	  "It has not run. It asked for another protocol, and its body had not "
+	  "arrived with\nits head." },
+	{ "invalid", "head_too_large",
+	  "It has not run. Its head exceeded limit. If limit_current is "
+	  "larger, its connection\nis older than the configuration in force." },
+	{ "invalid", "too_many_fields",
+	  "It has not run. Its head had more fields than limit, whatever the "
+	  "configuration." },
+	{ "invalid", "body_too_large",
+	  "It has not run. Its body exceeded limit. If limit_current is "
+	  "larger, its connection\nis older than the configuration in force." },
+	{ "invalid", "head_timeout",
+	  "It has not run. Its head did not arrive within limit ms of its "
+	  "first byte; see\nreceived_bytes." },
+	{ "invalid", "body_timeout",
+	  "It has not run. Its body did not arrive within limit ms of its "
+	  "first byte; see\nreceived_bytes." },
+	{ "no_route", "no_configuration",
+	  "It has not run. Its entry host had no configuration yet; see feed "
+	  "and newest_version." },
+	{ "no_route", "host_missing",
+	  "It has not run. It did not name a host." },
+	{ "no_route", "host_too_long",
+	  "It has not run. Its host name is longer than that of any route." },
+	{ "no_route", "host_unknown",
+	  "It has not run. The version in force here has no route for its "
+	  "host name. If\nnewest_version is larger, the entry host lagged "
+	  "behind; see behind_ms, feed and\nfeed_silent_ms." },
+	{ "no_route", "path_unknown",
+	  "It has not run. The version in force here has routes for its host "
+	  "name, but none\nfor its path. If newest_version is larger, the "
+	  "entry host lagged behind; see\nbehind_ms, feed and feed_silent_ms." },
+	{ "refused", NULL,
+	  "A control host refused the call and changed nothing." },
+	{ "redirected", NULL,
+	  "A control host that is not the leader sent the caller to the "
+	  "leader." },
 };
 
 int explain_request(const char *id, char **paths)
@@ -251,9 +294,10 @@
 
 static void print_outcome_(const struct search *search)
 {
+	const struct outcome *outcome;
 	const json_t *last = NULL;
+	const char *cause;
 	guint i;
-	size_t k;
 
 	for (i = 0; i < search->lines->len; i++) {
 		const struct line *line =
@@ -262,17 +306,27 @@
 		if (is_request_line_(search, line->fields))
 			last = line->fields;
 	}
-	for (k = 0; k < sizeof(outcomes) / sizeof(outcomes[0]); k++) {
-		if (strcmp(get_string_(last, "event"), outcomes[k].event) !=
-			    0 ||
-		    strcmp(get_string_(last, "cause"), outcomes[k].cause) != 0)
-			continue;
-		printf("\ncause: %s, %s\n%s\n", outcomes[k].event,
-		       *outcomes[k].cause ? outcomes[k].cause : "none",
-		       outcomes[k].explanation);
-		return;
+	cause = get_string_(last, "cause");
+	outcome = find_outcome_(get_string_(last, "event"), cause);
+	if (outcome)
+		printf("\ncause: %s, %s\n%s\n", outcome->event,
+		       *cause ? cause : "none", outcome->explanation);
+	else
+		printf("\nThe log files do not show how the request ended.\n");
+}
+
+static const struct outcome *find_outcome_(const char *event, const char *cause)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(outcomes) / sizeof(outcomes[0]); i++) {
+		const struct outcome *outcome = &outcomes[i];
+
+		if (!strcmp(event, outcome->event) &&
+		    (!outcome->cause || !strcmp(cause, outcome->cause)))
+			return outcome;
 	}
-	printf("\nThe log files do not show how the request ended.\n");
+	return NULL;
 }
 
 static void free_lines_(struct search *search)
