Lift cuts, freezes and delays in the soak

The soak lifted the faults on connections to backend servers with the command "clear", which the fault proxy does not have, and dropped its answer. So each cut, freeze and delay lasted to the end of the run, and the soak never saw connections recover.

--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -18,7 +18,10 @@
 now_ms() { date +%s%3N; }
 server_address() { echo "127.0.3.$1:$((port + 6))"; }
 announced_address() { echo "127.0.3.$1:$((port + 7))"; } # of the proxy
-proxy_command() { curl -s --max-time 2 -d "$*" "http://127.0.0.1:$((port + 9))/" > /dev/null; }
+proxy_command() { # records a command that the proxy does not accept
+	curl -s --max-time 2 -d "$*" "http://127.0.0.1:$((port + 9))/" | grep -q '^ok' ||
+		echo "$*" >> "$work/refused_commands"
+}
 
 announce_server() { # NUMBER: announces one server repeatedly
 	local n=1 zone=a
@@ -109,9 +112,9 @@
 	2) restart "entry-$host" TERM "$seconds" ;;
 	3) suspend "control-$host" "1$seconds" ;;
 	4) suspend "entry-$host" "$seconds" ;;
-	5) proxy_command "cut 0.0.0.0/0 127.0.3.$server/32"; (sleep "1$seconds"; proxy_command clear) & ;;
-	6) proxy_command "freeze 0.0.0.0/0 127.0.3.$server/32"; (sleep "$seconds"; proxy_command clear) & ;;
-	7) proxy_command "delay 0.0.0.0/0 127.0.3.$server/32 200"; (sleep "1$seconds"; proxy_command clear) & ;;
+	5) proxy_command "cut 0.0.0.0/0 127.0.3.$server/32"; (sleep "1$seconds"; proxy_command heal) & ;;
+	6) proxy_command "freeze 0.0.0.0/0 127.0.3.$server/32"; (sleep "$seconds"; proxy_command heal) & ;;
+	7) proxy_command "delay 0.0.0.0/0 127.0.3.$server/32 200"; (sleep "1$seconds"; proxy_command heal) & ;;
 	8) for host in 1 2 3; do kill -KILL "${pids[control-$host]}" 2>/dev/null; done
 		for host in 1 2 3; do restart "control-$host" KILL 0.1; done ;;
 	esac
--- a/soak/verify.sh
+++ b/soak/verify.sh
@@ -7,12 +7,13 @@
 #   reads    VERSION WALL_MS          a read that began at WALL_MS
 #   drains   SERVER WALL_MS           an acknowledged drain
 #   final    VERSION                  read back at the end
+#   refused_commands  COMMAND         a command that the fault proxy refused
 # Prints each violation and exits with 1 if there is one.
 set -uo pipefail
 cd "$1" || exit 2
 apply_ms=2500
 drain_ms=2500
-touch ledger results acks reads drains final
+touch ledger results acks reads drains final refused_commands
 violations=$(mktemp)
 trap 'rm -f "$violations"' EXIT
 
@@ -46,5 +47,7 @@
 	$2 in at && $3 > at[$2] + drain {
 		print "run after drain: " $2 " ran " $1 " " $3 - at[$2] " ms after" }' \
 	drains ledger >> "$violations"
+# A fault was not injected or not lifted.
+awk '{ print "command refused: " $0 }' refused_commands >> "$violations"
 cat "$violations"
 [ ! -s "$violations" ]
