Count the time of a suspension in the monotonic clock

bw_clock read CLOCK_MONOTONIC, which stands still while a host is suspended, though time goes on for the others. A control host that is suspended while it holds a lease would keep the lease after it resumes, for as long as it had left, and answer reads of the configuration with an old version while the others have elected a new leader.

CLOCK_BOOTTIME never steps, runs at the same rate and counts suspensions. Of the users of bw_clock, leases, confirmations, grants of slots and deadlines all concern other hosts, so none wants the clock to stand still. On Linux both clocks are read without a system call. The timers of libev, ZeroMQ and libcurl still stand still; that only delays them.

The time since the boot can be small, while code compares times with 0 as "long ago" (last_heard, requested_at, feed_received_at and the contacts of a replica), which held by chance for the wall clock.

--- a/include/bwbase/clock.h
+++ b/include/bwbase/clock.h
@@ -8,14 +8,18 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** A point in monotonic time, in milliseconds since an arbitrary origin. */
+/**
+ * A point in monotonic time, in milliseconds since an arbitrary origin that is
+ * at least a day before any time of a monotonic clock.
+ */
 struct bw_time {
 	int64_t ms;
 };
 
 /** Kinds of clock. */
 enum bw_clock_kind {
-	BW_CLOCK_MONOTONIC, /**< the kernel's monotonic clock */
+	BW_CLOCK_MONOTONIC, /**< the kernel's clock that never steps and counts
+				 the time for which the host is suspended */
 	BW_CLOCK_MANUAL /**< advanced by the caller, for tests */
 };
 
--- a/src/libbwbase/clock.c
+++ b/src/libbwbase/clock.c
@@ -3,6 +3,12 @@
 #include <assert.h>
 #include <time.h>
 
+/**
+ * Added to the time since the host was booted. The time 0 is thus long ago,
+ * also right after the boot, and means "never" where a time is not set.
+ */
+#define ORIGIN_MS (24LL * 60 * 60 * 1000)
+
 void bw_clock_init_monotonic(struct bw_clock *clock)
 {
 	clock->kind = BW_CLOCK_MONOTONIC;
@@ -28,7 +34,7 @@
 
 	switch (clock->kind) {
 	case BW_CLOCK_MONOTONIC:
-		now.ms = (int64_t)(bw_clock_us() / 1000);
+		now.ms = ORIGIN_MS + (int64_t)(bw_clock_us() / 1000);
 		break;
 	case BW_CLOCK_MANUAL:
 		now = clock->u.manual;
@@ -57,7 +63,8 @@
 {
 	struct timespec ts;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	/* CLOCK_MONOTONIC stands still while the host is suspended. */
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
 }
 
