Keep the time of a gateway host apart from the wall clock

A host whose wall clock was stepped back by x seconds sent no hellos, heartbeats and statuses, fetched no configuration and stood for no election for x seconds. The directory dropped it, and it answered 404 on routes of versions that it didn't know. A control host would also have kept its lease for x seconds too long. After a step forward, all peers counted as lost and the deadlines of all requests as over.

gate_node_now used ev_now, which follows the wall clock. It now uses bw_clock, read once per iteration of the loop: bw_loop_clock compares the number of the iteration, which libev raises before each wait, so the time is never older than ev_now would be. The transport measures the idle time of its connections in the same way, in both daemons.

All other uses of time were checked: started_wall_ms is compared only with the start times of the same server, accept_wall_ms and the log only print; poison, dispatch, the registry and the replica get the time of gate_node_now; no time of a host is compared with one of another host (the replica echoes the leader's own). host.c and libbwproxy's frontend, upstream and call use bw_clock already.

Evidence: gateway_clock.sh with a step of -15 s failed before: the host was missing in the directory after 5 s, and knew the route of version 2 only 16 s after the step (10 s after its acknowledgement). It passes now. With a step of +15 s the script passes before and after, as the host recovers from that within the time the script allows.

--- a/src/boragewingd/gate_log.c
+++ b/src/boragewingd/gate_log.c
@@ -97,7 +97,7 @@
 		       const struct bw_http_message *message,
 		       uint16_t status_code)
 {
-	const struct gate_node *node = entry->node;
+	struct gate_node *node = entry->node;
 	const struct bw_routing *routing = entry->routing;
 	struct bw_time now = gate_node_now(node);
 	char id[GATE_REFUSAL_TEXT_BYTES];
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -48,6 +48,7 @@
 	memset(node, 0, sizeof(*node));
 	node->settings = *settings;
 	node->loop = loop;
+	bw_loop_clock_init(&node->clock, loop);
 	node->log = log;
 	bw_metrics_init(&node->metrics);
 	bw_random_init_system(&node->random);
@@ -74,11 +75,9 @@
 	bw_buffer_finish(&node->frame);
 }
 
-struct bw_time gate_node_now(const struct gate_node *node)
+struct bw_time gate_node_now(struct gate_node *node)
 {
-	struct bw_time now = { (int64_t)(1000.0 * ev_now(node->loop)) };
-
-	return now;
+	return bw_loop_clock_now(&node->clock);
 }
 
 void gate_node_add_control(struct gate_node *node, const char *name,
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -13,6 +13,7 @@
 #include "bwbase/metrics.h"
 #include "bwbase/random.h"
 #include "bwproxy/listener.h"
+#include "bwproxy/loop_clock.h"
 #include "bwsteer/registry.h"
 #include "gate_settings.h"
 #include "gate_wire.h"
@@ -44,6 +45,7 @@
 struct gate_node {
 	struct gate_settings settings;
 	struct ev_loop *loop;
+	struct bw_loop_clock clock;
 	struct bw_log *log;
 	struct bw_metrics metrics;
 	struct bw_random random;
@@ -72,8 +74,11 @@
 /** Closes the transport and the metrics address, and frees the state. */
 void gate_node_finish(struct gate_node *node);
 
-/** Returns the time of the current iteration of the event loop. */
-struct bw_time gate_node_now(const struct gate_node *node);
+/**
+ * Returns the time of the current iteration of the event loop. It is unrelated
+ * to the wall clock.
+ */
+struct bw_time gate_node_now(struct gate_node *node);
 
 /**
  * Adds or refreshes a control host.
--- a/src/boragewingd/transport.c
+++ b/src/boragewingd/transport.c
@@ -27,7 +27,7 @@
 #define LINGER_MS 200
 #define RECEIVE_BATCH_MESSAGES 256
 #define SWEEP_INTERVAL_S 30.0
-#define IDLE_TIMEOUT_S 120.0
+#define IDLE_TIMEOUT_MS 120000
 #define ZAP_ENDPOINT "inproc://zeromq.zap.01"
 #define ZAP_VERSION "1.0"
 #define MONITOR_ENDPOINT "inproc://router-monitor"
@@ -39,7 +39,7 @@
 	char name[BW_NAME_MAX];
 	char address[TRANSPORT_ADDRESS_BYTES];
 	void *dealer; /**< NULL while there is no connection */
-	double last_use_s;
+	struct bw_time last_use;
 };
 
 static void derive_keys_(struct transport *transport);
@@ -78,6 +78,7 @@
 
 	memset(transport, 0, sizeof(*transport));
 	transport->config = *config;
+	bw_loop_clock_init(&transport->clock, config->loop);
 	bw_name_set(transport->self, config->self);
 	snprintf(transport->source, sizeof(transport->source), "%s",
 		 config->source_address);
@@ -170,7 +171,7 @@
 	}
 	if (!peer->dealer)
 		connect_peer_(transport, peer);
-	peer->last_use_s = ev_now(transport->config.loop);
+	peer->last_use = bw_loop_clock_now(&transport->clock);
 	encode_frame_(transport, packet);
 	if (!peer->dealer ||
 	    zmq_send(peer->dealer, transport->frame.data,
@@ -341,12 +342,14 @@
 	GHashTableIter iter;
 	gpointer value;
 	struct peer *peer;
+	struct bw_time now = bw_loop_clock_now(&transport->clock);
 
+	(void)loop;
 	(void)events;
 	g_hash_table_iter_init(&iter, transport->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		peer = value;
-		if (ev_now(loop) - peer->last_use_s > IDLE_TIMEOUT_S)
+		if (bw_time_diff_ms(now, peer->last_use) > IDLE_TIMEOUT_MS)
 			disconnect_peer_(peer);
 	}
 }
--- a/src/boragewingd/transport.h
+++ b/src/boragewingd/transport.h
@@ -14,6 +14,7 @@
 #include "bwbase/metrics.h"
 #include "bwbase/packet.h"
 #include "bwbase/status.h"
+#include "bwproxy/loop_clock.h"
 
 /** Buffer size of an address such as "127.0.0.1:7000", with its NUL. */
 #define TRANSPORT_ADDRESS_BYTES 64
@@ -76,6 +77,7 @@
 	ev_io authenticator_watcher;
 	ev_io monitor_watcher;
 	ev_timer sweep_timer;
+	struct bw_loop_clock clock;
 	struct bw_buffer frame;
 	struct transport_counts counts;
 };
