Measure the ages of connections without the wall clock

After a step of the wall clock ahead, requests on the way were answered 408, idle connections of clients and to backend servers were closed, and connects in progress failed. After a step back, no timeout applied for as long as the step.

The listener and the pool took the ages of connections from ev_now, which follows the wall clock. They now use bw_loop_clock.

Evidence: test_listener_step failed before with a 408, test_pool_step with a closed connection. Connects are judged by the same comparison; no test has a connect that stays in progress.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -15,6 +15,7 @@
 #include "bwbase/buffer.h"
 #include "bwbase/status.h"
 #include "bwproxy/http1.h"
+#include "bwproxy/loop_clock.h"
 
 struct bw_listener;
 struct bw_server_connection;
@@ -87,6 +88,7 @@
 	int fd;
 	ev_io accept_watcher;
 	ev_timer sweep_timer;
+	struct bw_loop_clock clock;
 	struct bw_server_connection *connections; /**< linked list */
 	uint32_t connection_count;
 	uint32_t busy_count; /**< connections with a request in progress */
--- a/include/bwproxy/pool.h
+++ b/include/bwproxy/pool.h
@@ -18,6 +18,7 @@
 #include "bwbase/buffer.h"
 #include "bwbase/status.h"
 #include "bwproxy/http1.h"
+#include "bwproxy/loop_clock.h"
 
 struct bw_pool_connection;
 
@@ -68,6 +69,7 @@
 	uint64_t reused_count;
 	uint64_t skipped_count; /**< responses to other requests */
 	ev_timer sweep_timer;
+	struct bw_loop_clock clock;
 };
 
 /** A request to send. Strings, head and body are copied. */
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -39,7 +39,7 @@
 	struct bw_http_reader reader;
 	struct bw_buffer in; /**< bytes not yet parsed */
 	struct bw_buffer out;
-	double state_since_s; /**< entry into the state, for timeouts */
+	struct bw_time state_since; /**< for timeouts */
 	uint64_t parsed_bytes; /**< of the request that is being read */
 	void *context;
 	bool busy; /**< a request is in progress */
@@ -94,6 +94,7 @@
 {
 	memset(listener, 0, sizeof(*listener));
 	listener->config = *config;
+	bw_loop_clock_init(&listener->clock, config->loop);
 	listener->fd = open_socket_(config->address);
 	if (listener->fd < 0)
 		return BW_EIO;
@@ -195,7 +196,7 @@
 	connection->context = NULL;
 	connection->close_after_write = last;
 	connection->continue_sent = false;
-	connection->state_since_s = ev_now(listener->config.loop);
+	connection->state_since = bw_loop_clock_now(&listener->clock);
 	bw_http_reader_next(&connection->reader);
 	if (!flush_output_(connection))
 		return;
@@ -269,7 +270,7 @@
 	connection->listener = listener;
 	connection->fd = fd;
 	connection->peer = peer;
-	connection->state_since_s = ev_now(listener->config.loop);
+	connection->state_since = bw_loop_clock_now(&listener->clock);
 	bw_http_reader_init(&connection->reader, HTTP_REQUEST,
 			    &listener->config.limits);
 	connection->next = listener->connections;
@@ -327,11 +328,12 @@
 	struct bw_listener *listener = watcher->data;
 	struct bw_server_connection *connection = listener->connections;
 	struct bw_server_connection *next;
-	double now_s = ev_now(loop);
+	struct bw_time now = bw_loop_clock_now(&listener->clock);
 
+	(void)loop;
 	(void)events;
 	for (; connection; connection = next) {
-		double age_ms = 1000.0 * (now_s - connection->state_since_s);
+		int64_t age_ms = bw_time_diff_ms(now, connection->state_since);
 
 		next = connection->next;
 		if (connection->busy)
@@ -358,7 +360,7 @@
 	if (!connection->in.size_bytes)
 		return;
 	if (!connection->reader.started) {
-		connection->state_since_s = ev_now(listener->config.loop);
+		connection->state_since = bw_loop_clock_now(&listener->clock);
 		connection->parsed_bytes = 0;
 	}
 	progress = bw_http_reader_feed(&connection->reader, connection->in.data,
@@ -410,7 +412,8 @@
 {
 	report_rejection_(connection, cause);
 	connection->reader.started = false;
-	connection->state_since_s = ev_now(connection->listener->config.loop);
+	connection->state_since =
+		bw_loop_clock_now(&connection->listener->clock);
 	connection->close_after_write = true;
 	write_head_(&connection->out, bw_listener_cause_status[cause], NULL, 0,
 		    true);
@@ -434,10 +437,10 @@
 static void report_rejection_(struct bw_server_connection *connection,
 			      enum bw_listener_cause cause)
 {
-	const struct bw_listener_config *config = &connection->listener->config;
+	struct bw_listener *listener = connection->listener;
+	const struct bw_listener_config *config = &listener->config;
 	const struct bw_http_reader *reader = &connection->reader;
 	struct bw_listener_rejection rejection = { .cause = cause };
-	double age_s = ev_now(config->loop) - connection->state_since_s;
 
 	if (!config->handler->rejected)
 		return;
@@ -447,7 +450,8 @@
 	rejection.address = config->address;
 	rejection.received_bytes =
 		connection->parsed_bytes + connection->in.size_bytes;
-	rejection.age_ms = age_s > 0.0 ? (uint32_t)(1000.0 * age_s) : 0;
+	rejection.age_ms = (uint32_t)bw_time_diff_ms(
+		bw_loop_clock_now(&listener->clock), connection->state_since);
 	rejection.limit = limit_(connection, &reader->limits, cause);
 	rejection.limit_current = limit_(connection, &config->limits, cause);
 	config->handler->rejected(config->context, connection, &reader->message,
--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -37,8 +37,8 @@
 	bool busy; /**< has a request in progress */
 	bool sent; /**< a byte of the request in progress was written */
 	uint32_t skipped_responses; /**< since the request was sent */
-	double since_s; /**< loop time when the connect or idle time began */
-	double idle_limit_s; /**< from idle_ms and the Keep-Alive field */
+	struct bw_time since; /**< start of the connect or idle time */
+	int64_t idle_limit_ms; /**< from idle_ms and the Keep-Alive field */
 	void *request; /**< caller's pointer, passed to the callbacks */
 	ev_io read_watcher;
 	ev_io write_watcher;
@@ -77,6 +77,7 @@
 {
 	memset(pool, 0, sizeof(*pool));
 	pool->config = *config;
+	bw_loop_clock_init(&pool->clock, config->loop);
 	pool->idle =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ev_timer_init(&pool->sweep_timer, on_sweep_, SWEEP_INTERVAL_S,
@@ -197,8 +198,8 @@
 	}
 	connection->pool = pool;
 	connection->fd = fd;
-	connection->since_s = ev_now(pool->config.loop);
-	connection->idle_limit_s = pool->config.idle_ms / 1000.0;
+	connection->since = bw_loop_clock_now(&pool->clock);
+	connection->idle_limit_ms = pool->config.idle_ms;
 	g_strlcpy(connection->address, address, sizeof(connection->address));
 	bw_http_reader_init(&connection->reader, HTTP_RESPONSE,
 			    &pool->config.limits);
@@ -269,17 +270,18 @@
 	struct bw_pool *pool = watcher->data;
 	struct bw_pool_connection *connection = pool->connections;
 	struct bw_pool_connection *next;
-	double now_s = ev_now(loop);
+	struct bw_time now = bw_loop_clock_now(&pool->clock);
 
+	(void)loop;
 	(void)events;
 	while (connection) {
-		double age_s = now_s - connection->since_s;
+		int64_t age_ms = bw_time_diff_ms(now, connection->since);
 
 		next = connection->next;
-		if (!connection->busy && age_s > connection->idle_limit_s) {
+		if (!connection->busy && age_ms > connection->idle_limit_ms) {
 			close_connection_(connection);
 		} else if (connection->busy && !connection->connected &&
-			   1000.0 * age_s > pool->config.connect_timeout_ms) {
+			   age_ms > pool->config.connect_timeout_ms) {
 			fail_request_(connection, BW_POOL_NOT_SENT);
 			/* The callback may have closed the next one. */
 			next = pool->connections;
@@ -341,9 +343,10 @@
 	if (bw_http_find(&message, "Keep-Alive", value, sizeof(value))) {
 		timeout = strstr(value, "timeout=");
 		if (timeout)
-			connection->idle_limit_s =
-				MIN(connection->idle_limit_s,
-				    KEEP_ALIVE_FRACTION * atoi(timeout + 8));
+			connection->idle_limit_ms =
+				MIN(connection->idle_limit_ms,
+				    (int64_t)(KEEP_ALIVE_FRACTION * 1000.0 *
+					      atoi(timeout + 8)));
 	}
 	/* Takes over the message, as the connection may be closed first. */
 	bw_buffer_init(&connection->reader.message.text);
@@ -410,7 +413,7 @@
 {
 	struct bw_pool *pool = connection->pool;
 
-	connection->since_s = ev_now(pool->config.loop);
+	connection->since = bw_loop_clock_now(&pool->clock);
 	bw_buffer_finish(&connection->out);
 	connection->next_idle =
 		g_hash_table_lookup(pool->idle, connection->address);
--- a/src/test_libbwproxy/test_loop_clock.c
+++ b/src/test_libbwproxy/test_loop_clock.c
@@ -1,14 +1,25 @@
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/syscall.h>
 #include <sys/time.h>
 #include <time.h>
 #include <unistd.h>
 
+#include "bwproxy/listener.h"
 #include "bwproxy/loop_clock.h"
+#include "bwproxy/pool.h"
 #include "harness.h"
 
 #define STEP_S 30
 
+/** Limits of the listener and of the pool; both timeouts are below STEP_S. */
+#define LIMIT_BYTES 4096
+#define TIMEOUT_MS 10000
+
+/** Time that includes several checks of the timeouts. */
+#define CHECKS_MS 800
+
 /** Step of the wall clock, and time for which the host was suspended. */
 static time_t wall_step_s;
 static time_t suspended_s;
@@ -91,11 +102,145 @@
 	ev_loop_destroy(loop);
 }
 
+static void on_request_(void *context, struct bw_server_connection *connection,
+			const struct bw_http_message *request)
+{
+	(void)context;
+	(void)request;
+	bw_connection_respond(connection, 200, NULL, "ok", 2, false);
+}
+
+static void on_disconnected_(void *context,
+			     struct bw_server_connection *connection)
+{
+	(void)context;
+	(void)connection;
+}
+
+static uint16_t listen_(struct bw_listener *listener, struct ev_loop *loop)
+{
+	static const struct bw_listener_handler handler = {
+		.request = on_request_,
+		.disconnected = on_disconnected_,
+	};
+	struct bw_listener_config config = {
+		.loop = loop,
+		.limits = { LIMIT_BYTES, LIMIT_BYTES },
+		.connections_max = 4,
+		.head_timeout_ms = TIMEOUT_MS,
+		.idle_timeout_ms = TIMEOUT_MS,
+		.handler = &handler,
+	};
+	char address[32];
+	uint16_t port;
+
+	config.address = address;
+	for (port = 23700; port < 23800; port++) {
+		snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+		if (bw_listener_init(listener, &config) == BW_OK)
+			return port;
+	}
+	fail_msg("no port is free");
+	return 0;
+}
+
+static void spin_for_(struct ev_loop *loop, int64_t duration_ms)
+{
+	int64_t end_ms = spin_now_ms() + duration_ms;
+
+	SPIN_UNTIL(loop, spin_now_ms() > end_ms);
+}
+
+/* Guards against a 408, or a closed connection, because of a step. */
+static void test_listener_step(void **state)
+{
+	static const char rest[] = "Host: h.example\r\n\r\n";
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct peer idle;
+	struct peer peer;
+	uint16_t port = listen_(&listener, loop);
+
+	(void)state;
+	peer_connect(&idle, loop, port);
+	peer_connect(&peer, loop, port);
+	peer_send_text(&peer, "GET /a HTTP/1.1\r\n");
+	SPIN_UNTIL(loop, listener.connection_count == 2);
+	spin_once(loop);
+	wall_step_s = STEP_S;
+	spin_for_(loop, CHECKS_MS);
+	wall_step_s = 0;
+	assert_false(peer_has(&peer, "HTTP/1.1 408"));
+	assert_false(idle.eof);
+	peer_send_text(&peer, rest);
+	SPIN_UNTIL(loop, peer_has(&peer, "HTTP/1.1 200"));
+	peer_finish(&peer);
+	peer_finish(&idle);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
+static void ended_(void *context, void *request, enum bw_pool_result result,
+		   const struct bw_http_message *response)
+{
+	(void)request;
+	(void)response;
+	*(enum bw_pool_result *)context = result;
+}
+
+/* Guards against idle connections that a step closes. */
+static void test_pool_step(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	enum bw_pool_result result = BW_POOL_RESULT_COUNT;
+	struct bw_pool_config config = {
+		.loop = loop,
+		.id_field = "Request-Id",
+		.limits = { LIMIT_BYTES, LIMIT_BYTES },
+		.connect_timeout_ms = TIMEOUT_MS,
+		.idle_ms = TIMEOUT_MS,
+		.connections_max = 4,
+		.ended = ended_,
+		.context = &result,
+	};
+	struct bw_pool_request request = { .id = "one" };
+	struct raw_server server;
+	struct bw_buffer head;
+	struct bw_pool pool;
+	char address[32];
+
+	(void)state;
+	raw_server_init(&server, loop);
+	snprintf(address, sizeof(address), "127.0.0.1:%u", server.port);
+	bw_pool_init(&pool, &config);
+	bw_buffer_init(&head);
+	bw_buffer_printf(&head, "GET / HTTP/1.1\r\nRequest-Id: one\r\n\r\n");
+	request.address = address;
+	request.head = &head;
+	assert_non_null(bw_pool_send(&pool, &request));
+	SPIN_UNTIL(loop,
+		   server.peer_count == 1 && peer_has(&server.peers[0], "one"));
+	peer_send_text(&server.peers[0],
+		       "HTTP/1.1 200 OK\r\nRequest-Id: one\r\n"
+		       "Content-Length: 0\r\n\r\n");
+	SPIN_UNTIL(loop, result == BW_POOL_RESPONSE);
+	wall_step_s = STEP_S;
+	spin_for_(loop, CHECKS_MS);
+	assert_int_equal(pool.connection_count, 1);
+	assert_false(server.peers[0].eof);
+	bw_buffer_finish(&head);
+	bw_pool_finish(&pool);
+	raw_server_finish(&server);
+	ev_loop_destroy(loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup(test_wall_step, reset_),
 		cmocka_unit_test_setup(test_iteration, reset_),
+		cmocka_unit_test_setup(test_listener_step, reset_),
+		cmocka_unit_test_setup(test_pool_step, reset_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
