Judge the ages of requests by the time in which the loop ran

A client that had sent its whole request got 408 when the host was frozen, suspended or out of its processor quota for longer than the head timeout in the middle of it. Idle connections with a new request in the socket were closed.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -45,7 +45,7 @@
 	const char *parser_error; /**< name of the parser's error */
 	const char *address; /**< of the listener */
 	uint64_t received_bytes; /**< of the request and of those behind it */
-	uint32_t age_ms; /**< since the first byte of the request */
+	uint32_t age_ms; /**< since the first byte, while the loop ran */
 	uint32_t limit; /**< that applied: bytes, fields or ms; 0: none */
 	uint32_t limit_current; /**< the same for a new connection */
 };
@@ -89,6 +89,8 @@
 	ev_io accept_watcher;
 	ev_timer sweep_timer;
 	struct bw_loop_clock clock;
+	struct bw_time swept_at; /**< last check of the timeouts */
+	int64_t paused_ms; /**< the loop did not run; not part of any age */
 	struct bw_server_connection *connections; /**< linked list */
 	uint32_t connection_count;
 	uint32_t busy_count; /**< connections with a request in progress */
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -28,6 +28,12 @@
 /** Resolution of the connection timeouts. */
 #define SWEEP_INTERVAL_S 0.25
 
+/**
+ * Largest part of the time between two sweeps that counts for timeouts. More
+ * means that the loop did not run; what arrived meanwhile is still unread.
+ */
+#define SWEEP_COUNTED_MAX_MS 300
+
 struct bw_server_connection {
 	struct bw_listener *listener;
 	struct bw_server_connection *next;
@@ -39,7 +45,7 @@
 	struct bw_http_reader reader;
 	struct bw_buffer in; /**< bytes not yet parsed */
 	struct bw_buffer out;
-	struct bw_time state_since; /**< for timeouts */
+	struct bw_time state_since; /**< on the clock of run_time_ */
 	uint64_t parsed_bytes; /**< of the request that is being read */
 	void *context;
 	bool busy; /**< a request is in progress */
@@ -54,6 +60,8 @@
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
+static void count_pause_(struct bw_listener *listener);
+static struct bw_time run_time_(struct bw_listener *listener);
 static void read_request_(struct bw_server_connection *connection);
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
@@ -95,6 +103,7 @@
 	memset(listener, 0, sizeof(*listener));
 	listener->config = *config;
 	bw_loop_clock_init(&listener->clock, config->loop);
+	listener->swept_at = bw_loop_clock_now(&listener->clock);
 	listener->fd = open_socket_(config->address);
 	if (listener->fd < 0)
 		return BW_EIO;
@@ -270,7 +279,7 @@
 	connection->listener = listener;
 	connection->fd = fd;
 	connection->peer = peer;
-	connection->state_since = bw_loop_clock_now(&listener->clock);
+	connection->state_since = run_time_(listener);
 	bw_http_reader_init(&connection->reader, HTTP_REQUEST,
 			    &listener->config.limits);
 	connection->next = listener->connections;
@@ -328,10 +337,12 @@
 	struct bw_listener *listener = watcher->data;
 	struct bw_server_connection *connection = listener->connections;
 	struct bw_server_connection *next;
-	struct bw_time now = bw_loop_clock_now(&listener->clock);
+	struct bw_time now;
 
 	(void)loop;
 	(void)events;
+	count_pause_(listener);
+	now = run_time_(listener);
 	for (; connection; connection = next) {
 		int64_t age_ms = bw_time_diff_ms(now, connection->state_since);
 
@@ -351,6 +362,23 @@
 	}
 }
 
+static void count_pause_(struct bw_listener *listener)
+{
+	struct bw_time now = bw_loop_clock_now(&listener->clock);
+	int64_t interval_ms = bw_time_diff_ms(now, listener->swept_at);
+
+	if (interval_ms > SWEEP_COUNTED_MAX_MS)
+		listener->paused_ms += interval_ms - SWEEP_COUNTED_MAX_MS;
+	listener->swept_at = now;
+}
+
+/* Returns the time of the loop without the pauses in which it did not run. */
+static struct bw_time run_time_(struct bw_listener *listener)
+{
+	return bw_time_add(bw_loop_clock_now(&listener->clock),
+			   -listener->paused_ms);
+}
+
 static void read_request_(struct bw_server_connection *connection)
 {
 	struct bw_listener *listener = connection->listener;
@@ -360,7 +388,7 @@
 	if (!connection->in.size_bytes)
 		return;
 	if (!connection->reader.started) {
-		connection->state_since = bw_loop_clock_now(&listener->clock);
+		connection->state_since = run_time_(listener);
 		connection->parsed_bytes = 0;
 	}
 	progress = bw_http_reader_feed(&connection->reader, connection->in.data,
@@ -412,8 +440,7 @@
 {
 	report_rejection_(connection, cause);
 	connection->reader.started = false;
-	connection->state_since =
-		bw_loop_clock_now(&connection->listener->clock);
+	connection->state_since = run_time_(connection->listener);
 	connection->close_after_write = true;
 	write_head_(&connection->out, bw_listener_cause_status[cause], NULL, 0,
 		    true);
@@ -441,6 +468,8 @@
 	const struct bw_listener_config *config = &listener->config;
 	const struct bw_http_reader *reader = &connection->reader;
 	struct bw_listener_rejection rejection = { .cause = cause };
+	int64_t age_ms =
+		bw_time_diff_ms(run_time_(listener), connection->state_since);
 
 	if (!config->handler->rejected)
 		return;
@@ -450,8 +479,7 @@
 	rejection.address = config->address;
 	rejection.received_bytes =
 		connection->parsed_bytes + connection->in.size_bytes;
-	rejection.age_ms = (uint32_t)bw_time_diff_ms(
-		bw_loop_clock_now(&listener->clock), connection->state_since);
+	rejection.age_ms = age_ms > 0 ? (uint32_t)age_ms : 0;
 	rejection.limit = limit_(connection, &reader->limits, cause);
 	rejection.limit_current = limit_(connection, &config->limits, cause);
 	config->handler->rejected(config->context, connection, &reader->message,
--- a/src/test_libbwproxy/test_loop_clock.c
+++ b/src/test_libbwproxy/test_loop_clock.c
@@ -180,6 +180,77 @@
 	ev_loop_destroy(loop);
 }
 
+/* Guards against a timeout of the client that was a pause of the host. */
+static void test_late_loop(void **state)
+{
+	static const char rest[] = "Host: h.example\r\n\r\n";
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct peer peer;
+	uint16_t port = listen_(&listener, loop);
+
+	(void)state;
+	bw_listener_set_timeouts(&listener, 600, TIMEOUT_MS);
+	peer_connect(&peer, loop, port);
+	peer_send_text(&peer, "GET /a HTTP/1.1\r\n");
+	spin_for_(loop, 100);
+	assert_int_equal(send(peer.fd, rest, strlen(rest), 0), strlen(rest));
+	usleep(900000);
+	SPIN_UNTIL(loop, peer_has(&peer, "\r\n\r\n"));
+	assert_true(peer_has(&peer, "HTTP/1.1 200"));
+	peer_finish(&peer);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
+/* Guards against rejecting what the client could not send in the meantime. */
+static void test_suspended_listener(void **state)
+{
+	static const char rest[] = "Host: h.example\r\n\r\n";
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct peer idle;
+	struct peer peer;
+	uint16_t port = listen_(&listener, loop);
+
+	(void)state;
+	peer_connect(&idle, loop, port);
+	peer_connect(&peer, loop, port);
+	peer_send_text(&peer, "GET /a HTTP/1.1\r\n");
+	SPIN_UNTIL(loop, listener.connection_count == 2);
+	spin_once(loop);
+	suspended_s = STEP_S;
+	spin_for_(loop, CHECKS_MS);
+	assert_false(peer.eof);
+	assert_false(idle.eof);
+	peer_send_text(&peer, rest);
+	SPIN_UNTIL(loop, peer_has(&peer, "\r\n\r\n"));
+	assert_true(peer_has(&peer, "HTTP/1.1 200"));
+	peer_finish(&peer);
+	peer_finish(&idle);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
+/* Guards against timeouts that no longer apply. */
+static void test_head_timeout(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct peer peer;
+	uint16_t port = listen_(&listener, loop);
+
+	(void)state;
+	bw_listener_set_timeouts(&listener, 600, TIMEOUT_MS);
+	peer_connect(&peer, loop, port);
+	peer_send_text(&peer, "GET /a HTTP/1.1\r\n");
+	SPIN_UNTIL(loop, peer.eof);
+	assert_true(peer_has(&peer, "HTTP/1.1 408"));
+	peer_finish(&peer);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
 static void ended_(void *context, void *request, enum bw_pool_result result,
 		   const struct bw_http_message *response)
 {
@@ -241,6 +312,9 @@
 		cmocka_unit_test_setup(test_iteration, reset_),
 		cmocka_unit_test_setup(test_listener_step, reset_),
 		cmocka_unit_test_setup(test_pool_step, reset_),
+		cmocka_unit_test_setup(test_late_loop, reset_),
+		cmocka_unit_test_setup(test_suspended_listener, reset_),
+		cmocka_unit_test_setup(test_head_timeout, reset_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
