Give leases and votes a time after the packet was received

A process that is stopped within an iteration of its loop (freeze, processor quota) goes on with the time from before the pause. A follower that then reads a packet of the leader counts its promise not to vote from too early, and a leader that reads a request for the configuration checks its lease too early; both can end in an old version being read.

The time is now read again for each packet of a control host and for each call, after it was received. Sending times of the leader keep the time of the iteration, which is on the safe side. The time never goes back, as the refreshed time replaces that of the iteration.

--- a/src/boragewingd/gate.c
+++ b/src/boragewingd/gate.c
@@ -200,7 +200,8 @@
 static void on_packet_(void *context, const struct bw_packet *packet)
 {
 	struct gate *gate = context;
-	struct bw_time now = gate_node_now(&gate->node);
+	struct bw_time now = gate->has_control ? gate_node_refresh(&gate->node)
+					       : gate_node_now(&gate->node);
 
 	if (gate->has_control)
 		gate_control_receive(&gate->control, packet, now);
--- a/src/boragewingd/gate_control_calls.c
+++ b/src/boragewingd/gate_control_calls.c
@@ -66,7 +66,7 @@
 			      const struct bw_http_message *request)
 {
 	struct gate_control *control = context;
-	struct bw_time now = gate_node_now(control->node);
+	struct bw_time now = gate_node_refresh(control->node);
 	struct gate_call call;
 
 	platform_call_read(request, &call);
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -80,6 +80,11 @@
 	return bw_loop_clock_now(&node->clock);
 }
 
+struct bw_time gate_node_refresh(struct gate_node *node)
+{
+	return bw_loop_clock_refresh(&node->clock);
+}
+
 void gate_node_add_control(struct gate_node *node, const char *name,
 			   bool direct, struct bw_time now)
 {
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -80,6 +80,13 @@
  */
 struct bw_time gate_node_now(struct gate_node *node);
 
+/**
+ * Reads the clock again and returns the time. Promises between control hosts
+ * (leases, votes) need a time after the packet or request was received, also
+ * when the process was stopped within the iteration.
+ */
+struct bw_time gate_node_refresh(struct gate_node *node);
+
 /**
  * Adds or refreshes a control host.
  * @param direct whether a packet came from the control host itself
