--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -205,7 +205,7 @@
 	connection->context = NULL;
 	connection->close_after_write = last;
 	connection->continue_sent = false;
-	connection->state_since = bw_loop_clock_now(&listener->clock);
+	connection->state_since = run_time_(listener);
 	bw_http_reader_next(&connection->reader);
 	if (!flush_output_(connection))
 		return;
