Answer 404 only while the version in force is confirmed

Callers saw 404 for routes in force. A 404 says for good that there is no such route, but an entry host gave it from any table: while it fetched a newer version, when it had started beside a control host that lagged, when it was cut off from most control hosts, and right after it had been stopped.

A version in force is in the log of most control hosts, and each announces it after one heartbeat of the leader. So an entry host now answers 404 only if more than half of the control hosts that it knows confirmed its version within 1.75 s (two intervals of hellos and some slack), and none announced a newer one. Else the request, which has not run, gets 503 with a Retry-After, a line with cause "unconfirmed" and a count. bw_confirm decides this without clock or network.

The age of a status counts from the hello that it answers: a status that waited on a slow link, or in the sockets of a stopped host, would look new by its arrival. Hellos therefore carry their time, and statuses return it. Statuses of older control hosts don't, and never confirm.

A follower that was cut off from the leader between append and commit announces the older version until the next election (at most 0.65 s after its timeout).

--- /dev/null
+++ b/include/bwmember/confirmation.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * Decides whether an entry host may tell a client for good that something does
+ * not exist. The host has to know that no newer configuration is in force,
+ * which most control hosts together can tell: a version is in force once it is
+ * in the log of most of them, and each announces it once it has applied it,
+ * about one heartbeat of the leader later. The module has no clock and no
+ * sockets.
+ */
+#ifndef BWMEMBER_CONFIRMATION_H
+#define BWMEMBER_CONFIRMATION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bwbase/clock.h"
+
+/** What a control host announced last. */
+struct bw_announcement {
+	uint64_t version; /**< 0: none */
+	bool current; /**< its state is not older than its start */
+	struct bw_time as_of; /**< it is not older than this; 0 ms: unknown */
+};
+
+/** What the announcements of all known control hosts say together. */
+struct bw_confirmation {
+	bool confirmed; /**< no newer version was in force recently */
+	uint64_t newest_version; /**< announced by any control host */
+	uint32_t confirmed_by; /**< control hosts with a recent announcement of
+				    no newer version */
+	uint32_t controls; /**< known control hosts */
+};
+
+/**
+ * Checks a version against the last announcement of each known control host,
+ * whatever its age if it is newer.
+ * @param version in force here; 0: none, which is never confirmed
+ * @param age_max_ms age at which an announcement no longer confirms
+ */
+struct bw_confirmation bw_confirm(const struct bw_announcement *announcements,
+				  uint32_t count, uint64_t version,
+				  uint32_t age_max_ms, struct bw_time now);
+
+#endif
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -97,6 +97,10 @@
 	{ "no_route", "no_configuration",
 	  "It has not run. Its entry host had no configuration yet; see feed "
 	  "and newest_version." },
+	{ "no_route", "unconfirmed",
+	  "It has not run. The version in force here has no route for it, but "
+	  "the entry host\ncould not know that no newer one is: see "
+	  "newest_version, and how many of the controls\nconfirmed_by counts." },
 	{ "no_route", "host_missing",
 	  "It has not run. It did not name a host." },
 	{ "no_route", "host_too_long",
--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -114,6 +114,7 @@
 	entry->detail = hello->detail;
 	entry->incarnation = packet->incarnation;
 	entry->last_hello_at = now;
+	entry->hello_sent_ms = hello->sent_ms;
 	entry->demand_count =
 		MIN(hello->demand_count, (uint32_t)GATE_SERVICES_MAX);
 	memcpy(entry->demands, hello->demands,
@@ -146,6 +147,7 @@
 			bw_name_set(status.controls[status.control_count++],
 				    node->controls[i].name);
 	}
+	status.hello_sent_ms = entry->hello_sent_ms;
 	status.entry_count = g_hash_table_size(control->entries);
 	status.entry_index = entry_index_(control, entry->name);
 	status.domain_entry_count = count_in_domain_(control, entry->domain);
--- a/src/boragewingd/gate_control_private.h
+++ b/src/boragewingd/gate_control_private.h
@@ -19,6 +19,7 @@
 	enum gate_detail detail; /**< requested level of detail */
 	uint64_t incarnation;
 	struct bw_time last_hello_at; /**< arrival time */
+	uint64_t hello_sent_ms; /**< when the entry host sent it */
 	struct gate_demand demands[GATE_SERVICES_MAX];
 	uint32_t demand_count;
 };
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -235,6 +235,11 @@
 			metrics, BW_METRIC_COUNTER, "bw_requests_total",
 			"Requests of clients by their end", labels);
 	}
+	entry->unconfirmed = bw_metrics_get(
+		metrics, BW_METRIC_COUNTER, "bw_no_route_unconfirmed_total",
+		"Requests without a route that got 503, as the version in "
+		"force was not confirmed",
+		"");
 	for (i = 1; i < BW_REJECT_COUNT; i++) {
 		snprintf(labels, sizeof(labels), "cause=\"%s\"",
 			 bw_reject_string[i]);
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -74,6 +74,7 @@
 	struct gate_request *requests; /**< linked list */
 	uint32_t request_count;
 	struct bw_metric *outcomes[GATE_OUTCOME_COUNT];
+	struct bw_metric *unconfirmed; /**< no route, but not sure */
 	struct bw_metric *rejections[BW_REJECT_COUNT];
 	struct bw_metric *queue_us;
 	struct bw_metric *upstream_us;
@@ -113,6 +114,10 @@
 int64_t gate_entry_behind_ms(const struct gate_entry *entry,
 			     struct bw_time now);
 
+/** Returns whether most control hosts confirm that no version is newer. */
+struct bw_confirmation gate_entry_confirm(const struct gate_entry *entry,
+					  struct bw_time now);
+
 /** Adds the state of the role to a dump. */
 void gate_entry_dump(const struct gate_entry *entry, json_t *into);
 
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -19,11 +19,20 @@
  */
 #define BRIEF_HELLO_INTERVAL_MS 750
 
+/**
+ * Age at which a status no longer confirms the version in force: two intervals
+ * of hellos, and the time of a slow host and path to answer.
+ */
+#define CONFIRMATION_MAX_AGE_MS 1750
+
 static void handle_status_(struct gate_entry *entry, const char *sender,
 			   const struct gate_status *status,
 			   struct bw_time now);
 static void record_control_peers_(struct gate_entry *entry, const char *sender,
 				  const struct gate_status *status);
+static void note_announcement_(struct gate_entry *entry, const char *sender,
+			       const struct gate_status *status,
+			       struct bw_time now);
 static void choose_feed_(struct gate_entry *entry, struct bw_time now);
 static void note_feed_packet_(struct gate_entry *entry,
 			      const struct bw_packet *packet,
@@ -119,6 +128,7 @@
 	bw_name_set(hello.domain, node->settings.domain);
 	bw_name_set(hello.region, node->settings.region);
 	hello.routing_version = entry->routing ? entry->routing->version : 0;
+	hello.sent_ms = (uint64_t)now.ms;
 	send_to_controls_(entry, &hello, brief_due, now);
 }
 
@@ -212,6 +222,41 @@
 					 status->control_count);
 }
 
+/*
+ * A status is as old as the hello that it answers: it may have waited on a slow
+ * link, or in this host while it was stopped. Hellos of an earlier process of
+ * this host say nothing.
+ */
+static void note_announcement_(struct gate_entry *entry, const char *sender,
+			       const struct gate_status *status,
+			       struct bw_time now)
+{
+	struct bw_announcement announcement = {
+		.version = status->routing_version,
+		.current = status->current,
+	};
+	struct bw_time sent = { (int64_t)status->hello_sent_ms };
+
+	if (bw_time_reached(sent, entry->started_at) &&
+	    bw_time_reached(now, sent))
+		announcement.as_of = sent;
+	gate_node_set_announcement(entry->node, sender, &announcement);
+}
+
+struct bw_confirmation gate_entry_confirm(const struct gate_entry *entry,
+					  struct bw_time now)
+{
+	const struct gate_node *node = entry->node;
+	struct bw_announcement announcements[GATE_CONTROLS_MAX];
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++)
+		announcements[i] = node->controls[i].announcement;
+	return bw_confirm(announcements, node->control_count,
+			  entry->routing ? entry->routing->version : 0,
+			  CONFIRMATION_MAX_AGE_MS, now);
+}
+
 static void handle_status_(struct gate_entry *entry, const char *sender,
 			   const struct gate_status *status, struct bw_time now)
 {
@@ -222,6 +267,7 @@
 		gate_node_add_control(entry->node, status->controls[i], false,
 				      now);
 	record_control_peers_(entry, sender, status);
+	note_announcement_(entry, sender, status, now);
 	if (status->entry_count) {
 		entry->entry_count = status->entry_count;
 		entry->entry_index = status->entry_index;
--- a/src/boragewingd/gate_log.c
+++ b/src/boragewingd/gate_log.c
@@ -7,7 +7,8 @@
 #include "platform.h"
 
 static const char *no_route_cause_(const struct bw_routing *routing,
-				   const struct bw_http_message *message);
+				   const struct bw_http_message *message,
+				   const struct bw_confirmation *confirmation);
 
 void gate_log_queued(const struct gate_request *request)
 {
@@ -95,7 +96,8 @@
 
 void gate_log_no_route(const struct gate_entry *entry,
 		       const struct bw_http_message *message,
-		       uint16_t status_code)
+		       uint16_t status_code,
+		       const struct bw_confirmation *confirmation)
 {
 	const struct gate_node *node = entry->node;
 	const struct bw_routing *routing = entry->routing;
@@ -110,12 +112,12 @@
 			  message->target.size_bytes);
 	bw_log_event(
 		node->log, BW_LOG_WARNING, "request", "no_route",
-		"{s:s,s:i,s:s,s:s,s:s,s:I,s:i,s:I,s:I,s:I,s:s,s:I}", "request",
-		id, "status", (int)status_code, "cause",
-		no_route_cause_(routing, message), "asked_host", host, "target",
-		target, "version", (json_int_t)(routing ? routing->version : 0),
-		"routes", routing ? (int)routing->route_count : 0,
-		"version_age_ms",
+		"{s:s,s:i,s:s,s:s,s:s,s:I,s:i,s:I,s:I,s:I,s:s,s:I,s:i,s:i}",
+		"request", id, "status", (int)status_code, "cause",
+		no_route_cause_(routing, message, confirmation), "asked_host",
+		host, "target", target, "version",
+		(json_int_t)(routing ? routing->version : 0), "routes",
+		routing ? (int)routing->route_count : 0, "version_age_ms",
 		routing ? (json_int_t)bw_time_diff_ms(now, entry->routing_since)
 			: (json_int_t)0,
 		"newest_version", (json_int_t)entry->newest_version,
@@ -124,17 +126,22 @@
 		entry->feed_received_at.ms
 			? (json_int_t)bw_time_diff_ms(now,
 						      entry->feed_received_at)
-			: (json_int_t)-1);
+			: (json_int_t)-1,
+		"confirmed_by", (int)confirmation->confirmed_by, "controls",
+		(int)confirmation->controls);
 }
 
 static const char *no_route_cause_(const struct bw_routing *routing,
-				   const struct bw_http_message *message)
+				   const struct bw_http_message *message,
+				   const struct bw_confirmation *confirmation)
 {
 	char host[BW_ROUTE_HOST_MAX];
 	uint32_t i;
 
 	if (!routing)
 		return "no_configuration";
+	if (!confirmation->confirmed)
+		return "unconfirmed";
 	if (bw_http_find(message, "Host", host, sizeof(host)))
 		return bw_routing_has_host(routing, host, strlen(host))
 			       ? "path_unknown"
--- a/src/boragewingd/gate_log.h
+++ b/src/boragewingd/gate_log.h
@@ -32,6 +32,7 @@
  */
 void gate_log_no_route(const struct gate_entry *entry,
 		       const struct bw_http_message *message,
-		       uint16_t status_code);
+		       uint16_t status_code,
+		       const struct bw_confirmation *confirmation);
 
 #endif
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -121,6 +121,15 @@
 		bw_name_set(peer->domain, domain);
 }
 
+void gate_node_set_announcement(struct gate_node *node, const char *name,
+				const struct bw_announcement *announcement)
+{
+	struct gate_peer *peer = find_control_(node, name);
+
+	if (peer)
+		peer->announcement = *announcement;
+}
+
 void gate_node_update_seeds(struct gate_node *node,
 			    const struct gate_settings *settings,
 			    struct bw_time now)
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -12,6 +12,7 @@
 #include "bwbase/log.h"
 #include "bwbase/metrics.h"
 #include "bwbase/random.h"
+#include "bwmember/confirmation.h"
 #include "bwproxy/listener.h"
 #include "bwsteer/registry.h"
 #include "gate_settings.h"
@@ -38,6 +39,7 @@
 	struct bw_time last_heard; /**< last packet from it; 0 ms: none */
 	struct bw_time last_listed; /**< last listed or heard from */
 	bool lost; /**< unreachable, and logged as lost */
+	struct bw_announcement announcement; /**< kept by the entry role */
 };
 
 /** State of a gateway host that all roles share. */
@@ -82,6 +84,10 @@
 void gate_node_add_control(struct gate_node *node, const char *name,
 			   bool direct, struct bw_time now);
 
+/** Records what a control host announced. */
+void gate_node_set_announcement(struct gate_node *node, const char *name,
+				const struct bw_announcement *announcement);
+
 /** Records the failure domain of a control host. */
 void gate_node_set_control_domain(struct gate_node *node, const char *name,
 				  const char *domain);
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -23,6 +23,12 @@
 /** Retry-After of rejections without a better estimate. */
 #define RETRY_AFTER_DEFAULT_MS 500
 
+/**
+ * Retry-After of a request without a route here that may have one elsewhere;
+ * about the interval of statuses of the control hosts.
+ */
+#define RETRY_AFTER_UNCONFIRMED_MS 500
+
 /** Fraction of the fleet's retries per request that entry hosts use. */
 #define RETRY_SHARE 0.6
 
@@ -650,15 +656,31 @@
 		fail_(request, 504, GATE_OUTCOME_TIMEOUT, "deadline");
 }
 
+/*
+ * A 404 says for good that there is no such route, so it is given only while
+ * most control hosts confirm the version in force. Otherwise another host may
+ * have the route: the request has not run and may be sent again.
+ */
 static void answer_unrouted_(struct gate_entry *entry,
 			     struct bw_server_connection *connection,
 			     const struct bw_http_message *message)
 {
-	uint16_t status_code = entry->routing ? 404 : 503;
+	struct bw_confirmation confirmation =
+		gate_entry_confirm(entry, gate_node_now(entry->node));
+	uint16_t status_code = confirmation.confirmed ? 404 : 503;
+	struct bw_buffer fields;
 
+	bw_buffer_init(&fields);
+	if (status_code == 503)
+		bw_buffer_printf(&fields, "%s: %.3f\r\n",
+				 PLATFORM_FIELD_RETRY_AFTER,
+				 RETRY_AFTER_UNCONFIRMED_MS / 1000.0);
+	if (entry->routing && !confirmation.confirmed)
+		bw_metric_add(entry->unconfirmed, 1);
 	bw_metric_add(entry->outcomes[GATE_OUTCOME_NO_ROUTE], 1);
-	gate_log_no_route(entry, message, status_code);
-	bw_connection_respond(connection, status_code, NULL, NULL, 0, false);
+	gate_log_no_route(entry, message, status_code, &confirmation);
+	bw_connection_respond(connection, status_code, &fields, NULL, 0, false);
+	bw_buffer_finish(&fields);
 }
 
 static int64_t remaining_ms_(const struct gate_request *request,
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -23,7 +23,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_HELLO, 8);
+	write_message_head_(&writer, out, GATE_HELLO, 9);
 	bw_write_bool(&writer, hello->control);
 	bw_write_uint(&writer, hello->state);
 	bw_write_uint(&writer, hello->detail);
@@ -32,6 +32,7 @@
 	bw_write_uint(&writer, hello->routing_version);
 	write_demands_(&writer, hello->demands, hello->demand_count);
 	write_loads_(&writer, hello->loads, hello->load_count);
+	bw_write_uint(&writer, hello->sent_ms);
 }
 
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status)
@@ -39,7 +40,7 @@
 	struct bw_writer writer;
 	uint32_t i;
 
-	write_message_head_(&writer, out, GATE_STATUS, 10);
+	write_message_head_(&writer, out, GATE_STATUS, 11);
 	bw_write_str(&writer, status->domain);
 	bw_write_bool(&writer, status->current);
 	bw_write_uint(&writer, status->routing_version);
@@ -54,6 +55,7 @@
 	bw_write_uint(&writer, status->entry_index);
 	bw_write_uint(&writer, status->domain_entry_count);
 	write_demands_(&writer, status->demands, status->demand_count);
+	bw_write_uint(&writer, status->hello_sent_ms);
 }
 
 void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
@@ -133,6 +135,9 @@
 	hello->routing_version = bw_read_uint(reader);
 	hello->demand_count = read_demands_(reader, hello->demands);
 	hello->load_count = read_loads_(reader, hello->loads);
+	/* Older hosts do not send it. */
+	if (bw_read_more(reader))
+		hello->sent_ms = bw_read_uint(reader);
 	if (state >= GATE_HOST_STATE_COUNT || detail >= GATE_DETAIL_COUNT) {
 		reader->failed = true;
 		return;
@@ -162,6 +167,8 @@
 	status->entry_index = (uint32_t)bw_read_uint(reader);
 	status->domain_entry_count = (uint32_t)bw_read_uint(reader);
 	status->demand_count = read_demands_(reader, status->demands);
+	if (bw_read_more(reader))
+		status->hello_sent_ms = bw_read_uint(reader);
 }
 
 void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers)
--- a/src/boragewingd/gate_wire.h
+++ b/src/boragewingd/gate_wire.h
@@ -92,6 +92,7 @@
 	uint32_t demand_count;
 	struct gate_load loads[GATE_LOADS_MAX]; /**< recent reports */
 	uint32_t load_count;
+	uint64_t sent_ms; /**< by the clock of an entry host; else 0 */
 };
 
 /** GATE_STATUS */
@@ -109,6 +110,8 @@
 	uint32_t domain_entry_count; /**< in the receiver's domain */
 	struct gate_demand demands[GATE_DEMANDS_MAX]; /**< of all domains */
 	uint32_t demand_count;
+	uint64_t hello_sent_ms; /**< sent_ms of the receiver's last hello; 0:
+				     none */
 };
 
 /**
--- /dev/null
+++ b/src/libbwmember/confirmation.c
@@ -0,0 +1,35 @@
+#include "bwmember/confirmation.h"
+
+static bool is_recent_(const struct bw_announcement *announcement,
+		       uint32_t age_max_ms, struct bw_time now);
+
+struct bw_confirmation bw_confirm(const struct bw_announcement *announcements,
+				  uint32_t count, uint64_t version,
+				  uint32_t age_max_ms, struct bw_time now)
+{
+	struct bw_confirmation result = { .controls = count };
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct bw_announcement *announcement = &announcements[i];
+
+		if (announcement->version > result.newest_version)
+			result.newest_version = announcement->version;
+		if (announcement->current && announcement->version <= version &&
+		    is_recent_(announcement, age_max_ms, now))
+			result.confirmed_by++;
+	}
+	result.confirmed = version && result.newest_version <= version &&
+			   result.confirmed_by > count / 2;
+	return result;
+}
+
+/* After a step of the clock, a time in the future says nothing. */
+static bool is_recent_(const struct bw_announcement *announcement,
+		       uint32_t age_max_ms, struct bw_time now)
+{
+	int64_t age_ms = bw_time_diff_ms(now, announcement->as_of);
+
+	return announcement->as_of.ms && age_ms >= 0 &&
+	       age_ms <= (int64_t)age_max_ms;
+}
--- /dev/null
+++ b/src/test_libbwmember/test_confirmation.c
@@ -0,0 +1,146 @@
+/*
+ * Confirmation of a configuration version by the control hosts. Guards against
+ * an entry host that denies a route for good though a newer version may have
+ * it, and against one that never denies an unknown route.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "bwmember/confirmation.h"
+
+#define CONTROL_COUNT 5
+#define AGE_MAX_MS 1750
+#define NOW_MS 50000
+
+static struct bw_announcement controls[CONTROL_COUNT];
+
+static struct bw_time time_at_(int64_t ms)
+{
+	struct bw_time time = { ms };
+
+	return time;
+}
+
+static void announce_(uint32_t i, uint64_t version, int64_t age_ms)
+{
+	controls[i].version = version;
+	controls[i].current = true;
+	controls[i].as_of = time_at_(NOW_MS - age_ms);
+}
+
+static struct bw_confirmation check_(uint64_t version, int64_t now_ms)
+{
+	return bw_confirm(controls, CONTROL_COUNT, version, AGE_MAX_MS,
+			  time_at_(now_ms));
+}
+
+static int set_up_(void **state)
+{
+	uint32_t i;
+
+	(void)state;
+	memset(controls, 0, sizeof(controls));
+	for (i = 0; i < 3; i++)
+		announce_(i, 7, 100);
+	return 0;
+}
+
+static void test_most_control_hosts_confirm(void **state)
+{
+	struct bw_confirmation result = check_(7, NOW_MS);
+
+	(void)state;
+	assert_true(result.confirmed);
+	assert_int_equal(result.newest_version, 7);
+	assert_int_equal(result.confirmed_by, 3);
+	assert_int_equal(result.controls, CONTROL_COUNT);
+}
+
+/* Guards against a host that trusts less than a majority. */
+static void test_one_status_missing(void **state)
+{
+	(void)state;
+	memset(&controls[2], 0, sizeof(controls[2]));
+	assert_false(check_(7, NOW_MS).confirmed);
+	assert_int_equal(check_(7, NOW_MS).confirmed_by, 2);
+	/* Half of an even number is not enough either. */
+	assert_false(bw_confirm(controls, 4, 7, AGE_MAX_MS, time_at_(NOW_MS))
+			     .confirmed);
+	assert_true(bw_confirm(controls, 3, 7, AGE_MAX_MS, time_at_(NOW_MS))
+			    .confirmed);
+}
+
+/* Guards against a host that is cut off or was frozen, and trusts what it heard
+ * before. */
+static void test_old_statuses_do_not_confirm(void **state)
+{
+	(void)state;
+	assert_true(check_(7, NOW_MS - 100 + AGE_MAX_MS).confirmed);
+	assert_false(check_(7, NOW_MS - 100 + AGE_MAX_MS + 1).confirmed);
+	assert_false(check_(7, NOW_MS + 10000).confirmed);
+}
+
+/* Guards against a host that knows of a newer version and denies its routes,
+ * however old the announcement is. */
+static void test_newer_version_announced(void **state)
+{
+	(void)state;
+	announce_(3, 8, 9000);
+	controls[3].current = false;
+	assert_false(check_(7, NOW_MS).confirmed);
+	assert_int_equal(check_(7, NOW_MS).newest_version, 8);
+	/* It is in force now; those that announce an older one lag. */
+	assert_true(check_(8, NOW_MS).confirmed);
+}
+
+/* Guards against a control host that announces what it had at its start as if
+ * it were in force. */
+static void test_restarted_control_host_does_not_confirm(void **state)
+{
+	(void)state;
+	controls[0].current = false;
+	assert_false(check_(7, NOW_MS).confirmed);
+	announce_(0, 7, 0);
+	assert_true(check_(7, NOW_MS).confirmed);
+}
+
+/* Guards against times in the future after the clock was set back. */
+static void test_clock_set_back(void **state)
+{
+	(void)state;
+	assert_false(check_(7, NOW_MS - 15000).confirmed);
+	assert_false(check_(7, 100).confirmed);
+}
+
+static void test_nothing_is_known_at_start(void **state)
+{
+	(void)state;
+	assert_false(check_(0, NOW_MS).confirmed);
+	assert_false(
+		bw_confirm(NULL, 0, 7, AGE_MAX_MS, time_at_(NOW_MS)).confirmed);
+	memset(controls, 0, sizeof(controls));
+	assert_false(check_(7, 10).confirmed);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup(test_most_control_hosts_confirm,
+				       set_up_),
+		cmocka_unit_test_setup(test_one_status_missing, set_up_),
+		cmocka_unit_test_setup(test_old_statuses_do_not_confirm,
+				       set_up_),
+		cmocka_unit_test_setup(test_newer_version_announced, set_up_),
+		cmocka_unit_test_setup(
+			test_restarted_control_host_does_not_confirm, set_up_),
+		cmocka_unit_test_setup(test_clock_set_back, set_up_),
+		cmocka_unit_test_setup(test_nothing_is_known_at_start, set_up_),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
