Keep one fetch of a newer configuration under way

On a slow link entry hosts had no configuration, or an old one, long after an acknowledgement, and answered 404 and 503. A fetch was sent again every 300 ms, and at once for each announced version, though the whole text, always the newest at the time of sending, was still on its way. Copies queued behind each other and before the statuses, until control hosts counted as lost.

--- a/include/bwmember/feed.h
+++ b/include/bwmember/feed.h
@@ -68,4 +68,7 @@
 bool bw_feed_needs_detail(const struct bw_feed *feed,
 			  const struct bw_feed_peer *peer);
 
+/** Returns a hash that gives each host its own order of control hosts. */
+uint32_t bw_feed_hash(const char *self, const char *name);
+
 #endif
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -85,6 +85,7 @@
 	entry->node = node;
 	entry->started_at = gate_node_now(node);
 	bw_feed_init(&entry->feed, node->name, entry->started_at);
+	bw_fetch_init(&entry->fetch, node->name);
 	entry->retry_refilled_at = entry->started_at;
 	entry->entry_count = 1;
 	entry->update_due = true;
@@ -151,6 +152,7 @@
 						      entry->routing_since) /
 					      1000);
 	}
+	gate_entry_fetch(entry, now);
 	if (entry->update_due ||
 	    entry->registry_generation != node->registry.generation ||
 	    bw_time_reached(now, entry->next_update))
@@ -176,9 +178,9 @@
 
 int64_t gate_entry_behind_ms(const struct gate_entry *entry, struct bw_time now)
 {
-	if (!entry->outdated)
+	if (!entry->fetch.behind)
 		return 0;
-	return bw_time_diff_ms(now, entry->outdated_since);
+	return bw_time_diff_ms(now, entry->fetch.behind_since);
 }
 
 void gate_entry_dump(const struct gate_entry *entry, json_t *into)
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -7,6 +7,7 @@
 #define BORAGEWINGD_GATE_ENTRY_H
 
 #include "bwmember/feed.h"
+#include "bwmember/fetch.h"
 #include "bwproxy/listener.h"
 #include "bwproxy/pool.h"
 #include "bwsteer/dispatch.h"
@@ -55,10 +56,7 @@
 	struct bw_time feed_continuous_since; /**< end of the last gap */
 	struct bw_time feed_received_at; /**< latest message of the feed */
 	uint64_t newest_version; /**< announced by any control host */
-	bool outdated; /**< a version newer than the active one is known */
-	struct bw_time outdated_since;
-	uint64_t requested_version; /**< last requested; 0: none */
-	struct bw_time requested_at;
+	struct bw_fetch fetch; /**< of newer versions */
 	uint32_t entry_count; /**< entry hosts that share the servers */
 	uint32_t entry_index; /**< index of this host among them */
 	uint64_t registry_generation; /**< at the last update */
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -4,15 +4,6 @@
 #include "gate_poison.h"
 #include "platform.h"
 
-/** Time after which a configuration may be requested again. */
-#define ROUTING_REQUEST_TIMEOUT_MS 300
-
-/**
- * Time to wait for the feed to offer a new version before it is fetched from
- * another control host that announced it.
- */
-#define FEED_FETCH_WAIT_MS 500
-
 /**
  * Interval of hellos to control hosts that send brief detail only; two of them
  * fit in GATE_PEER_TIMEOUT_MS.
@@ -43,10 +34,6 @@
 static void send_to_controls_(struct gate_entry *entry,
 			      struct gate_hello *hello, bool brief_due,
 			      struct bw_time now);
-static bool may_fetch_routing_(struct gate_entry *entry, const char *sender,
-			       struct bw_time now);
-static void request_routing_(struct gate_entry *entry, const char *sender,
-			     uint64_t version, struct bw_time now);
 static void handle_routing_(struct gate_entry *entry, const char *sender,
 			    const struct gate_routing *message,
 			    struct bw_time now);
@@ -260,7 +247,6 @@
 static void handle_status_(struct gate_entry *entry, const char *sender,
 			   const struct gate_status *status, struct bw_time now)
 {
-	uint64_t version = entry->routing ? entry->routing->version : 0;
 	uint32_t i;
 
 	for (i = 0; i < status->control_count; i++)
@@ -289,40 +275,38 @@
 			     (json_int_t)status->evacuation_index, "domains",
 			     (int)status->evacuated_count, "source", sender);
 	}
-	if (status->routing_version > version &&
-	    may_fetch_routing_(entry, sender, now))
-		request_routing_(entry, sender, status->routing_version, now);
-}
-
-/*
- * The feed receives a new version within one heartbeat of the leader, so it is
- * requested from other control hosts only after FEED_FETCH_WAIT_MS.
- */
-static bool may_fetch_routing_(struct gate_entry *entry, const char *sender,
-			       struct bw_time now)
-{
-	if (!entry->outdated)
-		entry->outdated_since = now;
-	entry->outdated = true;
-	return !entry->routing || !strcmp(sender, entry->feed.source) ||
-	       bw_time_diff_ms(now, entry->outdated_since) >=
-		       FEED_FETCH_WAIT_MS;
+	gate_entry_fetch(entry, now);
 }
 
-static void request_routing_(struct gate_entry *entry, const char *sender,
-			     uint64_t version, struct bw_time now)
+void gate_entry_fetch(struct gate_entry *entry, struct bw_time now)
 {
-	struct gate_routing request = { .version = version };
+	const struct gate_node *node = entry->node;
+	struct gate_routing request = { .version = 0 };
+	struct bw_fetch_peer peers[GATE_CONTROLS_MAX];
+	const struct bw_fetch_peer *peer;
+	struct bw_feed_peer known;
+	uint32_t i;
 
-	if (version <= entry->requested_version &&
-	    bw_time_diff_ms(now, entry->requested_at) <
-		    ROUTING_REQUEST_TIMEOUT_MS)
+	for (i = 0; i < node->control_count; i++) {
+		const struct gate_peer *control = &node->controls[i];
+
+		fill_feed_peer_(entry, i, now, &known);
+		peers[i].name = control->name;
+		peers[i].distance = known.distance;
+		peers[i].alive = known.alive;
+		peers[i].feed = !strcmp(control->name, entry->feed.source);
+		peers[i].version = control->announcement.current
+					   ? control->announcement.version
+					   : 0;
+	}
+	peer = bw_fetch_next(&entry->fetch, peers, node->control_count,
+			     entry->routing ? entry->routing->version : 0, now);
+	if (!peer)
 		return;
-	entry->requested_version = version;
-	entry->requested_at = now;
+	request.version = peer->version;
 	gate_routing_write(gate_node_frame(entry->node), GATE_ROUTING_REQUEST,
 			   &request);
-	gate_node_send(entry->node, sender);
+	gate_node_send(entry->node, peer->name);
 }
 
 static void handle_routing_(struct gate_entry *entry, const char *sender,
@@ -333,8 +317,10 @@
 	char error[PLATFORM_ERROR_BYTES] = "";
 	enum bw_status status;
 
-	if (entry->routing && message->version <= entry->routing->version)
+	if (entry->routing && message->version <= entry->routing->version) {
+		bw_fetch_received(&entry->fetch, false, now);
 		return;
+	}
 	status = platform_routing_read(message->text, message->text_bytes,
 				       &routing, error);
 	if (status != BW_OK) {
@@ -347,6 +333,8 @@
 	log_routing_(entry, routing, sender, now);
 	entry->routing_since = now;
 	apply_routing_(entry, routing);
+	bw_fetch_received(&entry->fetch, true, now);
+	gate_entry_fetch(entry, now);
 }
 
 static void log_routing_(const struct gate_entry *entry,
@@ -376,7 +364,6 @@
 
 	bw_routing_unref(entry->routing);
 	entry->routing = routing;
-	entry->outdated = false;
 	entry->clients.config.limits.head_max_bytes = limits->head_max_bytes;
 	entry->clients.config.limits.body_max_bytes =
 		MIN(limits->body_max_bytes, (uint32_t)GATE_BODY_MAX_BYTES);
--- a/src/boragewingd/gate_entry_private.h
+++ b/src/boragewingd/gate_entry_private.h
@@ -19,6 +19,9 @@
 /** Sends state, demand and reported server loads to the control hosts. */
 void gate_entry_send_hellos(struct gate_entry *entry, struct bw_time now);
 
+/** Requests a newer configuration if that is due. */
+void gate_entry_fetch(struct gate_entry *entry, struct bw_time now);
+
 /** Updates the backend servers known to the dispatcher. */
 void gate_entry_update_targets(struct gate_entry *entry, struct bw_time now);
 
--- a/src/libbwmember/feed.c
+++ b/src/libbwmember/feed.c
@@ -10,7 +10,6 @@
 static bool is_better_source_(const struct bw_feed *feed,
 			      const struct bw_feed_peer *a,
 			      const struct bw_feed_peer *b);
-static uint32_t tie_break_hash_(const struct bw_feed *feed, const char *name);
 
 void bw_feed_init(struct bw_feed *feed, const char *self, struct bw_time now)
 {
@@ -77,6 +76,19 @@
 	return true;
 }
 
+/* FNV-1a over both names. */
+uint32_t bw_feed_hash(const char *self, const char *name)
+{
+	uint32_t hash = 2166136261U;
+	const char *c;
+
+	for (c = self; *c; c++)
+		hash = (hash ^ (uint8_t)*c) * 16777619U;
+	for (c = name; *c; c++)
+		hash = (hash ^ (uint8_t)*c) * 16777619U;
+	return hash;
+}
+
 static const struct bw_feed_peer *find_peer_(const struct bw_feed_peer *peers,
 					     uint32_t count, const char *name)
 {
@@ -95,18 +107,6 @@
 {
 	if (a->distance != b->distance)
 		return a->distance < b->distance;
-	return tie_break_hash_(feed, a->name) < tie_break_hash_(feed, b->name);
-}
-
-/* FNV-1a over both names, so that each host has its own order of peers. */
-static uint32_t tie_break_hash_(const struct bw_feed *feed, const char *name)
-{
-	uint32_t hash = 2166136261U;
-	const char *c;
-
-	for (c = feed->self; *c; c++)
-		hash = (hash ^ (uint8_t)*c) * 16777619U;
-	for (c = name; *c; c++)
-		hash = (hash ^ (uint8_t)*c) * 16777619U;
-	return hash;
+	return bw_feed_hash(feed->self, a->name) <
+	       bw_feed_hash(feed->self, b->name);
 }
