Route by the host in the target, and by a Host of any length

Clients that send the absolute form (GET http://h.example/read/x) got 404: the path was looked up with scheme and host in front. So did those whose Host had 128 bytes or more, such as a long host name with a port: it was copied into a buffer of 128 bytes, and a copy that doesn't fit counted as no Host. A server must accept the absolute form, and its host overrides the Host field (RFC 9112, sections 3.2.2 and 3.2.4).

bw_http_target_read returns host, path and query as spans of the message, without a copy. Backend servers get the origin form, with the Host that it stands for. The cause host_too_long of no_route lines is gone, as it can't occur.

--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -103,8 +103,6 @@
 	  "newest_version, and how many of the controls\nconfirmed_by counts." },
 	{ "no_route", "host_missing",
 	  "It has not run. It did not name a host." },
-	{ "no_route", "host_too_long",
-	  "It has not run. Its host name is longer than that of any route." },
 	{ "no_route", "host_unknown",
 	  "It has not run. The version in force here has no route for its "
 	  "host name. If\nnewest_version is larger, the entry host lagged "
--- a/src/boragewingd/gate_log.c
+++ b/src/boragewingd/gate_log.c
@@ -2,12 +2,12 @@
 
 #include <string.h>
 
-#include "bwproxy/http1.h"
+#include "bwproxy/target.h"
 #include "gate_refusal.h"
 #include "platform.h"
 
 static const char *no_route_cause_(const struct bw_routing *routing,
-				   const struct bw_http_message *message,
+				   const struct bw_http_target *asked,
 				   const struct bw_confirmation *confirmation);
 
 void gate_log_queued(const struct gate_request *request)
@@ -103,18 +103,21 @@
 	const struct bw_routing *routing = entry->routing;
 	struct bw_time now = gate_node_now(node);
 	char id[GATE_REFUSAL_TEXT_BYTES];
-	char host[GATE_REFUSAL_TEXT_BYTES];
+	char host[GATE_REFUSAL_TEXT_BYTES] = "";
 	char target[GATE_REFUSAL_TEXT_BYTES];
+	struct bw_http_target asked;
 
 	gate_refusal_copy_field(id, message, PLATFORM_FIELD_REQUEST_ID);
-	gate_refusal_copy_field(host, message, "Host");
+	bw_http_target_read(message, &asked);
+	if (asked.host)
+		gate_refusal_copy(host, asked.host, asked.host_bytes);
 	gate_refusal_copy(target, bw_http_text(message, message->target),
 			  message->target.size_bytes);
 	bw_log_event(
 		node->log, BW_LOG_WARNING, "request", "no_route",
 		"{s:s,s:i,s:s,s:s,s:s,s:I,s:i,s:I,s:I,s:I,s:s,s:I,s:i,s:i}",
 		"request", id, "status", (int)status_code, "cause",
-		no_route_cause_(routing, message, confirmation), "asked_host",
+		no_route_cause_(routing, &asked, confirmation), "asked_host",
 		host, "target", target, "version",
 		(json_int_t)(routing ? routing->version : 0), "routes",
 		routing ? (int)routing->route_count : 0, "version_age_ms",
@@ -132,23 +135,16 @@
 }
 
 static const char *no_route_cause_(const struct bw_routing *routing,
-				   const struct bw_http_message *message,
+				   const struct bw_http_target *asked,
 				   const struct bw_confirmation *confirmation)
 {
-	char host[BW_ROUTE_HOST_MAX];
-	uint32_t i;
-
 	if (!routing)
 		return "no_configuration";
 	if (!confirmation->confirmed)
 		return "unconfirmed";
-	if (bw_http_find(message, "Host", host, sizeof(host)))
-		return bw_routing_has_host(routing, host, strlen(host))
-			       ? "path_unknown"
-			       : "host_unknown";
-	for (i = 0; i < message->field_count; i++) {
-		if (bw_http_field_is(message, &message->fields[i], "Host"))
-			return "host_too_long";
-	}
-	return "host_missing";
+	if (!asked->host)
+		return "host_missing";
+	return bw_routing_has_host(routing, asked->host, asked->host_bytes)
+		       ? "path_unknown"
+		       : "host_unknown";
 }
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "bwproxy/target.h"
 #include "gate_log.h"
 #include "gate_poison.h"
 #include "platform.h"
@@ -41,7 +42,8 @@
 static void read_affinity_key_(struct gate_request *request,
 			       const struct bw_http_message *message);
 static void copy_head_(struct gate_request *request,
-		       const struct bw_http_message *message);
+		       const struct bw_http_message *message,
+		       const struct bw_http_target *target);
 static void choose_service_(struct gate_request *request);
 static bool reject_if_poison_(struct gate_request *request);
 static void dispatch_request_(struct gate_request *request);
@@ -83,12 +85,13 @@
 {
 	struct gate_request *request;
 	const struct bw_route *route = NULL;
-	char host[BW_ROUTE_HOST_MAX];
+	struct bw_http_target target;
 
-	if (entry->routing && bw_http_find(message, "Host", host, sizeof(host)))
-		route = bw_routing_find(entry->routing, host, strlen(host),
-					bw_http_text(message, message->target),
-					message->target.size_bytes);
+	bw_http_target_read(message, &target);
+	if (entry->routing && target.host)
+		route = bw_routing_find(entry->routing, target.host,
+					target.host_bytes, target.path,
+					target.path_bytes);
 	if (!route) {
 		answer_unrouted_(entry, connection, message);
 		return;
@@ -98,7 +101,7 @@
 	set_deadline_(request, message, gate_node_now(entry->node));
 	choose_service_(request);
 	read_affinity_key_(request, message);
-	copy_head_(request, message);
+	copy_head_(request, message, &target);
 	entry->retry_tokens += RETRY_SHARE * entry->node->settings.retry_ratio;
 	if (!reject_if_poison_(request))
 		dispatch_request_(request);
@@ -242,20 +245,30 @@
 			request->job.service->name, key);
 }
 
+/*
+ * Backend servers get the origin form of the target, with the Host that it
+ * stands for.
+ */
 static void copy_head_(struct gate_request *request,
-		       const struct bw_http_message *message)
+		       const struct bw_http_message *message,
+		       const struct bw_http_target *target)
 {
 	struct bw_buffer *head = &request->head;
 	uint32_t i;
 
-	bw_buffer_printf(head, "%s %.*s HTTP/1.1\r\n",
+	bw_buffer_printf(head, "%s %.*s%.*s HTTP/1.1\r\n",
 			 http_method_str((enum http_method)message->method),
-			 (int)message->target.size_bytes,
-			 bw_http_text(message, message->target));
+			 (int)target->path_bytes, target->path,
+			 (int)target->query_bytes, target->query);
+	if (target->absolute)
+		bw_buffer_printf(head, "Host: %.*s\r\n",
+				 (int)target->host_bytes, target->host);
 	for (i = 0; i < message->field_count; i++) {
 		const struct bw_http_field *field = &message->fields[i];
 
 		if (bw_http_field_is_hop_by_hop(message, field) ||
+		    (target->absolute &&
+		     bw_http_field_is(message, field, "Host")) ||
 		    bw_http_field_is(message, field, PLATFORM_FIELD_DEADLINE) ||
 		    bw_http_field_is(message, field,
 				     PLATFORM_FIELD_EXPECTED_SERVER))
--- a/src/test_libbwsteer/test_routing.c
+++ b/src/test_libbwsteer/test_routing.c
@@ -81,6 +81,23 @@
 	bw_routing_unref(routing);
 }
 
+/* Guards against a limit on Host without room for the port. */
+static void test_long_host_with_port(void **state)
+{
+	struct bw_routing *routing = build_table_();
+	char host[BW_ROUTE_HOST_MAX + 8];
+
+	(void)state;
+	memset(host, 'h', BW_ROUTE_HOST_MAX - 1);
+	host[BW_ROUTE_HOST_MAX - 1] = '\0';
+	strcpy(routing->routes[0].host, host);
+	assert_string_equal(find_(routing, host, "/x/1"), "route-0");
+	strcat(host, ":65535");
+	assert_string_equal(find_(routing, host, "/x/1"), "route-0");
+	assert_true(has_host_(routing, host));
+	bw_routing_unref(routing);
+}
+
 static void expect_invalid_(struct bw_routing *routing, const char *reason)
 {
 	char error[BW_ROUTE_ERROR_MAX] = "";
@@ -153,6 +170,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_find),
+		cmocka_unit_test(test_long_host_with_port),
 		cmocka_unit_test(test_invalid),
 		cmocka_unit_test(test_weights),
 		cmocka_unit_test(test_references),
--- a/test/gateway.sh
+++ b/test/gateway.sh
@@ -26,6 +26,8 @@
 check "the directory lists both entry hosts" wait_output 2 10 bash -c "curl -s 'http://$(control_address 2)/-/resolve?name=h&region=r&zone=a' | grep -o '127.0.2' | wc -l"
 check "a request is served" wait_output 200 10 request 1 GET /read/x first
 check "its answer is complete" grep -q '^first /read/x 0$' "$work/body"
+check "a request with the host in its target is served" test "$(request 1 GET /other/x absolute --request-target 'http://h.example/read/y?z')" = 200
+check "its server gets the path alone" grep -q '^absolute /read/y?z 0$' "$work/body"
 check "an unknown path gets 404" test "$(request 1 GET /other/x nothing)" = 404
 check "a request with a body is served" test "$(request 2 POST /file/x body -d hello)" = 200
 check "the body arrives complete" grep -q '^body /file/x 5$' "$work/body"
--- a/test/gateway_reject.sh
+++ b/test/gateway_reject.sh
@@ -75,6 +75,12 @@
 check "its line keeps its fields" logged entry-1 no_route bytes '.status == 404 and .target == "/other/?"'
 check "requests without a route are counted" test "$(metric 127.0.2.1 'bw_requests_total{end="no_route"}')" = 3
 
+# Targets with the host in them.
+check "the host in the target overrides Host" test "$(send_raw "$(entry_address 1)" 'GET http://other.example/read/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: absolute\r\n\r\n')" = 404
+check "it is logged" logged entry-1 no_route absolute '.cause == "host_unknown" and .asked_host == "other.example"'
+check "a target with the host of a route has one" test "$(send_raw "$(entry_address 1)" 'GET http://h.example:80/read/x HTTP/1.1\r\nHost: other.example\r\nRequest-Id: routed\r\n\r\n')" = 503
+check "it lacks a backend server" logged entry-1 rejected routed '.cause == "no_server" and .route == "read"'
+
 # The limits of a configuration.
 limits_logged() {
 	grep -h '"event":"routing_in_force"' "$work/entry-1.log" | tail -1 |
