Wait at the start for the newest announced version

An entry host said that it was ready 1.5 s after its start, or as soon as packets came from most control hosts, though it knew of a newer version than its own and was still fetching it. Clients got answers of the older version there.

bw_may_start now decides: a host is ready at once when most control hosts confirm its version, after 1.5 s when they are silent, and after 4 s when a newer version was announced that it can't get, so that it serves the routes that it knows. The unit test test_start_waits_for_newer_version fails without the wait for the announced version, which is what gate_entry did.

--- a/include/bwmember/confirmation.h
+++ b/include/bwmember/confirmation.h
@@ -41,4 +41,19 @@
 				  uint32_t count, uint64_t version,
 				  uint32_t age_max_ms, struct bw_time now);
 
+/** Longest wait of a starting host for most control hosts to confirm. */
+#define BW_START_WAIT_MS 1500
+
+/** Longest wait of a starting host for a newer version that it knows of. */
+#define BW_START_BEHIND_WAIT_MS 4000
+
+/**
+ * Returns whether a starting host may serve: at once when its version is
+ * confirmed; else it waits, longer when a newer version was announced.
+ * @param version in force here; 0: none, without which it never serves
+ * @param waited_ms since its start
+ */
+bool bw_may_start(const struct bw_confirmation *confirmation, uint64_t version,
+		  int64_t waited_ms);
+
 #endif
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -22,9 +22,6 @@
 /** Idle timeout of pooled connections to backend servers. */
 #define UPSTREAM_IDLE_MS 8000
 
-/** Longest wait of a starting host for a majority of control hosts. */
-#define START_WAIT_MS 1500
-
 /** Window over which shifts of requests between regions are limited. */
 #define REGION_WINDOW_MS 2000
 
@@ -338,27 +335,18 @@
 	return MIN(interval_ms, (uint32_t)FULL_HELLO_INTERVAL_MS);
 }
 
-/*
- * A starting host serves once it has a configuration and has received packets
- * from a majority of control hosts, which would have announced a newer one. It
- * stops waiting for unreachable control hosts after START_WAIT_MS.
- */
+/* A host that serves goes on until it stops. */
 static bool may_serve_(const struct gate_entry *entry, struct bw_time now)
 {
-	const struct gate_node *node = entry->node;
-	uint32_t alive = 0;
-	uint32_t i;
+	struct bw_confirmation confirmation;
 
-	if (node->stopping || !entry->routing)
+	if (entry->node->stopping || !entry->routing)
 		return false;
-	if (entry->reported_ready ||
-	    bw_time_diff_ms(now, entry->started_at) > START_WAIT_MS)
+	if (entry->reported_ready)
 		return true;
-	for (i = 0; i < node->control_count; i++) {
-		if (gate_peer_is_alive(&node->controls[i], now))
-			alive++;
-	}
-	return alive > node->control_count / 2;
+	confirmation = gate_entry_confirm(entry, now);
+	return bw_may_start(&confirmation, entry->routing->version,
+			    bw_time_diff_ms(now, entry->started_at));
 }
 
 /*
--- a/src/libbwmember/confirmation.c
+++ b/src/libbwmember/confirmation.c
@@ -24,6 +24,16 @@
 	return result;
 }
 
+bool bw_may_start(const struct bw_confirmation *confirmation, uint64_t version,
+		  int64_t waited_ms)
+{
+	if (!version)
+		return false;
+	if (confirmation->newest_version > version)
+		return waited_ms > BW_START_BEHIND_WAIT_MS;
+	return confirmation->confirmed || waited_ms > BW_START_WAIT_MS;
+}
+
 /* After a step of the clock, a time in the future says nothing. */
 static bool is_recent_(const struct bw_announcement *announcement,
 		       uint32_t age_max_ms, struct bw_time now)
--- a/src/test_libbwmember/test_confirmation.c
+++ b/src/test_libbwmember/test_confirmation.c
@@ -127,6 +127,40 @@
 	assert_false(check_(7, 10).confirmed);
 }
 
+static bool may_start_(uint64_t version, int64_t waited_ms)
+{
+	struct bw_confirmation result = check_(version, NOW_MS);
+
+	return bw_may_start(&result, version, waited_ms);
+}
+
+static void test_start_with_confirmed_version(void **state)
+{
+	(void)state;
+	assert_true(may_start_(7, 10));
+	assert_false(may_start_(0, 60000));
+}
+
+static void test_start_without_most_control_hosts(void **state)
+{
+	(void)state;
+	controls[0].as_of = time_at_(0);
+	assert_false(may_start_(7, BW_START_WAIT_MS));
+	assert_true(may_start_(7, BW_START_WAIT_MS + 1));
+}
+
+/* Guards against a host that serves with a version that it knows to be old, and
+ * against one that never serves because it can't get the newer one. */
+static void test_start_waits_for_newer_version(void **state)
+{
+	(void)state;
+	announce_(3, 8, 0);
+	assert_false(may_start_(7, BW_START_WAIT_MS + 1));
+	assert_false(may_start_(7, BW_START_BEHIND_WAIT_MS));
+	assert_true(may_start_(7, BW_START_BEHIND_WAIT_MS + 1));
+	assert_true(may_start_(8, 10));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -140,6 +174,12 @@
 			test_restarted_control_host_does_not_confirm, set_up_),
 		cmocka_unit_test_setup(test_clock_set_back, set_up_),
 		cmocka_unit_test_setup(test_nothing_is_known_at_start, set_up_),
+		cmocka_unit_test_setup(test_start_with_confirmed_version,
+				       set_up_),
+		cmocka_unit_test_setup(test_start_without_most_control_hosts,
+				       set_up_),
+		cmocka_unit_test_setup(test_start_waits_for_newer_version,
+				       set_up_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
