--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -22,9 +22,6 @@
 /** Idle timeout of pooled connections to backend servers. */
 #define UPSTREAM_IDLE_MS 8000
 
-/** Longest wait of a starting host for a majority of control hosts. */
-#define START_WAIT_MS 1500
-
 /** Window over which shifts of requests between regions are limited. */
 #define REGION_WINDOW_MS 2000
 
@@ -85,6 +82,7 @@
 	entry->node = node;
 	entry->started_at = gate_node_now(node);
 	bw_feed_init(&entry->feed, node->name, entry->started_at);
+	bw_fetch_init(&entry->fetch, node->name);
 	entry->retry_refilled_at = entry->started_at;
 	entry->entry_count = 1;
 	entry->update_due = true;
@@ -151,6 +149,7 @@
 						      entry->routing_since) /
 					      1000);
 	}
+	gate_entry_fetch(entry, now);
 	if (entry->update_due ||
 	    entry->registry_generation != node->registry.generation ||
 	    bw_time_reached(now, entry->next_update))
@@ -176,9 +175,9 @@
 
 int64_t gate_entry_behind_ms(const struct gate_entry *entry, struct bw_time now)
 {
-	if (!entry->outdated)
+	if (!entry->fetch.behind)
 		return 0;
-	return bw_time_diff_ms(now, entry->outdated_since);
+	return bw_time_diff_ms(now, entry->fetch.behind_since);
 }
 
 void gate_entry_dump(const struct gate_entry *entry, json_t *into)
@@ -235,6 +234,11 @@
 			metrics, BW_METRIC_COUNTER, "bw_requests_total",
 			"Requests of clients by their end", labels);
 	}
+	entry->unconfirmed = bw_metrics_get(
+		metrics, BW_METRIC_COUNTER, "bw_no_route_unconfirmed_total",
+		"Requests without a route that got 503, as the version in "
+		"force was not confirmed",
+		"");
 	for (i = 1; i < BW_REJECT_COUNT; i++) {
 		snprintf(labels, sizeof(labels), "cause=\"%s\"",
 			 bw_reject_string[i]);
@@ -331,27 +335,18 @@
 	return MIN(interval_ms, (uint32_t)FULL_HELLO_INTERVAL_MS);
 }
 
-/*
- * A starting host serves once it has a configuration and has received packets
- * from a majority of control hosts, which would have announced a newer one. It
- * stops waiting for unreachable control hosts after START_WAIT_MS.
- */
+/* A host that serves goes on until it stops. */
 static bool may_serve_(const struct gate_entry *entry, struct bw_time now)
 {
-	const struct gate_node *node = entry->node;
-	uint32_t alive = 0;
-	uint32_t i;
+	struct bw_confirmation confirmation;
 
-	if (node->stopping || !entry->routing)
+	if (entry->node->stopping || !entry->routing)
 		return false;
-	if (entry->reported_ready ||
-	    bw_time_diff_ms(now, entry->started_at) > START_WAIT_MS)
+	if (entry->reported_ready)
 		return true;
-	for (i = 0; i < node->control_count; i++) {
-		if (gate_peer_is_alive(&node->controls[i], now))
-			alive++;
-	}
-	return alive > node->control_count / 2;
+	confirmation = gate_entry_confirm(entry, now);
+	return bw_may_start(&confirmation, entry->routing->version,
+			    bw_time_diff_ms(now, entry->started_at));
 }
 
 /*
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -7,6 +7,7 @@
 #define BORAGEWINGD_GATE_ENTRY_H
 
 #include "bwmember/feed.h"
+#include "bwmember/fetch.h"
 #include "bwproxy/listener.h"
 #include "bwproxy/pool.h"
 #include "bwsteer/dispatch.h"
@@ -55,10 +56,7 @@
 	struct bw_time feed_continuous_since; /**< end of the last gap */
 	struct bw_time feed_received_at; /**< latest message of the feed */
 	uint64_t newest_version; /**< announced by any control host */
-	bool outdated; /**< a version newer than the active one is known */
-	struct bw_time outdated_since;
-	uint64_t requested_version; /**< last requested; 0: none */
-	struct bw_time requested_at;
+	struct bw_fetch fetch; /**< of newer versions */
 	uint32_t entry_count; /**< entry hosts that share the servers */
 	uint32_t entry_index; /**< index of this host among them */
 	uint64_t registry_generation; /**< at the last update */
@@ -74,6 +72,7 @@
 	struct gate_request *requests; /**< linked list */
 	uint32_t request_count;
 	struct bw_metric *outcomes[GATE_OUTCOME_COUNT];
+	struct bw_metric *unconfirmed; /**< no route, but not sure */
 	struct bw_metric *rejections[BW_REJECT_COUNT];
 	struct bw_metric *queue_us;
 	struct bw_metric *upstream_us;
@@ -113,6 +112,10 @@
 int64_t gate_entry_behind_ms(const struct gate_entry *entry,
 			     struct bw_time now);
 
+/** Returns whether most control hosts confirm that no version is newer. */
+struct bw_confirmation gate_entry_confirm(const struct gate_entry *entry,
+					  struct bw_time now);
+
 /** Adds the state of the role to a dump. */
 void gate_entry_dump(const struct gate_entry *entry, json_t *into);
 
