Let clients that are still sending read a rejection

A client whose request is rejected before all of it has arrived got a reset after the 4xx: the listener closed the connection after the response, and answered what arrived later with a reset. Writing then fails at the client, and one that takes this for a lost connection does not see the status code.

The connection is now closed for writing first; what still arrives is dropped until the client closes, for at most two seconds, 64 connections at once, and no more bytes than an accepted request may have. Without this the new test ends in a reset.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -90,6 +90,7 @@
 	struct bw_server_connection *connections; /**< linked list */
 	uint32_t connection_count;
 	uint32_t busy_count; /**< connections with a request in progress */
+	uint32_t lingering_count; /**< rejected, not yet closed */
 	bool closing; /**< responses carry "Connection: close" */
 	uint64_t accepted_count;
 	uint64_t rejected_count; /**< beyond connections_max or out of memory */
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -28,6 +28,12 @@
 /** Resolution of the connection timeouts. */
 #define SWEEP_INTERVAL_S 0.25
 
+/** Longest time for which a rejected client's bytes are read and dropped. */
+#define LINGER_MAX_MS 2000
+
+/** Maximum number of connections whose bytes are read and dropped. */
+#define LINGERING_MAX 64
+
 struct bw_server_connection {
 	struct bw_listener *listener;
 	struct bw_server_connection *next;
@@ -45,6 +51,8 @@
 	bool busy; /**< a request is in progress */
 	bool close_after_write;
 	bool continue_sent;
+	bool lingering; /**< rejected; what still arrives is dropped */
+	uint64_t dropped_bytes; /**< while lingering */
 };
 
 static int open_socket_(const char *address);
@@ -65,6 +73,8 @@
 static uint32_t limit_(const struct bw_server_connection *connection,
 		       const struct bw_http_limits *limits,
 		       enum bw_listener_cause cause);
+static void drop_input_(struct bw_server_connection *connection,
+			size_t size_bytes);
 static bool flush_output_(struct bw_server_connection *connection);
 static void close_connection_(struct bw_server_connection *connection,
 			      bool notify_handler);
@@ -303,6 +313,10 @@
 			close_connection_(connection, true);
 			return;
 		}
+		if (connection->lingering) {
+			drop_input_(connection, (size_t)received);
+			return;
+		}
 		if (bw_buffer_append(&connection->in, bytes,
 				     (size_t)received) != BW_OK) {
 			close_connection_(connection, true);
@@ -336,7 +350,10 @@
 		next = connection->next;
 		if (connection->busy)
 			continue;
-		if (connection->reader.started) {
+		if (connection->lingering) {
+			if (age_ms > LINGER_MAX_MS)
+				close_connection_(connection, false);
+		} else if (connection->reader.started) {
 			if (age_ms > listener->config.head_timeout_ms)
 				reject_request_(
 					connection,
@@ -404,14 +421,26 @@
 	flush_output_(connection);
 }
 
-/* Responds with an error to an invalid request and closes the connection. */
+/*
+ * Responds with an error to an invalid request and closes the connection. The
+ * client may still be sending: closing with unread bytes resets the connection,
+ * and a client that gets a reset may lose the response. So the connection is
+ * first closed for writing, and what arrives is dropped for a while.
+ */
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause)
 {
+	struct bw_listener *listener = connection->listener;
+
 	report_rejection_(connection, cause);
 	connection->reader.started = false;
-	connection->state_since_s = ev_now(connection->listener->config.loop);
+	connection->state_since_s = ev_now(listener->config.loop);
 	connection->close_after_write = true;
+	if (listener->lingering_count < LINGERING_MAX) {
+		connection->lingering = true;
+		listener->lingering_count++;
+	}
+	bw_buffer_finish(&connection->in);
 	write_head_(&connection->out, bw_listener_cause_status[cause], NULL, 0,
 		    true);
 	flush_output_(connection);
@@ -480,6 +509,18 @@
 	return 0;
 }
 
+/* Drops no more than an accepted request may send. */
+static void drop_input_(struct bw_server_connection *connection,
+			size_t size_bytes)
+{
+	const struct bw_http_limits *limits = &connection->reader.limits;
+
+	connection->dropped_bytes += size_bytes;
+	if (connection->dropped_bytes >
+	    (uint64_t)limits->head_max_bytes + limits->body_max_bytes)
+		close_connection_(connection, false);
+}
+
 /* @return whether the connection still exists */
 static bool flush_output_(struct bw_server_connection *connection)
 {
@@ -502,6 +543,10 @@
 		bw_buffer_consume(&connection->out, (size_t)sent);
 	}
 	ev_io_stop(loop, &connection->write_watcher);
+	if (connection->lingering) {
+		shutdown(connection->fd, SHUT_WR);
+		return true;
+	}
 	if (connection->close_after_write) {
 		close_connection_(connection, false);
 		return false;
@@ -523,6 +568,8 @@
 			listener->config.handler->disconnected(
 				listener->config.context, connection);
 	}
+	if (connection->lingering)
+		listener->lingering_count--;
 	ev_io_stop(loop, &connection->read_watcher);
 	ev_io_stop(loop, &connection->write_watcher);
 	/* Send the response and FIN first, because close sends a reset when
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -492,6 +492,63 @@
 	ev_loop_destroy(loop);
 }
 
+/* Sends a body above the limit and more bytes behind it without reading. */
+static void send_rejected_(struct ev_loop *loop, const struct echo *echo,
+			   struct peer *peer, uint16_t port, size_t more_bytes)
+{
+	static const char head[] = "POST /x HTTP/1.1\r\nTransfer-Encoding: "
+				   "chunked\r\n\r\n10000\r\n";
+	uint32_t count = echo->rejected_count;
+	uint8_t zeros[2000] = { 0 };
+	uint8_t first[sizeof(head) - 1 + sizeof(zeros)] = { 0 };
+
+	assert_true(more_bytes <= sizeof(zeros));
+	memcpy(first, head, sizeof(head) - 1);
+	peer_connect(peer, loop, port);
+	peer_pause(peer);
+	peer_send(peer, first, sizeof(first));
+	SPIN_UNTIL(loop, echo->rejected_count == count + 1);
+	peer_send(peer, zeros, more_bytes);
+}
+
+/* Guards against a reset that loses the response of a client that is still
+ * sending, and against a rejected client that holds its connection. */
+static void test_listener_linger(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	struct peer peer;
+	uint16_t port;
+
+	(void)state;
+	listen_(&listener, loop, &echo, &port);
+	send_rejected_(loop, &echo, &peer, port, 2000);
+	peer_resume(&peer);
+	SPIN_UNTIL(loop, peer.eof);
+	assert_false(peer.reset);
+	assert_true(peer_has(&peer, "HTTP/1.1 413"));
+	assert_int_equal(listener.lingering_count, 1);
+	/* It is dropped after a while. */
+	SPIN_UNTIL(loop, listener.connection_count == 0);
+	assert_int_equal(listener.lingering_count, 0);
+	peer_finish(&peer);
+	/* It is dropped at once when it sends more than a request may have. */
+	send_rejected_(loop, &echo, &peer, port, 2000);
+	assert_int_equal(listener.connection_count, 1);
+	peer_send(&peer, (uint8_t[100]){ 0 }, 100);
+	SPIN_UNTIL(loop, listener.connection_count == 0);
+	peer_finish(&peer);
+	/* It is closed when it closes. */
+	send_rejected_(loop, &echo, &peer, port, 0);
+	peer_close(&peer);
+	SPIN_UNTIL(loop, listener.connection_count == 0);
+	assert_int_equal(listener.lingering_count, 0);
+	peer_finish(&peer);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
 /* Guards against a close that drops a request on an open connection, or that
  * leaves idle connections open. */
 static void test_listener_close(void **state)
@@ -533,6 +590,7 @@
 		cmocka_unit_test(test_listener),
 		cmocka_unit_test(test_listener_rejections),
 		cmocka_unit_test(test_listener_old_limit),
+		cmocka_unit_test(test_listener_linger),
 		cmocka_unit_test(test_listener_close),
 	};
 
