Keep one copy of the body of a request

An entry host held the body of a request three times: as read by the listener, in the request, and in the output of the connection to the server. Each was grown by half as bytes came in, and the output was moved up after each partial write, which takes time with the square of the size.

The request now takes the body over from the listener, and the pool sends it from there; only a body of up to 16 KiB is copied, to go out in one write with the head. The request keeps the body until it is freed, which is after the end of its last attempt or its cancellation, so a retry has it. A body with Content-Length is allocated once, in its size. A connection on which the rest of a body is due when the response arrives is still closed.

--- a/include/bwbase/buffer.h
+++ b/include/bwbase/buffer.h
@@ -26,6 +26,14 @@
 /** Empties the buffer and keeps its memory. */
 void bw_buffer_clear(struct bw_buffer *buffer);
 
+/**
+ * Allocates exactly capacity_bytes, unless the buffer already has them.
+ * Appending up to this size does not allocate again.
+ * @return BW_OK, or BW_ENOMEM with the buffer unchanged
+ */
+enum bw_status bw_buffer_reserve(struct bw_buffer *buffer,
+				 size_t capacity_bytes);
+
 /**
  * Appends bytes.
  * @return BW_OK, or BW_ENOMEM with the buffer unchanged
--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -133,6 +133,14 @@
 const struct bw_http_message *
 bw_connection_request(const struct bw_server_connection *connection);
 
+/**
+ * Moves the body of the request in progress to the caller, who frees it; the
+ * request has no body afterwards.
+ * @param body empty
+ */
+void bw_connection_take_body(struct bw_server_connection *connection,
+			     struct bw_buffer *body);
+
 /**
  * Responds to the request in progress.
  * @param fields header lines, each with CRLF; without Content-Length,
--- a/include/bwproxy/pool.h
+++ b/include/bwproxy/pool.h
@@ -70,12 +70,13 @@
 	ev_timer sweep_timer;
 };
 
-/** A request to send. Strings, head and body are copied. */
+/** A request to send. Strings and the head are copied. */
 struct bw_pool_request {
 	const char *address; /**< IPv4 address and port */
 	const char *id; /**< value of id_field */
 	const struct bw_buffer *head; /**< including its final empty line */
-	const void *body;
+	const void *body; /**< not copied: the caller keeps it until ended is
+			     called, or the request is cancelled */
 	size_t body_bytes;
 	bool head_response; /**< a HEAD request, whose response has no body */
 	void *request; /**< passed to the callbacks */
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -189,9 +189,7 @@
 		     sizeof(request->id));
 	request->traced =
 		bw_log_sampled(entry->node->log, bw_registry_hash(request->id));
-	if (message->body.size_bytes)
-		bw_buffer_append(&request->body, message->body.data,
-				 message->body.size_bytes);
+	bw_connection_take_body(connection, &request->body);
 	request->next = entry->requests;
 	request->previous = &entry->requests;
 	if (request->next)
@@ -261,10 +259,10 @@
 				 field->value.size_bytes);
 		bw_buffer_append(head, "\r\n", 2);
 	}
-	if (message->body.size_bytes || message->method == HTTP_POST ||
+	if (request->body.size_bytes || message->method == HTTP_POST ||
 	    message->method == HTTP_PUT)
 		bw_buffer_printf(head, "Content-Length: %zu\r\n",
-				 message->body.size_bytes);
+				 request->body.size_bytes);
 }
 
 static void choose_service_(struct gate_request *request)
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -34,7 +34,8 @@
 	const struct bw_route *route;
 	struct bw_job job;
 	struct bw_buffer head; /**< request line and forwarded fields */
-	struct bw_buffer body;
+	struct bw_buffer body; /**< taken from the listener; the pool reads it
+				  while an attempt is in flight */
 	char id[GATE_REQUEST_ID_BYTES];
 	uint8_t method;
 	struct gate_attempt last_attempt;
--- a/src/libbwbase/buffer.c
+++ b/src/libbwbase/buffer.c
@@ -26,6 +26,21 @@
 	buffer->size_bytes = 0;
 }
 
+enum bw_status bw_buffer_reserve(struct bw_buffer *buffer,
+				 size_t capacity_bytes)
+{
+	uint8_t *data;
+
+	if (capacity_bytes <= buffer->capacity_bytes)
+		return BW_OK;
+	data = realloc(buffer->data, capacity_bytes);
+	if (!data)
+		return BW_ENOMEM;
+	buffer->data = data;
+	buffer->capacity_bytes = capacity_bytes;
+	return BW_OK;
+}
+
 enum bw_status bw_buffer_append(struct bw_buffer *buffer, const void *data,
 				size_t size_bytes)
 {
@@ -77,7 +92,6 @@
 {
 	size_t needed = buffer->size_bytes + extra_bytes;
 	size_t capacity = buffer->capacity_bytes;
-	uint8_t *data;
 
 	if (needed < extra_bytes)
 		return BW_ENOMEM;
@@ -87,10 +101,5 @@
 		capacity = MIN_CAPACITY_BYTES;
 	while (capacity < needed)
 		capacity += capacity / 2;
-	data = realloc(buffer->data, capacity);
-	if (!data)
-		return BW_ENOMEM;
-	buffer->data = data;
-	buffer->capacity_bytes = capacity;
-	return BW_OK;
+	return bw_buffer_reserve(buffer, capacity);
 }
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -63,6 +63,9 @@
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void read_request_(struct bw_server_connection *connection);
+static void reserve_body_(struct bw_server_connection *connection);
+static uint64_t
+total_body_bytes_(const struct bw_server_connection *connection);
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause);
@@ -189,6 +192,13 @@
 	return &connection->reader.message;
 }
 
+void bw_connection_take_body(struct bw_server_connection *connection,
+			     struct bw_buffer *body)
+{
+	*body = connection->reader.message.body;
+	bw_buffer_init(&connection->reader.message.body);
+}
+
 void bw_connection_respond(struct bw_server_connection *connection,
 			   uint16_t status_code, const struct bw_buffer *fields,
 			   const void *body, size_t body_bytes, bool close)
@@ -206,6 +216,7 @@
 	connection->close_after_write = last;
 	connection->continue_sent = false;
 	connection->state_since_s = ev_now(listener->config.loop);
+	bw_buffer_finish(&connection->reader.message.body);
 	bw_http_reader_next(&connection->reader);
 	if (!flush_output_(connection))
 		return;
@@ -384,6 +395,7 @@
 	connection->parsed_bytes += used_bytes;
 	switch (progress) {
 	case BW_HTTP_INCOMPLETE:
+		reserve_body_(connection);
 		send_continue_(connection);
 		break;
 	case BW_HTTP_COMPLETE:
@@ -407,6 +419,33 @@
 	}
 }
 
+/* Without a reservation, a growing body takes up to two and a half times its
+ * size; when it fails, the body grows as it is read. */
+static void reserve_body_(struct bw_server_connection *connection)
+{
+	struct bw_buffer *body = &connection->reader.message.body;
+	uint64_t total_bytes = total_body_bytes_(connection);
+
+	if (total_bytes <= connection->reader.limits.body_max_bytes)
+		(void)bw_buffer_reserve(body, (size_t)total_bytes);
+}
+
+/* Returns the size of the body by its Content-Length, or what was read. */
+static uint64_t total_body_bytes_(const struct bw_server_connection *connection)
+{
+	const struct bw_http_message *message = &connection->reader.message;
+	const struct http_parser *parser = &connection->reader.parser;
+	uint64_t read_bytes = message->body.size_bytes;
+
+	/* The parser counts down what remains of the length. */
+	if (!message->head_complete || message->complete ||
+	    parser->flags & F_CHUNKED || parser->content_length == UINT64_MAX)
+		return read_bytes;
+	if (parser->content_length > UINT64_MAX - read_bytes)
+		return UINT64_MAX;
+	return read_bytes + parser->content_length;
+}
+
 static void send_continue_(struct bw_server_connection *connection)
 {
 	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -22,6 +22,9 @@
 /** Idle connections close after this fraction of the Keep-Alive timeout. */
 #define KEEP_ALIVE_FRACTION 0.7
 
+/** A body up to this size is copied behind its head, to send both at once. */
+#define COPIED_BODY_MAX_BYTES 16384
+
 /** Responses to other requests skipped before the request fails. */
 #define SKIPPED_RESPONSES_MAX 4
 
@@ -42,7 +45,9 @@
 	void *request; /**< caller's pointer, passed to the callbacks */
 	ev_io read_watcher;
 	ev_io write_watcher;
-	struct bw_buffer out;
+	struct bw_buffer out; /**< head, and a small body */
+	const uint8_t *body; /**< caller's, to send after out */
+	size_t body_bytes; /**< of body that are not sent yet */
 	struct bw_http_reader reader;
 };
 
@@ -58,7 +63,11 @@
 static void handle_response_(struct bw_pool_connection *connection,
 			     size_t extra_bytes);
 static bool is_matching_response_(const struct bw_pool_connection *connection);
+static enum bw_status set_output_(struct bw_pool_connection *connection,
+				  const struct bw_pool_request *request);
 static void write_request_(struct bw_pool_connection *connection);
+static ssize_t write_piece_(struct bw_pool_connection *connection,
+			    const uint8_t *data, size_t size_bytes);
 static void fail_request_(struct bw_pool_connection *connection,
 			  enum bw_pool_result result);
 static void add_idle_(struct bw_pool_connection *connection);
@@ -116,12 +125,7 @@
 	connection->request = request->request;
 	bw_http_reader_next(&connection->reader);
 	connection->reader.skip_body = request->head_response;
-	bw_buffer_clear(&connection->out);
-	if (bw_buffer_append(&connection->out, request->head->data,
-			     request->head->size_bytes) != BW_OK ||
-	    (request->body_bytes &&
-	     bw_buffer_append(&connection->out, request->body,
-			      request->body_bytes) != BW_OK)) {
+	if (set_output_(connection, request) != BW_OK) {
 		close_connection_(connection);
 		return NULL;
 	}
@@ -330,7 +334,7 @@
 	struct bw_http_message message = connection->reader.message;
 	void *request = connection->request;
 	bool reusable = message.keep_alive && !extra_bytes &&
-			!connection->out.size_bytes;
+			!connection->out.size_bytes && !connection->body_bytes;
 	char value[64];
 	const char *timeout;
 
@@ -372,30 +376,71 @@
 	return !strcmp(id, connection->id);
 }
 
+static enum bw_status set_output_(struct bw_pool_connection *connection,
+				  const struct bw_pool_request *request)
+{
+	enum bw_status status;
+
+	bw_buffer_clear(&connection->out);
+	connection->body_bytes = 0;
+	status = bw_buffer_append(&connection->out, request->head->data,
+				  request->head->size_bytes);
+	if (status != BW_OK)
+		return status;
+	if (request->body_bytes <= COPIED_BODY_MAX_BYTES)
+		return bw_buffer_append(&connection->out, request->body,
+					request->body_bytes);
+	connection->body = request->body;
+	connection->body_bytes = request->body_bytes;
+	return BW_OK;
+}
+
 static void write_request_(struct bw_pool_connection *connection)
 {
 	struct ev_loop *loop = connection->pool->config.loop;
 	ssize_t sent;
 
 	while (connection->out.size_bytes) {
-		sent = send(connection->fd, connection->out.data,
-			    connection->out.size_bytes, MSG_NOSIGNAL);
-		if (sent < 0 && errno == EINTR)
-			continue;
-		if (sent < 0 && errno == EAGAIN)
-			return;
-		if (sent < 0) {
-			fail_request_(connection, connection->sent
-							  ? BW_POOL_CLOSED
-							  : BW_POOL_NOT_SENT);
+		sent = write_piece_(connection, connection->out.data,
+				    connection->out.size_bytes);
+		if (sent <= 0)
 			return;
-		}
-		connection->sent = true;
 		bw_buffer_consume(&connection->out, (size_t)sent);
 	}
+	while (connection->body_bytes) {
+		sent = write_piece_(connection, connection->body,
+				    connection->body_bytes);
+		if (sent <= 0)
+			return;
+		connection->body += sent;
+		connection->body_bytes -= (size_t)sent;
+	}
 	ev_io_stop(loop, &connection->write_watcher);
 }
 
+/*
+ * @return number of bytes written; 0 when none can be written yet; -1 when the
+ *	request has failed, and the connection no longer exists
+ */
+static ssize_t write_piece_(struct bw_pool_connection *connection,
+			    const uint8_t *data, size_t size_bytes)
+{
+	ssize_t sent;
+
+	do
+		sent = send(connection->fd, data, size_bytes, MSG_NOSIGNAL);
+	while (sent < 0 && errno == EINTR);
+	if (sent < 0 && errno == EAGAIN)
+		return 0;
+	if (sent < 0) {
+		fail_request_(connection, connection->sent ? BW_POOL_CLOSED
+							   : BW_POOL_NOT_SENT);
+		return -1;
+	}
+	connection->sent = true;
+	return sent;
+}
+
 static void fail_request_(struct bw_pool_connection *connection,
 			  enum bw_pool_result result)
 {
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -5,12 +5,16 @@
  */
 #include <arpa/inet.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "bwproxy/listener.h"
 #include "bwproxy/pool.h"
 #include "harness.h"
 
+/** Size of a body that does not fit the buffers of a connection. */
+#define LARGE_BODY_BYTES (12 * 1024 * 1024)
+
 /* Results of requests in the order of the callbacks. */
 struct outcomes {
 	enum bw_pool_result results[8];
@@ -73,10 +77,14 @@
 	ev_loop_destroy(fixture->loop);
 }
 
-static struct bw_pool_connection *send_(struct fixture *fixture, const char *id)
+static struct bw_pool_connection *send_body_(struct fixture *fixture,
+					     const char *id, const void *body,
+					     size_t body_bytes)
 {
 	struct bw_pool_request request = { .address = fixture->address,
-					   .id = id };
+					   .id = id,
+					   .body = body,
+					   .body_bytes = body_bytes };
 	struct bw_pool_connection *connection;
 	struct bw_buffer head;
 
@@ -90,6 +98,31 @@
 	return connection;
 }
 
+static struct bw_pool_connection *send_(struct fixture *fixture, const char *id)
+{
+	return send_body_(fixture, id, NULL, 0);
+}
+
+/* Returns bytes that differ from those next to them; the caller frees them. */
+static uint8_t *make_body_(size_t size_bytes)
+{
+	uint8_t *body = malloc(size_bytes);
+	size_t i;
+
+	assert_non_null(body);
+	for (i = 0; i < size_bytes; i++)
+		body[i] = (uint8_t)(i * 7 + i / 251);
+	return body;
+}
+
+static bool ends_with_(const struct peer *peer, const uint8_t *body,
+		       size_t body_bytes)
+{
+	return peer->in.size_bytes > body_bytes &&
+	       !memcmp(peer->in.data + peer->in.size_bytes - body_bytes, body,
+		       body_bytes);
+}
+
 /* Cancels the request, as when its client disconnects during the connect. */
 static bool cancel_on_connect_(void *context, void *request)
 {
@@ -247,6 +280,66 @@
 	teardown_(&fixture);
 }
 
+/* Guards against parts of a body that are lost, repeated or reordered, and
+ * against a body that is sent in part on the next use of a connection. */
+static void test_large_body(void **state)
+{
+	struct fixture fixture;
+	uint8_t *body = make_body_(LARGE_BODY_BYTES);
+	struct peer *peer;
+
+	(void)state;
+	setup_(&fixture);
+	send_body_(&fixture, "one", body, LARGE_BODY_BYTES);
+	SPIN_UNTIL(fixture.loop, fixture.server.peer_count == 1);
+	peer = &fixture.server.peers[0];
+	SPIN_UNTIL(fixture.loop, ends_with_(peer, body, LARGE_BODY_BYTES));
+	respond_(peer, "one", "first");
+	SPIN_UNTIL(fixture.loop, fixture.outcomes.count == 1);
+	assert_string_equal(fixture.outcomes.bodies[0], "first");
+	send_body_(&fixture, "two", body, 3);
+	SPIN_UNTIL(fixture.loop, peer_has(peer, "/two"));
+	SPIN_UNTIL(fixture.loop, ends_with_(peer, body, 3));
+	respond_(peer, "two", "second");
+	SPIN_UNTIL(fixture.loop, fixture.outcomes.count == 2);
+	assert_int_equal(fixture.pool.opened_count, 1);
+	free(body);
+	teardown_(&fixture);
+}
+
+/* Guards against use of a body after its request has ended, and of a connection
+ * on which the rest of a body is due. */
+static void test_response_before_body(void **state)
+{
+	struct fixture fixture;
+	uint8_t *body = make_body_(LARGE_BODY_BYTES);
+	struct bw_pool_connection *connection;
+
+	(void)state;
+	setup_(&fixture);
+	send_body_(&fixture, "one", body, LARGE_BODY_BYTES);
+	SPIN_UNTIL(fixture.loop,
+		   fixture.server.peer_count == 1 &&
+			   peer_has(&fixture.server.peers[0], "/one"));
+	peer_pause(&fixture.server.peers[0]);
+	respond_(&fixture.server.peers[0], "one", "early");
+	SPIN_UNTIL(fixture.loop, fixture.outcomes.count == 1);
+	assert_int_equal(fixture.outcomes.results[0], BW_POOL_RESPONSE);
+	assert_int_equal(fixture.pool.connection_count, 0);
+	/* The same holds for a request that is cancelled. */
+	connection = send_body_(&fixture, "two", body, LARGE_BODY_BYTES);
+	SPIN_UNTIL(fixture.loop,
+		   fixture.server.peer_count == 2 &&
+			   peer_has(&fixture.server.peers[1], "/two"));
+	bw_pool_cancel(connection);
+	free(body);
+	peer_resume(&fixture.server.peers[0]);
+	SPIN_UNTIL(fixture.loop,
+		   fixture.server.peers[0].eof && fixture.server.peers[1].eof);
+	assert_int_equal(fixture.pool.connection_count, 0);
+	teardown_(&fixture);
+}
+
 /* Guards against a refused connection reported as a request that was sent. */
 static void test_not_sent(void **state)
 {
@@ -274,6 +367,8 @@
 	struct bw_listener_rejection rejection; /**< the last one */
 	uint32_t rejected_count;
 	char rejected_id[16]; /**< field Id of the last one */
+	bool takes_body;
+	struct bw_buffer body; /**< taken from the last request */
 };
 
 static void on_request_(void *context, struct bw_server_connection *connection,
@@ -282,6 +377,10 @@
 	struct echo *echo = context;
 
 	echo->requests++;
+	if (echo->takes_body) {
+		bw_buffer_finish(&echo->body);
+		bw_connection_take_body(connection, &echo->body);
+	}
 	if (!echo->withhold_response)
 		bw_connection_respond(connection, 200, NULL,
 				      bw_http_text(request, request->target),
@@ -492,6 +591,42 @@
 	ev_loop_destroy(loop);
 }
 
+/* Guards against a body that is allocated larger than its length, that is lost
+ * when the connection goes on, or that becomes part of the next one. */
+static void test_listener_take_body(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { .takes_body = true };
+	uint8_t *body = make_body_(1001);
+	struct peer peer;
+	uint16_t port;
+
+	(void)state;
+	listen_(&listener, loop, &echo, &port);
+	peer_connect(&peer, loop, port);
+	peer_send_text(&peer, "POST /one HTTP/1.1\r\nContent-Length: "
+			      "1001\r\n\r\n");
+	peer_send(&peer, body, 500);
+	spin_once(loop);
+	assert_int_equal(echo.requests, 0);
+	peer_send(&peer, body + 500, 501);
+	SPIN_UNTIL(loop, peer_has(&peer, "/one"));
+	assert_int_equal(echo.body.size_bytes, 1001);
+	assert_int_equal(echo.body.capacity_bytes, 1001);
+	assert_memory_equal(echo.body.data, body, 1001);
+	peer_send_text(&peer, "POST /two HTTP/1.1\r\nContent-Length: "
+			      "3\r\n\r\nabc");
+	SPIN_UNTIL(loop, peer_has(&peer, "/two"));
+	assert_int_equal(echo.body.size_bytes, 3);
+	assert_memory_equal(echo.body.data, "abc", 3);
+	bw_buffer_finish(&echo.body);
+	free(body);
+	bw_listener_finish(&listener);
+	peer_finish(&peer);
+	ev_loop_destroy(loop);
+}
+
 /* Sends a body above the limit and more bytes behind it without reading. */
 static void send_rejected_(struct ev_loop *loop, const struct echo *echo,
 			   struct peer *peer, uint16_t port, size_t more_bytes)
@@ -586,10 +721,13 @@
 		cmocka_unit_test(test_extra_response),
 		cmocka_unit_test(test_broken_responses),
 		cmocka_unit_test(test_stale_connection),
+		cmocka_unit_test(test_large_body),
+		cmocka_unit_test(test_response_before_body),
 		cmocka_unit_test(test_not_sent),
 		cmocka_unit_test(test_listener),
 		cmocka_unit_test(test_listener_rejections),
 		cmocka_unit_test(test_listener_old_limit),
+		cmocka_unit_test(test_listener_take_body),
 		cmocka_unit_test(test_listener_linger),
 		cmocka_unit_test(test_listener_close),
 	};
