Serve bodies up to the configured limit within a memory budget

Bodies had no other bound, so that twenty of 8 MiB could take all of the memory of a host with 160 MB.

The configured limit now decides about 413. The memory decides about 503: all bodies of a host together may use half of limits.memoryMb. A request beyond it is refused with Retry-After as soon as its Content-Length is known, a body in chunks when it has grown that far; neither has run. The charge goes with the body and is released when it is freed. A request that has ended for its client frees its body: an attempt on a silent server stays in flight, and would hold the budget for that time. If part of the body is still to be sent then, the attempt is cancelled, as the server cannot have all of it. The fingerprint of the request is kept, as it covers the body. Until a configuration is loaded, no limit but the memory applies, so that a host without one answers 503 and not 413.

The stub of a backend server accepts bodies of 64 MiB and writes their size to its ledger.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -14,6 +14,7 @@
 
 #include "bwbase/buffer.h"
 #include "bwbase/status.h"
+#include "bwproxy/body.h"
 #include "bwproxy/http1.h"
 
 struct bw_listener;
@@ -28,6 +29,7 @@
 	BW_LISTENER_BODY_TOO_LARGE,
 	BW_LISTENER_HEAD_TIMEOUT, /**< the head was not complete in time */
 	BW_LISTENER_BODY_TIMEOUT, /**< the head was, the body was not */
+	BW_LISTENER_BODY_MEMORY, /**< no memory for the body now */
 	BW_LISTENER_CAUSE_COUNT
 };
 
@@ -73,6 +75,9 @@
 	struct ev_loop *loop;
 	const char *address; /**< IPv4 address and port */
 	struct bw_http_limits limits;
+	struct bw_body_budget *body_budget; /**< NULL: not limited */
+	const char *unavailable_fields; /**< header lines, each with CRLF, of
+					     responses with 503; may be NULL */
 	uint32_t connections_max;
 	uint32_t head_timeout_ms; /**< from the first byte to the whole request
 				   */
@@ -134,12 +139,12 @@
 bw_connection_request(const struct bw_server_connection *connection);
 
 /**
- * Moves the body of the request in progress to the caller, who frees it; the
- * request has no body afterwards.
+ * Moves the body of the request in progress, with its charge to the budget, to
+ * the caller, who frees it; the request has no body afterwards.
  * @param body empty
  */
 void bw_connection_take_body(struct bw_server_connection *connection,
-			     struct bw_buffer *body);
+			     struct bw_body *body);
 
 /**
  * Responds to the request in progress.
--- a/include/bwproxy/pool.h
+++ b/include/bwproxy/pool.h
@@ -104,6 +104,9 @@
 /** Returns whether any byte of the request was sent. */
 bool bw_pool_was_sent(const struct bw_pool_connection *connection);
 
+/** Returns whether the caller's body is not sent yet and must be kept. */
+bool bw_pool_needs_body(const struct bw_pool_connection *connection);
+
 /** Closes the idle connections to an address. */
 void bw_pool_close_idle(struct bw_pool *pool, const char *address);
 
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -94,6 +94,9 @@
 	{ "invalid", "body_timeout",
 	  "It has not run. Its body did not arrive within limit ms of its "
 	  "first byte; see\nreceived_bytes." },
+	{ "invalid", "body_memory",
+	  "It has not run. The bodies of the requests on its entry host left "
+	  "too little of limit\nbytes for its own." },
 	{ "no_route", "no_configuration",
 	  "It has not run. Its entry host had no configuration yet; see feed "
 	  "and newest_version." },
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -8,11 +8,26 @@
 #include "gate_request.h"
 #include "platform.h"
 
-/** Limits that apply until a configuration is loaded. */
+/** Limits that apply until a configuration is loaded; until then only the
+ * memory limits bodies. */
 #define HEAD_MAX_BYTES 16384
+#define REQUEST_BODY_MAX_BYTES UINT32_MAX
 #define HEAD_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS 15000
 
+/** Largest body of a response; a larger one counts as invalid. */
+#define RESPONSE_BODY_MAX_BYTES (8 * 1024 * 1024)
+
+/**
+ * Fraction of the memory of a process that the bodies of all its requests may
+ * use. The rest is for responses, for bytes in sockets, which count as memory
+ * of the process, and for bodies in chunks, which grow by half.
+ */
+#define BODY_MEMORY_FRACTION 0.5
+
+/** Response to a request whose body has no memory; ends in CRLF. */
+#define UNAVAILABLE_FIELDS PLATFORM_FIELD_RETRY_AFTER ": 0.500\r\n"
+
 /** File descriptors reserved for peers, files and listeners. */
 #define DESCRIPTORS_RESERVED 400
 
@@ -97,7 +112,7 @@
 	open_metrics_(entry);
 	gate_refusals_init(&entry->refusals, node, "entry");
 	pool_config.limits.head_max_bytes = HEAD_MAX_BYTES;
-	pool_config.limits.body_max_bytes = GATE_BODY_MAX_BYTES;
+	pool_config.limits.body_max_bytes = RESPONSE_BODY_MAX_BYTES;
 	pool_config.id_field = PLATFORM_FIELD_REQUEST_ID;
 	pool_config.connect_timeout_ms = CONNECT_TIMEOUT_MS;
 	pool_config.idle_ms = UPSTREAM_IDLE_MS;
@@ -200,9 +215,14 @@
 	struct bw_listener_config config = { .loop = entry->node->loop };
 	enum bw_status status;
 
+	entry->body_budget.max_bytes =
+		(uint64_t)(BODY_MEMORY_FRACTION * settings->memory_max_mb *
+			   1024 * 1024);
 	config.address = settings->entry_address;
 	config.limits.head_max_bytes = HEAD_MAX_BYTES;
-	config.limits.body_max_bytes = GATE_BODY_MAX_BYTES;
+	config.limits.body_max_bytes = REQUEST_BODY_MAX_BYTES;
+	config.body_budget = &entry->body_budget;
+	config.unavailable_fields = UNAVAILABLE_FIELDS;
 	config.connections_max =
 		(settings->descriptors_max - DESCRIPTORS_RESERVED) / 2;
 	config.head_timeout_ms = HEAD_TIMEOUT_MS;
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -42,6 +42,7 @@
 	struct gate_node *node;
 	struct bw_listener clients;
 	struct bw_listener ready;
+	struct bw_body_budget body_budget; /**< of requests of clients */
 	struct bw_pool pool;
 	struct bw_dispatch dispatch;
 	struct gate_poison poison;
--- a/src/boragewingd/gate_entry_private.h
+++ b/src/boragewingd/gate_entry_private.h
@@ -7,9 +7,6 @@
 
 #include "gate_entry.h"
 
-/** Largest accepted request body; a larger one is answered with 413. */
-#define GATE_BODY_MAX_BYTES (8 * 1024 * 1024)
-
 /**
  * Time without a message after which the feed counts as interrupted. The feed
  * sends a message at least every 250 ms.
--- a/src/boragewingd/gate_poison.c
+++ b/src/boragewingd/gate_poison.c
@@ -58,6 +58,12 @@
 			       retry_after_ms);
 }
 
+void gate_poison_keep_fingerprint(struct gate_request *request)
+{
+	compute_fingerprint_(request, &request->fingerprint);
+	request->has_fingerprint = true;
+}
+
 void gate_poison_connection_lost(struct gate_poison *poison,
 				 const struct gate_request *request,
 				 struct bw_time now)
@@ -139,11 +145,15 @@
 	size_t line_bytes = end ? (size_t)(end - head) : 0;
 	crypto_generichash_state state;
 
+	if (request->has_fingerprint) {
+		*fingerprint = request->fingerprint;
+		return;
+	}
 	crypto_generichash_init(&state, NULL, 0, sizeof(digest));
 	crypto_generichash_update(&state, head, line_bytes);
-	if (request->body.size_bytes)
-		crypto_generichash_update(&state, request->body.data,
-					  request->body.size_bytes);
+	if (request->body.bytes.size_bytes)
+		crypto_generichash_update(&state, request->body.bytes.data,
+					  request->body.bytes.size_bytes);
 	crypto_generichash_final(&state, digest, sizeof(digest));
 	bw_poison_fingerprint(request->job.service->name, "", "", digest,
 			      sizeof(digest), "", fingerprint);
--- a/src/boragewingd/gate_poison.h
+++ b/src/boragewingd/gate_poison.h
@@ -24,6 +24,9 @@
 			 const struct gate_request *request, struct bw_time now,
 			 uint32_t *retry_after_ms);
 
+/** Keeps what identifies a request, before its body is freed. */
+void gate_poison_keep_fingerprint(struct gate_request *request);
+
 /** Records a connection loss after which the request may have run. */
 void gate_poison_connection_lost(struct gate_poison *poison,
 				 const struct gate_request *request,
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -61,6 +61,7 @@
 static void finish_for_client_(struct gate_request *request,
 			       enum gate_outcome outcome, uint16_t status_code,
 			       const char *cause);
+static void release_body_(struct gate_request *request);
 static void end_job_(struct gate_request *request, enum bw_job_result result,
 		     const struct bw_http_message *response);
 static void cancel_upstream_(struct gate_request *request);
@@ -168,7 +169,7 @@
 	entry->request_count--;
 	bw_routing_unref(request->routing);
 	bw_buffer_finish(&request->head);
-	bw_buffer_finish(&request->body);
+	bw_body_finish(&request->body);
 	g_free(request);
 }
 
@@ -259,10 +260,10 @@
 				 field->value.size_bytes);
 		bw_buffer_append(head, "\r\n", 2);
 	}
-	if (request->body.size_bytes || message->method == HTTP_POST ||
+	if (request->body.bytes.size_bytes || message->method == HTTP_POST ||
 	    message->method == HTTP_PUT)
 		bw_buffer_printf(head, "Content-Length: %zu\r\n",
-				 request->body.size_bytes);
+				 request->body.bytes.size_bytes);
 }
 
 static void choose_service_(struct gate_request *request)
@@ -335,8 +336,8 @@
 	send.address = job->target->address;
 	send.id = request->id;
 	send.head = &head;
-	send.body = request->body.data;
-	send.body_bytes = request->body.size_bytes;
+	send.body = request->body.bytes.data;
+	send.body_bytes = request->body.bytes.size_bytes;
 	send.head_response = request->method == HTTP_HEAD;
 	if (!request->attempts) {
 		uint64_t queue_us = request->sent_us - request->arrived_us;
@@ -584,10 +585,30 @@
 		gate_log_end(request, outcome, status_code, cause, took_us);
 	request->detached = true;
 	ev_timer_stop(entry->node->loop, &request->deadline_timer);
+	release_body_(request);
 	if (!request->upstream)
 		gate_request_free(request);
 }
 
+/*
+ * An attempt stays in flight for as long as its server is silent, and must not
+ * hold the memory of its body for that time. A part that is not sent by now
+ * completes a request that nobody waits for, so the attempt is cancelled.
+ */
+static void release_body_(struct gate_request *request)
+{
+	if (!request->upstream || !request->body.bytes.size_bytes)
+		return;
+	if (bw_pool_needs_body(request->upstream)) {
+		bw_pool_cancel(request->upstream);
+		request->upstream = NULL;
+		end_job_(request, BW_JOB_CANCELLED, NULL);
+		return;
+	}
+	gate_poison_keep_fingerprint(request);
+	bw_body_finish(&request->body);
+}
+
 static void end_job_(struct gate_request *request, enum bw_job_result result,
 		     const struct bw_http_message *response)
 {
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -34,8 +34,10 @@
 	const struct bw_route *route;
 	struct bw_job job;
 	struct bw_buffer head; /**< request line and forwarded fields */
-	struct bw_buffer body; /**< taken from the listener; the pool reads it
+	struct bw_body body; /**< taken from the listener; the pool reads it
 				  while an attempt is in flight */
+	struct bw_fingerprint fingerprint; /**< if has_fingerprint */
+	bool has_fingerprint; /**< the body may be freed */
 	char id[GATE_REQUEST_ID_BYTES];
 	uint8_t method;
 	struct gate_attempt last_attempt;
--- a/src/boragewingd/gate_settings.h
+++ b/src/boragewingd/gate_settings.h
@@ -46,6 +46,7 @@
 			     with empty data folders */
 	char data_folder[GATE_PATH_BYTES];
 	uint32_t descriptors_max;
+	uint32_t memory_max_mb; /**< a process above it is ended */
 	uint32_t announce_interval_ms; /**< of a backend server */
 	uint32_t answer_ttl_max_ms; /**< of directory answers */
 	uint32_t grace_ms; /**< from SIGTERM to SIGKILL */
--- /dev/null
+++ b/src/libbwproxy/body.c
@@ -0,0 +1,36 @@
+#include "bwproxy/body.h"
+
+#include <assert.h>
+
+bool bw_body_charge(struct bw_body *body, uint64_t total_bytes)
+{
+	struct bw_body_budget *budget = body->budget;
+	uint64_t more_bytes;
+
+	if (!budget || total_bytes <= body->charged_bytes)
+		return true;
+	more_bytes = total_bytes - body->charged_bytes;
+	if (budget->used_bytes > budget->max_bytes ||
+	    more_bytes > budget->max_bytes - budget->used_bytes)
+		return false;
+	budget->used_bytes += more_bytes;
+	body->charged_bytes = total_bytes;
+	return true;
+}
+
+void bw_body_move(struct bw_body *to, struct bw_body *from)
+{
+	*to = *from;
+	bw_buffer_init(&from->bytes);
+	from->charged_bytes = 0;
+}
+
+void bw_body_finish(struct bw_body *body)
+{
+	bw_buffer_finish(&body->bytes);
+	if (!body->budget)
+		return;
+	assert(body->budget->used_bytes >= body->charged_bytes);
+	body->budget->used_bytes -= body->charged_bytes;
+	body->charged_bytes = 0;
+}
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -43,6 +43,7 @@
 	ev_io read_watcher;
 	ev_io write_watcher;
 	struct bw_http_reader reader;
+	struct bw_body body; /**< charge of the body in reader; no bytes */
 	struct bw_buffer in; /**< bytes not yet parsed */
 	struct bw_buffer out;
 	double state_since_s; /**< entry into the state, for timeouts */
@@ -63,7 +64,8 @@
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void read_request_(struct bw_server_connection *connection);
-static void reserve_body_(struct bw_server_connection *connection);
+static bool admit_body_(struct bw_server_connection *connection);
+static void free_body_(struct bw_server_connection *connection);
 static uint64_t
 total_body_bytes_(const struct bw_server_connection *connection);
 static void send_continue_(struct bw_server_connection *connection);
@@ -76,6 +78,7 @@
 static uint32_t limit_(const struct bw_server_connection *connection,
 		       const struct bw_http_limits *limits,
 		       enum bw_listener_cause cause);
+static uint32_t budget_limit_(const struct bw_body_budget *budget);
 static void drop_input_(struct bw_server_connection *connection,
 			size_t size_bytes);
 static bool flush_output_(struct bw_server_connection *connection);
@@ -93,13 +96,14 @@
 	[BW_LISTENER_BODY_TOO_LARGE] = "body_too_large",
 	[BW_LISTENER_HEAD_TIMEOUT] = "head_timeout",
 	[BW_LISTENER_BODY_TIMEOUT] = "body_timeout",
+	[BW_LISTENER_BODY_MEMORY] = "body_memory",
 };
 
 const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT] = {
 	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UPGRADE] = 400,
 	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_TOO_MANY_FIELDS] = 431,
 	[BW_LISTENER_BODY_TOO_LARGE] = 413, [BW_LISTENER_HEAD_TIMEOUT] = 408,
-	[BW_LISTENER_BODY_TIMEOUT] = 408,
+	[BW_LISTENER_BODY_TIMEOUT] = 408,   [BW_LISTENER_BODY_MEMORY] = 503,
 };
 
 enum bw_status bw_listener_init(struct bw_listener *listener,
@@ -193,9 +197,10 @@
 }
 
 void bw_connection_take_body(struct bw_server_connection *connection,
-			     struct bw_buffer *body)
+			     struct bw_body *body)
 {
-	*body = connection->reader.message.body;
+	bw_body_move(body, &connection->body);
+	body->bytes = connection->reader.message.body;
 	bw_buffer_init(&connection->reader.message.body);
 }
 
@@ -216,7 +221,7 @@
 	connection->close_after_write = last;
 	connection->continue_sent = false;
 	connection->state_since_s = ev_now(listener->config.loop);
-	bw_buffer_finish(&connection->reader.message.body);
+	free_body_(connection);
 	bw_http_reader_next(&connection->reader);
 	if (!flush_output_(connection))
 		return;
@@ -291,6 +296,7 @@
 	connection->fd = fd;
 	connection->peer = peer;
 	connection->state_since_s = ev_now(listener->config.loop);
+	connection->body.budget = listener->config.body_budget;
 	bw_http_reader_init(&connection->reader, HTTP_REQUEST,
 			    &listener->config.limits);
 	connection->next = listener->connections;
@@ -395,10 +401,12 @@
 	connection->parsed_bytes += used_bytes;
 	switch (progress) {
 	case BW_HTTP_INCOMPLETE:
-		reserve_body_(connection);
-		send_continue_(connection);
+		if (admit_body_(connection))
+			send_continue_(connection);
 		break;
 	case BW_HTTP_COMPLETE:
+		if (!admit_body_(connection))
+			break;
 		connection->busy = true;
 		listener->busy_count++;
 		listener->config.handler->request(listener->config.context,
@@ -419,15 +427,35 @@
 	}
 }
 
-/* Without a reservation, a growing body takes up to two and a half times its
- * size; when it fails, the body grows as it is read. */
-static void reserve_body_(struct bw_server_connection *connection)
+/*
+ * Charges the body as soon as its length is known, or as it grows, and rejects
+ * a request whose body is too large or exceeds the budget. Without a
+ * reservation, a growing body takes up to two and a half times its size.
+ * @return whether the request was not rejected
+ */
+static bool admit_body_(struct bw_server_connection *connection)
 {
-	struct bw_buffer *body = &connection->reader.message.body;
+	struct bw_http_reader *reader = &connection->reader;
 	uint64_t total_bytes = total_body_bytes_(connection);
 
-	if (total_bytes <= connection->reader.limits.body_max_bytes)
-		(void)bw_buffer_reserve(body, (size_t)total_bytes);
+	if (total_bytes > reader->limits.body_max_bytes) {
+		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
+		return false;
+	}
+	if (!bw_body_charge(&connection->body, total_bytes) ||
+	    (!(reader->parser.flags & F_CHUNKED) &&
+	     bw_buffer_reserve(&reader->message.body, (size_t)total_bytes) !=
+		     BW_OK)) {
+		reject_request_(connection, BW_LISTENER_BODY_MEMORY);
+		return false;
+	}
+	return true;
+}
+
+static void free_body_(struct bw_server_connection *connection)
+{
+	bw_buffer_finish(&connection->reader.message.body);
+	bw_body_finish(&connection->body);
 }
 
 /* Returns the size of the body by its Content-Length, or what was read. */
@@ -470,8 +498,12 @@
 			    enum bw_listener_cause cause)
 {
 	struct bw_listener *listener = connection->listener;
+	uint16_t status_code = bw_listener_cause_status[cause];
+	const char *lines = listener->config.unavailable_fields;
+	struct bw_buffer fields;
 
 	report_rejection_(connection, cause);
+	free_body_(connection);
 	connection->reader.started = false;
 	connection->state_since_s = ev_now(listener->config.loop);
 	connection->close_after_write = true;
@@ -480,8 +512,11 @@
 		listener->lingering_count++;
 	}
 	bw_buffer_finish(&connection->in);
-	write_head_(&connection->out, bw_listener_cause_status[cause], NULL, 0,
-		    true);
+	bw_buffer_init(&fields);
+	if (status_code == 503 && lines)
+		bw_buffer_append(&fields, lines, strlen(lines));
+	write_head_(&connection->out, status_code, &fields, 0, true);
+	bw_buffer_finish(&fields);
 	flush_output_(connection);
 }
 
@@ -540,6 +575,8 @@
 	case BW_LISTENER_HEAD_TIMEOUT:
 	case BW_LISTENER_BODY_TIMEOUT:
 		return connection->listener->config.head_timeout_ms;
+	case BW_LISTENER_BODY_MEMORY:
+		return budget_limit_(connection->body.budget);
 	case BW_LISTENER_MALFORMED:
 	case BW_LISTENER_UPGRADE:
 	case BW_LISTENER_CAUSE_COUNT:
@@ -548,6 +585,14 @@
 	return 0;
 }
 
+static uint32_t budget_limit_(const struct bw_body_budget *budget)
+{
+	if (!budget)
+		return 0;
+	return budget->max_bytes < UINT32_MAX ? (uint32_t)budget->max_bytes
+					      : UINT32_MAX;
+}
+
 /* Drops no more than an accepted request may send. */
 static void drop_input_(struct bw_server_connection *connection,
 			size_t size_bytes)
@@ -619,6 +664,7 @@
 	if (connection->next)
 		connection->next->previous = connection->previous;
 	listener->connection_count--;
+	free_body_(connection);
 	bw_http_reader_finish(&connection->reader);
 	bw_buffer_finish(&connection->in);
 	bw_buffer_finish(&connection->out);
--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -146,6 +146,11 @@
 	return connection->sent;
 }
 
+bool bw_pool_needs_body(const struct bw_pool_connection *connection)
+{
+	return connection->body_bytes > 0;
+}
+
 void bw_pool_close_idle(struct bw_pool *pool, const char *address)
 {
 	struct bw_pool_connection *connection;
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -368,7 +368,7 @@
 	uint32_t rejected_count;
 	char rejected_id[16]; /**< field Id of the last one */
 	bool takes_body;
-	struct bw_buffer body; /**< taken from the last request */
+	struct bw_body body; /**< taken from the last request */
 };
 
 static void on_request_(void *context, struct bw_server_connection *connection,
@@ -378,7 +378,7 @@
 
 	echo->requests++;
 	if (echo->takes_body) {
-		bw_buffer_finish(&echo->body);
+		bw_body_finish(&echo->body);
 		bw_connection_take_body(connection, &echo->body);
 	}
 	if (!echo->withhold_response)
@@ -612,21 +612,109 @@
 	assert_int_equal(echo.requests, 0);
 	peer_send(&peer, body + 500, 501);
 	SPIN_UNTIL(loop, peer_has(&peer, "/one"));
-	assert_int_equal(echo.body.size_bytes, 1001);
-	assert_int_equal(echo.body.capacity_bytes, 1001);
-	assert_memory_equal(echo.body.data, body, 1001);
+	assert_int_equal(echo.body.bytes.size_bytes, 1001);
+	assert_int_equal(echo.body.bytes.capacity_bytes, 1001);
+	assert_memory_equal(echo.body.bytes.data, body, 1001);
 	peer_send_text(&peer, "POST /two HTTP/1.1\r\nContent-Length: "
 			      "3\r\n\r\nabc");
 	SPIN_UNTIL(loop, peer_has(&peer, "/two"));
-	assert_int_equal(echo.body.size_bytes, 3);
-	assert_memory_equal(echo.body.data, "abc", 3);
-	bw_buffer_finish(&echo.body);
+	assert_int_equal(echo.body.bytes.size_bytes, 3);
+	assert_memory_equal(echo.body.bytes.data, "abc", 3);
+	bw_body_finish(&echo.body);
 	free(body);
 	bw_listener_finish(&listener);
 	peer_finish(&peer);
 	ev_loop_destroy(loop);
 }
 
+/* Sends the head of a request, with a body of zeros in part. */
+static void send_part_(struct peer *peer, const char *fields, size_t part_bytes)
+{
+	char text[1500];
+	int length = snprintf(text, sizeof(text), "POST /x HTTP/1.1\r\n%s\r\n",
+			      fields);
+
+	assert_true((size_t)length + part_bytes <= sizeof(text));
+	memset(text + length, '0', part_bytes);
+	peer_send(peer, text, (size_t)length + part_bytes);
+}
+
+/* Guards against bodies that take more memory than there is, against a refusal
+ * without its time to wait, and against a charge that is not released. */
+static void test_listener_budget(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_body_budget budget = { .max_bytes = 1000 };
+	struct bw_listener listener;
+	struct echo echo = { .takes_body = true };
+	struct peer first;
+	struct peer second;
+	struct peer third;
+	uint16_t port;
+
+	(void)state;
+	listen_(&listener, loop, &echo, &port);
+	listener.config.body_budget = &budget;
+	listener.config.unavailable_fields = "Retry-After: 0.5\r\n";
+	bw_listener_set_timeouts(&listener, 60000, 60000);
+	/* The announced length is charged before the body arrives. */
+	peer_connect(&first, loop, port);
+	send_part_(&first, "Content-Length: 600\r\n", 10);
+	SPIN_UNTIL(loop, budget.used_bytes == 600);
+	/* Another one is refused before its body has arrived. */
+	peer_connect(&second, loop, port);
+	send_part_(&second, "Content-Length: 401\r\nExpect: 100-continue\r\n",
+		   0);
+	SPIN_UNTIL(loop, second.eof);
+	assert_false(second.reset);
+	assert_true(peer_has(&second, "HTTP/1.1 503"));
+	assert_true(peer_has(&second, "\r\nRetry-After: 0.5\r\n"));
+	assert_true(peer_has(&second, "\r\nConnection: close\r\n"));
+	assert_int_equal(echo.rejection.cause, BW_LISTENER_BODY_MEMORY);
+	assert_int_equal(echo.rejection.status_code, 503);
+	assert_int_equal(echo.rejection.limit, 1000);
+	assert_int_equal(budget.used_bytes, 600);
+	peer_finish(&second);
+	/* One in chunks is charged as it grows. */
+	peer_connect(&third, loop, port);
+	send_part_(&third, "Transfer-Encoding: chunked\r\n\r\n401", 300);
+	SPIN_UNTIL(loop, budget.used_bytes == 900);
+	peer_send(&third, (uint8_t[101]){ 0 }, 101);
+	SPIN_UNTIL(loop, peer_has(&third, "HTTP/1.1 503"));
+	assert_int_equal(budget.used_bytes, 600);
+	peer_finish(&third);
+	/* A body above the limit is refused for good, whatever the budget. */
+	peer_connect(&second, loop, port);
+	send_part_(&second, "Content-Length: 1025\r\n", 0);
+	SPIN_UNTIL(loop, peer_has(&second, "HTTP/1.1 413"));
+	peer_finish(&second);
+	/* The charge is released by who takes the body. */
+	peer_send(&first, (uint8_t[590]){ 0 }, 590);
+	SPIN_UNTIL(loop, peer_has(&first, "HTTP/1.1 200"));
+	assert_int_equal(budget.used_bytes, 600);
+	bw_body_finish(&echo.body);
+	assert_int_equal(budget.used_bytes, 0);
+	/* It is released by the response if nobody does. */
+	echo.takes_body = false;
+	send_part_(&first, "Content-Length: 200\r\n", 200);
+	SPIN_UNTIL(loop, peer_count(&first, "HTTP/1.1 200") == 2);
+	assert_int_equal(budget.used_bytes, 0);
+	/* It is released by a disconnect, and by a timeout. */
+	send_part_(&first, "Content-Length: 900\r\n", 1);
+	SPIN_UNTIL(loop, budget.used_bytes == 900);
+	peer_finish(&first);
+	SPIN_UNTIL(loop, budget.used_bytes == 0);
+	bw_listener_set_timeouts(&listener, 300, 60000);
+	peer_connect(&second, loop, port);
+	send_part_(&second, "Content-Length: 900\r\n", 1);
+	SPIN_UNTIL(loop, budget.used_bytes == 900);
+	SPIN_UNTIL(loop, peer_has(&second, "HTTP/1.1 408"));
+	assert_int_equal(budget.used_bytes, 0);
+	peer_finish(&second);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
 /* Sends a body above the limit and more bytes behind it without reading. */
 static void send_rejected_(struct ev_loop *loop, const struct echo *echo,
 			   struct peer *peer, uint16_t port, size_t more_bytes)
@@ -728,6 +816,7 @@
 		cmocka_unit_test(test_listener_rejections),
 		cmocka_unit_test(test_listener_old_limit),
 		cmocka_unit_test(test_listener_take_body),
+		cmocka_unit_test(test_listener_budget),
 		cmocka_unit_test(test_listener_linger),
 		cmocka_unit_test(test_listener_close),
 	};
--- a/src/test_platform/test_platform.c
+++ b/src/test_platform/test_platform.c
@@ -300,7 +300,7 @@
 		"innerPorts:\n  - 7540\n  - 7555\n"
 		"seeds:\n  - \"10.0.0.2:90\"\nbootstrap: true\n"
 		"dataDir: null\nnew: {field: [1, 2]}\n"
-		"limits:\n  maxFds: 4100\n"
+		"limits:\n  maxFds: 4100\n  memoryMb: 160\n"
 		"bounds:\n  graceS: 6\n  shiftMost: 0.15\n  drainS: 2.5\n";
 	struct gate_settings settings;
 	char path[] = "/tmp/test-platform-XXXXXX";
@@ -319,6 +319,7 @@
 	assert_int_equal(settings.internal_port, 7540);
 	assert_int_equal(settings.seed_count, 1);
 	assert_true(settings.first_start);
+	assert_int_equal(settings.memory_max_mb, 160);
 	assert_int_equal(settings.grace_ms, 6000);
 	assert_int_equal(settings.drain_ms, 2500);
 	/* A control host needs a data directory. */
--- a/test/gateway_lib.sh
+++ b/test/gateway_lib.sh
@@ -45,7 +45,7 @@
 seeds: ["$(control_address 1)", "$(control_address 2)", "$(control_address 3)"]
 bootstrap: $5
 dataDir: $6
-limits: {memoryMb: 256, maxFds: 1024}
+limits: {memoryMb: ${memory_mb:-256}, maxFds: 1024}
 beatIntervalS: 0.5
 bounds: {graceS: 4, drainS: 2.5}
 END
--- a/tools/gate_backend.c
+++ b/tools/gate_backend.c
@@ -4,7 +4,8 @@
  * without its response, "silent" executes it and never responds, "full" rejects
  * it with 503, "slow" responds after one second, "crash" executes it and ends
  * the process, and any other value responds at once. Each execution is appended
- * to a ledger file: request id, server id, wall clock in ms.
+ * to a ledger file: request id, server id, wall clock in ms, size
+ * of the body.
  */
 #include <ev.h>
 #include <signal.h>
@@ -17,7 +18,8 @@
 #include "bwproxy/listener.h"
 
 #define CONNECTIONS_MAX 256
-#define MESSAGE_LIMIT_BYTES 65536
+#define HEAD_MAX_BYTES 65536
+#define BODY_MAX_BYTES (64 * 1024 * 1024)
 #define TIMEOUT_MS 60000
 #define SLOW_RESPONSE_S 1.0
 
@@ -68,8 +70,8 @@
 	backend.ledger = argv[3];
 	config.loop = backend.loop;
 	config.address = argv[1];
-	config.limits.head_max_bytes = MESSAGE_LIMIT_BYTES;
-	config.limits.body_max_bytes = MESSAGE_LIMIT_BYTES;
+	config.limits.head_max_bytes = HEAD_MAX_BYTES;
+	config.limits.body_max_bytes = BODY_MAX_BYTES;
 	config.connections_max = CONNECTIONS_MAX;
 	config.head_timeout_ms = TIMEOUT_MS;
 	config.idle_timeout_ms = TIMEOUT_MS;
@@ -199,7 +201,7 @@
 	bw_http_find(request, "Request-Id", id, sizeof(id));
 	if (!ledger)
 		return;
-	fprintf(ledger, "%s %s %lld\n", id, backend->id,
-		(long long)bw_wall_ms());
+	fprintf(ledger, "%s %s %lld %zu\n", id, backend->id,
+		(long long)bw_wall_ms(), request->body.size_bytes);
 	fclose(ledger);
 }
