--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -14,6 +14,7 @@
 
 #include "bwbase/buffer.h"
 #include "bwbase/status.h"
+#include "bwproxy/body.h"
 #include "bwproxy/http1.h"
 #include "bwproxy/loop_clock.h"
 
@@ -29,6 +30,7 @@
 	BW_LISTENER_BODY_TOO_LARGE,
 	BW_LISTENER_HEAD_TIMEOUT, /**< the head was not complete in time */
 	BW_LISTENER_BODY_TIMEOUT, /**< the head was, the body was not */
+	BW_LISTENER_BODY_MEMORY, /**< no memory for the body now */
 	BW_LISTENER_CAUSE_COUNT
 };
 
@@ -74,6 +76,9 @@
 	struct ev_loop *loop;
 	const char *address; /**< IPv4 address and port */
 	struct bw_http_limits limits;
+	struct bw_body_budget *body_budget; /**< NULL: not limited */
+	const char *unavailable_fields; /**< header lines, each with CRLF, of
+					     responses with 503; may be NULL */
 	uint32_t connections_max;
 	uint32_t head_timeout_ms; /**< from the first byte to the whole request
 				   */
@@ -94,6 +99,7 @@
 	struct bw_server_connection *connections; /**< linked list */
 	uint32_t connection_count;
 	uint32_t busy_count; /**< connections with a request in progress */
+	uint32_t lingering_count; /**< rejected, not yet closed */
 	bool closing; /**< responses carry "Connection: close" */
 	uint64_t accepted_count;
 	uint64_t rejected_count; /**< beyond connections_max or out of memory */
@@ -136,6 +142,14 @@
 const struct bw_http_message *
 bw_connection_request(const struct bw_server_connection *connection);
 
+/**
+ * Moves the body of the request in progress, with its charge to the budget, to
+ * the caller, who frees it; the request has no body afterwards.
+ * @param body empty
+ */
+void bw_connection_take_body(struct bw_server_connection *connection,
+			     struct bw_body *body);
+
 /**
  * Responds to the request in progress.
  * @param fields header lines, each with CRLF; without Content-Length,
--- a/include/bwproxy/pool.h
+++ b/include/bwproxy/pool.h
@@ -72,12 +72,13 @@
 	struct bw_loop_clock clock;
 };
 
-/** A request to send. Strings, head and body are copied. */
+/** A request to send. Strings and the head are copied. */
 struct bw_pool_request {
 	const char *address; /**< IPv4 address and port */
 	const char *id; /**< value of id_field */
 	const struct bw_buffer *head; /**< including its final empty line */
-	const void *body;
+	const void *body; /**< not copied: the caller keeps it until ended is
+			     called, or the request is cancelled */
 	size_t body_bytes;
 	bool head_response; /**< a HEAD request, whose response has no body */
 	void *request; /**< passed to the callbacks */
@@ -105,6 +106,9 @@
 /** Returns whether any byte of the request was sent. */
 bool bw_pool_was_sent(const struct bw_pool_connection *connection);
 
+/** Returns whether the caller's body is not sent yet and must be kept. */
+bool bw_pool_needs_body(const struct bw_pool_connection *connection);
+
 /** Closes the idle connections to an address. */
 void bw_pool_close_idle(struct bw_pool *pool, const char *address);
 
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -33,6 +33,11 @@
  * means that the loop did not run; what arrived meanwhile is still unread.
  */
 #define SWEEP_COUNTED_MAX_MS 300
+/** Longest time for which a rejected client's bytes are read and dropped. */
+#define LINGER_MAX_MS 2000
+
+/** Maximum number of connections whose bytes are read and dropped. */
+#define LINGERING_MAX 64
 
 struct bw_server_connection {
 	struct bw_listener *listener;
@@ -43,6 +48,7 @@
 	ev_io read_watcher;
 	ev_io write_watcher;
 	struct bw_http_reader reader;
+	struct bw_body body; /**< charge of the body in reader; no bytes */
 	struct bw_buffer in; /**< bytes not yet parsed */
 	struct bw_buffer out;
 	struct bw_time state_since; /**< on the clock of run_time_ */
@@ -51,6 +57,8 @@
 	bool busy; /**< a request is in progress */
 	bool close_after_write;
 	bool continue_sent;
+	bool lingering; /**< rejected; what still arrives is dropped */
+	uint64_t dropped_bytes; /**< while lingering */
 };
 
 static int open_socket_(const char *address);
@@ -63,6 +71,10 @@
 static void count_pause_(struct bw_listener *listener);
 static struct bw_time run_time_(struct bw_listener *listener);
 static void read_request_(struct bw_server_connection *connection);
+static bool admit_body_(struct bw_server_connection *connection);
+static void free_body_(struct bw_server_connection *connection);
+static uint64_t
+total_body_bytes_(const struct bw_server_connection *connection);
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause);
@@ -73,6 +85,9 @@
 static uint32_t limit_(const struct bw_server_connection *connection,
 		       const struct bw_http_limits *limits,
 		       enum bw_listener_cause cause);
+static uint32_t budget_limit_(const struct bw_body_budget *budget);
+static void drop_input_(struct bw_server_connection *connection,
+			size_t size_bytes);
 static bool flush_output_(struct bw_server_connection *connection);
 static void close_connection_(struct bw_server_connection *connection,
 			      bool notify_handler);
@@ -88,13 +103,14 @@
 	[BW_LISTENER_BODY_TOO_LARGE] = "body_too_large",
 	[BW_LISTENER_HEAD_TIMEOUT] = "head_timeout",
 	[BW_LISTENER_BODY_TIMEOUT] = "body_timeout",
+	[BW_LISTENER_BODY_MEMORY] = "body_memory",
 };
 
 const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT] = {
 	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UPGRADE] = 400,
 	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_TOO_MANY_FIELDS] = 431,
 	[BW_LISTENER_BODY_TOO_LARGE] = 413, [BW_LISTENER_HEAD_TIMEOUT] = 408,
-	[BW_LISTENER_BODY_TIMEOUT] = 408,
+	[BW_LISTENER_BODY_TIMEOUT] = 408,   [BW_LISTENER_BODY_MEMORY] = 503,
 };
 
 enum bw_status bw_listener_init(struct bw_listener *listener,
@@ -189,6 +205,14 @@
 	return &connection->reader.message;
 }
 
+void bw_connection_take_body(struct bw_server_connection *connection,
+			     struct bw_body *body)
+{
+	bw_body_move(body, &connection->body);
+	body->bytes = connection->reader.message.body;
+	bw_buffer_init(&connection->reader.message.body);
+}
+
 void bw_connection_respond(struct bw_server_connection *connection,
 			   uint16_t status_code, const struct bw_buffer *fields,
 			   const void *body, size_t body_bytes, bool close)
@@ -206,6 +230,7 @@
 	connection->close_after_write = last;
 	connection->continue_sent = false;
 	connection->state_since = run_time_(listener);
+	free_body_(connection);
 	bw_http_reader_next(&connection->reader);
 	if (!flush_output_(connection))
 		return;
@@ -280,6 +305,7 @@
 	connection->fd = fd;
 	connection->peer = peer;
 	connection->state_since = run_time_(listener);
+	connection->body.budget = listener->config.body_budget;
 	bw_http_reader_init(&connection->reader, HTTP_REQUEST,
 			    &listener->config.limits);
 	connection->next = listener->connections;
@@ -313,6 +339,10 @@
 			close_connection_(connection, true);
 			return;
 		}
+		if (connection->lingering) {
+			drop_input_(connection, (size_t)received);
+			return;
+		}
 		if (bw_buffer_append(&connection->in, bytes,
 				     (size_t)received) != BW_OK) {
 			close_connection_(connection, true);
@@ -349,7 +379,10 @@
 		next = connection->next;
 		if (connection->busy)
 			continue;
-		if (connection->reader.started) {
+		if (connection->lingering) {
+			if (age_ms > LINGER_MAX_MS)
+				close_connection_(connection, false);
+		} else if (connection->reader.started) {
 			if (age_ms > listener->config.head_timeout_ms)
 				reject_request_(
 					connection,
@@ -397,9 +430,12 @@
 	connection->parsed_bytes += used_bytes;
 	switch (progress) {
 	case BW_HTTP_INCOMPLETE:
-		send_continue_(connection);
+		if (admit_body_(connection))
+			send_continue_(connection);
 		break;
 	case BW_HTTP_COMPLETE:
+		if (!admit_body_(connection))
+			break;
 		connection->busy = true;
 		listener->busy_count++;
 		listener->config.handler->request(listener->config.context,
@@ -420,6 +456,53 @@
 	}
 }
 
+/*
+ * Charges the body as soon as its length is known, or as it grows, and rejects
+ * a request whose body is too large or exceeds the budget. Without a
+ * reservation, a growing body takes up to two and a half times its size.
+ * @return whether the request was not rejected
+ */
+static bool admit_body_(struct bw_server_connection *connection)
+{
+	struct bw_http_reader *reader = &connection->reader;
+	uint64_t total_bytes = total_body_bytes_(connection);
+
+	if (total_bytes > reader->limits.body_max_bytes) {
+		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
+		return false;
+	}
+	if (!bw_body_charge(&connection->body, total_bytes) ||
+	    (!(reader->parser.flags & F_CHUNKED) &&
+	     bw_buffer_reserve(&reader->message.body, (size_t)total_bytes) !=
+		     BW_OK)) {
+		reject_request_(connection, BW_LISTENER_BODY_MEMORY);
+		return false;
+	}
+	return true;
+}
+
+static void free_body_(struct bw_server_connection *connection)
+{
+	bw_buffer_finish(&connection->reader.message.body);
+	bw_body_finish(&connection->body);
+}
+
+/* Returns the size of the body by its Content-Length, or what was read. */
+static uint64_t total_body_bytes_(const struct bw_server_connection *connection)
+{
+	const struct bw_http_message *message = &connection->reader.message;
+	const struct http_parser *parser = &connection->reader.parser;
+	uint64_t read_bytes = message->body.size_bytes;
+
+	/* The parser counts down what remains of the length. */
+	if (!message->head_complete || message->complete ||
+	    parser->flags & F_CHUNKED || parser->content_length == UINT64_MAX)
+		return read_bytes;
+	if (parser->content_length > UINT64_MAX - read_bytes)
+		return UINT64_MAX;
+	return read_bytes + parser->content_length;
+}
+
 static void send_continue_(struct bw_server_connection *connection)
 {
 	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -434,16 +517,35 @@
 	flush_output_(connection);
 }
 
-/* Responds with an error to an invalid request and closes the connection. */
+/*
+ * Responds with an error to an invalid request and closes the connection. The
+ * client may still be sending: closing with unread bytes resets the connection,
+ * and a client that gets a reset may lose the response. So the connection is
+ * first closed for writing, and what arrives is dropped for a while.
+ */
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause)
 {
+	struct bw_listener *listener = connection->listener;
+	uint16_t status_code = bw_listener_cause_status[cause];
+	const char *lines = listener->config.unavailable_fields;
+	struct bw_buffer fields;
+
 	report_rejection_(connection, cause);
+	free_body_(connection);
 	connection->reader.started = false;
 	connection->state_since = run_time_(connection->listener);
 	connection->close_after_write = true;
-	write_head_(&connection->out, bw_listener_cause_status[cause], NULL, 0,
-		    true);
+	if (listener->lingering_count < LINGERING_MAX) {
+		connection->lingering = true;
+		listener->lingering_count++;
+	}
+	bw_buffer_finish(&connection->in);
+	bw_buffer_init(&fields);
+	if (status_code == 503 && lines)
+		bw_buffer_append(&fields, lines, strlen(lines));
+	write_head_(&connection->out, status_code, &fields, 0, true);
+	bw_buffer_finish(&fields);
 	flush_output_(connection);
 }
 
@@ -504,6 +606,8 @@
 	case BW_LISTENER_HEAD_TIMEOUT:
 	case BW_LISTENER_BODY_TIMEOUT:
 		return connection->listener->config.head_timeout_ms;
+	case BW_LISTENER_BODY_MEMORY:
+		return budget_limit_(connection->body.budget);
 	case BW_LISTENER_MALFORMED:
 	case BW_LISTENER_UPGRADE:
 	case BW_LISTENER_CAUSE_COUNT:
@@ -512,6 +616,26 @@
 	return 0;
 }
 
+static uint32_t budget_limit_(const struct bw_body_budget *budget)
+{
+	if (!budget)
+		return 0;
+	return budget->max_bytes < UINT32_MAX ? (uint32_t)budget->max_bytes
+					      : UINT32_MAX;
+}
+
+/* Drops no more than an accepted request may send. */
+static void drop_input_(struct bw_server_connection *connection,
+			size_t size_bytes)
+{
+	const struct bw_http_limits *limits = &connection->reader.limits;
+
+	connection->dropped_bytes += size_bytes;
+	if (connection->dropped_bytes >
+	    (uint64_t)limits->head_max_bytes + limits->body_max_bytes)
+		close_connection_(connection, false);
+}
+
 /* @return whether the connection still exists */
 static bool flush_output_(struct bw_server_connection *connection)
 {
@@ -534,6 +658,10 @@
 		bw_buffer_consume(&connection->out, (size_t)sent);
 	}
 	ev_io_stop(loop, &connection->write_watcher);
+	if (connection->lingering) {
+		shutdown(connection->fd, SHUT_WR);
+		return true;
+	}
 	if (connection->close_after_write) {
 		close_connection_(connection, false);
 		return false;
@@ -555,6 +683,8 @@
 			listener->config.handler->disconnected(
 				listener->config.context, connection);
 	}
+	if (connection->lingering)
+		listener->lingering_count--;
 	ev_io_stop(loop, &connection->read_watcher);
 	ev_io_stop(loop, &connection->write_watcher);
 	/* Send the response and FIN first, because close sends a reset when
@@ -565,6 +695,7 @@
 	if (connection->next)
 		connection->next->previous = connection->previous;
 	listener->connection_count--;
+	free_body_(connection);
 	bw_http_reader_finish(&connection->reader);
 	bw_buffer_finish(&connection->in);
 	bw_buffer_finish(&connection->out);
