Test that the pool ends responses without end

Backend servers may send bytes that are no answer without end, in a head or a body, until the caller closes. The pool ends such an attempt at its limits of the head and the body and closes the connection.

--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -11,6 +11,9 @@
 #include "bwproxy/pool.h"
 #include "harness.h"
 
+/** Bytes after which a response counts as read without end. */
+#define ENDLESS_BYTES (1024 * 1024)
+
 /* Results of requests in the order of the callbacks. */
 struct outcomes {
 	enum bw_pool_result results[8];
@@ -266,6 +269,117 @@
 	teardown_(&fixture);
 }
 
+/* Sends pieces without end until the request ends or the limit is reached.
+ * @return the number of bytes sent */
+static size_t send_endless_(struct fixture *fixture, const char *head,
+			    const char *piece)
+{
+	struct peer *peer = &fixture->server.peers[0];
+	static char block[4096];
+	size_t piece_bytes = strlen(piece);
+	size_t block_bytes = 0;
+	size_t sent_bytes = 0;
+	int i;
+
+	while (block_bytes + piece_bytes <= sizeof(block)) {
+		memcpy(block + block_bytes, piece, piece_bytes);
+		block_bytes += piece_bytes;
+	}
+	send_(fixture, "one");
+	SPIN_UNTIL(fixture->loop,
+		   fixture->server.peer_count == 1 && peer_has(peer, "/one"));
+	if (*head)
+		peer_send_text(peer, head);
+	while (!fixture->outcomes.count && sent_bytes < ENDLESS_BYTES) {
+		peer_send(peer, block, block_bytes);
+		sent_bytes += block_bytes;
+	}
+	for (i = 0; i < 20 && !fixture->outcomes.count; i++)
+		spin_once(fixture->loop);
+	return sent_bytes;
+}
+
+static void expect_endless_ends_(const char *head, const char *piece)
+{
+	struct fixture fixture;
+
+	setup_(&fixture);
+	send_endless_(&fixture, head, piece);
+	assert_int_equal(fixture.outcomes.count, 1);
+	assert_int_equal(fixture.outcomes.results[0], BW_POOL_INVALID);
+	assert_int_equal(fixture.pool.connection_count, 0);
+	SPIN_UNTIL(fixture.loop, fixture.server.peers[0].eof);
+	teardown_(&fixture);
+}
+
+/* Guards against a response without end that is read without a limit. */
+static void test_endless_response(void **state)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nRequest-Id: one\r\n";
+	char text[128];
+
+	(void)state;
+	expect_endless_ends_("", "no response ");
+	expect_endless_ends_("", "\r\n");
+	expect_endless_ends_("HTTP/1.1 200 ", "OK");
+	expect_endless_ends_(head, "a");
+	expect_endless_ends_(head, "A: b\r\n");
+	snprintf(text, sizeof(text), "%s\r\n", head);
+	expect_endless_ends_(text, "body");
+	snprintf(text, sizeof(text), "%sTransfer-Encoding: chunked\r\n\r\n",
+		 head);
+	expect_endless_ends_(text, "1\r\na\r\n");
+	expect_endless_ends_(text, "1");
+	snprintf(text, sizeof(text), "%sTransfer-Encoding: chunked\r\n\r\n1;",
+		 head);
+	expect_endless_ends_(text, "extension");
+	snprintf(text, sizeof(text),
+		 "%sTransfer-Encoding: chunked\r\n\r\n0\r\n", head);
+	expect_endless_ends_(text, "Trailer: a\r\n");
+	snprintf(text, sizeof(text), "%sContent-Length: 99999999\r\n\r\n",
+		 head);
+	expect_endless_ends_(text, "body");
+}
+
+/* Guards against responses to other requests that are read without end. */
+static void test_endless_other_responses(void **state)
+{
+	(void)state;
+	expect_endless_ends_("", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+				 "Content-Length: 1\r\n\r\na");
+	expect_endless_ends_("", "HTTP/1.1 204 No Content\r\n\r\n");
+	expect_endless_ends_("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n",
+			     "body");
+}
+
+/* Guards against the bytes after a response to HEAD that count as the next
+ * response. */
+static void test_endless_body_after_head_response(void **state)
+{
+	struct bw_pool_request request = { .id = "one", .head_response = true };
+	struct fixture fixture;
+	struct bw_buffer head;
+
+	(void)state;
+	setup_(&fixture);
+	bw_buffer_init(&head);
+	bw_buffer_printf(&head,
+			 "HEAD /one HTTP/1.1\r\nRequest-Id: one\r\n\r\n");
+	request.address = fixture.address;
+	request.head = &head;
+	request.request = &fixture.outcomes;
+	bw_pool_send(&fixture.pool, &request);
+	bw_buffer_finish(&head);
+	SPIN_UNTIL(fixture.loop,
+		   fixture.server.peer_count == 1 &&
+			   peer_has(&fixture.server.peers[0], "/one"));
+	respond_(&fixture.server.peers[0], "one", "body");
+	SPIN_UNTIL(fixture.loop, fixture.outcomes.count == 1);
+	assert_int_equal(fixture.outcomes.results[0], BW_POOL_RESPONSE);
+	SPIN_UNTIL(fixture.loop, fixture.pool.connection_count == 0);
+	teardown_(&fixture);
+}
+
 /* Listener that responds with the target of the request. */
 struct echo {
 	uint32_t requests;
@@ -530,6 +644,9 @@
 		cmocka_unit_test(test_broken_responses),
 		cmocka_unit_test(test_stale_connection),
 		cmocka_unit_test(test_not_sent),
+		cmocka_unit_test(test_endless_response),
+		cmocka_unit_test(test_endless_other_responses),
+		cmocka_unit_test(test_endless_body_after_head_response),
 		cmocka_unit_test(test_listener),
 		cmocka_unit_test(test_listener_rejections),
 		cmocka_unit_test(test_listener_old_limit),
