End a request after many interim responses

A backend server that repeated "100 Continue" was read until the deadline of the request, on a route that is not idempotent without end, and used the link of the host all the while.

parse_responses_ counted only responses with a status of 200 or more as skipped, and the limits of the head and of the body apply to each response on its own. test_endless_interim_responses failed before: 1 MiB was read without a result.

Interim responses now have a limit of their own, well above what a server sends that answers "100 Continue" or reports progress; beyond it the request fails as for any invalid response and the connection closes.

--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -25,6 +25,9 @@
 /** Responses to other requests skipped before the request fails. */
 #define SKIPPED_RESPONSES_MAX 4
 
+/** Interim responses (1xx) read before the request fails. */
+#define INTERIM_RESPONSES_MAX 32
+
 struct bw_pool_connection {
 	struct bw_pool *pool;
 	struct bw_pool_connection *next;
@@ -37,6 +40,7 @@
 	bool busy; /**< has a request in progress */
 	bool sent; /**< a byte of the request in progress was written */
 	uint32_t skipped_responses; /**< since the request was sent */
+	uint32_t interim_responses; /**< since the request was sent */
 	double since_s; /**< loop time when the connect or idle time began */
 	double idle_limit_s; /**< from idle_ms and the Keep-Alive field */
 	void *request; /**< caller's pointer, passed to the callbacks */
@@ -113,6 +117,7 @@
 	connection->busy = true;
 	connection->sent = false;
 	connection->skipped_responses = 0;
+	connection->interim_responses = 0;
 	connection->request = request->request;
 	bw_http_reader_next(&connection->reader);
 	connection->reader.skip_body = request->head_response;
@@ -312,8 +317,11 @@
 		if (connection->reader.message.status_code >= 200) {
 			connection->pool->skipped_count++;
 			connection->skipped_responses++;
+		} else {
+			connection->interim_responses++;
 		}
 		if (connection->skipped_responses > SKIPPED_RESPONSES_MAX ||
+		    connection->interim_responses > INTERIM_RESPONSES_MAX ||
 		    !connection->reader.message.keep_alive) {
 			fail_request_(connection, BW_POOL_INVALID);
 			return;
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -352,6 +352,34 @@
 			     "body");
 }
 
+/* Guards against interim responses that are read without end. */
+static void test_endless_interim_responses(void **state)
+{
+	(void)state;
+	expect_endless_ends_("", "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+/* Guards against a response that is lost behind a few interim responses. */
+static void test_interim_responses(void **state)
+{
+	struct fixture fixture;
+	struct peer *peer = &fixture.server.peers[0];
+	int i;
+
+	(void)state;
+	setup_(&fixture);
+	send_(&fixture, "one");
+	SPIN_UNTIL(fixture.loop,
+		   fixture.server.peer_count == 1 && peer_has(peer, "/one"));
+	for (i = 0; i < 10; i++)
+		peer_send_text(peer, "HTTP/1.1 102 Processing\r\n\r\n");
+	respond_(peer, "one", "body");
+	SPIN_UNTIL(fixture.loop, fixture.outcomes.count == 1);
+	assert_int_equal(fixture.outcomes.results[0], BW_POOL_RESPONSE);
+	assert_string_equal(fixture.outcomes.bodies[0], "body");
+	teardown_(&fixture);
+}
+
 /* Guards against the bytes after a response to HEAD that count as the next
  * response. */
 static void test_endless_body_after_head_response(void **state)
@@ -646,6 +674,8 @@
 		cmocka_unit_test(test_not_sent),
 		cmocka_unit_test(test_endless_response),
 		cmocka_unit_test(test_endless_other_responses),
+		cmocka_unit_test(test_endless_interim_responses),
+		cmocka_unit_test(test_interim_responses),
 		cmocka_unit_test(test_endless_body_after_head_response),
 		cmocka_unit_test(test_listener),
 		cmocka_unit_test(test_listener_rejections),
