End attempts one second after their deadline

The client of a request on a route that is not idempotent got 504 at the deadline, but its attempt stayed open as long as the backend server kept the connection. A silent server held a connection and a place in in_flight for ever, so that it looked full and later requests waited or were rejected; a server that sent bytes without end used the link of the host up to the limit of the body; and a stopping host waited for the attempt until it was killed.

A request that has ended for its client now runs its timer until its deadline and ATTEMPT_GRACE_MS, then closes the connection, counts the attempt as failed for the server and is freed. The server stops at the deadline that it was sent, so a response that is late by its way still counts.

--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -23,6 +23,13 @@
 /** Retry-After of rejections without a better estimate. */
 #define RETRY_AFTER_DEFAULT_MS 500
 
+/**
+ * Time after the deadline for which an attempt that must not run twice waits
+ * for its server. The server ends its work at the deadline that it was sent, so
+ * only the way of its response remains.
+ */
+#define ATTEMPT_GRACE_MS 1000
+
 /** Fraction of the fleet's retries per request that entry hosts use. */
 #define RETRY_SHARE 0.6
 
@@ -65,6 +72,8 @@
 		     const struct bw_http_message *response);
 static void cancel_upstream_(struct gate_request *request);
 static void on_deadline_(struct ev_loop *loop, ev_timer *timer, int events);
+static void start_attempt_timer_(struct gate_request *request);
+static void on_attempt_end_(struct ev_loop *loop, ev_timer *timer, int events);
 static void answer_unrouted_(struct gate_entry *entry,
 			     struct bw_server_connection *connection,
 			     const struct bw_http_message *message);
@@ -568,7 +577,9 @@
 	bw_buffer_finish(&body);
 }
 
-/* Ends a request for its client; one in flight is freed when it completes. */
+/*
+ * Ends a request for its client; one in flight is freed when its attempt ends.
+ */
 static void finish_for_client_(struct gate_request *request,
 			       enum gate_outcome outcome, uint16_t status_code,
 			       const char *cause)
@@ -586,7 +597,9 @@
 		gate_log_end(request, outcome, status_code, cause, took_us);
 	request->detached = true;
 	ev_timer_stop(entry->node->loop, &request->deadline_timer);
-	if (!request->upstream)
+	if (request->upstream)
+		start_attempt_timer_(request);
+	else
 		gate_request_free(request);
 }
 
@@ -614,7 +627,8 @@
 
 /*
  * Cancels an attempt that is idempotent or not sent yet. Any other attempt
- * continues, because cancelling it would leave its outcome unknown.
+ * continues until on_attempt_end_, because cancelling it would leave its
+ * outcome unknown.
  */
 static void cancel_upstream_(struct gate_request *request)
 {
@@ -650,6 +664,33 @@
 		fail_(request, 504, GATE_OUTCOME_TIMEOUT, "deadline");
 }
 
+/* Bounds the attempt of a request that has ended for its client. */
+static void start_attempt_timer_(struct gate_request *request)
+{
+	struct gate_entry *entry = request->entry;
+	int64_t rest_ms = remaining_ms_(request, gate_node_now(entry->node));
+
+	rest_ms = MAX(rest_ms, 0) + ATTEMPT_GRACE_MS;
+	ev_timer_init(&request->deadline_timer, on_attempt_end_,
+		      (double)rest_ms / 1000.0, 0.0);
+	ev_timer_start(entry->node->loop, &request->deadline_timer);
+}
+
+/* Closes the connection of an attempt whose server has not responded. */
+static void on_attempt_end_(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct gate_request *request = timer->data;
+	struct gate_entry *entry = request->entry;
+
+	(void)loop;
+	(void)events;
+	bw_pool_cancel(request->upstream);
+	request->upstream = NULL;
+	end_job_(request, BW_JOB_FAILED, NULL);
+	gate_request_free(request);
+	gate_request_run_queue(entry);
+}
+
 static void answer_unrouted_(struct gate_entry *entry,
 			     struct bw_server_connection *connection,
 			     const struct bw_http_message *message)
