Forward a response's signature that its Connection field lists

A backend server that answered with "Connection: Response-Stamp" got its response to the client without the signature: a success that nobody signed. A client's request that listed its own id or host reached the server without them and ended with 504.

The relay omits each field that the Connection field lists.

Host, the id, the affinity key and the signature are now forwarded in both directions whatever the Connection field says; the product relies on them end to end. Other listed fields are omitted as before.

--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -33,6 +33,14 @@
 /** Fraction of the fleet's retries per request that entry hosts use. */
 #define RETRY_SHARE 0.6
 
+/** Fields for the other end, also when the Connection field lists them. */
+static const char *const end_to_end_fields[] = {
+	"Host",
+	PLATFORM_FIELD_REQUEST_ID,
+	PLATFORM_FIELD_AFFINITY_KEY,
+	PLATFORM_FIELD_SIGNATURE,
+};
+
 static struct gate_request *
 new_request_(struct gate_entry *entry, struct bw_server_connection *connection,
 	     const struct bw_http_message *message);
@@ -43,6 +51,8 @@
 			       const struct bw_http_message *message);
 static void copy_head_(struct gate_request *request,
 		       const struct bw_http_message *message);
+static bool is_forwarded_(const struct bw_http_message *message,
+			  const struct bw_http_field *field);
 static void choose_service_(struct gate_request *request);
 static bool reject_if_poison_(struct gate_request *request);
 static void dispatch_request_(struct gate_request *request);
@@ -258,7 +268,7 @@
 	for (i = 0; i < message->field_count; i++) {
 		const struct bw_http_field *field = &message->fields[i];
 
-		if (bw_http_field_is_hop_by_hop(message, field) ||
+		if (!is_forwarded_(message, field) ||
 		    bw_http_field_is(message, field, PLATFORM_FIELD_DEADLINE) ||
 		    bw_http_field_is(message, field,
 				     PLATFORM_FIELD_EXPECTED_SERVER))
@@ -276,6 +286,18 @@
 				 message->body.size_bytes);
 }
 
+static bool is_forwarded_(const struct bw_http_message *message,
+			  const struct bw_http_field *field)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(end_to_end_fields); i++) {
+		if (bw_http_field_is(message, field, end_to_end_fields[i]))
+			return true;
+	}
+	return !bw_http_field_is_hop_by_hop(message, field);
+}
+
 static void choose_service_(struct gate_request *request)
 {
 	struct gate_entry *entry = request->entry;
@@ -511,7 +533,7 @@
 	for (i = 0; i < response->field_count; i++) {
 		const struct bw_http_field *field = &response->fields[i];
 
-		if (bw_http_field_is_hop_by_hop(response, field))
+		if (!is_forwarded_(response, field))
 			continue;
 		bw_buffer_append(&fields, bw_http_text(response, field->name),
 				 field->name.size_bytes);
--- a/tools/gate_backend.c
+++ b/tools/gate_backend.c
@@ -3,8 +3,9 @@
  * selects the behaviour: "lost" executes the request and closes the connection
  * without its response, "silent" executes it and never responds, "full" rejects
  * it with 503, "slow" responds after one second, "crash" executes it and ends
- * the process, and any other value responds at once. Each execution is appended
- * to a ledger file: request id, server id, wall clock in ms.
+ * the process, "listed" responds with a Connection field that lists other
+ * fields of the response, and any other value responds at once. Each execution
+ * is appended to a ledger file: request id, server id, wall clock in ms.
  */
 #include <ev.h>
 #include <signal.h>
@@ -169,6 +170,10 @@
 			 "Request-Id: %s\r\nResponse-Stamp: %s\r\n"
 			 "Server-Load: 1,0,4\r\n",
 			 id, backend->id);
+	if (target_ends_with_(request, "/listed"))
+		bw_buffer_printf(&fields,
+				 "Connection: Response-Stamp, Request-Id, X\r\n"
+				 "X: 1\r\n");
 	bw_buffer_printf(&body, "%s %.*s %zu\n", id,
 			 (int)request->target.size_bytes,
 			 bw_http_text(request, request->target),
