Keep a full pool of connections from failing servers

When attempts at one server used up the connections of an entry host, each request to another server counted as a failed connect of that server, and the host avoids a server after two failures in a row. Idle connections counted as well: a host that had visited as many servers as it may open connections could not reach another one until an idle one timed out.

A new connection now replaces the one that has been idle for longest. If all are in use, the request is rejected as overload, without a record for the server.

--- a/include/bwproxy/pool.h
+++ b/include/bwproxy/pool.h
@@ -89,8 +89,9 @@
 void bw_pool_finish(struct bw_pool *pool);
 
 /**
- * Sends a request on an idle connection or a new one. ended is called later,
- * from the loop.
+ * Sends a request on an idle connection or a new one. In a full pool, the new
+ * one replaces the connection that has been idle for longest. ended is called
+ * later, from the loop.
  * @return the connection, for bw_pool_cancel; NULL when no connection can be
  *	opened or memory is exhausted
  */
@@ -103,6 +104,9 @@
 /** Returns whether any byte of the request was sent. */
 bool bw_pool_was_sent(const struct bw_pool_connection *connection);
 
+/** Returns whether all connections that the pool may open are in use. */
+bool bw_pool_is_full(const struct bw_pool *pool);
+
 /** Closes the idle connections to an address. */
 void bw_pool_close_idle(struct bw_pool *pool, const char *address);
 
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -57,6 +57,7 @@
 static bool reject_if_poison_(struct gate_request *request);
 static void dispatch_request_(struct gate_request *request);
 static void send_attempt_(struct gate_request *request);
+static void reject_without_connection_(struct gate_request *request);
 static void record_attempt_(struct gate_request *request, struct bw_time now);
 static void write_head_(const struct gate_request *request,
 			struct bw_buffer *head, struct bw_time now);
@@ -383,10 +384,22 @@
 	bw_buffer_finish(&head);
 	if (request->traced)
 		gate_log_sent(request, now);
-	if (!request->upstream)
+	if (request->upstream)
+		return;
+	if (bw_pool_is_full(&entry->pool))
+		reject_without_connection_(request);
+	else
 		handle_failure_(request, BW_POOL_NOT_SENT);
 }
 
+/* The server has not failed: this host has no connection to spare. */
+static void reject_without_connection_(struct gate_request *request)
+{
+	request->attempts--;
+	end_job_(request, BW_JOB_CANCELLED, NULL);
+	reject_(request, BW_REJECT_OVERLOAD, RETRY_AFTER_DEFAULT_MS);
+}
+
 static void record_attempt_(struct gate_request *request, struct bw_time now)
 {
 	const struct bw_job *job = &request->job;
--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -54,6 +54,7 @@
 					     const char *address);
 static struct bw_pool_connection *open_connection_(struct bw_pool *pool,
 						   const char *address);
+static struct bw_pool_connection *find_oldest_idle_(const struct bw_pool *pool);
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
@@ -147,6 +148,12 @@
 	return connection->sent;
 }
 
+bool bw_pool_is_full(const struct bw_pool *pool)
+{
+	return pool->connection_count >= pool->config.connections_max &&
+	       !find_oldest_idle_(pool);
+}
+
 void bw_pool_close_idle(struct bw_pool *pool, const char *address)
 {
 	struct bw_pool_connection *connection;
@@ -182,9 +189,10 @@
 	int enable = 1;
 	int fd;
 
-	if (pool->connection_count >= pool->config.connections_max ||
-	    !address_parse(address, &server_address))
+	if (bw_pool_is_full(pool) || !address_parse(address, &server_address))
 		return NULL;
+	if (pool->connection_count >= pool->config.connections_max)
+		close_connection_(find_oldest_idle_(pool));
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return NULL;
@@ -221,6 +229,20 @@
 	return connection;
 }
 
+static struct bw_pool_connection *find_oldest_idle_(const struct bw_pool *pool)
+{
+	struct bw_pool_connection *oldest = NULL;
+	struct bw_pool_connection *connection;
+
+	for (connection = pool->connections; connection;
+	     connection = connection->next) {
+		if (!connection->busy &&
+		    (!oldest || connection->since_s < oldest->since_s))
+			oldest = connection;
+	}
+	return oldest;
+}
+
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	struct bw_pool_connection *connection = watcher->data;
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -269,6 +269,46 @@
 	teardown_(&fixture);
 }
 
+/* Guards against idle connections that leave no room for another server. */
+static void test_full_of_idle(void **state)
+{
+	struct fixture fixture;
+	struct raw_server other;
+	uint32_t i;
+
+	(void)state;
+	setup_(&fixture);
+	raw_server_init(&other, fixture.loop);
+	fixture.pool.config.connections_max = 2;
+	send_(&fixture, "one");
+	send_(&fixture, "two");
+	SPIN_UNTIL(fixture.loop,
+		   fixture.server.peer_count == 2 &&
+			   fixture.server.peers[0].in.size_bytes &&
+			   fixture.server.peers[1].in.size_bytes);
+	snprintf(fixture.address, sizeof(fixture.address), "127.0.0.1:%u",
+		 other.port);
+	/* All connections are in use. */
+	assert_null(send_(&fixture, "three"));
+	assert_true(bw_pool_is_full(&fixture.pool));
+	for (i = 0; i < 2; i++) {
+		struct peer *peer = &fixture.server.peers[i];
+
+		respond_(peer, peer_has(peer, "/one") ? "one" : "two", "body");
+		SPIN_UNTIL(fixture.loop, fixture.outcomes.count == i + 1);
+	}
+	assert_false(bw_pool_is_full(&fixture.pool));
+	assert_non_null(send_(&fixture, "three"));
+	SPIN_UNTIL(fixture.loop, other.peer_count == 1 &&
+					 peer_has(&other.peers[0], "/three"));
+	/* The connection that was idle for longer is closed. */
+	SPIN_UNTIL(fixture.loop, fixture.server.peers[0].eof);
+	assert_false(fixture.server.peers[1].eof);
+	assert_int_equal(fixture.pool.connection_count, 2);
+	raw_server_finish(&other);
+	teardown_(&fixture);
+}
+
 /* Sends pieces without end until the request ends or the limit is reached.
  * @return the number of bytes sent */
 static size_t send_endless_(struct fixture *fixture, const char *head,
@@ -672,6 +712,7 @@
 		cmocka_unit_test(test_broken_responses),
 		cmocka_unit_test(test_stale_connection),
 		cmocka_unit_test(test_not_sent),
+		cmocka_unit_test(test_full_of_idle),
 		cmocka_unit_test(test_endless_response),
 		cmocka_unit_test(test_endless_other_responses),
 		cmocka_unit_test(test_endless_interim_responses),
