--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -403,11 +403,12 @@
 static void test_interim_responses(void **state)
 {
 	struct fixture fixture;
-	struct peer *peer = &fixture.server.peers[0];
+	struct peer *peer;
 	int i;
 
 	(void)state;
 	setup_(&fixture);
+	peer = &fixture.server.peers[0];
 	send_(&fixture, "one");
 	SPIN_UNTIL(fixture.loop,
 		   fixture.server.peer_count == 1 && peer_has(peer, "/one"));
