--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -30,9 +30,24 @@
  */
 #define RETRY_AFTER_UNCONFIRMED_MS 500
 
+/**
+ * Time after the deadline for which an attempt that must not run twice waits
+ * for its server. The server ends its work at the deadline that it was sent, so
+ * only the way of its response remains.
+ */
+#define ATTEMPT_GRACE_MS 1000
+
 /** Fraction of the fleet's retries per request that entry hosts use. */
 #define RETRY_SHARE 0.6
 
+/** Fields for the other end, also when the Connection field lists them. */
+static const char *const end_to_end_fields[] = {
+	"Host",
+	PLATFORM_FIELD_REQUEST_ID,
+	PLATFORM_FIELD_AFFINITY_KEY,
+	PLATFORM_FIELD_SIGNATURE,
+};
+
 static struct gate_request *
 new_request_(struct gate_entry *entry, struct bw_server_connection *connection,
 	     const struct bw_http_message *message);
@@ -44,10 +59,13 @@
 static void copy_head_(struct gate_request *request,
 		       const struct bw_http_message *message,
 		       const struct bw_http_target *target);
+static bool is_forwarded_(const struct bw_http_message *message,
+			  const struct bw_http_field *field);
 static void choose_service_(struct gate_request *request);
 static bool reject_if_poison_(struct gate_request *request);
 static void dispatch_request_(struct gate_request *request);
 static void send_attempt_(struct gate_request *request);
+static void reject_without_connection_(struct gate_request *request);
 static void record_attempt_(struct gate_request *request, struct bw_time now);
 static void write_head_(const struct gate_request *request,
 			struct bw_buffer *head, struct bw_time now);
@@ -74,6 +92,8 @@
 		     const struct bw_http_message *response);
 static void cancel_upstream_(struct gate_request *request);
 static void on_deadline_(struct ev_loop *loop, ev_timer *timer, int events);
+static void start_attempt_timer_(struct gate_request *request);
+static void on_attempt_end_(struct ev_loop *loop, ev_timer *timer, int events);
 static void answer_unrouted_(struct gate_entry *entry,
 			     struct bw_server_connection *connection,
 			     const struct bw_http_message *message);
@@ -265,7 +285,7 @@
 	for (i = 0; i < message->field_count; i++) {
 		const struct bw_http_field *field = &message->fields[i];
 
-		if (bw_http_field_is_hop_by_hop(message, field) ||
+		if (!is_forwarded_(message, field) ||
 		    (target->absolute &&
 		     bw_http_field_is(message, field, "Host")) ||
 		    bw_http_field_is(message, field, PLATFORM_FIELD_DEADLINE) ||
@@ -285,6 +305,18 @@
 				 request->body.bytes.size_bytes);
 }
 
+static bool is_forwarded_(const struct bw_http_message *message,
+			  const struct bw_http_field *field)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(end_to_end_fields); i++) {
+		if (bw_http_field_is(message, field, end_to_end_fields[i]))
+			return true;
+	}
+	return !bw_http_field_is_hop_by_hop(message, field);
+}
+
 static void choose_service_(struct gate_request *request)
 {
 	struct gate_entry *entry = request->entry;
@@ -370,10 +402,22 @@
 	bw_buffer_finish(&head);
 	if (request->traced)
 		gate_log_sent(request, now);
-	if (!request->upstream)
+	if (request->upstream)
+		return;
+	if (bw_pool_is_full(&entry->pool))
+		reject_without_connection_(request);
+	else
 		handle_failure_(request, BW_POOL_NOT_SENT);
 }
 
+/* The server has not failed: this host has no connection to spare. */
+static void reject_without_connection_(struct gate_request *request)
+{
+	request->attempts--;
+	end_job_(request, BW_JOB_CANCELLED, NULL);
+	reject_(request, BW_REJECT_OVERLOAD, RETRY_AFTER_DEFAULT_MS);
+}
+
 static void record_attempt_(struct gate_request *request, struct bw_time now)
 {
 	const struct bw_job *job = &request->job;
@@ -520,7 +564,7 @@
 	for (i = 0; i < response->field_count; i++) {
 		const struct bw_http_field *field = &response->fields[i];
 
-		if (bw_http_field_is_hop_by_hop(response, field))
+		if (!is_forwarded_(response, field))
 			continue;
 		bw_buffer_append(&fields, bw_http_text(response, field->name),
 				 field->name.size_bytes);
@@ -586,7 +630,9 @@
 	bw_buffer_finish(&body);
 }
 
-/* Ends a request for its client; one in flight is freed when it completes. */
+/*
+ * Ends a request for its client; one in flight is freed when its attempt ends.
+ */
 static void finish_for_client_(struct gate_request *request,
 			       enum gate_outcome outcome, uint16_t status_code,
 			       const char *cause)
@@ -605,7 +651,9 @@
 	request->detached = true;
 	ev_timer_stop(entry->node->loop, &request->deadline_timer);
 	release_body_(request);
-	if (!request->upstream)
+	if (request->upstream)
+		start_attempt_timer_(request);
+	else
 		gate_request_free(request);
 }
 
@@ -652,7 +700,8 @@
 
 /*
  * Cancels an attempt that is idempotent or not sent yet. Any other attempt
- * continues, because cancelling it would leave its outcome unknown.
+ * continues until on_attempt_end_, because cancelling it would leave its
+ * outcome unknown.
  */
 static void cancel_upstream_(struct gate_request *request)
 {
@@ -688,6 +737,33 @@
 		fail_(request, 504, GATE_OUTCOME_TIMEOUT, "deadline");
 }
 
+/* Bounds the attempt of a request that has ended for its client. */
+static void start_attempt_timer_(struct gate_request *request)
+{
+	struct gate_entry *entry = request->entry;
+	int64_t rest_ms = remaining_ms_(request, gate_node_now(entry->node));
+
+	rest_ms = MAX(rest_ms, 0) + ATTEMPT_GRACE_MS;
+	ev_timer_init(&request->deadline_timer, on_attempt_end_,
+		      (double)rest_ms / 1000.0, 0.0);
+	ev_timer_start(entry->node->loop, &request->deadline_timer);
+}
+
+/* Closes the connection of an attempt whose server has not responded. */
+static void on_attempt_end_(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct gate_request *request = timer->data;
+	struct gate_entry *entry = request->entry;
+
+	(void)loop;
+	(void)events;
+	bw_pool_cancel(request->upstream);
+	request->upstream = NULL;
+	end_job_(request, BW_JOB_FAILED, NULL);
+	gate_request_free(request);
+	gate_request_run_queue(entry);
+}
+
 /*
  * A 404 says for good that there is no such route, so it is given only while
  * most control hosts confirm the version in force. Otherwise another host may
--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -28,6 +28,9 @@
 /** Responses to other requests skipped before the request fails. */
 #define SKIPPED_RESPONSES_MAX 4
 
+/** Interim responses (1xx) read before the request fails. */
+#define INTERIM_RESPONSES_MAX 32
+
 struct bw_pool_connection {
 	struct bw_pool *pool;
 	struct bw_pool_connection *next;
@@ -42,6 +45,7 @@
 	uint32_t skipped_responses; /**< since the request was sent */
 	struct bw_time since; /**< start of the connect or idle time */
 	int64_t idle_limit_ms; /**< from idle_ms and the Keep-Alive field */
+	uint32_t interim_responses; /**< since the request was sent */
 	void *request; /**< caller's pointer, passed to the callbacks */
 	ev_io read_watcher;
 	ev_io write_watcher;
@@ -55,6 +59,7 @@
 					     const char *address);
 static struct bw_pool_connection *open_connection_(struct bw_pool *pool,
 						   const char *address);
+static struct bw_pool_connection *find_oldest_idle_(const struct bw_pool *pool);
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
@@ -123,6 +128,7 @@
 	connection->busy = true;
 	connection->sent = false;
 	connection->skipped_responses = 0;
+	connection->interim_responses = 0;
 	connection->request = request->request;
 	bw_http_reader_next(&connection->reader);
 	connection->reader.skip_body = request->head_response;
@@ -152,6 +158,12 @@
 	return connection->body_bytes > 0;
 }
 
+bool bw_pool_is_full(const struct bw_pool *pool)
+{
+	return pool->connection_count >= pool->config.connections_max &&
+	       !find_oldest_idle_(pool);
+}
+
 void bw_pool_close_idle(struct bw_pool *pool, const char *address)
 {
 	struct bw_pool_connection *connection;
@@ -187,9 +199,10 @@
 	int enable = 1;
 	int fd;
 
-	if (pool->connection_count >= pool->config.connections_max ||
-	    !address_parse(address, &server_address))
+	if (bw_pool_is_full(pool) || !address_parse(address, &server_address))
 		return NULL;
+	if (pool->connection_count >= pool->config.connections_max)
+		close_connection_(find_oldest_idle_(pool));
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return NULL;
@@ -226,6 +239,20 @@
 	return connection;
 }
 
+static struct bw_pool_connection *find_oldest_idle_(const struct bw_pool *pool)
+{
+	struct bw_pool_connection *oldest = NULL;
+	struct bw_pool_connection *connection;
+
+	for (connection = pool->connections; connection;
+	     connection = connection->next) {
+		if (!connection->busy &&
+		    (!oldest || connection->since.ms < oldest->since.ms))
+			oldest = connection;
+	}
+	return oldest;
+}
+
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	struct bw_pool_connection *connection = watcher->data;
@@ -323,8 +350,11 @@
 		if (connection->reader.message.status_code >= 200) {
 			connection->pool->skipped_count++;
 			connection->skipped_responses++;
+		} else {
+			connection->interim_responses++;
 		}
 		if (connection->skipped_responses > SKIPPED_RESPONSES_MAX ||
+		    connection->interim_responses > INTERIM_RESPONSES_MAX ||
 		    !connection->reader.message.keep_alive) {
 			fail_request_(connection, BW_POOL_INVALID);
 			return;
