Test valid requests in random sequences and pieces

Seeded pipelines of valid requests with odd field names, values, chunk sizes and splits, fed to the reader and to a listener.

--- /dev/null
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -0,0 +1,419 @@
+/*
+ * Valid requests of clients in seeded sequences, pipelines and pieces. Guards
+ * against an error response to a request that stays within the limits.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "bwbase/random.h"
+#include "bwproxy/listener.h"
+#include "harness.h"
+
+/** Rounds and seed of the random tests. */
+#define ROUNDS 3000
+#define SOCKET_ROUNDS 150
+#define SEED 20
+
+/** Requests of one connection. */
+#define SEQUENCE_MAX 6
+
+/** Limits of the routing tables of the field. */
+#define HEAD_MAX_BYTES 16384
+#define BODY_MAX_BYTES 65536
+
+static const struct bw_http_limits limits = {
+	.head_max_bytes = HEAD_MAX_BYTES,
+	.body_max_bytes = BODY_MAX_BYTES,
+};
+
+/* A request and what the reader has to make of it. */
+struct sample {
+	char target[400];
+	char host[160];
+	struct bw_buffer body;
+	enum http_method method;
+};
+
+/* Responds with the method, target, Host and size of the body. */
+struct echo {
+	struct bw_server_connection *held;
+	uint32_t requests;
+};
+
+static void append_text_(struct bw_buffer *out, const char *text)
+{
+	assert_int_equal(bw_buffer_append(out, text, strlen(text)), BW_OK);
+}
+
+static void write_random_fields_(struct bw_random *random,
+				 struct bw_buffer *out)
+{
+	static const char tchars[] = "abcXYZ019!#$%&'*+-.^_`|~";
+	static const char *const known[] = {
+		"Connection: keep-alive\r\n",
+		"Accept:\r\n",
+		"Accept: \r\n",
+		"Accept: \t text/plain, \t */*\r\n",
+		"Deadline-Ms: 2000\r\n",
+		"Affinity-Key: 17\r\n",
+		"connection: Keep-Alive, X-One\r\nX-One: 1\r\n",
+		"TE: trailers\r\nConnection: TE\r\n",
+		"Cookie: a=\"b\"; c=\xc3\xa9\r\n",
+		"Proxy-Connection: keep-alive\r\n",
+		"Keep-Alive: timeout=5\r\n",
+	};
+	uint64_t count = bw_random_below(random, 12);
+	uint64_t i;
+	uint64_t j;
+
+	for (i = 0; i < count; i++) {
+		uint64_t name_bytes = 1 + bw_random_below(random, 40);
+		uint64_t value_bytes =
+			bw_random_below(random, i % 4 ? 40 : 700);
+
+		if (!bw_random_below(random, 3)) {
+			append_text_(out,
+				     known[bw_random_below(
+					     random,
+					     sizeof(known) / sizeof(*known))]);
+			continue;
+		}
+		append_text_(out, "x");
+		for (j = 0; j < name_bytes; j++)
+			bw_buffer_append(out,
+					 &tchars[bw_random_below(
+						 random, sizeof(tchars) - 1)],
+					 1);
+		append_text_(out, bw_random_below(random, 2) ? ":" : ": ");
+		for (j = 0; j < value_bytes; j++) {
+			char byte = (char)(0x20 + bw_random_below(random, 95));
+
+			bw_buffer_append(out, &byte, 1);
+		}
+		append_text_(out, "\r\n");
+	}
+}
+
+static void write_chunked_(struct bw_random *random, struct bw_buffer *out,
+			   const struct bw_buffer *body)
+{
+	size_t done = 0;
+
+	while (done < body->size_bytes) {
+		size_t left = body->size_bytes - done;
+		size_t bytes = 1 + bw_random_below(random, left);
+
+		bw_buffer_printf(out,
+				 bw_random_below(random, 2) ? "%zx" : "00%zX",
+				 bytes);
+		append_text_(out, bw_random_below(random, 4) ? "\r\n"
+							     : ";a=b;c\r\n");
+		bw_buffer_append(out, body->data + done, bytes);
+		append_text_(out, "\r\n");
+		done += bytes;
+	}
+	append_text_(out, "0\r\n");
+	if (!bw_random_below(random, 3))
+		append_text_(out, "X-Sum: 1\r\nX-Empty:\r\n");
+	append_text_(out, "\r\n");
+}
+
+static void make_sample_(struct bw_random *random, struct sample *sample,
+			 struct bw_buffer *out)
+{
+	static const enum http_method methods[] = { HTTP_GET,	 HTTP_POST,
+						    HTTP_PUT,	 HTTP_DELETE,
+						    HTTP_HEAD,	 HTTP_PATCH,
+						    HTTP_OPTIONS };
+	static const char path[] = "abz019-._~!$&'()*+,;=:@/%20";
+	size_t target_bytes = bw_random_below(random, 300);
+	size_t body_bytes = 0;
+	uint64_t framing = 0;
+	size_t i;
+
+	memset(sample, 0, sizeof(*sample));
+	sample->method = methods[bw_random_below(random, 7)];
+	sample->target[0] = '/';
+	for (i = 1; i < target_bytes; i++)
+		sample->target[i] =
+			path[bw_random_below(random, sizeof(path) - 1)];
+	if (!bw_random_below(random, 3))
+		strcat(sample->target,
+		       bw_random_below(random, 2) ? "?" : "?q=/?a");
+	snprintf(sample->host, sizeof(sample->host), "h%u.example%s",
+		 (unsigned)bw_random_below(random, 100),
+		 bw_random_below(random, 2) ? "" : ":8080");
+	if (sample->method != HTTP_GET && sample->method != HTTP_HEAD)
+		framing = bw_random_below(random, 3);
+	if (framing)
+		body_bytes = bw_random_below(
+			random, bw_random_below(random, 4) ? 300 : 20000);
+	for (i = 0; i < body_bytes; i++) {
+		uint8_t byte = (uint8_t)bw_random_next(random);
+
+		bw_buffer_append(&sample->body, &byte, 1);
+	}
+	bw_buffer_printf(out, "%s %s HTTP/1.1\r\n",
+			 http_method_str(sample->method), sample->target);
+	write_random_fields_(random, out);
+	bw_buffer_printf(out, "Host: %s\r\nRequest-Id: %016llx\r\n",
+			 sample->host,
+			 (unsigned long long)bw_random_next(random));
+	if (framing && !bw_random_below(random, 4))
+		append_text_(out, "Expect: 100-continue\r\n");
+	write_random_fields_(random, out);
+	if (framing == 1)
+		bw_buffer_printf(out, "Content-Length: %zu\r\n\r\n",
+				 body_bytes);
+	else
+		append_text_(out, framing ? "Transfer-Encoding: chunked\r\n\r\n"
+					  : "\r\n");
+	if (framing == 1)
+		bw_buffer_append(out, sample->body.data, body_bytes);
+	else if (framing)
+		write_chunked_(random, out, &sample->body);
+}
+
+static size_t random_piece_(struct bw_random *random, size_t left)
+{
+	static const size_t most[] = { 1, 7, 100, 1460, 16384 };
+	size_t piece =
+		1 + bw_random_below(random, most[bw_random_below(random, 5)]);
+
+	return piece < left ? piece : left;
+}
+
+static void check_sample_(const struct sample *sample,
+			  const struct bw_http_message *message)
+{
+	char host[160];
+
+	assert_int_equal(message->method, sample->method);
+	assert_int_equal(message->target.size_bytes, strlen(sample->target));
+	assert_memory_equal(bw_http_text(message, message->target),
+			    sample->target, strlen(sample->target));
+	assert_true(bw_http_find(message, "Host", host, sizeof(host)));
+	assert_string_equal(host, sample->host);
+	assert_int_equal(message->body.size_bytes, sample->body.size_bytes);
+	if (sample->body.size_bytes)
+		assert_memory_equal(message->body.data, sample->body.data,
+				    sample->body.size_bytes);
+	assert_true(message->keep_alive);
+}
+
+/* Feeds the stream like a listener does: what is unread stays in a buffer. */
+static void read_stream_(struct bw_random *random, const struct bw_buffer *wire,
+			 const struct sample *samples, uint32_t count,
+			 uint64_t round)
+{
+	struct bw_http_reader reader;
+	struct bw_buffer in;
+	uint32_t done = 0;
+	size_t sent = 0;
+	size_t used;
+
+	bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
+	bw_buffer_init(&in);
+	while (done < count) {
+		enum bw_http_progress progress;
+
+		if (!in.size_bytes || bw_random_below(random, 2)) {
+			size_t piece =
+				random_piece_(random, wire->size_bytes - sent);
+
+			bw_buffer_append(&in, wire->data + sent, piece);
+			sent += piece;
+		}
+		progress = bw_http_reader_feed(&reader, in.data, in.size_bytes,
+					       &used);
+		bw_buffer_consume(&in, used);
+		if (progress == BW_HTTP_COMPLETE) {
+			check_sample_(&samples[done++], &reader.message);
+			bw_http_reader_next(&reader);
+		} else if (progress != BW_HTTP_INCOMPLETE) {
+			fail_msg("round %llu request %u: result %d, parser %s",
+				 (unsigned long long)round, done, progress,
+				 http_errno_name(
+					 HTTP_PARSER_ERRNO(&reader.parser)));
+		}
+	}
+	assert_int_equal(in.size_bytes + wire->size_bytes - sent, 0);
+	bw_buffer_finish(&in);
+	bw_http_reader_finish(&reader);
+}
+
+/* Guards against parser state that outlives a message and spans that depend on
+ * the pieces of the stream. */
+static void test_reader_random(void **state)
+{
+	struct bw_random random;
+	uint64_t round;
+
+	(void)state;
+	bw_random_init(&random, SEED);
+	for (round = 0; round < ROUNDS; round++) {
+		struct sample samples[SEQUENCE_MAX];
+		struct bw_buffer wire;
+		uint32_t count =
+			1 + (uint32_t)bw_random_below(&random, SEQUENCE_MAX);
+		uint32_t i;
+
+		bw_buffer_init(&wire);
+		for (i = 0; i < count; i++)
+			make_sample_(&random, &samples[i], &wire);
+		read_stream_(&random, &wire, samples, count, round);
+		for (i = 0; i < count; i++)
+			bw_buffer_finish(&samples[i].body);
+		bw_buffer_finish(&wire);
+	}
+}
+
+static void respond_(struct echo *echo, struct bw_server_connection *connection)
+{
+	const struct bw_http_message *request =
+		bw_connection_request(connection);
+	struct bw_buffer fields;
+	char host[160] = "";
+
+	bw_http_find(request, "Host", host, sizeof(host));
+	bw_buffer_init(&fields);
+	bw_buffer_printf(&fields, "X-Echo: %s %.*s %s %zu\r\n",
+			 http_method_str((enum http_method)request->method),
+			 (int)request->target.size_bytes,
+			 bw_http_text(request, request->target), host,
+			 request->body.size_bytes);
+	echo->requests++;
+	echo->held = NULL;
+	bw_connection_respond(connection, 200, &fields, "ok", 2, false);
+	bw_buffer_finish(&fields);
+}
+
+/* Responds at once or from a later iteration, by turns. */
+static void on_request_(void *context, struct bw_server_connection *connection,
+			const struct bw_http_message *request)
+{
+	struct echo *echo = context;
+
+	(void)request;
+	if (echo->requests % 2)
+		respond_(echo, connection);
+	else
+		echo->held = connection;
+}
+
+static void on_disconnected_(void *context,
+			     struct bw_server_connection *connection)
+{
+	(void)connection;
+	((struct echo *)context)->held = NULL;
+}
+
+static const struct bw_listener_handler echo_handler = {
+	.request = on_request_,
+	.disconnected = on_disconnected_,
+};
+
+static uint16_t listen_(struct bw_listener *listener, struct ev_loop *loop,
+			struct echo *echo)
+{
+	struct bw_listener_config config = { .loop = loop,
+					     .connections_max = 4,
+					     .head_timeout_ms = 20000,
+					     .idle_timeout_ms = 60000,
+					     .handler = &echo_handler,
+					     .context = echo };
+	char address[32];
+	uint16_t port;
+
+	config.limits = limits;
+	config.address = address;
+	for (port = 23600; port < 23700; port++) {
+		snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+		if (bw_listener_init(listener, &config) == BW_OK)
+			break;
+	}
+	assert_true(port < 23700);
+	return port;
+}
+
+static void exchange_(struct bw_random *random, struct ev_loop *loop,
+		      struct echo *echo, uint16_t port, uint64_t round)
+{
+	struct sample samples[SEQUENCE_MAX];
+	struct bw_buffer wire;
+	struct peer peer;
+	uint32_t count = 1 + (uint32_t)bw_random_below(random, SEQUENCE_MAX);
+	size_t sent = 0;
+	uint32_t i;
+
+	bw_buffer_init(&wire);
+	for (i = 0; i < count; i++)
+		make_sample_(random, &samples[i], &wire);
+	peer_connect(&peer, loop, port);
+	while (sent < wire.size_bytes && !peer.eof) {
+		size_t piece = random_piece_(random, wire.size_bytes - sent);
+
+		if (piece < 100)
+			piece = wire.size_bytes - sent < 200 ? piece
+							     : piece + 100;
+		peer_send(&peer, wire.data + sent, piece);
+		sent += piece;
+		if (echo->held && bw_random_below(random, 2))
+			respond_(echo, echo->held);
+	}
+	while (peer_count(&peer, "HTTP/1.1 200 OK") < count) {
+		spin_once(loop);
+		if (echo->held)
+			respond_(echo, echo->held);
+		if (peer.eof || peer_has(&peer, "HTTP/1.1 4"))
+			fail_msg("round %llu: %.40s", (unsigned long long)round,
+				 strstr((char *)peer.in.data, "HTTP/1.1 4")
+					 ? strstr((char *)peer.in.data,
+						  "HTTP/1.1 4")
+					 : "closed");
+	}
+	for (i = 0; i < count; i++) {
+		struct bw_buffer line;
+
+		bw_buffer_init(&line);
+		bw_buffer_printf(&line, "X-Echo: %s %s %s %zu\r\n",
+				 http_method_str(samples[i].method),
+				 samples[i].target, samples[i].host,
+				 samples[i].body.size_bytes);
+		bw_buffer_append(&line, "", 1);
+		assert_true(peer_has(&peer, (const char *)line.data));
+		bw_buffer_finish(&line);
+		bw_buffer_finish(&samples[i].body);
+	}
+	peer_finish(&peer);
+	bw_buffer_finish(&wire);
+}
+
+/* Guards against an error response to one of several kept or pipelined
+ * requests that arrive in pieces. */
+static void test_listener_random(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	struct bw_random random;
+	uint16_t port = listen_(&listener, loop, &echo);
+	uint64_t round;
+
+	(void)state;
+	bw_random_init(&random, SEED + 1);
+	for (round = 0; round < SOCKET_ROUNDS; round++)
+		exchange_(&random, loop, &echo, port, round);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_reader_random),
+		cmocka_unit_test(test_listener_random),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
