Apply new size limits to open connections

Cause: a connection copied the size limits when it was accepted.

A request now takes the limits of the listener at its first byte, so that they change between requests but never within one.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -46,7 +46,7 @@
 	uint64_t received_bytes; /**< of the request and of those behind it */
 	uint32_t age_ms; /**< since the first byte of the request */
 	uint32_t limit; /**< that applied: bytes, fields or ms; 0: none */
-	uint32_t limit_current; /**< the same for a new connection */
+	uint32_t limit_current; /**< the same for the next request */
 };
 
 /** Callbacks of a listener; context is bw_listener_config.context. */
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -81,13 +81,13 @@
 	  "arrived with\nits head." },
 	{ "invalid", "head_too_large",
 	  "It has not run. Its head exceeded limit. If limit_current is "
-	  "larger, its connection\nis older than the configuration in force." },
+	  "larger, it began\nbefore the configuration in force." },
 	{ "invalid", "too_many_fields",
 	  "It has not run. Its head had more fields than limit, whatever the "
 	  "configuration." },
 	{ "invalid", "body_too_large",
 	  "It has not run. Its body exceeded limit. If limit_current is "
-	  "larger, its connection\nis older than the configuration in force." },
+	  "larger, it began\nbefore the configuration in force." },
 	{ "invalid", "head_timeout",
 	  "It has not run. Its head did not arrive within limit ms of its "
 	  "first byte; see\nreceived_bytes." },
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -360,6 +360,7 @@
 	if (!connection->reader.started) {
 		connection->state_since_s = ev_now(listener->config.loop);
 		connection->parsed_bytes = 0;
+		connection->reader.limits = listener->config.limits;
 	}
 	progress = bw_http_reader_feed(&connection->reader, connection->in.data,
 				       connection->in.size_bytes, &used_bytes);
@@ -454,7 +455,7 @@
 				  &rejection);
 }
 
-/* A connection keeps the size limits with which it was accepted. */
+/* A request keeps the size limits that were in force at its first byte. */
 static uint32_t limit_(const struct bw_server_connection *connection,
 		       const struct bw_http_limits *limits,
 		       enum bw_listener_cause cause)
--- a/src/test_libbwproxy/test_valid_requests.c
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -3,6 +3,7 @@
  * against an error response to a request that stays within the limits.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "bwbase/random.h"
@@ -408,11 +409,86 @@
 	ev_loop_destroy(loop);
 }
 
+/* Sends text to a listener and returns the status of the response. */
+static uint32_t status_on_(struct ev_loop *loop, struct echo *echo,
+			   struct peer *peer, const void *data,
+			   size_t size_bytes)
+{
+	uint32_t status_code = 0;
+	char *line;
+
+	bw_buffer_clear(&peer->in);
+	peer_send(peer, data, size_bytes);
+	while (!peer_has(peer, "\r\n\r\n") && !peer->eof) {
+		spin_once(loop);
+		if (echo->held)
+			respond_(echo, echo->held);
+	}
+	bw_buffer_append(&peer->in, "", 1);
+	line = strstr((char *)peer->in.data, "HTTP/1.1 ");
+	if (line)
+		status_code = (uint32_t)strtoul(line + 9, NULL, 10);
+	return status_code;
+}
+
+static uint32_t status_of_(struct ev_loop *loop, struct echo *echo,
+			   struct peer *peer, const char *text)
+{
+	return status_on_(loop, echo, peer, text, strlen(text));
+}
+
+static void write_padded_(struct bw_buffer *out, uint32_t fields,
+			  size_t value_bytes)
+{
+	uint32_t i;
+	size_t j;
+
+	append_text_(out, "GET /a HTTP/1.1\r\nHost: h.example\r\n");
+	for (i = 0; i < fields; i++) {
+		bw_buffer_printf(out, "X-%u: ", i);
+		for (j = 0; j < value_bytes; j++)
+			append_text_(out, "v");
+		append_text_(out, "\r\n");
+	}
+	append_text_(out, "\r\n");
+}
+
+/* Guards against a limit of a newer routing table that does not apply to open
+ * connections. */
+static void test_newer_limits(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	struct bw_buffer wire;
+	struct peer peer;
+	uint16_t port = listen_(&listener, loop, &echo);
+
+	(void)state;
+	listener.config.limits.head_max_bytes = 512;
+	peer_connect(&peer, loop, port);
+	assert_int_equal(
+		status_of_(loop, &echo, &peer,
+			   "GET /a HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+		200);
+	bw_buffer_init(&wire);
+	listener.config.limits.head_max_bytes = HEAD_MAX_BYTES;
+	write_padded_(&wire, 1, 1000);
+	assert_int_equal(status_on_(loop, &echo, &peer, wire.data,
+				    wire.size_bytes),
+			 200);
+	peer_finish(&peer);
+	bw_buffer_finish(&wire);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_reader_random),
 		cmocka_unit_test(test_listener_random),
+		cmocka_unit_test(test_newer_limits),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
