Bound the number of header fields by the head's size

Cause: the fields of a message were an array of fixed size.

The array now grows with the message. Each field counts with its name, its value and the 3 bytes that it has on the wire at least besides them, so that the configured size bounds the memory and never rejects a head that is within it on the wire. Memory for more than 32 fields is freed after the message, so that idle connections stay small (they had 1536 bytes for fields, now 256 to 512 after a usual request).

The cause too_many_fields is gone, as nothing can have it any more.

--- a/include/bwproxy/http1.h
+++ b/include/bwproxy/http1.h
@@ -14,8 +14,9 @@
 #include "bwbase/buffer.h"
 #include "bwbase/status.h"
 
-/** Maximum number of header fields of a message. */
-#define BW_HTTP_FIELDS_MAX 96
+/** Bytes on the wire that separate a field's name and value from others, at
+ * least: a colon, CR and LF. */
+#define BW_HTTP_FIELD_OVERHEAD_BYTES 3
 
 /** A range of bytes of bw_http_message.text. */
 struct bw_http_span {
@@ -34,8 +35,9 @@
 	struct bw_buffer text; /**< target, field names and values */
 	struct bw_buffer body; /**< after removal of the transfer coding */
 	struct bw_http_span target; /**< requests: as sent */
-	struct bw_http_field fields[BW_HTTP_FIELDS_MAX];
+	struct bw_http_field *fields;
 	uint32_t field_count;
+	uint32_t field_capacity; /**< allocated */
 	uint8_t method; /**< requests: an enum http_method */
 	uint16_t status_code; /**< responses only */
 	bool head_complete;
@@ -45,6 +47,7 @@
 
 /** Size limits of a message. */
 struct bw_http_limits {
+	/** Target, names, values and BW_HTTP_FIELD_OVERHEAD_BYTES each. */
 	uint32_t head_max_bytes;
 	uint32_t body_max_bytes;
 };
@@ -81,6 +84,9 @@
 /** Frees the memory of the message. */
 void bw_http_reader_finish(struct bw_http_reader *reader);
 
+/** Frees the memory of a message and leaves it empty. */
+void bw_http_message_finish(struct bw_http_message *message);
+
 /** Resets the reader for the next message of the stream. */
 void bw_http_reader_next(struct bw_http_reader *reader);
 
--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -24,7 +24,6 @@
 	BW_LISTENER_MALFORMED, /**< not HTTP/1.x; see parser_error */
 	BW_LISTENER_UPGRADE, /**< asks for another protocol */
 	BW_LISTENER_HEAD_TOO_LARGE,
-	BW_LISTENER_TOO_MANY_FIELDS,
 	BW_LISTENER_BODY_TOO_LARGE,
 	BW_LISTENER_HEAD_TIMEOUT, /**< the head was not complete in time */
 	BW_LISTENER_BODY_TIMEOUT, /**< the head was, the body was not */
@@ -45,7 +44,7 @@
 	const char *address; /**< of the listener */
 	uint64_t received_bytes; /**< of the request and of those behind it */
 	uint32_t age_ms; /**< since the first byte of the request */
-	uint32_t limit; /**< that applied: bytes, fields or ms; 0: none */
+	uint32_t limit; /**< that applied: bytes or ms; 0: none */
 	uint32_t limit_current; /**< the same for the next request */
 };
 
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -82,9 +82,6 @@
 	{ "invalid", "head_too_large",
 	  "It has not run. Its head exceeded limit. If limit_current is "
 	  "larger, it began\nbefore the configuration in force." },
-	{ "invalid", "too_many_fields",
-	  "It has not run. Its head had more fields than limit, whatever the "
-	  "configuration." },
 	{ "invalid", "body_too_large",
 	  "It has not run. Its body exceeded limit. If limit_current is "
 	  "larger, it began\nbefore the configuration in force." },
--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -1,6 +1,7 @@
 #include "bwproxy/http1.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -12,6 +13,7 @@
 static int on_head_(http_parser *parser);
 static int on_body_(http_parser *parser, const char *data, size_t size_bytes);
 static int on_complete_(http_parser *parser);
+static enum bw_status add_field_(struct bw_http_message *message);
 static int append_to_span_(struct bw_http_reader *reader,
 			   struct bw_http_span *span, const char *data,
 			   size_t size_bytes);
@@ -34,6 +36,12 @@
  * longer name is treated as end-to-end. */
 #define HOP_BY_HOP_NAME_BYTES 64
 
+/** Number of fields for which memory is first allocated. */
+#define FIELDS_MIN 16
+
+/** Number of fields whose memory is kept between messages. */
+#define FIELDS_KEPT_MAX 32
+
 void bw_http_reader_init(struct bw_http_reader *reader,
 			 enum http_parser_type type,
 			 const struct bw_http_limits *limits)
@@ -46,20 +54,34 @@
 
 void bw_http_reader_finish(struct bw_http_reader *reader)
 {
-	bw_buffer_finish(&reader->message.text);
-	bw_buffer_finish(&reader->message.body);
+	bw_http_message_finish(&reader->message);
+}
+
+void bw_http_message_finish(struct bw_http_message *message)
+{
+	bw_buffer_finish(&message->text);
+	bw_buffer_finish(&message->body);
+	free(message->fields);
+	memset(message, 0, sizeof(*message));
 }
 
 void bw_http_reader_next(struct bw_http_reader *reader)
 {
-	struct bw_buffer text = reader->message.text;
-	struct bw_buffer body = reader->message.body;
-
-	bw_buffer_clear(&text);
-	bw_buffer_clear(&body);
-	memset(&reader->message, 0, sizeof(reader->message));
-	reader->message.text = text;
-	reader->message.body = body;
+	struct bw_http_message kept = {
+		.text = reader->message.text,
+		.body = reader->message.body,
+		.fields = reader->message.fields,
+		.field_capacity = reader->message.field_capacity,
+	};
+
+	bw_buffer_clear(&kept.text);
+	bw_buffer_clear(&kept.body);
+	if (kept.field_capacity > FIELDS_KEPT_MAX) {
+		free(kept.fields);
+		kept.fields = NULL;
+		kept.field_capacity = 0;
+	}
+	reader->message = kept;
 	reader->failure = BW_HTTP_INCOMPLETE;
 	reader->started = false;
 	reader->last_was_value = false;
@@ -170,9 +192,8 @@
 	if (message->head_complete)
 		return 0; /* trailers are not forwarded */
 	if (!message->field_count || reader->last_was_value) {
-		if (message->field_count == BW_HTTP_FIELDS_MAX)
+		if (add_field_(message) != BW_OK)
 			return set_failure_(reader, BW_HTTP_HEAD_TOO_LARGE);
-		message->field_count++;
 	}
 	reader->last_was_value = false;
 	return append_to_span_(reader,
@@ -226,14 +247,36 @@
 	return 0;
 }
 
+/* The limit of the head bounds the number of fields. */
+static enum bw_status add_field_(struct bw_http_message *message)
+{
+	uint32_t capacity = message->field_capacity;
+	struct bw_http_field *fields;
+
+	if (message->field_count == capacity) {
+		capacity = capacity ? 2 * capacity : FIELDS_MIN;
+		fields = realloc(message->fields, capacity * sizeof(*fields));
+		if (!fields)
+			return BW_ENOMEM;
+		message->fields = fields;
+		message->field_capacity = capacity;
+	}
+	memset(&message->fields[message->field_count++], 0,
+	       sizeof(*message->fields));
+	return BW_OK;
+}
+
 /* The parser may deliver one span in several contiguous pieces. */
 static int append_to_span_(struct bw_http_reader *reader,
 			   struct bw_http_span *span, const char *data,
 			   size_t size_bytes)
 {
 	struct bw_buffer *text = &reader->message.text;
+	size_t overhead_bytes = (size_t)reader->message.field_count *
+				BW_HTTP_FIELD_OVERHEAD_BYTES;
 
-	if (text->size_bytes + size_bytes > reader->limits.head_max_bytes)
+	if (text->size_bytes + overhead_bytes + size_bytes >
+	    reader->limits.head_max_bytes)
 		return set_failure_(reader, BW_HTTP_HEAD_TOO_LARGE);
 	if (!span->size_bytes)
 		span->offset_bytes = (uint32_t)text->size_bytes;
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -58,8 +58,6 @@
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause);
-static enum bw_listener_cause
-head_cause_(const struct bw_server_connection *connection);
 static void report_rejection_(struct bw_server_connection *connection,
 			      enum bw_listener_cause cause);
 static uint32_t limit_(const struct bw_server_connection *connection,
@@ -76,7 +74,6 @@
 	[BW_LISTENER_MALFORMED] = "malformed",
 	[BW_LISTENER_UPGRADE] = "upgrade",
 	[BW_LISTENER_HEAD_TOO_LARGE] = "head_too_large",
-	[BW_LISTENER_TOO_MANY_FIELDS] = "too_many_fields",
 	[BW_LISTENER_BODY_TOO_LARGE] = "body_too_large",
 	[BW_LISTENER_HEAD_TIMEOUT] = "head_timeout",
 	[BW_LISTENER_BODY_TIMEOUT] = "body_timeout",
@@ -84,9 +81,8 @@
 
 const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT] = {
 	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UPGRADE] = 400,
-	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_TOO_MANY_FIELDS] = 431,
-	[BW_LISTENER_BODY_TOO_LARGE] = 413, [BW_LISTENER_HEAD_TIMEOUT] = 408,
-	[BW_LISTENER_BODY_TIMEOUT] = 408,
+	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_BODY_TOO_LARGE] = 413,
+	[BW_LISTENER_HEAD_TIMEOUT] = 408,   [BW_LISTENER_BODY_TIMEOUT] = 408,
 };
 
 enum bw_status bw_listener_init(struct bw_listener *listener,
@@ -383,7 +379,7 @@
 						    : BW_LISTENER_MALFORMED);
 		break;
 	case BW_HTTP_HEAD_TOO_LARGE:
-		reject_request_(connection, head_cause_(connection));
+		reject_request_(connection, BW_LISTENER_HEAD_TOO_LARGE);
 		break;
 	case BW_HTTP_BODY_TOO_LARGE:
 		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
@@ -418,20 +414,6 @@
 	flush_output_(connection);
 }
 
-/* The reader reports both as a head that is too large. */
-static enum bw_listener_cause
-head_cause_(const struct bw_server_connection *connection)
-{
-	const struct bw_http_reader *reader = &connection->reader;
-	enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
-
-	/* The name of the field beyond the limit was not read. */
-	if (error == HPE_CB_header_field && reader->last_was_value &&
-	    reader->message.field_count == BW_HTTP_FIELDS_MAX)
-		return BW_LISTENER_TOO_MANY_FIELDS;
-	return BW_LISTENER_HEAD_TOO_LARGE;
-}
-
 static void report_rejection_(struct bw_server_connection *connection,
 			      enum bw_listener_cause cause)
 {
@@ -466,8 +448,6 @@
 	case BW_LISTENER_HEAD_TOO_LARGE:
 		return error == HPE_HEADER_OVERFLOW ? HTTP_MAX_HEADER_SIZE
 						    : limits->head_max_bytes;
-	case BW_LISTENER_TOO_MANY_FIELDS:
-		return BW_HTTP_FIELDS_MAX;
 	case BW_LISTENER_BODY_TOO_LARGE:
 		return limits->body_max_bytes;
 	case BW_LISTENER_HEAD_TIMEOUT:
--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -346,8 +346,8 @@
 				    KEEP_ALIVE_FRACTION * atoi(timeout + 8));
 	}
 	/* Takes over the message, as the connection may be closed first. */
-	bw_buffer_init(&connection->reader.message.text);
-	bw_buffer_init(&connection->reader.message.body);
+	memset(&connection->reader.message, 0,
+	       sizeof(connection->reader.message));
 	connection->request = NULL;
 	connection->busy = false;
 	if (reusable)
@@ -356,8 +356,7 @@
 		close_connection_(connection);
 	pool->config.ended(pool->config.context, request, BW_POOL_RESPONSE,
 			   &message);
-	bw_buffer_finish(&message.text);
-	bw_buffer_finish(&message.body);
+	bw_http_message_finish(&message);
 }
 
 static bool is_matching_response_(const struct bw_pool_connection *connection)
--- a/src/test_libbwproxy/test_http1.c
+++ b/src/test_libbwproxy/test_http1.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -165,6 +166,55 @@
 	bw_http_reader_finish(&reader);
 }
 
+/* Guards against a head within its limit of bytes that is rejected for the
+ * number of its fields, and against separators that the limit does not count.
+ */
+static void test_many_fields(void **state)
+{
+	char text[1024] = "GET / HTTP/1.1\r\n";
+	size_t length = strlen(text);
+	int i;
+
+	(void)state;
+	/* The target and 102 fields of 5 bytes are 511 bytes. */
+	for (i = 0; i < 102; i++)
+		length += (size_t)snprintf(text + length, sizeof(text) - length,
+					   "a:b\r\n");
+	snprintf(text + length, sizeof(text) - length, "\r\n");
+	expect_result_(HTTP_REQUEST, text, BW_HTTP_COMPLETE, "", 0);
+	snprintf(text + length, sizeof(text) - length, "a:b\r\n\r\n");
+	expect_result_(HTTP_REQUEST, text, BW_HTTP_HEAD_TOO_LARGE, "", 0);
+}
+
+/* Guards against fields of a message that outlive it. */
+static void test_field_memory(void **state)
+{
+	char text[1024] = "GET / HTTP/1.1\r\n";
+	struct bw_http_reader reader;
+	size_t length = strlen(text);
+	size_t unread_bytes;
+	int i;
+
+	(void)state;
+	bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
+	for (i = 0; i < 100; i++)
+		length += (size_t)snprintf(text + length, sizeof(text) - length,
+					   "a: b\r\n");
+	snprintf(text + length, sizeof(text) - length, "\r\n");
+	assert_int_equal(feed_split_(&reader, text, 20, &unread_bytes),
+			 BW_HTTP_COMPLETE);
+	assert_int_equal(reader.message.field_count, 100);
+	bw_http_reader_next(&reader);
+	assert_int_equal(reader.message.field_count, 0);
+	assert_true(reader.message.field_capacity < 100);
+	assert_int_equal(feed_split_(&reader, "GET / HTTP/1.1\r\nc: d\r\n\r\n",
+				     20, &unread_bytes),
+			 BW_HTTP_COMPLETE);
+	assert_int_equal(reader.message.field_count, 1);
+	assert_int_equal(reader.message.fields[0].value.size_bytes, 1);
+	bw_http_reader_finish(&reader);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -173,6 +223,8 @@
 		cmocka_unit_test(test_rejected),
 		cmocka_unit_test(test_end_of_stream),
 		cmocka_unit_test(test_fields),
+		cmocka_unit_test(test_many_fields),
+		cmocka_unit_test(test_field_memory),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_libbwproxy/test_valid_requests.c
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -483,12 +483,37 @@
 	ev_loop_destroy(loop);
 }
 
+/* Guards against a limit of the number of fields that the limit of bytes does
+ * not imply. */
+static void test_many_fields(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	struct bw_buffer wire;
+	struct peer peer;
+	uint16_t port = listen_(&listener, loop, &echo);
+
+	(void)state;
+	bw_buffer_init(&wire);
+	write_padded_(&wire, 150, 3);
+	peer_connect(&peer, loop, port);
+	assert_int_equal(status_on_(loop, &echo, &peer, wire.data,
+				    wire.size_bytes),
+			 200);
+	peer_finish(&peer);
+	bw_buffer_finish(&wire);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_reader_random),
 		cmocka_unit_test(test_listener_random),
 		cmocka_unit_test(test_newer_limits),
+		cmocka_unit_test(test_many_fields),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
