Let the configuration alone limit the size of heads

Cause: the parser has a limit of its own, 80 KiB by default.

Evidence: test_large_head_limit (90 KB of fields with a limit of 1 MiB) got 431 before and passes now.

The parser's limit is lifted. It also bounded what the reader does not keep: empty lines before a message, white space, extensions of chunks and trailers. The reader now bounds these bytes itself, between two pieces of the body, by twice the configured size of the head and 4 KiB, so that the bound follows the configuration. test_endless shows that no such part is read without end (before, it failed where the 80 KiB were not reached), and test_small_chunks that many small chunks do not add up.

--- a/include/bwproxy/http1.h
+++ b/include/bwproxy/http1.h
@@ -68,6 +68,10 @@
 	struct bw_http_limits limits;
 	enum bw_http_progress
 		failure; /**< BW_HTTP_INCOMPLETE while there is none */
+	/** End of the last piece of the body in the bytes being read, or NULL.
+	 */
+	const uint8_t *body_end;
+	uint64_t overhead_bytes; /**< read since body_end or the beginning */
 	bool started; /**< a byte of the message was read */
 	bool last_was_value; /**< the last header callback was a value */
 	bool skip_body; /**< response to a HEAD request */
--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -21,6 +21,8 @@
 			enum bw_http_progress failure);
 static bool list_contains_(const char *list, size_t list_bytes,
 			   const char *name, size_t name_bytes);
+static void check_overhead_(struct bw_http_reader *reader, const uint8_t *data,
+			    size_t size_bytes);
 static enum bw_http_progress current_progress_(struct bw_http_reader *reader);
 
 static const http_parser_settings parser_settings = {
@@ -36,6 +38,11 @@
  * longer name is treated as end-to-end. */
 #define HOP_BY_HOP_NAME_BYTES 64
 
+/** Multiple of head_max_bytes, and bytes in addition, that white space, the
+ * extensions of a chunk or trailers may have. */
+#define OVERHEAD_FACTOR 2
+#define OVERHEAD_BYTES 4096
+
 /** Number of fields for which memory is first allocated. */
 #define FIELDS_MIN 16
 
@@ -47,6 +54,8 @@
 			 const struct bw_http_limits *limits)
 {
 	memset(reader, 0, sizeof(*reader));
+	/* The limits of the reader apply in place of the parser's own. */
+	http_parser_set_max_header_size(UINT32_MAX);
 	http_parser_init(&reader->parser, type);
 	reader->parser.data = reader;
 	reader->limits = *limits;
@@ -85,6 +94,7 @@
 	reader->failure = BW_HTTP_INCOMPLETE;
 	reader->started = false;
 	reader->last_was_value = false;
+	reader->overhead_bytes = 0;
 	http_parser_init(&reader->parser,
 			 (enum http_parser_type)reader->parser.type);
 	reader->parser.data = reader;
@@ -98,10 +108,12 @@
 	if (!size_bytes)
 		return current_progress_(reader);
 	reader->started = true;
+	reader->body_end = NULL;
 	if (HTTP_PARSER_ERRNO(&reader->parser) == HPE_PAUSED)
 		http_parser_pause(&reader->parser, 0);
 	*used_bytes = http_parser_execute(&reader->parser, &parser_settings,
 					  (const char *)data, size_bytes);
+	check_overhead_(reader, data, *used_bytes);
 	return current_progress_(reader);
 }
 
@@ -235,6 +247,7 @@
 	if (body->size_bytes + size_bytes > reader->limits.body_max_bytes ||
 	    bw_buffer_append(body, data, size_bytes) != BW_OK)
 		return set_failure_(reader, BW_HTTP_BODY_TOO_LARGE);
+	reader->body_end = (const uint8_t *)data + size_bytes;
 	return 0;
 }
 
@@ -313,6 +326,25 @@
 	return false;
 }
 
+/* Bounds what the parser reads but does not deliver, between two pieces of the
+ * body. */
+static void check_overhead_(struct bw_http_reader *reader, const uint8_t *data,
+			    size_t size_bytes)
+{
+	uint64_t max_bytes =
+		OVERHEAD_FACTOR * (uint64_t)reader->limits.head_max_bytes +
+		OVERHEAD_BYTES;
+
+	if (reader->body_end) {
+		size_bytes -= (size_t)(reader->body_end - data);
+		reader->overhead_bytes = 0;
+	}
+	reader->overhead_bytes += size_bytes;
+	if (reader->overhead_bytes > max_bytes && !reader->message.complete &&
+	    reader->failure == BW_HTTP_INCOMPLETE)
+		reader->failure = BW_HTTP_HEAD_TOO_LARGE;
+}
+
 static enum bw_http_progress current_progress_(struct bw_http_reader *reader)
 {
 	enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
@@ -321,8 +353,6 @@
 		return reader->failure;
 	if (reader->message.complete)
 		return BW_HTTP_COMPLETE;
-	if (error == HPE_HEADER_OVERFLOW)
-		return reader->failure = BW_HTTP_HEAD_TOO_LARGE;
 	if ((error != HPE_OK && error != HPE_PAUSED) || reader->parser.upgrade)
 		return reader->failure = BW_HTTP_MALFORMED;
 	return BW_HTTP_INCOMPLETE;
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -442,12 +442,9 @@
 		       const struct bw_http_limits *limits,
 		       enum bw_listener_cause cause)
 {
-	enum http_errno error = HTTP_PARSER_ERRNO(&connection->reader.parser);
-
 	switch (cause) {
 	case BW_LISTENER_HEAD_TOO_LARGE:
-		return error == HPE_HEADER_OVERFLOW ? HTTP_MAX_HEADER_SIZE
-						    : limits->head_max_bytes;
+		return limits->head_max_bytes;
 	case BW_LISTENER_BODY_TOO_LARGE:
 		return limits->body_max_bytes;
 	case BW_LISTENER_HEAD_TIMEOUT:
--- a/src/test_libbwproxy/test_http1.c
+++ b/src/test_libbwproxy/test_http1.c
@@ -186,6 +186,83 @@
 	expect_result_(HTTP_REQUEST, text, BW_HTTP_HEAD_TOO_LARGE, "", 0);
 }
 
+/* Feeds a piece again and again and returns the last result. */
+static enum bw_http_progress feed_endless_(enum http_parser_type type,
+					   const char *head, const char *piece)
+{
+	enum bw_http_progress progress = BW_HTTP_INCOMPLETE;
+	struct bw_http_reader reader;
+	size_t used;
+	int i;
+
+	bw_http_reader_init(&reader, type, &limits);
+	if (*head)
+		progress = bw_http_reader_feed(&reader, (const uint8_t *)head,
+					       strlen(head), &used);
+	for (i = 0; i < 20000 && progress == BW_HTTP_INCOMPLETE; i++)
+		progress = bw_http_reader_feed(&reader, (const uint8_t *)piece,
+					       strlen(piece), &used);
+	bw_http_reader_finish(&reader);
+	return progress;
+}
+
+/* Guards against a message that is read without end because it has no body. */
+static void test_endless(void **state)
+{
+	static const struct {
+		enum http_parser_type type;
+		const char *head;
+		const char *piece;
+	} cases[] = {
+		{ HTTP_REQUEST, "", "\r\n" },
+		{ HTTP_REQUEST, "GET /", "a" },
+		{ HTTP_REQUEST, "GET / HTTP/1.1\r\n", "a" },
+		{ HTTP_REQUEST, "GET / HTTP/1.1\r\na:", " " },
+		{ HTTP_REQUEST, "GET / HTTP/1.1\r\na:", "b" },
+		{ HTTP_REQUEST, "GET / HTTP/1.1\r\n", "a: b\r\n" },
+		{ HTTP_REQUEST,
+		  "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+		  "a" },
+		{ HTTP_REQUEST,
+		  "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		  "a: b\r\n" },
+		{ HTTP_RESPONSE, "HTTP/1.1 200 ", "OK" },
+		{ HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n", "a: b\r\n" },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		assert_int_equal(feed_endless_(cases[i].type, cases[i].head,
+					       cases[i].piece),
+				 BW_HTTP_HEAD_TOO_LARGE);
+}
+
+/* Guards against a limit of overhead that adds up over the chunks of a body. */
+static void test_small_chunks(void **state)
+{
+	static const char head[] =
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+	static const char chunk[] = "0001;a=b\r\nx\r\n";
+	struct bw_http_limits large = { .head_max_bytes = 512,
+					.body_max_bytes = 100000 };
+	enum bw_http_progress progress;
+	struct bw_http_reader reader;
+	size_t used;
+	int i;
+
+	(void)state;
+	bw_http_reader_init(&reader, HTTP_REQUEST, &large);
+	progress = bw_http_reader_feed(&reader, (const uint8_t *)head,
+				       strlen(head), &used);
+	for (i = 0; i < 20000 && progress == BW_HTTP_INCOMPLETE; i++)
+		progress = bw_http_reader_feed(&reader, (const uint8_t *)chunk,
+					       strlen(chunk), &used);
+	assert_int_equal(progress, BW_HTTP_INCOMPLETE);
+	assert_int_equal(reader.message.body.size_bytes, 20000);
+	bw_http_reader_finish(&reader);
+}
+
 /* Guards against fields of a message that outlive it. */
 static void test_field_memory(void **state)
 {
@@ -225,6 +302,8 @@
 		cmocka_unit_test(test_fields),
 		cmocka_unit_test(test_many_fields),
 		cmocka_unit_test(test_field_memory),
+		cmocka_unit_test(test_endless),
+		cmocka_unit_test(test_small_chunks),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_libbwproxy/test_valid_requests.c
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -507,6 +507,30 @@
 	ev_loop_destroy(loop);
 }
 
+/* Guards against the parser's own limit below the configured one. */
+static void test_large_head_limit(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	struct bw_buffer wire;
+	struct peer peer;
+	uint16_t port = listen_(&listener, loop, &echo);
+
+	(void)state;
+	listener.config.limits.head_max_bytes = 1024 * 1024;
+	bw_buffer_init(&wire);
+	write_padded_(&wire, 10, 9000);
+	peer_connect(&peer, loop, port);
+	assert_int_equal(status_on_(loop, &echo, &peer, wire.data,
+				    wire.size_bytes),
+			 200);
+	peer_finish(&peer);
+	bw_buffer_finish(&wire);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -514,6 +538,7 @@
 		cmocka_unit_test(test_listener_random),
 		cmocka_unit_test(test_newer_limits),
 		cmocka_unit_test(test_many_fields),
+		cmocka_unit_test(test_large_head_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
