Drop white space around values of header fields

Cause: the parser skips white space before a value and keeps what follows it; lists were trimmed at the beginning of an item only.

The reader now trims spaces and tabs at both ends of a value when the value is complete, as RFC 9110, section 5.5 says, so that all readers of values see the same. A tab after Content-Length or Transfer-Encoding still gets 400: the parser itself reads these two, and would need other bytes than the client sent.

--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -13,6 +13,8 @@
 static int on_head_(http_parser *parser);
 static int on_body_(http_parser *parser, const char *data, size_t size_bytes);
 static int on_complete_(http_parser *parser);
+static void trim_last_value_(struct bw_http_message *message);
+static bool is_space_(char c);
 static enum bw_status add_field_(struct bw_http_message *message);
 static int append_to_span_(struct bw_http_reader *reader,
 			   struct bw_http_span *span, const char *data,
@@ -204,6 +206,7 @@
 	if (message->head_complete)
 		return 0; /* trailers are not forwarded */
 	if (!message->field_count || reader->last_was_value) {
+		trim_last_value_(message);
 		if (add_field_(message) != BW_OK)
 			return set_failure_(reader, BW_HTTP_HEAD_TOO_LARGE);
 	}
@@ -231,6 +234,7 @@
 	struct bw_http_reader *reader = parser->data;
 	struct bw_http_message *message = &reader->message;
 
+	trim_last_value_(message);
 	message->head_complete = true;
 	message->method = (uint8_t)parser->method;
 	message->status_code = (uint16_t)parser->status_code;
@@ -260,6 +264,29 @@
 	return 0;
 }
 
+/* White space around a value is no part of it (RFC 9110, section 5.5). */
+static void trim_last_value_(struct bw_http_message *message)
+{
+	const char *text = (const char *)message->text.data;
+	struct bw_http_span *value;
+
+	if (!message->field_count)
+		return;
+	value = &message->fields[message->field_count - 1].value;
+	while (value->size_bytes &&
+	       is_space_(text[value->offset_bytes + value->size_bytes - 1]))
+		value->size_bytes--;
+	while (value->size_bytes && is_space_(text[value->offset_bytes])) {
+		value->offset_bytes++;
+		value->size_bytes--;
+	}
+}
+
+static bool is_space_(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
 /* The limit of the head bounds the number of fields. */
 static enum bw_status add_field_(struct bw_http_message *message)
 {
@@ -313,12 +340,16 @@
 
 	while (end < list_bytes) {
 		size_t start = end;
+		size_t last;
 
 		while (end < list_bytes && list[end] != ',')
 			end++;
-		while (start < end && list[start] == ' ')
+		last = end;
+		while (start < last && is_space_(list[start]))
 			start++;
-		if (end - start == name_bytes &&
+		while (start < last && is_space_(list[last - 1]))
+			last--;
+		if (last - start == name_bytes &&
 		    !strncasecmp(list + start, name, name_bytes))
 			return true;
 		end++;
--- a/src/test_libbwproxy/test_http1.c
+++ b/src/test_libbwproxy/test_http1.c
@@ -166,6 +166,45 @@
 	bw_http_reader_finish(&reader);
 }
 
+/* Guards against optional white space that counts as part of a value, however
+ * the stream was split. */
+static void test_white_space(void **state)
+{
+	static const char text[] =
+		"GET / HTTP/1.1\r\nHost: \t x \t\r\nA:\r\nB: \t \r\n"
+		"C:c \td\r\nConnection:close\t, \tX-One \t,X-Two \r\n"
+		"X-One: 1\r\nX-Two: 2\t \r\n\r\n";
+	static const char *const values[] = {
+		"x", "", "", "c \td", "close\t, \tX-One \t,X-Two", "1", "2"
+	};
+	size_t split;
+
+	(void)state;
+	for (split = 0; split <= strlen(text); split++) {
+		struct bw_http_reader reader;
+		const struct bw_http_message *message = &reader.message;
+		size_t unread_bytes;
+		uint32_t i;
+
+		bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
+		assert_int_equal(feed_split_(&reader, text, split,
+					     &unread_bytes),
+				 BW_HTTP_COMPLETE);
+		assert_int_equal(message->field_count, 7);
+		for (i = 0; i < message->field_count; i++) {
+			struct bw_http_span value = message->fields[i].value;
+
+			assert_int_equal(value.size_bytes, strlen(values[i]));
+			assert_memory_equal(bw_http_text(message, value),
+					    values[i], value.size_bytes);
+			assert_int_equal(bw_http_field_is_hop_by_hop(
+						 message, &message->fields[i]),
+					 i >= 4);
+		}
+		bw_http_reader_finish(&reader);
+	}
+}
+
 /* Guards against a head within its limit of bytes that is rejected for the
  * number of its fields, and against separators that the limit does not count.
  */
@@ -300,6 +339,7 @@
 		cmocka_unit_test(test_rejected),
 		cmocka_unit_test(test_end_of_stream),
 		cmocka_unit_test(test_fields),
+		cmocka_unit_test(test_white_space),
 		cmocka_unit_test(test_many_fields),
 		cmocka_unit_test(test_field_memory),
 		cmocka_unit_test(test_endless),
--- a/src/test_libbwproxy/test_valid_requests.c
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -8,6 +8,7 @@
 
 #include "bwbase/random.h"
 #include "bwproxy/listener.h"
+#include "bwsteer/routing.h"
 #include "harness.h"
 
 /** Rounds and seed of the random tests. */
@@ -531,6 +532,44 @@
 	ev_loop_destroy(loop);
 }
 
+/* Returns whether the entry host would find the route of a request. */
+static bool is_routed_(const char *text)
+{
+	struct bw_routing *routing = bw_routing_new(1, 0);
+	const struct bw_route *route = NULL;
+	struct bw_http_reader reader;
+	char host[BW_ROUTE_HOST_MAX];
+	size_t used;
+
+	assert_non_null(routing);
+	strcpy(routing->routes[0].host, "h.example");
+	strcpy(routing->routes[0].prefix, "/a/");
+	bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
+	assert_int_equal(bw_http_reader_feed(&reader, (const uint8_t *)text,
+					     strlen(text), &used),
+			 BW_HTTP_COMPLETE);
+	if (bw_http_find(&reader.message, "Host", host, sizeof(host)))
+		route = bw_routing_find(routing, host, strlen(host),
+					bw_http_text(&reader.message,
+						     reader.message.target),
+					reader.message.target.size_bytes);
+	bw_http_reader_finish(&reader);
+	bw_routing_unref(routing);
+	return route != NULL;
+}
+
+/* Guards against a 404 because of optional white space. */
+static void test_host_whitespace(void **state)
+{
+	(void)state;
+	assert_true(is_routed_("GET /a/ HTTP/1.1\r\nHost: h.example\r\n\r\n"));
+	assert_true(
+		is_routed_("GET /a/ HTTP/1.1\r\nHost: \th.example\r\n\r\n"));
+	assert_true(is_routed_("GET /a/ HTTP/1.1\r\nHost: h.example \r\n\r\n"));
+	assert_true(
+		is_routed_("GET /a/ HTTP/1.1\r\nHost: h.example\t\r\n\r\n"));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -539,6 +578,7 @@
 		cmocka_unit_test(test_newer_limits),
 		cmocka_unit_test(test_many_fields),
 		cmocka_unit_test(test_large_head_limit),
+		cmocka_unit_test(test_host_whitespace),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
