Answer unknown methods with 501

Cause: each error of the parser counted as a malformed request.

Evidence: test_unknown_method got 400 before and gets 501 now.

The parser stops at the first byte that no method of its list has there. The reader now reads on to the end of the method: a token with a space behind it is an unknown method, anything else is malformed, whichever bytes have arrived (test_methods splits at each byte). CONNECT gets 501 too, as no host opens tunnels. The new cause unknown_method is logged, counted and explained like the others.

--- a/include/bwproxy/http1.h
+++ b/include/bwproxy/http1.h
@@ -58,7 +58,8 @@
 	BW_HTTP_COMPLETE, /**< the message is complete */
 	BW_HTTP_MALFORMED, /**< the bytes are not HTTP/1.x */
 	BW_HTTP_HEAD_TOO_LARGE,
-	BW_HTTP_BODY_TOO_LARGE
+	BW_HTTP_BODY_TOO_LARGE,
+	BW_HTTP_UNKNOWN_METHOD /**< also CONNECT */
 };
 
 /** Reads successive messages from a byte stream. */
@@ -72,6 +73,7 @@
 	 */
 	const uint8_t *body_end;
 	uint64_t overhead_bytes; /**< read since body_end or the beginning */
+	uint8_t last_byte; /**< that was read; 0: none */
 	bool started; /**< a byte of the message was read */
 	bool last_was_value; /**< the last header callback was a value */
 	bool skip_body; /**< response to a HEAD request */
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -79,6 +79,9 @@
 	{ "invalid", "upgrade",
 	  "It has not run. It asked for another protocol, and its body had not "
 	  "arrived with\nits head." },
+	{ "invalid", "unknown_method",
+	  "It has not run. Its method is CONNECT, or one that hosts do not "
+	  "know." },
 	{ "invalid", "head_too_large",
 	  "It has not run. Its head exceeded limit. If limit_current is "
 	  "larger, it began\nbefore the configuration in force." },
--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -23,6 +23,10 @@
 			enum bw_http_progress failure);
 static bool list_contains_(const char *list, size_t list_bytes,
 			   const char *name, size_t name_bytes);
+static void read_unknown_method_(struct bw_http_reader *reader,
+				 const uint8_t *data, size_t size_bytes,
+				 size_t *used_bytes);
+static bool is_token_char_(uint8_t c);
 static void check_overhead_(struct bw_http_reader *reader, const uint8_t *data,
 			    size_t size_bytes);
 static enum bw_http_progress current_progress_(struct bw_http_reader *reader);
@@ -97,6 +101,7 @@
 	reader->started = false;
 	reader->last_was_value = false;
 	reader->overhead_bytes = 0;
+	reader->last_byte = 0;
 	http_parser_init(&reader->parser,
 			 (enum http_parser_type)reader->parser.type);
 	reader->parser.data = reader;
@@ -115,6 +120,11 @@
 		http_parser_pause(&reader->parser, 0);
 	*used_bytes = http_parser_execute(&reader->parser, &parser_settings,
 					  (const char *)data, size_bytes);
+	if (HTTP_PARSER_ERRNO(&reader->parser) == HPE_INVALID_METHOD &&
+	    reader->failure == BW_HTTP_INCOMPLETE)
+		read_unknown_method_(reader, data, size_bytes, used_bytes);
+	if (*used_bytes)
+		reader->last_byte = data[*used_bytes - 1];
 	check_overhead_(reader, data, *used_bytes);
 	return current_progress_(reader);
 }
@@ -235,6 +245,8 @@
 	struct bw_http_message *message = &reader->message;
 
 	trim_last_value_(message);
+	if (parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT)
+		return set_failure_(reader, BW_HTTP_UNKNOWN_METHOD);
 	message->head_complete = true;
 	message->method = (uint8_t)parser->method;
 	message->status_code = (uint16_t)parser->status_code;
@@ -357,6 +369,31 @@
 	return false;
 }
 
+/* The parser stops within a method that it does not know; a valid one is a
+ * token and a space. */
+static void read_unknown_method_(struct bw_http_reader *reader,
+				 const uint8_t *data, size_t size_bytes,
+				 size_t *used_bytes)
+{
+	size_t i = *used_bytes;
+	uint8_t previous = i ? data[i - 1] : reader->last_byte;
+
+	while (i < size_bytes && is_token_char_(data[i]))
+		previous = data[i++];
+	*used_bytes = i;
+	if (i < size_bytes)
+		reader->failure = data[i] == ' ' && is_token_char_(previous)
+					  ? BW_HTTP_UNKNOWN_METHOD
+					  : BW_HTTP_MALFORMED;
+}
+
+static bool is_token_char_(uint8_t c)
+{
+	const char text[] = { (char)c, '\0' };
+
+	return bw_http_name_valid(text);
+}
+
 /* Bounds what the parser reads but does not deliver, between two pieces of the
  * body. */
 static void check_overhead_(struct bw_http_reader *reader, const uint8_t *data,
@@ -384,6 +421,8 @@
 		return reader->failure;
 	if (reader->message.complete)
 		return BW_HTTP_COMPLETE;
+	if (error == HPE_INVALID_METHOD)
+		return BW_HTTP_INCOMPLETE;
 	if ((error != HPE_OK && error != HPE_PAUSED) || reader->parser.upgrade)
 		return reader->failure = BW_HTTP_MALFORMED;
 	return BW_HTTP_INCOMPLETE;
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -73,6 +73,7 @@
 const char *const bw_listener_cause_string[BW_LISTENER_CAUSE_COUNT] = {
 	[BW_LISTENER_MALFORMED] = "malformed",
 	[BW_LISTENER_UPGRADE] = "upgrade",
+	[BW_LISTENER_UNKNOWN_METHOD] = "unknown_method",
 	[BW_LISTENER_HEAD_TOO_LARGE] = "head_too_large",
 	[BW_LISTENER_BODY_TOO_LARGE] = "body_too_large",
 	[BW_LISTENER_HEAD_TIMEOUT] = "head_timeout",
@@ -81,8 +82,9 @@
 
 const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT] = {
 	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UPGRADE] = 400,
-	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_BODY_TOO_LARGE] = 413,
-	[BW_LISTENER_HEAD_TIMEOUT] = 408,   [BW_LISTENER_BODY_TIMEOUT] = 408,
+	[BW_LISTENER_UNKNOWN_METHOD] = 501, [BW_LISTENER_HEAD_TOO_LARGE] = 431,
+	[BW_LISTENER_BODY_TOO_LARGE] = 413, [BW_LISTENER_HEAD_TIMEOUT] = 408,
+	[BW_LISTENER_BODY_TIMEOUT] = 408,
 };
 
 enum bw_status bw_listener_init(struct bw_listener *listener,
@@ -384,6 +386,9 @@
 	case BW_HTTP_BODY_TOO_LARGE:
 		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
 		break;
+	case BW_HTTP_UNKNOWN_METHOD:
+		reject_request_(connection, BW_LISTENER_UNKNOWN_METHOD);
+		break;
 	}
 }
 
@@ -452,6 +457,7 @@
 		return connection->listener->config.head_timeout_ms;
 	case BW_LISTENER_MALFORMED:
 	case BW_LISTENER_UPGRADE:
+	case BW_LISTENER_UNKNOWN_METHOD:
 	case BW_LISTENER_CAUSE_COUNT:
 		break;
 	}
--- a/src/test_libbwproxy/test_http1.c
+++ b/src/test_libbwproxy/test_http1.c
@@ -117,6 +117,32 @@
 		       BW_HTTP_BODY_TOO_LARGE, "", 0);
 }
 
+/* Guards against a method token that counts as garbage, and garbage that counts
+ * as a method, whichever bytes arrived. */
+static void test_methods(void **state)
+{
+	(void)state;
+	expect_result_(HTTP_REQUEST, "M-SEARCH / HTTP/1.1\r\n\r\n",
+		       BW_HTTP_COMPLETE, "", 0);
+	expect_result_(HTTP_REQUEST, "QUERY / HTTP/1.1\r\n\r\n",
+		       BW_HTTP_UNKNOWN_METHOD, "", 0);
+	expect_result_(HTTP_REQUEST, "\r\nGE / HTTP/1.1\r\n\r\n",
+		       BW_HTTP_UNKNOWN_METHOD, "", 0);
+	expect_result_(HTTP_REQUEST, "get / HTTP/1.1\r\n\r\n",
+		       BW_HTTP_UNKNOWN_METHOD, "", 0);
+	expect_result_(HTTP_REQUEST, "1* / HTTP/1.1\r\n\r\n",
+		       BW_HTTP_UNKNOWN_METHOD, "", 0);
+	expect_result_(HTTP_REQUEST, "CONNECT a:1 HTTP/1.1\r\n\r\n",
+		       BW_HTTP_UNKNOWN_METHOD, "", 0);
+	expect_result_(HTTP_REQUEST, "SSH-2.0-x\r\n", BW_HTTP_MALFORMED, "", 0);
+	expect_result_(HTTP_REQUEST, "\x16\x03 / HTTP/1.1\r\n\r\n",
+		       BW_HTTP_MALFORMED, "", 0);
+	expect_result_(HTTP_REQUEST, "\r\n / HTTP/1.1\r\n\r\n",
+		       BW_HTTP_MALFORMED, "", 0);
+	expect_result_(HTTP_REQUEST, "QU\x01RY / HTTP/1.1\r\n\r\n",
+		       BW_HTTP_MALFORMED, "", 0);
+}
+
 static void test_end_of_stream(void **state)
 {
 	static const char without_length[] = "HTTP/1.1 200 OK\r\n\r\nabc";
@@ -254,6 +280,7 @@
 		const char *piece;
 	} cases[] = {
 		{ HTTP_REQUEST, "", "\r\n" },
+		{ HTTP_REQUEST, "Q", "a" },
 		{ HTTP_REQUEST, "GET /", "a" },
 		{ HTTP_REQUEST, "GET / HTTP/1.1\r\n", "a" },
 		{ HTTP_REQUEST, "GET / HTTP/1.1\r\na:", " " },
@@ -337,6 +364,7 @@
 		cmocka_unit_test(test_complete),
 		cmocka_unit_test(test_incomplete),
 		cmocka_unit_test(test_rejected),
+		cmocka_unit_test(test_methods),
 		cmocka_unit_test(test_end_of_stream),
 		cmocka_unit_test(test_fields),
 		cmocka_unit_test(test_white_space),
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -396,6 +396,10 @@
 	{ "POST /x HTTP/1.1\r\nId: b\r\nConnection: upgrade\r\n"
 	  "Upgrade: x\r\nContent-Length: 9\r\n\r\n",
 	  "", 0, BW_LISTENER_UPGRADE, 400, "HPE_OK", 0, "b" },
+	{ "QUERY /x HTTP/1.1\r\n\r\n", "", 0, BW_LISTENER_UNKNOWN_METHOD, 501,
+	  "HPE_INVALID_METHOD", 0, "" },
+	{ "CONNECT x:1 HTTP/1.1\r\nId: h\r\n\r\n", "", 0,
+	  BW_LISTENER_UNKNOWN_METHOD, 501, "HPE_CB_headers_complete", 0, "h" },
 	{ "GET /x HTTP/1.1\r\nId: c\r\n", "Name: 0123456789\r\n", 95,
 	  BW_LISTENER_HEAD_TOO_LARGE, 431, "HPE_CB_header_value", 1024, "c" },
 	{ "GET /x HTTP/1.1\r\nId: d\r\n", "N: 0\r\n", 210,
--- a/src/test_libbwproxy/test_valid_requests.c
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -570,6 +570,26 @@
 		is_routed_("GET /a/ HTTP/1.1\r\nHost: h.example\t\r\n\r\n"));
 }
 
+/* Guards against a 400 for a method that is valid but unknown. */
+static void test_unknown_method(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	struct peer peer;
+	uint16_t port = listen_(&listener, loop, &echo);
+
+	(void)state;
+	peer_connect(&peer, loop, port);
+	assert_int_equal(
+		status_of_(loop, &echo, &peer,
+			   "QUERY /a HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+		501);
+	peer_finish(&peer);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -579,6 +599,7 @@
 		cmocka_unit_test(test_many_fields),
 		cmocka_unit_test(test_large_head_limit),
 		cmocka_unit_test(test_host_whitespace),
+		cmocka_unit_test(test_unknown_method),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
