Ignore offers to upgrade in requests

The same request in one piece was served.

Cause: the parser's upgrade flag, which is set for the offer alone, counted as an error while the message was incomplete.

A server may ignore Upgrade (RFC 9110, section 7.8), and hosts have no other protocol: the reader clears the flag and reads the request as plain HTTP/1.1. Upgrade and the fields that Connection lists are not forwarded, as the test checks.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -22,7 +22,6 @@
 /** Why a listener did not accept a request. */
 enum bw_listener_cause {
 	BW_LISTENER_MALFORMED, /**< not HTTP/1.x; see parser_error */
-	BW_LISTENER_UPGRADE, /**< asks for another protocol */
 	BW_LISTENER_UNKNOWN_METHOD, /**< one that the parser lacks; CONNECT */
 	BW_LISTENER_HEAD_TOO_LARGE,
 	BW_LISTENER_BODY_TOO_LARGE,
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -76,9 +76,6 @@
 	{ "invalid", "malformed",
 	  "It has not run. Its entry host could not read it as HTTP/1.x; see "
 	  "parser and\nreceived_bytes." },
-	{ "invalid", "upgrade",
-	  "It has not run. It asked for another protocol, and its body had not "
-	  "arrived with\nits head." },
 	{ "invalid", "unknown_method",
 	  "It has not run. Its method is CONNECT, or one that hosts do not "
 	  "know." },
--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -251,6 +251,9 @@
 	message->method = (uint8_t)parser->method;
 	message->status_code = (uint16_t)parser->status_code;
 	message->keep_alive = http_should_keep_alive(parser);
+	/* Servers may ignore Upgrade (RFC 9110, section 7.8). */
+	if (parser->type == HTTP_REQUEST)
+		parser->upgrade = 0;
 	/* 1 tells the parser that the message has no body. */
 	return reader->skip_body ? 1 : 0;
 }
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -72,7 +72,6 @@
 
 const char *const bw_listener_cause_string[BW_LISTENER_CAUSE_COUNT] = {
 	[BW_LISTENER_MALFORMED] = "malformed",
-	[BW_LISTENER_UPGRADE] = "upgrade",
 	[BW_LISTENER_UNKNOWN_METHOD] = "unknown_method",
 	[BW_LISTENER_HEAD_TOO_LARGE] = "head_too_large",
 	[BW_LISTENER_BODY_TOO_LARGE] = "body_too_large",
@@ -81,10 +80,9 @@
 };
 
 const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT] = {
-	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UPGRADE] = 400,
-	[BW_LISTENER_UNKNOWN_METHOD] = 501, [BW_LISTENER_HEAD_TOO_LARGE] = 431,
-	[BW_LISTENER_BODY_TOO_LARGE] = 413, [BW_LISTENER_HEAD_TIMEOUT] = 408,
-	[BW_LISTENER_BODY_TIMEOUT] = 408,
+	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UNKNOWN_METHOD] = 501,
+	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_BODY_TOO_LARGE] = 413,
+	[BW_LISTENER_HEAD_TIMEOUT] = 408,   [BW_LISTENER_BODY_TIMEOUT] = 408,
 };
 
 enum bw_status bw_listener_init(struct bw_listener *listener,
@@ -376,9 +374,7 @@
 						  &connection->reader.message);
 		break;
 	case BW_HTTP_MALFORMED:
-		reject_request_(connection, connection->reader.parser.upgrade
-						    ? BW_LISTENER_UPGRADE
-						    : BW_LISTENER_MALFORMED);
+		reject_request_(connection, BW_LISTENER_MALFORMED);
 		break;
 	case BW_HTTP_HEAD_TOO_LARGE:
 		reject_request_(connection, BW_LISTENER_HEAD_TOO_LARGE);
@@ -456,7 +452,6 @@
 	case BW_LISTENER_BODY_TIMEOUT:
 		return connection->listener->config.head_timeout_ms;
 	case BW_LISTENER_MALFORMED:
-	case BW_LISTENER_UPGRADE:
 	case BW_LISTENER_UNKNOWN_METHOD:
 	case BW_LISTENER_CAUSE_COUNT:
 		break;
--- a/src/test_libbwproxy/test_http1.c
+++ b/src/test_libbwproxy/test_http1.c
@@ -231,6 +231,39 @@
 	}
 }
 
+/* Guards against a request that offers an upgrade and is rejected or read
+ * without its body, and against an offer that is forwarded. */
+static void test_upgrade_offer(void **state)
+{
+	static const char text[] = "POST / HTTP/1.1\r\n"
+				   "Connection: Upgrade, HTTP2-Settings\r\n"
+				   "HTTP2-Settings: AAM\r\nUpgrade: h2c\r\n"
+				   "Content-Length: 3\r\n\r\nabc";
+	struct bw_http_reader reader;
+	size_t unread_bytes;
+	uint32_t i;
+
+	(void)state;
+	expect_result_(HTTP_REQUEST,
+		       "GET / HTTP/1.1\r\nConnection: Upgrade\r\n"
+		       "Upgrade: h2c\r\n\r\nGET /",
+		       BW_HTTP_COMPLETE, "", 5);
+	expect_result_(HTTP_REQUEST, text, BW_HTTP_COMPLETE, "abc", 0);
+	expect_result_(HTTP_REQUEST,
+		       "POST / HTTP/1.1\r\nConnection: Upgrade\r\n"
+		       "Upgrade: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+		       "3\r\nabc\r\n0\r\n\r\n",
+		       BW_HTTP_COMPLETE, "abc", 0);
+	bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
+	assert_int_equal(feed_split_(&reader, text, 20, &unread_bytes),
+			 BW_HTTP_COMPLETE);
+	assert_true(reader.message.keep_alive);
+	for (i = 0; i < reader.message.field_count; i++)
+		assert_true(bw_http_field_is_hop_by_hop(
+			&reader.message, &reader.message.fields[i]));
+	bw_http_reader_finish(&reader);
+}
+
 /* Guards against a head within its limit of bytes that is rejected for the
  * number of its fields, and against separators that the limit does not count.
  */
@@ -367,6 +400,7 @@
 		cmocka_unit_test(test_methods),
 		cmocka_unit_test(test_end_of_stream),
 		cmocka_unit_test(test_fields),
+		cmocka_unit_test(test_upgrade_offer),
 		cmocka_unit_test(test_white_space),
 		cmocka_unit_test(test_many_fields),
 		cmocka_unit_test(test_field_memory),
--- a/src/test_libbwproxy/test_valid_requests.c
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -570,6 +570,30 @@
 		is_routed_("GET /a/ HTTP/1.1\r\nHost: h.example\t\r\n\r\n"));
 }
 
+/* Guards against a result that depends on where the body is split. */
+static void test_upgrade_with_body(void **state)
+{
+	static const char head[] = "POST /a HTTP/1.1\r\nHost: h.example\r\n"
+				   "Connection: Upgrade\r\nUpgrade: h2c\r\n"
+				   "Content-Length: 5\r\n\r\n";
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	struct peer peer;
+	uint16_t port = listen_(&listener, loop, &echo);
+	char whole[200];
+
+	(void)state;
+	peer_connect(&peer, loop, port);
+	snprintf(whole, sizeof(whole), "%shello", head);
+	assert_int_equal(status_of_(loop, &echo, &peer, whole), 200);
+	peer_send_text(&peer, head);
+	assert_int_equal(status_of_(loop, &echo, &peer, "hello"), 200);
+	peer_finish(&peer);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
 /* Guards against a 400 for a method that is valid but unknown. */
 static void test_unknown_method(void **state)
 {
@@ -599,6 +623,7 @@
 		cmocka_unit_test(test_many_fields),
 		cmocka_unit_test(test_large_head_limit),
 		cmocka_unit_test(test_host_whitespace),
+		cmocka_unit_test(test_upgrade_with_body),
 		cmocka_unit_test(test_unknown_method),
 	};
 
