Answer 503 when memory is short

Cause: a failed allocation was reported like a limit.

The reader has a result of its own for lack of memory, and the listener answers it with 503 and Retry-After, which tells clients that the request has not run. The memory of the message is freed first, as the response needs some. The new cause no_memory is logged, counted and explained.

--- a/include/bwproxy/http1.h
+++ b/include/bwproxy/http1.h
@@ -59,7 +59,8 @@
 	BW_HTTP_MALFORMED, /**< the bytes are not HTTP/1.x */
 	BW_HTTP_HEAD_TOO_LARGE,
 	BW_HTTP_BODY_TOO_LARGE,
-	BW_HTTP_UNKNOWN_METHOD /**< also CONNECT */
+	BW_HTTP_UNKNOWN_METHOD, /**< also CONNECT */
+	BW_HTTP_NO_MEMORY /**< for a message within its limits */
 };
 
 /** Reads successive messages from a byte stream. */
--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -25,6 +25,7 @@
 	BW_LISTENER_UNKNOWN_METHOD, /**< one that the parser lacks; CONNECT */
 	BW_LISTENER_HEAD_TOO_LARGE,
 	BW_LISTENER_BODY_TOO_LARGE,
+	BW_LISTENER_NO_MEMORY, /**< for a request within the limits */
 	BW_LISTENER_HEAD_TIMEOUT, /**< the head was not complete in time */
 	BW_LISTENER_BODY_TIMEOUT, /**< the head was, the body was not */
 	BW_LISTENER_CAUSE_COUNT
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -85,6 +85,9 @@
 	{ "invalid", "body_too_large",
 	  "It has not run. Its body exceeded limit. If limit_current is "
 	  "larger, it began\nbefore the configuration in force." },
+	{ "invalid", "no_memory",
+	  "It has not run. Its host had no memory to read it; see "
+	  "received_bytes." },
 	{ "invalid", "head_timeout",
 	  "It has not run. Its head did not arrive within limit ms of its "
 	  "first byte; see\nreceived_bytes." },
--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -218,7 +218,7 @@
 	if (!message->field_count || reader->last_was_value) {
 		trim_last_value_(message);
 		if (add_field_(message) != BW_OK)
-			return set_failure_(reader, BW_HTTP_HEAD_TOO_LARGE);
+			return set_failure_(reader, BW_HTTP_NO_MEMORY);
 	}
 	reader->last_was_value = false;
 	return append_to_span_(reader,
@@ -263,9 +263,10 @@
 	struct bw_http_reader *reader = parser->data;
 	struct bw_buffer *body = &reader->message.body;
 
-	if (body->size_bytes + size_bytes > reader->limits.body_max_bytes ||
-	    bw_buffer_append(body, data, size_bytes) != BW_OK)
+	if (body->size_bytes + size_bytes > reader->limits.body_max_bytes)
 		return set_failure_(reader, BW_HTTP_BODY_TOO_LARGE);
+	if (bw_buffer_append(body, data, size_bytes) != BW_OK)
+		return set_failure_(reader, BW_HTTP_NO_MEMORY);
 	reader->body_end = (const uint8_t *)data + size_bytes;
 	return 0;
 }
@@ -336,7 +337,7 @@
 	if (!span->size_bytes)
 		span->offset_bytes = (uint32_t)text->size_bytes;
 	if (bw_buffer_append(text, data, size_bytes) != BW_OK)
-		return set_failure_(reader, BW_HTTP_HEAD_TOO_LARGE);
+		return set_failure_(reader, BW_HTTP_NO_MEMORY);
 	span->size_bytes += (uint32_t)size_bytes;
 	return 0;
 }
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -25,6 +25,10 @@
 /** Maximum number of connections accepted per loop iteration. */
 #define ACCEPT_BATCH 64
 
+/** Field that tells clients, together with 503, that their request has not run
+ * and when to send it again; in seconds. */
+#define RETRY_AFTER_LINE "Retry-After: 1\r\n"
+
 /** Resolution of the connection timeouts. */
 #define SWEEP_INTERVAL_S 0.25
 
@@ -54,6 +58,8 @@
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
+static void handle_lack_of_memory_(struct bw_server_connection *connection);
+static void begin_request_(struct bw_server_connection *connection);
 static void read_request_(struct bw_server_connection *connection);
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
@@ -75,6 +81,7 @@
 	[BW_LISTENER_UNKNOWN_METHOD] = "unknown_method",
 	[BW_LISTENER_HEAD_TOO_LARGE] = "head_too_large",
 	[BW_LISTENER_BODY_TOO_LARGE] = "body_too_large",
+	[BW_LISTENER_NO_MEMORY] = "no_memory",
 	[BW_LISTENER_HEAD_TIMEOUT] = "head_timeout",
 	[BW_LISTENER_BODY_TIMEOUT] = "body_timeout",
 };
@@ -82,7 +89,8 @@
 const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT] = {
 	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UNKNOWN_METHOD] = 501,
 	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_BODY_TOO_LARGE] = 413,
-	[BW_LISTENER_HEAD_TIMEOUT] = 408,   [BW_LISTENER_BODY_TIMEOUT] = 408,
+	[BW_LISTENER_NO_MEMORY] = 503,	    [BW_LISTENER_HEAD_TIMEOUT] = 408,
+	[BW_LISTENER_BODY_TIMEOUT] = 408,
 };
 
 enum bw_status bw_listener_init(struct bw_listener *listener,
@@ -301,7 +309,7 @@
 		}
 		if (bw_buffer_append(&connection->in, bytes,
 				     (size_t)received) != BW_OK) {
-			close_connection_(connection, true);
+			handle_lack_of_memory_(connection);
 			return;
 		}
 	}
@@ -345,6 +353,27 @@
 	}
 }
 
+/* Received bytes cannot be kept. */
+static void handle_lack_of_memory_(struct bw_server_connection *connection)
+{
+	if (connection->busy || connection->close_after_write) {
+		close_connection_(connection, true);
+		return;
+	}
+	if (!connection->reader.started)
+		begin_request_(connection);
+	reject_request_(connection, BW_LISTENER_NO_MEMORY);
+}
+
+static void begin_request_(struct bw_server_connection *connection)
+{
+	const struct bw_listener_config *config = &connection->listener->config;
+
+	connection->state_since_s = ev_now(config->loop);
+	connection->parsed_bytes = 0;
+	connection->reader.limits = config->limits;
+}
+
 static void read_request_(struct bw_server_connection *connection)
 {
 	struct bw_listener *listener = connection->listener;
@@ -353,11 +382,8 @@
 
 	if (!connection->in.size_bytes)
 		return;
-	if (!connection->reader.started) {
-		connection->state_since_s = ev_now(listener->config.loop);
-		connection->parsed_bytes = 0;
-		connection->reader.limits = listener->config.limits;
-	}
+	if (!connection->reader.started)
+		begin_request_(connection);
 	progress = bw_http_reader_feed(&connection->reader, connection->in.data,
 				       connection->in.size_bytes, &used_bytes);
 	bw_buffer_consume(&connection->in, used_bytes);
@@ -382,6 +408,9 @@
 	case BW_HTTP_BODY_TOO_LARGE:
 		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
 		break;
+	case BW_HTTP_NO_MEMORY:
+		reject_request_(connection, BW_LISTENER_NO_MEMORY);
+		break;
 	case BW_HTTP_UNKNOWN_METHOD:
 		reject_request_(connection, BW_LISTENER_UNKNOWN_METHOD);
 		break;
@@ -406,12 +435,21 @@
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause)
 {
+	static uint8_t retry_after[] = RETRY_AFTER_LINE;
+	static const struct bw_buffer fields = {
+		.data = retry_after,
+		.size_bytes = sizeof(RETRY_AFTER_LINE) - 1,
+	};
+	uint16_t status_code = bw_listener_cause_status[cause];
+
 	report_rejection_(connection, cause);
+	/* The response needs memory, and the request is not read again. */
+	bw_http_message_finish(&connection->reader.message);
 	connection->reader.started = false;
 	connection->state_since_s = ev_now(connection->listener->config.loop);
 	connection->close_after_write = true;
-	write_head_(&connection->out, bw_listener_cause_status[cause], NULL, 0,
-		    true);
+	write_head_(&connection->out, status_code,
+		    status_code == 503 ? &fields : NULL, 0, true);
 	flush_output_(connection);
 }
 
@@ -453,6 +491,7 @@
 		return connection->listener->config.head_timeout_ms;
 	case BW_LISTENER_MALFORMED:
 	case BW_LISTENER_UNKNOWN_METHOD:
+	case BW_LISTENER_NO_MEMORY:
 	case BW_LISTENER_CAUSE_COUNT:
 		break;
 	}
