--- a/include/bwproxy/http1.h
+++ b/include/bwproxy/http1.h
@@ -14,8 +14,9 @@
 #include "bwbase/buffer.h"
 #include "bwbase/status.h"
 
-/** Maximum number of header fields of a message. */
-#define BW_HTTP_FIELDS_MAX 96
+/** Bytes on the wire that separate a field's name and value from others, at
+ * least: a colon, CR and LF. */
+#define BW_HTTP_FIELD_OVERHEAD_BYTES 3
 
 /** A range of bytes of bw_http_message.text. */
 struct bw_http_span {
@@ -34,8 +35,9 @@
 	struct bw_buffer text; /**< target, field names and values */
 	struct bw_buffer body; /**< after removal of the transfer coding */
 	struct bw_http_span target; /**< requests: as sent */
-	struct bw_http_field fields[BW_HTTP_FIELDS_MAX];
+	struct bw_http_field *fields;
 	uint32_t field_count;
+	uint32_t field_capacity; /**< allocated */
 	uint8_t method; /**< requests: an enum http_method */
 	uint16_t status_code; /**< responses only */
 	bool head_complete;
@@ -45,6 +47,7 @@
 
 /** Size limits of a message. */
 struct bw_http_limits {
+	/** Target, names, values and BW_HTTP_FIELD_OVERHEAD_BYTES each. */
 	uint32_t head_max_bytes;
 	uint32_t body_max_bytes;
 };
@@ -55,7 +58,9 @@
 	BW_HTTP_COMPLETE, /**< the message is complete */
 	BW_HTTP_MALFORMED, /**< the bytes are not HTTP/1.x */
 	BW_HTTP_HEAD_TOO_LARGE,
-	BW_HTTP_BODY_TOO_LARGE
+	BW_HTTP_BODY_TOO_LARGE,
+	BW_HTTP_UNKNOWN_METHOD, /**< also CONNECT */
+	BW_HTTP_NO_MEMORY /**< for a message within its limits */
 };
 
 /** Reads successive messages from a byte stream. */
@@ -65,6 +70,11 @@
 	struct bw_http_limits limits;
 	enum bw_http_progress
 		failure; /**< BW_HTTP_INCOMPLETE while there is none */
+	/** End of the last piece of the body in the bytes being read, or NULL.
+	 */
+	const uint8_t *body_end;
+	uint64_t overhead_bytes; /**< read since body_end or the beginning */
+	uint8_t last_byte; /**< that was read; 0: none */
 	bool started; /**< a byte of the message was read */
 	bool last_was_value; /**< the last header callback was a value */
 	bool skip_body; /**< response to a HEAD request */
@@ -81,6 +91,9 @@
 /** Frees the memory of the message. */
 void bw_http_reader_finish(struct bw_http_reader *reader);
 
+/** Frees the memory of a message and leaves it empty. */
+void bw_http_message_finish(struct bw_http_message *message);
+
 /** Resets the reader for the next message of the stream. */
 void bw_http_reader_next(struct bw_http_reader *reader);
 
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -76,18 +76,18 @@
 	{ "invalid", "malformed",
 	  "It has not run. Its entry host could not read it as HTTP/1.x; see "
 	  "parser and\nreceived_bytes." },
-	{ "invalid", "upgrade",
-	  "It has not run. It asked for another protocol, and its body had not "
-	  "arrived with\nits head." },
+	{ "invalid", "unknown_method",
+	  "It has not run. Its method is CONNECT, or one that hosts do not "
+	  "know." },
 	{ "invalid", "head_too_large",
 	  "It has not run. Its head exceeded limit. If limit_current is "
-	  "larger, its connection\nis older than the configuration in force." },
-	{ "invalid", "too_many_fields",
-	  "It has not run. Its head had more fields than limit, whatever the "
-	  "configuration." },
+	  "larger, it began\nbefore the configuration in force." },
 	{ "invalid", "body_too_large",
 	  "It has not run. Its body exceeded limit. If limit_current is "
-	  "larger, its connection\nis older than the configuration in force." },
+	  "larger, it began\nbefore the configuration in force." },
+	{ "invalid", "no_memory",
+	  "It has not run. Its host had no memory to read it; see "
+	  "received_bytes." },
 	{ "invalid", "head_timeout",
 	  "It has not run. Its head did not arrive within limit ms of its "
 	  "first byte; see\nreceived_bytes." },
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -25,6 +25,10 @@
 /** Maximum number of connections accepted per loop iteration. */
 #define ACCEPT_BATCH 64
 
+/** Default of unavailable_fields: tells clients of a 503 that has not run
+ * when to send it again, in seconds. */
+#define RETRY_AFTER_LINE "Retry-After: 1\r\n"
+
 /** Resolution of the connection timeouts. */
 #define SWEEP_INTERVAL_S 0.25
 
@@ -70,6 +74,8 @@
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void count_pause_(struct bw_listener *listener);
 static struct bw_time run_time_(struct bw_listener *listener);
+static void handle_lack_of_memory_(struct bw_server_connection *connection);
+static void begin_request_(struct bw_server_connection *connection);
 static void read_request_(struct bw_server_connection *connection);
 static bool admit_body_(struct bw_server_connection *connection);
 static void free_body_(struct bw_server_connection *connection);
@@ -78,8 +84,6 @@
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause);
-static enum bw_listener_cause
-head_cause_(const struct bw_server_connection *connection);
 static void report_rejection_(struct bw_server_connection *connection,
 			      enum bw_listener_cause cause);
 static uint32_t limit_(const struct bw_server_connection *connection,
@@ -97,19 +101,19 @@
 
 const char *const bw_listener_cause_string[BW_LISTENER_CAUSE_COUNT] = {
 	[BW_LISTENER_MALFORMED] = "malformed",
-	[BW_LISTENER_UPGRADE] = "upgrade",
+	[BW_LISTENER_UNKNOWN_METHOD] = "unknown_method",
 	[BW_LISTENER_HEAD_TOO_LARGE] = "head_too_large",
-	[BW_LISTENER_TOO_MANY_FIELDS] = "too_many_fields",
 	[BW_LISTENER_BODY_TOO_LARGE] = "body_too_large",
+	[BW_LISTENER_NO_MEMORY] = "no_memory",
 	[BW_LISTENER_HEAD_TIMEOUT] = "head_timeout",
 	[BW_LISTENER_BODY_TIMEOUT] = "body_timeout",
 	[BW_LISTENER_BODY_MEMORY] = "body_memory",
 };
 
 const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT] = {
-	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UPGRADE] = 400,
-	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_TOO_MANY_FIELDS] = 431,
-	[BW_LISTENER_BODY_TOO_LARGE] = 413, [BW_LISTENER_HEAD_TIMEOUT] = 408,
+	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UNKNOWN_METHOD] = 501,
+	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_BODY_TOO_LARGE] = 413,
+	[BW_LISTENER_NO_MEMORY] = 503,	    [BW_LISTENER_HEAD_TIMEOUT] = 408,
 	[BW_LISTENER_BODY_TIMEOUT] = 408,   [BW_LISTENER_BODY_MEMORY] = 503,
 };
 
@@ -345,7 +349,7 @@
 		}
 		if (bw_buffer_append(&connection->in, bytes,
 				     (size_t)received) != BW_OK) {
-			close_connection_(connection, true);
+			handle_lack_of_memory_(connection);
 			return;
 		}
 	}
@@ -412,6 +416,27 @@
 			   -listener->paused_ms);
 }
 
+/* Received bytes cannot be kept. */
+static void handle_lack_of_memory_(struct bw_server_connection *connection)
+{
+	if (connection->busy || connection->close_after_write) {
+		close_connection_(connection, true);
+		return;
+	}
+	if (!connection->reader.started)
+		begin_request_(connection);
+	reject_request_(connection, BW_LISTENER_NO_MEMORY);
+}
+
+static void begin_request_(struct bw_server_connection *connection)
+{
+	const struct bw_listener_config *config = &connection->listener->config;
+
+	connection->state_since = run_time_(connection->listener);
+	connection->parsed_bytes = 0;
+	connection->reader.limits = config->limits;
+}
+
 static void read_request_(struct bw_server_connection *connection)
 {
 	struct bw_listener *listener = connection->listener;
@@ -420,10 +445,8 @@
 
 	if (!connection->in.size_bytes)
 		return;
-	if (!connection->reader.started) {
-		connection->state_since = run_time_(listener);
-		connection->parsed_bytes = 0;
-	}
+	if (!connection->reader.started)
+		begin_request_(connection);
 	progress = bw_http_reader_feed(&connection->reader, connection->in.data,
 				       connection->in.size_bytes, &used_bytes);
 	bw_buffer_consume(&connection->in, used_bytes);
@@ -443,16 +466,20 @@
 						  &connection->reader.message);
 		break;
 	case BW_HTTP_MALFORMED:
-		reject_request_(connection, connection->reader.parser.upgrade
-						    ? BW_LISTENER_UPGRADE
-						    : BW_LISTENER_MALFORMED);
+		reject_request_(connection, BW_LISTENER_MALFORMED);
 		break;
 	case BW_HTTP_HEAD_TOO_LARGE:
-		reject_request_(connection, head_cause_(connection));
+		reject_request_(connection, BW_LISTENER_HEAD_TOO_LARGE);
 		break;
 	case BW_HTTP_BODY_TOO_LARGE:
 		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
 		break;
+	case BW_HTTP_NO_MEMORY:
+		reject_request_(connection, BW_LISTENER_NO_MEMORY);
+		break;
+	case BW_HTTP_UNKNOWN_METHOD:
+		reject_request_(connection, BW_LISTENER_UNKNOWN_METHOD);
+		break;
 	}
 }
 
@@ -471,13 +498,16 @@
 		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
 		return false;
 	}
-	if (!bw_body_charge(&connection->body, total_bytes) ||
-	    (!(reader->parser.flags & F_CHUNKED) &&
-	     bw_buffer_reserve(&reader->message.body, (size_t)total_bytes) !=
-		     BW_OK)) {
+	if (!bw_body_charge(&connection->body, total_bytes)) {
 		reject_request_(connection, BW_LISTENER_BODY_MEMORY);
 		return false;
 	}
+	if (!(reader->parser.flags & F_CHUNKED) &&
+	    bw_buffer_reserve(&reader->message.body, (size_t)total_bytes) !=
+		    BW_OK) {
+		reject_request_(connection, BW_LISTENER_NO_MEMORY);
+		return false;
+	}
 	return true;
 }
 
@@ -528,11 +558,15 @@
 {
 	struct bw_listener *listener = connection->listener;
 	uint16_t status_code = bw_listener_cause_status[cause];
-	const char *lines = listener->config.unavailable_fields;
+	const char *lines = listener->config.unavailable_fields
+				    ? listener->config.unavailable_fields
+				    : RETRY_AFTER_LINE;
 	struct bw_buffer fields;
 
 	report_rejection_(connection, cause);
 	free_body_(connection);
+	/* The response needs memory, and the request is not read again. */
+	bw_http_message_finish(&connection->reader.message);
 	connection->reader.started = false;
 	connection->state_since = run_time_(connection->listener);
 	connection->close_after_write = true;
@@ -542,27 +576,13 @@
 	}
 	bw_buffer_finish(&connection->in);
 	bw_buffer_init(&fields);
-	if (status_code == 503 && lines)
+	if (status_code == 503)
 		bw_buffer_append(&fields, lines, strlen(lines));
 	write_head_(&connection->out, status_code, &fields, 0, true);
 	bw_buffer_finish(&fields);
 	flush_output_(connection);
 }
 
-/* The reader reports both as a head that is too large. */
-static enum bw_listener_cause
-head_cause_(const struct bw_server_connection *connection)
-{
-	const struct bw_http_reader *reader = &connection->reader;
-	enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
-
-	/* The name of the field beyond the limit was not read. */
-	if (error == HPE_CB_header_field && reader->last_was_value &&
-	    reader->message.field_count == BW_HTTP_FIELDS_MAX)
-		return BW_LISTENER_TOO_MANY_FIELDS;
-	return BW_LISTENER_HEAD_TOO_LARGE;
-}
-
 static void report_rejection_(struct bw_server_connection *connection,
 			      enum bw_listener_cause cause)
 {
@@ -588,19 +608,14 @@
 				  &rejection);
 }
 
-/* A connection keeps the size limits with which it was accepted. */
+/* A request keeps the size limits that were in force at its first byte. */
 static uint32_t limit_(const struct bw_server_connection *connection,
 		       const struct bw_http_limits *limits,
 		       enum bw_listener_cause cause)
 {
-	enum http_errno error = HTTP_PARSER_ERRNO(&connection->reader.parser);
-
 	switch (cause) {
 	case BW_LISTENER_HEAD_TOO_LARGE:
-		return error == HPE_HEADER_OVERFLOW ? HTTP_MAX_HEADER_SIZE
-						    : limits->head_max_bytes;
-	case BW_LISTENER_TOO_MANY_FIELDS:
-		return BW_HTTP_FIELDS_MAX;
+		return limits->head_max_bytes;
 	case BW_LISTENER_BODY_TOO_LARGE:
 		return limits->body_max_bytes;
 	case BW_LISTENER_HEAD_TIMEOUT:
@@ -609,7 +624,8 @@
 	case BW_LISTENER_BODY_MEMORY:
 		return budget_limit_(connection->body.budget);
 	case BW_LISTENER_MALFORMED:
-	case BW_LISTENER_UPGRADE:
+	case BW_LISTENER_UNKNOWN_METHOD:
+	case BW_LISTENER_NO_MEMORY:
 	case BW_LISTENER_CAUSE_COUNT:
 		break;
 	}
