Let bodies that keep arriving take longer than a head

A client got 408 when its whole request, body included, took longer than the timeout of the head (3 s on the users' deployments). On a link of 2 Mbit/s that is each body above 750 kB, though it is within the limits.

The listener measured the age of a request from its first byte up to the last byte of its body. Now the head timeout covers the head, and after it the idle timeout covers the time without a byte.

A client that sends a byte now and then holds its part of the body budget for longer than before.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -29,7 +29,7 @@
 	BW_LISTENER_BODY_TOO_LARGE,
 	BW_LISTENER_NO_MEMORY, /**< for a request within the limits */
 	BW_LISTENER_HEAD_TIMEOUT, /**< the head was not complete in time */
-	BW_LISTENER_BODY_TIMEOUT, /**< the head was, the body was not */
+	BW_LISTENER_BODY_TIMEOUT, /**< no byte of the body for too long */
 	BW_LISTENER_BODY_MEMORY, /**< no memory for the body now */
 	BW_LISTENER_CAUSE_COUNT
 };
@@ -47,7 +47,8 @@
 	const char *parser_error; /**< name of the parser's error */
 	const char *address; /**< of the listener */
 	uint64_t received_bytes; /**< of the request and of those behind it */
-	uint32_t age_ms; /**< since the first byte, while the loop ran */
+	uint32_t age_ms; /**< since the first byte, or the last one of a body,
+			      while the loop ran */
 	uint32_t limit; /**< that applied: bytes or ms; 0: none */
 	uint32_t limit_current; /**< the same for the next request */
 };
@@ -80,9 +81,9 @@
 	const char *unavailable_fields; /**< header lines, each with CRLF, of
 					     responses with 503; may be NULL */
 	uint32_t connections_max;
-	uint32_t head_timeout_ms; /**< from the first byte to the whole request
-				   */
-	uint32_t idle_timeout_ms; /**< between requests */
+	uint32_t head_timeout_ms; /**< from the first byte to the whole head */
+	uint32_t idle_timeout_ms; /**< between requests, and between two pieces
+				       of a body */
 	const struct bw_listener_handler *handler;
 	void *context;
 };
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -92,8 +92,8 @@
 	  "It has not run. Its head did not arrive within limit ms of its "
 	  "first byte; see\nreceived_bytes." },
 	{ "invalid", "body_timeout",
-	  "It has not run. Its body did not arrive within limit ms of its "
-	  "first byte; see\nreceived_bytes." },
+	  "It has not run. No byte of its body arrived for limit ms; see "
+	  "received_bytes." },
 	{ "invalid", "body_memory",
 	  "It has not run. The bodies of the requests on its entry host left "
 	  "too little of limit\nbytes for its own." },
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -72,6 +72,8 @@
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
+static void check_age_(struct bw_server_connection *connection,
+		       struct bw_time now);
 static void count_pause_(struct bw_listener *listener);
 static struct bw_time run_time_(struct bw_listener *listener);
 static void handle_lack_of_memory_(struct bw_server_connection *connection);
@@ -378,24 +380,30 @@
 	count_pause_(listener);
 	now = run_time_(listener);
 	for (; connection; connection = next) {
-		int64_t age_ms = bw_time_diff_ms(now, connection->state_since);
-
 		next = connection->next;
-		if (connection->busy)
-			continue;
-		if (connection->lingering) {
-			if (age_ms > LINGER_MAX_MS)
-				close_connection_(connection, false);
-		} else if (connection->reader.started) {
-			if (age_ms > listener->config.head_timeout_ms)
-				reject_request_(
-					connection,
-					connection->reader.message.head_complete
-						? BW_LISTENER_BODY_TIMEOUT
-						: BW_LISTENER_HEAD_TIMEOUT);
-		} else if (age_ms > listener->config.idle_timeout_ms) {
+		if (!connection->busy)
+			check_age_(connection, now);
+	}
+}
+
+/* The head timeout covers the head; after it the client must not be idle. */
+static void check_age_(struct bw_server_connection *connection,
+		       struct bw_time now)
+{
+	const struct bw_listener_config *config = &connection->listener->config;
+	int64_t age_ms = bw_time_diff_ms(now, connection->state_since);
+
+	if (connection->lingering) {
+		if (age_ms > LINGER_MAX_MS)
 			close_connection_(connection, false);
-		}
+	} else if (!connection->reader.started) {
+		if (age_ms > config->idle_timeout_ms)
+			close_connection_(connection, false);
+	} else if (!connection->reader.message.head_complete) {
+		if (age_ms > config->head_timeout_ms)
+			reject_request_(connection, BW_LISTENER_HEAD_TIMEOUT);
+	} else if (age_ms > config->idle_timeout_ms) {
+		reject_request_(connection, BW_LISTENER_BODY_TIMEOUT);
 	}
 }
 
@@ -451,6 +459,8 @@
 				       connection->in.size_bytes, &used_bytes);
 	bw_buffer_consume(&connection->in, used_bytes);
 	connection->parsed_bytes += used_bytes;
+	if (connection->reader.message.head_complete)
+		connection->state_since = run_time_(listener);
 	switch (progress) {
 	case BW_HTTP_INCOMPLETE:
 		if (admit_body_(connection))
@@ -619,8 +629,9 @@
 	case BW_LISTENER_BODY_TOO_LARGE:
 		return limits->body_max_bytes;
 	case BW_LISTENER_HEAD_TIMEOUT:
-	case BW_LISTENER_BODY_TIMEOUT:
 		return connection->listener->config.head_timeout_ms;
+	case BW_LISTENER_BODY_TIMEOUT:
+		return connection->listener->config.idle_timeout_ms;
 	case BW_LISTENER_BODY_MEMORY:
 		return budget_limit_(connection->body.budget);
 	case BW_LISTENER_MALFORMED:
