Check in the soak that no valid request is refused as wrong

Clients of the soak now send one request in ten with 120 fields and one with a chunked body, and verify.sh reports each valid request that gets a 3xx or 4xx (but 408, 421, 429); plant.sh plants one.

--- a/soak/plant.sh
+++ b/soak/plant.sh
@@ -36,6 +36,7 @@
 expect_violation none "" ""
 expect_violation "duplicate run" ledger "b s2 2100"
 expect_violation "false rejection" ledger "d s2 2100"
+expect_violation "valid request refused" results "h safe 431 -"
 expect_violation "command refused" refused_commands "clear"
 expect_violation "wrong response" results "e safe 200 a"
 expect_violation "response without run" results "f safe 200 f"
--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -38,6 +38,9 @@
 	done
 }
 
+many_fields=()
+for i in $(seq 120); do many_fields+=(-H "Field-$i: $i"); done
+
 # Sends batches of ten requests to one entry host after the other. A batch uses
 # one connection while its host runs.
 client() { # NUMBER
@@ -50,6 +53,8 @@
 			kind=$([ $((i % 2)) = 0 ] && echo safe || echo unsafe)
 			case $i in
 			1 | 3 | 5) args+=(-X POST -d "body-$id" "http://$host/file/$id") ;;
+			2) args+=("${many_fields[@]}" "http://$host/read/$((batch % 7))") ;;
+			4) args+=(-X POST -H 'Transfer-Encoding: chunked' -d "body-$id" "http://$host/read/$id") ;;
 			7) args+=(-X POST -d x "http://$host/file/full") ;;
 			9) args+=(-X POST -d x "http://$host/file/lost") ;;
 			10) args+=("http://$host/read/slow") ;;
--- a/soak/verify.sh
+++ b/soak/verify.sh
@@ -28,6 +28,10 @@
 	$2 == "unsafe" && ($3 == 503 || $3 == 429 || $3 == 408 || $3 == 421) &&
 	$1 in ran { print "false rejection: " $1 " got " $3 " and has run" }' \
 	ledger results >> "$violations"
+# A valid request was answered as if it were wrong.
+awk '$3 >= 300 && $3 < 500 && $3 != 408 && $3 != 421 && $3 != 429 {
+		print "valid request refused: " $1 " got " $3 }' \
+	results >> "$violations"
 # A successful response is truncated, of another request, or has no run.
 awk 'NR == FNR { ran[$1] = 1; next }
 	$3 == 200 && $4 != $1 { print "wrong response: " $1 " got the answer of " $4 }
