--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -1,10 +1,10 @@
 #include "gate_request.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "bwproxy/target.h"
+#include "gate_forward.h"
 #include "gate_log.h"
 #include "gate_poison.h"
 #include "platform.h"
@@ -40,14 +40,6 @@
 /** Fraction of the fleet's retries per request that entry hosts use. */
 #define RETRY_SHARE 0.6
 
-/** Fields for the other end, also when the Connection field lists them. */
-static const char *const end_to_end_fields[] = {
-	"Host",
-	PLATFORM_FIELD_REQUEST_ID,
-	PLATFORM_FIELD_AFFINITY_KEY,
-	PLATFORM_FIELD_SIGNATURE,
-};
-
 static struct gate_request *
 new_request_(struct gate_entry *entry, struct bw_server_connection *connection,
 	     const struct bw_http_message *message);
@@ -56,19 +48,12 @@
 			  struct bw_time now);
 static void read_affinity_key_(struct gate_request *request,
 			       const struct bw_http_message *message);
-static void copy_head_(struct gate_request *request,
-		       const struct bw_http_message *message,
-		       const struct bw_http_target *target);
-static bool is_forwarded_(const struct bw_http_message *message,
-			  const struct bw_http_field *field);
 static void choose_service_(struct gate_request *request);
 static bool reject_if_poison_(struct gate_request *request);
 static void dispatch_request_(struct gate_request *request);
 static void send_attempt_(struct gate_request *request);
 static void reject_without_connection_(struct gate_request *request);
 static void record_attempt_(struct gate_request *request, struct bw_time now);
-static void write_head_(const struct gate_request *request,
-			struct bw_buffer *head, struct bw_time now);
 static void handle_response_(struct gate_request *request,
 			     const struct bw_http_message *response);
 static void handle_failure_(struct gate_request *request,
@@ -122,7 +107,7 @@
 	set_deadline_(request, message, gate_node_now(entry->node));
 	choose_service_(request);
 	read_affinity_key_(request, message);
-	copy_head_(request, message, &target);
+	gate_forward_copy_head(request, message, &target);
 	entry->retry_tokens += RETRY_SHARE * entry->node->settings.retry_ratio;
 	if (!reject_if_poison_(request))
 		dispatch_request_(request);
@@ -264,59 +249,6 @@
 			request->job.service->name, key);
 }
 
-/*
- * Backend servers get the origin form of the target, with the Host that it
- * stands for.
- */
-static void copy_head_(struct gate_request *request,
-		       const struct bw_http_message *message,
-		       const struct bw_http_target *target)
-{
-	struct bw_buffer *head = &request->head;
-	uint32_t i;
-
-	bw_buffer_printf(head, "%s %.*s%.*s HTTP/1.1\r\n",
-			 http_method_str((enum http_method)message->method),
-			 (int)target->path_bytes, target->path,
-			 (int)target->query_bytes, target->query);
-	if (target->absolute)
-		bw_buffer_printf(head, "Host: %.*s\r\n",
-				 (int)target->host_bytes, target->host);
-	for (i = 0; i < message->field_count; i++) {
-		const struct bw_http_field *field = &message->fields[i];
-
-		if (!is_forwarded_(message, field) ||
-		    (target->absolute &&
-		     bw_http_field_is(message, field, "Host")) ||
-		    bw_http_field_is(message, field, PLATFORM_FIELD_DEADLINE) ||
-		    bw_http_field_is(message, field,
-				     PLATFORM_FIELD_EXPECTED_SERVER))
-			continue;
-		bw_buffer_append(head, bw_http_text(message, field->name),
-				 field->name.size_bytes);
-		bw_buffer_append(head, ": ", 2);
-		bw_buffer_append(head, bw_http_text(message, field->value),
-				 field->value.size_bytes);
-		bw_buffer_append(head, "\r\n", 2);
-	}
-	if (request->body.bytes.size_bytes || message->method == HTTP_POST ||
-	    message->method == HTTP_PUT)
-		bw_buffer_printf(head, "Content-Length: %zu\r\n",
-				 request->body.bytes.size_bytes);
-}
-
-static bool is_forwarded_(const struct bw_http_message *message,
-			  const struct bw_http_field *field)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(end_to_end_fields); i++) {
-		if (bw_http_field_is(message, field, end_to_end_fields[i]))
-			return true;
-	}
-	return !bw_http_field_is_hop_by_hop(message, field);
-}
-
 static void choose_service_(struct gate_request *request)
 {
 	struct gate_entry *entry = request->entry;
@@ -383,7 +315,7 @@
 	bw_dispatch_sent(&entry->dispatch, job, now);
 	request->sent_us = bw_clock_us();
 	bw_buffer_init(&head);
-	write_head_(request, &head, now);
+	gate_forward_write_head(request, &head, remaining_ms_(request, now));
 	send.address = job->target->address;
 	send.id = request->id;
 	send.head = &head;
@@ -433,17 +365,6 @@
 	last->report_age_ms = bw_time_diff_ms(now, job->target->reported_at);
 }
 
-static void write_head_(const struct gate_request *request,
-			struct bw_buffer *head, struct bw_time now)
-{
-	bw_buffer_append(head, request->head.data, request->head.size_bytes);
-	bw_buffer_printf(head, "%s: %lld\r\n%s: %s\r\n\r\n",
-			 PLATFORM_FIELD_DEADLINE,
-			 (long long)MAX(remaining_ms_(request, now), 1),
-			 PLATFORM_FIELD_EXPECTED_SERVER,
-			 request->job.target->id);
-}
-
 static void handle_response_(struct gate_request *request,
 			     const struct bw_http_message *response)
 {
@@ -558,21 +479,9 @@
 {
 	struct bw_buffer fields;
 	uint16_t code = response->status_code;
-	uint32_t i;
 
 	bw_buffer_init(&fields);
-	for (i = 0; i < response->field_count; i++) {
-		const struct bw_http_field *field = &response->fields[i];
-
-		if (!is_forwarded_(response, field))
-			continue;
-		bw_buffer_append(&fields, bw_http_text(response, field->name),
-				 field->name.size_bytes);
-		bw_buffer_append(&fields, ": ", 2);
-		bw_buffer_append(&fields, bw_http_text(response, field->value),
-				 field->value.size_bytes);
-		bw_buffer_append(&fields, "\r\n", 2);
-	}
+	gate_forward_copy_fields(response, &fields);
 	bw_connection_respond(request->connection, code, &fields,
 			      response->body.data, response->body.size_bytes,
 			      false);
