Move the entry host's own responses out of gate_request.c

Errors and the answer to a request without a route are what an entry host says itself.

No change of behaviour.

--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "bwproxy/target.h"
+#include "gate_entry_respond.h"
 #include "gate_forward.h"
 #include "gate_log.h"
 #include "gate_poison.h"
@@ -24,12 +25,6 @@
 /** Retry-After of rejections without a better estimate. */
 #define RETRY_AFTER_DEFAULT_MS 500
 
-/**
- * Retry-After of a request without a route here that may have one elsewhere;
- * about the interval of statuses of the control hosts.
- */
-#define RETRY_AFTER_UNCONFIRMED_MS 500
-
 /**
  * Time after the deadline for which an attempt that must not run twice waits
  * for its server. The server ends its work at the deadline that it was sent, so
@@ -67,8 +62,6 @@
 		    uint32_t retry_after_ms);
 static void fail_(struct gate_request *request, uint16_t status_code,
 		  enum gate_outcome outcome, const char *cause);
-static void respond_error_(struct gate_request *request, uint16_t status_code,
-			   uint32_t retry_after_ms, const char *text);
 static void finish_for_client_(struct gate_request *request,
 			       enum gate_outcome outcome, uint16_t status_code,
 			       const char *cause);
@@ -79,9 +72,6 @@
 static void on_deadline_(struct ev_loop *loop, ev_timer *timer, int events);
 static void start_attempt_timer_(struct gate_request *request);
 static void on_attempt_end_(struct ev_loop *loop, ev_timer *timer, int events);
-static void answer_unrouted_(struct gate_entry *entry,
-			     struct bw_server_connection *connection,
-			     const struct bw_http_message *message);
 static int64_t remaining_ms_(const struct gate_request *request,
 			     struct bw_time now);
 
@@ -99,7 +89,7 @@
 					target.host_bytes, target.path,
 					target.path_bytes);
 	if (!route) {
-		answer_unrouted_(entry, connection, message);
+		gate_entry_respond_unrouted(entry, connection, message);
 		return;
 	}
 	request = new_request_(entry, connection, message);
@@ -502,7 +492,8 @@
 		      bw_reject_string[reason]);
 		return;
 	}
-	respond_error_(request, 503, retry_after_ms, bw_reject_string[reason]);
+	gate_entry_respond_error(request, 503, retry_after_ms,
+				 bw_reject_string[reason]);
 	finish_for_client_(request, GATE_OUTCOME_REJECTED, 503,
 			   bw_reject_string[reason]);
 }
@@ -510,35 +501,10 @@
 static void fail_(struct gate_request *request, uint16_t status_code,
 		  enum gate_outcome outcome, const char *cause)
 {
-	respond_error_(request, status_code, 0, cause);
+	gate_entry_respond_error(request, status_code, 0, cause);
 	finish_for_client_(request, outcome, status_code, cause);
 }
 
-static void respond_error_(struct gate_request *request, uint16_t status_code,
-			   uint32_t retry_after_ms, const char *text)
-{
-	struct bw_buffer fields;
-	struct bw_buffer body;
-
-	if (!request->connection)
-		return;
-	bw_buffer_init(&fields);
-	bw_buffer_init(&body);
-	bw_buffer_printf(&fields,
-			 "Content-Type: application/json\r\n%s: %s\r\n",
-			 PLATFORM_FIELD_REQUEST_ID, request->id);
-	if (retry_after_ms)
-		bw_buffer_printf(&fields, "%s: %.3f\r\n",
-				 PLATFORM_FIELD_RETRY_AFTER,
-				 retry_after_ms / 1000.0);
-	platform_error_write(&body, text);
-	bw_connection_respond(request->connection, status_code, &fields,
-			      body.data, body.size_bytes, false);
-	request->connection = NULL;
-	bw_buffer_finish(&fields);
-	bw_buffer_finish(&body);
-}
-
 /*
  * Ends a request for its client; one in flight is freed when its attempt ends.
  */
@@ -673,33 +639,6 @@
 	gate_request_run_queue(entry);
 }
 
-/*
- * A 404 says for good that there is no such route, so it is given only while
- * most control hosts confirm the version in force. Otherwise another host may
- * have the route: the request has not run and may be sent again.
- */
-static void answer_unrouted_(struct gate_entry *entry,
-			     struct bw_server_connection *connection,
-			     const struct bw_http_message *message)
-{
-	struct bw_confirmation confirmation =
-		gate_entry_confirm(entry, gate_node_now(entry->node));
-	uint16_t status_code = confirmation.confirmed ? 404 : 503;
-	struct bw_buffer fields;
-
-	bw_buffer_init(&fields);
-	if (status_code == 503)
-		bw_buffer_printf(&fields, "%s: %.3f\r\n",
-				 PLATFORM_FIELD_RETRY_AFTER,
-				 RETRY_AFTER_UNCONFIRMED_MS / 1000.0);
-	if (entry->routing && !confirmation.confirmed)
-		bw_metric_add(entry->unconfirmed, 1);
-	bw_metric_add(entry->outcomes[GATE_OUTCOME_NO_ROUTE], 1);
-	gate_log_no_route(entry, message, status_code, &confirmation);
-	bw_connection_respond(connection, status_code, &fields, NULL, 0, false);
-	bw_buffer_finish(&fields);
-}
-
 static int64_t remaining_ms_(const struct gate_request *request,
 			     struct bw_time now)
 {
