Move the reports of rejections to listener_reject.c

The causes, their status codes, the limits behind them and the report to the handler form listener_reject.c; struct bw_server_connection is in private/listener_private.h for both files. The report gets the time as a parameter, so the clock that skips the pauses of the loop stays in listener.c.

No change of behaviour.

--- /dev/null
+++ b/src/libbwproxy/include/private/listener_private.h
@@ -0,0 +1,49 @@
+/**
+ * @file
+ * Shared by the source files of the listener: connections (listener.c), and
+ * causes and reports of rejections (listener_reject.c).
+ */
+#ifndef PRIVATE_LISTENER_PRIVATE_H
+#define PRIVATE_LISTENER_PRIVATE_H
+
+#include <ev.h>
+
+#include "bwbase/buffer.h"
+#include "bwbase/clock.h"
+#include "bwproxy/body.h"
+#include "bwproxy/http1.h"
+#include "bwproxy/listener.h"
+
+/** A connection of a client. */
+struct bw_server_connection {
+	struct bw_listener *listener;
+	struct bw_server_connection *next;
+	struct bw_server_connection **previous; /**< the pointer to this one */
+	int fd;
+	uint32_t peer; /**< IPv4 address in network byte order */
+	ev_io read_watcher;
+	ev_io write_watcher;
+	struct bw_http_reader reader;
+	struct bw_body body; /**< charge of the body in reader; no bytes */
+	struct bw_buffer in; /**< bytes not yet parsed */
+	struct bw_buffer out;
+	struct bw_time state_since; /**< on a clock without the loop's pauses */
+	uint64_t parsed_bytes; /**< of the request that is being read */
+	void *context;
+	bool busy; /**< a request is in progress */
+	bool close_after_write;
+	bool continue_sent;
+	bool lingering; /**< rejected; what still arrives is dropped */
+	uint64_t dropped_bytes; /**< while lingering */
+};
+
+/**
+ * Reports a rejected request to the handler, if it has a callback for that. To
+ * be called before the response, while the connection still has the request.
+ * @param now on the clock of connection->state_since
+ */
+void listener_report_rejection(struct bw_server_connection *connection,
+			       enum bw_listener_cause cause,
+			       struct bw_time now);
+
+#endif
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "private/address.h"
+#include "private/listener_private.h"
 
 /** Listen backlog of the kernel; sized for a burst of clients. */
 #define BACKLOG 1024
@@ -37,34 +38,13 @@
  * means that the loop did not run; what arrived meanwhile is still unread.
  */
 #define SWEEP_COUNTED_MAX_MS 300
+
 /** Longest time for which a rejected client's bytes are read and dropped. */
 #define LINGER_MAX_MS 2000
 
 /** Maximum number of connections whose bytes are read and dropped. */
 #define LINGERING_MAX 64
 
-struct bw_server_connection {
-	struct bw_listener *listener;
-	struct bw_server_connection *next;
-	struct bw_server_connection **previous; /**< the pointer to this one */
-	int fd;
-	uint32_t peer; /**< IPv4 address in network byte order */
-	ev_io read_watcher;
-	ev_io write_watcher;
-	struct bw_http_reader reader;
-	struct bw_body body; /**< charge of the body in reader; no bytes */
-	struct bw_buffer in; /**< bytes not yet parsed */
-	struct bw_buffer out;
-	struct bw_time state_since; /**< on the clock of run_time_ */
-	uint64_t parsed_bytes; /**< of the request that is being read */
-	void *context;
-	bool busy; /**< a request is in progress */
-	bool close_after_write;
-	bool continue_sent;
-	bool lingering; /**< rejected; what still arrives is dropped */
-	uint64_t dropped_bytes; /**< while lingering */
-};
-
 static int open_socket_(const char *address);
 static void on_accept_(struct ev_loop *loop, ev_io *watcher, int events);
 static void add_connection_(struct bw_listener *listener, int fd,
@@ -86,12 +66,6 @@
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause);
-static void report_rejection_(struct bw_server_connection *connection,
-			      enum bw_listener_cause cause);
-static uint32_t limit_(const struct bw_server_connection *connection,
-		       const struct bw_http_limits *limits,
-		       enum bw_listener_cause cause);
-static uint32_t budget_limit_(const struct bw_body_budget *budget);
 static void drop_input_(struct bw_server_connection *connection,
 			size_t size_bytes);
 static bool flush_output_(struct bw_server_connection *connection);
@@ -101,24 +75,6 @@
 			const struct bw_buffer *fields, size_t body_bytes,
 			bool close);
 
-const char *const bw_listener_cause_string[BW_LISTENER_CAUSE_COUNT] = {
-	[BW_LISTENER_MALFORMED] = "malformed",
-	[BW_LISTENER_UNKNOWN_METHOD] = "unknown_method",
-	[BW_LISTENER_HEAD_TOO_LARGE] = "head_too_large",
-	[BW_LISTENER_BODY_TOO_LARGE] = "body_too_large",
-	[BW_LISTENER_NO_MEMORY] = "no_memory",
-	[BW_LISTENER_HEAD_TIMEOUT] = "head_timeout",
-	[BW_LISTENER_BODY_TIMEOUT] = "body_timeout",
-	[BW_LISTENER_BODY_MEMORY] = "body_memory",
-};
-
-const uint16_t bw_listener_cause_status[BW_LISTENER_CAUSE_COUNT] = {
-	[BW_LISTENER_MALFORMED] = 400,	    [BW_LISTENER_UNKNOWN_METHOD] = 501,
-	[BW_LISTENER_HEAD_TOO_LARGE] = 431, [BW_LISTENER_BODY_TOO_LARGE] = 413,
-	[BW_LISTENER_NO_MEMORY] = 503,	    [BW_LISTENER_HEAD_TIMEOUT] = 408,
-	[BW_LISTENER_BODY_TIMEOUT] = 408,   [BW_LISTENER_BODY_MEMORY] = 503,
-};
-
 enum bw_status bw_listener_init(struct bw_listener *listener,
 				const struct bw_listener_config *config)
 {
@@ -573,7 +529,7 @@
 				    : RETRY_AFTER_LINE;
 	struct bw_buffer fields;
 
-	report_rejection_(connection, cause);
+	listener_report_rejection(connection, cause, run_time_(listener));
 	free_body_(connection);
 	/* The response needs memory, and the request is not read again. */
 	bw_http_message_finish(&connection->reader.message);
@@ -593,64 +549,6 @@
 	flush_output_(connection);
 }
 
-static void report_rejection_(struct bw_server_connection *connection,
-			      enum bw_listener_cause cause)
-{
-	struct bw_listener *listener = connection->listener;
-	const struct bw_listener_config *config = &listener->config;
-	const struct bw_http_reader *reader = &connection->reader;
-	struct bw_listener_rejection rejection = { .cause = cause };
-	int64_t age_ms =
-		bw_time_diff_ms(run_time_(listener), connection->state_since);
-
-	if (!config->handler->rejected)
-		return;
-	rejection.status_code = bw_listener_cause_status[cause];
-	rejection.parser_error =
-		http_errno_name(HTTP_PARSER_ERRNO(&reader->parser));
-	rejection.address = config->address;
-	rejection.received_bytes =
-		connection->parsed_bytes + connection->in.size_bytes;
-	rejection.age_ms = age_ms > 0 ? (uint32_t)age_ms : 0;
-	rejection.limit = limit_(connection, &reader->limits, cause);
-	rejection.limit_current = limit_(connection, &config->limits, cause);
-	config->handler->rejected(config->context, connection, &reader->message,
-				  &rejection);
-}
-
-/* A request keeps the size limits that were in force at its first byte. */
-static uint32_t limit_(const struct bw_server_connection *connection,
-		       const struct bw_http_limits *limits,
-		       enum bw_listener_cause cause)
-{
-	switch (cause) {
-	case BW_LISTENER_HEAD_TOO_LARGE:
-		return limits->head_max_bytes;
-	case BW_LISTENER_BODY_TOO_LARGE:
-		return limits->body_max_bytes;
-	case BW_LISTENER_HEAD_TIMEOUT:
-		return connection->listener->config.head_timeout_ms;
-	case BW_LISTENER_BODY_TIMEOUT:
-		return connection->listener->config.idle_timeout_ms;
-	case BW_LISTENER_BODY_MEMORY:
-		return budget_limit_(connection->body.budget);
-	case BW_LISTENER_MALFORMED:
-	case BW_LISTENER_UNKNOWN_METHOD:
-	case BW_LISTENER_NO_MEMORY:
-	case BW_LISTENER_CAUSE_COUNT:
-		break;
-	}
-	return 0;
-}
-
-static uint32_t budget_limit_(const struct bw_body_budget *budget)
-{
-	if (!budget)
-		return 0;
-	return budget->max_bytes < UINT32_MAX ? (uint32_t)budget->max_bytes
-					      : UINT32_MAX;
-}
-
 /* Drops no more than an accepted request may send. */
 static void drop_input_(struct bw_server_connection *connection,
 			size_t size_bytes)
