--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -1,10 +1,11 @@
 #include "gate_request.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "bwproxy/target.h"
+#include "gate_entry_respond.h"
+#include "gate_forward.h"
 #include "gate_log.h"
 #include "gate_poison.h"
 #include "platform.h"
@@ -24,12 +25,6 @@
 /** Retry-After of rejections without a better estimate. */
 #define RETRY_AFTER_DEFAULT_MS 500
 
-/**
- * Retry-After of a request without a route here that may have one elsewhere;
- * about the interval of statuses of the control hosts.
- */
-#define RETRY_AFTER_UNCONFIRMED_MS 500
-
 /**
  * Time after the deadline for which an attempt that must not run twice waits
  * for its server. The server ends its work at the deadline that it was sent, so
@@ -40,14 +35,6 @@
 /** Fraction of the fleet's retries per request that entry hosts use. */
 #define RETRY_SHARE 0.6
 
-/** Fields for the other end, also when the Connection field lists them. */
-static const char *const end_to_end_fields[] = {
-	"Host",
-	PLATFORM_FIELD_REQUEST_ID,
-	PLATFORM_FIELD_AFFINITY_KEY,
-	PLATFORM_FIELD_SIGNATURE,
-};
-
 static struct gate_request *
 new_request_(struct gate_entry *entry, struct bw_server_connection *connection,
 	     const struct bw_http_message *message);
@@ -56,19 +43,12 @@
 			  struct bw_time now);
 static void read_affinity_key_(struct gate_request *request,
 			       const struct bw_http_message *message);
-static void copy_head_(struct gate_request *request,
-		       const struct bw_http_message *message,
-		       const struct bw_http_target *target);
-static bool is_forwarded_(const struct bw_http_message *message,
-			  const struct bw_http_field *field);
 static void choose_service_(struct gate_request *request);
 static bool reject_if_poison_(struct gate_request *request);
 static void dispatch_request_(struct gate_request *request);
 static void send_attempt_(struct gate_request *request);
 static void reject_without_connection_(struct gate_request *request);
 static void record_attempt_(struct gate_request *request, struct bw_time now);
-static void write_head_(const struct gate_request *request,
-			struct bw_buffer *head, struct bw_time now);
 static void handle_response_(struct gate_request *request,
 			     const struct bw_http_message *response);
 static void handle_failure_(struct gate_request *request,
@@ -82,8 +62,6 @@
 		    uint32_t retry_after_ms);
 static void fail_(struct gate_request *request, uint16_t status_code,
 		  enum gate_outcome outcome, const char *cause);
-static void respond_error_(struct gate_request *request, uint16_t status_code,
-			   uint32_t retry_after_ms, const char *text);
 static void finish_for_client_(struct gate_request *request,
 			       enum gate_outcome outcome, uint16_t status_code,
 			       const char *cause);
@@ -94,9 +72,6 @@
 static void on_deadline_(struct ev_loop *loop, ev_timer *timer, int events);
 static void start_attempt_timer_(struct gate_request *request);
 static void on_attempt_end_(struct ev_loop *loop, ev_timer *timer, int events);
-static void answer_unrouted_(struct gate_entry *entry,
-			     struct bw_server_connection *connection,
-			     const struct bw_http_message *message);
 static int64_t remaining_ms_(const struct gate_request *request,
 			     struct bw_time now);
 
@@ -114,7 +89,7 @@
 					target.host_bytes, target.path,
 					target.path_bytes);
 	if (!route) {
-		answer_unrouted_(entry, connection, message);
+		gate_entry_respond_unrouted(entry, connection, message);
 		return;
 	}
 	request = new_request_(entry, connection, message);
@@ -122,7 +97,7 @@
 	set_deadline_(request, message, gate_node_now(entry->node));
 	choose_service_(request);
 	read_affinity_key_(request, message);
-	copy_head_(request, message, &target);
+	gate_forward_copy_head(request, message, &target);
 	entry->retry_tokens += RETRY_SHARE * entry->node->settings.retry_ratio;
 	if (!reject_if_poison_(request))
 		dispatch_request_(request);
@@ -264,59 +239,6 @@
 			request->job.service->name, key);
 }
 
-/*
- * Backend servers get the origin form of the target, with the Host that it
- * stands for.
- */
-static void copy_head_(struct gate_request *request,
-		       const struct bw_http_message *message,
-		       const struct bw_http_target *target)
-{
-	struct bw_buffer *head = &request->head;
-	uint32_t i;
-
-	bw_buffer_printf(head, "%s %.*s%.*s HTTP/1.1\r\n",
-			 http_method_str((enum http_method)message->method),
-			 (int)target->path_bytes, target->path,
-			 (int)target->query_bytes, target->query);
-	if (target->absolute)
-		bw_buffer_printf(head, "Host: %.*s\r\n",
-				 (int)target->host_bytes, target->host);
-	for (i = 0; i < message->field_count; i++) {
-		const struct bw_http_field *field = &message->fields[i];
-
-		if (!is_forwarded_(message, field) ||
-		    (target->absolute &&
-		     bw_http_field_is(message, field, "Host")) ||
-		    bw_http_field_is(message, field, PLATFORM_FIELD_DEADLINE) ||
-		    bw_http_field_is(message, field,
-				     PLATFORM_FIELD_EXPECTED_SERVER))
-			continue;
-		bw_buffer_append(head, bw_http_text(message, field->name),
-				 field->name.size_bytes);
-		bw_buffer_append(head, ": ", 2);
-		bw_buffer_append(head, bw_http_text(message, field->value),
-				 field->value.size_bytes);
-		bw_buffer_append(head, "\r\n", 2);
-	}
-	if (request->body.bytes.size_bytes || message->method == HTTP_POST ||
-	    message->method == HTTP_PUT)
-		bw_buffer_printf(head, "Content-Length: %zu\r\n",
-				 request->body.bytes.size_bytes);
-}
-
-static bool is_forwarded_(const struct bw_http_message *message,
-			  const struct bw_http_field *field)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(end_to_end_fields); i++) {
-		if (bw_http_field_is(message, field, end_to_end_fields[i]))
-			return true;
-	}
-	return !bw_http_field_is_hop_by_hop(message, field);
-}
-
 static void choose_service_(struct gate_request *request)
 {
 	struct gate_entry *entry = request->entry;
@@ -383,7 +305,7 @@
 	bw_dispatch_sent(&entry->dispatch, job, now);
 	request->sent_us = bw_clock_us();
 	bw_buffer_init(&head);
-	write_head_(request, &head, now);
+	gate_forward_write_head(request, &head, remaining_ms_(request, now));
 	send.address = job->target->address;
 	send.id = request->id;
 	send.head = &head;
@@ -433,17 +355,6 @@
 	last->report_age_ms = bw_time_diff_ms(now, job->target->reported_at);
 }
 
-static void write_head_(const struct gate_request *request,
-			struct bw_buffer *head, struct bw_time now)
-{
-	bw_buffer_append(head, request->head.data, request->head.size_bytes);
-	bw_buffer_printf(head, "%s: %lld\r\n%s: %s\r\n\r\n",
-			 PLATFORM_FIELD_DEADLINE,
-			 (long long)MAX(remaining_ms_(request, now), 1),
-			 PLATFORM_FIELD_EXPECTED_SERVER,
-			 request->job.target->id);
-}
-
 static void handle_response_(struct gate_request *request,
 			     const struct bw_http_message *response)
 {
@@ -558,21 +469,9 @@
 {
 	struct bw_buffer fields;
 	uint16_t code = response->status_code;
-	uint32_t i;
 
 	bw_buffer_init(&fields);
-	for (i = 0; i < response->field_count; i++) {
-		const struct bw_http_field *field = &response->fields[i];
-
-		if (!is_forwarded_(response, field))
-			continue;
-		bw_buffer_append(&fields, bw_http_text(response, field->name),
-				 field->name.size_bytes);
-		bw_buffer_append(&fields, ": ", 2);
-		bw_buffer_append(&fields, bw_http_text(response, field->value),
-				 field->value.size_bytes);
-		bw_buffer_append(&fields, "\r\n", 2);
-	}
+	gate_forward_copy_fields(response, &fields);
 	bw_connection_respond(request->connection, code, &fields,
 			      response->body.data, response->body.size_bytes,
 			      false);
@@ -593,7 +492,8 @@
 		      bw_reject_string[reason]);
 		return;
 	}
-	respond_error_(request, 503, retry_after_ms, bw_reject_string[reason]);
+	gate_entry_respond_error(request, 503, retry_after_ms,
+				 bw_reject_string[reason]);
 	finish_for_client_(request, GATE_OUTCOME_REJECTED, 503,
 			   bw_reject_string[reason]);
 }
@@ -601,35 +501,10 @@
 static void fail_(struct gate_request *request, uint16_t status_code,
 		  enum gate_outcome outcome, const char *cause)
 {
-	respond_error_(request, status_code, 0, cause);
+	gate_entry_respond_error(request, status_code, 0, cause);
 	finish_for_client_(request, outcome, status_code, cause);
 }
 
-static void respond_error_(struct gate_request *request, uint16_t status_code,
-			   uint32_t retry_after_ms, const char *text)
-{
-	struct bw_buffer fields;
-	struct bw_buffer body;
-
-	if (!request->connection)
-		return;
-	bw_buffer_init(&fields);
-	bw_buffer_init(&body);
-	bw_buffer_printf(&fields,
-			 "Content-Type: application/json\r\n%s: %s\r\n",
-			 PLATFORM_FIELD_REQUEST_ID, request->id);
-	if (retry_after_ms)
-		bw_buffer_printf(&fields, "%s: %.3f\r\n",
-				 PLATFORM_FIELD_RETRY_AFTER,
-				 retry_after_ms / 1000.0);
-	platform_error_write(&body, text);
-	bw_connection_respond(request->connection, status_code, &fields,
-			      body.data, body.size_bytes, false);
-	request->connection = NULL;
-	bw_buffer_finish(&fields);
-	bw_buffer_finish(&body);
-}
-
 /*
  * Ends a request for its client; one in flight is freed when its attempt ends.
  */
@@ -764,33 +639,6 @@
 	gate_request_run_queue(entry);
 }
 
-/*
- * A 404 says for good that there is no such route, so it is given only while
- * most control hosts confirm the version in force. Otherwise another host may
- * have the route: the request has not run and may be sent again.
- */
-static void answer_unrouted_(struct gate_entry *entry,
-			     struct bw_server_connection *connection,
-			     const struct bw_http_message *message)
-{
-	struct bw_confirmation confirmation =
-		gate_entry_confirm(entry, gate_node_now(entry->node));
-	uint16_t status_code = confirmation.confirmed ? 404 : 503;
-	struct bw_buffer fields;
-
-	bw_buffer_init(&fields);
-	if (status_code == 503)
-		bw_buffer_printf(&fields, "%s: %.3f\r\n",
-				 PLATFORM_FIELD_RETRY_AFTER,
-				 RETRY_AFTER_UNCONFIRMED_MS / 1000.0);
-	if (entry->routing && !confirmation.confirmed)
-		bw_metric_add(entry->unconfirmed, 1);
-	bw_metric_add(entry->outcomes[GATE_OUTCOME_NO_ROUTE], 1);
-	gate_log_no_route(entry, message, status_code, &confirmation);
-	bw_connection_respond(connection, status_code, &fields, NULL, 0, false);
-	bw_buffer_finish(&fields);
-}
-
 static int64_t remaining_ms_(const struct gate_request *request,
 			     struct bw_time now)
 {
