--- a/src/test_libbwproxy/harness.c
+++ b/src/test_libbwproxy/harness.c
@@ -3,6 +3,8 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,10 +15,27 @@
 #define SPIN_WAIT_S 0.02
 #define READ_BYTES 4096
 
+/** Ports that listener_open tries. */
+#define PORTS_TRIED 100
+
 static void peer_init_(struct peer *peer, struct ev_loop *loop, int fd);
 static void on_peer_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_accept_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_wait_end_(struct ev_loop *loop, ev_timer *watcher, int events);
+static void on_request_(void *context, struct bw_server_connection *connection,
+			const struct bw_http_message *request);
+static void on_disconnected_(void *context,
+			     struct bw_server_connection *connection);
+static void on_rejected_(void *context,
+			 const struct bw_server_connection *connection,
+			 const struct bw_http_message *request,
+			 const struct bw_listener_rejection *rejection);
+
+const struct bw_listener_handler target_echo_handler = {
+	.request = on_request_,
+	.disconnected = on_disconnected_,
+	.rejected = on_rejected_,
+};
 
 int64_t spin_now_ms(void)
 {
@@ -273,6 +292,36 @@
 	memset(reply, 0, sizeof(*reply));
 }
 
+uint16_t listener_open(struct bw_listener *listener,
+		       const struct bw_listener_config *config,
+		       uint16_t first_port)
+{
+	struct bw_listener_config with_address = *config;
+	uint16_t end = first_port + PORTS_TRIED;
+	char address[32];
+	uint16_t port;
+
+	with_address.address = address;
+	for (port = first_port; port < end; port++) {
+		snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+		if (bw_listener_init(listener, &with_address) == BW_OK)
+			break;
+	}
+	assert_true(port < end);
+	return port;
+}
+
+uint8_t *make_body(size_t size_bytes)
+{
+	uint8_t *body = malloc(size_bytes);
+	size_t i;
+
+	assert_non_null(body);
+	for (i = 0; i < size_bytes; i++)
+		body[i] = (uint8_t)(i * 7 + i / 251);
+	return body;
+}
+
 static void peer_init_(struct peer *peer, struct ev_loop *loop, int fd)
 {
 	memset(peer, 0, sizeof(*peer));
@@ -319,3 +368,42 @@
 	(void)watcher;
 	(void)events;
 }
+
+static void on_request_(void *context, struct bw_server_connection *connection,
+			const struct bw_http_message *request)
+{
+	struct target_echo *echo = context;
+
+	echo->requests++;
+	if (echo->takes_body) {
+		bw_body_finish(&echo->body);
+		bw_connection_take_body(connection, &echo->body);
+	}
+	if (!echo->withhold_response)
+		bw_connection_respond(connection, 200, NULL,
+				      bw_http_text(request, request->target),
+				      request->target.size_bytes, false);
+}
+
+static void on_disconnected_(void *context,
+			     struct bw_server_connection *connection)
+{
+	(void)connection;
+	((struct target_echo *)context)->disconnected_count++;
+}
+
+static void on_rejected_(void *context,
+			 const struct bw_server_connection *connection,
+			 const struct bw_http_message *request,
+			 const struct bw_listener_rejection *rejection)
+{
+	struct target_echo *echo = context;
+
+	assert_int_equal(bw_connection_peer(connection),
+			 htonl(INADDR_LOOPBACK));
+	echo->rejection = *rejection;
+	echo->rejected_count++;
+	echo->rejected_id[0] = '\0';
+	bw_http_find(request, "Id", echo->rejected_id,
+		     sizeof(echo->rejected_id));
+}
--- a/src/test_libbwproxy/harness.h
+++ b/src/test_libbwproxy/harness.h
@@ -16,6 +16,7 @@
 
 #include "bwbase/buffer.h"
 #include "bwproxy/frontend.h"
+#include "bwproxy/listener.h"
 #include "bwproxy/upstream.h"
 
 /** Limit of the connections of one raw server. */
@@ -126,4 +127,31 @@
 void relay_init(struct relay *relay, struct ev_loop *loop,
 		struct bw_upstream *upstream, uint16_t target_port);
 
+/** Requests and rejections of a listener with target_echo_handler. */
+struct target_echo {
+	uint32_t requests;
+	uint32_t disconnected_count;
+	bool withhold_response;
+	struct bw_listener_rejection rejection; /**< the last one */
+	uint32_t rejected_count;
+	char rejected_id[16]; /**< field Id of the last one */
+	bool takes_body;
+	struct bw_body body; /**< taken from the last request */
+};
+
+/** Responds with the request's target; its context is a target_echo. */
+extern const struct bw_listener_handler target_echo_handler;
+
+/**
+ * Opens a listener on the first free port of 127.0.0.1 from first_port on.
+ * @param config address is replaced
+ * @return the port
+ */
+uint16_t listener_open(struct bw_listener *listener,
+		       const struct bw_listener_config *config,
+		       uint16_t first_port);
+
+/** Returns bytes that differ from those next to them; the caller frees them. */
+uint8_t *make_body(size_t size_bytes);
+
 #endif
--- a/src/test_libbwproxy/test_loop_clock.c
+++ b/src/test_libbwproxy/test_loop_clock.c
@@ -13,6 +13,9 @@
 
 #define STEP_S 30
 
+/** First port that the listener tries. */
+#define FIRST_PORT 23700
+
 /** Limits of the listener and of the pool; both timeouts are below STEP_S. */
 #define LIMIT_BYTES 4096
 #define TIMEOUT_MS 10000
@@ -102,46 +105,20 @@
 	ev_loop_destroy(loop);
 }
 
-static void on_request_(void *context, struct bw_server_connection *connection,
-			const struct bw_http_message *request)
-{
-	(void)context;
-	(void)request;
-	bw_connection_respond(connection, 200, NULL, "ok", 2, false);
-}
-
-static void on_disconnected_(void *context,
-			     struct bw_server_connection *connection)
-{
-	(void)context;
-	(void)connection;
-}
-
 static uint16_t listen_(struct bw_listener *listener, struct ev_loop *loop)
 {
-	static const struct bw_listener_handler handler = {
-		.request = on_request_,
-		.disconnected = on_disconnected_,
-	};
+	static struct target_echo echo;
 	struct bw_listener_config config = {
 		.loop = loop,
 		.limits = { LIMIT_BYTES, LIMIT_BYTES },
 		.connections_max = 4,
 		.head_timeout_ms = TIMEOUT_MS,
 		.idle_timeout_ms = TIMEOUT_MS,
-		.handler = &handler,
+		.handler = &target_echo_handler,
+		.context = &echo,
 	};
-	char address[32];
-	uint16_t port;
-
-	config.address = address;
-	for (port = 23700; port < 23800; port++) {
-		snprintf(address, sizeof(address), "127.0.0.1:%u", port);
-		if (bw_listener_init(listener, &config) == BW_OK)
-			return port;
-	}
-	fail_msg("no port is free");
-	return 0;
+
+	return listener_open(listener, &config, FIRST_PORT);
 }
 
 static void spin_for_(struct ev_loop *loop, int64_t duration_ms)
--- a/src/test_libbwproxy/test_valid_requests.c
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -17,6 +17,9 @@
 #define SOCKET_ROUNDS 150
 #define SEED 20
 
+/** First port that a listener tries. */
+#define FIRST_PORT 23600
+
 /** Requests of one connection. */
 #define SEQUENCE_MAX 6
 
@@ -334,23 +337,14 @@
 			struct echo *echo)
 {
 	struct bw_listener_config config = { .loop = loop,
+					     .limits = limits,
 					     .connections_max = 4,
 					     .head_timeout_ms = 20000,
 					     .idle_timeout_ms = 60000,
 					     .handler = &echo_handler,
 					     .context = echo };
-	char address[32];
-	uint16_t port;
-
-	config.limits = limits;
-	config.address = address;
-	for (port = 23600; port < 23700; port++) {
-		snprintf(address, sizeof(address), "127.0.0.1:%u", port);
-		if (bw_listener_init(listener, &config) == BW_OK)
-			break;
-	}
-	assert_true(port < 23700);
-	return port;
+
+	return listener_open(listener, &config, FIRST_PORT);
 }
 
 static void exchange_(struct bw_random *random, struct ev_loop *loop,
