--- a/src/test_libbwbase/test_steady_clock.c
+++ b/src/test_libbwbase/test_steady_clock.c
@@ -2,32 +2,14 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
-#include <sys/syscall.h>
-#include <time.h>
-#include <unistd.h>
 
 #include <cmocka.h>
 
 #include "bwbase/clock.h"
+#include "stepped_clock.h"
 
 #define STEP_S 30
 
-/** Step of the wall clock, and time for which the host was suspended. */
-static time_t wall_step_s;
-static time_t suspended_s;
-
-/* Replaces the function of the C library. */
-int clock_gettime(clockid_t clock, struct timespec *time)
-{
-	long result = syscall(SYS_clock_gettime, clock, time);
-
-	if (clock == CLOCK_REALTIME)
-		time->tv_sec += wall_step_s + suspended_s;
-	if (clock == CLOCK_BOOTTIME)
-		time->tv_sec += suspended_s;
-	return (int)result;
-}
-
 /* Guards against a lease that a step of the wall clock prolongs or ends. */
 static void test_wall_step(void **state)
 {
--- a/src/test_libbwproxy/test_loop_clock.c
+++ b/src/test_libbwproxy/test_loop_clock.c
@@ -1,15 +1,13 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/syscall.h>
-#include <sys/time.h>
-#include <time.h>
 #include <unistd.h>
 
 #include "bwproxy/listener.h"
 #include "bwproxy/loop_clock.h"
 #include "bwproxy/pool.h"
 #include "harness.h"
+#include "stepped_clock.h"
 
 #define STEP_S 30
 
@@ -23,34 +21,6 @@
 /** Time that includes several checks of the timeouts. */
 #define CHECKS_MS 800
 
-/** Step of the wall clock, and time for which the host was suspended. */
-static time_t wall_step_s;
-static time_t suspended_s;
-
-/* Replaces the function of the C library, also for the event loop. */
-int clock_gettime(clockid_t clock, struct timespec *time)
-{
-	long result = syscall(SYS_clock_gettime, clock, time);
-
-	if (clock == CLOCK_REALTIME)
-		time->tv_sec += wall_step_s + suspended_s;
-	if (clock == CLOCK_BOOTTIME)
-		time->tv_sec += suspended_s;
-	return (int)result;
-}
-
-/* libev reads the wall clock with one or the other. */
-int gettimeofday(struct timeval *restrict time, void *restrict zone)
-{
-	struct timespec now;
-	int result = clock_gettime(CLOCK_REALTIME, &now);
-
-	(void)zone;
-	time->tv_sec = now.tv_sec;
-	time->tv_usec = now.tv_nsec / 1000;
-	return result;
-}
-
 static int reset_(void **state)
 {
 	(void)state;
