Share how shell runs of the gateway start stand-in servers

The checks, their names and their limits of time are the same. gateway_connections.sh starts its second server after the announcements of the first have begun.

--- a/test/gateway.sh
+++ b/test/gateway.sh
@@ -11,14 +11,7 @@
 ulimit -n 4096
 for i in 1 2 3; do start_control $i true; done
 for i in 1 2; do start_entry $i; done
-touch "$work/ledger" "$work/announcing" "$work/one" "$work/two"
-for name in one two; do
-	number=$([ $name = one ] && echo 1 || echo 2)
-	"$build/tools/bw-gate-backend" "127.0.3.$number:$((port + 6))" "i-$name" "$work/ledger" &
-	pids[backend-$name]=$!
-done
-announce_servers &
-pids[announcing]=$!
+start_servers one two
 
 check "a first configuration is accepted" wait_output 200 20 submit 3
 check "entry host 1 becomes ready" wait_output 200 10 status_code "http://127.0.2.1:$((port + 2))/-/ready"
--- a/test/gateway_bodies.sh
+++ b/test/gateway_bodies.sh
@@ -48,16 +48,8 @@
 ulimit -n 4096
 for i in 1 2 3; do start_control $i true; done
 start_entry 1
-touch "$work/ledger" "$work/announcing" "$work/one" "$work/two"
-for name in one two; do
-	number=$([ $name = one ] && echo 1 || echo 2)
-	"$build/tools/bw-gate-backend" "127.0.3.$number:$((port + 6))" "i-$name" "$work/ledger" &
-	pids[backend-$name]=$!
-done
-announce_servers &
-pids[announcing]=$!
-check "a configuration is accepted" wait_output 200 20 submit 3
-check "the entry host becomes ready" wait_output 200 10 status_code "http://127.0.2.1:$((port + 2))/-/ready"
+start_servers one two
+check_first_configuration
 check "a request is served" wait_output 200 10 post /file/x small 10
 
 check "a body of 9 MiB is served" test "$(post /file/x nine $((9 * mib)))" = 200
--- a/test/gateway_connections.sh
+++ b/test/gateway_connections.sh
@@ -12,15 +12,9 @@
 # 400 descriptors are reserved; one half of the others is for clients.
 sed -i "s/maxFds: .*}/maxFds: $((400 + 2 * connections_max))}/" "$work/entry-1.yaml"
 start entry-1
-touch "$work/ledger" "$work/announcing" "$work/one"
-"$build/tools/bw-gate-backend" "127.0.3.1:$((port + 6))" i-one "$work/ledger" &
-pids[backend-one]=$!
-"$build/tools/bw-gate-backend" "127.0.3.2:$((port + 6))" i-two "$work/ledger" &
-pids[backend-two]=$!
-announce_servers &
-pids[announcing]=$!
-check "a configuration is accepted" wait_output 200 20 submit 3
-check "the entry host becomes ready" wait_output 200 10 status_code "http://127.0.2.1:$((port + 2))/-/ready"
+start_servers one
+start_server two
+check_first_configuration
 check "a request is served" wait_output 200 10 request 1 GET /read/x first
 
 server_two() {
--- a/test/gateway_fields.sh
+++ b/test/gateway_fields.sh
@@ -7,13 +7,8 @@
 
 for i in 1 2 3; do start_control $i true; done
 start_entry 1
-touch "$work/ledger" "$work/announcing" "$work/one"
-"$build/tools/bw-gate-backend" "127.0.3.1:$((port + 6))" i-one "$work/ledger" &
-pids[backend-one]=$!
-announce_servers &
-pids[announcing]=$!
-check "a configuration is accepted" wait_output 200 20 submit 3
-check "the entry host becomes ready" wait_output 200 10 status_code "http://127.0.2.1:$((port + 2))/-/ready"
+start_servers one
+check_first_configuration
 check "a request is served" wait_output 200 10 request 1 GET /read/x first
 
 has_field() { grep -qi "^$1: $2"$'\r''$' "$work/fields"; }
--- a/test/gateway_lib.sh
+++ b/test/gateway_lib.sh
@@ -115,6 +115,26 @@
 	done
 }
 
+start_server() { # NAME: "one" or "two"
+	local number=1
+	[ "$1" = two ] && number=2
+	"$build/tools/bw-gate-backend" "127.0.3.$number:$((port + 6))" "i-$1" "$work/ledger" &
+	pids[backend-$1]=$!
+}
+
+start_servers() { # NAME...: starts and announces them
+	local name
+	touch "$work/ledger" "$work/announcing" "${@/#/$work/}"
+	for name in "$@"; do start_server "$name"; done
+	announce_servers &
+	pids[announcing]=$!
+}
+
+check_first_configuration() { # submits it and waits for entry host 1
+	check "a configuration is accepted" wait_output 200 20 submit 3
+	check "the entry host becomes ready" wait_output 200 10 status_code "http://127.0.2.1:$((port + 2))/-/ready"
+}
+
 request() { # ENTRY METHOD PATH ID [OPTION...]
 	curl -s --max-time 6 -o "$work/body" -w '%{http_code}' -X "$2" \
 		-H 'Host: h.example' -H "Request-Id: $4" -H 'Deadline-Ms: 4000' \
--- a/test/gateway_reject.sh
+++ b/test/gateway_reject.sh
@@ -8,8 +8,7 @@
 ulimit -n 4096
 for i in 1 2 3; do start_control $i true; done
 start_entry 1
-check "a configuration is accepted" wait_output 200 20 submit 3
-check "the entry host becomes ready" wait_output 200 10 status_code "http://127.0.2.1:$((port + 2))/-/ready"
+check_first_configuration
 
 # send_raw ADDRESS TEXT: sends bytes and prints the status code of the answer.
 send_raw() {
--- a/test/gateway_source.sh
+++ b/test/gateway_source.sh
@@ -12,8 +12,7 @@
 for i in 1 2 3; do start_control $i true; done
 start_entry 1
 touch "$work/ledger" "$work/announcing"
-"$build/tools/bw-gate-backend" "127.0.3.1:$((port + 6))" i-one "$work/ledger" &
-pids[backend-one]=$!
+start_server one
 
 # Announcements come late, every 2.6 intervals of the settings; a server counts
 # as silent after three, and control hosts delay a heartbeat by up to a second.
