--- a/src/test_libbwproxy/test_loop_clock.c
+++ b/src/test_libbwproxy/test_loop_clock.c
@@ -1,18 +1,19 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/syscall.h>
-#include <sys/time.h>
-#include <time.h>
 #include <unistd.h>
 
 #include "bwproxy/listener.h"
 #include "bwproxy/loop_clock.h"
 #include "bwproxy/pool.h"
 #include "harness.h"
+#include "stepped_clock.h"
 
 #define STEP_S 30
 
+/** First port that the listener tries. */
+#define FIRST_PORT 23700
+
 /** Limits of the listener and of the pool; both timeouts are below STEP_S. */
 #define LIMIT_BYTES 4096
 #define TIMEOUT_MS 10000
@@ -20,34 +21,6 @@
 /** Time that includes several checks of the timeouts. */
 #define CHECKS_MS 800
 
-/** Step of the wall clock, and time for which the host was suspended. */
-static time_t wall_step_s;
-static time_t suspended_s;
-
-/* Replaces the function of the C library, also for the event loop. */
-int clock_gettime(clockid_t clock, struct timespec *time)
-{
-	long result = syscall(SYS_clock_gettime, clock, time);
-
-	if (clock == CLOCK_REALTIME)
-		time->tv_sec += wall_step_s + suspended_s;
-	if (clock == CLOCK_BOOTTIME)
-		time->tv_sec += suspended_s;
-	return (int)result;
-}
-
-/* libev reads the wall clock with one or the other. */
-int gettimeofday(struct timeval *restrict time, void *restrict zone)
-{
-	struct timespec now;
-	int result = clock_gettime(CLOCK_REALTIME, &now);
-
-	(void)zone;
-	time->tv_sec = now.tv_sec;
-	time->tv_usec = now.tv_nsec / 1000;
-	return result;
-}
-
 static int reset_(void **state)
 {
 	(void)state;
@@ -102,46 +75,20 @@
 	ev_loop_destroy(loop);
 }
 
-static void on_request_(void *context, struct bw_server_connection *connection,
-			const struct bw_http_message *request)
-{
-	(void)context;
-	(void)request;
-	bw_connection_respond(connection, 200, NULL, "ok", 2, false);
-}
-
-static void on_disconnected_(void *context,
-			     struct bw_server_connection *connection)
-{
-	(void)context;
-	(void)connection;
-}
-
 static uint16_t listen_(struct bw_listener *listener, struct ev_loop *loop)
 {
-	static const struct bw_listener_handler handler = {
-		.request = on_request_,
-		.disconnected = on_disconnected_,
-	};
+	static struct target_echo echo;
 	struct bw_listener_config config = {
 		.loop = loop,
 		.limits = { LIMIT_BYTES, LIMIT_BYTES },
 		.connections_max = 4,
 		.head_timeout_ms = TIMEOUT_MS,
 		.idle_timeout_ms = TIMEOUT_MS,
-		.handler = &handler,
+		.handler = &target_echo_handler,
+		.context = &echo,
 	};
-	char address[32];
-	uint16_t port;
 
-	config.address = address;
-	for (port = 23700; port < 23800; port++) {
-		snprintf(address, sizeof(address), "127.0.0.1:%u", port);
-		if (bw_listener_init(listener, &config) == BW_OK)
-			return port;
-	}
-	fail_msg("no port is free");
-	return 0;
+	return listener_open(listener, &config, FIRST_PORT);
 }
 
 static void spin_for_(struct ev_loop *loop, int64_t duration_ms)
