Fetch from another control host when one does not answer

A control host that was alive but did not answer a fetch was asked again and again, though others offered the version, so an entry host could stay behind for as long as only one direction of the path to it was cut (up to 3.5 s, until it counts as lost). Fetches that a lost control host never answered also kept counting as copies on their way and delayed the fetch of the next version.

Ask another control host that has the version when the last one did not answer in time, and forget the unanswered fetches of one that is lost. Found by review; test_silent_feed_is_passed_over, test_silent_control_host_is_passed_over and test_lost_fetches_do_not_delay_the_next_version failed before.

--- a/src/libbwmember/fetch.c
+++ b/src/libbwmember/fetch.c
@@ -5,11 +5,12 @@
 static void note_offers_(struct bw_fetch *fetch,
 			 const struct bw_fetch_peer *peers, uint32_t count,
 			 uint64_t version, struct bw_time now);
-static bool may_ask_(struct bw_fetch *fetch, const struct bw_fetch_peer *peers,
-		     uint32_t count, struct bw_time now);
+static bool is_asked_lost_(const struct bw_fetch *fetch,
+			   const struct bw_fetch_peer *peers, uint32_t count);
+static bool may_ask_(struct bw_fetch *fetch, struct bw_time now);
 static const struct bw_fetch_peer *
 choose_peer_(const struct bw_fetch *fetch, const struct bw_fetch_peer *peers,
-	     uint32_t count, uint64_t version, struct bw_time now);
+	     uint32_t count, uint64_t version, bool feed_only);
 static bool is_better_(const struct bw_fetch *fetch,
 		       const struct bw_fetch_peer *a,
 		       const struct bw_fetch_peer *b);
@@ -28,11 +29,20 @@
 					  struct bw_time now)
 {
 	const struct bw_fetch_peer *peer;
+	bool lost = is_asked_lost_(fetch, peers, count);
+	bool feed_only;
 
 	note_offers_(fetch, peers, count, version, now);
-	if (!may_ask_(fetch, peers, count, now) || !fetch->behind)
+	if (lost) {
+		fetch->unanswered = 0;
+		fetch->timeout_ms = BW_FETCH_TIMEOUT_MIN_MS;
+	}
+	if (!may_ask_(fetch, now) || !fetch->behind)
 		return NULL;
-	peer = choose_peer_(fetch, peers, count, version, now);
+	feed_only = version && !lost && !fetch->unanswered &&
+		    bw_time_diff_ms(now, fetch->behind_since) <
+			    BW_FETCH_FEED_WAIT_MS;
+	peer = choose_peer_(fetch, peers, count, version, feed_only);
 	if (!peer)
 		return NULL;
 	if (fetch->unanswered)
@@ -77,20 +87,14 @@
 	fetch->behind = behind;
 }
 
-/* Returns whether no answer is on its way as far as this host can know. */
-static bool may_ask_(struct bw_fetch *fetch, const struct bw_fetch_peer *peers,
-		     uint32_t count, struct bw_time now)
+/* Returns whether the control host that was asked can't answer any more. */
+static bool is_asked_lost_(const struct bw_fetch *fetch,
+			   const struct bw_fetch_peer *peers, uint32_t count)
 {
 	uint32_t i;
 
 	if (!fetch->unanswered)
-		return true;
-	if (bw_time_diff_ms(now, fetch->asked_at) >=
-	    (int64_t)fetch->timeout_ms) {
-		if (!fetch->behind)
-			fetch->unanswered = 0;
-		return true;
-	}
+		return false;
 	for (i = 0; i < count; i++) {
 		if (!strcmp(peers[i].name, fetch->asked))
 			return !peers[i].alive;
@@ -98,15 +102,28 @@
 	return true;
 }
 
-/* The feed is preferred, as long as it doesn't lag behind for long. */
+/* Returns whether no answer is on its way as far as this host can know. */
+static bool may_ask_(struct bw_fetch *fetch, struct bw_time now)
+{
+	if (!fetch->unanswered)
+		return true;
+	if (bw_time_diff_ms(now, fetch->asked_at) < (int64_t)fetch->timeout_ms)
+		return false;
+	if (!fetch->behind)
+		fetch->unanswered = 0;
+	return true;
+}
+
+/*
+ * The feed is preferred. A control host that didn't answer in time is asked
+ * again only if no other has the version.
+ */
 static const struct bw_fetch_peer *
 choose_peer_(const struct bw_fetch *fetch, const struct bw_fetch_peer *peers,
-	     uint32_t count, uint64_t version, struct bw_time now)
+	     uint32_t count, uint64_t version, bool feed_only)
 {
 	const struct bw_fetch_peer *best = NULL;
-	bool feed_only = version && !fetch->unanswered &&
-			 bw_time_diff_ms(now, fetch->behind_since) <
-				 BW_FETCH_FEED_WAIT_MS;
+	const struct bw_fetch_peer *silent = NULL;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
@@ -114,12 +131,16 @@
 
 		if (!peer->alive || peer->version <= version)
 			continue;
+		if (fetch->unanswered && !strcmp(peer->name, fetch->asked)) {
+			silent = peer;
+			continue;
+		}
 		if (peer->feed)
 			return peer;
 		if (!feed_only && (!best || is_better_(fetch, peer, best)))
 			best = peer;
 	}
-	return best;
+	return best ? best : silent;
 }
 
 static bool is_better_(const struct bw_fetch *fetch,
--- a/src/test_libbwmember/test_fetch.c
+++ b/src/test_libbwmember/test_fetch.c
@@ -229,6 +229,63 @@
 	assert_in_range(count, 25, 75);
 }
 
+/* Guards against a host that stays behind because one control host, alive but
+ * without answers, is asked again and again. */
+static void test_silent_feed_is_passed_over(void **state)
+{
+	bool asked_other = false;
+	int64_t ms;
+
+	(void)state;
+	peers[0].version = 2;
+	peers[1].version = 2;
+	peers[2].version = 2;
+	for (ms = 0; ms < 10000; ms += TICK_MS) {
+		const char *name = ask_(1, ms);
+
+		asked_other = asked_other || (name[0] && strcmp(name, "c0"));
+	}
+	assert_true(asked_other);
+}
+
+/* The same with control hosts that are not the feed. */
+static void test_silent_control_host_is_passed_over(void **state)
+{
+	bool asked_other = false;
+	int64_t ms;
+
+	(void)state;
+	peers[1].version = 2;
+	peers[2].version = 2;
+	for (ms = 0; ms < 10000; ms += TICK_MS) {
+		const char *name = ask_(1, ms);
+
+		asked_other = asked_other || (name[0] && strcmp(name, "c1"));
+	}
+	assert_true(asked_other);
+}
+
+/* Guards against fetches that a lost control host never answered and that delay
+ * the next version although another control host has answered. */
+static void test_lost_fetches_do_not_delay_the_next_version(void **state)
+{
+	int64_t ms;
+
+	(void)state;
+	peers[0].version = 2;
+	peers[1].version = 2;
+	for (ms = 0; ms < 1760; ms += TICK_MS)
+		ask_(1, ms);
+	peers[0].alive = false;
+	peers[0].feed = false;
+	peers[1].feed = true;
+	assert_string_equal(ask_(1, 1760), "c1");
+	bw_fetch_received(&fetch, true, time_at_(1860));
+	assert_string_equal(ask_(2, 1860), "");
+	peers[1].version = 3;
+	assert_string_equal(ask_(2, 1900), "c1");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -250,6 +307,13 @@
 				       set_up_),
 		cmocka_unit_test_setup(test_equal_distances_are_spread,
 				       set_up_),
+		cmocka_unit_test_setup(test_silent_feed_is_passed_over,
+				       set_up_),
+		cmocka_unit_test_setup(test_silent_control_host_is_passed_over,
+				       set_up_),
+		cmocka_unit_test_setup(
+			test_lost_fetches_do_not_delay_the_next_version,
+			set_up_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
