Count the deadline of a request from its first byte

A request whose body arrived slowly ran after its client's deadline: with Deadline-Ms 1000 and one byte a second it ran 5 s late, and backend servers were handed more time than was left.

The listener knows when the first byte came; its age is taken off the deadline and off the timeout of the route. A request whose deadline has passed is rejected with 503 and Retry-After, as it has not run. Found by review; run_gateway_late failed before (the request ran, 200).

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -139,6 +139,9 @@
  */
 bool bw_connection_is_closed(const struct bw_server_connection *connection);
 
+/** Returns the time since the first byte of the request in progress. */
+int64_t bw_connection_request_age_ms(struct bw_server_connection *connection);
+
 /** Returns the request in progress. */
 const struct bw_http_message *
 bw_connection_request(const struct bw_server_connection *connection);
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -99,7 +99,9 @@
 	read_affinity_key_(request, message);
 	gate_forward_copy_head(request, message, &target);
 	entry->retry_tokens += RETRY_SHARE * entry->node->settings.retry_ratio;
-	if (!reject_if_poison_(request))
+	if (request->expired)
+		reject_(request, BW_REJECT_DEADLINE, RETRY_AFTER_DEFAULT_MS);
+	else if (!reject_if_poison_(request))
 		dispatch_request_(request);
 }
 
@@ -216,6 +218,10 @@
 	if (bw_http_find(message, PLATFORM_FIELD_DEADLINE, text, sizeof(text)))
 		timeout_ms = strtoll(text, NULL, 10);
 	timeout_ms = MIN(timeout_ms, (int64_t)route->timeout_ms);
+	/* The client counts from the first byte, which a long body is behind.
+	 */
+	timeout_ms -= bw_connection_request_age_ms(request->connection);
+	request->expired = timeout_ms <= 0;
 	timeout_ms = MAX(timeout_ms - RESPONSE_RESERVE_MS, 1);
 	job->arrived = now;
 	job->deadline = bw_time_add(now, timeout_ms);
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -47,6 +47,7 @@
 	bool traced; /**< log every decision about it */
 	bool may_have_run; /**< an attempt ended without a clear outcome */
 	bool detached; /**< ended for the client; may be in flight */
+	bool expired; /**< the deadline passed while the body arrived */
 	ev_timer deadline_timer; /**< then, if detached, of the attempt */
 	uint64_t arrived_us;
 	uint64_t sent_us;
--- a/src/libbwproxy/include/private/listener_private.h
+++ b/src/libbwproxy/include/private/listener_private.h
@@ -28,6 +28,7 @@
 	struct bw_buffer in; /**< bytes not yet parsed */
 	struct bw_buffer out;
 	struct bw_time state_since; /**< on a clock without the loop's pauses */
+	struct bw_time began_at; /**< first byte of the request being read */
 	uint64_t parsed_bytes; /**< of the request that is being read */
 	void *context;
 	bool busy; /**< a request is in progress */
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -161,6 +161,12 @@
 	return received == 0;
 }
 
+int64_t bw_connection_request_age_ms(struct bw_server_connection *connection)
+{
+	return bw_time_diff_ms(bw_loop_clock_now(&connection->listener->clock),
+			       connection->began_at);
+}
+
 const struct bw_http_message *
 bw_connection_request(const struct bw_server_connection *connection)
 {
@@ -397,6 +403,7 @@
 	const struct bw_listener_config *config = &connection->listener->config;
 
 	connection->state_since = run_time_(connection->listener);
+	connection->began_at = bw_loop_clock_now(&connection->listener->clock);
 	connection->parsed_bytes = 0;
 	connection->reader.limits = config->limits;
 }
