Let hosts without a configuration answer 503 to large heads

A starting host answered 431 to a head above 16 kB, though a configuration that it had not loaded yet allowed more. Until a configuration is loaded, heads up to 1 MiB are read now, and get the 503 of a host that has none.

--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -8,14 +8,17 @@
 #include "gate_request.h"
 #include "platform.h"
 
-/** Limits that apply until a configuration is loaded; until then only the
- * memory limits bodies. */
-#define HEAD_MAX_BYTES 16384
+/**
+ * Limits that apply until a configuration is loaded. Until then requests get
+ * 503, which a head that the configuration may allow has to get as well.
+ */
+#define HEAD_MAX_BYTES (1024 * 1024)
 #define REQUEST_BODY_MAX_BYTES UINT32_MAX
 #define HEAD_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS 15000
 
-/** Largest body of a response; a larger one counts as invalid. */
+/** Largest head and body of a response; larger ones count as invalid. */
+#define RESPONSE_HEAD_MAX_BYTES 16384
 #define RESPONSE_BODY_MAX_BYTES (8 * 1024 * 1024)
 
 /**
@@ -109,7 +112,7 @@
 	entry->dispatch.region_window_ms = REGION_WINDOW_MS;
 	open_metrics_(entry);
 	gate_refusals_init(&entry->refusals, node, "entry");
-	pool_config.limits.head_max_bytes = HEAD_MAX_BYTES;
+	pool_config.limits.head_max_bytes = RESPONSE_HEAD_MAX_BYTES;
 	pool_config.limits.body_max_bytes = RESPONSE_BODY_MAX_BYTES;
 	pool_config.id_field = PLATFORM_FIELD_REQUEST_ID;
 	pool_config.connect_timeout_ms = CONNECT_TIMEOUT_MS;
