Accept configurations with any number of splits and homes

Memory that was short gave 400, too.

Splits and homes are allocated with their number now, which also makes a route 1 kB smaller; a host name may have 255 bytes, as DNS allows 253; BW_ENOMEM gives 503.

--- a/include/bwsteer/routing.h
+++ b/include/bwsteer/routing.h
@@ -15,14 +15,10 @@
 
 /** Sizes of strings including the terminating null byte. */
 #define BW_ROUTE_NAME_MAX 64
-#define BW_ROUTE_HOST_MAX 128
+#define BW_ROUTE_HOST_MAX 256
 #define BW_ROUTE_PREFIX_MAX 256
 #define BW_ROUTE_ERROR_MAX 256
 
-/** Maximum number of services and home regions of one route. */
-#define BW_ROUTE_CHOICES_MAX 8
-#define BW_ROUTE_HOMES_MAX 8
-
 /** Returned when no service has the name. */
 #define BW_ROUTING_NONE UINT32_MAX
 
@@ -46,10 +42,9 @@
 	uint32_t attempts_max; /**< maximum number of backend servers that one
 				  request is sent to */
 	uint32_t rank; /**< 0 is the most urgent */
-	struct bw_route_choice choices[BW_ROUTE_CHOICES_MAX];
+	struct bw_route_choice *choices;
 	uint32_t choice_count;
-	char homes[BW_ROUTE_HOMES_MAX]
-		  [BW_ROUTE_NAME_MAX]; /**< home regions; any region if empty */
+	char (*homes)[BW_ROUTE_NAME_MAX]; /**< home regions; any if none */
 	uint32_t home_count;
 };
 
@@ -95,6 +90,18 @@
 /** Drops a reference; the last one frees the table. NULL is allowed. */
 void bw_routing_unref(struct bw_routing *routing);
 
+/** Allocates empty choices of a route that has none. @return BW_OK, BW_ENOMEM
+ */
+enum bw_status bw_route_set_choice_count(struct bw_route *route,
+					 uint32_t choice_count);
+
+/** Allocates empty homes of a route that has none. @return BW_OK, BW_ENOMEM */
+enum bw_status bw_route_set_home_count(struct bw_route *route,
+				       uint32_t home_count);
+
+/** Frees what a route owns; the table does this for its own routes. */
+void bw_route_finish(struct bw_route *route);
+
 /**
  * Validates the table and resolves the services of its routes.
  * @param error receives a message on BW_EINVAL; BW_ROUTE_ERROR_MAX bytes
--- a/src/boragewingd/gate_control_calls.c
+++ b/src/boragewingd/gate_control_calls.c
@@ -235,6 +235,10 @@
 
 	status = platform_routing_read(
 		request->body.data, request->body.size_bytes, &routing, error);
+	if (status == BW_ENOMEM) {
+		gate_respond_error(connection, 503, bw_status_string[status]);
+		return;
+	}
 	if (status != BW_OK) {
 		bw_log_event(control->node->log, BW_LOG_WARNING,
 			     "configuration", "submission_invalid", "{s:s,s:I}",
--- a/src/libbwsteer/routing.c
+++ b/src/libbwsteer/routing.c
@@ -42,13 +42,43 @@
 
 void bw_routing_unref(struct bw_routing *routing)
 {
+	uint32_t i;
+
 	if (!routing || --routing->references)
 		return;
+	for (i = 0; routing->routes && i < routing->route_count; i++)
+		bw_route_finish(&routing->routes[i]);
 	free(routing->routes);
 	free(routing->services);
 	free(routing);
 }
 
+enum bw_status bw_route_set_choice_count(struct bw_route *route,
+					 uint32_t choice_count)
+{
+	route->choices = calloc(choice_count, sizeof(*route->choices));
+	if (!route->choices)
+		return BW_ENOMEM;
+	route->choice_count = choice_count;
+	return BW_OK;
+}
+
+enum bw_status bw_route_set_home_count(struct bw_route *route,
+				       uint32_t home_count)
+{
+	route->homes = calloc(home_count, sizeof(*route->homes));
+	if (!route->homes)
+		return BW_ENOMEM;
+	route->home_count = home_count;
+	return BW_OK;
+}
+
+void bw_route_finish(struct bw_route *route)
+{
+	free(route->choices);
+	free(route->homes);
+}
+
 enum bw_status bw_routing_check(struct bw_routing *routing, char *error)
 {
 	enum bw_status status;
--- a/src/test_libbwsteer/test_routing.c
+++ b/src/test_libbwsteer/test_routing.c
@@ -33,7 +33,7 @@
 			 i == 1 ? "/x/y/" : "/x/");
 		route->timeout_ms = 1000;
 		route->attempts_max = 2;
-		route->choice_count = 1;
+		assert_int_equal(bw_route_set_choice_count(route, 1), BW_OK);
 		route->choices[0].weight = 1;
 		snprintf(route->choices[0].service,
 			 sizeof(route->choices[0].service), "service-%u",
@@ -138,11 +138,12 @@
 /* Guards against a split of the requests that does not follow the weights. */
 static void test_weights(void **state)
 {
-	struct bw_route route = { .choice_count = 3 };
+	struct bw_route route = { .choice_count = 0 };
 	uint32_t counts[3] = { 0 };
 	uint64_t point;
 
 	(void)state;
+	assert_int_equal(bw_route_set_choice_count(&route, 3), BW_OK);
 	route.choices[0].weight = 90;
 	route.choices[1].weight = 0;
 	route.choices[2].weight = 10;
@@ -151,6 +152,7 @@
 	assert_int_equal(counts[0], 900);
 	assert_int_equal(counts[1], 0);
 	assert_int_equal(counts[2], 100);
+	bw_route_finish(&route);
 }
 
 /* Guards against freeing a table while a reference remains. */
