Log and count what a configuration costs an entry host

The logs could not tell a fetch that is repeated from one that is slow, nor a long transfer from a long parse: routing_in_force said only how late a version was. Each request for a version is a line now (peer, timeout, unanswered), routing_in_force says the size of the text, the bytes and requests since the version before, and the time to parse it; two counters have the totals.

report_age_ms was the host's clock while no report had arrived (100,515,105 in the record); it is -1 then, as feed_silent_ms is.

--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -296,6 +296,12 @@
 	entry->routing_age_s = bw_metrics_get(
 		metrics, BW_METRIC_GAUGE, "bw_routing_age_seconds",
 		"Time since the configuration came into force here", "");
+	entry->routing_fetches = bw_metrics_get(
+		metrics, BW_METRIC_COUNTER, "bw_routing_fetches_total",
+		"Requests for a newer configuration", "");
+	entry->routing_received_bytes = bw_metrics_get(
+		metrics, BW_METRIC_COUNTER, "bw_routing_received_bytes_total",
+		"Bytes of configurations received, copies included", "");
 	entry->servers_known =
 		bw_metrics_get(metrics, BW_METRIC_GAUGE, "bw_servers_known",
 			       "Backend servers that announced themselves", "");
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -83,6 +83,10 @@
 	struct bw_metric *routing_version;
 	struct bw_metric *servers_known;
 	struct bw_metric *routing_age_s;
+	struct bw_metric *routing_fetches;
+	struct bw_metric *routing_received_bytes;
+	uint64_t fetches_since; /**< since the active version came */
+	uint64_t received_bytes_since; /**< of configurations, likewise */
 	struct gate_refusals refusals;
 };
 
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -39,6 +39,7 @@
 			    struct bw_time now);
 static void log_routing_(const struct gate_entry *entry,
 			 const struct bw_routing *routing, const char *sender,
+			 size_t text_bytes, uint64_t parse_us,
 			 struct bw_time now);
 static void apply_routing_(struct gate_entry *entry,
 			   struct bw_routing *routing);
@@ -303,6 +304,13 @@
 			     entry->routing ? entry->routing->version : 0, now);
 	if (!peer)
 		return;
+	entry->fetches_since++;
+	bw_metric_add(entry->routing_fetches, 1);
+	bw_log_event(node->log, BW_LOG_INFO, "configuration",
+		     "routing_requested", "{s:s,s:I,s:b,s:i,s:i}", "peer",
+		     peer->name, "version", (json_int_t)peer->version, "feed",
+		     peer->feed, "unanswered", (int)entry->fetch.unanswered,
+		     "timeout_ms", (int)entry->fetch.timeout_ms);
 	request.version = peer->version;
 	gate_routing_write(gate_node_frame(entry->node), GATE_ROUTING_REQUEST,
 			   &request);
@@ -316,11 +324,16 @@
 	struct bw_routing *routing;
 	char error[PLATFORM_ERROR_BYTES] = "";
 	enum bw_status status;
+	uint64_t started_us;
 
+	entry->received_bytes_since += message->text_bytes;
+	bw_metric_add(entry->routing_received_bytes,
+		      (int64_t)message->text_bytes);
 	if (entry->routing && message->version <= entry->routing->version) {
 		bw_fetch_received(&entry->fetch, false, now);
 		return;
 	}
+	started_us = bw_clock_us();
 	status = platform_routing_read(message->text, message->text_bytes,
 				       &routing, error);
 	if (status != BW_OK) {
@@ -330,8 +343,11 @@
 			     "cause", error);
 		return;
 	}
-	log_routing_(entry, routing, sender, now);
+	log_routing_(entry, routing, sender, message->text_bytes,
+		     bw_clock_us() - started_us, now);
 	entry->routing_since = now;
+	entry->fetches_since = 0;
+	entry->received_bytes_since = 0;
 	apply_routing_(entry, routing);
 	bw_fetch_received(&entry->fetch, true, now);
 	gate_entry_fetch(entry, now);
@@ -339,22 +355,28 @@
 
 static void log_routing_(const struct gate_entry *entry,
 			 const struct bw_routing *routing, const char *sender,
+			 size_t text_bytes, uint64_t parse_us,
 			 struct bw_time now)
 {
 	const struct bw_routing_limits *limits = &routing->limits;
 
-	bw_log_event(entry->node->log, BW_LOG_INFO, "configuration",
-		     "routing_in_force",
-		     "{s:I,s:I,s:s,s:i,s:I,s:I,s:I,s:I,s:I,s:I}", "version",
-		     (json_int_t)routing->version, "previous",
-		     (json_int_t)(entry->routing ? entry->routing->version : 0),
-		     "source", sender, "routes", (int)routing->route_count,
-		     "newest_version", (json_int_t)entry->newest_version,
-		     "behind_ms", (json_int_t)gate_entry_behind_ms(entry, now),
-		     "head_max_bytes", (json_int_t)limits->head_max_bytes,
-		     "body_max_bytes", (json_int_t)limits->body_max_bytes,
-		     "head_timeout_ms", (json_int_t)limits->head_timeout_ms,
-		     "idle_timeout_ms", (json_int_t)limits->idle_timeout_ms);
+	bw_log_event(
+		entry->node->log, BW_LOG_INFO, "configuration",
+		"routing_in_force",
+		"{s:I,s:I,s:s,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f}",
+		"version", (json_int_t)routing->version, "previous",
+		(json_int_t)(entry->routing ? entry->routing->version : 0),
+		"source", sender, "routes", (int)routing->route_count,
+		"newest_version", (json_int_t)entry->newest_version,
+		"behind_ms", (json_int_t)gate_entry_behind_ms(entry, now),
+		"head_max_bytes", (json_int_t)limits->head_max_bytes,
+		"body_max_bytes", (json_int_t)limits->body_max_bytes,
+		"head_timeout_ms", (json_int_t)limits->head_timeout_ms,
+		"idle_timeout_ms", (json_int_t)limits->idle_timeout_ms,
+		"text_bytes", (json_int_t)text_bytes, "received_bytes",
+		(json_int_t)entry->received_bytes_since, "fetches",
+		(json_int_t)entry->fetches_since, "parse_ms",
+		(double)parse_us / 1000.0);
 }
 
 static void apply_routing_(struct gate_entry *entry, struct bw_routing *routing)
--- a/src/boragewingd/gate_log.c
+++ b/src/boragewingd/gate_log.c
@@ -20,6 +20,13 @@
 		     (int)job->service->waiting.length, "rank", (int)job->rank);
 }
 
+int64_t gate_report_age_ms(const struct bw_target *target, struct bw_time now)
+{
+	if (!target->reported_at.ms)
+		return -1;
+	return bw_time_diff_ms(now, target->reported_at);
+}
+
 void gate_log_sent(const struct gate_request *request, struct bw_time now)
 {
 	const struct bw_job *job = &request->job;
@@ -33,7 +40,7 @@
 		     "warm", job->warm, "in_flight",
 		     (int)job->target->in_flight, "others",
 		     job->target->other_requests, "report_age_ms",
-		     (json_int_t)bw_time_diff_ms(now, job->target->reported_at),
+		     (json_int_t)gate_report_age_ms(job->target, now),
 		     "version", (json_int_t)request->routing->version);
 }
 
--- a/src/boragewingd/gate_log.h
+++ b/src/boragewingd/gate_log.h
@@ -11,6 +11,9 @@
 /** Logs that a request waits for a backend server. */
 void gate_log_queued(const struct gate_request *request);
 
+/** Returns the age of the last load report of a server; -1 without one. */
+int64_t gate_report_age_ms(const struct bw_target *target, struct bw_time now);
+
 /** Logs that a request was sent to job.target, with the inputs of the choice.
  */
 void gate_log_sent(const struct gate_request *request, struct bw_time now);
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -358,7 +358,7 @@
 	last->home = job->object && job->home == job->target;
 	last->expected_ms = job->expected_ms;
 	last->other_host_requests = job->target->other_requests;
-	last->report_age_ms = bw_time_diff_ms(now, job->target->reported_at);
+	last->report_age_ms = gate_report_age_ms(job->target, now);
 }
 
 static void handle_response_(struct gate_request *request,
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -18,7 +18,8 @@
 	bool home; /**< the server is the home of the object */
 	double expected_ms;
 	double other_host_requests; /**< estimate of those on the server */
-	int64_t report_age_ms; /**< age of the load report it is based on */
+	int64_t report_age_ms; /**< age of the load report it is based on;
+				    -1: none */
 	uint32_t took_ms; /**< 0 while it is in flight */
 	struct bw_load_report load; /**< as reported in the response */
 };
