Let failed checks of gateway runs fail the test

The exit trap of test/gateway_lib.sh ended with a test of the number of failed checks, but a trap's last status is not the status of the script: every gateway run has passed in ctest since, whatever its checks said. Found when run_gateway_large_configuration, known red, passed. The trap calls exit now.

--- a/test/gateway_crash.sh
+++ b/test/gateway_crash.sh
@@ -6,7 +6,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 . test/gateway_lib.sh
-trap 'rm -f "$work/announcing"; finish; [ "$failed" -eq 0 ]' EXIT
+trap 'rm -f "$work/announcing"; finish; [ "$failed" -eq 0 ] || exit 1' EXIT
 
 ulimit -n 4096
 for i in 1 2 3; do start_control $i true; done
--- a/test/gateway_lib.sh
+++ b/test/gateway_lib.sh
@@ -6,7 +6,7 @@
 # Base port; each kind of listener uses a fixed offset from it.
 port=${DEPLOYMENT_FLEET_PORT:-29000}
 work=$(mktemp -d)
-trap 'finish; [ "$failed" -eq 0 ]' EXIT
+trap 'finish; [ "$failed" -eq 0 ] || exit 1' EXIT
 declare -A pids
 passed=0
 failed=0
