Send entry hosts what a change changes, in pieces

The statuses that show control hosts to be alive waited behind the copies; after 1.75 s the source counted as lost, the next control host was asked for another copy, and the source of the details changed as well.

Evidence (log lines of, front-brest-a-5): the second version was requested 12 times from 6 control hosts between 18.9 and 29.4 s and never came into force; control_host_lost for all nine in turn, processor at 0.03 of 0.1 cores. Parsing, 110 to 165 ms a version, is a fault of its own, but not this one.

Change: the gateway uses the distribution of numbered documents that the own interface has, instead of whole texts beside it; bw_fetch stays as the module that decides when and whom to ask. A document is requested in pieces of 8 kB, at most half of the link: the difference to the version that the host has, compressed, or a whole copy. Any control host can go on with a transfer; the content is checked by its hash before it is in force; a difference that does not fit falls back to a whole copy, which is logged and counted. Hosts of earlier versions still get and send whole texts during an upgrade.

--- a/include/bwmember/distribute.h
+++ b/include/bwmember/distribute.h
@@ -8,6 +8,16 @@
  * an older version requests the document from the sender of the digest. The
  * number of a document on a host never decreases. Digests also carry the age
  * of the last confirmation by a majority of the control hosts.
+ *
+ * A requested document is sent in pieces: the difference to the version that
+ * the receiver has, or a whole copy, compressed. The receiver asks for one
+ * piece at a time, at a limited rate, so that other traffic of its link waits
+ * behind one piece at most. Any host that has both versions can go on with a
+ * transfer that another host began. The result is installed only if its hash is
+ * that of the version.
+ *
+ * Without a member and an aggregator module there are no pushes and digests:
+ * the caller decides when to request a document, and from whom.
  */
 #ifndef BWMEMBER_DISTRIBUTE_H
 #define BWMEMBER_DISTRIBUTE_H
@@ -50,14 +60,21 @@
 
 /** Settings; a zero selects the default. */
 struct bw_distribute_config {
-	const struct bw_member *member; /**< must outlive the module */
+	const struct bw_member *member; /**< must outlive the module; NULL:
+					    requests by the caller only */
 	const struct bw_aggregator *aggregator; /**< likewise */
+	bool receives_only; /**< never sends documents; keeps no history */
 	uint64_t random_seed; /**< 0 selects system entropy */
 	uint32_t digest_interval_ms; /**< default 1,000, jitter a quarter */
 	uint32_t recovery_ms; /**< wait for a second source after start;
 				 default 2,000 */
 	uint32_t request_timeout_ms; /**< default 1,000 */
 	uint32_t bytes_per_s; /**< limit of content sent; default 262,144 */
+	uint32_t receive_bytes_per_s; /**< limit of pieces requested; 0: none */
+	uint32_t piece_bytes; /**< size of a requested piece; default and
+				  maximum BW_DOCUMENT_CHUNK_MAX_BYTES */
+	uint32_t history_bytes; /**< limit of the earlier contents, without the
+				    newest of them; default 2 MiB */
 };
 
 /** Kinds of event. */
@@ -90,6 +107,10 @@
 	uint64_t full_applied_count;
 	uint64_t request_sent_count;
 	uint64_t request_timeout_count;
+	uint64_t piece_received_count;
+	uint64_t piece_received_bytes;
+	uint64_t difference_misfit_count; /**< a whole copy was requested, as a
+					      difference did not fit */
 };
 
 struct bw_distribute_document; /* private */
@@ -112,6 +133,7 @@
 		confirmed; /**< last majority confirmation of the documents */
 	int64_t tokens; /**< token bucket, in bytes; may be negative */
 	struct bw_time refilled;
+	uint64_t encoding_use; /**< counts uses of encodings */
 	struct bw_distribute_stats stats;
 };
 
@@ -131,6 +153,19 @@
 				     const struct bw_packet *packet,
 				     struct bw_time now, struct bw_outbox *out);
 
+/**
+ * Requests the newest version of a document from a host that the caller has
+ * chosen; for hosts without a member module. What has arrived of a transfer is
+ * kept if the host can go on with it. Further pieces are requested from the
+ * same host, but nothing is repeated: when no piece arrives, the caller calls
+ * again, with the same or another host.
+ * @return BW_OK or BW_ENOMEM
+ */
+enum bw_status bw_distribute_request(struct bw_distribute *distribute,
+				     enum bw_document document,
+				     const char *peer, struct bw_time now,
+				     struct bw_outbox *out);
+
 /** Runs timers and sends; to be called every 50 ms. */
 enum bw_status bw_distribute_tick(struct bw_distribute *distribute,
 				  struct bw_time now, struct bw_outbox *out);
--- a/include/bwmember/fetch.h
+++ b/include/bwmember/fetch.h
@@ -1,17 +1,16 @@
 /**
  * @file
  * Decides when an entry host fetches a newer configuration, and from which
- * control host. A control host sends the whole text of the newest version that
- * it has, so one fetch at a time is enough: copies queue behind each other on a
- * slow link, and behind them the statuses that show control hosts to be alive.
- * The module has no clock and no sockets.
+ * control host. The transfer itself, in pieces, is that of bwmember/distribute.
+ * One fetch at a time is enough: answers queue behind each other on a slow
+ * link, and behind them the statuses that show control hosts to be alive. The
+ * module has no clock and no sockets.
  *
  * Load: the leader announces a version to all entry hosts at once, and they
  * fetch it from their feeds, which announce it after one heartbeat (80 ms).
  * Only a host whose feed doesn't announce it in time asks another control host,
  * at first often the leader. Most control hosts have the version, so these are
- * fewer than half of the entry hosts: with 80 of them and 5 kB, less than
- * 200 kB, or 0.8 s of a link of 2 Mbit/s.
+ * fewer than half of the entry hosts.
  */
 #ifndef BWMEMBER_FETCH_H
 #define BWMEMBER_FETCH_H
@@ -65,6 +64,12 @@
 					  uint32_t count, uint64_t version,
 					  struct bw_time now);
 
+/**
+ * Notes that a part of a text arrived: the time-out starts again, and the next
+ * request goes to the same control host.
+ */
+void bw_fetch_progressed(struct bw_fetch *fetch, struct bw_time now);
+
 /**
  * Notes that a text arrived.
  * @param newer whether it is newer than the version that was in force
--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -46,12 +46,20 @@
  */
 #define LOADS_INTERVAL_MS 250
 
+/** Limit of the configurations that are sent to entry hosts. */
+#define SEND_BYTES_PER_S (8 * 1024 * 1024)
+
+/** Limit of earlier configurations kept to send the difference to them. */
+#define HISTORY_MAX_BYTES (8 * 1024 * 1024)
+
 /**
  * Path of the state chart of the replica's roles, relative to the working
  * directory.
  */
 #define CHART_PATH "charts/replica.yaml"
 
+static enum bw_status init_distribute_(struct gate_control *control);
+static void publish_routing_(struct gate_control *control, struct bw_time now);
 static enum bw_status open_replica_(struct gate_control *control);
 static enum bw_status open_listener_(struct gate_control *control,
 				     struct bw_listener *listener,
@@ -112,7 +120,9 @@
 					  "Directory answers", "");
 	gate_refusals_init(&control->refusals, node, "control");
 	gate_refusals_init_calls(&control->refusals);
-	status = open_replica_(control);
+	status = init_distribute_(control);
+	if (status == BW_OK)
+		status = open_replica_(control);
 	if (status == BW_OK)
 		status = open_listener_(control, &control->api,
 					settings->control_address);
@@ -133,6 +143,7 @@
 		bw_replica_free(control->replica);
 		bw_storage_finish(&control->storage);
 	}
+	bw_distribute_finish(&control->distribute);
 	bw_outbox_finish(&control->out);
 	g_ptr_array_free(control->waiting, TRUE);
 	g_hash_table_destroy(control->entries);
@@ -150,6 +161,10 @@
 				   &control->out);
 	} else if (packet->channel == BW_CHANNEL_GATE) {
 		gate_control_handle_message(control, packet, now);
+	} else if (packet->channel == BW_CHANNEL_DISTRIBUTE) {
+		if (control->current)
+			bw_distribute_receive(&control->distribute, packet, now,
+					      &control->out);
 	} else if (packet->channel == BW_CHANNEL_POISON) {
 		gate_control_relay(control, packet);
 	}
@@ -158,6 +173,7 @@
 void gate_control_tick(struct gate_control *control, struct bw_time now)
 {
 	bw_replica_tick(control->replica, now, &control->out);
+	bw_distribute_tick(&control->distribute, now, &control->out);
 	expire_waiting_calls_(control, now);
 	if (bw_time_reached(now, control->next_member_check)) {
 		control->next_member_check = bw_time_add(now, MEMBER_CHECK_MS);
@@ -202,6 +218,7 @@
 	if (control->current &&
 	    (control->sent_sheet_index != state->sheet_index ||
 	     control->sent_evacuation_index != state->evacuation_index)) {
+		publish_routing_(control, now);
 		control->sent_sheet_index = state->sheet_index;
 		control->sent_evacuation_index = state->evacuation_index;
 		gate_control_send_status_all(control);
@@ -219,6 +236,36 @@
 	return !control->api.busy_count && !control->directory.busy_count;
 }
 
+static enum bw_status init_distribute_(struct gate_control *control)
+{
+	struct gate_node *node = control->node;
+	struct bw_distribute_config config = {
+		.random_seed = bw_random_next(&node->random),
+		.bytes_per_s = SEND_BYTES_PER_S,
+		.history_bytes = HISTORY_MAX_BYTES,
+	};
+
+	return bw_distribute_init(&control->distribute, &config,
+				  gate_node_now(node));
+}
+
+static void publish_routing_(struct gate_control *control, struct bw_time now)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	enum bw_status status;
+
+	if (!state->revision)
+		return;
+	status = bw_distribute_publish(&control->distribute, BW_DOCUMENT_SHEET,
+				       state->revision, state->text.data,
+				       state->text.size_bytes, now);
+	if (status != BW_OK)
+		bw_log_event(control->node->log, BW_LOG_ERROR, "configuration",
+			     "publish_failed", "{s:I,s:s}", "version",
+			     (json_int_t)state->revision, "cause",
+			     bw_status_string[status]);
+}
+
 static enum bw_status open_replica_(struct gate_control *control)
 {
 	struct gate_node *node = control->node;
--- a/src/boragewingd/gate_control.h
+++ b/src/boragewingd/gate_control.h
@@ -12,6 +12,7 @@
 #include "bwagree/replica.h"
 #include "bwproxy/listener.h"
 #include "bwsteer/routing.h"
+#include "bwmember/distribute.h"
 #include "gate_api.h"
 #include "gate_node.h"
 #include "gate_refusal.h"
@@ -22,6 +23,7 @@
 	struct bw_storage storage;
 	struct bw_chart chart;
 	struct bw_replica *replica;
+	struct bw_distribute distribute; /**< sends configurations */
 	struct bw_outbox out;
 	struct bw_listener api;
 	struct bw_listener directory;
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -49,9 +49,20 @@
  */
 #define FULL_HELLO_INTERVAL_MS 250
 
+/**
+ * Rate and size of pieces of configurations, for a link of 2 Mbit/s: half of it
+ * stays free for requests, and other traffic waits 33 ms behind a piece.
+ */
+#define RECEIVE_BYTES_PER_S 125000
+#define PIECE_BYTES 8192
+
+/** Packets that may be queued while one packet is handled. */
+#define OUTBOX_LIMIT 16
+
 /** Fraction of the fleet's retry budget that all entry hosts use together. */
 #define RETRY_SHARE 0.6
 
+static enum bw_status init_distribute_(struct gate_entry *entry);
 static enum bw_status open_listeners_(struct gate_entry *entry);
 static void open_metrics_(struct gate_entry *entry);
 static void on_request_(void *context, struct bw_server_connection *connection,
@@ -123,6 +134,8 @@
 	pool_config.connected = gate_request_connected;
 	pool_config.context = entry;
 	status = bw_pool_init(&entry->pool, &pool_config);
+	if (status == BW_OK)
+		status = init_distribute_(entry);
 	if (status == BW_OK)
 		status = gate_poison_init(&entry->poison, node);
 	if (status == BW_OK)
@@ -141,6 +154,8 @@
 	bw_listener_finish(&entry->ready);
 	bw_dispatch_finish(&entry->dispatch);
 	gate_poison_finish(&entry->poison);
+	bw_distribute_finish(&entry->distribute);
+	bw_outbox_finish(&entry->out);
 	bw_routing_unref(entry->routing);
 }
 
@@ -168,6 +183,8 @@
 					      1000);
 	}
 	gate_entry_fetch(entry, now);
+	bw_distribute_tick(&entry->distribute, now, &entry->out);
+	transport_flush(&node->transport, &entry->out);
 	if (entry->update_due ||
 	    entry->registry_generation != node->registry.generation ||
 	    bw_time_reached(now, entry->next_update))
@@ -211,6 +228,20 @@
 	bw_poison_dump(&entry->poison.table, gate_node_now(entry->node), into);
 }
 
+static enum bw_status init_distribute_(struct gate_entry *entry)
+{
+	struct bw_distribute_config config = {
+		.receives_only = true,
+		.random_seed = bw_random_next(&entry->node->random),
+		.receive_bytes_per_s = RECEIVE_BYTES_PER_S,
+		.piece_bytes = PIECE_BYTES,
+	};
+
+	bw_outbox_init(&entry->out, OUTBOX_LIMIT);
+	return bw_distribute_init(&entry->distribute, &config,
+				  entry->started_at);
+}
+
 static enum bw_status open_listeners_(struct gate_entry *entry)
 {
 	const struct gate_settings *settings = &entry->node->settings;
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -6,6 +6,7 @@
 #ifndef BORAGEWINGD_GATE_ENTRY_H
 #define BORAGEWINGD_GATE_ENTRY_H
 
+#include "bwmember/distribute.h"
 #include "bwmember/feed.h"
 #include "bwmember/fetch.h"
 #include "bwproxy/listener.h"
@@ -58,6 +59,8 @@
 	struct bw_time feed_received_at; /**< latest message of the feed */
 	uint64_t newest_version; /**< announced by any control host */
 	struct bw_fetch fetch; /**< of newer versions */
+	struct bw_distribute distribute; /**< receives them */
+	struct bw_outbox out; /**< packets of distribute */
 	uint32_t entry_count; /**< entry hosts that share the servers */
 	uint32_t entry_index; /**< index of this host among them */
 	uint64_t registry_generation; /**< at the last update */
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -34,9 +34,16 @@
 static void send_to_controls_(struct gate_entry *entry,
 			      struct gate_hello *hello, bool brief_due,
 			      struct bw_time now);
-static void handle_routing_(struct gate_entry *entry, const char *sender,
+static void request_routing_(struct gate_entry *entry,
+			     const struct bw_fetch_peer *peer, bool in_pieces,
+			     struct bw_time now);
+static void handle_pieces_(struct gate_entry *entry,
+			   const struct bw_packet *packet, struct bw_time now);
+static void handle_routing_(struct gate_entry *entry,
 			    const struct gate_routing *message,
 			    struct bw_time now);
+static void note_received_(struct gate_entry *entry, uint64_t bytes);
+static void activate_newest_(struct gate_entry *entry, struct bw_time now);
 static void log_routing_(const struct gate_entry *entry,
 			 const struct bw_routing *routing, const char *sender,
 			 size_t text_bytes, uint64_t parse_us,
@@ -64,6 +71,8 @@
 
 	if (packet->channel == BW_CHANNEL_POISON)
 		gate_poison_receive(entry, packet, now);
+	if (packet->channel == BW_CHANNEL_DISTRIBUTE)
+		handle_pieces_(entry, packet, now);
 	if (packet->channel != BW_CHANNEL_GATE)
 		return;
 	gate_node_add_control(entry->node, packet->peer, true, now);
@@ -84,7 +93,7 @@
 	case GATE_ROUTING:
 		gate_routing_read(&reader, &routing);
 		if (bw_reader_status(&reader) == BW_OK)
-			handle_routing_(entry, packet->peer, &routing, now);
+			handle_routing_(entry, &routing, now);
 		break;
 	case GATE_LOADS:
 		gate_loads_read(&reader, &loads);
@@ -228,7 +237,8 @@
 	if (bw_time_reached(sent, entry->started_at) &&
 	    bw_time_reached(now, sent))
 		announcement.as_of = sent;
-	gate_node_set_announcement(entry->node, sender, &announcement);
+	gate_node_set_announcement(entry->node, sender, &announcement,
+				   status->sends_pieces);
 }
 
 struct bw_confirmation gate_entry_confirm(const struct gate_entry *entry,
@@ -282,7 +292,6 @@
 void gate_entry_fetch(struct gate_entry *entry, struct bw_time now)
 {
 	const struct gate_node *node = entry->node;
-	struct gate_routing request = { .version = 0 };
 	struct bw_fetch_peer peers[GATE_CONTROLS_MAX];
 	const struct bw_fetch_peer *peer;
 	struct bw_feed_peer known;
@@ -311,39 +320,97 @@
 		     peer->name, "version", (json_int_t)peer->version, "feed",
 		     peer->feed, "unanswered", (int)entry->fetch.unanswered,
 		     "timeout_ms", (int)entry->fetch.timeout_ms);
-	request.version = peer->version;
+	for (i = 0; i < node->control_count; i++) {
+		if (!strcmp(node->controls[i].name, peer->name))
+			request_routing_(entry, peer,
+					 node->controls[i].sends_pieces, now);
+	}
+}
+
+static void request_routing_(struct gate_entry *entry,
+			     const struct bw_fetch_peer *peer, bool in_pieces,
+			     struct bw_time now)
+{
+	struct gate_routing request = { .version = peer->version };
+
+	if (in_pieces) {
+		bw_distribute_request(&entry->distribute, BW_DOCUMENT_SHEET,
+				      peer->name, now, &entry->out);
+		transport_flush(&entry->node->transport, &entry->out);
+		return;
+	}
 	gate_routing_write(gate_node_frame(entry->node), GATE_ROUTING_REQUEST,
 			   &request);
 	gate_node_send(entry->node, peer->name);
 }
 
-static void handle_routing_(struct gate_entry *entry, const char *sender,
+static void handle_pieces_(struct gate_entry *entry,
+			   const struct bw_packet *packet, struct bw_time now)
+{
+	const struct bw_distribute_stats *stats = &entry->distribute.stats;
+	uint64_t misfit_count = stats->difference_misfit_count;
+	uint64_t received_bytes = stats->piece_received_bytes;
+
+	bw_distribute_receive(&entry->distribute, packet, now, &entry->out);
+	transport_flush(&entry->node->transport, &entry->out);
+	if (stats->piece_received_bytes == received_bytes)
+		return;
+	gate_node_add_control(entry->node, packet->peer, true, now);
+	note_feed_packet_(entry, packet, now);
+	note_received_(entry, stats->piece_received_bytes - received_bytes);
+	bw_fetch_progressed(&entry->fetch, now);
+	if (stats->difference_misfit_count != misfit_count)
+		bw_log_event(entry->node->log, BW_LOG_WARNING, "configuration",
+			     "difference_misfit", "{s:s}", "peer",
+			     packet->peer);
+	activate_newest_(entry, now);
+}
+
+/* A control host of an earlier version sends the whole text. */
+static void handle_routing_(struct gate_entry *entry,
 			    const struct gate_routing *message,
 			    struct bw_time now)
 {
+	note_received_(entry, message->text_bytes);
+	if (!message->version ||
+	    message->version <= bw_distribute_number(&entry->distribute,
+						     BW_DOCUMENT_SHEET)) {
+		bw_fetch_received(&entry->fetch, false, now);
+		return;
+	}
+	bw_distribute_publish(&entry->distribute, BW_DOCUMENT_SHEET,
+			      message->version, message->text,
+			      message->text_bytes, now);
+	activate_newest_(entry, now);
+}
+
+static void note_received_(struct gate_entry *entry, uint64_t bytes)
+{
+	entry->received_bytes_since += bytes;
+	bw_metric_add(entry->routing_received_bytes, (int64_t)bytes);
+}
+
+/* Puts a complete configuration in force when one has arrived. */
+static void activate_newest_(struct gate_entry *entry, struct bw_time now)
+{
+	struct bw_distribute_event event;
 	struct bw_routing *routing;
 	char error[PLATFORM_ERROR_BYTES] = "";
-	enum bw_status status;
-	uint64_t started_us;
+	uint64_t started_us = bw_clock_us();
 
-	entry->received_bytes_since += message->text_bytes;
-	bw_metric_add(entry->routing_received_bytes,
-		      (int64_t)message->text_bytes);
-	if (entry->routing && message->version <= entry->routing->version) {
-		bw_fetch_received(&entry->fetch, false, now);
+	if (!bw_distribute_next_event(&entry->distribute, &event) ||
+	    event.kind != BW_DISTRIBUTE_EVENT_DOCUMENT ||
+	    event.document != BW_DOCUMENT_SHEET)
 		return;
-	}
-	started_us = bw_clock_us();
-	status = platform_routing_read(message->text, message->text_bytes,
-				       &routing, error);
-	if (status != BW_OK) {
+	if (platform_routing_read(event.bytes, event.size_bytes, &routing,
+				  error) != BW_OK) {
 		bw_log_event(entry->node->log, BW_LOG_ERROR, "configuration",
 			     "routing_unreadable", "{s:I,s:s,s:s}", "version",
-			     (json_int_t)message->version, "source", sender,
+			     (json_int_t)event.number, "source", event.peer,
 			     "cause", error);
 		return;
 	}
-	log_routing_(entry, routing, sender, message->text_bytes,
+	log_routing_(entry, routing, event.peer, event.size_bytes,
 		     bw_clock_us() - started_us, now);
 	entry->routing_since = now;
 	entry->fetches_since = 0;
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -126,12 +126,15 @@
 }
 
 void gate_node_set_announcement(struct gate_node *node, const char *name,
-				const struct bw_announcement *announcement)
+				const struct bw_announcement *announcement,
+				bool sends_pieces)
 {
 	struct gate_peer *peer = find_control_(node, name);
 
-	if (peer)
-		peer->announcement = *announcement;
+	if (!peer)
+		return;
+	peer->announcement = *announcement;
+	peer->sends_pieces = sends_pieces;
 }
 
 void gate_node_update_seeds(struct gate_node *node,
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -41,6 +41,7 @@
 	struct bw_time last_listed; /**< last listed or heard from */
 	bool lost; /**< unreachable, and logged as lost */
 	struct bw_announcement announcement; /**< kept by the entry role */
+	bool sends_pieces; /**< of configurations; likewise */
 };
 
 /** State of a gateway host that all roles share. */
@@ -96,9 +97,13 @@
 void gate_node_add_control(struct gate_node *node, const char *name,
 			   bool direct, struct bw_time now);
 
-/** Records what a control host announced. */
+/**
+ * Records what a control host announced.
+ * @param sends_pieces whether it sends configurations in pieces
+ */
 void gate_node_set_announcement(struct gate_node *node, const char *name,
-				const struct bw_announcement *announcement);
+				const struct bw_announcement *announcement,
+				bool sends_pieces);
 
 /** Records the failure domain of a control host. */
 void gate_node_set_control_domain(struct gate_node *node, const char *name,
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -40,7 +40,7 @@
 	struct bw_writer writer;
 	uint32_t i;
 
-	write_message_head_(&writer, out, GATE_STATUS, 11);
+	write_message_head_(&writer, out, GATE_STATUS, 12);
 	bw_write_str(&writer, status->domain);
 	bw_write_bool(&writer, status->current);
 	bw_write_uint(&writer, status->routing_version);
@@ -56,6 +56,7 @@
 	bw_write_uint(&writer, status->domain_entry_count);
 	write_demands_(&writer, status->demands, status->demand_count);
 	bw_write_uint(&writer, status->hello_sent_ms);
+	bw_write_bool(&writer, status->sends_pieces);
 }
 
 void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
@@ -169,6 +170,8 @@
 	status->demand_count = read_demands_(reader, status->demands);
 	if (bw_read_more(reader))
 		status->hello_sent_ms = bw_read_uint(reader);
+	if (bw_read_more(reader))
+		status->sends_pieces = bw_read_bool(reader);
 }
 
 void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers)
--- a/src/boragewingd/gate_wire.h
+++ b/src/boragewingd/gate_wire.h
@@ -13,7 +13,9 @@
  *   when a heartbeat does not match its own.
  * - Loads of backend servers go from an entry host to the control host that
  *   sends it full detail, then to all control hosts, then to all entry hosts.
- * - Hosts request a configuration by its version.
+ * - Entry hosts request configurations on BW_CHANNEL_DISTRIBUTE, see
+ *   bwmember/distribute.h. While hosts are upgraded, control hosts of earlier
+ *   versions get a GATE_ROUTING_REQUEST and send the whole text.
  */
 #ifndef BORAGEWINGD_GATE_WIRE_H
 #define BORAGEWINGD_GATE_WIRE_H
@@ -112,6 +114,8 @@
 	uint32_t demand_count;
 	uint64_t hello_sent_ms; /**< sent_ms of the receiver's last hello; 0:
 				     none */
+	bool sends_pieces; /**< the sender answers requests of
+				BW_CHANNEL_DISTRIBUTE */
 };
 
 /**
--- a/src/libbwmember/distribute.c
+++ b/src/libbwmember/distribute.c
@@ -10,6 +10,7 @@
 #define DEFAULT_RECOVERY_MS 2000
 #define DEFAULT_REQUEST_TIMEOUT_MS 1000
 #define DEFAULT_BYTES_PER_S (256 * 1024)
+#define DEFAULT_HISTORY_BYTES (2 * 1024 * 1024)
 
 /** Age of the own confirmation above which a control host is queried, in ms. */
 #define QUERY_CONTROL_AGE_MS 3000
@@ -84,13 +85,16 @@
 	struct bw_distribute_config *own = &distribute->config;
 
 	memset(distribute, 0, sizeof(*distribute));
-	if (!config->member || !config->aggregator)
+	if (!config->member != !config->aggregator ||
+	    config->piece_bytes > BW_DOCUMENT_CHUNK_MAX_BYTES)
 		return BW_EINVAL;
 	*own = *config;
 	set_default_(&own->digest_interval_ms, DEFAULT_DIGEST_INTERVAL_MS);
 	set_default_(&own->recovery_ms, DEFAULT_RECOVERY_MS);
 	set_default_(&own->request_timeout_ms, DEFAULT_REQUEST_TIMEOUT_MS);
 	set_default_(&own->bytes_per_s, DEFAULT_BYTES_PER_S);
+	set_default_(&own->piece_bytes, BW_DOCUMENT_CHUNK_MAX_BYTES);
+	set_default_(&own->history_bytes, DEFAULT_HISTORY_BYTES);
 	distribute->documents =
 		calloc(BW_DOCUMENT_COUNT, sizeof(*distribute->documents));
 	distribute->peers =
@@ -141,12 +145,13 @@
 		status = BW_EVERSION;
 	type = bw_read_uint(&reader);
 	if (status == BW_OK &&
-	    (type < DISTRIBUTE_DIGEST || type > DISTRIBUTE_DELTA))
+	    (type < DISTRIBUTE_DIGEST || type > DISTRIBUTE_PIECE))
 		status = BW_EVERSION;
-	if (status == BW_OK && type == DISTRIBUTE_DIGEST)
+	if (status == BW_OK && type == DISTRIBUTE_DIGEST &&
+	    distribute->config.member)
 		status = receive_digest_(distribute, packet->peer, &reader, now,
 					 out);
-	else if (status == BW_OK)
+	else if (status == BW_OK && type != DISTRIBUTE_DIGEST)
 		status = distribute_receive_transfer(distribute,
 						     (enum distribute_type)type,
 						     packet->peer, &reader, now,
@@ -165,12 +170,14 @@
 	enum bw_status status;
 
 	refill_tokens_(distribute, now);
-	status = push_changes_(distribute, now, out);
+	status = distribute->config.member ? push_changes_(distribute, now, out)
+					   : BW_OK;
 	if (status == BW_OK)
 		status = distribute_serve(distribute, now, out);
 	if (status == BW_OK)
 		status = distribute_fetch(distribute, now, out);
-	if (status != BW_OK || !bw_time_reached(now, distribute->next_digest))
+	if (status != BW_OK || !distribute->config.member ||
+	    !bw_time_reached(now, distribute->next_digest))
 		return status;
 	return send_digests_(distribute, now, out);
 }
@@ -196,7 +203,9 @@
 	distribute_hash(copy, size_bytes, version.hash);
 	status = distribute_install(
 		distribute, document, &version, copy, (uint32_t)size_bytes,
-		distribute->config.member->config.self.name);
+		distribute->config.member
+			? distribute->config.member->config.self.name
+			: "");
 	if (status == BW_OK)
 		distribute_adopt_confirmation(distribute, now);
 	return status == BW_EEXIST ? BW_OK : status;
@@ -313,6 +322,8 @@
 	enum bw_status status;
 	uint32_t i;
 
+	if (!distribute->config.member)
+		return BW_OK;
 	bw_writer_init(&writer, &body);
 	bw_write_array(&writer, 7 + BW_DOCUMENT_COUNT);
 	bw_write_uint(&writer, DISTRIBUTE_WIRE_VERSION);
@@ -395,6 +406,8 @@
 		bw_buffer_finish(&document->history[i].delta);
 	}
 	bw_buffer_finish(&document->fetch.received);
+	distribute_clear_fetch(&document->fetch);
+	distribute_clear_encodings(document);
 }
 
 static void refill_tokens_(struct bw_distribute *distribute, struct bw_time now)
--- a/src/libbwmember/distribute_store.c
+++ b/src/libbwmember/distribute_store.c
@@ -6,7 +6,8 @@
 
 #include <sodium.h>
 
-static void push_history_(struct bw_distribute_document *document);
+static void push_history_(const struct bw_distribute *distribute,
+			  struct bw_distribute_document *document);
 static void drop_delta_(struct distribute_content *content);
 static bool confirmation_applies_(const struct bw_distribute *distribute,
 				  const struct bw_distribute_peer *peer);
@@ -76,7 +77,7 @@
 			       ? BW_EEXIST
 			       : BW_ECONFLICT;
 	}
-	push_history_(state);
+	push_history_(distribute, state);
 	state->current.version = *version;
 	state->current.bytes = bytes;
 	state->current.size_bytes = size_bytes;
@@ -87,6 +88,8 @@
 		state->fetch.active = false;
 		bw_buffer_finish(&state->fetch.received);
 	}
+	if (state->fetch.encoding.id.target.number <= version->number)
+		distribute_clear_fetch(&state->fetch);
 	return BW_OK;
 }
 
@@ -175,7 +178,8 @@
 	return chosen;
 }
 
-static void push_history_(struct bw_distribute_document *document)
+static void push_history_(const struct bw_distribute *distribute,
+			  struct bw_distribute_document *document)
 {
 	struct distribute_content *oldest;
 	size_t bytes = 0;
@@ -183,6 +187,10 @@
 
 	if (!document->current.version.number)
 		return;
+	if (distribute->config.receives_only) {
+		free(document->current.bytes);
+		return;
+	}
 	for (i = 0; i < document->history_count; i++)
 		drop_delta_(&document->history[i]);
 	if (document->history_count == DISTRIBUTE_HISTORY_MAX) {
@@ -197,7 +205,7 @@
 	for (i = 1; i < document->history_count; i++)
 		bytes += document->history[i].size_bytes;
 	while (document->history_count > 1 &&
-	       bytes > DISTRIBUTE_HISTORY_BYTES) {
+	       bytes > distribute->config.history_bytes) {
 		oldest = &document->history[--document->history_count];
 		bytes -= oldest->size_bytes;
 		free(oldest->bytes);
--- a/src/libbwmember/distribute_transfer.c
+++ b/src/libbwmember/distribute_transfer.c
@@ -52,6 +52,11 @@
 				     enum bw_document document,
 				     struct bw_reader *reader,
 				     struct bw_time now);
+static enum bw_status receive_piece_(struct bw_distribute *distribute,
+				     const char *peer,
+				     enum bw_document document,
+				     struct bw_reader *reader,
+				     struct bw_time now, struct bw_outbox *out);
 static bool verify_and_install_(struct bw_distribute *distribute,
 				enum bw_document document,
 				const struct distribute_version *version,
@@ -82,6 +87,18 @@
 	return status;
 }
 
+enum bw_status bw_distribute_request(struct bw_distribute *distribute,
+				     enum bw_document document,
+				     const char *peer, struct bw_time now,
+				     struct bw_outbox *out)
+{
+	struct distribute_fetch *fetch = &distribute->documents[document].fetch;
+
+	fetch->active = true;
+	bw_name_set(fetch->peer, peer);
+	return send_request_(distribute, document, now, out);
+}
+
 enum bw_status distribute_fetch(struct bw_distribute *distribute,
 				struct bw_time now, struct bw_outbox *out)
 {
@@ -133,7 +150,7 @@
 		request = &distribute->requests[i];
 		rank = request->base.number && !request->offset
 			       ? UINT32_MAX
-			       : request->offset;
+			       : request->offset + request->piece_offset;
 		if (rank > best_rank) {
 			best = i;
 			best_rank = rank;
@@ -162,6 +179,10 @@
 		return receive_full_(distribute, peer,
 				     (enum bw_document)document, reader, now,
 				     out);
+	case DISTRIBUTE_PIECE:
+		return receive_piece_(distribute, peer,
+				      (enum bw_document)document, reader, now,
+				      out);
 	default:
 		return receive_delta_(distribute, peer,
 				      (enum bw_document)document, reader, now);
@@ -264,15 +285,22 @@
 	struct bw_writer writer;
 	struct bw_buffer body;
 
+	state->fetch.asked = true;
+	state->fetch.asked_at = now;
 	state->fetch.deadline =
 		bw_time_add(now, distribute->config.request_timeout_ms);
 	distribute->stats.request_sent_count++;
-	begin_packet_(&writer, &body, 6, DISTRIBUTE_REQUEST, document);
+	begin_packet_(&writer, &body, 9, DISTRIBUTE_REQUEST, document);
 	bw_write_uint(&writer, state->fetch.target.number);
 	/* After a timeout a full copy is requested, in case deltas fail. */
-	distribute_write_version(
-		&writer, state->fetch.tries ? &none : &state->current.version);
+	distribute_write_version(&writer,
+				 state->fetch.tries || state->fetch.whole_copy
+					 ? &none
+					 : &state->current.version);
 	bw_write_uint(&writer, state->fetch.received.size_bytes);
+	distribute_write_encoding_id(&writer, &state->fetch.encoding.id);
+	bw_write_uint(&writer, state->fetch.encoding.packed.size_bytes);
+	bw_write_uint(&writer, distribute->config.piece_bytes);
 	return send_packet_(&body, &writer, state->fetch.peer, out);
 }
 
@@ -283,7 +311,12 @@
 	struct distribute_fetch *fetch = &distribute->documents[document].fetch;
 	struct bw_distribute_peer *source;
 
-	if (fetch->active && !bw_time_reached(now, fetch->deadline))
+	if (fetch->active && !fetch->asked)
+		return bw_time_reached(now, fetch->next_request)
+			       ? send_request_(distribute, document, now, out)
+			       : BW_OK;
+	if (!distribute->config.member ||
+	    (fetch->active && !bw_time_reached(now, fetch->deadline)))
 		return BW_OK;
 	if (fetch->active) {
 		distribute->stats.request_timeout_count++;
@@ -321,6 +354,8 @@
 	struct distribute_content *base =
 		distribute_find_content(state, request->base.number);
 
+	if (request->pieces)
+		return distribute_send_piece(distribute, request, now, out);
 	if (base && base != &state->current && !request->offset &&
 	    distribute_same_version(&base->version, &request->base) &&
 	    prepare_delta_(state, base))
@@ -345,7 +380,17 @@
 	request.target_number = bw_read_uint(reader);
 	distribute_read_version(reader, &request.base);
 	request.offset = (uint32_t)bw_read_uint(reader);
-	if (reader->failed)
+	/* Hosts of earlier versions take no pieces. */
+	request.pieces = bw_read_more(reader);
+	if (request.pieces) {
+		distribute_read_encoding_id(reader, &request.encoding);
+		request.piece_offset = (uint32_t)bw_read_uint(reader);
+		request.piece_bytes = (uint32_t)bw_read_uint(reader);
+	}
+	if (request.piece_bytes > BW_DOCUMENT_CHUNK_MAX_BYTES)
+		request.piece_bytes = BW_DOCUMENT_CHUNK_MAX_BYTES;
+	if (reader->failed || distribute->config.receives_only ||
+	    (request.pieces && !request.piece_bytes))
 		return;
 	known = distribute_peer(distribute, peer);
 	known->versions[document] = request.base;
@@ -450,6 +495,38 @@
 	return BW_OK;
 }
 
+static enum bw_status receive_piece_(struct bw_distribute *distribute,
+				     const char *peer,
+				     enum bw_document document,
+				     struct bw_reader *reader,
+				     struct bw_time now, struct bw_outbox *out)
+{
+	struct distribute_fetch *fetch = &distribute->documents[document].fetch;
+	struct distribute_encoding_id id;
+	struct bw_buffer content = { 0 };
+	enum bw_status status;
+	bool complete;
+
+	status = distribute_receive_piece(distribute, document, reader,
+					  &complete, &id, &content);
+	if (status == BW_OK && complete &&
+	    verify_and_install_(distribute, document, &id.target, &content,
+				peer, now)) {
+		fetch->whole_copy = false;
+		if (id.base.number)
+			distribute->stats.delta_applied_count++;
+		else
+			distribute->stats.full_applied_count++;
+	} else if (complete) {
+		fetch->whole_copy = true;
+	}
+	bw_buffer_finish(&content);
+	if (status != BW_OK || !fetch->active || fetch->asked)
+		return status;
+	fetch->tries = 0;
+	return fetch_document_(distribute, document, now, out);
+}
+
 static bool verify_and_install_(struct bw_distribute *distribute,
 				enum bw_document document,
 				const struct distribute_version *version,
--- a/src/libbwmember/fetch.c
+++ b/src/libbwmember/fetch.c
@@ -55,6 +55,14 @@
 	return peer;
 }
 
+void bw_fetch_progressed(struct bw_fetch *fetch, struct bw_time now)
+{
+	if (!fetch->unanswered)
+		return;
+	fetch->unanswered = 1;
+	fetch->asked_at = now;
+}
+
 /*
  * The next fetch is repeated no sooner than after twice the time that this one
  * took. Texts that aren't newer are copies, or come from a control host that
--- a/src/libbwmember/include/private/distribute.h
+++ b/src/libbwmember/include/private/distribute.h
@@ -15,13 +15,14 @@
 #define DISTRIBUTE_PEERS_MAX 512
 
 /** Maximum number of requests waiting for tokens. */
-#define DISTRIBUTE_REQUESTS_MAX 128
+#define DISTRIBUTE_REQUESTS_MAX 512
 
 /** Maximum number of earlier contents kept as bases of deltas. */
-#define DISTRIBUTE_HISTORY_MAX 8
+#define DISTRIBUTE_HISTORY_MAX 16
 
-/** Limit of the earlier contents, without the newest of them, in bytes. */
-#define DISTRIBUTE_HISTORY_BYTES (2 * 1024 * 1024)
+/** Maximum number of encodings kept for transfers, and of their bytes. */
+#define DISTRIBUTE_ENCODINGS_MAX 32
+#define DISTRIBUTE_ENCODINGS_BYTES (2 * 1024 * 1024)
 
 /** Age of the last digest from which on its sender is no source, in ms. */
 #define DISTRIBUTE_PEER_FRESH_MS 5000
@@ -31,7 +32,8 @@
 	DISTRIBUTE_DIGEST = 1, /**< numbers, hashes, age of confirmation */
 	DISTRIBUTE_REQUEST = 2, /**< request for content from an offset on */
 	DISTRIBUTE_FULL = 3, /**< a chunk of a full copy */
-	DISTRIBUTE_DELTA = 4 /**< a complete delta */
+	DISTRIBUTE_DELTA = 4, /**< a complete delta */
+	DISTRIBUTE_PIECE = 5 /**< a piece of an encoding */
 };
 
 /** Number and hash, which identify a content. */
@@ -40,6 +42,21 @@
 	uint8_t hash[BW_DOCUMENT_HASH_BYTES];
 };
 
+/** Identifies an encoding; any host that has both contents makes the same. */
+struct distribute_encoding_id {
+	struct distribute_version target;
+	struct distribute_version base; /**< number 0: a whole copy */
+};
+
+/** A content as it is transferred: compressed, as a difference or whole. */
+struct distribute_encoding {
+	struct distribute_encoding_id id;
+	uint32_t target_bytes; /**< size of the content */
+	uint32_t plain_bytes; /**< size before compression */
+	struct bw_buffer packed;
+	uint64_t last_use; /**< encoding_use at that time */
+};
+
 /** One version of a document with its content. */
 struct distribute_content {
 	struct distribute_version version;
@@ -55,8 +72,15 @@
 	bool active;
 	struct distribute_version target;
 	char peer[BW_NAME_MAX];
-	struct bw_buffer received;
+	struct bw_buffer received; /**< of a copy in chunks */
 	uint32_t total_bytes;
+	struct distribute_encoding encoding; /**< of a transfer in pieces;
+						packed has what arrived */
+	uint32_t packed_bytes; /**< size of packed when complete */
+	bool whole_copy; /**< a difference did not fit */
+	bool asked; /**< a request is not answered */
+	struct bw_time asked_at;
+	struct bw_time next_request; /**< if not asked */
 	struct bw_time deadline;
 	uint32_t tries;
 };
@@ -67,6 +91,8 @@
 	struct distribute_content history[DISTRIBUTE_HISTORY_MAX]; /**< newest
 								      first */
 	uint32_t history_count;
+	struct distribute_encoding encodings[DISTRIBUTE_ENCODINGS_MAX];
+	uint32_t encoding_count;
 	struct distribute_fetch fetch;
 	bool push_pending;
 	bool event_pending;
@@ -101,6 +127,10 @@
 	uint64_t target_number; /**< requested */
 	struct distribute_version base; /**< in force at the peer */
 	uint32_t offset;
+	bool pieces; /**< the peer takes pieces; earlier versions don't */
+	struct distribute_encoding_id encoding; /**< that it has a part of */
+	uint32_t piece_offset; /**< size of that part */
+	uint32_t piece_bytes;
 };
 
 /** Returns whether two versions are the same. */
@@ -175,6 +205,36 @@
 					   struct bw_time now,
 					   struct bw_outbox *out);
 
+/** Sends a requested piece, or else nothing or a digest. */
+enum bw_status
+distribute_send_piece(struct bw_distribute *distribute,
+		      const struct bw_distribute_request *request,
+		      struct bw_time now, struct bw_outbox *out);
+
+/**
+ * Handles a PIECE packet after its type and document.
+ * @param complete receives whether content is a complete document
+ * @param id receives the encoding that the piece belongs to
+ */
+enum bw_status distribute_receive_piece(struct bw_distribute *distribute,
+					enum bw_document document,
+					struct bw_reader *reader,
+					bool *complete,
+					struct distribute_encoding_id *id,
+					struct bw_buffer *content);
+
+/** Forgets what arrived of a transfer. */
+void distribute_clear_fetch(struct distribute_fetch *fetch);
+
+/** Frees the encodings of a document. */
+void distribute_clear_encodings(struct bw_distribute_document *document);
+
+/** Writes and reads an identification of an encoding. */
+void distribute_write_encoding_id(struct bw_writer *writer,
+				  const struct distribute_encoding_id *id);
+void distribute_read_encoding_id(struct bw_reader *reader,
+				 struct distribute_encoding_id *id);
+
 /** Writes and reads a version. */
 void distribute_write_version(struct bw_writer *writer,
 			      const struct distribute_version *version);
--- a/src/test_libbwmember/test_fetch.c
+++ b/src/test_libbwmember/test_fetch.c
@@ -286,6 +286,22 @@
 	assert_string_equal(ask_(2, 1900), "c1");
 }
 
+/* Guards against a second source while the first one still sends. */
+static void test_parts_keep_the_source(void **state)
+{
+	int64_t ms;
+
+	(void)state;
+	peers[0].version = 2;
+	peers[1].version = 2;
+	assert_string_equal(ask_(1, 0), "c0");
+	for (ms = 200; ms < 4000; ms += 200) {
+		bw_fetch_progressed(&fetch, time_at_(ms));
+		assert_string_equal(ask_(1, ms + 40), "");
+	}
+	assert_string_equal(ask_(1, ms + BW_FETCH_TIMEOUT_MIN_MS), "c1");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -314,6 +330,7 @@
 		cmocka_unit_test_setup(
 			test_lost_fetches_do_not_delay_the_next_version,
 			set_up_),
+		cmocka_unit_test_setup(test_parts_keep_the_source, set_up_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
