Build routing tables in short slices and share unchanged routes

Callers saw: with slow hosts (40 % of them 6 times slower), a release, a burst and large changes together, requests reached servers 2.5 to 2.8 s after these had said that they leave (DRAIN), and ran by versions that were overtaken (CONFIG).

Cause: an entry host parsed the whole text of each version, and built its table, in one go, and handled neither packets nor requests meanwhile. With routing_in_force's parse_ms: 110 to 165 ms for 1,421 routes and 363 ms for 2,821 on a host of 0.1 cores; on a slow one 1,088 and 2,057 ms, and 938 and 1,731 ms for a change of one weight. An announcement that arrives in such a stall is read after it, and requests that were read before it are sent by the old state.

Change: the text is divided and decoded route by route, in slices of 3 ms with other events of the loop between them, and the table is switched when it is complete. A route whose text is that of a route of the table in force is shared, not decoded. Routes are found by a hash of host and prefix, no longer by a scan of all routes for each request. The next version waits until a table is complete, so that fast changes can't keep all of them out of force.

What an entry host does at once is still in proportion to the configuration: the text is copied, hashed and, for a difference, put together again. A control host parses a submission whole.

bw_route_choice.service_index is gone, because nothing read it; its test asks for the index by name. The tests of routes fill routes before they add them.

--- a/include/bwsteer/routing.h
+++ b/include/bwsteer/routing.h
@@ -2,7 +2,7 @@
  * @file
  * Routing table of one configuration version. It maps a request to a route with
  * its services, limits and timeouts. A table in use is immutable; a new version
- * replaces the whole table.
+ * replaces the whole table, but shares the routes that did not change.
  */
 #ifndef BWSTEER_ROUTING_H
 #define BWSTEER_ROUTING_H
@@ -25,12 +25,17 @@
 /** A service of a route with its weight. */
 struct bw_route_choice {
 	char service[BW_ROUTE_NAME_MAX];
-	uint32_t service_index; /**< into services; set by bw_routing_check */
 	uint32_t weight;
 };
 
-/** One route. */
+/** Size of the hash of a route's definition. */
+#define BW_ROUTE_DIGEST_BYTES 16
+
+/** One route; immutable once it is in a table. */
 struct bw_route {
+	uint32_t references;
+	uint8_t digest[BW_ROUTE_DIGEST_BYTES]; /**< of its definition; set by
+						   the caller, else zero */
 	char name[BW_ROUTE_NAME_MAX];
 	char host[BW_ROUTE_HOST_MAX];
 	char prefix[BW_ROUTE_PREFIX_MAX]; /**< begins and ends with a slash */
@@ -69,8 +74,12 @@
 /** A routing table. */
 struct bw_routing {
 	uint64_t version;
-	struct bw_route *routes;
+	struct bw_route **routes;
 	uint32_t route_count;
+	uint32_t route_capacity;
+	struct bw_route **by_place; /**< hash table by host and prefix */
+	struct bw_route **by_digest; /**< hash table by digest */
+	uint32_t slot_count; /**< of each hash table; a power of two */
 	struct bw_routing_service *services;
 	uint32_t service_count;
 	struct bw_routing_limits limits;
@@ -78,11 +87,30 @@
 };
 
 /**
- * Allocates an empty table. The caller fills it and then calls
- * bw_routing_check.
+ * Allocates a table without routes. The caller fills in the version, the
+ * services and the limits, and then adds the routes.
+ * @param route_capacity maximum number of routes
  * @return NULL when out of memory
  */
-struct bw_routing *bw_routing_new(uint32_t route_count, uint32_t service_count);
+struct bw_routing *bw_routing_new(uint32_t route_capacity,
+				  uint32_t service_count);
+
+/**
+ * Validates a route and adds it to a table.
+ * @param route its reference passes to the table, also on failure; NULL counts
+ *	as out of memory
+ * @param error receives a message on BW_EINVAL; BW_ROUTE_ERROR_MAX bytes
+ * @return BW_OK, BW_EINVAL or BW_ENOMEM
+ */
+enum bw_status bw_routing_add(struct bw_routing *routing,
+			      struct bw_route *route, char *error);
+
+/**
+ * Validates what the routes don't tell.
+ * @param error receives a message on BW_EINVAL; BW_ROUTE_ERROR_MAX bytes
+ * @return BW_OK or BW_EINVAL
+ */
+enum bw_status bw_routing_check(const struct bw_routing *routing, char *error);
 
 /** Adds a reference. */
 struct bw_routing *bw_routing_ref(struct bw_routing *routing);
@@ -99,15 +127,20 @@
 enum bw_status bw_route_set_home_count(struct bw_route *route,
 				       uint32_t home_count);
 
-/** Frees what a route owns; the table does this for its own routes. */
-void bw_route_finish(struct bw_route *route);
+/** Allocates a route with one reference. @return NULL when out of memory */
+struct bw_route *bw_route_new(void);
 
-/**
- * Validates the table and resolves the services of its routes.
- * @param error receives a message on BW_EINVAL; BW_ROUTE_ERROR_MAX bytes
- * @return BW_OK, BW_EINVAL or BW_ENOMEM
+/** Adds a reference. */
+struct bw_route *bw_route_ref(struct bw_route *route);
+
+/** Drops a reference; the last one frees the route. NULL is allowed. */
+void bw_route_unref(struct bw_route *route);
+
+/** Finds a route by the digest of its definition. @return NULL if none has it
  */
-enum bw_status bw_routing_check(struct bw_routing *routing, char *error);
+struct bw_route *
+bw_routing_find_digest(const struct bw_routing *routing,
+		       const uint8_t digest[BW_ROUTE_DIGEST_BYTES]);
 
 /**
  * Finds the route of a request: the route of the host with the longest prefix
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -149,6 +149,7 @@
 		return;
 	while (entry->requests)
 		gate_request_free(entry->requests);
+	gate_entry_finish_build(entry);
 	bw_pool_finish(&entry->pool);
 	bw_listener_finish(&entry->clients);
 	bw_listener_finish(&entry->ready);
@@ -210,9 +211,9 @@
 
 int64_t gate_entry_behind_ms(const struct gate_entry *entry, struct bw_time now)
 {
-	if (!entry->fetch.behind)
+	if (!entry->outdated_since.ms)
 		return 0;
-	return bw_time_diff_ms(now, entry->fetch.behind_since);
+	return bw_time_diff_ms(now, entry->outdated_since);
 }
 
 void gate_entry_dump(const struct gate_entry *entry, json_t *into)
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -16,6 +16,7 @@
 #include "bwsteer/routing.h"
 #include "gate_node.h"
 #include "gate_refusal.h"
+#include "platform.h"
 
 /** Outcome of a client request. */
 enum gate_outcome {
@@ -39,6 +40,18 @@
 	struct bw_time next_share;
 };
 
+/** A routing table that is being built from a configuration. */
+struct gate_entry_build {
+	bool active;
+	struct platform_routing_reader reader;
+	ev_timer timer; /**< of the next slice */
+	uint64_t version;
+	char source[BW_NAME_MAX]; /**< control host that sent the last piece */
+	uint32_t text_bytes;
+	struct bw_time began;
+	uint64_t used_us; /**< in all slices */
+};
+
 /** The entry role of a host. */
 struct gate_entry {
 	struct gate_node *node;
@@ -61,6 +74,9 @@
 	struct bw_fetch fetch; /**< of newer versions */
 	struct bw_distribute distribute; /**< receives them */
 	struct bw_outbox out; /**< packets of distribute */
+	struct gate_entry_build build;
+	struct bw_time outdated_since; /**< a newer version than the active one
+					   is known; 0 ms: none is */
 	uint32_t entry_count; /**< entry hosts that share the servers */
 	uint32_t entry_index; /**< index of this host among them */
 	uint64_t registry_generation; /**< at the last update */
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -2,7 +2,6 @@
 
 #include "gate_entry_private.h"
 #include "gate_poison.h"
-#include "platform.h"
 
 /**
  * Interval of hellos to control hosts that send brief detail only; two of them
@@ -25,33 +24,9 @@
 			       const struct gate_status *status,
 			       struct bw_time now);
 static void choose_feed_(struct gate_entry *entry, struct bw_time now);
-static void note_feed_packet_(struct gate_entry *entry,
-			      const struct bw_packet *packet,
-			      struct bw_time now);
-static void fill_feed_peer_(const struct gate_entry *entry,
-			    uint32_t control_index, struct bw_time now,
-			    struct bw_feed_peer *peer);
 static void send_to_controls_(struct gate_entry *entry,
 			      struct gate_hello *hello, bool brief_due,
 			      struct bw_time now);
-static void request_routing_(struct gate_entry *entry,
-			     const struct bw_fetch_peer *peer, bool in_pieces,
-			     struct bw_time now);
-static void handle_pieces_(struct gate_entry *entry,
-			   const struct bw_packet *packet, struct bw_time now);
-static void handle_routing_(struct gate_entry *entry,
-			    const struct gate_routing *message,
-			    struct bw_time now);
-static void note_received_(struct gate_entry *entry, uint64_t bytes);
-static void activate_newest_(struct gate_entry *entry, struct bw_time now);
-static void log_routing_(const struct gate_entry *entry,
-			 const struct bw_routing *routing, const char *sender,
-			 size_t text_bytes, uint64_t parse_us,
-			 struct bw_time now);
-static void apply_routing_(struct gate_entry *entry,
-			   struct bw_routing *routing);
-static void set_target_latency_(struct gate_entry *entry,
-				const struct bw_route *route);
 static void handle_demands_(struct gate_entry *entry,
 			    const struct gate_status *status);
 static void fill_demands_(struct gate_entry *entry, struct gate_hello *hello,
@@ -72,11 +47,11 @@
 	if (packet->channel == BW_CHANNEL_POISON)
 		gate_poison_receive(entry, packet, now);
 	if (packet->channel == BW_CHANNEL_DISTRIBUTE)
-		handle_pieces_(entry, packet, now);
+		gate_entry_receive_pieces(entry, packet, now);
 	if (packet->channel != BW_CHANNEL_GATE)
 		return;
 	gate_node_add_control(entry->node, packet->peer, true, now);
-	note_feed_packet_(entry, packet, now);
+	gate_entry_note_feed_packet(entry, packet, now);
 	bw_reader_init(&reader, packet->data, packet->size_bytes);
 	switch (gate_message_type(&reader)) {
 	case GATE_STATUS:
@@ -93,7 +68,7 @@
 	case GATE_ROUTING:
 		gate_routing_read(&reader, &routing);
 		if (bw_reader_status(&reader) == BW_OK)
-			handle_routing_(entry, &routing, now);
+			gate_entry_receive_text(entry, &routing, now);
 		break;
 	case GATE_LOADS:
 		gate_loads_read(&reader, &loads);
@@ -136,7 +111,7 @@
 	uint32_t i;
 
 	for (i = 0; i < node->control_count; i++)
-		fill_feed_peer_(entry, i, now, &peers[i]);
+		gate_entry_feed_peer(entry, i, now, &peers[i]);
 	if (bw_feed_choose(&entry->feed, peers, node->control_count, now))
 		bw_log_event(node->log, BW_LOG_INFO, "membership",
 			     "detail_source_changed", "{s:s}", "peer",
@@ -147,9 +122,9 @@
  * Restarts the gap-free period of the feed: a new or restarted feed has not
  * received the heartbeats of the servers yet, and after a gap they arrive late.
  */
-static void note_feed_packet_(struct gate_entry *entry,
-			      const struct bw_packet *packet,
-			      struct bw_time now)
+void gate_entry_note_feed_packet(struct gate_entry *entry,
+				 const struct bw_packet *packet,
+				 struct bw_time now)
 {
 	if (strcmp(packet->peer, entry->feed.source) != 0)
 		return;
@@ -161,9 +136,9 @@
 	entry->feed_received_at = now;
 }
 
-static void fill_feed_peer_(const struct gate_entry *entry,
-			    uint32_t control_index, struct bw_time now,
-			    struct bw_feed_peer *peer)
+void gate_entry_feed_peer(const struct gate_entry *entry,
+			  uint32_t control_index, struct bw_time now,
+			  struct bw_feed_peer *peer)
 {
 	const struct gate_node *node = entry->node;
 	const struct gate_peer *known = &node->controls[control_index];
@@ -191,7 +166,7 @@
 	uint32_t i;
 
 	for (i = 0; i < node->control_count; i++) {
-		fill_feed_peer_(entry, i, now, &peer);
+		gate_entry_feed_peer(entry, i, now, &peer);
 		hello->load_count = 0;
 		if (bw_feed_needs_detail(&entry->feed, &peer))
 			hello->detail = GATE_DETAIL_FULL;
@@ -275,6 +250,10 @@
 		MAX(entry->newest_version, status->routing_version);
 	if (!status->current)
 		return;
+	if (!entry->outdated_since.ms &&
+	    status->routing_version >
+		    (entry->routing ? entry->routing->version : 0))
+		entry->outdated_since = now;
 	if (status->evacuation_index > entry->evacuation_index) {
 		entry->evacuation_index = status->evacuation_index;
 		entry->evacuated_count = status->evacuated_count;
@@ -289,187 +268,6 @@
 	gate_entry_fetch(entry, now);
 }
 
-void gate_entry_fetch(struct gate_entry *entry, struct bw_time now)
-{
-	const struct gate_node *node = entry->node;
-	struct bw_fetch_peer peers[GATE_CONTROLS_MAX];
-	const struct bw_fetch_peer *peer;
-	struct bw_feed_peer known;
-	uint32_t i;
-
-	for (i = 0; i < node->control_count; i++) {
-		const struct gate_peer *control = &node->controls[i];
-
-		fill_feed_peer_(entry, i, now, &known);
-		peers[i].name = control->name;
-		peers[i].distance = known.distance;
-		peers[i].alive = known.alive;
-		peers[i].feed = !strcmp(control->name, entry->feed.source);
-		peers[i].version = control->announcement.current
-					   ? control->announcement.version
-					   : 0;
-	}
-	peer = bw_fetch_next(&entry->fetch, peers, node->control_count,
-			     entry->routing ? entry->routing->version : 0, now);
-	if (!peer)
-		return;
-	entry->fetches_since++;
-	bw_metric_add(entry->routing_fetches, 1);
-	bw_log_event(node->log, BW_LOG_INFO, "configuration",
-		     "routing_requested", "{s:s,s:I,s:b,s:i,s:i}", "peer",
-		     peer->name, "version", (json_int_t)peer->version, "feed",
-		     peer->feed, "unanswered", (int)entry->fetch.unanswered,
-		     "timeout_ms", (int)entry->fetch.timeout_ms);
-	for (i = 0; i < node->control_count; i++) {
-		if (!strcmp(node->controls[i].name, peer->name))
-			request_routing_(entry, peer,
-					 node->controls[i].sends_pieces, now);
-	}
-}
-
-static void request_routing_(struct gate_entry *entry,
-			     const struct bw_fetch_peer *peer, bool in_pieces,
-			     struct bw_time now)
-{
-	struct gate_routing request = { .version = peer->version };
-
-	if (in_pieces) {
-		bw_distribute_request(&entry->distribute, BW_DOCUMENT_SHEET,
-				      peer->name, now, &entry->out);
-		transport_flush(&entry->node->transport, &entry->out);
-		return;
-	}
-	gate_routing_write(gate_node_frame(entry->node), GATE_ROUTING_REQUEST,
-			   &request);
-	gate_node_send(entry->node, peer->name);
-}
-
-static void handle_pieces_(struct gate_entry *entry,
-			   const struct bw_packet *packet, struct bw_time now)
-{
-	const struct bw_distribute_stats *stats = &entry->distribute.stats;
-	uint64_t misfit_count = stats->difference_misfit_count;
-	uint64_t received_bytes = stats->piece_received_bytes;
-
-	bw_distribute_receive(&entry->distribute, packet, now, &entry->out);
-	transport_flush(&entry->node->transport, &entry->out);
-	if (stats->piece_received_bytes == received_bytes)
-		return;
-	gate_node_add_control(entry->node, packet->peer, true, now);
-	note_feed_packet_(entry, packet, now);
-	note_received_(entry, stats->piece_received_bytes - received_bytes);
-	bw_fetch_progressed(&entry->fetch, now);
-	if (stats->difference_misfit_count != misfit_count)
-		bw_log_event(entry->node->log, BW_LOG_WARNING, "configuration",
-			     "difference_misfit", "{s:s}", "peer",
-			     packet->peer);
-	activate_newest_(entry, now);
-}
-
-/* A control host of an earlier version sends the whole text. */
-static void handle_routing_(struct gate_entry *entry,
-			    const struct gate_routing *message,
-			    struct bw_time now)
-{
-	note_received_(entry, message->text_bytes);
-	if (!message->version ||
-	    message->version <= bw_distribute_number(&entry->distribute,
-						     BW_DOCUMENT_SHEET)) {
-		bw_fetch_received(&entry->fetch, false, now);
-		return;
-	}
-	bw_distribute_publish(&entry->distribute, BW_DOCUMENT_SHEET,
-			      message->version, message->text,
-			      message->text_bytes, now);
-	activate_newest_(entry, now);
-}
-
-static void note_received_(struct gate_entry *entry, uint64_t bytes)
-{
-	entry->received_bytes_since += bytes;
-	bw_metric_add(entry->routing_received_bytes, (int64_t)bytes);
-}
-
-/* Puts a complete configuration in force when one has arrived. */
-static void activate_newest_(struct gate_entry *entry, struct bw_time now)
-{
-	struct bw_distribute_event event;
-	struct bw_routing *routing;
-	char error[PLATFORM_ERROR_BYTES] = "";
-	uint64_t started_us = bw_clock_us();
-
-	if (!bw_distribute_next_event(&entry->distribute, &event) ||
-	    event.kind != BW_DISTRIBUTE_EVENT_DOCUMENT ||
-	    event.document != BW_DOCUMENT_SHEET)
-		return;
-	if (platform_routing_read(event.bytes, event.size_bytes, &routing,
-				  error) != BW_OK) {
-		bw_log_event(entry->node->log, BW_LOG_ERROR, "configuration",
-			     "routing_unreadable", "{s:I,s:s,s:s}", "version",
-			     (json_int_t)event.number, "source", event.peer,
-			     "cause", error);
-		return;
-	}
-	log_routing_(entry, routing, event.peer, event.size_bytes,
-		     bw_clock_us() - started_us, now);
-	entry->routing_since = now;
-	entry->fetches_since = 0;
-	entry->received_bytes_since = 0;
-	apply_routing_(entry, routing);
-	bw_fetch_received(&entry->fetch, true, now);
-	gate_entry_fetch(entry, now);
-}
-
-static void log_routing_(const struct gate_entry *entry,
-			 const struct bw_routing *routing, const char *sender,
-			 size_t text_bytes, uint64_t parse_us,
-			 struct bw_time now)
-{
-	const struct bw_routing_limits *limits = &routing->limits;
-
-	bw_log_event(
-		entry->node->log, BW_LOG_INFO, "configuration",
-		"routing_in_force",
-		"{s:I,s:I,s:s,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f}",
-		"version", (json_int_t)routing->version, "previous",
-		(json_int_t)(entry->routing ? entry->routing->version : 0),
-		"source", sender, "routes", (int)routing->route_count,
-		"newest_version", (json_int_t)entry->newest_version,
-		"behind_ms", (json_int_t)gate_entry_behind_ms(entry, now),
-		"head_max_bytes", (json_int_t)limits->head_max_bytes,
-		"body_max_bytes", (json_int_t)limits->body_max_bytes,
-		"head_timeout_ms", (json_int_t)limits->head_timeout_ms,
-		"idle_timeout_ms", (json_int_t)limits->idle_timeout_ms,
-		"text_bytes", (json_int_t)text_bytes, "received_bytes",
-		(json_int_t)entry->received_bytes_since, "fetches",
-		(json_int_t)entry->fetches_since, "parse_ms",
-		(double)parse_us / 1000.0);
-}
-
-static void apply_routing_(struct gate_entry *entry, struct bw_routing *routing)
-{
-	const struct bw_routing_limits *limits = &routing->limits;
-	uint32_t i;
-
-	bw_routing_unref(entry->routing);
-	entry->routing = routing;
-	entry->clients.config.limits.head_max_bytes = limits->head_max_bytes;
-	entry->clients.config.limits.body_max_bytes = limits->body_max_bytes;
-	bw_listener_set_timeouts(&entry->clients, limits->head_timeout_ms,
-				 limits->idle_timeout_ms);
-	for (i = 0; i < routing->service_count; i++) {
-		struct bw_dispatch_service *service = bw_dispatch_service(
-			&entry->dispatch, routing->services[i].name);
-
-		service->cold_requests_per_s =
-			routing->services[i].cold_requests_per_s;
-	}
-	for (i = 0; i < routing->route_count; i++)
-		set_target_latency_(entry, &routing->routes[i]);
-	bw_metric_set(entry->routing_version, (int64_t)routing->version);
-	entry->update_due = true;
-}
-
 static void handle_demands_(struct gate_entry *entry,
 			    const struct gate_status *status)
 {
@@ -551,18 +349,3 @@
 		load->outstanding = target->reported_requests;
 	}
 }
-
-static void set_target_latency_(struct gate_entry *entry,
-				const struct bw_route *route)
-{
-	uint32_t i;
-
-	for (i = 0; i < route->choice_count; i++) {
-		struct bw_dispatch_service *service = bw_dispatch_service(
-			&entry->dispatch, route->choices[i].service);
-
-		if (!service->target_latency_ms ||
-		    route->target_latency_ms < service->target_latency_ms)
-			service->target_latency_ms = route->target_latency_ms;
-	}
-}
--- a/src/boragewingd/gate_entry_private.h
+++ b/src/boragewingd/gate_entry_private.h
@@ -19,6 +19,29 @@
 /** Requests a newer configuration if that is due. */
 void gate_entry_fetch(struct gate_entry *entry, struct bw_time now);
 
+/** Handles a packet with a piece of a configuration. */
+void gate_entry_receive_pieces(struct gate_entry *entry,
+			       const struct bw_packet *packet,
+			       struct bw_time now);
+
+/** Handles a configuration that a control host of an earlier version sends. */
+void gate_entry_receive_text(struct gate_entry *entry,
+			     const struct gate_routing *message,
+			     struct bw_time now);
+
+/** Frees a table that is being built. */
+void gate_entry_finish_build(struct gate_entry *entry);
+
+/** Restarts the gap-free period of the feed when that is due. */
+void gate_entry_note_feed_packet(struct gate_entry *entry,
+				 const struct bw_packet *packet,
+				 struct bw_time now);
+
+/** Describes a control host for the choice of the feed. */
+void gate_entry_feed_peer(const struct gate_entry *entry,
+			  uint32_t control_index, struct bw_time now,
+			  struct bw_feed_peer *peer);
+
 /** Updates the backend servers known to the dispatcher. */
 void gate_entry_update_targets(struct gate_entry *entry, struct bw_time now);
 
--- a/src/libbwsteer/routing.c
+++ b/src/libbwsteer/routing.c
@@ -1,39 +1,85 @@
 #include "bwsteer/routing.h"
 
+#include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
-static enum bw_status check_route_(struct bw_routing *routing,
-				   struct bw_route *route, char *error);
-static enum bw_status check_choices_(struct bw_routing *routing,
-				     struct bw_route *route, char *error);
-static enum bw_status check_duplicates_(const struct bw_routing *routing,
-					char *error);
-static int compare_host_and_prefix_(const void *a, const void *b);
+#include <xxhash.h>
+
+static enum bw_status check_route_(const struct bw_routing *routing,
+				   const struct bw_route *route, char *error);
+static enum bw_status check_choices_(const struct bw_routing *routing,
+				     const struct bw_route *route, char *error);
+static bool insert_place_(struct bw_routing *routing, struct bw_route *route);
+static void insert_digest_(struct bw_routing *routing, struct bw_route *route);
+static uint32_t hash_place_(const char *host, size_t host_bytes,
+			    const char *prefix, size_t prefix_bytes);
+static const struct bw_route *find_place_(const struct bw_routing *routing,
+					  const char *host, size_t host_bytes,
+					  const char *prefix,
+					  size_t prefix_bytes);
+static uint32_t hash_digest_(const uint8_t *digest);
 static bool host_matches_(const struct bw_route *route, const char *host,
 			  size_t host_bytes);
+static size_t without_port_(const char *host, size_t host_bytes);
 
-struct bw_routing *bw_routing_new(uint32_t route_count, uint32_t service_count)
+struct bw_routing *bw_routing_new(uint32_t route_capacity,
+				  uint32_t service_count)
 {
 	struct bw_routing *routing = calloc(1, sizeof(*routing));
 
 	if (!routing)
 		return NULL;
 	routing->references = 1;
-	routing->routes = calloc(route_count + 1, sizeof(*routing->routes));
+	routing->slot_count = 16;
+	while (routing->slot_count < 2 * route_capacity)
+		routing->slot_count *= 2;
+	routing->routes = calloc(route_capacity + 1, sizeof(struct bw_route *));
+	routing->by_place =
+		calloc(routing->slot_count, sizeof(struct bw_route *));
+	routing->by_digest =
+		calloc(routing->slot_count, sizeof(struct bw_route *));
 	routing->services =
 		calloc(service_count + 1, sizeof(*routing->services));
-	if (!routing->routes || !routing->services) {
+	if (!routing->routes || !routing->by_place || !routing->by_digest ||
+	    !routing->services) {
 		bw_routing_unref(routing);
 		return NULL;
 	}
-	routing->route_count = route_count;
+	routing->route_capacity = route_capacity;
 	routing->service_count = service_count;
 	return routing;
 }
 
+enum bw_status bw_routing_add(struct bw_routing *routing,
+			      struct bw_route *route, char *error)
+{
+	enum bw_status status;
+
+	if (!route || routing->route_count == routing->route_capacity) {
+		bw_route_unref(route);
+		return BW_ENOMEM;
+	}
+	status = check_route_(routing, route, error);
+	/* Two routes with the same host and prefix would make the choice
+	 * arbitrary. */
+	if (status == BW_OK && !insert_place_(routing, route)) {
+		snprintf(error, BW_ROUTE_ERROR_MAX,
+			 "route %.60s and another one share host and prefix",
+			 route->name);
+		status = BW_EINVAL;
+	}
+	if (status != BW_OK) {
+		bw_route_unref(route);
+		return status;
+	}
+	insert_digest_(routing, route);
+	routing->routes[routing->route_count++] = route;
+	return BW_OK;
+}
+
 struct bw_routing *bw_routing_ref(struct bw_routing *routing)
 {
 	routing->references++;
@@ -46,9 +92,11 @@
 
 	if (!routing || --routing->references)
 		return;
-	for (i = 0; routing->routes && i < routing->route_count; i++)
-		bw_route_finish(&routing->routes[i]);
+	for (i = 0; i < routing->route_count; i++)
+		bw_route_unref(routing->routes[i]);
 	free(routing->routes);
+	free(routing->by_place);
+	free(routing->by_digest);
 	free(routing->services);
 	free(routing);
 }
@@ -73,53 +121,75 @@
 	return BW_OK;
 }
 
-void bw_route_finish(struct bw_route *route)
+enum bw_status bw_routing_check(const struct bw_routing *routing, char *error)
 {
-	free(route->choices);
-	free(route->homes);
+	if (routing->version)
+		return BW_OK;
+	snprintf(error, BW_ROUTE_ERROR_MAX, "the version is missing");
+	return BW_EINVAL;
 }
 
-enum bw_status bw_routing_check(struct bw_routing *routing, char *error)
+struct bw_route *bw_route_new(void)
 {
-	enum bw_status status;
-	uint32_t i;
+	struct bw_route *route = calloc(1, sizeof(*route));
 
-	if (!routing->version) {
-		snprintf(error, BW_ROUTE_ERROR_MAX, "the version is missing");
-		return BW_EINVAL;
-	}
-	for (i = 0; i < routing->route_count; i++) {
-		status = check_route_(routing, &routing->routes[i], error);
-		if (status != BW_OK)
-			return status;
-	}
-	return check_duplicates_(routing, error);
+	if (route)
+		route->references = 1;
+	return route;
+}
+
+struct bw_route *bw_route_ref(struct bw_route *route)
+{
+	route->references++;
+	return route;
+}
+
+void bw_route_unref(struct bw_route *route)
+{
+	if (!route || --route->references)
+		return;
+	free(route->choices);
+	free(route->homes);
+	free(route);
 }
 
 const struct bw_route *bw_routing_find(const struct bw_routing *routing,
 				       const char *host, size_t host_bytes,
 				       const char *target, size_t target_bytes)
 {
-	const struct bw_route *best = NULL;
-	size_t best_bytes = 0;
-	size_t path_bytes = target_bytes;
+	const struct bw_route *route;
 	const char *query = memchr(target, '?', target_bytes);
-	uint32_t i;
+	size_t bytes = query ? (size_t)(query - target) : target_bytes;
 
-	if (query)
-		path_bytes = (size_t)(query - target);
-	for (i = 0; i < routing->route_count; i++) {
-		const struct bw_route *route = &routing->routes[i];
-		size_t prefix_bytes = strlen(route->prefix);
-
-		if (prefix_bytes <= best_bytes || prefix_bytes > path_bytes ||
-		    memcmp(target, route->prefix, prefix_bytes) != 0 ||
-		    !host_matches_(route, host, host_bytes))
+	host_bytes = without_port_(host, host_bytes);
+	if (host_bytes >= BW_ROUTE_HOST_MAX)
+		return NULL;
+	if (bytes >= BW_ROUTE_PREFIX_MAX)
+		bytes = BW_ROUTE_PREFIX_MAX - 1;
+	/* Every prefix ends with a slash; the longest one is tried first. */
+	for (; bytes; bytes--) {
+		if (target[bytes - 1] != '/')
 			continue;
-		best = route;
-		best_bytes = prefix_bytes;
+		route = find_place_(routing, host, host_bytes, target, bytes);
+		if (route)
+			return route;
 	}
-	return best;
+	return NULL;
+}
+
+struct bw_route *
+bw_routing_find_digest(const struct bw_routing *routing,
+		       const uint8_t digest[BW_ROUTE_DIGEST_BYTES])
+{
+	uint32_t mask = routing->slot_count - 1;
+	uint32_t slot = hash_digest_(digest) & mask;
+	struct bw_route *route;
+
+	for (; (route = routing->by_digest[slot]); slot = (slot + 1) & mask) {
+		if (!memcmp(route->digest, digest, BW_ROUTE_DIGEST_BYTES))
+			return route;
+	}
+	return NULL;
 }
 
 bool bw_routing_has_host(const struct bw_routing *routing, const char *host,
@@ -127,8 +197,9 @@
 {
 	uint32_t i;
 
+	host_bytes = without_port_(host, host_bytes);
 	for (i = 0; i < routing->route_count; i++) {
-		if (host_matches_(&routing->routes[i], host, host_bytes))
+		if (host_matches_(routing->routes[i], host, host_bytes))
 			return true;
 	}
 	return false;
@@ -165,8 +236,8 @@
 	return 0;
 }
 
-static enum bw_status check_route_(struct bw_routing *routing,
-				   struct bw_route *route, char *error)
+static enum bw_status check_route_(const struct bw_routing *routing,
+				   const struct bw_route *route, char *error)
 {
 	size_t prefix_bytes = strlen(route->prefix);
 
@@ -191,18 +262,17 @@
 	return check_choices_(routing, route, error);
 }
 
-static enum bw_status check_choices_(struct bw_routing *routing,
-				     struct bw_route *route, char *error)
+static enum bw_status check_choices_(const struct bw_routing *routing,
+				     const struct bw_route *route, char *error)
 {
 	uint64_t total = 0;
 	uint32_t i;
 
 	for (i = 0; i < route->choice_count; i++) {
-		struct bw_route_choice *choice = &route->choices[i];
+		const struct bw_route_choice *choice = &route->choices[i];
 
-		choice->service_index =
-			bw_routing_service_find(routing, choice->service);
-		if (choice->service_index == BW_ROUTING_NONE) {
+		if (bw_routing_service_find(routing, choice->service) ==
+		    BW_ROUTING_NONE) {
 			snprintf(error, BW_ROUTE_ERROR_MAX,
 				 "route %s names the unknown service %s",
 				 route->name, choice->service);
@@ -217,50 +287,91 @@
 	return BW_EINVAL;
 }
 
-/* Two routes with the same host and prefix would make the choice arbitrary. */
-static enum bw_status check_duplicates_(const struct bw_routing *routing,
-					char *error)
+/* Returns false if another route has the same host and prefix. */
+static bool insert_place_(struct bw_routing *routing, struct bw_route *route)
 {
-	const struct bw_route **sorted;
-	enum bw_status status = BW_OK;
-	uint32_t i;
+	uint32_t mask = routing->slot_count - 1;
+	size_t host_bytes = strlen(route->host);
+	size_t prefix_bytes = strlen(route->prefix);
+	uint32_t slot;
+
+	if (find_place_(routing, route->host, host_bytes, route->prefix,
+			prefix_bytes))
+		return false;
+	slot = hash_place_(route->host, host_bytes, route->prefix,
+			   prefix_bytes) &
+	       mask;
+	while (routing->by_place[slot])
+		slot = (slot + 1) & mask;
+	routing->by_place[slot] = route;
+	return true;
+}
 
-	sorted = calloc(routing->route_count + 1, sizeof(*sorted));
-	if (!sorted)
-		return BW_ENOMEM;
-	for (i = 0; i < routing->route_count; i++)
-		sorted[i] = &routing->routes[i];
-	qsort(sorted, routing->route_count, sizeof(*sorted),
-	      compare_host_and_prefix_);
-	for (i = 1; i < routing->route_count && status == BW_OK; i++) {
-		if (compare_host_and_prefix_(&sorted[i - 1], &sorted[i]) != 0)
-			continue;
-		snprintf(error, BW_ROUTE_ERROR_MAX,
-			 "routes %.60s and %.60s share host and prefix",
-			 sorted[i - 1]->name, sorted[i]->name);
-		status = BW_EINVAL;
+static void insert_digest_(struct bw_routing *routing, struct bw_route *route)
+{
+	static const uint8_t none[BW_ROUTE_DIGEST_BYTES];
+	uint32_t mask = routing->slot_count - 1;
+	uint32_t slot = hash_digest_(route->digest) & mask;
+
+	if (!memcmp(route->digest, none, sizeof(none)))
+		return;
+	while (routing->by_digest[slot])
+		slot = (slot + 1) & mask;
+	routing->by_digest[slot] = route;
+}
+
+/* Host names are compared without regard to case. */
+static uint32_t hash_place_(const char *host, size_t host_bytes,
+			    const char *prefix, size_t prefix_bytes)
+{
+	char lower[BW_ROUTE_HOST_MAX];
+	uint64_t seed;
+	size_t i;
+
+	for (i = 0; i < host_bytes; i++)
+		lower[i] = (char)tolower((unsigned char)host[i]);
+	seed = XXH3_64bits(lower, host_bytes);
+	return (uint32_t)XXH3_64bits_withSeed(prefix, prefix_bytes, seed);
+}
+
+static const struct bw_route *find_place_(const struct bw_routing *routing,
+					  const char *host, size_t host_bytes,
+					  const char *prefix,
+					  size_t prefix_bytes)
+{
+	uint32_t mask = routing->slot_count - 1;
+	uint32_t slot = hash_place_(host, host_bytes, prefix, prefix_bytes) &
+			mask;
+	const struct bw_route *route;
+
+	for (; (route = routing->by_place[slot]); slot = (slot + 1) & mask) {
+		if (strlen(route->prefix) == prefix_bytes &&
+		    !memcmp(route->prefix, prefix, prefix_bytes) &&
+		    host_matches_(route, host, host_bytes))
+			return route;
 	}
-	free(sorted);
-	return status;
+	return NULL;
 }
 
-static int compare_host_and_prefix_(const void *a, const void *b)
+static uint32_t hash_digest_(const uint8_t *digest)
 {
-	const struct bw_route *const *left = a;
-	const struct bw_route *const *right = b;
-	int order = strcasecmp((*left)->host, (*right)->host);
+	uint32_t hash;
 
-	return order ? order : strcmp((*left)->prefix, (*right)->prefix);
+	memcpy(&hash, digest, sizeof(hash));
+	return hash;
 }
 
-/* The port in the Host field is ignored. */
 static bool host_matches_(const struct bw_route *route, const char *host,
 			  size_t host_bytes)
 {
-	const char *colon = memchr(host, ':', host_bytes);
-
-	if (colon)
-		host_bytes = (size_t)(colon - host);
 	return strlen(route->host) == host_bytes &&
 	       !strncasecmp(route->host, host, host_bytes);
 }
+
+/* The port in the Host field is ignored. */
+static size_t without_port_(const char *host, size_t host_bytes)
+{
+	const char *colon = memchr(host, ':', host_bytes);
+
+	return colon ? (size_t)(colon - host) : host_bytes;
+}
--- a/src/test_libbwproxy/test_target.c
+++ b/src/test_libbwproxy/test_target.c
@@ -49,17 +49,27 @@
  */
 static bool is_routed_(const char *text)
 {
-	struct bw_routing *routing = bw_routing_new(1, 0);
+	struct bw_routing *routing = bw_routing_new(1, 1);
+	struct bw_route *route = bw_route_new();
+	char error[BW_ROUTE_ERROR_MAX];
 	struct bw_http_reader reader;
 	struct bw_http_target target;
 	bool routed;
 	size_t used;
 
 	assert_non_null(routing);
-	memset(routing->routes[0].host, 'h', 125);
+	assert_non_null(route);
+	memset(route->host, 'h', 125);
 	if (!strstr(text, "hhhh"))
-		strcpy(routing->routes[0].host, "h.example");
-	strcpy(routing->routes[0].prefix, "/a/");
+		strcpy(route->host, "h.example");
+	strcpy(route->prefix, "/a/");
+	route->timeout_ms = 1000;
+	route->attempts_max = 1;
+	assert_int_equal(bw_route_set_choice_count(route, 1), BW_OK);
+	strcpy(route->choices[0].service, "s");
+	route->choices[0].weight = 1;
+	strcpy(routing->services[0].name, "s");
+	assert_int_equal(bw_routing_add(routing, route, error), BW_OK);
 	bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
 	assert_int_equal(bw_http_reader_feed(&reader, (const uint8_t *)text,
 					     strlen(text), &used),
--- a/src/test_platform/test_platform.c
+++ b/src/test_platform/test_platform.c
@@ -145,6 +145,66 @@
 	bw_routing_unref(routing);
 }
 
+/* Decodes a configuration in steps. */
+static enum bw_status read_in_steps_(const char *text, size_t size_bytes,
+				     struct bw_routing *previous,
+				     struct bw_routing **routing)
+{
+	struct platform_routing_reader reader;
+	char error[PLATFORM_ERROR_BYTES];
+	enum bw_status status;
+
+	status = platform_routing_begin(&reader, text, size_bytes, previous);
+	*routing = NULL;
+	if (status == BW_OK)
+		status = BW_EAGAIN;
+	while (status == BW_EAGAIN)
+		status = platform_routing_step(&reader, routing, error);
+	platform_routing_end(&reader);
+	return status;
+}
+
+/* Guards against a configuration in steps that differs from a whole one, and
+ * against unchanged routes that are decoded again. */
+static void test_configuration_in_steps(void **state)
+{
+	char *changed = replace_(good_configuration, "\"version\":7",
+				 "\"version\" : 8");
+	char *text = replace_(changed, "\"sloS\":0.3", "\"sloS\": 0.4");
+	struct bw_routing *first;
+	struct bw_routing *second;
+	const struct bw_route *route;
+
+	(void)state;
+	assert_int_equal(read_in_steps_(good_configuration,
+					strlen(good_configuration), NULL,
+					&first),
+			 BW_OK);
+	assert_int_equal(first->version, 7);
+	assert_int_equal(first->limits.head_timeout_ms, 3000);
+	assert_int_equal(first->service_count, 2);
+	route = bw_routing_find(first, "h.example", 9, "/p/x", 4);
+	assert_non_null(route);
+	assert_string_equal(route->name, "r");
+	assert_int_equal(route->target_latency_ms, 300);
+	assert_int_equal(read_in_steps_(text, strlen(text), first, &second),
+			 BW_OK);
+	assert_int_equal(second->version, 8);
+	assert_int_equal(second->route_count, 2);
+	route = bw_routing_find(second, "h.example", 9, "/p/x", 4);
+	assert_int_equal(route->target_latency_ms, 400);
+	assert_ptr_not_equal(route,
+			     bw_routing_find(first, "h.example", 9, "/p/x", 4));
+	assert_ptr_equal(bw_routing_find(second, "h.example", 9, "/q/x", 4),
+			 bw_routing_find(first, "h.example", 9, "/q/x", 4));
+	bw_routing_unref(first);
+	route = bw_routing_find(second, "h.example", 9, "/q/x", 4);
+	assert_string_equal(route->choices[0].service, "t");
+	bw_routing_unref(second);
+	free(text);
+	free(changed);
+}
+
 static void test_bad_configurations(void **state)
 {
 	static const char *const changes[][2] = {
@@ -177,6 +237,9 @@
 		char *text = replace_(good_configuration, changes[i][0],
 				      changes[i][1]);
 
+		if (read_in_steps_(text, strlen(text), NULL, &routing) !=
+		    BW_EINVAL)
+			fail_msg("invalid configuration accepted: %s", text);
 		error[0] = '\0';
 		if (platform_routing_read(text, strlen(text), &routing,
 					  error) != BW_EINVAL)
@@ -205,6 +268,10 @@
 		assert_int_equal(platform_routing_read(good_configuration, i,
 						       &routing, error),
 				 BW_EINVAL);
+	for (i = 0; i < size; i++)
+		assert_int_equal(read_in_steps_(good_configuration, i, NULL,
+						&routing),
+				 BW_EINVAL);
 	bw_random_init(&random, 5);
 	for (i = 0; i < 20000; i++) {
 		memcpy(text, good_configuration, sizeof(text));
@@ -212,8 +279,17 @@
 			(char)bw_random_below(&random, 256);
 		text[bw_random_below(&random, size)] =
 			(char)bw_random_below(&random, 256);
-		if (platform_routing_read(text, size, &routing, error) == BW_OK)
+		if (platform_routing_read(text, size, &routing, error) ==
+		    BW_OK) {
+			bw_routing_unref(routing);
+			assert_int_equal(read_in_steps_(text, size, NULL,
+							&routing),
+					 BW_OK);
+			bw_routing_unref(routing);
+		} else if (read_in_steps_(text, size, NULL, &routing) ==
+			   BW_OK) {
 			bw_routing_unref(routing);
+		}
 		memcpy(text, good_announcement, sizeof(good_announcement));
 		text[bw_random_below(&random, sizeof(good_announcement))] =
 			(char)bw_random_below(&random, 256);
@@ -343,6 +419,7 @@
 		cmocka_unit_test(test_announcement),
 		cmocka_unit_test(test_bad_announcements),
 		cmocka_unit_test(test_configuration),
+		cmocka_unit_test(test_configuration_in_steps),
 		cmocka_unit_test(test_bad_configurations),
 		cmocka_unit_test(test_corrupted_input),
 		cmocka_unit_test(test_calls),
