Check requests by the newest state right before they are sent

Cause: route, service and home regions were decided when a request arrived, and its server when it was dispatched. While it waited in a queue or for a connection, a new configuration, a drain or an evacuation changed nothing for it; the time of the loop's iteration stood for the time of sending.

Change: right before a request is sent on an open connection, and again when a new connection is established, the clock is read and the request is checked against the deadline, the configuration in force (its route is looked up again; a shared route is the same), and the newest record of its server and the evacuations, also those that came after the last update of the targets. It is dispatched again, or rejected at once as not run. Log line reconsidered, counter bw_reconsidered_total, cause route_removed.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -138,6 +138,7 @@
 			       arrival or while the request waits */
 	BW_REJECT_DEADLINE, /**< the deadline passed while the request waited */
 	BW_REJECT_CRASHES, /**< similar requests crashed backend servers */
+	BW_REJECT_NO_ROUTE, /**< its route was removed while it waited */
 	BW_REJECT_COUNT
 };
 
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -63,6 +63,9 @@
 	{ "rejected", "crashes_servers",
 	  "It has not run. Identical requests crashed several servers that ran "
 	  "them; see the\nserver_crash_counted lines." },
+	{ "rejected", "route_removed",
+	  "It has not run. A newer configuration without its route came into "
+	  "force while it waited;\nsee the routing_in_force lines." },
 	{ "failed", "closed",
 	  "It may have run. The connection to the server closed before the "
 	  "response; a request\nthat is not idempotent is not retried." },
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -301,6 +301,15 @@
 			metrics, BW_METRIC_COUNTER, "bw_rejected_total",
 			"Requests that did not run, by cause", labels);
 	}
+	for (i = 1; i < GATE_CHECK_COUNT; i++) {
+		snprintf(labels, sizeof(labels), "cause=\"%s\"",
+			 gate_check_string[i]);
+		entry->reconsidered[i] = bw_metrics_get(
+			metrics, BW_METRIC_COUNTER, "bw_reconsidered_total",
+			"Requests that newer state kept from being sent as "
+			"they were dispatched, by cause",
+			labels);
+	}
 	entry->queue_us =
 		bw_metrics_get(metrics, BW_METRIC_HISTOGRAM, "bw_stage_seconds",
 			       "Time of requests by stage", "stage=\"queue\"");
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -32,6 +32,20 @@
 /** Names of enum gate_outcome in logs and metrics. */
 extern const char *const gate_outcome_string[GATE_OUTCOME_COUNT];
 
+/** What the newest state says of a request that is about to be sent. */
+enum gate_check {
+	GATE_CHECK_CURRENT, /**< may be sent to its server */
+	GATE_CHECK_SERVER, /**< the server may no longer get it */
+	GATE_CHECK_ROUTE, /**< its route now leads to another service or has
+			       other home regions */
+	GATE_CHECK_NO_ROUTE, /**< it has no route any more */
+	GATE_CHECK_EXPIRED, /**< its deadline has passed */
+	GATE_CHECK_COUNT
+};
+
+/** Names of enum gate_check in logs and metrics. */
+extern const char *const gate_check_string[GATE_CHECK_COUNT];
+
 /** Requests known to an entry host to crash backend servers. */
 struct gate_poison {
 	struct bw_poison table;
@@ -94,6 +108,7 @@
 	struct bw_metric *outcomes[GATE_OUTCOME_COUNT];
 	struct bw_metric *unconfirmed; /**< no route, but not sure */
 	struct bw_metric *rejections[BW_REJECT_COUNT];
+	struct bw_metric *reconsidered[GATE_CHECK_COUNT];
 	struct bw_metric *queue_us;
 	struct bw_metric *upstream_us;
 	struct bw_metric *total_us[2]; /**< not idempotent, idempotent */
--- a/src/boragewingd/gate_entry_targets.c
+++ b/src/boragewingd/gate_entry_targets.c
@@ -35,7 +35,6 @@
 			     const struct bw_server *server,
 			     struct bw_time now);
 static int64_t server_timeout_ms_(const struct gate_entry *entry);
-static bool is_evacuated_(const struct gate_entry *entry, const char *domain);
 
 void gate_entry_update_targets(struct gate_entry *entry, struct bw_time now)
 {
@@ -86,6 +85,17 @@
 			node, node->settings.domains[i].region);
 }
 
+bool gate_entry_is_evacuated(const struct gate_entry *entry, const char *domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < entry->evacuated_count; i++) {
+		if (!strcmp(entry->evacuated[i], domain))
+			return true;
+	}
+	return false;
+}
+
 void gate_entry_report_load(struct gate_entry *entry, struct bw_time now)
 {
 	GHashTableIter iter;
@@ -144,7 +154,7 @@
 	if (update.domain >= settings->domain_count)
 		return;
 	update.accepts = usable && server->record.state == BW_SERVER_READY &&
-			 !is_evacuated_(entry, server->record.domain);
+			 !gate_entry_is_evacuated(entry, server->record.domain);
 	offset = (uint32_t)((server->id_hash + entry->entry_index) %
 			    MAX(entry->entry_count, 1U));
 	update.cold_allowed = offset < COLD_HOSTS_MAX;
@@ -171,17 +181,6 @@
 	}
 }
 
-static bool is_evacuated_(const struct gate_entry *entry, const char *domain)
-{
-	uint32_t i;
-
-	for (i = 0; i < entry->evacuated_count; i++) {
-		if (!strcmp(entry->evacuated[i], domain))
-			return true;
-	}
-	return false;
-}
-
 /*
  * Returns whether heartbeats have arrived long enough without a gap that a
  * missing one shows a lost server. A host that receives nothing from control
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -8,6 +8,7 @@
 #include "gate_forward.h"
 #include "gate_log.h"
 #include "gate_poison.h"
+#include "gate_request_check.h"
 #include "platform.h"
 
 /** Part of the deadline reserved to return the response to the client. */
@@ -41,10 +42,13 @@
 static void set_deadline_(struct gate_request *request,
 			  const struct bw_http_message *message,
 			  struct bw_time now);
-static void read_affinity_key_(struct gate_request *request,
-			       const struct bw_http_message *message);
-static void choose_service_(struct gate_request *request);
+static void keep_routing_input_(struct gate_request *request,
+				const struct bw_http_message *message,
+				const struct bw_http_target *target);
 static bool reject_if_poison_(struct gate_request *request);
+static bool is_current_(struct gate_request *request);
+static bool is_current_on_connection_(struct gate_request *request);
+static void reconsider_(struct gate_request *request, enum gate_check check);
 static void dispatch_request_(struct gate_request *request);
 static void send_attempt_(struct gate_request *request);
 static void reject_without_connection_(struct gate_request *request);
@@ -95,8 +99,8 @@
 	request = new_request_(entry, connection, message);
 	request->route = route;
 	set_deadline_(request, message, gate_node_now(entry->node));
-	choose_service_(request);
-	read_affinity_key_(request, message);
+	keep_routing_input_(request, message, &target);
+	gate_request_choose_service(request);
 	gate_forward_copy_head(request, message, &target);
 	entry->retry_tokens += RETRY_SHARE * entry->node->settings.retry_ratio;
 	if (request->expired)
@@ -134,12 +138,13 @@
 	struct gate_request *request = owner;
 
 	(void)context;
-	if (!request->connection ||
-	    !bw_connection_is_closed(request->connection))
-		return true;
-	*bw_connection_context(request->connection) = NULL;
-	gate_request_client_disconnected(request);
-	return false;
+	if (request->connection &&
+	    bw_connection_is_closed(request->connection)) {
+		*bw_connection_context(request->connection) = NULL;
+		gate_request_client_disconnected(request);
+		return false;
+	}
+	return is_current_on_connection_(request);
 }
 
 void gate_request_run_queue(struct gate_entry *entry)
@@ -176,6 +181,8 @@
 	bw_routing_unref(request->routing);
 	bw_buffer_finish(&request->head);
 	bw_body_finish(&request->body);
+	g_free(request->host);
+	g_free(request->affinity_key);
 	g_free(request);
 }
 
@@ -233,31 +240,17 @@
 	ev_timer_start(request->entry->node->loop, &request->deadline_timer);
 }
 
-static void read_affinity_key_(struct gate_request *request,
-			       const struct bw_http_message *message)
+/* Keeps what a later configuration needs to route the request again. */
+static void keep_routing_input_(struct gate_request *request,
+				const struct bw_http_message *message,
+				const struct bw_http_target *target)
 {
 	char key[256];
 
-	if (request->route->keyed_placement &&
-	    bw_http_find(message, PLATFORM_FIELD_AFFINITY_KEY, key,
+	request->host = g_strndup(target->host, target->host_bytes);
+	if (bw_http_find(message, PLATFORM_FIELD_AFFINITY_KEY, key,
 			 sizeof(key)))
-		request->job.object = bw_dispatch_object_hash(
-			request->job.service->name, key);
-}
-
-static void choose_service_(struct gate_request *request)
-{
-	struct gate_entry *entry = request->entry;
-	const struct bw_route *route = request->route;
-	uint64_t point = bw_random_next(&entry->node->random);
-	uint32_t i;
-
-	request->job.service = bw_dispatch_service(
-		&entry->dispatch,
-		route->choices[bw_route_choose(route, point)].service);
-	for (i = 0; i < route->home_count; i++)
-		request->job.regions |= 1U << gate_node_region_index(
-						entry->node, route->homes[i]);
+		request->affinity_key = g_strdup(key);
 }
 
 /* Rejects a request that crashes servers. @return whether it was rejected */
@@ -293,11 +286,61 @@
 	}
 }
 
+static void reconsider_(struct gate_request *request, enum gate_check check)
+{
+	if (check == GATE_CHECK_SERVER || check == GATE_CHECK_ROUTE)
+		dispatch_request_(request);
+	else
+		reject_(request,
+			check == GATE_CHECK_EXPIRED ? BW_REJECT_DEADLINE
+						    : BW_REJECT_NO_ROUTE,
+			RETRY_AFTER_DEFAULT_MS);
+}
+
+/*
+ * Returns whether the request may be sent to its server by the newest state;
+ * otherwise it has been dispatched again or rejected.
+ */
+static bool is_current_(struct gate_request *request)
+{
+	struct gate_entry *entry = request->entry;
+	enum gate_check check;
+
+	check = gate_request_check(request, gate_node_refresh(entry->node));
+	if (check == GATE_CHECK_CURRENT)
+		return true;
+	gate_request_log_check(request, check);
+	request->job.target = NULL;
+	reconsider_(request, check);
+	return false;
+}
+
+/* The same for a request whose connection has just been established. */
+static bool is_current_on_connection_(struct gate_request *request)
+{
+	struct gate_entry *entry = request->entry;
+	enum gate_check check;
+
+	if (request->detached)
+		return true;
+	check = gate_request_check(request, gate_node_refresh(entry->node));
+	if (check == GATE_CHECK_CURRENT)
+		return true;
+	gate_request_log_check(request, check);
+	bw_pool_cancel(request->upstream);
+	request->upstream = NULL;
+	request->attempts--;
+	end_job_(request, BW_JOB_CANCELLED, NULL);
+	reconsider_(request, check);
+	gate_request_run_queue(entry);
+	return false;
+}
+
 static void send_attempt_(struct gate_request *request)
 {
 	struct gate_entry *entry = request->entry;
 	struct bw_job *job = &request->job;
-	struct bw_time now = gate_node_now(entry->node);
+	struct bw_time now;
 	struct bw_pool_request send = { .request = request };
 	struct bw_buffer head;
 
@@ -308,6 +351,9 @@
 				   "client_gone");
 		return;
 	}
+	if (!is_current_(request))
+		return;
+	now = gate_node_now(entry->node);
 	bw_dispatch_sent(&entry->dispatch, job, now);
 	request->sent_us = bw_clock_us();
 	bw_buffer_init(&head);
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -31,7 +31,7 @@
 	struct gate_request **previous;
 	struct bw_server_connection *connection; /**< NULL: no client */
 	struct bw_pool_connection *upstream; /**< NULL: not in flight */
-	struct bw_routing *routing; /**< active at its arrival */
+	struct bw_routing *routing; /**< that it follows */
 	const struct bw_route *route;
 	struct bw_job job;
 	struct bw_buffer head; /**< request line and forwarded fields */
@@ -40,6 +40,8 @@
 	struct bw_fingerprint fingerprint; /**< if has_fingerprint */
 	bool has_fingerprint; /**< the body may be freed */
 	char id[GATE_REQUEST_ID_BYTES];
+	char *host; /**< asked for, with its port */
+	char *affinity_key; /**< NULL: none */
 	uint8_t method;
 	struct gate_attempt last_attempt;
 	uint32_t queue_ms; /**< time from arrival to first attempt */
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -69,6 +69,7 @@
 	[BW_REJECT_OVERLOAD] = "overload",
 	[BW_REJECT_DEADLINE] = "deadline",
 	[BW_REJECT_CRASHES] = "crashes_servers",
+	[BW_REJECT_NO_ROUTE] = "route_removed",
 };
 
 const char *const bw_distance_string[BW_DISTANCE_COUNT] = {
