Accept configurations of up to 8 MiB

Cause: a command of the replicated log has to fit into one packet, so its text was limited to 700 kB.

Change: a larger text is compressed in its command (kind submit_packed). The limit is 8 MiB of text, that of a distributed document, and 700 KiB when it is compressed; what is larger is refused with an error that names both. Own sheets keep their limit.

--- a/include/bwagree/state.h
+++ b/include/bwagree/state.h
@@ -21,8 +21,14 @@
 /** Size of a submission id, terminating zero included. */
 #define BW_SUBMISSION_ID_MAX 64
 
-/** Largest sheet text; a command has to fit into one packet. */
-#define BW_SHEET_TEXT_MAX_BYTES (700 * 1024)
+/** Largest sheet text. */
+#define BW_SHEET_TEXT_MAX_BYTES (8 * 1024 * 1024)
+
+/**
+ * Largest sheet text in a command, which has to fit into one packet. A larger
+ * text is compressed; its command is BW_COMMAND_SUBMIT_PACKED.
+ */
+#define BW_SHEET_COMMAND_MAX_BYTES (700 * 1024)
 
 /** Largest encoded plan. */
 #define BW_PLAN_MAX_BYTES (512 * 1024)
@@ -45,6 +51,7 @@
 	BW_COMMAND_BIND_KEY = 3,
 	BW_COMMAND_GROUP = 4,
 	BW_COMMAND_EVACUATE = 5,
+	BW_COMMAND_SUBMIT_PACKED = 6, /**< a submission with a large text */
 	BW_COMMAND_KIND_COUNT
 };
 
@@ -200,8 +207,6 @@
 
 /** Appends an encoded command. @return BW_OK, BW_EINVAL or BW_ENOMEM */
 enum bw_status bw_command_none(struct bw_buffer *out);
-enum bw_status bw_command_submit(struct bw_buffer *out,
-				 const struct bw_submit *submit);
 enum bw_status bw_command_set_plan(struct bw_buffer *out, const void *plan,
 				   size_t size_bytes);
 enum bw_status bw_command_bind_key(struct bw_buffer *out,
@@ -209,6 +214,15 @@
 enum bw_status bw_command_group(struct bw_buffer *out,
 				const struct bw_group *group);
 
+/**
+ * Appends a submission.
+ * @return BW_OK, BW_EINVAL or BW_ENOMEM; BW_EFULL when the text is larger than
+ *	BW_SHEET_TEXT_MAX_BYTES, or than BW_SHEET_COMMAND_MAX_BYTES when it is
+ *	compressed
+ */
+enum bw_status bw_command_submit(struct bw_buffer *out,
+				 const struct bw_submit *submit);
+
 /**
  * Appends a command that starts or ends the evacuation of a failure domain.
  * @return BW_OK, BW_EINVAL or BW_ENOMEM
--- a/src/boragewingd/gate_control_calls.c
+++ b/src/boragewingd/gate_control_calls.c
@@ -259,10 +259,15 @@
 	sodium_bin2hex(submit.id, sizeof(submit.id), submit.hash,
 		       BW_HASH_BYTES);
 	bw_buffer_init(&command);
-	if (bw_command_submit(&command, &submit) == BW_OK)
+	status = bw_command_submit(&command, &submit);
+	if (status == BW_OK)
 		propose_command_(control, connection, &command, now);
+	else if (status == BW_EFULL)
+		refuse_(control, connection, 413,
+			"the configuration is larger than 8 MiB, or than "
+			"700 KiB when it is compressed");
 	else
-		refuse_(control, connection, 413, "configuration too large");
+		refuse_(control, connection, 503, bw_status_string[status]);
 	bw_buffer_finish(&command);
 }
 
--- a/src/boragewingd/host.c
+++ b/src/boragewingd/host.c
@@ -345,7 +345,7 @@
 			.idle_timeout_s = IDLE_TIMEOUT_S,
 			.receive_timeout_ms = RECEIVE_TIMEOUT_MS,
 			.header_limit_bytes = HEADER_LIMIT_BYTES,
-			.body_limit_bytes = BW_SHEET_TEXT_MAX_BYTES,
+			.body_limit_bytes = BW_SHEET_COMMAND_MAX_BYTES,
 		},
 	};
 	struct bw_frontend_config frontend_config = {
--- a/src/boragewingd/web.c
+++ b/src/boragewingd/web.c
@@ -13,7 +13,7 @@
 #include "operator.h"
 
 #define SMALL_BODY_BYTES (16 * 1024)
-#define SHEET_BODY_BYTES BW_SHEET_TEXT_MAX_BYTES
+#define SHEET_BODY_BYTES BW_SHEET_COMMAND_MAX_BYTES
 #define ERROR_TEXT_BYTES 512
 #define CALL_PREFIX "/v1/call/"
 
--- a/src/libbwagree/command.c
+++ b/src/libbwagree/command.c
@@ -2,14 +2,22 @@
 
 #include <string.h>
 
+#include <zlib.h>
+
+static enum bw_status pack_text_(const struct bw_submit *submit,
+				 struct bw_buffer *packed);
 static void write_header_(struct bw_writer *writer, struct bw_buffer *out,
 			  enum bw_command_kind kind, uint32_t fields);
 static void set_failed_(struct bw_reader *reader);
 
 const char *const bw_command_kind_string[BW_COMMAND_KIND_COUNT] = {
-	[BW_COMMAND_NONE] = "none",	    [BW_COMMAND_SUBMIT] = "submit",
-	[BW_COMMAND_SET_PLAN] = "set_plan", [BW_COMMAND_BIND_KEY] = "bind_key",
-	[BW_COMMAND_GROUP] = "group",	    [BW_COMMAND_EVACUATE] = "evacuate",
+	[BW_COMMAND_NONE] = "none",
+	[BW_COMMAND_SUBMIT] = "submit",
+	[BW_COMMAND_SET_PLAN] = "set_plan",
+	[BW_COMMAND_BIND_KEY] = "bind_key",
+	[BW_COMMAND_GROUP] = "group",
+	[BW_COMMAND_EVACUATE] = "evacuate",
+	[BW_COMMAND_SUBMIT_PACKED] = "submit_packed",
 };
 
 const char *const bw_member_kind_string[BW_MEMBER_KIND_COUNT] = {
@@ -38,17 +46,35 @@
 enum bw_status bw_command_submit(struct bw_buffer *out,
 				 const struct bw_submit *submit)
 {
+	bool is_packed = submit->text_size_bytes > BW_SHEET_COMMAND_MAX_BYTES;
+	struct bw_buffer packed = { 0 };
+	const uint8_t *text = submit->text;
+	size_t size_bytes = submit->text_size_bytes;
 	struct bw_writer writer;
+	enum bw_status status;
 
-	if (!submit->id[0] || !submit->revision ||
-	    submit->text_size_bytes > BW_SHEET_TEXT_MAX_BYTES)
+	if (!submit->id[0] || !submit->revision)
 		return BW_EINVAL;
-	write_header_(&writer, out, BW_COMMAND_SUBMIT, 5);
+	if (is_packed) {
+		status = pack_text_(submit, &packed);
+		if (status != BW_OK) {
+			bw_buffer_finish(&packed);
+			return status;
+		}
+		text = packed.data;
+		size_bytes = packed.size_bytes;
+	}
+	write_header_(&writer, out,
+		      is_packed ? BW_COMMAND_SUBMIT_PACKED : BW_COMMAND_SUBMIT,
+		      is_packed ? 6 : 5);
 	bw_write_str(&writer, submit->id);
 	bw_write_uint(&writer, submit->revision);
 	bw_write_bin(&writer, submit->hash, BW_HASH_BYTES);
-	bw_write_bin(&writer, submit->text, submit->text_size_bytes);
+	bw_write_bin(&writer, text, size_bytes);
 	bw_write_int(&writer, submit->accept_wall_ms);
+	if (is_packed)
+		bw_write_uint(&writer, submit->text_size_bytes);
+	bw_buffer_finish(&packed);
 	return writer.status;
 }
 
@@ -177,6 +203,34 @@
 	return (enum bw_command_kind)kind;
 }
 
+enum bw_status command_read_packed_submit(struct bw_reader *reader,
+					  struct bw_submit *submit,
+					  struct bw_buffer *text)
+{
+	uint64_t plain_bytes;
+	uLongf size;
+	int result;
+
+	if (!command_read_submit(reader, submit))
+		return BW_EINVAL;
+	plain_bytes = bw_read_uint(reader);
+	if (reader->failed || plain_bytes > BW_SHEET_TEXT_MAX_BYTES)
+		return BW_EINVAL;
+	if (bw_buffer_reserve(text, plain_bytes) != BW_OK)
+		return BW_ENOMEM;
+	size = plain_bytes;
+	result = uncompress(text->data, &size, submit->text,
+			    submit->text_size_bytes);
+	if (result == Z_MEM_ERROR)
+		return BW_ENOMEM;
+	if (result != Z_OK || size != plain_bytes)
+		return BW_EINVAL;
+	text->size_bytes = size;
+	submit->text = text->data;
+	submit->text_size_bytes = size;
+	return BW_OK;
+}
+
 bool command_read_submit(struct bw_reader *reader, struct bw_submit *submit)
 {
 	memset(submit, 0, sizeof(*submit));
@@ -186,7 +240,7 @@
 	submit->text = bw_read_bin(reader, &submit->text_size_bytes);
 	submit->accept_wall_ms = bw_read_int(reader);
 	return !reader->failed && submit->id[0] && submit->revision &&
-	       submit->text_size_bytes <= BW_SHEET_TEXT_MAX_BYTES;
+	       submit->text_size_bytes <= BW_SHEET_COMMAND_MAX_BYTES;
 }
 
 bool command_read_bind_key(struct bw_reader *reader, struct bw_bind_key *bind)
@@ -271,6 +325,24 @@
 	memcpy(id, bytes, actual_bytes);
 }
 
+static enum bw_status pack_text_(const struct bw_submit *submit,
+				 struct bw_buffer *packed)
+{
+	uLongf size = compressBound(submit->text_size_bytes);
+	enum bw_status status;
+
+	if (submit->text_size_bytes > BW_SHEET_TEXT_MAX_BYTES)
+		return BW_EFULL;
+	status = bw_buffer_reserve(packed, size);
+	if (status != BW_OK)
+		return status;
+	if (compress2(packed->data, &size, submit->text,
+		      submit->text_size_bytes, Z_BEST_SPEED) != Z_OK)
+		return BW_ENOMEM;
+	packed->size_bytes = size;
+	return size > BW_SHEET_COMMAND_MAX_BYTES ? BW_EFULL : BW_OK;
+}
+
 static void write_header_(struct bw_writer *writer, struct bw_buffer *out,
 			  enum bw_command_kind kind, uint32_t fields)
 {
--- a/src/libbwagree/include/private/command.h
+++ b/src/libbwagree/include/private/command.h
@@ -19,6 +19,14 @@
 
 /** Decodes the fields of a command after its header. @return success */
 bool command_read_submit(struct bw_reader *reader, struct bw_submit *submit);
+
+/**
+ * Reads BW_COMMAND_SUBMIT_PACKED; text receives the text.
+ * @return BW_OK, BW_EINVAL or BW_ENOMEM
+ */
+enum bw_status command_read_packed_submit(struct bw_reader *reader,
+					  struct bw_submit *submit,
+					  struct bw_buffer *text);
 bool command_read_bind_key(struct bw_reader *reader, struct bw_bind_key *bind);
 
 /** Encodes a group as one array. */
--- a/src/libbwagree/state.c
+++ b/src/libbwagree/state.c
@@ -98,6 +98,7 @@
 {
 	struct bw_reader reader;
 	struct bw_submit submit;
+	struct bw_buffer text = { 0 };
 	struct bw_bind_key bind;
 	struct bw_group group;
 	enum bw_status status = BW_OK;
@@ -114,6 +115,13 @@
 		if (command_read_submit(&reader, &submit))
 			status = apply_submit_(state, index, &submit, outcome);
 		break;
+	case BW_COMMAND_SUBMIT_PACKED:
+		status = command_read_packed_submit(&reader, &submit, &text);
+		if (status == BW_OK)
+			status = apply_submit_(state, index, &submit, outcome);
+		else if (status == BW_EINVAL)
+			status = BW_OK;
+		break;
 	case BW_COMMAND_SET_PLAN:
 		status = apply_set_plan_(state, index, &reader, outcome);
 		break;
@@ -134,6 +142,7 @@
 	case BW_COMMAND_KIND_COUNT:
 		break;
 	}
+	bw_buffer_finish(&text);
 	bw_reader_finish(&reader);
 	return status;
 }
