Let a late build of a table take as much time as other events

Callers would see, on hosts 6 times slower: routes that were added 9.4 s before are not served. A slice of 3 ms in each iteration of the loop is little where an iteration takes hundreds of milliseconds.

Change: a build that is older than 300 ms gets as much time as other events took since its last slice, at most 100 ms.

--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -64,6 +64,7 @@
 	uint32_t text_bytes;
 	struct bw_time began;
 	uint64_t used_us; /**< in all slices */
+	uint64_t slice_ended_us;
 };
 
 /** The entry role of a host. */
--- a/src/boragewingd/gate_entry_routing.c
+++ b/src/boragewingd/gate_entry_routing.c
@@ -5,12 +5,22 @@
 /** Time for which a table is built before other events are handled, in us. */
 #define BUILD_SLICE_US 3000
 
+/**
+ * A build that is late gets as much time as other events took since its last
+ * slice, up to a limit. Otherwise a slow host, on which an iteration of the
+ * event loop is long, would stay behind for many seconds.
+ */
+#define BUILD_LATE_MS 300
+#define BUILD_LATE_SLICE_US 100000
+
 static void request_routing_(struct gate_entry *entry,
 			     const struct bw_fetch_peer *peer, bool in_pieces,
 			     struct bw_time now);
 static void note_received_(struct gate_entry *entry, uint64_t bytes);
 static void begin_build_(struct gate_entry *entry, struct bw_time now);
 static void start_slice_(struct gate_entry *entry);
+static uint64_t slice_us_(const struct gate_entry_build *build, uint64_t now_us,
+			  struct bw_time now);
 static void on_slice_(struct ev_loop *loop, ev_timer *timer, int events);
 static void end_build_(struct gate_entry *entry, enum bw_status status,
 		       const char *error);
@@ -148,6 +158,7 @@
 	build->text_bytes = event.size_bytes;
 	build->began = now;
 	build->used_us = 0;
+	build->slice_ended_us = bw_clock_us();
 	status = platform_routing_begin(&build->reader, event.bytes,
 					event.size_bytes, entry->routing);
 	if (status != BW_OK) {
@@ -164,12 +175,25 @@
 	ev_timer_start(entry->node->loop, &entry->build.timer);
 }
 
+static uint64_t slice_us_(const struct gate_entry_build *build, uint64_t now_us,
+			  struct bw_time now)
+{
+	uint64_t others_us = now_us - build->slice_ended_us;
+
+	if (bw_time_diff_ms(now, build->began) <= BUILD_LATE_MS)
+		return BUILD_SLICE_US;
+	return CLAMP(others_us, (uint64_t)BUILD_SLICE_US,
+		     (uint64_t)BUILD_LATE_SLICE_US);
+}
+
 /* Builds for a short time, then lets other events of the loop be handled. */
 static void on_slice_(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	struct gate_entry *entry = timer->data;
 	struct gate_entry_build *build = &entry->build;
 	uint64_t started_us = bw_clock_us();
+	uint64_t slice_us =
+		slice_us_(build, started_us, gate_node_now(entry->node));
 	struct bw_routing *routing;
 	char error[PLATFORM_ERROR_BYTES] = "";
 	enum bw_status status;
@@ -180,8 +204,9 @@
 	do {
 		status = platform_routing_step(&build->reader, &routing, error);
 		used_us = bw_clock_us() - started_us;
-	} while (status == BW_EAGAIN && used_us < BUILD_SLICE_US);
+	} while (status == BW_EAGAIN && used_us < slice_us);
 	build->used_us += used_us;
+	build->slice_ended_us = started_us + used_us;
 	if (status == BW_EAGAIN) {
 		start_slice_(entry);
 		return;
