Keep the limits that backend servers name

Cause: nobody read Server-Limit; a server got less only as its reported load or its response time rose.

Change: platform/ decodes the field. Each host keeps its share of a limit with a token bucket (bwsteer: server_limit). The share is that of its domain in the planned flow of requests to the server's domain, which all hosts compute from the demand that they exchange anyway, divided by the hosts of the domain; a part is divided equally, so that every host notices the end of a limit. Tokens live one second and begin at random phases. Hosts tell each other limits with the loads. The plan uses the slots that a limit lets all hosts fill, so that objects move to other servers in the usual steps; a request whose home has no token takes a free slot elsewhere or is rejected at once. Limits below 0.5 a second are kept as 0.5, as only an answer shows that a limit has ended. Line server_limit_changed, counters bw_server_limits_changed_total, bw_server_notices_invalid_total.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -21,6 +21,7 @@
 #include "bwbase/clock.h"
 #include "bwbase/random.h"
 #include "bwsteer/registry.h"
+#include "bwsteer/server_limit.h"
 #include "bwsteer/routing.h"
 #include "bwsteer/spread.h"
 
@@ -123,6 +124,7 @@
 	double cold_tokens; /**< token bucket of this host for a cold server;
 			       one request takes one token */
 	struct bw_time cold_refilled; /**< last refill of cold_tokens */
+	struct bw_server_limit limit; /**< named by the server */
 	bool accepts; /**< may get new requests */
 	bool in_update; /**< included in the update in progress */
 	uint32_t references; /**< number of jobs that use this target; a removed
@@ -219,6 +221,7 @@
 	struct bw_random random;
 	uint32_t peer_count; /**< hosts in this failure domain including this
 				one; 0 if unknown */
+	uint32_t host_count; /**< hosts in all domains; 0 if unknown */
 	uint32_t own_domain; /**< index of the failure domain of this host */
 	uint32_t domain_count;
 	uint32_t domain_region[BW_SPREAD_DOMAINS_MAX];
@@ -265,6 +268,20 @@
  */
 void bw_dispatch_begin_update(struct bw_dispatch *dispatch);
 
+/**
+ * Notes the limit that a server named in an answer.
+ * @param limit_per_s requests per second from all hosts together; 0: none
+ * @return whether it has changed
+ */
+bool bw_dispatch_note_limit(struct bw_dispatch *dispatch,
+			    struct bw_target *target, double limit_per_s,
+			    struct bw_time now);
+
+/** Does the same with a limit that another host reports. */
+bool bw_dispatch_note_shared_limit(struct bw_dispatch *dispatch,
+				   uint64_t id_hash, double limit_per_s,
+				   struct bw_time now);
+
 /** Adds or updates one backend server. */
 void bw_dispatch_update(struct bw_dispatch *dispatch,
 			const struct bw_target_update *update,
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "gate_entry_private.h"
+#include "gate_notice.h"
 #include "gate_poison.h"
 #include "gate_request.h"
 #include "platform.h"
@@ -122,6 +123,7 @@
 	entry->dispatch.region_step_max = node->settings.region_step_max;
 	entry->dispatch.region_window_ms = REGION_WINDOW_MS;
 	open_metrics_(entry);
+	gate_notice_init(entry);
 	gate_refusals_init(&entry->refusals, node, "entry");
 	pool_config.limits.head_max_bytes = RESPONSE_HEAD_MAX_BYTES;
 	pool_config.limits.body_max_bytes = RESPONSE_BODY_MAX_BYTES;
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -243,6 +243,7 @@
 	if (status->entry_count) {
 		entry->entry_count = status->entry_count;
 		entry->entry_index = status->entry_index;
+		entry->dispatch.host_count = status->entry_count;
 		entry->dispatch.peer_count = status->domain_entry_count;
 	}
 	handle_demands_(entry, status);
@@ -323,9 +324,15 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < loads->count; i++)
-		bw_dispatch_note_load(&entry->dispatch, loads->loads[i].id_hash,
-				      loads->loads[i].outstanding, now);
+	for (i = 0; i < loads->count; i++) {
+		const struct gate_load *load = &loads->loads[i];
+
+		bw_dispatch_note_shared_limit(
+			&entry->dispatch, load->id_hash,
+			load->limit_millirequests_per_s / 1000.0, now);
+		bw_dispatch_note_load(&entry->dispatch, load->id_hash,
+				      load->outstanding, now);
+	}
 }
 
 /* Adds the loads that servers reported in responses since the last hello. */
@@ -347,5 +354,7 @@
 		load = &hello->loads[hello->load_count++];
 		load->id_hash = target->id_hash;
 		load->outstanding = target->reported_requests;
+		load->limit_millirequests_per_s = (uint32_t)CLAMP(
+			1000.0 * target->limit.limit_per_s, 0.0, 1e9);
 	}
 }
--- /dev/null
+++ b/src/boragewingd/gate_notice.c
@@ -0,0 +1,59 @@
+#include "gate_notice.h"
+
+#include "platform.h"
+
+/** Stands for a limit of 0, which is not the same as none. */
+#define LIMIT_LEAST_PER_S 0.001
+
+static void read_limit_(struct gate_request *request,
+			const struct bw_http_message *response,
+			struct bw_time now);
+
+void gate_notice_init(struct gate_entry *entry)
+{
+	entry->notices_invalid = bw_metrics_get(
+		&entry->node->metrics, BW_METRIC_COUNTER,
+		"bw_server_notices_invalid_total",
+		"Header fields of backend servers that can't be read", "");
+	entry->limits_changed = bw_metrics_get(
+		&entry->node->metrics, BW_METRIC_COUNTER,
+		"bw_server_limits_changed_total",
+		"Limits of backend servers that were named, changed or lifted",
+		"");
+}
+
+void gate_notice_read(struct gate_request *request,
+		      const struct bw_http_message *response,
+		      struct bw_time now)
+{
+	/* Another server has the address. */
+	if (response->status_code == 421)
+		return;
+	read_limit_(request, response, now);
+}
+
+static void read_limit_(struct gate_request *request,
+			const struct bw_http_message *response,
+			struct bw_time now)
+{
+	struct gate_entry *entry = request->entry;
+	struct bw_target *target = request->job.target;
+	double limit_per_s = 0.0;
+	char text[64];
+
+	if (bw_http_find(response, PLATFORM_FIELD_LIMIT, text, sizeof(text))) {
+		if (!platform_limit_read(text, &limit_per_s)) {
+			bw_metric_add(entry->notices_invalid, 1);
+			return;
+		}
+		limit_per_s = MAX(limit_per_s, LIMIT_LEAST_PER_S);
+	}
+	if (!bw_dispatch_note_limit(&entry->dispatch, target, limit_per_s, now))
+		return;
+	bw_metric_add(entry->limits_changed, 1);
+	bw_log_event(entry->node->log, BW_LOG_INFO, "registry",
+		     "server_limit_changed", "{s:s,s:s,s:s,s:f,s:f}", "server",
+		     target->id, "service", target->service->name, "request",
+		     request->id, "limit_per_s", limit_per_s, "share_per_s",
+		     bw_server_limit_rate_per_s(&target->limit));
+}
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -7,6 +7,7 @@
 #include "gate_entry_respond.h"
 #include "gate_forward.h"
 #include "gate_log.h"
+#include "gate_notice.h"
 #include "gate_poison.h"
 #include "gate_request_check.h"
 #include "platform.h"
@@ -618,6 +619,8 @@
 		has_load = platform_load_read(text, &load);
 	if (has_load)
 		request->last_attempt.load = load;
+	if (response)
+		gate_notice_read(request, response, now);
 	request->last_attempt.took_ms =
 		(uint32_t)((bw_clock_us() - request->sent_us) / 1000);
 	bw_dispatch_ended(&entry->dispatch, &request->job, result,
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <glib.h>
+
 #define MESSAGE_VERSION 2
 
 /** Number of values that encode one heartbeat. */
@@ -16,6 +18,10 @@
 static void write_loads_(struct bw_writer *writer,
 			 const struct gate_load *loads, uint32_t count);
 static uint32_t read_loads_(struct bw_reader *reader, struct gate_load *loads);
+static void write_limits_(struct bw_writer *writer,
+			  const struct gate_load *loads, uint32_t count);
+static void read_limits_(struct bw_reader *reader, struct gate_load *loads,
+			 uint32_t count);
 static uint32_t read_demands_(struct bw_reader *reader,
 			      struct gate_demand *demands);
 
@@ -23,7 +29,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_HELLO, 9);
+	write_message_head_(&writer, out, GATE_HELLO, 10);
 	bw_write_bool(&writer, hello->control);
 	bw_write_uint(&writer, hello->state);
 	bw_write_uint(&writer, hello->detail);
@@ -33,6 +39,7 @@
 	write_demands_(&writer, hello->demands, hello->demand_count);
 	write_loads_(&writer, hello->loads, hello->load_count);
 	bw_write_uint(&writer, hello->sent_ms);
+	write_limits_(&writer, hello->loads, hello->load_count);
 }
 
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status)
@@ -83,13 +90,15 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_LOADS, 1);
+	write_message_head_(&writer, out, GATE_LOADS, 2);
 	write_loads_(&writer, loads->loads, loads->count);
+	write_limits_(&writer, loads->loads, loads->count);
 }
 
 void gate_loads_read(struct bw_reader *reader, struct gate_loads *loads)
 {
 	loads->count = read_loads_(reader, loads->loads);
+	read_limits_(reader, loads->loads, loads->count);
 }
 
 void gate_routing_write(struct bw_buffer *out, enum gate_message_type type,
@@ -139,6 +148,7 @@
 	/* Older hosts do not send it. */
 	if (bw_read_more(reader))
 		hello->sent_ms = bw_read_uint(reader);
+	read_limits_(reader, hello->loads, hello->load_count);
 	if (state >= GATE_HOST_STATE_COUNT || detail >= GATE_DETAIL_COUNT) {
 		reader->failed = true;
 		return;
@@ -261,6 +271,47 @@
 	}
 }
 
+/* Few servers have a limit. */
+static void write_limits_(struct bw_writer *writer,
+			  const struct gate_load *loads, uint32_t count)
+{
+	uint32_t limited = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		limited += loads[i].limit_millirequests_per_s > 0;
+	bw_write_array(writer, 2 * limited);
+	for (i = 0; i < count; i++) {
+		if (!loads[i].limit_millirequests_per_s)
+			continue;
+		bw_write_uint(writer, loads[i].id_hash);
+		bw_write_uint(writer, loads[i].limit_millirequests_per_s);
+	}
+}
+
+/* Hosts of earlier versions send no limits. */
+static void read_limits_(struct bw_reader *reader, struct gate_load *loads,
+			 uint32_t count)
+{
+	uint64_t id_hash;
+	uint64_t limit;
+	uint32_t i;
+
+	if (!bw_read_more(reader))
+		return;
+	bw_read_array(reader);
+	while (bw_read_more(reader)) {
+		id_hash = bw_read_uint(reader);
+		limit = bw_read_uint(reader);
+		for (i = 0; i < count && !reader->failed; i++) {
+			if (loads[i].id_hash == id_hash)
+				loads[i].limit_millirequests_per_s =
+					(uint32_t)MIN(limit, UINT32_MAX);
+		}
+	}
+	bw_read_end(reader);
+}
+
 static uint32_t read_loads_(struct bw_reader *reader, struct gate_load *loads)
 {
 	uint32_t count = read_count_(reader, 2 * GATE_LOADS_MAX) / 2;
@@ -269,6 +320,7 @@
 	for (i = 0; i < count; i++) {
 		loads[i].id_hash = bw_read_uint(reader);
 		loads[i].outstanding = (uint32_t)bw_read_uint(reader);
+		loads[i].limit_millirequests_per_s = 0;
 	}
 	bw_read_end(reader);
 	return reader->failed ? 0 : count;
--- a/src/boragewingd/gate_wire.h
+++ b/src/boragewingd/gate_wire.h
@@ -80,6 +80,8 @@
 struct gate_load {
 	uint64_t id_hash;
 	uint32_t outstanding; /**< running and waiting requests */
+	uint32_t limit_millirequests_per_s; /**< that it takes from all hosts
+						 together; 0: no limit */
 };
 
 /** GATE_HELLO */
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -172,6 +172,29 @@
 			   bw_time_reached(now, server->cold_until));
 }
 
+bool bw_dispatch_note_limit(struct bw_dispatch *dispatch,
+			    struct bw_target *target, double limit_per_s,
+			    struct bw_time now)
+{
+	double phase = bw_random_unit(&dispatch->random);
+
+	if (!bw_server_limit_set(&target->limit, limit_per_s, phase, now))
+		return false;
+	dispatch_share_limits(dispatch, target->service, now);
+	return true;
+}
+
+bool bw_dispatch_note_shared_limit(struct bw_dispatch *dispatch,
+				   uint64_t id_hash, double limit_per_s,
+				   struct bw_time now)
+{
+	struct bw_target *target =
+		g_hash_table_lookup(dispatch->targets, &id_hash);
+
+	return target && !dispatch_has_own_report(target, now) &&
+	       bw_dispatch_note_limit(dispatch, target, limit_per_s, now);
+}
+
 void bw_dispatch_end_update(struct bw_dispatch *dispatch, struct bw_time now)
 {
 	GList *all = g_hash_table_get_values(dispatch->targets);
@@ -187,8 +210,10 @@
 	}
 	g_list_free(all);
 	g_hash_table_iter_init(&iter, dispatch->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		dispatch_adapt_fractions(dispatch, value, now);
+		dispatch_share_limits(dispatch, value, now);
+	}
 }
 
 enum bw_verdict bw_dispatch_offer(struct bw_dispatch *dispatch,
@@ -254,6 +279,7 @@
 		job->tried[job->tried_count++] = target->id_hash;
 	if (!bw_time_reached(now, target->cold_until))
 		target->cold_tokens -= 1.0;
+	bw_server_limit_use(&target->limit, now);
 	dispatch_mark_warm(dispatch, job, now);
 	dispatch_region_count(dispatch, target->region, now);
 }
--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -72,9 +72,6 @@
 				   struct bw_time now);
 static void plan_fractions_(struct bw_dispatch *dispatch,
 			    struct bw_dispatch_service *service);
-static void fill_domains_(const struct bw_dispatch *dispatch,
-			  const struct bw_dispatch_service *service,
-			  struct bw_spread_domain *domains);
 static void default_demand_(struct bw_spread_domain *domains, uint32_t count);
 static double region_step_scale_(const struct bw_dispatch *dispatch,
 				 const struct bw_dispatch_service *service,
@@ -171,7 +168,7 @@
 
 	if (!dispatch->domain_count)
 		return;
-	fill_domains_(dispatch, service, domains);
+	dispatch_fill_domains(dispatch, service, domains);
 	bw_spread(domains, dispatch->domain_count, dispatch->own_domain,
 		  fractions);
 	for (i = 0; i < service->targets->len; i++) {
@@ -180,14 +177,15 @@
 
 		target->planned_fraction = 0.0;
 		if (target->accepts && slots > 0.0)
-			target->planned_fraction = fractions[target->domain] *
-						   target->slots / slots;
+			target->planned_fraction =
+				fractions[target->domain] *
+				dispatch_usable_slots(target) / slots;
 	}
 }
 
-static void fill_domains_(const struct bw_dispatch *dispatch,
-			  const struct bw_dispatch_service *service,
-			  struct bw_spread_domain *domains)
+void dispatch_fill_domains(const struct bw_dispatch *dispatch,
+			   const struct bw_dispatch_service *service,
+			   struct bw_spread_domain *domains)
 {
 	double service_time_ms = service->service_time_ms;
 	uint32_t i;
@@ -207,7 +205,8 @@
 		const struct bw_target *target = service->targets->pdata[i];
 
 		if (target->accepts)
-			domains[target->domain].slots += target->slots;
+			domains[target->domain].slots +=
+				dispatch_usable_slots(target);
 	}
 	default_demand_(domains, dispatch->domain_count);
 }
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -143,13 +143,16 @@
 	double response_ms = target->service->times[target->distance].warm_ms;
 	double queued = (double)target->in_flight + target->other_requests +
 			ahead - (double)target->slots;
+	double limit_ms =
+		bw_server_limit_wait_ms(&target->limit, ahead ? ahead - 1 : 0);
 
 	if (response_ms <= 0.0)
 		response_ms = target->service->times[target->distance].cold_ms;
 	if (queued <= 0.0)
-		return 0.0;
-	return OTHER_HOSTS_QUEUE_FACTOR * response_ms * target->slowness *
-	       queued / MAX(target->slots, 1U);
+		return limit_ms;
+	return MAX(limit_ms, OTHER_HOSTS_QUEUE_FACTOR * response_ms *
+				     target->slowness * queued /
+				     MAX(target->slots, 1U));
 }
 
 bool dispatch_is_allowed(const struct bw_job *job,
@@ -266,9 +269,13 @@
 			  struct bw_time now)
 {
 	struct candidates found;
+	bool home_limited;
 	uint32_t i;
 
 	find_candidates_(dispatch, job, now, &found);
+	/* The wait for a token is not worth a warm run. */
+	home_limited = found.count &&
+		       !bw_server_limit_allows(&found.target[0]->limit, now);
 	for (i = 0; i < found.count; i++) {
 		struct bw_target *target = found.target[i];
 		bool spare = free_slots_(target, now) >
@@ -276,9 +283,11 @@
 
 		if (!has_slot_(target, now) ||
 		    !has_cold_token_(dispatch, target, now) ||
+		    !bw_server_limit_allows(&target->limit, now) ||
 		    !dispatch_region_allowed(dispatch, target->region, now))
 			continue;
-		if (i && !spare && !is_warm_(dispatch, job, target, now))
+		if (i && !spare && !home_limited &&
+		    !is_warm_(dispatch, job, target, now))
 			continue;
 		set_target_(dispatch, job, target, now);
 		return true;
@@ -306,6 +315,7 @@
 		if (!is_eligible_(job, target, now) ||
 		    !has_slot_(target, now) ||
 		    !has_cold_token_(dispatch, target, now) ||
+		    !bw_server_limit_allows(&target->limit, now) ||
 		    !dispatch_region_allowed(dispatch, target->region, now))
 			continue;
 		if (best && cost >= best_cost)
@@ -368,14 +378,18 @@
 	return MAX(fraction, FRACTION_MIN) / -log(point);
 }
 
+bool dispatch_has_own_report(const struct bw_target *target, struct bw_time now)
+{
+	return bw_time_diff_ms(now, target->direct_report_at) < OWN_REPORT_MS;
+}
+
 void bw_dispatch_note_load(struct bw_dispatch *dispatch, uint64_t id_hash,
 			   uint32_t busy, struct bw_time now)
 {
 	struct bw_target *target =
 		g_hash_table_lookup(dispatch->targets, &id_hash);
 
-	if (!target ||
-	    bw_time_diff_ms(now, target->direct_report_at) < OWN_REPORT_MS)
+	if (!target || dispatch_has_own_report(target, now))
 		return;
 	target->other_requests = busy > target->in_flight
 					 ? (double)(busy - target->in_flight)
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -40,6 +40,29 @@
 			      struct bw_dispatch_service *service,
 			      struct bw_time now);
 
+/**
+ * Sets the share of this host in the limits of the servers of a service, by the
+ * planned flow of requests from its domain to theirs.
+ */
+void dispatch_share_limits(struct bw_dispatch *dispatch,
+			   struct bw_dispatch_service *service,
+			   struct bw_time now);
+
+/** Fills in the capacity and the planned demand of all domains. */
+void dispatch_fill_domains(const struct bw_dispatch *dispatch,
+			   const struct bw_dispatch_service *service,
+			   struct bw_spread_domain *domains);
+
+/**
+ * Returns whether a server reported to this host itself so recently that
+ * reports of other hosts are ignored.
+ */
+bool dispatch_has_own_report(const struct bw_target *target,
+			     struct bw_time now);
+
+/** Returns the slots of a server that its limit lets all hosts fill. */
+double dispatch_usable_slots(const struct bw_target *target);
+
 /**
  * Returns whether one more request may be sent to a region. The share of a
  * region may grow only by a limited step from one window to the next.
--- a/src/test_platform/test_platform.c
+++ b/src/test_platform/test_platform.c
@@ -366,6 +366,21 @@
 	fclose(file);
 }
 
+static void test_limit_of_server(void **state)
+{
+	double limit_per_s = 7.0;
+
+	(void)state;
+	assert_true(platform_limit_read("12.5", &limit_per_s));
+	assert_true(limit_per_s > 12.4 && limit_per_s < 12.6);
+	assert_true(platform_limit_read("0", &limit_per_s));
+	assert_false(platform_limit_read("", &limit_per_s));
+	assert_false(platform_limit_read("-1", &limit_per_s));
+	assert_false(platform_limit_read("nan", &limit_per_s));
+	assert_false(platform_limit_read("1e999", &limit_per_s));
+	assert_false(platform_limit_read("5 a second", &limit_per_s));
+}
+
 static void test_settings(void **state)
 {
 	static const char text[] =
@@ -424,6 +439,7 @@
 		cmocka_unit_test(test_corrupted_input),
 		cmocka_unit_test(test_calls),
 		cmocka_unit_test(test_load_report),
+		cmocka_unit_test(test_limit_of_server),
 		cmocka_unit_test(test_settings),
 	};
 
--- a/tools/gate_backend.c
+++ b/tools/gate_backend.c
@@ -4,9 +4,10 @@
  * without its response, "silent" executes it and never responds, "full" rejects
  * it with 503, "slow" responds after one second, "crash" executes it and ends
  * the process, "listed" responds with a Connection field that lists other
- * fields of the response, and any other value responds at once. Each execution
- * is appended to a ledger file: request id, server id, wall clock in ms, size
- * of the body.
+ * fields of the response, "limited" names a limit of the requests per second
+ * that the server takes from all hosts together, and any other value responds
+ * at once. Each execution is appended to a ledger file: request id, server id,
+ * wall clock in ms, size of the body.
  */
 #include <ev.h>
 #include <signal.h>
@@ -23,6 +24,7 @@
 #define BODY_MAX_BYTES (64 * 1024 * 1024)
 #define TIMEOUT_MS 60000
 #define SLOW_RESPONSE_S 1.0
+#define LIMIT_PER_S 2.0
 
 /** State of the process. */
 struct backend {
@@ -176,6 +178,9 @@
 		bw_buffer_printf(&fields,
 				 "Connection: Response-Stamp, Request-Id, X\r\n"
 				 "X: 1\r\n");
+	if (target_ends_with_(request, "/limited"))
+		bw_buffer_printf(&fields, "Server-Limit: %.1f\r\n",
+				 LIMIT_PER_S);
 	bw_buffer_printf(&body, "%s %.*s %zu\n", id,
 			 (int)request->target.size_bytes,
 			 bw_http_text(request, request->target),
