Leave alone servers that say that they leave or want a pause

New rules on the users' pages, in force: a server that leaves says so in all its answers (Server-Leaving); one that rejects a request with 503 may add Retry-After and wants nothing from this host for so long. Neither was read: the server got requests until its announcement arrived, or until it was ejected for failures.

Change: both are read where the limit is. A leaving server gets no new request from this host, queued ones are placed again, and it has no part in the plan; only the answer to a request that was sent later takes that back. A pause, at most 30 s, makes a server ineligible without counting as a failure; when all servers pause until after a request's deadline, it is rejected at once (servers_paused) with the time of the first pause's end. Lines server_leaving, server_paused, counter bw_server_pauses_total.

Other hosts don't learn a leave from this one yet.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -125,6 +125,9 @@
 			       one request takes one token */
 	struct bw_time cold_refilled; /**< last refill of cold_tokens */
 	struct bw_server_limit limit; /**< named by the server */
+	bool leaving; /**< it has said so in an answer */
+	struct bw_time leaving_since;
+	struct bw_time paused_until; /**< it wants no requests until then */
 	bool accepts; /**< may get new requests */
 	bool in_update; /**< included in the update in progress */
 	uint32_t references; /**< number of jobs that use this target; a removed
@@ -140,6 +143,8 @@
 			       arrival or while the request waits */
 	BW_REJECT_DEADLINE, /**< the deadline passed while the request waited */
 	BW_REJECT_CRASHES, /**< similar requests crashed backend servers */
+	BW_REJECT_PAUSED, /**< all backend servers want no requests until after
+			       its deadline */
 	BW_REJECT_NO_ROUTE, /**< its route was removed while it waited */
 	BW_REJECT_COUNT
 };
@@ -277,7 +282,26 @@
 			    struct bw_target *target, double limit_per_s,
 			    struct bw_time now);
 
-/** Does the same with a limit that another host reports. */
+/** Longest pause of a server that is kept. */
+#define BW_DISPATCH_PAUSE_MAX_MS 30000
+
+/**
+ * Notes that a server wants no requests from this host for some time. That is
+ * no failure of the server.
+ */
+void bw_dispatch_note_pause(struct bw_target *target, int64_t pause_ms,
+			    struct bw_time now);
+
+/**
+ * Notes whether a server says in an answer that it leaves; it then gets no new
+ * requests. Only the answer to a later request can take that back.
+ * @param sent when the answered request was sent
+ * @return whether the state has changed
+ */
+bool bw_dispatch_note_leaving(struct bw_target *target, bool leaving,
+			      struct bw_time sent, struct bw_time now);
+
+/** Notes a limit that another host reports. */
 bool bw_dispatch_note_shared_limit(struct bw_dispatch *dispatch,
 				   uint64_t id_hash, double limit_per_s,
 				   struct bw_time now);
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -63,6 +63,9 @@
 	{ "rejected", "crashes_servers",
 	  "It has not run. Identical requests crashed several servers that ran "
 	  "them; see the\nserver_crash_counted lines." },
+	{ "rejected", "servers_paused",
+	  "It has not run. All backend servers had asked for no requests until "
+	  "after its deadline;\nsee the server_paused lines." },
 	{ "rejected", "route_removed",
 	  "It has not run. A newer configuration without its route came into "
 	  "force while it waited;\nsee the routing_in_force lines." },
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -120,6 +120,7 @@
 	struct bw_metric *routing_age_s;
 	struct bw_metric *notices_invalid; /**< see gate_notice.h */
 	struct bw_metric *limits_changed;
+	struct bw_metric *pauses;
 	struct bw_metric *routing_fetches;
 	struct bw_metric *routing_received_bytes;
 	uint64_t fetches_since; /**< since the active version came */
--- a/src/boragewingd/gate_notice.c
+++ b/src/boragewingd/gate_notice.c
@@ -1,5 +1,7 @@
 #include "gate_notice.h"
 
+#include <string.h>
+
 #include "platform.h"
 
 /** Stands for a limit of 0, which is not the same as none. */
@@ -8,9 +10,19 @@
 static void read_limit_(struct gate_request *request,
 			const struct bw_http_message *response,
 			struct bw_time now);
+static void read_leaving_(struct gate_request *request,
+			  const struct bw_http_message *response,
+			  struct bw_time now);
+static void read_pause_(struct gate_request *request,
+			const struct bw_http_message *response,
+			struct bw_time now);
 
 void gate_notice_init(struct gate_entry *entry)
 {
+	entry->pauses = bw_metrics_get(
+		&entry->node->metrics, BW_METRIC_COUNTER,
+		"bw_server_pauses_total",
+		"Times that a backend server asked for no requests", "");
 	entry->notices_invalid = bw_metrics_get(
 		&entry->node->metrics, BW_METRIC_COUNTER,
 		"bw_server_notices_invalid_total",
@@ -30,6 +42,9 @@
 	if (response->status_code == 421)
 		return;
 	read_limit_(request, response, now);
+	read_leaving_(request, response, now);
+	if (response->status_code == 503)
+		read_pause_(request, response, now);
 }
 
 static void read_limit_(struct gate_request *request,
@@ -57,3 +72,47 @@
 		     request->id, "limit_per_s", limit_per_s, "share_per_s",
 		     bw_server_limit_rate_per_s(&target->limit));
 }
+
+static void read_leaving_(struct gate_request *request,
+			  const struct bw_http_message *response,
+			  struct bw_time now)
+{
+	struct gate_entry *entry = request->entry;
+	struct bw_target *target = request->job.target;
+	bool leaving;
+	char text[8];
+
+	leaving = bw_http_find(response, PLATFORM_FIELD_LEAVING, text,
+			       sizeof(text)) &&
+		  !strcmp(text, "1");
+	if (!bw_dispatch_note_leaving(target, leaving, request->job.sent, now))
+		return;
+	bw_log_event(entry->node->log, BW_LOG_INFO, "registry",
+		     "server_leaving", "{s:s,s:s,s:s,s:b}", "server",
+		     target->id, "service", target->service->name, "request",
+		     request->id, "leaving", leaving);
+}
+
+static void read_pause_(struct gate_request *request,
+			const struct bw_http_message *response,
+			struct bw_time now)
+{
+	struct gate_entry *entry = request->entry;
+	struct bw_target *target = request->job.target;
+	int64_t pause_ms;
+	char text[64];
+
+	if (!bw_http_find(response, PLATFORM_FIELD_RETRY_AFTER, text,
+			  sizeof(text)))
+		return;
+	if (!platform_pause_read(text, &pause_ms)) {
+		bw_metric_add(entry->notices_invalid, 1);
+		return;
+	}
+	bw_dispatch_note_pause(target, pause_ms, now);
+	bw_metric_add(entry->pauses, 1);
+	bw_log_event(entry->node->log, BW_LOG_INFO, "registry", "server_paused",
+		     "{s:s,s:s,s:s,s:I}", "server", target->id, "service",
+		     target->service->name, "request", request->id, "pause_ms",
+		     (json_int_t)pause_ms);
+}
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -45,6 +45,8 @@
 static void reject_(struct bw_dispatch *dispatch, const struct bw_job *job,
 		    enum bw_reject reason, struct bw_rejection *rejection);
 static bool has_allowed_target_(const struct bw_job *job);
+static bool is_paused_(const struct bw_job *job, struct bw_time now,
+		       struct bw_rejection *rejection);
 static uint32_t count_ahead_(const struct bw_job *job);
 static void check_waits_(struct bw_dispatch_service *service,
 			 struct bw_time now);
@@ -69,6 +71,7 @@
 	[BW_REJECT_OVERLOAD] = "overload",
 	[BW_REJECT_DEADLINE] = "deadline",
 	[BW_REJECT_CRASHES] = "crashes_servers",
+	[BW_REJECT_PAUSED] = "servers_paused",
 	[BW_REJECT_NO_ROUTE] = "route_removed",
 };
 
@@ -184,6 +187,24 @@
 	return true;
 }
 
+void bw_dispatch_note_pause(struct bw_target *target, int64_t pause_ms,
+			    struct bw_time now)
+{
+	pause_ms = CLAMP(pause_ms, 0, BW_DISPATCH_PAUSE_MAX_MS);
+	target->paused_until = bw_time_add(now, pause_ms);
+}
+
+bool bw_dispatch_note_leaving(struct bw_target *target, bool leaving,
+			      struct bw_time sent, struct bw_time now)
+{
+	if (target->leaving == leaving ||
+	    (!leaving && !bw_time_reached(sent, target->leaving_since)))
+		return false;
+	target->leaving = leaving;
+	target->leaving_since = now;
+	return true;
+}
+
 bool bw_dispatch_note_shared_limit(struct bw_dispatch *dispatch,
 				   uint64_t id_hash, double limit_per_s,
 				   struct bw_time now)
@@ -229,6 +250,8 @@
 	}
 	if (!job->tried_count)
 		job->service->arrival_count++;
+	if (is_paused_(job, now, rejection))
+		return BW_VERDICT_REJECT;
 	dispatch_find_home(dispatch, job, now);
 	if (!count_ahead_(job) && dispatch_place(dispatch, job, now))
 		return BW_VERDICT_SEND;
@@ -472,6 +495,30 @@
 	return false;
 }
 
+/*
+ * Returns whether all servers that may run a job want no requests until after
+ * its deadline. The client may return when the first pause ends.
+ */
+static bool is_paused_(const struct bw_job *job, struct bw_time now,
+		       struct bw_rejection *rejection)
+{
+	const GPtrArray *targets = job->service->targets;
+	int64_t first_ms = INT64_MAX;
+	uint32_t i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct bw_target *target = targets->pdata[i];
+
+		if (dispatch_is_allowed(job, target))
+			first_ms = MIN(first_ms, target->paused_until.ms);
+	}
+	if (first_ms < job->deadline.ms)
+		return false;
+	rejection->reason = BW_REJECT_PAUSED;
+	rejection->retry_after_ms = (uint32_t)(first_ms - now.ms);
+	return true;
+}
+
 /* Counts the jobs that wait for the same server and go before this one. */
 static uint32_t count_ahead_(const struct bw_job *job)
 {
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -160,7 +160,7 @@
 {
 	uint32_t i;
 
-	if (!target->accepts || !target->slots)
+	if (!target->accepts || !target->slots || target->leaving)
 		return false;
 	if (job->regions && !(job->regions & (1U << target->region)))
 		return false;
@@ -401,7 +401,8 @@
 			 const struct bw_target *target, struct bw_time now)
 {
 	return dispatch_is_allowed(job, target) &&
-	       bw_time_reached(now, target->ejected_until);
+	       bw_time_reached(now, target->ejected_until) &&
+	       bw_time_reached(now, target->paused_until);
 }
 
 static void set_target_(struct bw_dispatch *dispatch, struct bw_job *job,
--- a/tools/gate_backend.c
+++ b/tools/gate_backend.c
@@ -5,7 +5,9 @@
  * it with 503, "slow" responds after one second, "crash" executes it and ends
  * the process, "listed" responds with a Connection field that lists other
  * fields of the response, "limited" names a limit of the requests per second
- * that the server takes from all hosts together, and any other value responds
+ * that the server takes from all hosts together, "leaving" says that the server
+ * leaves, "paused" rejects the request with a Retry-After (it is in the ledger
+ * all the same), and any other value responds
  * at once. Each execution is appended to a ledger file: request id, server id,
  * wall clock in ms, size of the body.
  */
@@ -25,6 +27,7 @@
 #define TIMEOUT_MS 60000
 #define SLOW_RESPONSE_S 1.0
 #define LIMIT_PER_S 2.0
+#define PAUSE_S 3.0
 
 /** State of the process. */
 struct backend {
@@ -47,6 +50,8 @@
 static void on_disconnected_(void *context,
 			     struct bw_server_connection *connection);
 static void on_delay_end_(struct ev_loop *loop, ev_timer *timer, int events);
+static void reject_with_pause_(struct bw_server_connection *connection,
+			       const struct bw_http_message *request);
 static void respond_(struct backend *backend,
 		     struct bw_server_connection *connection);
 static bool target_ends_with_(const struct bw_http_message *request,
@@ -113,6 +118,10 @@
 		return;
 	}
 	append_to_ledger_(backend, request);
+	if (target_ends_with_(request, "/paused")) {
+		reject_with_pause_(connection, request);
+		return;
+	}
 	if (target_ends_with_(request, "/silent"))
 		return;
 	if (target_ends_with_(request, "/crash"))
@@ -158,6 +167,22 @@
 	free(delayed);
 }
 
+static void reject_with_pause_(struct bw_server_connection *connection,
+			       const struct bw_http_message *request)
+{
+	struct bw_buffer fields;
+	char id[128] = "";
+
+	bw_http_find(request, "Request-Id", id, sizeof(id));
+	bw_buffer_init(&fields);
+	bw_buffer_printf(&fields,
+			 "Not-Executed: 1\r\nRequest-Id: %s\r\n"
+			 "Retry-After: %.1f\r\n",
+			 id, PAUSE_S);
+	bw_connection_respond(connection, 503, &fields, NULL, 0, false);
+	bw_buffer_finish(&fields);
+}
+
 static void respond_(struct backend *backend,
 		     struct bw_server_connection *connection)
 {
@@ -178,6 +203,8 @@
 		bw_buffer_printf(&fields,
 				 "Connection: Response-Stamp, Request-Id, X\r\n"
 				 "X: 1\r\n");
+	if (target_ends_with_(request, "/leaving"))
+		bw_buffer_printf(&fields, "Server-Leaving: 1\r\n");
 	if (target_ends_with_(request, "/limited"))
 		bw_buffer_printf(&fields, "Server-Limit: %.1f\r\n",
 				 LIMIT_PER_S);
