Move what keeps and checks a request's route to one file

Input for a later look-up goes to gate_request_check.c; the codec of versions to distribute_store.c. No behaviour changes.

--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -43,9 +43,6 @@
 static void set_deadline_(struct gate_request *request,
 			  const struct bw_http_message *message,
 			  struct bw_time now);
-static void keep_routing_input_(struct gate_request *request,
-				const struct bw_http_message *message,
-				const struct bw_http_target *target);
 static bool reject_if_poison_(struct gate_request *request);
 static bool is_current_(struct gate_request *request);
 static bool is_current_on_connection_(struct gate_request *request);
@@ -100,7 +97,7 @@
 	request = new_request_(entry, connection, message);
 	request->route = route;
 	set_deadline_(request, message, gate_node_now(entry->node));
-	keep_routing_input_(request, message, &target);
+	gate_request_keep_input(request, message, &target);
 	gate_request_choose_service(request);
 	gate_forward_copy_head(request, message, &target);
 	entry->retry_tokens += RETRY_SHARE * entry->node->settings.retry_ratio;
@@ -241,19 +238,6 @@
 	ev_timer_start(request->entry->node->loop, &request->deadline_timer);
 }
 
-/* Keeps what a later configuration needs to route the request again. */
-static void keep_routing_input_(struct gate_request *request,
-				const struct bw_http_message *message,
-				const struct bw_http_target *target)
-{
-	char key[256];
-
-	request->host = g_strndup(target->host, target->host_bytes);
-	if (bw_http_find(message, PLATFORM_FIELD_AFFINITY_KEY, key,
-			 sizeof(key)))
-		request->affinity_key = g_strdup(key);
-}
-
 /* Rejects a request that crashes servers. @return whether it was rejected */
 static bool reject_if_poison_(struct gate_request *request)
 {
--- a/src/boragewingd/gate_request_check.c
+++ b/src/boragewingd/gate_request_check.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "gate_entry_private.h"
+#include "platform.h"
 
 static enum gate_check check_route_(struct gate_request *request);
 static const struct bw_route *find_route_(const struct gate_request *request);
@@ -19,6 +20,18 @@
 	[GATE_CHECK_EXPIRED] = "deadline",
 };
 
+void gate_request_keep_input(struct gate_request *request,
+			     const struct bw_http_message *message,
+			     const struct bw_http_target *target)
+{
+	char key[256];
+
+	request->host = g_strndup(target->host, target->host_bytes);
+	if (bw_http_find(message, PLATFORM_FIELD_AFFINITY_KEY, key,
+			 sizeof(key)))
+		request->affinity_key = g_strdup(key);
+}
+
 void gate_request_choose_service(struct gate_request *request)
 {
 	struct gate_entry *entry = request->entry;
--- a/src/boragewingd/gate_request_check.h
+++ b/src/boragewingd/gate_request_check.h
@@ -7,8 +7,14 @@
 #ifndef BORAGEWINGD_GATE_REQUEST_CHECK_H
 #define BORAGEWINGD_GATE_REQUEST_CHECK_H
 
+#include "bwproxy/target.h"
 #include "gate_request.h"
 
+/** Keeps what a later configuration needs to route a request again. */
+void gate_request_keep_input(struct gate_request *request,
+			     const struct bw_http_message *message,
+			     const struct bw_http_target *target);
+
 /** Chooses the service of a request, and its object, by its route. */
 void gate_request_choose_service(struct gate_request *request);
 
--- a/src/libbwmember/distribute_store.c
+++ b/src/libbwmember/distribute_store.c
@@ -31,6 +31,32 @@
 				   size_bytes, NULL, 0);
 }
 
+void distribute_write_version(struct bw_writer *writer,
+			      const struct distribute_version *version)
+{
+	bw_write_array(writer, 2);
+	bw_write_uint(writer, version->number);
+	bw_write_bin(writer, version->hash,
+		     version->number ? BW_DOCUMENT_HASH_BYTES : 0);
+}
+
+void distribute_read_version(struct bw_reader *reader,
+			     struct distribute_version *version)
+{
+	const uint8_t *hash;
+	size_t size_bytes;
+
+	memset(version, 0, sizeof(*version));
+	bw_read_array(reader);
+	version->number = bw_read_uint(reader);
+	hash = bw_read_bin(reader, &size_bytes);
+	bw_read_end(reader);
+	if (size_bytes != (version->number ? BW_DOCUMENT_HASH_BYTES : 0))
+		reader->failed = true;
+	else if (size_bytes)
+		memcpy(version->hash, hash, size_bytes);
+}
+
 struct bw_distribute_peer *distribute_peer(struct bw_distribute *distribute,
 					   const char *name)
 {
