Test that a difference that does not fit is replaced by a whole copy

A transfer whose base is replaced on the way (by the text of a host of an earlier version) is counted as a misfit, and a whole copy follows.

--- a/src/test_libbwmember/test_transfer_links.c
+++ b/src/test_libbwmember/test_transfer_links.c
@@ -472,6 +472,70 @@
 	assert_true(results.pieces_bytes < 12 * 100000);
 }
 
+/* Passes all packets between the receiver and source 0 until none is left. */
+static void exchange_(struct bw_time now)
+{
+	struct bw_outbox replies;
+	uint32_t i;
+
+	bw_outbox_init(&replies, PACKETS_MAX);
+	while (out.count) {
+		for (i = 0; i < out.count; i++) {
+			bw_name_set(out.packets[i].peer, "receiver");
+			bw_distribute_receive(&sources[0].distribute,
+					      &out.packets[i], now, &replies);
+		}
+		bw_outbox_clear(&out);
+		for (i = 0; i < replies.count; i++) {
+			bw_name_set(replies.packets[i].peer, sources[0].name);
+			bw_distribute_receive(&receiver, &replies.packets[i],
+					      now, &out);
+		}
+		bw_outbox_clear(&replies);
+	}
+	bw_outbox_finish(&replies);
+}
+
+/* Guards against a host that stays behind because the difference that it
+ * received is for a version that it no longer has. */
+static void test_misfit_is_replaced_by_a_whole_copy(void **state)
+{
+	struct run run = narrow_link_(4);
+	struct bw_time now = { 50000 };
+	static const char other[] = "from a host of an earlier version";
+
+	(void)state;
+	run.receive_bytes_per_s = 0;
+	set_up_run_(&run, now);
+	publish_next_(run.routes_added, now);
+	bw_distribute_request(&receiver, BW_DOCUMENT_SHEET, sources[0].name,
+			      now, &out);
+	exchange_(now);
+	assert_int_equal(bw_distribute_number(&receiver, BW_DOCUMENT_SHEET), 1);
+	newest = 2;
+	add_routes_(&versions[2], run.routes_added);
+	newest = 3;
+	bw_buffer_append(&versions[3], versions[1].data,
+			 versions[1].size_bytes);
+	add_routes_(&versions[3], 1);
+	bw_distribute_publish(&sources[0].distribute, BW_DOCUMENT_SHEET, 3,
+			      versions[3].data, versions[3].size_bytes, now);
+	/* The answer is on its way while another version comes into force. */
+	bw_distribute_request(&receiver, BW_DOCUMENT_SHEET, sources[0].name,
+			      now, &out);
+	bw_distribute_publish(&receiver, BW_DOCUMENT_SHEET, 2, other,
+			      sizeof(other), now);
+	bw_distribute_request(&receiver, BW_DOCUMENT_SHEET, sources[0].name,
+			      now, &out);
+	exchange_(now);
+	assert_int_equal(bw_distribute_number(&receiver, BW_DOCUMENT_SHEET), 3);
+	assert_true(receiver.stats.difference_misfit_count > 0);
+	assert_true(receiver.stats.full_applied_count == 2);
+	note_version_(2);
+	assert_int_equal(results.mixed, 0);
+	finish_run_();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -479,6 +543,7 @@
 		cmocka_unit_test(test_checks_notice_large_or_unpaced_pieces),
 		cmocka_unit_test(test_receiver_catches_up_with_failing_sources),
 		cmocka_unit_test(test_changes_cost_what_they_change),
+		cmocka_unit_test(test_misfit_is_replaced_by_a_whole_copy),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
