Check submissions only on the leader

A control host parsed a submission before it found that it is not the leader and redirected the caller, so that each large configuration stalled two hosts in turn. It redirects first now.

The leader still parses the text in one go.

--- a/src/boragewingd/gate_control_calls.c
+++ b/src/boragewingd/gate_control_calls.c
@@ -233,6 +233,8 @@
 	char error[PLATFORM_ERROR_BYTES] = "";
 	enum bw_status status;
 
+	if (redirect_to_leader_(control, connection, now))
+		return;
 	status = platform_routing_read(
 		request->body.data, request->body.size_bytes, &routing, error);
 	if (status == BW_ENOMEM) {
@@ -250,8 +252,6 @@
 	}
 	submit.revision = routing->version;
 	bw_routing_unref(routing);
-	if (redirect_to_leader_(control, connection, now))
-		return;
 	submit.text = request->body.data;
 	submit.text_size_bytes = request->body.size_bytes;
 	crypto_generichash(submit.hash, BW_HASH_BYTES, submit.text,
