--- a/src/libbwmember/distribute_pieces.c
+++ b/src/libbwmember/distribute_pieces.c
@@ -6,6 +6,34 @@
 
 #include "private/delta.h"
 
+/** A decoded PIECE packet. */
+struct piece {
+	struct distribute_encoding_id id;
+	uint64_t target_bytes;
+	uint64_t plain_bytes;
+	uint64_t packed_bytes; /**< of the whole encoding */
+	uint64_t offset; /**< in the encoding */
+	const uint8_t *bytes;
+	size_t size_bytes;
+};
+
+static const struct distribute_encoding *
+choose_encoding_(struct bw_distribute *distribute,
+		 const struct bw_distribute_request *request, uint32_t *offset);
+static enum bw_status write_piece_(struct bw_buffer *body,
+				   const struct bw_distribute_request *request,
+				   const struct distribute_encoding *encoding,
+				   uint32_t offset);
+static bool read_piece_(struct bw_reader *reader, struct piece *piece);
+static bool is_wanted_(const struct bw_distribute_document *state,
+		       const struct piece *piece);
+static void begin_transfer_(struct distribute_fetch *fetch,
+			    const struct piece *piece);
+static bool continues_(const struct distribute_fetch *fetch,
+		       const struct piece *piece);
+static void schedule_request_(const struct bw_distribute *distribute,
+			      struct distribute_fetch *fetch,
+			      size_t size_bytes);
 static const struct distribute_encoding *
 find_or_encode_(struct bw_distribute *distribute,
 		struct bw_distribute_document *state,
@@ -30,49 +58,17 @@
 		      const struct bw_distribute_request *request,
 		      struct bw_time now, struct bw_outbox *out)
 {
-	struct bw_distribute_document *state =
-		&distribute->documents[request->document];
-	struct distribute_encoding_id newest = {
-		.target = state->current.version,
-		.base = request->base,
-	};
-	const struct distribute_encoding *encoding = NULL;
+	const struct distribute_encoding *encoding;
 	uint32_t offset = request->piece_offset;
 	struct bw_buffer body = { 0 };
-	struct bw_writer writer;
 	enum bw_status status;
-	uint32_t size;
 
-	if (offset)
-		encoding =
-			find_or_encode_(distribute, state, &request->encoding);
-	if (!encoding || offset >= encoding->packed.size_bytes) {
-		offset = 0;
-		encoding = find_or_encode_(distribute, state, &newest);
-	}
-	if (!encoding && request->base.number < state->current.version.number) {
-		memset(&newest.base, 0, sizeof(newest.base));
-		encoding = find_or_encode_(distribute, state, &newest);
-	}
+	encoding = choose_encoding_(distribute, request, &offset);
 	if (!encoding)
 		return distribute_send_digest(distribute, request->peer, now,
 					      out);
-	size = (uint32_t)encoding->packed.size_bytes - offset;
-	if (size > request->piece_bytes)
-		size = request->piece_bytes;
-	bw_writer_init(&writer, &body);
-	bw_write_array(&writer, 9);
-	bw_write_uint(&writer, DISTRIBUTE_WIRE_VERSION);
-	bw_write_uint(&writer, DISTRIBUTE_PIECE);
-	bw_write_uint(&writer, request->document);
-	distribute_write_encoding_id(&writer, &encoding->id);
-	bw_write_uint(&writer, encoding->target_bytes);
-	bw_write_uint(&writer, encoding->plain_bytes);
-	bw_write_uint(&writer, encoding->packed.size_bytes);
-	bw_write_uint(&writer, offset);
-	bw_write_bin(&writer, encoding->packed.data + offset, size);
+	status = write_piece_(&body, request, encoding, offset);
 	distribute->tokens -= (int64_t)body.size_bytes;
-	status = writer.status;
 	if (status == BW_OK)
 		status = bw_outbox_add(out, request->peer,
 				       BW_CHANNEL_DISTRIBUTE, body.data,
@@ -90,60 +86,27 @@
 {
 	struct bw_distribute_document *state = &distribute->documents[document];
 	struct distribute_fetch *fetch = &state->fetch;
-	const uint8_t *bytes;
-	uint64_t target_bytes;
-	uint64_t plain_bytes;
-	uint64_t packed_bytes;
-	uint64_t offset;
-	size_t size;
+	struct piece piece;
 	enum bw_status status;
 
 	*complete = false;
-	distribute_read_encoding_id(reader, id);
-	target_bytes = bw_read_uint(reader);
-	plain_bytes = bw_read_uint(reader);
-	packed_bytes = bw_read_uint(reader);
-	offset = bw_read_uint(reader);
-	bytes = bw_read_bin(reader, &size);
-	if (reader->failed || !id->target.number || !size ||
-	    target_bytes > BW_DOCUMENT_MAX_BYTES ||
-	    plain_bytes > BW_DOCUMENT_MAX_BYTES ||
-	    packed_bytes > 2 * BW_DOCUMENT_MAX_BYTES || offset > packed_bytes ||
-	    size > packed_bytes - offset)
+	if (!read_piece_(reader, &piece))
 		return BW_EINVAL;
+	*id = piece.id;
 	distribute->stats.piece_received_count++;
-	distribute->stats.piece_received_bytes += size;
-	if (id->target.number <= state->current.version.number)
-		return BW_OK;
-	/* A busy source may respond after the request has timed out. */
-	if (!fetch->active &&
-	    !(fetch->target.number &&
-	      distribute_same_version(&id->target, &fetch->target)))
+	distribute->stats.piece_received_bytes += piece.size_bytes;
+	if (!is_wanted_(state, &piece))
 		return BW_OK;
 	fetch->active = true;
-	if (!offset && !same_encoding_(id, &fetch->encoding.id)) {
-		if (id->target.number < fetch->encoding.id.target.number)
-			return BW_OK;
-		distribute_clear_fetch(fetch);
-		fetch->encoding.id = *id;
-		fetch->encoding.target_bytes = (uint32_t)target_bytes;
-		fetch->encoding.plain_bytes = (uint32_t)plain_bytes;
-		fetch->packed_bytes = (uint32_t)packed_bytes;
-	}
-	if (!same_encoding_(id, &fetch->encoding.id) ||
-	    packed_bytes != fetch->packed_bytes ||
-	    offset != fetch->encoding.packed.size_bytes)
+	if (!piece.offset && !same_encoding_(&piece.id, &fetch->encoding.id))
+		begin_transfer_(fetch, &piece);
+	if (!continues_(fetch, &piece))
 		return BW_OK;
-	status = bw_buffer_append(&fetch->encoding.packed, bytes, size);
+	status = bw_buffer_append(&fetch->encoding.packed, piece.bytes,
+				  piece.size_bytes);
 	if (status != BW_OK)
 		return status;
-	fetch->asked = false;
-	fetch->next_request = fetch->asked_at;
-	if (distribute->config.receive_bytes_per_s)
-		fetch->next_request = bw_time_add(
-			fetch->asked_at,
-			(int64_t)size * 1000 /
-				distribute->config.receive_bytes_per_s);
+	schedule_request_(distribute, fetch, piece.size_bytes);
 	if (fetch->encoding.packed.size_bytes < fetch->packed_bytes)
 		return BW_OK;
 	status = decode_(state, content);
@@ -187,6 +150,124 @@
 	bw_read_end(reader);
 }
 
+/*
+ * Goes on with the encoding that the receiver has a part of, if possible.
+ * Otherwise the newest version begins, as a difference or whole.
+ */
+static const struct distribute_encoding *
+choose_encoding_(struct bw_distribute *distribute,
+		 const struct bw_distribute_request *request, uint32_t *offset)
+{
+	struct bw_distribute_document *state =
+		&distribute->documents[request->document];
+	struct distribute_encoding_id newest = {
+		.target = state->current.version,
+		.base = request->base,
+	};
+	const struct distribute_encoding *encoding = NULL;
+
+	if (*offset)
+		encoding =
+			find_or_encode_(distribute, state, &request->encoding);
+	if (encoding && *offset < encoding->packed.size_bytes)
+		return encoding;
+	*offset = 0;
+	encoding = find_or_encode_(distribute, state, &newest);
+	if (encoding || request->base.number >= newest.target.number)
+		return encoding;
+	memset(&newest.base, 0, sizeof(newest.base));
+	return find_or_encode_(distribute, state, &newest);
+}
+
+static enum bw_status write_piece_(struct bw_buffer *body,
+				   const struct bw_distribute_request *request,
+				   const struct distribute_encoding *encoding,
+				   uint32_t offset)
+{
+	uint32_t size = (uint32_t)encoding->packed.size_bytes - offset;
+	struct bw_writer writer;
+
+	if (size > request->piece_bytes)
+		size = request->piece_bytes;
+	bw_writer_init(&writer, body);
+	bw_write_array(&writer, 9);
+	bw_write_uint(&writer, DISTRIBUTE_WIRE_VERSION);
+	bw_write_uint(&writer, DISTRIBUTE_PIECE);
+	bw_write_uint(&writer, request->document);
+	distribute_write_encoding_id(&writer, &encoding->id);
+	bw_write_uint(&writer, encoding->target_bytes);
+	bw_write_uint(&writer, encoding->plain_bytes);
+	bw_write_uint(&writer, encoding->packed.size_bytes);
+	bw_write_uint(&writer, offset);
+	bw_write_bin(&writer, encoding->packed.data + offset, size);
+	return writer.status;
+}
+
+static bool read_piece_(struct bw_reader *reader, struct piece *piece)
+{
+	distribute_read_encoding_id(reader, &piece->id);
+	piece->target_bytes = bw_read_uint(reader);
+	piece->plain_bytes = bw_read_uint(reader);
+	piece->packed_bytes = bw_read_uint(reader);
+	piece->offset = bw_read_uint(reader);
+	piece->bytes = bw_read_bin(reader, &piece->size_bytes);
+	return !reader->failed && piece->id.target.number &&
+	       piece->size_bytes &&
+	       piece->target_bytes <= BW_DOCUMENT_MAX_BYTES &&
+	       piece->plain_bytes <= BW_DOCUMENT_MAX_BYTES &&
+	       piece->packed_bytes <= 2 * BW_DOCUMENT_MAX_BYTES &&
+	       piece->offset <= piece->packed_bytes &&
+	       piece->size_bytes <= piece->packed_bytes - piece->offset;
+}
+
+/* A busy source may respond after the request has timed out. */
+static bool is_wanted_(const struct bw_distribute_document *state,
+		       const struct piece *piece)
+{
+	const struct distribute_fetch *fetch = &state->fetch;
+
+	if (piece->id.target.number <= state->current.version.number)
+		return false;
+	return fetch->active ||
+	       (fetch->target.number &&
+		distribute_same_version(&piece->id.target, &fetch->target));
+}
+
+/* A transfer of a newer version replaces one that is not complete. */
+static void begin_transfer_(struct distribute_fetch *fetch,
+			    const struct piece *piece)
+{
+	if (piece->id.target.number < fetch->encoding.id.target.number)
+		return;
+	distribute_clear_fetch(fetch);
+	fetch->encoding.id = piece->id;
+	fetch->encoding.target_bytes = (uint32_t)piece->target_bytes;
+	fetch->encoding.plain_bytes = (uint32_t)piece->plain_bytes;
+	fetch->packed_bytes = (uint32_t)piece->packed_bytes;
+}
+
+static bool continues_(const struct distribute_fetch *fetch,
+		       const struct piece *piece)
+{
+	return same_encoding_(&piece->id, &fetch->encoding.id) &&
+	       piece->packed_bytes == fetch->packed_bytes &&
+	       piece->offset == fetch->encoding.packed.size_bytes;
+}
+
+/* The next request keeps the limit of the rate. */
+static void schedule_request_(const struct bw_distribute *distribute,
+			      struct distribute_fetch *fetch, size_t size_bytes)
+{
+	uint32_t bytes_per_s = distribute->config.receive_bytes_per_s;
+
+	fetch->asked = false;
+	fetch->next_request = fetch->asked_at;
+	if (bytes_per_s)
+		fetch->next_request =
+			bw_time_add(fetch->asked_at,
+				    (int64_t)size_bytes * 1000 / bytes_per_s);
+}
+
 /* Returns NULL if a content is missing, or a difference would be larger than a
  * whole copy. */
 static const struct distribute_encoding *
