Share set-up that the tests of this change wrote twice

A table with one route (test_target, test_valid_requests) comes from the harness, and a metric of an entry host from test/gateway_lib.sh.

--- a/src/test_libbwproxy/harness.c
+++ b/src/test_libbwproxy/harness.c
@@ -407,3 +407,23 @@
 	bw_http_find(request, "Id", echo->rejected_id,
 		     sizeof(echo->rejected_id));
 }
+
+struct bw_routing *harness_routing(const char *host, const char *prefix)
+{
+	struct bw_routing *routing = bw_routing_new(1, 1);
+	struct bw_route *route = bw_route_new();
+	char error[BW_ROUTE_ERROR_MAX];
+
+	assert_non_null(routing);
+	assert_non_null(route);
+	strcpy(routing->services[0].name, "s");
+	strcpy(route->host, host);
+	strcpy(route->prefix, prefix);
+	route->timeout_ms = 1000;
+	route->attempts_max = 1;
+	assert_int_equal(bw_route_set_choice_count(route, 1), BW_OK);
+	strcpy(route->choices[0].service, "s");
+	route->choices[0].weight = 1;
+	assert_int_equal(bw_routing_add(routing, route, error), BW_OK);
+	return routing;
+}
--- a/src/test_libbwproxy/harness.h
+++ b/src/test_libbwproxy/harness.h
@@ -18,6 +18,7 @@
 #include "bwproxy/frontend.h"
 #include "bwproxy/listener.h"
 #include "bwproxy/upstream.h"
+#include "bwsteer/routing.h"
 
 /** Limit of the connections of one raw server. */
 #define PEERS_MAX 16
@@ -154,4 +155,7 @@
 /** Returns bytes that differ from those next to them; the caller frees them. */
 uint8_t *make_body(size_t size_bytes);
 
+/** Returns a table with one route to one service. */
+struct bw_routing *harness_routing(const char *host, const char *prefix);
+
 #endif
--- a/src/test_libbwproxy/test_target.c
+++ b/src/test_libbwproxy/test_target.c
@@ -13,6 +13,7 @@
 
 #include "bwproxy/target.h"
 #include "bwsteer/routing.h"
+#include "harness.h"
 
 static const struct bw_http_limits limits = { .head_max_bytes = 2048,
 					      .body_max_bytes = 64 };
@@ -49,27 +50,18 @@
  */
 static bool is_routed_(const char *text)
 {
-	struct bw_routing *routing = bw_routing_new(1, 1);
-	struct bw_route *route = bw_route_new();
-	char error[BW_ROUTE_ERROR_MAX];
+	char host[BW_ROUTE_HOST_MAX] = "h.example";
+	struct bw_routing *routing;
 	struct bw_http_reader reader;
 	struct bw_http_target target;
 	bool routed;
 	size_t used;
 
-	assert_non_null(routing);
-	assert_non_null(route);
-	memset(route->host, 'h', 125);
-	if (!strstr(text, "hhhh"))
-		strcpy(route->host, "h.example");
-	strcpy(route->prefix, "/a/");
-	route->timeout_ms = 1000;
-	route->attempts_max = 1;
-	assert_int_equal(bw_route_set_choice_count(route, 1), BW_OK);
-	strcpy(route->choices[0].service, "s");
-	route->choices[0].weight = 1;
-	strcpy(routing->services[0].name, "s");
-	assert_int_equal(bw_routing_add(routing, route, error), BW_OK);
+	if (strstr(text, "hhhh")) {
+		memset(host, 'h', 125);
+		host[125] = '\0';
+	}
+	routing = harness_routing(host, "/a/");
 	bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
 	assert_int_equal(bw_http_reader_feed(&reader, (const uint8_t *)text,
 					     strlen(text), &used),
--- a/src/test_libbwproxy/test_valid_requests.c
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -544,25 +544,12 @@
 /* Returns whether the entry host would find the route of a request. */
 static bool is_routed_(const char *text)
 {
-	struct bw_routing *routing = bw_routing_new(1, 1);
-	struct bw_route *only = bw_route_new();
+	struct bw_routing *routing = harness_routing("h.example", "/a/");
 	const struct bw_route *route = NULL;
 	struct bw_http_reader reader;
-	char error[BW_ROUTE_ERROR_MAX];
 	char host[BW_ROUTE_HOST_MAX];
 	size_t used;
 
-	assert_non_null(routing);
-	assert_non_null(only);
-	strcpy(only->host, "h.example");
-	strcpy(only->prefix, "/a/");
-	only->timeout_ms = 1000;
-	only->attempts_max = 1;
-	assert_int_equal(bw_route_set_choice_count(only, 1), BW_OK);
-	strcpy(only->choices[0].service, "s");
-	only->choices[0].weight = 1;
-	strcpy(routing->services[0].name, "s");
-	assert_int_equal(bw_routing_add(routing, only, error), BW_OK);
 	bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
 	assert_int_equal(bw_http_reader_feed(&reader, (const uint8_t *)text,
 					     strlen(text), &used),
--- a/test/gateway_change_cost.sh
+++ b/test/gateway_change_cost.sh
@@ -27,14 +27,13 @@
 	} > "$work/configuration.json"
 	status_code --post301 -X POST --data-binary "@$work/configuration.json" "http://$(control_address 1)/-/config/put"
 }
-metric() { http_get "http://127.0.2.1:$((port + 8))/metrics" | sed -n "s/^$1 //p"; }
 # change NAME LIMIT VERSION COUNT PRIORITY: submits it and checks its cost.
 change() {
 	local before
-	before=$(metric bw_routing_received_bytes_total)
+	before=$(entry_metric 1 bw_routing_received_bytes_total)
 	check "$1 is accepted" wait_output 200 10 submit_routes "${@:3}"
-	check "$1 comes into force" wait_output "$3" 10 metric bw_routing_version
-	cost=$(($(metric bw_routing_received_bytes_total) - before))
+	check "$1 comes into force" wait_output "$3" 10 entry_metric 1 bw_routing_version
+	cost=$(($(entry_metric 1 bw_routing_received_bytes_total) - before))
 	echo "# $1: $cost bytes"
 	check "$1 costs less than $2 bytes" test "$cost" -lt "$2"
 }
--- a/test/gateway_large_configuration.sh
+++ b/test/gateway_large_configuration.sh
@@ -8,7 +8,6 @@
 for i in 1 2 3; do start_control $i true; done
 start_entry 1
 check_first_configuration
-metric() { http_get "http://127.0.2.1:$((port + 8))/metrics" | sed -n "s/^$1 //p"; }
 submit_file() { status_code --post301 -X POST --data-binary "@$work/configuration.json" "http://$(control_address 1)/-/config/put"; }
 # submit_changed VERSION FILTER: submits a configuration that jq has changed.
 submit_changed() {
@@ -29,11 +28,11 @@
 	return 1
 }
 check "a configuration of 800 kB is accepted" test "$(submit_changed 13 "$(routes 5000)")" = 200
-check "it comes into force" wait_output 13 10 metric bw_routing_version
+check "it comes into force" wait_output 13 10 entry_metric 1 bw_routing_version
 check "a configuration of 20,000 routes is accepted" test "$(submit_changed 14 "$(routes 20000)")" = 200
 cp "$work/configuration.json" "$work/accepted.json"
 echo "# 20,000 routes: $(stat -c %s "$work/accepted.json") bytes"
-check "it comes into force" wait_output 14 10 metric bw_routing_version
+check "it comes into force" wait_output 14 10 entry_metric 1 bw_routing_version
 check "it is read back" wait_for 10 read_back
 code=$(submit_changed 15 "$(routes 60000)")
 check "a configuration of more than 8 MiB is refused ($code)" test "$code" = 413
@@ -54,4 +53,4 @@
 for i in 1 2 3; do start_control $i false; done
 start_entry 1
 check "it is read back after a restart of all hosts" wait_for 20 read_back
-check "and comes into force" wait_output 14 10 metric bw_routing_version
+check "and comes into force" wait_output 14 10 entry_metric 1 bw_routing_version
--- a/test/gateway_lib.sh
+++ b/test/gateway_lib.sh
@@ -141,6 +141,9 @@
 		"${@:5}" "http://$(entry_address "$1")$3"
 }
 
+# entry_metric ENTRY NAME: prints the value of a metric without labels.
+entry_metric() { http_get "http://127.0.2.$1:$((port + 8))/metrics" | sed -n "s/^$2 //p"; }
+
 count_runs() { grep -c "^$1 " "$work/ledger" 2>/dev/null; }
 explain() { "$build/src/boragewingctl/boragewingctl" explain "$1" "$work"/*.log 2>&1; }
 explains() { explain "$1" | grep -q "^cause: $2"; }
--- a/test/gateway_overtaken.sh
+++ b/test/gateway_overtaken.sh
@@ -11,7 +11,6 @@
 start_servers one
 check_first_configuration
 check "a request is served" wait_output 200 10 request 1 GET /read/x first
-version() { http_get "http://127.0.2.1:$((port + 8))/metrics" | sed -n 's/^bw_routing_version //p'; }
 # occupy ROUND: slow requests for a second, more than the server has slots.
 occupy() {
 	local i
@@ -28,7 +27,7 @@
 waiting=$!
 sleep 0.1
 check "a configuration that moves the route is accepted" test "$(submit_changed 4 '/"read"/s/"service":"s"/"service":"t"/; s/"s":{"healthPath"/"t":{},&/')" = 200
-check "it comes into force" wait_output 4 2 version
+check "it comes into force" wait_output 4 2 entry_metric 1 bw_routing_version
 wait "$waiting"
 check "the request that waited did not run at the old service" test "$(count_runs waiting)" = 0
 check "and was rejected as not run" test "$(cat "$work/waiting-code")" = 503
