Check submissions in slices

Operators got 503 for a valid configuration of 20,000 routes (3.2 MB) where the leader is slow: it parsed the text in one go, was silent for longer than the election timeout and lost its lease. Found by run_gateway_large_configuration in a build with sanitizers.

At the end of the check the lease is looked at again, so that a host that has lost it redirects the caller. A caller that has gone meanwhile gets no submission proposed. The new line submission_checked has the time and the number of slices; the run checks that there is more than one.

--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -137,6 +137,7 @@
 {
 	if (!control->node)
 		return;
+	gate_control_submissions_finish(control);
 	bw_listener_finish(&control->api);
 	bw_listener_finish(&control->directory);
 	if (control->replica) {
--- a/src/boragewingd/gate_control.h
+++ b/src/boragewingd/gate_control.h
@@ -17,6 +17,13 @@
 #include "gate_node.h"
 #include "gate_refusal.h"
 
+/** Submitted configurations that are not checked yet, in order. */
+struct gate_submissions {
+	GQueue waiting;
+	size_t waiting_bytes; /**< size of their texts */
+	ev_timer timer; /**< for the next slice */
+};
+
 /** The control role of a host. */
 struct gate_control {
 	struct gate_node *node;
@@ -29,6 +36,7 @@
 	struct bw_listener directory;
 	GHashTable *entries; /**< entry address -> struct gate_entry_host */
 	GPtrArray *waiting; /**< struct gate_wait: unanswered calls */
+	struct gate_submissions submissions;
 	bool current; /**< the applied state is up to date */
 	bool dirty; /**< proposals are not yet synced to disk */
 	uint64_t sent_sheet_index; /**< log index of the last
--- a/src/boragewingd/gate_control_calls.c
+++ b/src/boragewingd/gate_control_calls.c
@@ -1,4 +1,3 @@
-#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -17,10 +16,6 @@
 /** Maximum number of entry hosts in a directory answer. */
 #define ANSWER_HOSTS_MAX 64
 
-static void handle_submit_(struct gate_control *control,
-			   struct bw_server_connection *connection,
-			   const struct bw_http_message *request,
-			   struct bw_time now);
 static void handle_read_(struct gate_control *control,
 			 struct bw_server_connection *connection,
 			 struct bw_time now);
@@ -39,16 +34,6 @@
 			     struct bw_server_connection *connection,
 			     const struct bw_server *server,
 			     struct bw_time now);
-static bool redirect_to_leader_(struct gate_control *control,
-				struct bw_server_connection *connection,
-				struct bw_time now);
-static void refuse_(struct gate_control *control,
-		    struct bw_server_connection *connection,
-		    uint16_t status_code, const char *cause);
-static void propose_command_(struct gate_control *control,
-			     struct bw_server_connection *connection,
-			     const struct bw_buffer *command,
-			     struct bw_time now);
 static uint32_t pick_entry_hosts_(const struct gate_control *control,
 				  const struct gate_call *call, int scope,
 				  char (*addresses)[BW_NAME_MAX]);
@@ -81,7 +66,7 @@
 		handle_leave_(control, connection, &call, now);
 		break;
 	case GATE_CALL_SUBMIT:
-		handle_submit_(control, connection, request, now);
+		gate_control_submit(control, connection, request, now);
 		break;
 	case GATE_CALL_READ:
 		handle_read_(control, connection, now);
@@ -93,7 +78,8 @@
 	case GATE_CALL_READY:
 	case GATE_CALL_UNKNOWN:
 	case GATE_CALL_KIND_COUNT:
-		refuse_(control, connection, 404, "unknown method or path");
+		gate_control_refuse(control, connection, 404,
+				    "unknown method or path");
 		break;
 	}
 }
@@ -104,6 +90,7 @@
 	struct gate_control *control = context;
 	guint i;
 
+	gate_control_submission_closed(control, connection);
 	for (i = 0; i < control->waiting->len; i++) {
 		struct gate_wait *wait = control->waiting->pdata[i];
 
@@ -221,63 +208,13 @@
 	bw_buffer_finish(&body);
 }
 
-static void handle_submit_(struct gate_control *control,
-			   struct bw_server_connection *connection,
-			   const struct bw_http_message *request,
-			   struct bw_time now)
-{
-	const struct bw_state *state = bw_replica_state(control->replica);
-	struct bw_submit submit = { .accept_wall_ms = bw_wall_ms() };
-	struct bw_routing *routing;
-	struct bw_buffer command;
-	char error[PLATFORM_ERROR_BYTES] = "";
-	enum bw_status status;
-
-	if (redirect_to_leader_(control, connection, now))
-		return;
-	status = platform_routing_read(
-		request->body.data, request->body.size_bytes, &routing, error);
-	if (status == BW_ENOMEM) {
-		gate_respond_error(connection, 503, bw_status_string[status]);
-		return;
-	}
-	if (status != BW_OK) {
-		bw_log_event(control->node->log, BW_LOG_WARNING,
-			     "configuration", "submission_invalid", "{s:s,s:I}",
-			     "cause", error, "version_in_force",
-			     (json_int_t)state->revision);
-		gate_refusals_count_call(&control->refusals, 400);
-		gate_respond_error(connection, 400, error);
-		return;
-	}
-	submit.revision = routing->version;
-	bw_routing_unref(routing);
-	submit.text = request->body.data;
-	submit.text_size_bytes = request->body.size_bytes;
-	crypto_generichash(submit.hash, BW_HASH_BYTES, submit.text,
-			   submit.text_size_bytes, NULL, 0);
-	sodium_bin2hex(submit.id, sizeof(submit.id), submit.hash,
-		       BW_HASH_BYTES);
-	bw_buffer_init(&command);
-	status = bw_command_submit(&command, &submit);
-	if (status == BW_OK)
-		propose_command_(control, connection, &command, now);
-	else if (status == BW_EFULL)
-		refuse_(control, connection, 413,
-			"the configuration is larger than 8 MiB, or than "
-			"700 KiB when it is compressed");
-	else
-		refuse_(control, connection, 503, bw_status_string[status]);
-	bw_buffer_finish(&command);
-}
-
 static void handle_read_(struct gate_control *control,
 			 struct bw_server_connection *connection,
 			 struct bw_time now)
 {
 	const struct bw_state *state = bw_replica_state(control->replica);
 
-	if (redirect_to_leader_(control, connection, now))
+	if (gate_control_redirect_to_leader(control, connection, now))
 		return;
 	if (!state->revision)
 		gate_respond_error(connection, 503, "no configuration yet");
@@ -292,17 +229,19 @@
 	struct bw_buffer command;
 
 	if (!gate_node_region(control->node, call->domain)[0]) {
-		refuse_(control, connection, 404, "no such failure domain");
+		gate_control_refuse(control, connection, 404,
+				    "no such failure domain");
 		return;
 	}
-	if (redirect_to_leader_(control, connection, now))
+	if (gate_control_redirect_to_leader(control, connection, now))
 		return;
 	bw_buffer_init(&command);
 	if (bw_command_evacuate(&command, call->domain,
 				call->kind == GATE_CALL_EVACUATE) == BW_OK)
-		propose_command_(control, connection, &command, now);
+		gate_control_propose(control, connection, &command, now);
 	else
-		refuse_(control, connection, 400, "invalid failure domain");
+		gate_control_refuse(control, connection, 400,
+				    "invalid failure domain");
 	bw_buffer_finish(&command);
 }
 
@@ -384,13 +323,9 @@
 	g_ptr_array_add(control->waiting, wait);
 }
 
-/*
- * Redirects a call to the leader, or fails it when no leader is known.
- * @return false when this host holds the leader lease and must handle the call
- */
-static bool redirect_to_leader_(struct gate_control *control,
-				struct bw_server_connection *connection,
-				struct bw_time now)
+bool gate_control_redirect_to_leader(struct gate_control *control,
+				     struct bw_server_connection *connection,
+				     struct bw_time now)
 {
 	const struct bw_http_message *request =
 		bw_connection_request(connection);
@@ -413,19 +348,18 @@
 	return true;
 }
 
-static void refuse_(struct gate_control *control,
-		    struct bw_server_connection *connection,
-		    uint16_t status_code, const char *cause)
+void gate_control_refuse(struct gate_control *control,
+			 struct bw_server_connection *connection,
+			 uint16_t status_code, const char *cause)
 {
 	gate_refusals_note_call(&control->refusals, connection, status_code,
 				cause);
 	gate_respond_error(connection, status_code, cause);
 }
 
-static void propose_command_(struct gate_control *control,
-			     struct bw_server_connection *connection,
-			     const struct bw_buffer *command,
-			     struct bw_time now)
+void gate_control_propose(struct gate_control *control,
+			  struct bw_server_connection *connection,
+			  const struct bw_buffer *command, struct bw_time now)
 {
 	struct gate_wait *wait;
 	uint64_t index;
--- a/src/boragewingd/gate_control_private.h
+++ b/src/boragewingd/gate_control_private.h
@@ -6,6 +6,7 @@
 #define BORAGEWINGD_GATE_CONTROL_PRIVATE_H
 
 #include "gate_control.h"
+#include "platform.h"
 
 /** Maximum number of services in the demand of an entry host. */
 #define GATE_SERVICES_MAX 32
@@ -157,6 +158,41 @@
 bool gate_control_in_majority(const struct gate_control *control,
 			      struct bw_time now);
 
+/**
+ * Checks a submitted configuration and proposes it; answers the call at the
+ * end.
+ */
+void gate_control_submit(struct gate_control *control,
+			 struct bw_server_connection *connection,
+			 const struct bw_http_message *request,
+			 struct bw_time now);
+
+/** Drops the submissions that are being checked. */
+void gate_control_submissions_finish(struct gate_control *control);
+
+/** Removes a closed connection from the submissions that are being checked. */
+void gate_control_submission_closed(
+	struct gate_control *control,
+	const struct bw_server_connection *connection);
+
+/**
+ * Redirects a call to the leader, or fails it when no leader is known.
+ * @return false when this host holds the leader lease and must handle the call
+ */
+bool gate_control_redirect_to_leader(struct gate_control *control,
+				     struct bw_server_connection *connection,
+				     struct bw_time now);
+
+/** Responds with an error, and counts and logs it. */
+void gate_control_refuse(struct gate_control *control,
+			 struct bw_server_connection *connection,
+			 uint16_t status_code, const char *cause);
+
+/** Proposes a command and answers the call when it is committed. */
+void gate_control_propose(struct gate_control *control,
+			  struct bw_server_connection *connection,
+			  const struct bw_buffer *command, struct bw_time now);
+
 /** Answers a directory lookup of a client. */
 void gate_control_look_up(struct gate_control *control,
 			  struct bw_server_connection *connection,
--- a/src/test_platform/test_platform.c
+++ b/src/test_platform/test_platform.c
@@ -115,6 +115,24 @@
 			 BW_EINVAL);
 }
 
+static enum bw_status read_configuration_(const char *text, size_t size_bytes,
+					  struct bw_routing *previous,
+					  struct bw_routing **routing,
+					  char *error)
+{
+	struct platform_routing_reader reader;
+	enum bw_status status;
+
+	status = platform_routing_begin(&reader, text, size_bytes, previous);
+	*routing = NULL;
+	if (status == BW_OK)
+		status = BW_EAGAIN;
+	while (status == BW_EAGAIN)
+		status = platform_routing_step(&reader, routing, error);
+	platform_routing_end(&reader);
+	return status;
+}
+
 static void test_configuration(void **state)
 {
 	struct bw_routing *routing;
@@ -122,9 +140,9 @@
 	char error[PLATFORM_ERROR_BYTES];
 
 	(void)state;
-	assert_int_equal(platform_routing_read(good_configuration,
-					       strlen(good_configuration),
-					       &routing, error),
+	assert_int_equal(read_configuration_(good_configuration,
+					     strlen(good_configuration), NULL,
+					     &routing, error),
 			 BW_OK);
 	assert_int_equal(routing->version, 7);
 	assert_int_equal(routing->limits.head_timeout_ms, 3000);
@@ -145,25 +163,6 @@
 	bw_routing_unref(routing);
 }
 
-/* Decodes a configuration in steps. */
-static enum bw_status read_in_steps_(const char *text, size_t size_bytes,
-				     struct bw_routing *previous,
-				     struct bw_routing **routing)
-{
-	struct platform_routing_reader reader;
-	char error[PLATFORM_ERROR_BYTES];
-	enum bw_status status;
-
-	status = platform_routing_begin(&reader, text, size_bytes, previous);
-	*routing = NULL;
-	if (status == BW_OK)
-		status = BW_EAGAIN;
-	while (status == BW_EAGAIN)
-		status = platform_routing_step(&reader, routing, error);
-	platform_routing_end(&reader);
-	return status;
-}
-
 /* Guards against unchanged routes that are decoded again, and against changed
  * ones that are not. */
 static void test_configuration_in_steps(void **state)
@@ -174,11 +173,12 @@
 	struct bw_routing *first;
 	struct bw_routing *second;
 	const struct bw_route *route;
+	char error[PLATFORM_ERROR_BYTES];
 
 	(void)state;
-	assert_int_equal(read_in_steps_(good_configuration,
-					strlen(good_configuration), NULL,
-					&first),
+	assert_int_equal(read_configuration_(good_configuration,
+					     strlen(good_configuration), NULL,
+					     &first, error),
 			 BW_OK);
 	assert_int_equal(first->version, 7);
 	assert_int_equal(first->limits.head_timeout_ms, 3000);
@@ -187,7 +187,8 @@
 	assert_non_null(route);
 	assert_string_equal(route->name, "r");
 	assert_int_equal(route->target_latency_ms, 300);
-	assert_int_equal(read_in_steps_(text, strlen(text), first, &second),
+	assert_int_equal(read_configuration_(text, strlen(text), first, &second,
+					     error),
 			 BW_OK);
 	assert_int_equal(second->version, 8);
 	assert_int_equal(second->route_count, 2);
@@ -249,8 +250,8 @@
 				      changes[i][1]);
 
 		error[0] = '\0';
-		if (platform_routing_read(text, strlen(text), &routing,
-					  error) != BW_EINVAL)
+		if (read_configuration_(text, strlen(text), NULL, &routing,
+					error) != BW_EINVAL)
 			fail_msg("invalid configuration accepted: %s", text);
 		assert_null(routing);
 		assert_true(error[0]);
@@ -272,8 +273,8 @@
 
 	(void)state;
 	for (i = 0; i < size; i++)
-		assert_int_equal(platform_routing_read(good_configuration, i,
-						       &routing, error),
+		assert_int_equal(read_configuration_(good_configuration, i,
+						     NULL, &routing, error),
 				 BW_EINVAL);
 	bw_random_init(&random, 5);
 	for (i = 0; i < 20000; i++) {
@@ -282,7 +283,8 @@
 			(char)bw_random_below(&random, 256);
 		text[bw_random_below(&random, size)] =
 			(char)bw_random_below(&random, 256);
-		if (platform_routing_read(text, size, &routing, error) == BW_OK)
+		if (read_configuration_(text, size, NULL, &routing, error) ==
+		    BW_OK)
 			bw_routing_unref(routing);
 		memcpy(text, good_announcement, sizeof(good_announcement));
 		text[bw_random_below(&random, sizeof(good_announcement))] =
--- a/test/gateway_large_configuration.sh
+++ b/test/gateway_large_configuration.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against a large configuration that is refused because of the size of a
-# message between control hosts, or lost by a restart.
+# message between control hosts, that stops the leader while it is checked, or
+# that is lost by a restart.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 . test/gateway_lib.sh
@@ -32,6 +33,8 @@
 check "a configuration of 20,000 routes is accepted" test "$(submit_changed 14 "$(routes 20000)")" = 200
 cp "$work/configuration.json" "$work/accepted.json"
 echo "# 20,000 routes: $(stat -c %s "$work/accepted.json") bytes"
+checked_in_slices() { cat "$work"/control-*.log | grep '"event":"submission_checked","version":14' | jq -es 'length == 1 and .[0].slices > 1' > /dev/null; }
+check "it is checked in slices" wait_for 5 checked_in_slices
 check "it comes into force" wait_output 14 10 entry_metric 1 bw_routing_version
 check "it is read back" wait_for 10 read_back
 code=$(submit_changed 15 "$(routes 60000)")
--- a/tools/fuzz/fuzz_parsers.c
+++ b/tools/fuzz/fuzz_parsers.c
@@ -332,11 +332,18 @@
 
 static void fuzz_configuration_(const uint8_t *data, size_t size_bytes)
 {
-	struct bw_routing *routing;
+	struct platform_routing_reader reader;
+	struct bw_routing *routing = NULL;
 	char error[PLATFORM_ERROR_BYTES];
-
-	if (platform_routing_read(data, size_bytes, &routing, error) == BW_OK)
-		bw_routing_unref(routing);
+	enum bw_status status =
+		platform_routing_begin(&reader, data, size_bytes, NULL);
+
+	if (status == BW_OK)
+		status = BW_EAGAIN;
+	while (status == BW_EAGAIN)
+		status = platform_routing_step(&reader, &routing, error);
+	bw_routing_unref(routing);
+	platform_routing_end(&reader);
 }
 
 /* The first byte selects request or response and the size of the chunks. */
