Keep a heartbeat from making its own announcement look old

Cause, traced earlier (docs/incidents.md): a server announced that it is cold to one control host. In the tick in which heartbeats were due, that host sent the heartbeat with the announcement's sequence number before the announcement itself. The other hosts took over the number (bw_registry_touch), and dropped the announcement as old, so that no entry host ever learned of the coldness.

The registry now keeps the number of the last record apart from the highest one heard. A record is compared with the last record, a heartbeat with what was heard. A call that waits for copies of a record waits for the number of that record, and a leave is numbered after all that was heard, both as before.

test_heartbeat_overtakes fails before (the announcement is stale).

--- a/include/bwsteer/registry.h
+++ b/include/bwsteer/registry.h
@@ -51,6 +51,9 @@
 struct bw_server {
 	struct bw_server_record record;
 	uint64_t id_hash; /**< see bw_registry_hash */
+	uint64_t heard_sequence; /**< highest of this start, of announcements
+				    and heartbeats; those between it and
+				    record.sequence may still arrive */
 	struct bw_time last_heard_at; /**< latest announcement or heartbeat,
 					 received by any host */
 	struct bw_time changed_at; /**< latest change of the record */
--- a/src/boragewingd/gate_control_calls.c
+++ b/src/boragewingd/gate_control_calls.c
@@ -289,8 +289,10 @@
 	struct bw_server_record record = { .slots = 0 };
 
 	/* Other hosts may know a server that is unknown here. */
-	if (server)
+	if (server) {
 		record = server->record;
+		record.sequence = server->heard_sequence;
+	}
 	g_strlcpy(record.id, call->server, sizeof(record.id));
 	record.state = BW_SERVER_LEFT;
 	record.sequence++;
@@ -320,6 +322,7 @@
 	wait->connection = connection;
 	wait->deadline = bw_time_add(now, COPIES_TIMEOUT_MS);
 	gate_heartbeat_set(&wait->heartbeat, server);
+	wait->heartbeat.sequence = server->record.sequence;
 	g_ptr_array_add(control->waiting, wait);
 }
 
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -29,7 +29,7 @@
 static struct gate_peer *find_control_(struct gate_node *node,
 				       const char *name);
 static bool is_newer_(const struct gate_heartbeat *heartbeat,
-		      const struct bw_server_record *known);
+		      const struct bw_server *known);
 static void request_records_(struct gate_node *node, const char *sender,
 			     struct gate_servers *outdated);
 
@@ -320,7 +320,7 @@
 		struct bw_server *known = g_hash_table_lookup(
 			node->registry.by_hash, &heartbeat->id_hash);
 
-		if (!known || is_newer_(heartbeat, &known->record))
+		if (!known || is_newer_(heartbeat, known))
 			outdated.heartbeats[outdated.heartbeat_count++] =
 				*heartbeat;
 		else if (heartbeat->started_wall_ms ==
@@ -334,12 +334,14 @@
 
 /* Returns whether the sender of a heartbeat has a newer record. */
 static bool is_newer_(const struct gate_heartbeat *heartbeat,
-		      const struct bw_server_record *known)
+		      const struct bw_server *known)
 {
-	if (heartbeat->started_wall_ms != known->started_wall_ms)
-		return heartbeat->started_wall_ms > known->started_wall_ms;
-	return heartbeat->state != known->state &&
-	       heartbeat->sequence > known->sequence;
+	const struct bw_server_record *record = &known->record;
+
+	if (heartbeat->started_wall_ms != record->started_wall_ms)
+		return heartbeat->started_wall_ms > record->started_wall_ms;
+	return heartbeat->state != record->state &&
+	       heartbeat->sequence > known->heard_sequence;
 }
 
 static enum bw_status open_transport_(struct gate_node *node,
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -127,7 +127,7 @@
 {
 	heartbeat->id_hash = server->id_hash;
 	heartbeat->started_wall_ms = server->record.started_wall_ms;
-	heartbeat->sequence = server->record.sequence;
+	heartbeat->sequence = server->heard_sequence;
 	heartbeat->state = server->record.state;
 }
 
--- a/src/libbwsteer/registry.c
+++ b/src/libbwsteer/registry.c
@@ -7,6 +7,8 @@
 		      const struct bw_server_record *record);
 static bool differs_(const struct bw_server *server,
 		     const struct bw_server_record *record, struct bw_time now);
+static void update_heard_sequence_(struct bw_server *server,
+				   const struct bw_server_record *record);
 
 const char *const bw_server_state_string[BW_SERVER_STATE_COUNT] = {
 	[BW_SERVER_READY] = "ready",
@@ -53,6 +55,7 @@
 	} else if (!differs_(known, record, now)) {
 		outcome = BW_REGISTRY_HEARTBEAT;
 	}
+	update_heard_sequence_(known, record);
 	known->record = *record;
 	known->last_heard_at = now;
 	known->cold_until = bw_time_add(now, record->cold_ms);
@@ -71,9 +74,9 @@
 	struct bw_server *server =
 		g_hash_table_lookup(registry->by_hash, &id_hash);
 
-	if (!server || sequence < server->record.sequence)
+	if (!server || sequence < server->heard_sequence)
 		return;
-	server->record.sequence = sequence;
+	server->heard_sequence = sequence;
 	server->last_heard_at = now;
 }
 
@@ -178,3 +181,11 @@
 	       strcmp(record->service, known->service) != 0 ||
 	       strcmp(record->domain, known->domain) != 0;
 }
+
+static void update_heard_sequence_(struct bw_server *server,
+				   const struct bw_server_record *record)
+{
+	if (record->started_wall_ms != server->record.started_wall_ms ||
+	    record->sequence > server->heard_sequence)
+		server->heard_sequence = record->sequence;
+}
--- a/src/test_libbwsteer/test_registry.c
+++ b/src/test_libbwsteer/test_registry.c
@@ -118,6 +118,37 @@
 	bw_registry_finish(&registry);
 }
 
+/* Guards against a heartbeat that makes its own announcement look old. */
+static void test_heartbeat_overtakes(void **state)
+{
+	struct bw_registry registry;
+	struct bw_server_record record = record_(4, 1000);
+	uint64_t hash = bw_registry_hash("i-1");
+
+	(void)state;
+	bw_registry_init(&registry);
+	merge_(&registry, &record, 0);
+	bw_registry_touch(&registry, hash, 7, time_at_(100));
+	record = record_(6, 1000);
+	record.cold_ms = 3000;
+	assert_int_equal(merge_(&registry, &record, 110), BW_REGISTRY_CHANGED);
+	assert_int_equal(bw_registry_find(&registry, "i-1")->cold_until.ms,
+			 3110);
+	/* An outdated heartbeat still does not keep the server. */
+	bw_registry_touch(&registry, hash, 6, time_at_(200));
+	assert_int_equal(bw_registry_find(&registry, "i-1")->last_heard_at.ms,
+			 110);
+	record.sequence = 5;
+	assert_int_equal(merge_(&registry, &record, 210), BW_REGISTRY_STALE);
+	/* After a later start the sequence numbers begin again. */
+	record = record_(1, 2000);
+	assert_int_equal(merge_(&registry, &record, 300), BW_REGISTRY_CHANGED);
+	bw_registry_touch(&registry, hash, 2, time_at_(400));
+	assert_int_equal(bw_registry_find(&registry, "i-1")->last_heard_at.ms,
+			 400);
+	bw_registry_finish(&registry);
+}
+
 /* Guards against fields that are lost in transfer, and against accepting an
  * unknown state. */
 static void test_codec(void **state)
@@ -155,6 +186,7 @@
 		cmocka_unit_test(test_order),
 		cmocka_unit_test(test_leave),
 		cmocka_unit_test(test_heartbeats),
+		cmocka_unit_test(test_heartbeat_overtakes),
 		cmocka_unit_test(test_codec),
 	};
 
