Keep the longest pause of a backend server, and try it with one request

A server that turns requests away with Retry-After got more of them: an answer with a shorter pause replaced a longer one that was still in force (answers of several requests arrive in any order), and at the end of a pause every host sent all that waited at once. A server that said by turns that it leaves and that it doesn't could be taken back by the answer to a request that had been sent meanwhile.

bwsteer/server_notice now holds what a server says of itself for one of its starts: a leave is final, a pause is kept to the longest end that was named (30 s at most), its end is spread over 250 ms, and then one request is a trial; others follow when it was answered without another pause. A new start is another target and knows nothing of it. An unknown value of Server-Leaving is counted as invalid and taken for a leave.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -22,6 +22,7 @@
 #include "bwbase/random.h"
 #include "bwsteer/registry.h"
 #include "bwsteer/server_limit.h"
+#include "bwsteer/server_notice.h"
 #include "bwsteer/routing.h"
 #include "bwsteer/spread.h"
 
@@ -125,9 +126,7 @@
 			       one request takes one token */
 	struct bw_time cold_refilled; /**< last refill of cold_tokens */
 	struct bw_server_limit limit; /**< named by the server */
-	bool leaving; /**< it has said so in an answer */
-	struct bw_time leaving_since;
-	struct bw_time paused_until; /**< it wants no requests until then */
+	struct bw_server_notice notice; /**< what it said in answers */
 	bool accepts; /**< may get new requests */
 	bool in_update; /**< included in the update in progress */
 	uint32_t references; /**< number of jobs that use this target; a removed
@@ -282,24 +281,20 @@
 			    struct bw_target *target, double limit_per_s,
 			    struct bw_time now);
 
-/** Longest pause of a server that is kept. */
-#define BW_DISPATCH_PAUSE_MAX_MS 30000
-
 /**
  * Notes that a server wants no requests from this host for some time. That is
  * no failure of the server.
  */
-void bw_dispatch_note_pause(struct bw_target *target, int64_t pause_ms,
+void bw_dispatch_note_pause(struct bw_dispatch *dispatch,
+			    struct bw_target *target, int64_t pause_ms,
 			    struct bw_time now);
 
 /**
- * Notes whether a server says in an answer that it leaves; it then gets no new
- * requests. Only the answer to a later request can take that back.
- * @param sent when the answered request was sent
- * @return whether the state has changed
+ * Notes that a server said in an answer that it leaves; it then gets no new
+ * requests.
+ * @return whether that is new
  */
-bool bw_dispatch_note_leaving(struct bw_target *target, bool leaving,
-			      struct bw_time sent, struct bw_time now);
+bool bw_dispatch_note_leaving(struct bw_target *target);
 
 /** Notes a limit that another host reports. */
 bool bw_dispatch_note_shared_limit(struct bw_dispatch *dispatch,
--- a/src/boragewingd/gate_notice.c
+++ b/src/boragewingd/gate_notice.c
@@ -11,8 +11,7 @@
 			const struct bw_http_message *response,
 			struct bw_time now);
 static void read_leaving_(struct gate_request *request,
-			  const struct bw_http_message *response,
-			  struct bw_time now);
+			  const struct bw_http_message *response);
 static void read_pause_(struct gate_request *request,
 			const struct bw_http_message *response,
 			struct bw_time now);
@@ -42,7 +41,7 @@
 	if (response->status_code == 421)
 		return;
 	read_limit_(request, response, now);
-	read_leaving_(request, response, now);
+	read_leaving_(request, response);
 	if (response->status_code == 503)
 		read_pause_(request, response, now);
 }
@@ -74,23 +73,24 @@
 }
 
 static void read_leaving_(struct gate_request *request,
-			  const struct bw_http_message *response,
-			  struct bw_time now)
+			  const struct bw_http_message *response)
 {
 	struct gate_entry *entry = request->entry;
 	struct bw_target *target = request->job.target;
-	bool leaving;
 	char text[8];
 
-	leaving = bw_http_find(response, PLATFORM_FIELD_LEAVING, text,
-			       sizeof(text)) &&
-		  !strcmp(text, "1");
-	if (!bw_dispatch_note_leaving(target, leaving, request->job.sent, now))
+	if (!bw_http_find(response, PLATFORM_FIELD_LEAVING, text, sizeof(text)))
+		return;
+	if (!strcmp(text, "0"))
+		return;
+	/* An unknown value is taken for a leave, which is the safe meaning. */
+	if (strcmp(text, "1") != 0)
+		bw_metric_add(entry->notices_invalid, 1);
+	if (!bw_dispatch_note_leaving(target))
 		return;
 	bw_log_event(entry->node->log, BW_LOG_INFO, "registry",
-		     "server_leaving", "{s:s,s:s,s:s,s:b}", "server",
-		     target->id, "service", target->service->name, "request",
-		     request->id, "leaving", leaving);
+		     "server_leaving", "{s:s,s:s,s:s}", "server", target->id,
+		     "service", target->service->name, "request", request->id);
 }
 
 static void read_pause_(struct gate_request *request,
@@ -109,7 +109,7 @@
 		bw_metric_add(entry->notices_invalid, 1);
 		return;
 	}
-	bw_dispatch_note_pause(target, pause_ms, now);
+	bw_dispatch_note_pause(&entry->dispatch, target, pause_ms, now);
 	bw_metric_add(entry->pauses, 1);
 	bw_log_event(entry->node->log, BW_LOG_INFO, "registry", "server_paused",
 		     "{s:s,s:s,s:s,s:I}", "server", target->id, "service",
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -187,22 +187,17 @@
 	return true;
 }
 
-void bw_dispatch_note_pause(struct bw_target *target, int64_t pause_ms,
+void bw_dispatch_note_pause(struct bw_dispatch *dispatch,
+			    struct bw_target *target, int64_t pause_ms,
 			    struct bw_time now)
 {
-	pause_ms = CLAMP(pause_ms, 0, BW_DISPATCH_PAUSE_MAX_MS);
-	target->paused_until = bw_time_add(now, pause_ms);
+	bw_server_notice_pause(&target->notice, pause_ms,
+			       bw_random_unit(&dispatch->random), now);
 }
 
-bool bw_dispatch_note_leaving(struct bw_target *target, bool leaving,
-			      struct bw_time sent, struct bw_time now)
+bool bw_dispatch_note_leaving(struct bw_target *target)
 {
-	if (target->leaving == leaving ||
-	    (!leaving && !bw_time_reached(sent, target->leaving_since)))
-		return false;
-	target->leaving = leaving;
-	target->leaving_since = now;
-	return true;
+	return bw_server_notice_leave(&target->notice);
 }
 
 bool bw_dispatch_note_shared_limit(struct bw_dispatch *dispatch,
@@ -303,6 +298,7 @@
 	if (!bw_time_reached(now, target->cold_until))
 		target->cold_tokens -= 1.0;
 	bw_server_limit_use(&target->limit, now);
+	bw_server_notice_sent(&target->notice, now);
 	dispatch_mark_warm(dispatch, job, now);
 	dispatch_region_count(dispatch, target->region, now);
 }
@@ -318,6 +314,11 @@
 	target->service->in_flight--;
 	if (result == BW_JOB_ANSWERED || result == BW_JOB_FAILED)
 		count_completion_(target->service, now);
+	bw_server_notice_ended(
+		&target->notice,
+		result == BW_JOB_ANSWERED &&
+			!bw_server_notice_declines(&target->notice, now),
+		job->sent);
 	dispatch_record_result(target, job, result, load, now);
 	if (result != BW_JOB_ANSWERED)
 		dispatch_mark_cold(dispatch, job, target);
@@ -510,7 +511,8 @@
 		const struct bw_target *target = targets->pdata[i];
 
 		if (dispatch_is_allowed(job, target))
-			first_ms = MIN(first_ms, target->paused_until.ms);
+			first_ms =
+				MIN(first_ms, target->notice.paused_until.ms);
 	}
 	if (first_ms < job->deadline.ms)
 		return false;
--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -176,7 +176,7 @@
 		double slots = domains[target->domain].slots;
 
 		target->planned_fraction = 0.0;
-		if (target->accepts && !target->leaving && slots > 0.0)
+		if (target->accepts && !target->notice.leaving && slots > 0.0)
 			target->planned_fraction =
 				fractions[target->domain] *
 				dispatch_usable_slots(target) / slots;
@@ -204,7 +204,7 @@
 	for (i = 0; i < service->targets->len; i++) {
 		const struct bw_target *target = service->targets->pdata[i];
 
-		if (target->accepts && !target->leaving)
+		if (target->accepts && !target->notice.leaving)
 			domains[target->domain].slots +=
 				dispatch_usable_slots(target);
 	}
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -160,7 +160,7 @@
 {
 	uint32_t i;
 
-	if (!target->accepts || !target->slots || target->leaving)
+	if (!target->accepts || !target->slots || target->notice.leaving)
 		return false;
 	if (job->regions && !(job->regions & (1U << target->region)))
 		return false;
@@ -402,7 +402,7 @@
 {
 	return dispatch_is_allowed(job, target) &&
 	       bw_time_reached(now, target->ejected_until) &&
-	       bw_time_reached(now, target->paused_until);
+	       bw_server_notice_allows(&target->notice, now);
 }
 
 static void set_target_(struct bw_dispatch *dispatch, struct bw_job *job,
