Look at a server's notices again right before a request is sent

A request that had been given a server and waited for its connection was sent although the server had said meanwhile, in an answer to another request, that it leaves or wants none. The check before sending knew only what servers announce to control hosts. It now looks at the server's notices too, and the request is placed again.

--- a/src/boragewingd/gate_request_check.c
+++ b/src/boragewingd/gate_request_check.c
@@ -10,7 +10,7 @@
 static bool leads_to_(const struct bw_route *route, const char *service);
 static uint32_t home_regions_(const struct gate_request *request);
 static bool accepts_server_(const struct gate_entry *entry,
-			    const struct bw_target *target);
+			    const struct bw_target *target, struct bw_time now);
 
 const char *const gate_check_string[GATE_CHECK_COUNT] = {
 	[GATE_CHECK_CURRENT] = "current",
@@ -60,7 +60,7 @@
 	check = check_route_(request);
 	if (check != GATE_CHECK_CURRENT)
 		return check;
-	if (accepts_server_(entry, request->job.target))
+	if (accepts_server_(entry, request->job.target, now))
 		return GATE_CHECK_CURRENT;
 	gate_entry_update_targets(entry, now);
 	return GATE_CHECK_SERVER;
@@ -148,12 +148,13 @@
 
 /* Records that arrived since the last update of the targets count, too. */
 static bool accepts_server_(const struct gate_entry *entry,
-			    const struct bw_target *target)
+			    const struct bw_target *target, struct bw_time now)
 {
 	const struct bw_server *server = g_hash_table_lookup(
 		entry->node->registry.by_hash, &target->id_hash);
 
 	return server && server->record.state == BW_SERVER_READY &&
 	       server->record.started_wall_ms == target->started_wall_ms &&
-	       !gate_entry_is_evacuated(entry, server->record.domain);
+	       !gate_entry_is_evacuated(entry, server->record.domain) &&
+	       !bw_server_notice_declines(&target->notice, now);
 }
