Tell other hosts that a backend server leaves

A server that is cut off from control hosts can only say in its answers that it leaves. Only the host that had read such an answer left it alone; each other host sent it requests until it had an answer itself.

Hosts now tell each other leaves with the loads and limits that they exchange anyway, with the start time of the server, so that a later start with the same id is not taken for it. A control host keeps a leave when another host, which does not know of it, reports the load of the same server. Hosts of earlier versions send and expect none.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -296,6 +296,14 @@
  */
 bool bw_dispatch_note_leaving(struct bw_target *target);
 
+/**
+ * Notes a leave that another host has read in an answer.
+ * @param started_wall_ms start of the server that leaves
+ * @return whether it is known and new
+ */
+bool bw_dispatch_note_shared_leave(struct bw_dispatch *dispatch,
+				   uint64_t id_hash, int64_t started_wall_ms);
+
 /** Notes a limit that another host reports. */
 bool bw_dispatch_note_shared_limit(struct bw_dispatch *dispatch,
 				   uint64_t id_hash, double limit_per_s,
--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -330,9 +330,16 @@
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
+		const struct gate_load *stored =
+			g_hash_table_lookup(table, &loads[i].id_hash);
 		struct gate_load *load = g_new(struct gate_load, 1);
 
 		*load = loads[i];
+		/* A host that does not know of the leave does not end it. */
+		if (stored && stored->leaving && !load->leaving) {
+			load->leaving = true;
+			load->started_wall_ms = stored->started_wall_ms;
+		}
 		g_hash_table_replace(table, &load->id_hash, load);
 	}
 }
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -31,6 +31,7 @@
 			    const struct gate_status *status);
 static void fill_demands_(struct gate_entry *entry, struct gate_hello *hello,
 			  struct bw_time now);
+static void note_leave_(struct gate_entry *entry, const struct gate_load *load);
 static void handle_loads_(struct gate_entry *entry,
 			  const struct gate_loads *loads, struct bw_time now);
 static void fill_loads_(struct gate_entry *entry, struct gate_hello *hello);
@@ -330,11 +331,23 @@
 		bw_dispatch_note_shared_limit(
 			&entry->dispatch, load->id_hash,
 			load->limit_millirequests_per_s / 1000.0, now);
+		note_leave_(entry, load);
 		bw_dispatch_note_load(&entry->dispatch, load->id_hash,
 				      load->outstanding, now);
 	}
 }
 
+/* Another host has read in an answer that a server leaves. */
+static void note_leave_(struct gate_entry *entry, const struct gate_load *load)
+{
+	if (load->leaving &&
+	    bw_dispatch_note_shared_leave(&entry->dispatch, load->id_hash,
+					  load->started_wall_ms))
+		bw_log_event(entry->node->log, BW_LOG_INFO, "registry",
+			     "server_leave_learned", "{s:I}", "id_hash",
+			     (json_int_t)load->id_hash);
+}
+
 /* Adds the loads that servers reported in responses since the last hello. */
 static void fill_loads_(struct gate_entry *entry, struct gate_hello *hello)
 {
@@ -356,5 +369,7 @@
 		load->outstanding = target->reported_requests;
 		load->limit_millirequests_per_s = (uint32_t)CLAMP(
 			1000.0 * target->limit.limit_per_s, 0.0, 1e9);
+		load->leaving = target->notice.leaving;
+		load->started_wall_ms = target->started_wall_ms;
 	}
 }
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -18,6 +18,12 @@
 static void write_loads_(struct bw_writer *writer,
 			 const struct gate_load *loads, uint32_t count);
 static uint32_t read_loads_(struct bw_reader *reader, struct gate_load *loads);
+static struct gate_load *find_load_(struct gate_load *loads, uint32_t count,
+				    uint64_t id_hash);
+static void write_leaves_(struct bw_writer *writer,
+			  const struct gate_load *loads, uint32_t count);
+static void read_leaves_(struct bw_reader *reader, struct gate_load *loads,
+			 uint32_t count);
 static void write_limits_(struct bw_writer *writer,
 			  const struct gate_load *loads, uint32_t count);
 static void read_limits_(struct bw_reader *reader, struct gate_load *loads,
@@ -29,7 +35,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_HELLO, 10);
+	write_message_head_(&writer, out, GATE_HELLO, 11);
 	bw_write_bool(&writer, hello->control);
 	bw_write_uint(&writer, hello->state);
 	bw_write_uint(&writer, hello->detail);
@@ -40,6 +46,7 @@
 	write_loads_(&writer, hello->loads, hello->load_count);
 	bw_write_uint(&writer, hello->sent_ms);
 	write_limits_(&writer, hello->loads, hello->load_count);
+	write_leaves_(&writer, hello->loads, hello->load_count);
 }
 
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status)
@@ -90,15 +97,17 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_LOADS, 2);
+	write_message_head_(&writer, out, GATE_LOADS, 3);
 	write_loads_(&writer, loads->loads, loads->count);
 	write_limits_(&writer, loads->loads, loads->count);
+	write_leaves_(&writer, loads->loads, loads->count);
 }
 
 void gate_loads_read(struct bw_reader *reader, struct gate_loads *loads)
 {
 	loads->count = read_loads_(reader, loads->loads);
 	read_limits_(reader, loads->loads, loads->count);
+	read_leaves_(reader, loads->loads, loads->count);
 }
 
 void gate_routing_write(struct bw_buffer *out, enum gate_message_type type,
@@ -149,6 +158,7 @@
 	if (bw_read_more(reader))
 		hello->sent_ms = bw_read_uint(reader);
 	read_limits_(reader, hello->loads, hello->load_count);
+	read_leaves_(reader, hello->loads, hello->load_count);
 	if (state >= GATE_HOST_STATE_COUNT || detail >= GATE_DETAIL_COUNT) {
 		reader->failed = true;
 		return;
@@ -293,21 +303,69 @@
 static void read_limits_(struct bw_reader *reader, struct gate_load *loads,
 			 uint32_t count)
 {
-	uint64_t id_hash;
+	struct gate_load *load;
 	uint64_t limit;
-	uint32_t i;
 
 	if (!bw_read_more(reader))
 		return;
 	bw_read_array(reader);
 	while (bw_read_more(reader)) {
-		id_hash = bw_read_uint(reader);
+		load = find_load_(loads, count, bw_read_uint(reader));
 		limit = bw_read_uint(reader);
-		for (i = 0; i < count && !reader->failed; i++) {
-			if (loads[i].id_hash == id_hash)
-				loads[i].limit_millirequests_per_s =
-					(uint32_t)MIN(limit, UINT32_MAX);
-		}
+		if (load && !reader->failed)
+			load->limit_millirequests_per_s =
+				(uint32_t)MIN(limit, UINT32_MAX);
+	}
+	bw_read_end(reader);
+}
+
+static struct gate_load *find_load_(struct gate_load *loads, uint32_t count,
+				    uint64_t id_hash)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (loads[i].id_hash == id_hash)
+			return &loads[i];
+	}
+	return NULL;
+}
+
+/* Few servers leave. */
+static void write_leaves_(struct bw_writer *writer,
+			  const struct gate_load *loads, uint32_t count)
+{
+	uint32_t leaving = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		leaving += loads[i].leaving;
+	bw_write_array(writer, 2 * leaving);
+	for (i = 0; i < count; i++) {
+		if (!loads[i].leaving)
+			continue;
+		bw_write_uint(writer, loads[i].id_hash);
+		bw_write_int(writer, loads[i].started_wall_ms);
+	}
+}
+
+/* Hosts of earlier versions send no leaves. */
+static void read_leaves_(struct bw_reader *reader, struct gate_load *loads,
+			 uint32_t count)
+{
+	struct gate_load *load;
+	int64_t started_wall_ms;
+
+	if (!bw_read_more(reader))
+		return;
+	bw_read_array(reader);
+	while (bw_read_more(reader)) {
+		load = find_load_(loads, count, bw_read_uint(reader));
+		started_wall_ms = bw_read_int(reader);
+		if (!load || reader->failed)
+			continue;
+		load->leaving = true;
+		load->started_wall_ms = started_wall_ms;
 	}
 	bw_read_end(reader);
 }
@@ -321,6 +379,8 @@
 		loads[i].id_hash = bw_read_uint(reader);
 		loads[i].outstanding = (uint32_t)bw_read_uint(reader);
 		loads[i].limit_millirequests_per_s = 0;
+		loads[i].leaving = false;
+		loads[i].started_wall_ms = 0;
 	}
 	bw_read_end(reader);
 	return reader->failed ? 0 : count;
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -197,9 +197,21 @@
 
 bool bw_dispatch_note_leaving(struct bw_target *target)
 {
+	/* Other hosts learn it with the loads. */
+	target->load_report_pending = true;
 	return bw_server_notice_leave(&target->notice);
 }
 
+bool bw_dispatch_note_shared_leave(struct bw_dispatch *dispatch,
+				   uint64_t id_hash, int64_t started_wall_ms)
+{
+	struct bw_target *target =
+		g_hash_table_lookup(dispatch->targets, &id_hash);
+
+	return target && target->started_wall_ms == started_wall_ms &&
+	       bw_server_notice_leave(&target->notice);
+}
+
 bool bw_dispatch_note_shared_limit(struct bw_dispatch *dispatch,
 				   uint64_t id_hash, double limit_per_s,
 				   struct bw_time now)
