Name the cause when all servers leave or are at their limit

Operators saw "no_server" when the only servers of a service had said in answers that they leave, and "overload" when all were at the limits that they had named; explain then pointed at announcements and loads, which say nothing of it. The rejections are now named servers_leaving and servers_at_limit, with an explanation each, beside servers_paused.

run_gateway_notices and run_gateway_limit look for the causes in the log and in explain; both are new causes, so the checks fail before.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -144,6 +144,10 @@
 	BW_REJECT_CRASHES, /**< similar requests crashed backend servers */
 	BW_REJECT_PAUSED, /**< all backend servers want no requests until after
 			       its deadline */
+	BW_REJECT_LEAVING, /**< all backend servers that may get the request
+			      have said that they leave */
+	BW_REJECT_LIMITED, /**< as BW_REJECT_OVERLOAD, while all backend servers
+			      are at the limits that they named */
 	BW_REJECT_NO_ROUTE, /**< its route was removed while it waited */
 	BW_REJECT_COUNT
 };
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -66,6 +66,14 @@
 	{ "rejected", "servers_paused",
 	  "It has not run. All backend servers had asked for no requests until "
 	  "after its deadline;\nsee the server_paused lines." },
+	{ "rejected", "servers_leaving",
+	  "It has not run. All backend servers that might have run it had said "
+	  "that they leave;\nsee the server_leaving and server_leave_learned "
+	  "lines." },
+	{ "rejected", "servers_at_limit",
+	  "It has not run. All backend servers were at the limits that they "
+	  "had named, and the expected\nwait exceeded the remaining time; see "
+	  "the server_limit_changed lines." },
 	{ "rejected", "route_removed",
 	  "It has not run. A newer configuration without its route came into "
 	  "force while it waited;\nsee the routing_in_force lines." },
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -44,6 +44,9 @@
 			       uint32_t ahead);
 static void reject_(struct bw_dispatch *dispatch, const struct bw_job *job,
 		    enum bw_reject reason, struct bw_rejection *rejection);
+static bool has_leaving_target_(const struct bw_job *job);
+static enum bw_reject overload_reason_(const struct bw_job *job,
+				       struct bw_time now);
 static bool has_allowed_target_(const struct bw_job *job);
 static bool is_paused_(const struct bw_job *job, struct bw_time now,
 		       struct bw_rejection *rejection);
@@ -72,6 +75,8 @@
 	[BW_REJECT_DEADLINE] = "deadline",
 	[BW_REJECT_CRASHES] = "crashes_servers",
 	[BW_REJECT_PAUSED] = "servers_paused",
+	[BW_REJECT_LEAVING] = "servers_leaving",
+	[BW_REJECT_LIMITED] = "servers_at_limit",
 	[BW_REJECT_NO_ROUTE] = "route_removed",
 };
 
@@ -252,7 +257,10 @@
 	double wait_ms;
 
 	if (!has_allowed_target_(job)) {
-		reject_(dispatch, job, BW_REJECT_NO_SERVER, rejection);
+		reject_(dispatch, job,
+			has_leaving_target_(job) ? BW_REJECT_LEAVING
+						 : BW_REJECT_NO_SERVER,
+			rejection);
 		return BW_VERDICT_REJECT;
 	}
 	if (!job->tried_count)
@@ -266,7 +274,7 @@
 		  dispatch_service_response_ms(job->service);
 	wait_ms = job_wait_ms_(job);
 	if (wait_ms > WAIT_FRACTION_MAX * left_ms) {
-		reject_(dispatch, job, BW_REJECT_OVERLOAD, rejection);
+		reject_(dispatch, job, overload_reason_(job, now), rejection);
 		return BW_VERDICT_REJECT;
 	}
 	job->misses_deadline = false;
@@ -508,6 +516,40 @@
 	return false;
 }
 
+/* For a job without an allowed server: whether one would be but for a leave. */
+static bool has_leaving_target_(const struct bw_job *job)
+{
+	const GPtrArray *targets = job->service->targets;
+	uint32_t i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct bw_target *target = targets->pdata[i];
+
+		if (target->notice.leaving && dispatch_may_run(job, target))
+			return true;
+	}
+	return false;
+}
+
+static enum bw_reject overload_reason_(const struct bw_job *job,
+				       struct bw_time now)
+{
+	const GPtrArray *targets = job->service->targets;
+	enum bw_reject reason = BW_REJECT_OVERLOAD;
+	uint32_t i;
+
+	for (i = 0; i < targets->len; i++) {
+		struct bw_target *target = targets->pdata[i];
+
+		if (!dispatch_is_allowed(job, target))
+			continue;
+		if (bw_server_limit_allows(&target->limit, now))
+			return BW_REJECT_OVERLOAD;
+		reason = BW_REJECT_LIMITED;
+	}
+	return reason;
+}
+
 /*
  * Returns whether all servers that may run a job want no requests until after
  * its deadline. The client may return when the first pause ends.
@@ -628,7 +670,8 @@
 			continue;
 		bw_dispatch_remove(dispatch, job);
 		reject_(dispatch, job,
-			expired ? BW_REJECT_DEADLINE : BW_REJECT_OVERLOAD,
+			expired ? BW_REJECT_DEADLINE
+				: overload_reason_(job, now),
 			rejection);
 		*verdict = BW_VERDICT_REJECT;
 		return job;
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -157,10 +157,15 @@
 
 bool dispatch_is_allowed(const struct bw_job *job,
 			 const struct bw_target *target)
+{
+	return !target->notice.leaving && dispatch_may_run(job, target);
+}
+
+bool dispatch_may_run(const struct bw_job *job, const struct bw_target *target)
 {
 	uint32_t i;
 
-	if (!target->accepts || !target->slots || target->notice.leaving)
+	if (!target->accepts || !target->slots)
 		return false;
 	if (job->regions && !(job->regions & (1U << target->region)))
 		return false;
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -78,6 +78,9 @@
 bool dispatch_is_allowed(const struct bw_job *job,
 			 const struct bw_target *target);
 
+/** The same, regardless also of whether the server has said that it leaves. */
+bool dispatch_may_run(const struct bw_job *job, const struct bw_target *target);
+
 /** Returns whether any server of a service has a free slot. */
 bool dispatch_has_free_slot(const struct bw_dispatch_service *service,
 			    struct bw_time now);
--- a/test/gateway_limit.sh
+++ b/test/gateway_limit.sh
@@ -33,5 +33,6 @@
 check "the limit is kept" test "$(count_group limited)" -le 17
 check "some requests run" test "$(count_group limited)" -ge 2
 check "requests without a token are rejected at once" grep -q 503 "$work"/code-*
+check "they are rejected by the name of the cause" grep -q '"rejected".*"servers_at_limit"' "$work/entry-1.log"
 check "the limit is logged" grep -q '"server_limit_changed"' "$work/entry-1.log"
 rm "$work/announcing"
--- a/test/gateway_notices.sh
+++ b/test/gateway_notices.sh
@@ -21,6 +21,13 @@
 	done
 }
 arrivals() { grep "^$1-" "$work/ledger" | grep -c " $2 "; } # NAME SERVER
+explained() { # REQUEST CAUSE
+	for _ in $(seq 30); do
+		explains "$@" && return 0
+		sleep 0.1
+	done
+	return 1
+}
 code=$(request 1 GET /read/paused pause)
 check "a request that the only server rejects with a pause gets 503 ($code)" test "$code" = 503
 send 1 2 paused
@@ -34,5 +41,7 @@
 	check "the server that leaves gets no requests from entry host $i" test "$(arrivals gone-$i i-one)" = 0
 done
 check "entry host 2 learned it from another host" grep -q '"server_leave_learned"' "$work/entry-2.log"
+check "a request that finds only this server gets 503" test "$(request 1 GET /read/x all-leave)" = 503
+check "it is explained" explained all-leave "rejected, servers_leaving"
 check "both are logged" grep -q '"server_paused"' "$work/entry-1.log"
 rm "$work/announcing"
