--- a/include/bwsteer/server_limit.h
+++ b/include/bwsteer/server_limit.h
@@ -5,9 +5,9 @@
  * token that is not used expires, so that hosts that were idle do not send
  * their saved tokens at the same time. The module has no clock.
  *
- * Load: the shares of all hosts add up to 1.2 times the limit, and a token lives
- * for 1 s. In any 4 s a server gets at most the tokens of 5 s, which is one and a
- * half times its limit.
+ * Load: the shares of all hosts add up to 1.2 times the limit, and a token
+ * lives for 1 s. In any 4 s a server gets at most the tokens of 5 s, which is
+ * one and a half times its limit.
  */
 #ifndef BWSTEER_SERVER_LIMIT_H
 #define BWSTEER_SERVER_LIMIT_H
