Move the reasons of a rejection out of the dispatcher's main file

Whether a job has to be rejected, why, and when its client may return are in dispatch_reject.c now; no behaviour changed.

--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -5,12 +5,6 @@
 
 #include "private/dispatch.h"
 
-/** Maximum retry delay sent with a rejection. */
-#define RETRY_AFTER_MAX_MS 2000
-
-/** Minimum retry delay sent with a rejection. */
-#define RETRY_AFTER_MIN_MS 100
-
 /** Window over which the completion rate of a service is measured. */
 #define RATE_WINDOW_MS 500
 
@@ -42,14 +36,6 @@
 static double job_wait_ms_(const struct bw_job *job);
 static double service_wait_ms_(const struct bw_dispatch_service *service,
 			       uint32_t ahead);
-static void reject_(struct bw_dispatch *dispatch, const struct bw_job *job,
-		    enum bw_reject reason, struct bw_rejection *rejection);
-static bool has_leaving_target_(const struct bw_job *job);
-static enum bw_reject overload_reason_(const struct bw_job *job,
-				       struct bw_time now);
-static bool has_allowed_target_(const struct bw_job *job);
-static bool is_paused_(const struct bw_job *job, struct bw_time now,
-		       struct bw_rejection *rejection);
 static uint32_t count_ahead_(const struct bw_job *job);
 static void check_waits_(struct bw_dispatch_service *service,
 			 struct bw_time now);
@@ -68,18 +54,6 @@
 			      struct bw_time now);
 static json_t *dump_target_(const struct bw_target *target, struct bw_time now);
 
-const char *const bw_reject_string[BW_REJECT_COUNT] = {
-	[BW_REJECT_NONE] = "none",
-	[BW_REJECT_NO_SERVER] = "no_server",
-	[BW_REJECT_OVERLOAD] = "overload",
-	[BW_REJECT_DEADLINE] = "deadline",
-	[BW_REJECT_CRASHES] = "crashes_servers",
-	[BW_REJECT_PAUSED] = "servers_paused",
-	[BW_REJECT_LEAVING] = "servers_leaving",
-	[BW_REJECT_LIMITED] = "servers_at_limit",
-	[BW_REJECT_NO_ROUTE] = "route_removed",
-};
-
 const char *const bw_distance_string[BW_DISTANCE_COUNT] = {
 	[BW_DISTANCE_DOMAIN] = "domain",
 	[BW_DISTANCE_REGION] = "region",
@@ -256,16 +230,14 @@
 	double left_ms;
 	double wait_ms;
 
-	if (!has_allowed_target_(job)) {
-		reject_(dispatch, job,
-			has_leaving_target_(job) ? BW_REJECT_LEAVING
-						 : BW_REJECT_NO_SERVER,
-			rejection);
+	if (!dispatch_has_server(job)) {
+		dispatch_reject(dispatch, dispatch_no_server_reason(job),
+				job_wait_ms_(job), rejection);
 		return BW_VERDICT_REJECT;
 	}
 	if (!job->tried_count)
 		job->service->arrival_count++;
-	if (is_paused_(job, now, rejection))
+	if (dispatch_is_paused(job, now, rejection))
 		return BW_VERDICT_REJECT;
 	dispatch_find_home(dispatch, job, now);
 	if (!count_ahead_(job) && dispatch_place(dispatch, job, now))
@@ -274,7 +246,8 @@
 		  dispatch_service_response_ms(job->service);
 	wait_ms = job_wait_ms_(job);
 	if (wait_ms > WAIT_FRACTION_MAX * left_ms) {
-		reject_(dispatch, job, overload_reason_(job, now), rejection);
+		dispatch_reject(dispatch, dispatch_overload_reason(job, now),
+				wait_ms, rejection);
 		return BW_VERDICT_REJECT;
 	}
 	job->misses_deadline = false;
@@ -492,89 +465,6 @@
 	return 1000.0 * ahead / service->completions_per_s;
 }
 
-static void reject_(struct bw_dispatch *dispatch, const struct bw_job *job,
-		    enum bw_reject reason, struct bw_rejection *rejection)
-{
-	double wait_ms = job_wait_ms_(job);
-	/* Random jitter keeps the retries from arriving as a new burst. */
-	double jitter = 0.5 + bw_random_unit(&dispatch->random);
-
-	rejection->reason = reason;
-	rejection->retry_after_ms = (uint32_t)CLAMP(
-		wait_ms * jitter, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-}
-
-static bool has_allowed_target_(const struct bw_job *job)
-{
-	const GPtrArray *targets = job->service->targets;
-	uint32_t i;
-
-	for (i = 0; i < targets->len; i++) {
-		if (dispatch_is_allowed(job, targets->pdata[i]))
-			return true;
-	}
-	return false;
-}
-
-/* For a job without an allowed server: whether one would be but for a leave. */
-static bool has_leaving_target_(const struct bw_job *job)
-{
-	const GPtrArray *targets = job->service->targets;
-	uint32_t i;
-
-	for (i = 0; i < targets->len; i++) {
-		const struct bw_target *target = targets->pdata[i];
-
-		if (target->notice.leaving && dispatch_may_run(job, target))
-			return true;
-	}
-	return false;
-}
-
-static enum bw_reject overload_reason_(const struct bw_job *job,
-				       struct bw_time now)
-{
-	const GPtrArray *targets = job->service->targets;
-	enum bw_reject reason = BW_REJECT_OVERLOAD;
-	uint32_t i;
-
-	for (i = 0; i < targets->len; i++) {
-		struct bw_target *target = targets->pdata[i];
-
-		if (!dispatch_is_allowed(job, target))
-			continue;
-		if (bw_server_limit_allows(&target->limit, now))
-			return BW_REJECT_OVERLOAD;
-		reason = BW_REJECT_LIMITED;
-	}
-	return reason;
-}
-
-/*
- * Returns whether all servers that may run a job want no requests until after
- * its deadline. The client may return when the first pause ends.
- */
-static bool is_paused_(const struct bw_job *job, struct bw_time now,
-		       struct bw_rejection *rejection)
-{
-	const GPtrArray *targets = job->service->targets;
-	int64_t first_ms = INT64_MAX;
-	uint32_t i;
-
-	for (i = 0; i < targets->len; i++) {
-		const struct bw_target *target = targets->pdata[i];
-
-		if (dispatch_is_allowed(job, target))
-			first_ms =
-				MIN(first_ms, target->notice.paused_until.ms);
-	}
-	if (first_ms < job->deadline.ms)
-		return false;
-	rejection->reason = BW_REJECT_PAUSED;
-	rejection->retry_after_ms = (uint32_t)(first_ms - now.ms);
-	return true;
-}
-
 /* Counts the jobs that wait for the same server and go before this one. */
 static uint32_t count_ahead_(const struct bw_job *job)
 {
@@ -669,10 +559,10 @@
 		if (!expired && !job->misses_deadline)
 			continue;
 		bw_dispatch_remove(dispatch, job);
-		reject_(dispatch, job,
-			expired ? BW_REJECT_DEADLINE
-				: overload_reason_(job, now),
-			rejection);
+		dispatch_reject(dispatch,
+				expired ? BW_REJECT_DEADLINE
+					: dispatch_overload_reason(job, now),
+				job_wait_ms_(job), rejection);
 		*verdict = BW_VERDICT_REJECT;
 		return job;
 	}
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -81,6 +81,27 @@
 /** The same, regardless also of whether the server has said that it leaves. */
 bool dispatch_may_run(const struct bw_job *job, const struct bw_target *target);
 
+/** Returns whether any server may run a job, regardless of its load. */
+bool dispatch_has_server(const struct bw_job *job);
+
+/** Returns the reason to reject a job that no server may run. */
+enum bw_reject dispatch_no_server_reason(const struct bw_job *job);
+
+/** Returns the reason to reject a job whose expected wait is too long. */
+enum bw_reject dispatch_overload_reason(const struct bw_job *job,
+					struct bw_time now);
+
+/**
+ * Returns whether all servers that may run a job want no requests until after
+ * its deadline. The client may return when the first pause ends.
+ */
+bool dispatch_is_paused(const struct bw_job *job, struct bw_time now,
+			struct bw_rejection *rejection);
+
+/** Fills in a rejection whose client may return after about wait_ms. */
+void dispatch_reject(struct bw_dispatch *dispatch, enum bw_reject reason,
+		     double wait_ms, struct bw_rejection *rejection);
+
 /** Returns whether any server of a service has a free slot. */
 bool dispatch_has_free_slot(const struct bw_dispatch_service *service,
 			    struct bw_time now);
