--- a/src/boragewingd/calls.c
+++ b/src/boragewingd/calls.c
@@ -1,24 +1,12 @@
 #include "calls_private.h"
 
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define CHART_PATH_BYTES 512
-#define DIGEST_BYTES 16
-#define DEADLINE_DEFAULT_MS 30000
-#define DEADLINE_MAX_MS 600000
 
-/** Validity of the binding of a key supplied by the caller. */
-#define BINDING_VALIDITY_MS (24 * 3600 * 1000)
-
-#define HEADER_KEY "Boragewing-Key"
-#define HEADER_CALLER_KEY "Idempotency-Key"
-#define HEADER_DEADLINE "Boragewing-Deadline-Ms"
-#define HEADER_HOPS "Boragewing-Hops"
 #define HEADER_FIRST_ATTEMPT "Boragewing-First-Attempt"
-#define HEADER_CLIENT "Boragewing-Client"
 
 static const char *const state_string_[] = {
 	"receiving", "binding", "claiming",   "joined",	   "queued",
@@ -40,34 +28,16 @@
 	[CALL_MAY_HAVE_RUN] = "may-have-run",
 };
 
-/** A call whose key is being bound; the call may end before the reply. */
-struct binding {
-	struct calls *calls;
-	uint64_t id;
-};
-
 static void make_metrics_(struct calls *calls);
 static bool handle_event_(const struct bw_frontend_event *event);
 static struct call *new_call_(struct calls *calls, struct bw_request *request);
 static void free_call_(struct call *call);
-static bool find_service_kind_(struct call *call, const char *path_suffix);
-static void parse_deadline_(struct call *call);
-static void find_client_region_(struct call *call);
-static void receive_body_(struct call *call, const uint8_t *data,
-			  size_t size_bytes);
-static void stream_body_(struct call *call);
-static void process_request_(struct call *call);
-static void compute_digests_(struct call *call);
-static bool parse_key_(struct call *call);
-static void bind_key_(struct call *call);
-static void on_key_bound_(void *context, const struct command_reply *reply);
 static void on_timer_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void handle_key_event_(struct calls *calls,
 			      const struct bw_keys_event *event);
 static void start_queued_(struct calls *calls, struct bw_time now);
 static void free_ended_calls_(struct calls *calls);
 static void expire_calls_(struct calls *calls, struct bw_time now);
-static struct call *find_call_(struct calls *calls, uint64_t id);
 
 enum bw_status calls_new(struct calls **out, struct host *host,
 			 struct bw_yaml_error *error)
@@ -112,16 +82,14 @@
 		bw_request_abort(request);
 		return;
 	}
-	if (!find_service_kind_(call, path_suffix))
+	if (!call_read_head(call, path_suffix))
 		return;
-	find_client_region_(call);
-	parse_deadline_(call);
 	report_arrival(&calls->host->steering.reports, call->service,
 		       call->region);
 	bw_retry_record_first_attempt(&calls->host->steering.retry,
 				      call->service_index, call->rank);
 	if (bw_request_content_length(request) > CALL_BUFFER_MAX_BYTES)
-		stream_body_(call);
+		call_stream_body(call);
 }
 
 bool calls_event(struct calls *calls, const struct bw_frontend_event *event)
@@ -138,14 +106,14 @@
 		return false;
 	switch (event->kind) {
 	case BW_FRONTEND_BODY:
-		receive_body_(call, event->data, event->size_bytes);
+		call_receive_body(call, event->data, event->size_bytes);
 		break;
 	case BW_FRONTEND_BODY_END:
 		call->body_complete = true;
 		if (call->body_streamed)
 			call_forward_body(call, NULL, 0);
 		else if (call->state == CALL_RECEIVING)
-			process_request_(call);
+			call_process_request(call);
 		break;
 	case BW_FRONTEND_WRITABLE:
 		call_resume_response(call);
@@ -213,8 +181,8 @@
 {
 	const struct bw_request *request = call->request;
 
-	if (!request || (!bw_request_header(request, HEADER_KEY) &&
-			 !bw_request_header(request, HEADER_CALLER_KEY)))
+	if (!request || (!bw_request_header(request, CALL_HEADER_KEY) &&
+			 !bw_request_header(request, CALL_HEADER_CALLER_KEY)))
 		return CALL_NOT_RUN;
 	if (bw_request_header(request, HEADER_FIRST_ATTEMPT))
 		return CALL_NOT_RUN;
@@ -236,7 +204,7 @@
 	call->state = step.state;
 	switch (step.action) {
 	case CALL_ACTION_BIND:
-		bind_key_(call);
+		call_bind_key(call);
 		break;
 	case CALL_ACTION_DISPATCH:
 		call_dispatch(call);
@@ -334,247 +302,6 @@
 	free(call);
 }
 
-/* Finds the service and kind of work; fails the call if there is none. */
-static bool find_service_kind_(struct call *call, const char *path_suffix)
-{
-	struct steering *steering = &call->calls->host->steering;
-	const char *query = bw_request_query(call->request);
-	const char *slash = strchr(path_suffix, '/');
-	const struct bw_sheet_service *service;
-	size_t length = slash ? (size_t)(slash - path_suffix)
-			      : strlen(path_suffix);
-	uint32_t service_index = BW_SHEET_NONE;
-	uint32_t kind_index;
-
-	call->method = strdup(bw_request_method(call->request));
-	call->upstream_target = g_strdup_printf("%s%s%s", slash ? slash : "/",
-						query ? "?" : "",
-						query ? query : "");
-	call->client_target =
-		g_strdup_printf("%s%s%s", bw_request_path(call->request),
-				query ? "?" : "", query ? query : "");
-	if (!steering->sheet) {
-		call_fail(call, 503, "no_sheet", call_unclaimed_outcome(call),
-			  1000);
-		return false;
-	}
-	if (length < BW_NAME_MAX) {
-		memcpy(call->service, path_suffix, length);
-		service_index =
-			bw_sheet_find_service(steering->sheet, call->service);
-	}
-	if (service_index == BW_SHEET_NONE) {
-		call_fail(call, 404, "unknown_service",
-			  call_unclaimed_outcome(call), 0);
-		return false;
-	}
-	service = &steering->sheet->services[service_index];
-	kind_index =
-		bw_sheet_find_kind(service, call->method, slash ? slash : "/");
-	if (kind_index == BW_SHEET_NONE) {
-		call_fail(call, 405, "unknown_kind",
-			  call_unclaimed_outcome(call), 0);
-		return false;
-	}
-	call->idempotent = service->kinds[kind_index].idempotent;
-	call->rank = service->kinds[kind_index].rank_index;
-	call->crash_limit = service->crash_limit;
-	if (bw_admission_service(&steering->admission, service->name,
-				 &call->service_index) != BW_OK) {
-		call_fail(call, 503, "too_many_services",
-			  call_unclaimed_outcome(call), 0);
-		return false;
-	}
-	return true;
-}
-
-static void find_client_region_(struct call *call)
-{
-	const char *peer = bw_request_peer(call->request);
-	const char *client_header =
-		bw_request_header(call->request, HEADER_CLIENT);
-
-	if (client_header && !strncmp(peer, "127.", 4))
-		peer = client_header;
-	call->region =
-		steering_caller_region(&call->calls->host->steering, peer);
-}
-
-static void parse_deadline_(struct call *call)
-{
-	const char *text = bw_request_header(call->request, HEADER_DEADLINE);
-	const char *hops = bw_request_header(call->request, HEADER_HOPS);
-	int64_t deadline_ms = DEADLINE_DEFAULT_MS;
-
-	if (text && bw_http_parse_length(text) != BW_HTTP_LENGTH_UNKNOWN)
-		deadline_ms = bw_http_parse_length(text);
-	if (deadline_ms > DEADLINE_MAX_MS)
-		deadline_ms = DEADLINE_MAX_MS;
-	call->deadline = bw_time_add(host_now(call->calls->host), deadline_ms);
-	if (hops && bw_http_parse_length(hops) > 0)
-		call->hops = (uint32_t)bw_http_parse_length(hops);
-}
-
-static void receive_body_(struct call *call, const uint8_t *data,
-			  size_t size_bytes)
-{
-	if (call->state == CALL_FINISHED)
-		return;
-	if (call->body_streamed) {
-		call_forward_body(call, data, size_bytes);
-		return;
-	}
-	if (bw_buffer_append(&call->body, data, size_bytes) != BW_OK) {
-		call_fail(call, 503, "out_of_memory",
-			  call_unclaimed_outcome(call), 0);
-		return;
-	}
-	if (call->body.size_bytes > CALL_BUFFER_MAX_BYTES)
-		stream_body_(call);
-}
-
-/*
- * Pauses reading of a large body until a backend server accepts it. The
- * request digest then covers the content length only, since the body is never
- * buffered whole.
- */
-static void stream_body_(struct call *call)
-{
-	call->body_streamed = true;
-	call->body_paused = true;
-	bw_request_pause(call->request);
-	process_request_(call);
-}
-
-/* Checks the crash fingerprint, then the key, or admits idempotent work. */
-static void process_request_(struct call *call)
-{
-	struct host *host = call->calls->host;
-	uint32_t retry_after_ms = 0;
-
-	compute_digests_(call);
-	if (bw_poison_check(&host->steering.poison, &call->fingerprint,
-			    call->crash_limit, host_now(host),
-			    &retry_after_ms)) {
-		bw_metric_add(call->calls->poisoned, 1);
-		call_fail(call, 422, "crashes_backend_servers",
-			  call_unclaimed_outcome(call), retry_after_ms);
-		return;
-	}
-	if (call->idempotent) {
-		call_admit(call);
-		return;
-	}
-	if (!parse_key_(call))
-		return;
-	if (call->has_key)
-		call_resolve_key(call);
-	else
-		call_fire(call, CALL_EVENT_BIND);
-}
-
-static void compute_digests_(struct call *call)
-{
-	uint8_t digest[DIGEST_BYTES];
-	int64_t length = bw_request_content_length(call->request);
-
-	if (call->body_streamed)
-		crypto_generichash(digest, sizeof(digest),
-				   (const uint8_t *)&length, sizeof(length),
-				   NULL, 0);
-	else
-		crypto_generichash(digest, sizeof(digest), call->body.data,
-				   call->body.size_bytes, NULL, 0);
-	bw_poison_fingerprint(call->service, call->method,
-			      call->upstream_target, digest, sizeof(digest), "",
-			      &call->fingerprint);
-	bw_keys_request_digest(call->service, call->method,
-			       call->upstream_target, digest, sizeof(digest),
-			       call->digest);
-}
-
-/* Fails the call and returns false when there is no usable key. */
-static bool parse_key_(struct call *call)
-{
-	struct host *host = call->calls->host;
-	const char *text = bw_request_header(call->request, HEADER_KEY);
-	const char *caller_key =
-		bw_request_header(call->request, HEADER_CALLER_KEY);
-	enum bw_status status;
-
-	if (text) {
-		status = bw_keys_parse(&host->steering.keys, text,
-				       host_wall_ms(host), &call->key);
-		if (status == BW_OK || status == BW_ESTALE) {
-			snprintf(call->key_text, sizeof(call->key_text), "%s",
-				 text);
-			call->has_key = true;
-			return true;
-		}
-		call_fail(call, status == BW_EDENIED ? 403 : 400,
-			  "bad_request_key", CALL_NOT_RUN, 0);
-		return false;
-	}
-	if (!caller_key) {
-		call_fail(call, 428, "request_key_required", CALL_NOT_RUN, 0);
-		return false;
-	}
-	if (bw_keys_hash_caller_key(&host->steering.keys, call->service,
-				    caller_key, call->key.id) != BW_OK) {
-		call_fail(call, 400, "bad_idempotency_key", CALL_NOT_RUN, 0);
-		return false;
-	}
-	return true;
-}
-
-/* Binds a key supplied by the caller to an owner, usually this host. */
-static void bind_key_(struct call *call)
-{
-	struct host *host = call->calls->host;
-	struct command command = { .kind = COMMAND_BIND_KEY };
-	const struct directory_host *owner = call_choose_owner(call);
-	struct binding *binding = g_new(struct binding, 1);
-
-	memcpy(command.bind.key, call->key.id, sizeof(command.bind.key));
-	bw_name_set(command.bind.owner,
-		    owner ? owner->name : host->settings->host.name);
-	command.bind.owner_incarnation = owner ? owner->incarnation
-					       : host->incarnation;
-	command.bind.expiry_wall_ms = host_wall_ms(host) + BINDING_VALIDITY_MS;
-	binding->calls = call->calls;
-	binding->id = call->id;
-	g_hash_table_insert(call->calls->by_id, &call->id, call);
-	command_call(&host->commands, &command, on_key_bound_, binding);
-}
-
-static void on_key_bound_(void *context, const struct command_reply *reply)
-{
-	struct binding *binding = context;
-	struct calls *calls = binding->calls;
-	struct call *call = find_call_(calls, binding->id);
-	const struct bw_outcome *outcome = &reply->outcome;
-
-	g_free(binding);
-	if (!call || call->state != CALL_BINDING)
-		return;
-	g_hash_table_remove(calls->by_id, &call->id);
-	if (reply->status != BW_OK ||
-	    (outcome->kind != BW_OUTCOME_BOUND &&
-	     outcome->kind != BW_OUTCOME_ALREADY_BOUND)) {
-		call_fail(call, 503,
-			  reply->status == BW_OK
-				  ? bw_outcome_kind_string[outcome->kind]
-				  : "no_control_majority",
-			  call_unclaimed_outcome(call), 1000);
-		return;
-	}
-	bw_keys_from_binding(call->key.id, outcome->owner,
-			     outcome->owner_incarnation,
-			     outcome->expiry_wall_ms, &call->key);
-	call->has_key = true;
-	call_resolve_key(call);
-}
-
 static void on_timer_(struct ev_loop *loop, ev_timer *watcher, int events)
 {
 	(void)loop;
@@ -624,7 +351,7 @@
 			if (bw_admission_next(admission, i, free_slots, now,
 					      &next) != BW_OK)
 				break;
-			call = find_call_(calls, next.id);
+			call = call_find(calls, next.id);
 			if (!call) {
 				bw_admission_done(admission, next.service,
 						  next.rank, 0);
@@ -666,7 +393,7 @@
 
 	while (bw_admission_expire(&steering->admission, now, &expired) ==
 	       BW_OK) {
-		call = find_call_(calls, expired.id);
+		call = call_find(calls, expired.id);
 		if (call)
 			call_fail(call, 503, "deadline", CALL_NOT_RUN,
 				  bw_admission_retry_after_ms(
@@ -700,7 +427,7 @@
 	}
 }
 
-static struct call *find_call_(struct calls *calls, uint64_t id)
+struct call *call_find(struct calls *calls, uint64_t id)
 {
 	return g_hash_table_lookup(calls->by_id, &id);
 }
--- a/src/boragewingd/calls_private.h
+++ b/src/boragewingd/calls_private.h
@@ -18,6 +18,12 @@
 #include "host.h"
 #include "web.h"
 
+/** Request field: key that this host has given out. */
+#define CALL_HEADER_KEY "Boragewing-Key"
+
+/** Request field: key that the caller supplies. */
+#define CALL_HEADER_CALLER_KEY "Idempotency-Key"
+
 /** Request field: marks a query for the record of a key whose owner is
  *  unreachable. */
 #define CALL_HEADER_OWNER_LOST "Boragewing-Owner-Lost"
@@ -188,6 +194,32 @@
  */
 enum call_outcome call_unclaimed_outcome(const struct call *call);
 
+/** Finds a call that is queued or whose key is being bound. */
+struct call *call_find(struct calls *calls, uint64_t id);
+
+/**
+ * Reads service, kind, client region and deadline.
+ * @return false when there is no such service; the call has failed
+ */
+bool call_read_head(struct call *call, const char *path_suffix);
+
+/** Takes in a part of the body. */
+void call_receive_body(struct call *call, const uint8_t *data,
+		       size_t size_bytes);
+
+/**
+ * Pauses reading of a large body until a backend server accepts it. The
+ * request digest then covers the content length only, since the body is never
+ * buffered whole.
+ */
+void call_stream_body(struct call *call);
+
+/** Checks the crash fingerprint, then the key, or admits idempotent work. */
+void call_process_request(struct call *call);
+
+/** Binds a key supplied by the caller to an owner, usually this host. */
+void call_bind_key(struct call *call);
+
 /** Offers a call to admission control, if its key or kind allows a run. */
 void call_admit(struct call *call);
 
