Reject requests of routes that a host knows to be outdated

It knew from the statuses of control hosts that a newer version was committed, and went on as if its own were in force.

The leader now keeps the table of the configuration that it has checked, compares it with the one before, and names in its status the definitions that were changed or removed (their digests, 64 at most). An entry host that is in touch uses such a route for 1.5 s more, and then rejects its requests as not run, with Retry-After, cause configuration_behind. Other routes are not touched; new ones are answered as unconfirmed already.

Ways that were weighed: rejecting all requests of a host that is behind (simple, but takes a whole host away for a change of one route); leaving it to the directory (too slow, clients keep their answers for 2 s); the names of what has changed (taken). A host that is cut off, without a message of its feed for 1.75 s, goes on with what it has. A leader that has just been elected doesn't know the version before, so that it names nothing for one change. After a change of more than 64 routes only some are known.

The check of a submission shares the unchanged routes of the committed table now, so that it costs what the change is.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -148,6 +148,8 @@
 			      have said that they leave */
 	BW_REJECT_LIMITED, /**< as BW_REJECT_OVERLOAD, while all backend servers
 			      are at the limits that they named */
+	BW_REJECT_BEHIND, /**< its route has been changed or removed by a
+			     configuration that is not here yet */
 	BW_REJECT_NO_ROUTE, /**< its route was removed while it waited */
 	BW_REJECT_COUNT
 };
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -74,6 +74,10 @@
 	  "It has not run. All backend servers were at the limits that they "
 	  "had named, and the expected\nwait exceeded the remaining time; see "
 	  "the server_limit_changed lines." },
+	{ "rejected", "configuration_behind",
+	  "It has not run. A configuration that this host did not have yet has "
+	  "changed or removed its\nroute; see the routing_requested and "
+	  "routing_in_force lines." },
 	{ "rejected", "route_removed",
 	  "It has not run. A newer configuration without its route came into "
 	  "force while it waited;\nsee the routing_in_force lines." },
--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -257,6 +257,7 @@
 
 	if (!state->revision)
 		return;
+	gate_control_note_committed(control, now);
 	status = bw_distribute_publish(&control->distribute, BW_DOCUMENT_SHEET,
 				       state->revision, state->text.data,
 				       state->text.size_bytes, now);
--- a/src/boragewingd/gate_control.h
+++ b/src/boragewingd/gate_control.h
@@ -11,6 +11,7 @@
 
 #include "bwagree/replica.h"
 #include "bwproxy/listener.h"
+#include "bwsteer/retired_routes.h"
 #include "bwsteer/routing.h"
 #include "bwmember/distribute.h"
 #include "gate_api.h"
@@ -22,6 +23,10 @@
 	GQueue waiting;
 	size_t waiting_bytes; /**< size of their texts */
 	ev_timer timer; /**< for the next slice */
+	struct bw_routing *proposed; /**< latest; or NULL */
+	uint8_t proposed_hash[BW_HASH_BYTES]; /**< of its text */
+	struct bw_routing *committed; /**< if it was proposed here; or NULL */
+	struct bw_retired_routes retired; /**< by what was committed since */
 };
 
 /** The control role of a host. */
--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -149,6 +149,9 @@
 	}
 	status.hello_sent_ms = entry->hello_sent_ms;
 	status.sends_pieces = true;
+	status.names_retired = control->submissions.committed != NULL;
+	if (status.names_retired)
+		status.retired = control->submissions.retired;
 	status.entry_count = g_hash_table_size(control->entries);
 	status.entry_index = entry_index_(control, entry->name);
 	status.domain_entry_count = count_in_domain_(control, entry->domain);
--- a/src/boragewingd/gate_control_private.h
+++ b/src/boragewingd/gate_control_private.h
@@ -167,6 +167,13 @@
 			 const struct bw_http_message *request,
 			 struct bw_time now);
 
+/**
+ * Notes which routes the committed configuration has changed, if this host
+ * proposed it and the one before.
+ */
+void gate_control_note_committed(struct gate_control *control,
+				 struct bw_time now);
+
 /** Drops the submissions that are being checked. */
 void gate_control_submissions_finish(struct gate_control *control);
 
--- a/src/boragewingd/gate_control_submit.c
+++ b/src/boragewingd/gate_control_submit.c
@@ -29,13 +29,13 @@
 		       struct bw_routing *routing, const char *error);
 static void end_submission_(struct gate_control *control,
 			    struct submission *submission,
-			    enum bw_status status, uint64_t version,
+			    enum bw_status status, struct bw_routing *routing,
 			    const char *error, struct bw_time now);
 static void reject_(struct gate_control *control,
 		    struct bw_server_connection *connection, const char *error);
 static void propose_(struct gate_control *control,
-		     const struct submission *submission, uint64_t version,
-		     struct bw_time now);
+		     const struct submission *submission,
+		     struct bw_routing *routing, struct bw_time now);
 static void free_submission_(struct submission *submission);
 
 void gate_control_submit(struct gate_control *control,
@@ -57,7 +57,8 @@
 	}
 	submission = g_new0(struct submission, 1);
 	status = platform_routing_begin(&submission->reader, body->data,
-					body->size_bytes, NULL);
+					body->size_bytes,
+					submissions->committed);
 	if (status != BW_OK) {
 		gate_respond_error(connection, 503, bw_status_string[status]);
 		free_submission_(submission);
@@ -80,6 +81,32 @@
 	ev_timer_stop(control->node->loop, &submissions->timer);
 	while ((submission = g_queue_pop_head(&submissions->waiting)))
 		free_submission_(submission);
+	bw_routing_unref(submissions->proposed);
+	bw_routing_unref(submissions->committed);
+}
+
+void gate_control_note_committed(struct gate_control *control,
+				 struct bw_time now)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct gate_submissions *submissions = &control->submissions;
+	struct bw_routing *before = submissions->committed;
+	struct bw_routing *after = submissions->proposed;
+
+	if (before && before->version == state->revision)
+		return;
+	if (after &&
+	    memcmp(submissions->proposed_hash, state->hash, BW_HASH_BYTES) != 0)
+		after = NULL;
+	if (before && after)
+		bw_retired_routes_note(&submissions->retired, before, after,
+				       now);
+	else
+		submissions->retired.count = 0;
+	bw_routing_unref(before);
+	submissions->committed = after;
+	if (after)
+		submissions->proposed = NULL;
 }
 
 void gate_control_submission_closed(
@@ -141,29 +168,28 @@
 {
 	struct gate_submissions *submissions = &control->submissions;
 	struct submission *submission = g_queue_pop_head(&submissions->waiting);
-	uint64_t version = routing ? routing->version : 0;
 	struct bw_time now = gate_node_now(control->node);
 
 	submissions->waiting_bytes -= submission->reader.text.size_bytes;
-	bw_routing_unref(routing);
 	bw_log_event(control->node->log, BW_LOG_INFO, "configuration",
 		     "submission_checked", "{s:I,s:s,s:I,s:f,s:i,s:I,s:b}",
-		     "version", (json_int_t)version, "status",
-		     bw_status_string[status], "text_bytes",
+		     "version", (json_int_t)(routing ? routing->version : 0),
+		     "status", bw_status_string[status], "text_bytes",
 		     (json_int_t)submission->reader.text.size_bytes, "check_ms",
 		     (double)submission->used_us / 1000.0, "slices",
 		     (int)submission->slice_count, "age_ms",
 		     (json_int_t)bw_time_diff_ms(now, submission->received_at),
 		     "closed", !submission->connection);
 	if (submission->connection)
-		end_submission_(control, submission, status, version, error,
+		end_submission_(control, submission, status, routing, error,
 				now);
+	bw_routing_unref(routing);
 	free_submission_(submission);
 }
 
 static void end_submission_(struct gate_control *control,
 			    struct submission *submission,
-			    enum bw_status status, uint64_t version,
+			    enum bw_status status, struct bw_routing *routing,
 			    const char *error, struct bw_time now)
 {
 	struct bw_server_connection *connection = submission->connection;
@@ -172,7 +198,7 @@
 	case BW_OK:
 		/* The lease may have ended during the check. */
 		if (!gate_control_redirect_to_leader(control, connection, now))
-			propose_(control, submission, version, now);
+			propose_(control, submission, routing, now);
 		break;
 	case BW_EINVAL:
 		reject_(control, connection, error);
@@ -196,15 +222,15 @@
 }
 
 static void propose_(struct gate_control *control,
-		     const struct submission *submission, uint64_t version,
-		     struct bw_time now)
+		     const struct submission *submission,
+		     struct bw_routing *routing, struct bw_time now)
 {
 	struct bw_server_connection *connection = submission->connection;
 	struct bw_submit submit = { .accept_wall_ms = bw_wall_ms() };
 	struct bw_buffer command;
 	enum bw_status status;
 
-	submit.revision = version;
+	submit.revision = routing->version;
 	submit.text = submission->reader.text.data;
 	submit.text_size_bytes = submission->reader.text.size_bytes;
 	crypto_generichash(submit.hash, BW_HASH_BYTES, submit.text,
@@ -213,9 +239,13 @@
 		       BW_HASH_BYTES);
 	bw_buffer_init(&command);
 	status = bw_command_submit(&command, &submit);
-	if (status == BW_OK)
+	if (status == BW_OK) {
+		bw_routing_unref(control->submissions.proposed);
+		control->submissions.proposed = bw_routing_ref(routing);
+		memcpy(control->submissions.proposed_hash, submit.hash,
+		       BW_HASH_BYTES);
 		gate_control_propose(control, connection, &command, now);
-	else if (status == BW_EFULL)
+	} else if (status == BW_EFULL)
 		gate_control_refuse(
 			control, connection, 413,
 			"the configuration is larger than 8 MiB, or than "
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -40,6 +40,8 @@
 			       other home regions */
 	GATE_CHECK_NO_ROUTE, /**< it has no route any more */
 	GATE_CHECK_EXPIRED, /**< its deadline has passed */
+	GATE_CHECK_BEHIND, /**< its route has changed or been removed by a
+			      version that is not here yet */
 	GATE_CHECK_COUNT
 };
 
@@ -92,6 +94,7 @@
 	struct gate_entry_build build;
 	struct bw_time outdated_since; /**< a newer version than the active one
 					   is known; 0 ms: none is */
+	struct bw_retired_routes retired; /**< by newer versions */
 	uint32_t entry_count; /**< entry hosts that share the servers */
 	uint32_t entry_index; /**< index of this host among them */
 	uint64_t registry_generation; /**< at the last update */
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -252,6 +252,9 @@
 		MAX(entry->newest_version, status->routing_version);
 	if (!status->current)
 		return;
+	if (status->names_retired &&
+	    status->routing_version == entry->newest_version)
+		bw_retired_routes_merge(&entry->retired, &status->retired, now);
 	if (!entry->outdated_since.ms &&
 	    status->routing_version >
 		    (entry->routing ? entry->routing->version : 0))
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -273,13 +273,16 @@
 
 static void reconsider_(struct gate_request *request, enum gate_check check)
 {
+	static const enum bw_reject reasons[GATE_CHECK_COUNT] = {
+		[GATE_CHECK_NO_ROUTE] = BW_REJECT_NO_ROUTE,
+		[GATE_CHECK_EXPIRED] = BW_REJECT_DEADLINE,
+		[GATE_CHECK_BEHIND] = BW_REJECT_BEHIND,
+	};
+
 	if (check == GATE_CHECK_SERVER || check == GATE_CHECK_ROUTE)
 		dispatch_request_(request);
 	else
-		reject_(request,
-			check == GATE_CHECK_EXPIRED ? BW_REJECT_DEADLINE
-						    : BW_REJECT_NO_ROUTE,
-			RETRY_AFTER_DEFAULT_MS);
+		reject_(request, reasons[check], RETRY_AFTER_DEFAULT_MS);
 }
 
 /*
--- a/src/boragewingd/gate_request_check.c
+++ b/src/boragewingd/gate_request_check.c
@@ -5,7 +5,17 @@
 #include "gate_entry_private.h"
 #include "platform.h"
 
+/**
+ * Time for which a route is used after a newer version that changed it is
+ * known. It leaves a second of the time in which a change has to be in force.
+ */
+#define RETIRED_USE_MAX_MS 1500
+
+/** Time without a message of the feed after which a host may be cut off. */
+#define CUT_OFF_AFTER_MS 1750
+
 static enum gate_check check_route_(struct gate_request *request);
+static bool is_retired_(const struct gate_request *request, struct bw_time now);
 static const struct bw_route *find_route_(const struct gate_request *request);
 static bool leads_to_(const struct bw_route *route, const char *service);
 static uint32_t home_regions_(const struct gate_request *request);
@@ -18,6 +28,7 @@
 	[GATE_CHECK_ROUTE] = "route_changed",
 	[GATE_CHECK_NO_ROUTE] = "route_removed",
 	[GATE_CHECK_EXPIRED] = "deadline",
+	[GATE_CHECK_BEHIND] = "configuration_behind",
 };
 
 void gate_request_keep_input(struct gate_request *request,
@@ -60,6 +71,8 @@
 	check = check_route_(request);
 	if (check != GATE_CHECK_CURRENT)
 		return check;
+	if (is_retired_(request, now))
+		return GATE_CHECK_BEHIND;
 	if (accepts_server_(entry, request->job.target, now))
 		return GATE_CHECK_CURRENT;
 	gate_entry_update_targets(entry, now);
@@ -104,6 +117,21 @@
 	return GATE_CHECK_ROUTE;
 }
 
+/*
+ * A host that is behind and in touch rejects requests of the routes that it
+ * knows to be outdated. One that is cut off goes on with what it has.
+ */
+static bool is_retired_(const struct gate_request *request, struct bw_time now)
+{
+	const struct gate_entry *entry = request->entry;
+
+	return entry->retired.count &&
+	       bw_time_diff_ms(now, entry->feed_received_at) <
+		       CUT_OFF_AFTER_MS &&
+	       bw_retired_routes_age_ms(&entry->retired, request->route->digest,
+					now) > RETIRED_USE_MAX_MS;
+}
+
 static const struct bw_route *find_route_(const struct gate_request *request)
 {
 	const char *head = (const char *)request->head.data;
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -18,6 +18,10 @@
 static void write_loads_(struct bw_writer *writer,
 			 const struct gate_load *loads, uint32_t count);
 static uint32_t read_loads_(struct bw_reader *reader, struct gate_load *loads);
+static void write_retired_(struct bw_writer *writer,
+			   const struct bw_retired_routes *retired);
+static void read_retired_(struct bw_reader *reader,
+			  struct bw_retired_routes *retired);
 static struct gate_load *find_load_(struct gate_load *loads, uint32_t count,
 				    uint64_t id_hash);
 static void write_leaves_(struct bw_writer *writer,
@@ -54,7 +58,7 @@
 	struct bw_writer writer;
 	uint32_t i;
 
-	write_message_head_(&writer, out, GATE_STATUS, 12);
+	write_message_head_(&writer, out, GATE_STATUS, 14);
 	bw_write_str(&writer, status->domain);
 	bw_write_bool(&writer, status->current);
 	bw_write_uint(&writer, status->routing_version);
@@ -71,6 +75,8 @@
 	write_demands_(&writer, status->demands, status->demand_count);
 	bw_write_uint(&writer, status->hello_sent_ms);
 	bw_write_bool(&writer, status->sends_pieces);
+	bw_write_bool(&writer, status->names_retired);
+	write_retired_(&writer, &status->retired);
 }
 
 void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
@@ -192,6 +198,10 @@
 		status->hello_sent_ms = bw_read_uint(reader);
 	if (bw_read_more(reader))
 		status->sends_pieces = bw_read_bool(reader);
+	if (bw_read_more(reader))
+		status->names_retired = bw_read_bool(reader);
+	if (bw_read_more(reader))
+		read_retired_(reader, &status->retired);
 }
 
 void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers)
@@ -385,3 +395,34 @@
 	bw_read_end(reader);
 	return reader->failed ? 0 : count;
 }
+
+static void write_retired_(struct bw_writer *writer,
+			   const struct bw_retired_routes *retired)
+{
+	uint32_t i;
+
+	bw_write_array(writer, retired->count);
+	for (i = 0; i < retired->count; i++)
+		bw_write_bin(writer, retired->routes[i].digest,
+			     BW_ROUTE_DIGEST_BYTES);
+}
+
+static void read_retired_(struct bw_reader *reader,
+			  struct bw_retired_routes *retired)
+{
+	const uint8_t *digest;
+	size_t size_bytes;
+	uint32_t i;
+
+	retired->count = read_count_(reader, BW_RETIRED_ROUTES_MAX);
+	for (i = 0; i < retired->count; i++) {
+		digest = bw_read_bin(reader, &size_bytes);
+		if (!digest || size_bytes != BW_ROUTE_DIGEST_BYTES) {
+			reader->failed = true;
+			retired->count = 0;
+			break;
+		}
+		memcpy(retired->routes[i].digest, digest, size_bytes);
+	}
+	bw_read_end(reader);
+}
--- a/src/boragewingd/gate_wire.h
+++ b/src/boragewingd/gate_wire.h
@@ -27,6 +27,7 @@
 #include "bwbase/buffer.h"
 #include "bwbase/codec.h"
 #include "bwsteer/registry.h"
+#include "bwsteer/retired_routes.h"
 
 /** Maximum number of control hosts listed in one message. */
 #define GATE_CONTROLS_MAX 24
@@ -120,6 +121,8 @@
 				     none */
 	bool sends_pieces; /**< the sender answers requests of
 				BW_CHANNEL_DISTRIBUTE */
+	bool names_retired; /**< the sender knows which routes have changed */
+	struct bw_retired_routes retired; /**< without times */
 };
 
 /**
--- a/src/libbwsteer/dispatch_reject.c
+++ b/src/libbwsteer/dispatch_reject.c
@@ -18,6 +18,7 @@
 	[BW_REJECT_PAUSED] = "servers_paused",
 	[BW_REJECT_LEAVING] = "servers_leaving",
 	[BW_REJECT_LIMITED] = "servers_at_limit",
+	[BW_REJECT_BEHIND] = "configuration_behind",
 	[BW_REJECT_NO_ROUTE] = "route_removed",
 };
 
