Name outdated routes only to hosts that are behind

The leader's status had the list in every status to every entry host, up to 1.1 KB twice a second. It now goes to hosts whose hello says that they have an older version: to all once when a change is committed, later only to those that are behind. A host that has the newest version it knows of clears its list, so that a definition that came back in a status that was lost is not taken for outdated.

--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -115,6 +115,7 @@
 	entry->incarnation = packet->incarnation;
 	entry->last_hello_at = now;
 	entry->hello_sent_ms = hello->sent_ms;
+	entry->routing_version = hello->routing_version;
 	entry->demand_count =
 		MIN(hello->demand_count, (uint32_t)GATE_SERVICES_MAX);
 	memcpy(entry->demands, hello->demands,
@@ -149,7 +150,8 @@
 	}
 	status.hello_sent_ms = entry->hello_sent_ms;
 	status.sends_pieces = true;
-	status.names_retired = control->submissions.committed != NULL;
+	status.names_retired = control->submissions.committed &&
+			       entry->routing_version < state->revision;
 	if (status.names_retired)
 		status.retired = control->submissions.retired;
 	status.entry_count = g_hash_table_size(control->entries);
--- a/src/boragewingd/gate_control_private.h
+++ b/src/boragewingd/gate_control_private.h
@@ -21,6 +21,7 @@
 	uint64_t incarnation;
 	struct bw_time last_hello_at; /**< arrival time */
 	uint64_t hello_sent_ms; /**< when the entry host sent it */
+	uint64_t routing_version; /**< in force there */
 	struct gate_demand demands[GATE_SERVICES_MAX];
 	uint32_t demand_count;
 };
--- a/src/boragewingd/gate_entry_routing.c
+++ b/src/boragewingd/gate_entry_routing.c
@@ -241,8 +241,10 @@
 	entry->routing_since = now;
 	entry->fetches_since = 0;
 	entry->received_bytes_since = 0;
-	if (routing->version >= entry->newest_version)
+	if (routing->version >= entry->newest_version) {
 		entry->outdated_since.ms = 0;
+		entry->retired.count = 0;
+	}
 	apply_routing_(entry, routing);
 }
 
