Share the opening of the gateway runs and the routes of the transfer tests

Runs with three control hosts, entry hosts and one server start with start_gateway; the two tests of transfers use the same random routes.

--- a/src/test_libbwmember/test_transfer_fan_out.c
+++ b/src/test_libbwmember/test_transfer_fan_out.c
@@ -16,6 +16,8 @@
 #include "bwbase/random.h"
 #include "bwmember/distribute.h"
 
+#include "route_text.h"
+
 #define SEED 7
 #define SOURCE_COUNT 6
 #define HOSTS_MAX 1000
@@ -72,20 +74,6 @@
 static struct bw_outbox out;
 static struct bw_random random_numbers;
 
-static void add_routes_(struct bw_buffer *text, uint32_t count)
-{
-	uint32_t i;
-
-	for (i = 0; i < count; i++)
-		bw_buffer_printf(
-			text,
-			"\"r-%llx\":{\"host\":\"h%u.example\",\"prefix\":"
-			"\"/%llx/\",\"kind\":\"safe\",\"timeout\":1.2},",
-			(unsigned long long)bw_random_next(&random_numbers),
-			(unsigned int)bw_random_below(&random_numbers, 40),
-			(unsigned long long)bw_random_next(&random_numbers));
-}
-
 static void publish_(struct node *node, uint64_t number,
 		     const struct bw_buffer *text, struct bw_time now)
 {
@@ -274,9 +262,9 @@
 	bw_random_init(&random_numbers, SEED);
 	bw_outbox_init(&out, 65536);
 	bw_buffer_init(&text);
-	add_routes_(&text, ROUTES_BEFORE);
+	route_text_add(&text, ROUTES_BEFORE, &random_numbers);
 	init_nodes_(host_count, source_bytes_per_s, &text);
-	add_routes_(&text, ROUTES_ADDED);
+	route_text_add(&text, ROUTES_ADDED, &random_numbers);
 	for (i = 0; i < SOURCE_COUNT; i++)
 		publish_(&sources[i], 2, &text, (struct bw_time){ 0 });
 	for (ms = 1; ms <= RUN_MS; ms++) {
--- a/src/test_libbwmember/test_transfer_links.c
+++ b/src/test_libbwmember/test_transfer_links.c
@@ -17,6 +17,8 @@
 #include "bwmember/distribute.h"
 #include "bwmember/fetch.h"
 
+#include "route_text.h"
+
 #define SOURCE_COUNT 3
 #define LINK_BYTES_PER_S 250000
 #define TICK_MS 40
@@ -84,20 +86,6 @@
 static uint64_t second_bytes;
 static struct results results;
 
-static void add_routes_(struct bw_buffer *text, uint32_t count)
-{
-	uint32_t i;
-
-	for (i = 0; i < count; i++)
-		bw_buffer_printf(
-			text,
-			"\"r-%llx\":{\"host\":\"h%u.example\",\"prefix\":"
-			"\"/%llx/\",\"kind\":\"safe\",\"timeout\":1.2},",
-			(unsigned long long)bw_random_next(&random_numbers),
-			(unsigned int)bw_random_below(&random_numbers, 40),
-			(unsigned long long)bw_random_next(&random_numbers));
-}
-
 /* The next version has more routes than the last one, or another digit. */
 static void publish_next_(uint32_t routes_added, struct bw_time now)
 {
@@ -109,7 +97,7 @@
 	if (newest)
 		bw_buffer_append(text, last->data, last->size_bytes);
 	if (!newest || bw_random_below(&random_numbers, 2))
-		add_routes_(text, routes_added);
+		route_text_add(text, routes_added, &random_numbers);
 	else
 		text->data[text->size_bytes / 2] ^= 1;
 	newest++;
@@ -513,11 +501,11 @@
 	exchange_(now);
 	assert_int_equal(bw_distribute_number(&receiver, BW_DOCUMENT_SHEET), 1);
 	newest = 2;
-	add_routes_(&versions[2], run.routes_added);
+	route_text_add(&versions[2], run.routes_added, &random_numbers);
 	newest = 3;
 	bw_buffer_append(&versions[3], versions[1].data,
 			 versions[1].size_bytes);
-	add_routes_(&versions[3], 1);
+	route_text_add(&versions[3], 1, &random_numbers);
 	bw_distribute_publish(&sources[0].distribute, BW_DOCUMENT_SHEET, 3,
 			      versions[3].data, versions[3].size_bytes, now);
 	/* The answer is on its way while another version comes into force. */
--- a/test/gateway_behind.sh
+++ b/test/gateway_behind.sh
@@ -8,12 +8,7 @@
 
 APPLY_MS=2500 # within which a change has to be in force
 
-ulimit -n 4096
-for i in 1 2 3; do start_control $i true; done
-start_entry 1
-start_servers one
-check_first_configuration
-check "the entry host serves" wait_output 200 10 request 1 GET /read/x first
+start_gateway 1
 routes() { # COUNT
 	echo ".routes += ([range($1)] | map({(\"n\(.)\"): {host: \"h.example\", pathPrefix: \"/n\(.)/\", kind: \"safe\", timeoutS: 1, sloS: 0.5, priority: 1, service: \"s\", attempts: 2, sticky: true, homeRegions: []}}) | add)"
 }
--- a/test/gateway_lib.sh
+++ b/test/gateway_lib.sh
@@ -141,6 +141,18 @@
 		"${@:5}" "http://$(entry_address "$1")$3"
 }
 
+# start_gateway ENTRIES: starts three control hosts, entry hosts and server one,
+# and checks that each entry host serves.
+start_gateway() {
+	local i
+	ulimit -n 4096
+	for i in 1 2 3; do start_control $i true; done
+	for i in $(seq "$1"); do start_entry "$i"; done
+	start_servers one
+	check_first_configuration
+	for i in $(seq "$1"); do check "entry host $i serves" wait_output 200 10 request "$i" GET /read/x "first-$i"; done
+}
+
 # entry_metric ENTRY NAME: prints the value of a metric without labels.
 entry_metric() { http_get "http://127.0.2.$1:$((port + 8))/metrics" | sed -n "s/^$2 //p"; }
 
--- a/test/gateway_limit.sh
+++ b/test/gateway_limit.sh
@@ -5,12 +5,7 @@
 cd "$(dirname "$0")/.."
 . test/gateway_lib.sh
 
-ulimit -n 4096
-for i in 1 2 3; do start_control $i true; done
-for i in 1 2; do start_entry $i; done
-start_servers one
-check_first_configuration
-for i in 1 2; do check "entry host $i serves" wait_output 200 10 request $i GET /read/x "first-$i"; done
+start_gateway 2
 # send SECONDS NAME: twenty requests a second, over both entry hosts.
 send() {
 	local end=$((SECONDS + $1)) n=0
