End the soak's delayed commands with its run

The delayed command now looks whether the run goes on; during a run refused commands count as violations as before.

--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -106,6 +106,10 @@
 	(sleep "$2"; kill -CONT "$pid" 2>/dev/null) &
 }
 
+heal_after() { # SECONDS; the run may have ended then
+	sleep "$1"
+	[ ! -e "$work/running" ] || proxy_command heal
+}
 inject_fault() {
 	# seconds is 0.1 to 0.9; "1$seconds" is 10 s longer.
 	local host=$((RANDOM % 3 + 1)) server=$((RANDOM % servers + 1)) seconds="0.$((RANDOM % 9 + 1))"
@@ -117,9 +121,9 @@
 	2) restart "entry-$host" TERM "$seconds" ;;
 	3) suspend "control-$host" "1$seconds" ;;
 	4) suspend "entry-$host" "$seconds" ;;
-	5) proxy_command "cut 0.0.0.0/0 127.0.3.$server/32"; (sleep "1$seconds"; proxy_command heal) & ;;
-	6) proxy_command "freeze 0.0.0.0/0 127.0.3.$server/32"; (sleep "$seconds"; proxy_command heal) & ;;
-	7) proxy_command "delay 0.0.0.0/0 127.0.3.$server/32 200"; (sleep "1$seconds"; proxy_command heal) & ;;
+	5) proxy_command "cut 0.0.0.0/0 127.0.3.$server/32"; heal_after "1$seconds" & ;;
+	6) proxy_command "freeze 0.0.0.0/0 127.0.3.$server/32"; heal_after "$seconds" & ;;
+	7) proxy_command "delay 0.0.0.0/0 127.0.3.$server/32 200"; heal_after "1$seconds" & ;;
 	8) for host in 1 2 3; do kill -KILL "${pids[control-$host]}" 2>/dev/null; done
 		for host in 1 2 3; do restart "control-$host" KILL 0.1; done ;;
 	esac
