--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -75,13 +75,14 @@
 }
 
 operator() {
-	local version=10 at code
+	local version=10 attempt=0 at code
 	while [ -e "$work/running" ]; do
+		attempt=$((attempt + 1))
 		configuration "$version" > "$work/submission.json"
-		code=$(status_code --post301 -X POST --data-binary "@$work/submission.json" "http://$(control_address $((version % 3 + 1)))/-/config/put")
+		code=$(status_code --max-time 2 --post301 -X POST --data-binary "@$work/submission.json" "http://$(control_address $((attempt % 3 + 1)))/-/config/put")
 		[ "$code" = 200 ] && { echo "$version $(now_ms)" >> "$work/acks"; version=$((version + 1 + version % 3)); }
 		at=$(now_ms)
-		read_version "$((version % 3 + 1))" "$at"
+		read_version "$((attempt % 3 + 1))" "$at"
 		sleep 0.4
 	done
 }
