Split the tests of valid requests

The listener that answers with what it has read is in echo.c, the two tests without memory in test_no_memory.c.

--- a/src/test_libbwproxy/test_valid_requests.c
+++ b/src/test_libbwproxy/test_valid_requests.c
@@ -2,7 +2,6 @@
  * Valid requests of clients in seeded sequences, pipelines and pieces. Guards
  * against an error response to a request that stays within the limits.
  */
-#include <dlfcn.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,28 +9,16 @@
 #include "bwbase/random.h"
 #include "bwproxy/listener.h"
 #include "bwsteer/routing.h"
-#include "harness.h"
+#include "echo.h"
 
 /** Rounds and seed of the random tests. */
 #define ROUNDS 3000
 #define SOCKET_ROUNDS 150
 #define SEED 20
 
-/** First port that a listener tries. */
-#define FIRST_PORT 23600
-
 /** Requests of one connection. */
 #define SEQUENCE_MAX 6
 
-/** Limits of the routing tables of the field. */
-#define HEAD_MAX_BYTES 16384
-#define BODY_MAX_BYTES 65536
-
-static const struct bw_http_limits limits = {
-	.head_max_bytes = HEAD_MAX_BYTES,
-	.body_max_bytes = BODY_MAX_BYTES,
-};
-
 /* A request and what the reader has to make of it. */
 struct sample {
 	char target[400];
@@ -40,18 +27,6 @@
 	enum http_method method;
 };
 
-/* Responds with the method, target, Host and size of the body. */
-struct echo {
-	struct bw_server_connection *held;
-	uint32_t requests;
-	enum bw_listener_cause cause; /**< of the last rejection */
-};
-
-static void append_text_(struct bw_buffer *out, const char *text)
-{
-	assert_int_equal(bw_buffer_append(out, text, strlen(text)), BW_OK);
-}
-
 static void write_random_fields_(struct bw_random *random,
 				 struct bw_buffer *out)
 {
@@ -79,25 +54,25 @@
 			bw_random_below(random, i % 4 ? 40 : 700);
 
 		if (!bw_random_below(random, 3)) {
-			append_text_(out,
-				     known[bw_random_below(
+			echo_append_text(
+				out, known[bw_random_below(
 					     random,
 					     sizeof(known) / sizeof(*known))]);
 			continue;
 		}
-		append_text_(out, "x");
+		echo_append_text(out, "x");
 		for (j = 0; j < name_bytes; j++)
 			bw_buffer_append(out,
 					 &tchars[bw_random_below(
 						 random, sizeof(tchars) - 1)],
 					 1);
-		append_text_(out, bw_random_below(random, 2) ? ":" : ": ");
+		echo_append_text(out, bw_random_below(random, 2) ? ":" : ": ");
 		for (j = 0; j < value_bytes; j++) {
 			char byte = (char)(0x20 + bw_random_below(random, 95));
 
 			bw_buffer_append(out, &byte, 1);
 		}
-		append_text_(out, "\r\n");
+		echo_append_text(out, "\r\n");
 	}
 }
 
@@ -113,16 +88,17 @@
 		bw_buffer_printf(out,
 				 bw_random_below(random, 2) ? "%zx" : "00%zX",
 				 bytes);
-		append_text_(out, bw_random_below(random, 4) ? "\r\n"
-							     : ";a=b;c\r\n");
+		echo_append_text(out, bw_random_below(random, 4)
+					      ? "\r\n"
+					      : ";a=b;c\r\n");
 		bw_buffer_append(out, body->data + done, bytes);
-		append_text_(out, "\r\n");
+		echo_append_text(out, "\r\n");
 		done += bytes;
 	}
-	append_text_(out, "0\r\n");
+	echo_append_text(out, "0\r\n");
 	if (!bw_random_below(random, 3))
-		append_text_(out, "X-Sum: 1\r\nX-Empty:\r\n");
-	append_text_(out, "\r\n");
+		echo_append_text(out, "X-Sum: 1\r\nX-Empty:\r\n");
+	echo_append_text(out, "\r\n");
 }
 
 static void make_sample_(struct bw_random *random, struct sample *sample,
@@ -167,14 +143,15 @@
 			 sample->host,
 			 (unsigned long long)bw_random_next(random));
 	if (framing && !bw_random_below(random, 4))
-		append_text_(out, "Expect: 100-continue\r\n");
+		echo_append_text(out, "Expect: 100-continue\r\n");
 	write_random_fields_(random, out);
 	if (framing == 1)
 		bw_buffer_printf(out, "Content-Length: %zu\r\n\r\n",
 				 body_bytes);
 	else
-		append_text_(out, framing ? "Transfer-Encoding: chunked\r\n\r\n"
-					  : "\r\n");
+		echo_append_text(out,
+				 framing ? "Transfer-Encoding: chunked\r\n\r\n"
+					 : "\r\n");
 	if (framing == 1)
 		bw_buffer_append(out, sample->body.data, body_bytes);
 	else if (framing)
@@ -219,7 +196,7 @@
 	size_t sent = 0;
 	size_t used;
 
-	bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
+	bw_http_reader_init(&reader, HTTP_REQUEST, &echo_limits);
 	bw_buffer_init(&in);
 	while (done < count) {
 		enum bw_http_progress progress;
@@ -275,78 +252,6 @@
 	}
 }
 
-static void respond_(struct echo *echo, struct bw_server_connection *connection)
-{
-	const struct bw_http_message *request =
-		bw_connection_request(connection);
-	struct bw_buffer fields;
-	char host[160] = "";
-
-	bw_http_find(request, "Host", host, sizeof(host));
-	bw_buffer_init(&fields);
-	bw_buffer_printf(&fields, "X-Echo: %s %.*s %s %zu\r\n",
-			 http_method_str((enum http_method)request->method),
-			 (int)request->target.size_bytes,
-			 bw_http_text(request, request->target), host,
-			 request->body.size_bytes);
-	echo->requests++;
-	echo->held = NULL;
-	bw_connection_respond(connection, 200, &fields, "ok", 2, false);
-	bw_buffer_finish(&fields);
-}
-
-/* Responds at once or from a later iteration, by turns. */
-static void on_request_(void *context, struct bw_server_connection *connection,
-			const struct bw_http_message *request)
-{
-	struct echo *echo = context;
-
-	(void)request;
-	if (echo->requests % 2)
-		respond_(echo, connection);
-	else
-		echo->held = connection;
-}
-
-static void on_disconnected_(void *context,
-			     struct bw_server_connection *connection)
-{
-	(void)connection;
-	((struct echo *)context)->held = NULL;
-}
-
-static void on_rejected_(void *context,
-			 const struct bw_server_connection *connection,
-			 const struct bw_http_message *request,
-			 const struct bw_listener_rejection *rejection)
-{
-	struct echo *echo = context;
-
-	(void)connection;
-	(void)request;
-	echo->cause = rejection->cause;
-}
-
-static const struct bw_listener_handler echo_handler = {
-	.request = on_request_,
-	.disconnected = on_disconnected_,
-	.rejected = on_rejected_,
-};
-
-static uint16_t listen_(struct bw_listener *listener, struct ev_loop *loop,
-			struct echo *echo)
-{
-	struct bw_listener_config config = { .loop = loop,
-					     .limits = limits,
-					     .connections_max = 4,
-					     .head_timeout_ms = 20000,
-					     .idle_timeout_ms = 60000,
-					     .handler = &echo_handler,
-					     .context = echo };
-
-	return listener_open(listener, &config, FIRST_PORT);
-}
-
 static void exchange_(struct bw_random *random, struct ev_loop *loop,
 		      struct echo *echo, uint16_t port, uint64_t round)
 {
@@ -370,12 +275,12 @@
 		peer_send(&peer, wire.data + sent, piece);
 		sent += piece;
 		if (echo->held && bw_random_below(random, 2))
-			respond_(echo, echo->held);
+			echo_respond(echo, echo->held);
 	}
 	while (peer_count(&peer, "HTTP/1.1 200 OK") < count) {
 		spin_once(loop);
 		if (echo->held)
-			respond_(echo, echo->held);
+			echo_respond(echo, echo->held);
 		if (peer.eof || peer_has(&peer, "HTTP/1.1 4"))
 			fail_msg("round %llu: %.40s", (unsigned long long)round,
 				 strstr((char *)peer.in.data, "HTTP/1.1 4")
@@ -408,7 +313,7 @@
 	struct bw_listener listener;
 	struct echo echo = { 0 };
 	struct bw_random random;
-	uint16_t port = listen_(&listener, loop, &echo);
+	uint16_t port = echo_listen(&listener, loop, &echo);
 	uint64_t round;
 
 	(void)state;
@@ -419,32 +324,10 @@
 	ev_loop_destroy(loop);
 }
 
-/* Sends text to a listener and returns the status of the response. */
-static uint32_t status_on_(struct ev_loop *loop, struct echo *echo,
-			   struct peer *peer, const void *data,
-			   size_t size_bytes)
-{
-	uint32_t status_code = 0;
-	char *line;
-
-	bw_buffer_clear(&peer->in);
-	peer_send(peer, data, size_bytes);
-	while (!peer_has(peer, "\r\n\r\n") && !peer->eof) {
-		spin_once(loop);
-		if (echo->held)
-			respond_(echo, echo->held);
-	}
-	bw_buffer_append(&peer->in, "", 1);
-	line = strstr((char *)peer->in.data, "HTTP/1.1 ");
-	if (line)
-		status_code = (uint32_t)strtoul(line + 9, NULL, 10);
-	return status_code;
-}
-
 static uint32_t status_of_(struct ev_loop *loop, struct echo *echo,
 			   struct peer *peer, const char *text)
 {
-	return status_on_(loop, echo, peer, text, strlen(text));
+	return echo_status(loop, echo, peer, text, strlen(text));
 }
 
 static void write_padded_(struct bw_buffer *out, uint32_t fields,
@@ -453,14 +336,14 @@
 	uint32_t i;
 	size_t j;
 
-	append_text_(out, "GET /a HTTP/1.1\r\nHost: h.example\r\n");
+	echo_append_text(out, "GET /a HTTP/1.1\r\nHost: h.example\r\n");
 	for (i = 0; i < fields; i++) {
 		bw_buffer_printf(out, "X-%u: ", i);
 		for (j = 0; j < value_bytes; j++)
-			append_text_(out, "v");
-		append_text_(out, "\r\n");
+			echo_append_text(out, "v");
+		echo_append_text(out, "\r\n");
 	}
-	append_text_(out, "\r\n");
+	echo_append_text(out, "\r\n");
 }
 
 /* Guards against a limit of a newer routing table that does not apply to open
@@ -472,7 +355,7 @@
 	struct echo echo = { 0 };
 	struct bw_buffer wire;
 	struct peer peer;
-	uint16_t port = listen_(&listener, loop, &echo);
+	uint16_t port = echo_listen(&listener, loop, &echo);
 
 	(void)state;
 	listener.config.limits.head_max_bytes = 512;
@@ -482,10 +365,10 @@
 			   "GET /a HTTP/1.1\r\nHost: h.example\r\n\r\n"),
 		200);
 	bw_buffer_init(&wire);
-	listener.config.limits.head_max_bytes = HEAD_MAX_BYTES;
+	listener.config.limits.head_max_bytes = ECHO_HEAD_MAX_BYTES;
 	write_padded_(&wire, 1, 1000);
-	assert_int_equal(status_on_(loop, &echo, &peer, wire.data,
-				    wire.size_bytes),
+	assert_int_equal(echo_status(loop, &echo, &peer, wire.data,
+				     wire.size_bytes),
 			 200);
 	peer_finish(&peer);
 	bw_buffer_finish(&wire);
@@ -502,14 +385,14 @@
 	struct echo echo = { 0 };
 	struct bw_buffer wire;
 	struct peer peer;
-	uint16_t port = listen_(&listener, loop, &echo);
+	uint16_t port = echo_listen(&listener, loop, &echo);
 
 	(void)state;
 	bw_buffer_init(&wire);
 	write_padded_(&wire, 150, 3);
 	peer_connect(&peer, loop, port);
-	assert_int_equal(status_on_(loop, &echo, &peer, wire.data,
-				    wire.size_bytes),
+	assert_int_equal(echo_status(loop, &echo, &peer, wire.data,
+				     wire.size_bytes),
 			 200);
 	peer_finish(&peer);
 	bw_buffer_finish(&wire);
@@ -525,15 +408,15 @@
 	struct echo echo = { 0 };
 	struct bw_buffer wire;
 	struct peer peer;
-	uint16_t port = listen_(&listener, loop, &echo);
+	uint16_t port = echo_listen(&listener, loop, &echo);
 
 	(void)state;
 	listener.config.limits.head_max_bytes = 1024 * 1024;
 	bw_buffer_init(&wire);
 	write_padded_(&wire, 10, 9000);
 	peer_connect(&peer, loop, port);
-	assert_int_equal(status_on_(loop, &echo, &peer, wire.data,
-				    wire.size_bytes),
+	assert_int_equal(echo_status(loop, &echo, &peer, wire.data,
+				     wire.size_bytes),
 			 200);
 	peer_finish(&peer);
 	bw_buffer_finish(&wire);
@@ -550,7 +433,7 @@
 	char host[BW_ROUTE_HOST_MAX];
 	size_t used;
 
-	bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
+	bw_http_reader_init(&reader, HTTP_REQUEST, &echo_limits);
 	assert_int_equal(bw_http_reader_feed(&reader, (const uint8_t *)text,
 					     strlen(text), &used),
 			 BW_HTTP_COMPLETE);
@@ -586,7 +469,7 @@
 	struct bw_listener listener;
 	struct echo echo = { 0 };
 	struct peer peer;
-	uint16_t port = listen_(&listener, loop, &echo);
+	uint16_t port = echo_listen(&listener, loop, &echo);
 	char whole[200];
 
 	(void)state;
@@ -607,7 +490,7 @@
 	struct bw_listener listener;
 	struct echo echo = { 0 };
 	struct peer peer;
-	uint16_t port = listen_(&listener, loop, &echo);
+	uint16_t port = echo_listen(&listener, loop, &echo);
 
 	(void)state;
 	peer_connect(&peer, loop, port);
@@ -620,113 +503,6 @@
 	ev_loop_destroy(loop);
 }
 
-/** Size from which allocations fail; 0: none do. */
-static size_t refused_bytes;
-
-/* Replaces the function of the C library. */
-void *realloc(void *data, size_t size_bytes)
-{
-	static void *(*next)(void *, size_t);
-
-	if (refused_bytes && size_bytes >= refused_bytes)
-		return NULL;
-	if (!next)
-		*(void **)&next = dlsym(RTLD_NEXT, "realloc");
-	return next(data, size_bytes);
-}
-
-/* Writes a request with a value and a body of the given sizes. */
-static void write_sized_(struct bw_buffer *out, size_t value_bytes,
-			 size_t body_bytes)
-{
-	size_t i;
-
-	append_text_(out, "POST /a HTTP/1.1\r\nHost: h.example\r\nX: ");
-	for (i = 0; i < value_bytes; i++)
-		append_text_(out, "v");
-	bw_buffer_printf(out, "\r\nContent-Length: %zu\r\n\r\n", body_bytes);
-	for (i = 0; i < body_bytes; i++)
-		append_text_(out, "b");
-}
-
-/* Guards against lack of memory that counts as a message beyond its limits. */
-static void test_reader_no_memory(void **state)
-{
-	static const struct {
-		size_t refused_bytes;
-		size_t value_bytes;
-		size_t body_bytes;
-	} cases[] = {
-		{ 20000, 1, 30000 }, /* body */
-		{ 5000, 6000, 0 }, /* text of the head */
-		{ 200, 1, 0 }, /* fields */
-	};
-	size_t i;
-
-	(void)state;
-	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		enum bw_http_progress progress;
-		struct bw_http_reader reader;
-		struct bw_buffer wire;
-		size_t used;
-
-		bw_buffer_init(&wire);
-		write_sized_(&wire, cases[i].value_bytes, cases[i].body_bytes);
-		bw_http_reader_init(&reader, HTTP_REQUEST, &limits);
-		refused_bytes = cases[i].refused_bytes;
-		progress = bw_http_reader_feed(&reader, wire.data,
-					       wire.size_bytes, &used);
-		refused_bytes = 0;
-		assert_int_equal(progress, BW_HTTP_NO_MEMORY);
-		bw_http_reader_finish(&reader);
-		bw_buffer_finish(&wire);
-	}
-}
-
-/* Guards against lack of memory that is reported as an error of the client. */
-static void test_listener_no_memory(void **state)
-{
-	/* No bytes stay unread, so that no reset overtakes the response. */
-	static const struct {
-		size_t refused_bytes;
-		size_t body_bytes;
-	} cases[] = {
-		{ 28000, 28500 }, /* body */
-		{ 10000, 11000 }, /* received bytes */
-	};
-	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-	struct bw_listener listener;
-	struct echo echo = { 0 };
-	uint16_t port = listen_(&listener, loop, &echo);
-	struct bw_buffer wire;
-	struct peer peer;
-	size_t i;
-
-	(void)state;
-	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		bw_buffer_init(&wire);
-		write_sized_(&wire, 1, cases[i].body_bytes);
-		peer_connect(&peer, loop, port);
-		echo.cause = BW_LISTENER_CAUSE_COUNT;
-		refused_bytes = cases[i].refused_bytes;
-		assert_int_equal(status_on_(loop, &echo, &peer, wire.data,
-					    wire.size_bytes),
-				 503);
-		refused_bytes = 0;
-		assert_true(peer_has(&peer, "Retry-After: "));
-		assert_int_equal(echo.cause, BW_LISTENER_NO_MEMORY);
-		peer_finish(&peer);
-		peer_connect(&peer, loop, port);
-		assert_int_equal(status_on_(loop, &echo, &peer, wire.data,
-					    wire.size_bytes),
-				 200);
-		peer_finish(&peer);
-		bw_buffer_finish(&wire);
-	}
-	bw_listener_finish(&listener);
-	ev_loop_destroy(loop);
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -738,8 +514,6 @@
 		cmocka_unit_test(test_host_whitespace),
 		cmocka_unit_test(test_upgrade_with_body),
 		cmocka_unit_test(test_unknown_method),
-		cmocka_unit_test(test_reader_no_memory),
-		cmocka_unit_test(test_listener_no_memory),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
