--- a/include/bwmember/confirmation.h
+++ b/include/bwmember/confirmation.h
@@ -2,10 +2,12 @@
  * @file
  * Decides whether an entry host may tell a client for good that something does
  * not exist. The host has to know that no newer configuration is in force,
- * which most control hosts together can tell: a version is in force once it is
- * in the log of most of them, and each announces it once it has applied it,
- * about one heartbeat of the leader later. The module has no clock and no
- * sockets.
+ * which most voters of the control group together can tell: a version is in
+ * force once it is in the log of most of them, and each announces it once it
+ * has applied it, about one heartbeat of the leader later. Control hosts ask
+ * the voters, and tell their entry hosts the result with its age, so that an
+ * entry host needs few control hosts, however many there are. The module has no
+ * clock and no sockets.
  */
 #ifndef BWMEMBER_CONFIRMATION_H
 #define BWMEMBER_CONFIRMATION_H
@@ -20,6 +22,8 @@
 	uint64_t version; /**< 0: none */
 	bool current; /**< its state is not older than its start */
 	struct bw_time as_of; /**< it is not older than this; 0 ms: unknown */
+	bool of_majority; /**< the control host has this confirmed by most
+			       voters, and as_of is the time of that */
 };
 
 /** What the announcements of all known control hosts say together. */
@@ -29,11 +33,17 @@
 	uint32_t confirmed_by; /**< control hosts with a recent announcement of
 				    no newer version */
 	uint32_t controls; /**< known control hosts */
+	struct bw_time as_of; /**< if confirmed: no version was newer at that
+				   time */
 };
 
+/** Maximum number of announcements. */
+#define BW_ANNOUNCEMENTS_MAX 128
+
 /**
  * Checks a version against the last announcement of each known control host,
- * whatever its age if it is newer.
+ * whatever its age if it is newer. It is confirmed by most of them, or by one
+ * that has asked most voters.
  * @param version in force here; 0: none, which is never confirmed
  * @param age_max_ms age at which an announcement no longer confirms
  */
--- a/include/bwmember/feed.h
+++ b/include/bwmember/feed.h
@@ -1,12 +1,13 @@
 /**
  * @file
- * Selects the control host that sends an entry host full detail: backend
- * servers, their loads and the names of control hosts. Each entry host needs
- * one copy, and the nearest control host can send it without traffic between
- * failure domains. All other control hosts send only what must not depend on
- * a single host. A control host that this host receives from, but the source
- * does not (a partition between the two), sends full detail too. The module
- * has no clock and no sockets.
+ * Selects the control hosts that an entry host talks to, and the one of them
+ * that sends it full detail (the source): backend servers, their loads and the
+ * names of control hosts. Each entry host needs one copy, and the nearest
+ * control host can send it without traffic between failure domains. The other
+ * contacts send only what must not depend on a single host; they are few,
+ * however many control hosts there are, and in several regions. A contact that
+ * the source does not hear (a partition between the two) sends full detail too.
+ * The module has no clock and no sockets.
  */
 #ifndef BWMEMBER_FEED_H
 #define BWMEMBER_FEED_H
@@ -18,7 +19,19 @@
 #include "bwbase/packet.h"
 
 /** Maximum number of control hosts. */
-#define BW_FEED_PEERS_MAX 32
+#define BW_FEED_PEERS_MAX 128
+
+/** Number of control hosts that an entry host talks to. */
+#define BW_FEED_CONTACTS 4
+
+/**
+ * The same while it has no source. All hosts that start know the same three
+ * control hosts.
+ */
+#define BW_FEED_FIRST_CONTACTS 2
+
+/** Maximum number of regions; further ones count as the last. */
+#define BW_FEED_REGIONS_MAX 64
 
 /** Distance to a control host; unknown until it has sent its location. */
 enum bw_feed_distance {
@@ -32,7 +45,10 @@
 struct bw_feed_peer {
 	char name[BW_NAME_MAX];
 	enum bw_feed_distance distance;
+	uint32_t region; /**< index of its region */
 	bool alive; /**< a packet arrived recently */
+	bool outdated; /**< it is cut off from most voters, or still starts */
+	bool avoided; /**< it was a contact and did not respond */
 };
 
 /** State of one entry host. */
@@ -49,9 +65,10 @@
 void bw_feed_init(struct bw_feed *feed, const char *self, struct bw_time now);
 
 /**
- * Selects the nearest live control host as the source. A live source is
- * replaced only by a nearer one. A host that has just started waits briefly
- * for a control host of its own failure domain.
+ * Selects the nearest live control host as the source, if possible one that is
+ * not outdated. A live source is replaced only by a nearer one, or when it is
+ * outdated. A host that has just started waits briefly for a control host of
+ * its own failure domain.
  * @return whether the source changed
  */
 bool bw_feed_choose(struct bw_feed *feed, const struct bw_feed_peer *peers,
@@ -64,6 +81,16 @@
 void bw_feed_set_source_peers(struct bw_feed *feed, const char *source,
 			      const char (*names)[BW_NAME_MAX], uint32_t count);
 
+/**
+ * Selects the contacts: the source, a control host that the source does not
+ * hear, and others of as many regions as possible, the nearest first. Control
+ * hosts that did not respond are tried again when there are no others.
+ * @param contact receives for each peer whether it is a contact
+ */
+void bw_feed_contacts(const struct bw_feed *feed,
+		      const struct bw_feed_peer *peers, uint32_t count,
+		      bool *contact);
+
 /** Returns whether a control host must send this host full detail. */
 bool bw_feed_needs_detail(const struct bw_feed *feed,
 			  const struct bw_feed_peer *peer);
--- a/src/libbwmember/confirmation.c
+++ b/src/libbwmember/confirmation.c
@@ -1,26 +1,43 @@
 #include "bwmember/confirmation.h"
 
+#include <stdlib.h>
+
 static bool is_recent_(const struct bw_announcement *announcement,
 		       uint32_t age_max_ms, struct bw_time now);
+static int compare_descending_(const void *a, const void *b);
 
 struct bw_confirmation bw_confirm(const struct bw_announcement *announcements,
 				  uint32_t count, uint64_t version,
 				  uint32_t age_max_ms, struct bw_time now)
 {
 	struct bw_confirmation result = { .controls = count };
+	int64_t as_of_ms[BW_ANNOUNCEMENTS_MAX];
+	int64_t latest_ms = 0;
 	uint32_t i;
 
-	for (i = 0; i < count; i++) {
+	for (i = 0; i < count && i < BW_ANNOUNCEMENTS_MAX; i++) {
 		const struct bw_announcement *announcement = &announcements[i];
 
 		if (announcement->version > result.newest_version)
 			result.newest_version = announcement->version;
-		if (announcement->current && announcement->version <= version &&
-		    is_recent_(announcement, age_max_ms, now))
-			result.confirmed_by++;
+		if (!announcement->current || announcement->version > version ||
+		    !is_recent_(announcement, age_max_ms, now))
+			continue;
+		as_of_ms[result.confirmed_by++] = announcement->as_of.ms;
+		if (announcement->of_majority &&
+		    announcement->as_of.ms > latest_ms)
+			latest_ms = announcement->as_of.ms;
+	}
+	if (result.confirmed_by > count / 2) {
+		qsort(as_of_ms, result.confirmed_by, sizeof(as_of_ms[0]),
+		      compare_descending_);
+		if (as_of_ms[count / 2] > latest_ms)
+			latest_ms = as_of_ms[count / 2];
 	}
 	result.confirmed = version && result.newest_version <= version &&
-			   result.confirmed_by > count / 2;
+			   latest_ms;
+	if (result.confirmed)
+		result.as_of.ms = latest_ms;
 	return result;
 }
 
@@ -43,3 +60,12 @@
 	return announcement->as_of.ms && age_ms >= 0 &&
 	       age_ms <= (int64_t)age_max_ms;
 }
+
+/* Sorts the latest time first. */
+static int compare_descending_(const void *a, const void *b)
+{
+	int64_t left = *(const int64_t *)a;
+	int64_t right = *(const int64_t *)b;
+
+	return (left < right) - (left > right);
+}
--- a/src/libbwmember/feed.c
+++ b/src/libbwmember/feed.c
@@ -10,6 +10,14 @@
 static bool is_better_source_(const struct bw_feed *feed,
 			      const struct bw_feed_peer *a,
 			      const struct bw_feed_peer *b);
+static bool is_heard_by_source_(const struct bw_feed *feed, const char *name);
+static const struct bw_feed_peer *
+best_contact_(const struct bw_feed *feed, const struct bw_feed_peer *peers,
+	      uint32_t count, const bool *contact, bool unheard_only);
+static bool is_better_contact_(const struct bw_feed *feed,
+			       const struct bw_feed_peer *a,
+			       const struct bw_feed_peer *b,
+			       const uint32_t *in_region);
 
 void bw_feed_init(struct bw_feed *feed, const char *self, struct bw_time now)
 {
@@ -33,7 +41,8 @@
 	}
 	if (!best || best == current)
 		return false;
-	if (current && current->alive && current->distance <= best->distance)
+	if (current && current->alive && current->outdated <= best->outdated &&
+	    current->distance <= best->distance)
 		return false;
 	if (!feed->source[0] && best->distance != BW_FEED_SAME_DOMAIN &&
 	    bw_time_diff_ms(now, feed->started) < SAME_DOMAIN_WAIT_MS)
@@ -58,22 +67,41 @@
 			    names[i]);
 }
 
+void bw_feed_contacts(const struct bw_feed *feed,
+		      const struct bw_feed_peer *peers, uint32_t count,
+		      bool *contact)
+{
+	uint32_t limit = feed->source[0] ? BW_FEED_CONTACTS
+					 : BW_FEED_FIRST_CONTACTS;
+	const struct bw_feed_peer *next =
+		find_peer_(peers, count, feed->source);
+
+	memset(contact, 0, count * sizeof(*contact));
+	if (next) {
+		contact[next - peers] = true;
+		limit--;
+		next = best_contact_(feed, peers, count, contact, true);
+	}
+	while (limit--) {
+		if (!next)
+			next = best_contact_(feed, peers, count, contact,
+					     false);
+		if (!next)
+			return;
+		contact[next - peers] = true;
+		next = NULL;
+	}
+}
+
 bool bw_feed_needs_detail(const struct bw_feed *feed,
 			  const struct bw_feed_peer *peer)
 {
-	uint32_t i;
-
 	if (!feed->source[0])
 		return false;
 	if (!strcmp(peer->name, feed->source))
 		return true;
-	if (!feed->has_source_peers || !peer->alive)
-		return false;
-	for (i = 0; i < feed->source_peer_count; i++) {
-		if (!strcmp(peer->name, feed->source_peers[i]))
-			return false;
-	}
-	return true;
+	return feed->has_source_peers && peer->alive &&
+	       !is_heard_by_source_(feed, peer->name);
 }
 
 /* FNV-1a over both names. */
@@ -105,6 +133,66 @@
 			      const struct bw_feed_peer *a,
 			      const struct bw_feed_peer *b)
 {
+	if (a->outdated != b->outdated)
+		return b->outdated;
+	if (a->distance != b->distance)
+		return a->distance < b->distance;
+	return bw_feed_hash(feed->self, a->name) <
+	       bw_feed_hash(feed->self, b->name);
+}
+
+static bool is_heard_by_source_(const struct bw_feed *feed, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < feed->source_peer_count; i++) {
+		if (!strcmp(name, feed->source_peers[i]))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns the best control host that is not a contact yet.
+ * @param unheard_only only one that responds, or may respond, to this host but
+ *	not to the source
+ */
+static const struct bw_feed_peer *
+best_contact_(const struct bw_feed *feed, const struct bw_feed_peer *peers,
+	      uint32_t count, const bool *contact, bool unheard_only)
+{
+	uint32_t in_region[BW_FEED_REGIONS_MAX] = { 0 };
+	const struct bw_feed_peer *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		in_region[peers[i].region % BW_FEED_REGIONS_MAX] += contact[i];
+	for (i = 0; i < count; i++) {
+		if (contact[i])
+			continue;
+		if (unheard_only &&
+		    (!feed->has_source_peers || peers[i].avoided ||
+		     is_heard_by_source_(feed, peers[i].name)))
+			continue;
+		if (!best ||
+		    is_better_contact_(feed, &peers[i], best, in_region))
+			best = &peers[i];
+	}
+	return best;
+}
+
+static bool is_better_contact_(const struct bw_feed *feed,
+			       const struct bw_feed_peer *a,
+			       const struct bw_feed_peer *b,
+			       const uint32_t *in_region)
+{
+	uint32_t in_region_a = in_region[a->region % BW_FEED_REGIONS_MAX];
+	uint32_t in_region_b = in_region[b->region % BW_FEED_REGIONS_MAX];
+
+	if (a->avoided != b->avoided)
+		return b->avoided;
+	if (feed->source[0] && in_region_a != in_region_b)
+		return in_region_a < in_region_b;
 	if (a->distance != b->distance)
 		return a->distance < b->distance;
 	return bw_feed_hash(feed->self, a->name) <
--- a/src/test_libbwmember/test_confirmation.c
+++ b/src/test_libbwmember/test_confirmation.c
@@ -161,6 +161,42 @@
 	assert_true(may_start_(8, 10));
 }
 
+/* Guards against an entry host that trusts a control host which is itself cut
+ * off, or what it confirmed long ago. */
+static void test_one_speaks_for_most_voters(void **state)
+{
+	struct bw_announcement relayed[2] = { { .version = 7 },
+					      { .version = 7 } };
+
+	(void)state;
+	relayed[0].current = true;
+	relayed[0].as_of = time_at_(NOW_MS - 300);
+	assert_false(bw_confirm(relayed, 2, 7, AGE_MAX_MS, time_at_(NOW_MS))
+			     .confirmed);
+	relayed[0].of_majority = true;
+	assert_true(bw_confirm(relayed, 2, 7, AGE_MAX_MS, time_at_(NOW_MS))
+			    .confirmed);
+	assert_false(
+		bw_confirm(relayed, 2, 7, 299, time_at_(NOW_MS)).confirmed);
+	relayed[1].version = 8;
+	assert_false(bw_confirm(relayed, 2, 7, AGE_MAX_MS, time_at_(NOW_MS))
+			     .confirmed);
+}
+
+/* Guards against a control host that passes on a confirmation as younger than
+ * that of the slowest voter which it needs. */
+static void test_confirmation_has_the_age_of_its_majority(void **state)
+{
+	(void)state;
+	announce_(0, 7, 10);
+	announce_(1, 7, 900);
+	announce_(2, 7, 400);
+	assert_int_equal(check_(7, NOW_MS).as_of.ms, NOW_MS - 900);
+	announce_(3, 7, 50);
+	assert_int_equal(check_(7, NOW_MS).as_of.ms, NOW_MS - 400);
+	assert_int_equal(check_(6, NOW_MS).as_of.ms, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -174,6 +210,10 @@
 			test_restarted_control_host_does_not_confirm, set_up_),
 		cmocka_unit_test_setup(test_clock_set_back, set_up_),
 		cmocka_unit_test_setup(test_nothing_is_known_at_start, set_up_),
+		cmocka_unit_test_setup(test_one_speaks_for_most_voters,
+				       set_up_),
+		cmocka_unit_test_setup(
+			test_confirmation_has_the_age_of_its_majority, set_up_),
 		cmocka_unit_test_setup(test_start_with_confirmed_version,
 				       set_up_),
 		cmocka_unit_test_setup(test_start_without_most_control_hosts,
--- a/src/test_libbwmember/test_feed.c
+++ b/src/test_libbwmember/test_feed.c
@@ -9,6 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -153,6 +154,145 @@
 	assert_int_equal(count[2] + count[3], 100);
 }
 
+/* Control hosts c0, c1, ... of three regions; c0 is in the own domain. */
+#define FLEET_CONTROLS 27
+
+static void init_fleet_(struct bw_feed *feed, struct bw_feed_peer *peers)
+{
+	uint32_t i;
+
+	memset(peers, 0, FLEET_CONTROLS * sizeof(*peers));
+	for (i = 0; i < FLEET_CONTROLS; i++) {
+		snprintf(peers[i].name, sizeof(peers[i].name), "c%u", i);
+		peers[i].region = i % 3;
+		peers[i].distance = BW_FEED_OTHER_REGION;
+		if (i % 3 == 0)
+			peers[i].distance = i % 9 ? BW_FEED_SAME_REGION
+						  : BW_FEED_SAME_DOMAIN;
+		peers[i].alive = true;
+	}
+	bw_feed_init(feed, "e0", time_at_(0));
+}
+
+static uint32_t count_contacts_(const bool *contact, uint32_t *regions)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	*regions = 0;
+	for (i = 0; i < FLEET_CONTROLS; i++) {
+		count += contact[i];
+		if (contact[i])
+			*regions |= 1U << (i % 3);
+	}
+	return count;
+}
+
+/* Guards against entry hosts that talk to each control host of a large fleet,
+ * or only to those of one region. */
+static void test_contacts_are_few_and_in_all_regions(void **state)
+{
+	struct bw_feed_peer peers[FLEET_CONTROLS];
+	bool contact[FLEET_CONTROLS];
+	struct bw_feed feed;
+	uint32_t regions;
+
+	(void)state;
+	init_fleet_(&feed, peers);
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	assert_int_equal(count_contacts_(contact, &regions),
+			 BW_FEED_FIRST_CONTACTS);
+	bw_feed_choose(&feed, peers, FLEET_CONTROLS, time_at_(10));
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	assert_int_equal(count_contacts_(contact, &regions), BW_FEED_CONTACTS);
+	assert_int_equal(regions, 7);
+	assert_true(contact[atoi(feed.source + 1)]);
+}
+
+/* Guards against a host that keeps calling control hosts that are lost, while
+ * others would respond. */
+static void test_silent_contacts_give_way(void **state)
+{
+	struct bw_feed_peer peers[FLEET_CONTROLS];
+	bool contact[FLEET_CONTROLS];
+	struct bw_feed feed;
+	uint32_t regions;
+	uint32_t i;
+
+	(void)state;
+	init_fleet_(&feed, peers);
+	bw_feed_choose(&feed, peers, FLEET_CONTROLS, time_at_(10));
+	/* A region does not respond. */
+	for (i = 1; i < FLEET_CONTROLS; i += 3) {
+		peers[i].alive = false;
+		peers[i].avoided = true;
+	}
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	assert_int_equal(count_contacts_(contact, &regions), BW_FEED_CONTACTS);
+	assert_int_equal(regions, 5);
+	/* With nothing else left, they are tried again. */
+	for (i = 0; i < FLEET_CONTROLS; i++)
+		peers[i].avoided = true;
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	assert_int_equal(count_contacts_(contact, &regions), BW_FEED_CONTACTS);
+	assert_int_equal(regions, 7);
+}
+
+/* Guards against a host whose contacts are all on one side of a partition
+ * between control hosts, so that it takes the servers that announce themselves
+ * to the other side for lost. */
+static void test_contacts_include_one_that_the_source_misses(void **state)
+{
+	struct bw_feed_peer peers[FLEET_CONTROLS];
+	char names[FLEET_CONTROLS][BW_NAME_MAX];
+	bool contact[FLEET_CONTROLS];
+	struct bw_feed feed;
+	uint32_t count = 0;
+	uint32_t i;
+
+	(void)state;
+	init_fleet_(&feed, peers);
+	bw_feed_choose(&feed, peers, FLEET_CONTROLS, time_at_(10));
+	for (i = 0; i < FLEET_CONTROLS; i++) {
+		if (i != 20)
+			bw_name_set(names[count++], peers[i].name);
+	}
+	bw_feed_set_source_peers(&feed, feed.source,
+				 (const char(*)[BW_NAME_MAX])(void *)names,
+				 count);
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	assert_true(contact[20]);
+	assert_true(bw_feed_needs_detail(&feed, &peers[20]));
+	peers[20].avoided = true;
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	assert_false(contact[20]);
+}
+
+/* Guards against a host that follows a control host which is cut off from most
+ * voters, while another one is current. */
+static void test_outdated_source_is_replaced(void **state)
+{
+	struct bw_feed_peer peers[PEER_COUNT];
+	struct bw_feed feed;
+
+	(void)state;
+	init_feed_(&feed, peers);
+	bw_feed_choose(&feed, peers, PEER_COUNT, time_at_(10));
+	assert_string_equal(feed.source, "c0");
+	peers[0].outdated = true;
+	assert_true(bw_feed_choose(&feed, peers, PEER_COUNT, time_at_(20)));
+	assert_string_equal(feed.source, "c1");
+	peers[0].outdated = false;
+	assert_true(bw_feed_choose(&feed, peers, PEER_COUNT, time_at_(30)));
+	assert_string_equal(feed.source, "c0");
+	/* While all are cut off, it stays. */
+	peers[0].outdated = true;
+	peers[1].outdated = true;
+	peers[2].outdated = true;
+	peers[3].outdated = true;
+	assert_false(bw_feed_choose(&feed, peers, PEER_COUNT, time_at_(40)));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -161,6 +301,11 @@
 		cmocka_unit_test(test_silent_source_is_replaced),
 		cmocka_unit_test(test_partition_between_control_hosts),
 		cmocka_unit_test(test_equal_distances_are_spread),
+		cmocka_unit_test(test_contacts_are_few_and_in_all_regions),
+		cmocka_unit_test(test_silent_contacts_give_way),
+		cmocka_unit_test(
+			test_contacts_include_one_that_the_source_misses),
+		cmocka_unit_test(test_outdated_source_is_replaced),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
