--- a/include/bwagree/replica.h
+++ b/include/bwagree/replica.h
@@ -173,15 +173,27 @@
 				 struct bw_time now);
 
 /**
- * Proposes to add one host that is not a member and announced an empty disk
- * within the last 2 s; it becomes a voter once it has caught up. For groups
- * whose hosts are not listed in the settings.
- * @param host receives the name of the added host
- * @return BW_OK when proposed; BW_ENOTFOUND without such a host; otherwise as
- *	bw_replica_add
+ * Proposes to add, as learners, all hosts that are not members and asked to
+ * join within the last 2 s: hosts with an empty disk, and hosts that were
+ * removed. They are added in one change, because learners do not count in a
+ * quorum. For groups whose hosts are not listed in the settings.
+ * @param count receives the number of added hosts
+ * @return BW_OK when proposed; BW_ENOTFOUND without such a host; BW_EFULL when
+ *	the group has no room for any of them; BW_EUNAVAILABLE, BW_EAGAIN
  */
-enum bw_status bw_replica_admit(struct bw_replica *replica,
-				char host[BW_NAME_MAX], struct bw_time now);
+enum bw_status bw_replica_admit(struct bw_replica *replica, uint32_t *count,
+				struct bw_time now);
+
+/**
+ * Proposes to make a member a voter once it has caught up, or to make a voter a
+ * learner. One change is in progress at a time.
+ * @return BW_OK when proposed; BW_EUNAVAILABLE when not the leader; BW_EAGAIN;
+ *	BW_ENOTFOUND; BW_EEXIST when it is one already; BW_EINVAL for the last
+ *	voter and for the leader
+ */
+enum bw_status bw_replica_set_voter(struct bw_replica *replica,
+				    const char *host, bool voter,
+				    struct bw_time now);
 
 /** Returns the role. */
 enum bw_replica_role bw_replica_role(const struct bw_replica *replica);
--- a/include/bwagree/state.h
+++ b/include/bwagree/state.h
@@ -33,8 +33,8 @@
 /** Largest encoded plan. */
 #define BW_PLAN_MAX_BYTES (512 * 1024)
 
-/** Maximum number of members of a group, pending ones included. */
-#define BW_GROUP_MAX 18
+/** Maximum number of members of a group: voters, learners and pending ones. */
+#define BW_GROUP_MAX 64
 
 /** Maximum number of failure domains evacuated at the same time. */
 #define BW_EVACUATIONS_MAX 64
--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -327,6 +327,12 @@
  */
 void bw_dispatch_end_update(struct bw_dispatch *dispatch, struct bw_time now);
 
+/**
+ * Returns the failure domains to whose servers this host sends requests by
+ * plan, or still does, as a bit set of their indices.
+ */
+uint64_t bw_dispatch_used_domains(const struct bw_dispatch *dispatch);
+
 /**
  * Places a new job, or one that another server rejected: assigns a server,
  * queues the job or rejects it.
--- a/include/bwsteer/registry.h
+++ b/include/bwsteer/registry.h
@@ -58,6 +58,9 @@
 					 received by any host */
 	struct bw_time changed_at; /**< latest change of the record */
 	struct bw_time cold_until;
+	bool silent; /**< a control host has not heard of it for too long */
+	bool silent_told; /**< this control host has told its entry hosts that
+			       the server is silent */
 	bool announced_here; /**< announced directly to this host since the
 				record was last sent */
 	bool send_to_controls; /**< the record must be sent to control hosts */
@@ -100,6 +103,16 @@
 void bw_registry_touch(struct bw_registry *registry, uint64_t id_hash,
 		       uint64_t sequence, struct bw_time now);
 
+/**
+ * Records that another host has not heard of a server for too long. Ignored
+ * when this host knows of a later announcement.
+ * @param started_wall_ms start of the server that is silent
+ * @param sequence of the last announcement that the other host heard of
+ * @return whether the server has become silent by this
+ */
+bool bw_registry_silence(struct bw_registry *registry, uint64_t id_hash,
+			 int64_t started_wall_ms, uint64_t sequence);
+
 /** Finds a server by id; NULL when it is not known. */
 struct bw_server *bw_registry_find(const struct bw_registry *registry,
 				   const char *id);
--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -31,20 +31,11 @@
 #define ELECTION_MAX_MS 650
 #define LEASE_MS 280
 
-/** Interval at which members are admitted and removed. */
-#define MEMBER_CHECK_MS 200
-
-/**
- * Time after which a silent member is removed in favour of its successor.
- * Longer than a restart, so that a restarted host keeps its vote.
- */
-#define REMOVE_AFTER_MS 4000
-
 /**
- * Interval at which loads of backend servers are sent. Shorter than the time
- * that a request takes.
+ * Time between ticks after which announcements of backend servers may wait
+ * unread: the process was stopped, or is short of processor time.
  */
-#define LOADS_INTERVAL_MS 250
+#define TICK_GAP_MS 1000
 
 /** Limit of the configurations that are sent to entry hosts. */
 #define SEND_BYTES_PER_S (8 * 1024 * 1024)
@@ -78,13 +69,7 @@
 			   const struct bw_replica_event *event);
 static void expire_waiting_calls_(struct gate_control *control,
 				  struct bw_time now);
-static void check_members_(struct gate_control *control, struct bw_time now);
-static void update_silent_since_(struct gate_control *control,
-				 const struct bw_replica_member *member,
-				 struct bw_time now);
-static void remove_silent_member_(struct gate_control *control,
-				  const struct bw_replica_member *members,
-				  uint32_t count, struct bw_time now);
+static void note_hearing_(struct gate_control *control, struct bw_time now);
 static void log_leader_change_(struct gate_control *control);
 
 static const struct bw_listener_handler handler = {
@@ -106,10 +91,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	control->silent_since =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	control->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					       NULL, g_free);
-	control->peer_loads = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						    NULL, g_free);
+	gate_control_fleet_init(control);
+	gate_control_loads_init(control);
 	control->waiting = g_ptr_array_new_with_free_func(g_free);
 	bw_outbox_init(&control->out, OUTBOX_LIMIT);
 	control->announcements = bw_metrics_get(
@@ -149,8 +132,8 @@
 	g_ptr_array_free(control->waiting, TRUE);
 	g_hash_table_destroy(control->entries);
 	g_hash_table_destroy(control->silent_since);
-	g_hash_table_destroy(control->loads);
-	g_hash_table_destroy(control->peer_loads);
+	gate_control_loads_finish(control);
+	gate_control_fleet_finish(control);
 }
 
 void gate_control_receive(struct gate_control *control,
@@ -176,23 +159,20 @@
 	bw_replica_tick(control->replica, now, &control->out);
 	bw_distribute_tick(&control->distribute, now, &control->out);
 	expire_waiting_calls_(control, now);
-	if (bw_time_reached(now, control->next_member_check)) {
-		control->next_member_check = bw_time_add(now, MEMBER_CHECK_MS);
-		check_members_(control, now);
-		log_leader_change_(control);
-	}
+	gate_control_check_group(control, now);
+	log_leader_change_(control);
+	note_hearing_(control, now);
 	if (bw_time_reached(now, control->next_hello)) {
 		control->next_hello = bw_time_add(
 			now, gate_node_hello_interval_ms(control->node, now));
 		gate_node_check_controls(control->node, now);
 		gate_control_expire_entries(control, now);
+		gate_control_expire_fleet(control, now);
 		gate_control_send_heartbeats(control, now);
 	}
+	gate_control_send_fleet(control, now);
 	gate_control_send_records(control);
-	if (bw_time_reached(now, control->next_loads)) {
-		control->next_loads = bw_time_add(now, LOADS_INTERVAL_MS);
-		gate_control_send_loads(control);
-	}
+	gate_control_send_loads(control, now);
 }
 
 void gate_control_flush(struct gate_control *control, struct bw_time now)
@@ -469,86 +449,19 @@
 	}
 }
 
-static void check_members_(struct gate_control *control, struct bw_time now)
-{
-	struct bw_replica_member members[BW_GROUP_MAX];
-	char host[BW_NAME_MAX];
-	enum bw_status status;
-	uint32_t count;
-	uint32_t i;
-
-	count = bw_replica_members(control->replica, now, members);
-	/*
-	 * After a restart of all processes a host knows only the seeds. The
-	 * other members must reach each other to elect a leader.
-	 */
-	for (i = 0; i < count; i++)
-		gate_node_add_control(control->node, members[i].member.host,
-				      false, now);
-	if (bw_replica_role(control->replica) != BW_REPLICA_LEADER) {
-		g_hash_table_remove_all(control->silent_since);
-		return;
-	}
-	for (i = 0; i < count; i++)
-		update_silent_since_(control, &members[i], now);
-	status = bw_replica_admit(control->replica, host, now);
-	if (status == BW_OK) {
-		control->dirty = true;
-		bw_log_event(control->node->log, BW_LOG_INFO, "replica",
-			     "host_admitted", "{s:s}", "peer", host);
-	} else if (status == BW_ENOTFOUND) {
-		remove_silent_member_(control, members, count, now);
-	}
-}
-
-static void update_silent_since_(struct gate_control *control,
-				 const struct bw_replica_member *member,
-				 struct bw_time now)
-{
-	int64_t *since =
-		g_hash_table_lookup(control->silent_since, member->member.host);
-
-	if (member->caught_up) {
-		g_hash_table_remove(control->silent_since, member->member.host);
-	} else if (!since) {
-		since = g_new(int64_t, 1);
-		*since = now.ms;
-		g_hash_table_insert(control->silent_since,
-				    g_strdup(member->member.host), since);
-	}
-}
-
 /*
- * Removes a silent member only when enough other members are caught up, that
- * is, when its successor has joined. Without a successor it stays, because
- * each removal lowers the quorum.
+ * A host that was stopped, or is cut off from most voters, must not conclude
+ * from its own silence that backend servers are silent.
  */
-static void remove_silent_member_(struct gate_control *control,
-				  const struct bw_replica_member *members,
-				  uint32_t count, struct bw_time now)
+static void note_hearing_(struct gate_control *control, struct bw_time now)
 {
-	uint32_t caught_up = 0;
-	const char *removed = NULL;
-	uint32_t i;
-
-	for (i = 0; i < count; i++) {
-		const int64_t *since = g_hash_table_lookup(
-			control->silent_since, members[i].member.host);
+	bool gap = bw_time_diff_ms(now, control->ticked_at) > TICK_GAP_MS;
 
-		if (members[i].caught_up)
-			caught_up++;
-		else if (since && now.ms - *since > REMOVE_AFTER_MS)
-			removed = members[i].member.host;
-	}
-	if (!removed || caught_up <= control->node->settings.seed_count * 2 ||
-	    caught_up + 1 < count)
-		return;
-	if (bw_replica_remove(control->replica, removed, now) != BW_OK)
-		return;
-	control->dirty = true;
-	bw_log_event(control->node->log, BW_LOG_WARNING, "replica",
-		     "host_removed", "{s:s,s:i}", "peer", removed, "members",
-		     (int)count);
+	control->ticked_at = now;
+	if (!gate_control_in_majority(control, now))
+		control->hears_servers_since.ms = 0;
+	else if (gap || !control->hears_servers_since.ms)
+		control->hears_servers_since = now;
 }
 
 static void log_leader_change_(struct gate_control *control)
--- a/src/boragewingd/gate_control.h
+++ b/src/boragewingd/gate_control.h
@@ -39,7 +39,14 @@
 	struct bw_outbox out;
 	struct bw_listener api;
 	struct bw_listener directory;
-	GHashTable *entries; /**< entry address -> struct gate_entry_host */
+	GHashTable *entries; /**< entry address -> struct gate_entry_host: those
+				that send hello messages to this host */
+	struct bw_roster roster; /**< all entry hosts */
+	GHashTable *listed_demands; /**< control address -> demands of its entry
+				       hosts */
+	bool fleet_changed; /**< an entry host with full detail changed */
+	struct bw_time fleet_sent_at;
+	bool demands_full; /**< logged that some demands are left out */
 	GPtrArray *waiting; /**< struct gate_wait: unanswered calls */
 	struct gate_submissions submissions;
 	bool current; /**< the applied state is up to date */
@@ -50,13 +57,19 @@
 	char leader[BW_NAME_MAX]; /**< last logged; "" when unknown */
 	struct bw_time next_hello;
 	struct bw_time next_member_check;
+	bool votes; /**< this host is a voter */
+	uint32_t voter_count; /**< 0 before there is a group */
+	bool group_full; /**< logged that the group has no room */
 	struct bw_time next_loads;
+	uint32_t loads_round;
+	GHashTable *loads; /**< id hash -> loads still to be sent */
 	struct bw_time heartbeats_sent_at; /**< latest, of backend servers */
+	uint32_t heartbeat_round;
+	struct bw_time ticked_at;
+	struct bw_time hears_servers_since; /**< since then, announcements at
+					      any control host reach this
+					      one; 0 ms: they do not */
 	bool records_pending; /**< records are queued for sending */
-	GHashTable *loads; /**< id hash -> struct gate_load: loads reported by
-				entry hosts that get full detail from here,
-				since the last send */
-	GHashTable *peer_loads; /**< the same, relayed by other control hosts */
 	GHashTable *silent_since; /**< member -> int64_t, ms since which it is
 				     silent; kept by the leader only */
 	struct bw_metric *announcements;
--- a/src/boragewingd/gate_control_calls.c
+++ b/src/boragewingd/gate_control_calls.c
@@ -34,7 +34,7 @@
 			     struct bw_server_connection *connection,
 			     const struct bw_server *server,
 			     struct bw_time now);
-static uint32_t pick_entry_hosts_(const struct gate_control *control,
+static uint32_t pick_entry_hosts_(struct gate_control *control,
 				  const struct gate_call *call, int scope,
 				  char (*addresses)[BW_NAME_MAX]);
 
@@ -132,8 +132,13 @@
 				      const char *host,
 				      const struct gate_heartbeat *heartbeat)
 {
+	const struct gate_peer *peer = gate_node_control(control->node, host);
+	uint64_t holder = bw_registry_hash(host);
+	uint32_t own = control->votes || !control->voter_count;
 	guint i = 0;
 
+	if (!peer || !gate_control_counts(control, peer))
+		return;
 	while (i < control->waiting->len) {
 		struct gate_wait *wait = control->waiting->pdata[i];
 		uint32_t k = 0;
@@ -143,13 +148,12 @@
 		    wait->heartbeat.id_hash != heartbeat->id_hash ||
 		    wait->heartbeat.sequence > heartbeat->sequence)
 			continue;
-		while (k < wait->holder_count &&
-		       strcmp(wait->holders[k], host) != 0)
+		while (k < wait->holder_count && wait->holders[k] != holder)
 			k++;
 		if (k == wait->holder_count && k < GATE_CONTROLS_MAX)
-			bw_name_set(wait->holders[wait->holder_count++], host);
+			wait->holders[wait->holder_count++] = holder;
 		/* This host has a copy, too. */
-		if (wait->holder_count + 1 < gate_control_quorum(control))
+		if (wait->holder_count + own < gate_control_quorum(control))
 			continue;
 		if (wait->connection)
 			gate_respond(wait->connection, 200, NULL, NULL);
@@ -157,30 +161,6 @@
 	}
 }
 
-uint32_t gate_control_quorum(const struct gate_control *control)
-{
-	const struct bw_state *state = bw_replica_state(control->replica);
-	uint32_t count = state->group.count;
-
-	if (!count)
-		count = control->node->settings.seed_count;
-	return count / 2 + 1;
-}
-
-bool gate_control_in_majority(const struct gate_control *control,
-			      struct bw_time now)
-{
-	const struct gate_node *node = control->node;
-	uint32_t alive = 1;
-	uint32_t i;
-
-	for (i = 0; i < node->control_count; i++) {
-		if (gate_peer_is_alive(&node->controls[i], now))
-			alive++;
-	}
-	return alive >= gate_control_quorum(control);
-}
-
 void gate_control_look_up(struct gate_control *control,
 			  struct bw_server_connection *connection,
 			  const struct gate_call *call, struct bw_time now)
@@ -302,8 +282,8 @@
 }
 
 /*
- * Delays the answer until a majority of the control hosts has the record, so
- * that an isolated host sends none. After the answer no entry host may send new
+ * Delays the answer until a majority of the voters has the record, so that an
+ * isolated host sends none. After the answer no entry host may send new
  * requests to the server.
  */
 static void wait_for_copies_(struct gate_control *control,
@@ -384,25 +364,32 @@
 	g_ptr_array_add(control->waiting, wait);
 }
 
-/* @param scope 0: the client's failure domain, 1: its region, 2: any region */
-static uint32_t pick_entry_hosts_(const struct gate_control *control,
+/*
+ * Starts at a random host, so that all hosts are used when there are more than
+ * an answer may name.
+ * @param scope 0: the client's failure domain, 1: its region, 2: any region
+ */
+static uint32_t pick_entry_hosts_(struct gate_control *control,
 				  const struct gate_call *call, int scope,
 				  char (*addresses)[BW_NAME_MAX])
 {
-	GHashTableIter iter;
-	gpointer value;
+	const GPtrArray *hosts = bw_roster_sorted(&control->roster);
 	uint32_t count = 0;
+	uint64_t first;
+	uint32_t i;
 
-	g_hash_table_iter_init(&iter, control->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value) &&
-	       count < ANSWER_HOSTS_MAX) {
-		const struct gate_entry_host *entry = value;
+	if (!hosts->len)
+		return 0;
+	first = bw_random_below(&control->node->random, hosts->len);
+	for (i = 0; i < hosts->len && count < ANSWER_HOSTS_MAX; i++) {
+		const struct bw_roster_host *host =
+			hosts->pdata[(first + i) % hosts->len];
 
-		if (entry->state != GATE_HOST_READY ||
-		    (scope == 0 && strcmp(entry->domain, call->domain) != 0) ||
-		    (scope == 1 && strcmp(entry->region, call->region) != 0))
+		if (host->state != GATE_HOST_READY ||
+		    (scope == 0 && strcmp(host->domain, call->domain) != 0) ||
+		    (scope == 1 && strcmp(host->region, call->region) != 0))
 			continue;
-		bw_name_set(addresses[count++], entry->name);
+		bw_name_set(addresses[count++], host->name);
 	}
 	return count;
 }
--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -8,16 +8,26 @@
 			    struct bw_time now);
 static void acknowledge_records_(struct gate_control *control, const char *peer,
 				 const struct gate_servers *servers);
-static uint32_t entry_index_(const struct gate_control *control,
-			     const char *name);
-static uint32_t count_in_domain_(const struct gate_control *control,
-				 const char *domain);
-static void sum_demands_(const struct gate_control *control,
-			 struct gate_status *status);
-static void add_demand_(struct gate_status *status, const char *domain,
-			const struct gate_demand *demand);
-static void store_loads_(GHashTable *table, const struct gate_load *loads,
-			 uint32_t count);
+static void handle_control_hello_(struct gate_control *control,
+				  const struct bw_packet *packet,
+				  const struct gate_hello *hello,
+				  struct bw_time now);
+static void update_entry_(struct gate_control *control,
+			  struct gate_entry_host *entry,
+			  const struct gate_hello *hello, struct bw_time now);
+static void fill_status_(struct gate_control *control,
+			 struct gate_status *status, uint64_t receiver_version,
+			 struct bw_time now);
+static void list_controls_(const struct gate_control *control,
+			   struct gate_status *status, struct bw_time now);
+static uint32_t count_live_controls_(const struct gate_control *control,
+				     struct bw_time now);
+
+/**
+ * Interval of the parts of a status that are long and change slowly: the list
+ * of control hosts, and the demands.
+ */
+#define DETAILS_INTERVAL_MS 900
 
 void gate_control_handle_message(struct gate_control *control,
 				 const struct bw_packet *packet,
@@ -27,6 +37,7 @@
 	static struct gate_status status;
 	static struct gate_hello hello;
 	static struct gate_loads loads;
+	static struct gate_fleet fleet;
 	struct bw_reader reader;
 	uint32_t i;
 	int type;
@@ -43,9 +54,9 @@
 		gate_status_read(&reader, &status);
 		if (bw_reader_status(&reader) != BW_OK)
 			break;
-		for (i = 0; i < status.control_count; i++)
-			gate_node_add_control(control->node, status.controls[i],
-					      false, now);
+		gate_node_add_control(control->node, packet->peer, true, now);
+		gate_node_note_status(control->node, packet->peer, &status,
+				      now);
 		break;
 	case GATE_SERVERS:
 	case GATE_SERVERS_ACK:
@@ -67,8 +78,14 @@
 	case GATE_LOADS:
 		gate_loads_read(&reader, &loads);
 		if (bw_reader_status(&reader) == BW_OK)
-			store_loads_(control->peer_loads, loads.loads,
-				     loads.count);
+			gate_control_store_loads(control, loads.loads,
+						 loads.count, false);
+		break;
+	case GATE_FLEET:
+		gate_fleet_read(&reader, &fleet);
+		if (bw_reader_status(&reader) == BW_OK)
+			gate_control_receive_fleet(control, packet->peer,
+						   &fleet, now);
 		break;
 	case GATE_ROUTING_REQUEST:
 		gate_control_send_routing(control, packet->peer);
@@ -91,7 +108,7 @@
 	bool is_new_process;
 
 	if (hello->control) {
-		gate_node_add_control(control->node, packet->peer, true, now);
+		handle_control_hello_(control, packet, hello, now);
 		return;
 	}
 	entry = g_hash_table_lookup(control->entries, packet->peer);
@@ -106,76 +123,169 @@
 			     "entry_host_changed", "{s:s,s:s,s:i,s:b}", "peer",
 			     packet->peer, "domain", hello->domain, "state",
 			     (int)hello->state, "new_process", is_new_process);
-	bw_name_set(entry->domain, hello->domain);
-	bw_name_set(entry->region, hello->region);
 	needs_digest = hello->detail == GATE_DETAIL_FULL &&
 		       (is_new_process || entry->detail != GATE_DETAIL_FULL);
+	if (is_new_process || entry->state != hello->state ||
+	    entry->detail != hello->detail)
+		control->fleet_changed = true;
+	if (needs_digest || is_new_process)
+		entry->details_sent_at.ms = 0;
+	entry->incarnation = packet->incarnation;
+	update_entry_(control, entry, hello, now);
+	gate_control_store_loads(control, hello->loads, hello->load_count,
+				 true);
+	if (needs_digest)
+		gate_control_send_digest(control, packet->peer);
+	gate_control_send_status(control, entry);
+}
+
+/*
+ * A voter responds, because the sender counts the voters that confirm its
+ * version. Others respond only when they know more control hosts.
+ */
+static void handle_control_hello_(struct gate_control *control,
+				  const struct bw_packet *packet,
+				  const struct gate_hello *hello,
+				  struct bw_time now)
+{
+	static struct gate_status status;
+	struct gate_node *node = control->node;
+	bool knows_more = count_live_controls_(control, now) >
+			  hello->control_count;
+	struct gate_peer *peer;
+
+	gate_node_add_control(node, packet->peer, true, now);
+	gate_node_set_control_domain(node, packet->peer, hello->domain);
+	peer = gate_node_control(node, packet->peer);
+	if (peer)
+		peer->used_domains =
+			gate_control_used_domains(control, &hello->used);
+	if (!hello->sent_ms || (!control->votes && !knows_more))
+		return;
+	fill_status_(control, &status, hello->routing_version, now);
+	status.hello_sent_ms = hello->sent_ms;
+	if (knows_more)
+		list_controls_(control, &status, now);
+	gate_status_write(gate_node_frame(node), &status);
+	gate_node_send(node, packet->peer);
+}
+
+static void update_entry_(struct gate_control *control,
+			  struct gate_entry_host *entry,
+			  const struct gate_hello *hello, struct bw_time now)
+{
+	struct bw_roster_host host;
+
+	bw_name_set(entry->domain, hello->domain);
+	bw_name_set(entry->region, hello->region);
 	entry->state = hello->state;
 	entry->detail = hello->detail;
-	entry->incarnation = packet->incarnation;
 	entry->last_hello_at = now;
 	entry->hello_sent_ms = hello->sent_ms;
 	entry->routing_version = hello->routing_version;
+	entry->accepts_silence = hello->accepts_silence;
+	entry->used_domains = gate_control_used_domains(control, &hello->used);
 	entry->demand_count =
 		MIN(hello->demand_count, (uint32_t)GATE_SERVICES_MAX);
 	memcpy(entry->demands, hello->demands,
 	       entry->demand_count * sizeof(entry->demands[0]));
-	store_loads_(control->loads, hello->loads, hello->load_count);
-	if (needs_digest)
-		gate_control_send_digest(control, packet->peer);
-	gate_control_send_status(control, entry);
+	bw_name_set(host.name, entry->name);
+	bw_name_set(host.domain, entry->domain);
+	bw_name_set(host.region, entry->region);
+	host.state = entry->state;
+	bw_roster_report(&control->roster, &host, now);
 }
 
 void gate_control_send_status(struct gate_control *control,
-			      const struct gate_entry_host *entry)
+			      struct gate_entry_host *entry)
 {
 	static struct gate_status status;
-	const struct bw_state *state = bw_replica_state(control->replica);
 	struct gate_node *node = control->node;
 	struct bw_time now = gate_node_now(node);
-	uint32_t i;
 
-	memset(&status, 0, sizeof(status));
-	bw_name_set(status.domain, node->settings.domain);
-	status.current = control->current;
-	status.routing_version = state->revision;
-	status.evacuation_index = state->evacuation_index;
-	status.evacuated_count = state->evacuated_count;
-	memcpy(status.evacuated, state->evacuated, sizeof(status.evacuated));
-	for (i = 0; i < node->control_count; i++) {
-		if (entry->detail != GATE_DETAIL_BRIEF &&
-		    gate_peer_is_alive(&node->controls[i], now))
-			bw_name_set(status.controls[status.control_count++],
-				    node->controls[i].name);
-	}
+	fill_status_(control, &status, entry->routing_version, now);
 	status.hello_sent_ms = entry->hello_sent_ms;
-	status.sends_pieces = true;
-	status.names_retired = control->submissions.committed &&
-			       entry->routing_version < state->revision;
-	if (status.names_retired)
-		status.retired = control->submissions.retired;
-	status.entry_count = g_hash_table_size(control->entries);
-	status.entry_index = entry_index_(control, entry->name);
-	status.domain_entry_count = count_in_domain_(control, entry->domain);
-	if (entry->detail == GATE_DETAIL_FULL)
-		sum_demands_(control, &status);
+	status.entry_count = bw_roster_sorted(&control->roster)->len;
+	status.entry_index = bw_roster_index(&control->roster, entry->name);
+	status.domain_entry_count =
+		bw_roster_count_in(&control->roster, entry->domain);
+	if (entry->detail != GATE_DETAIL_BRIEF &&
+	    bw_time_diff_ms(now, entry->details_sent_at) >=
+		    DETAILS_INTERVAL_MS) {
+		entry->details_sent_at = now;
+		list_controls_(control, &status, now);
+		if (entry->detail == GATE_DETAIL_FULL)
+			gate_control_sum_demands(control, &status);
+	}
 	gate_status_write(gate_node_frame(node), &status);
 	gate_node_send(node, entry->name);
 }
 
+static void fill_status_(struct gate_control *control,
+			 struct gate_status *status, uint64_t receiver_version,
+			 struct bw_time now)
+{
+	const struct bw_state *state = bw_replica_state(control->replica);
+	struct bw_confirmation confirmation =
+		gate_control_confirm(control, now);
+
+	memset(status, 0, sizeof(*status));
+	bw_name_set(status->domain, control->node->settings.domain);
+	status->current = control->current;
+	status->routing_version = state->revision;
+	status->evacuation_index = state->evacuation_index;
+	status->evacuated_count = state->evacuated_count;
+	memcpy(status->evacuated, state->evacuated, sizeof(status->evacuated));
+	status->sends_pieces = true;
+	status->names_retired = control->submissions.committed &&
+				receiver_version < state->revision;
+	if (status->names_retired)
+		status->retired = control->submissions.retired;
+	status->confirmed = confirmation.confirmed;
+	if (confirmation.confirmed)
+		status->confirmed_age_ms =
+			(uint32_t)bw_time_diff_ms(now, confirmation.as_of);
+	status->tells_silence = true;
+}
+
+static void list_controls_(const struct gate_control *control,
+			   struct gate_status *status, struct bw_time now)
+{
+	const struct gate_node *node = control->node;
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++) {
+		const struct gate_peer *peer = &node->controls[i];
+		uint32_t index = status->control_count;
+
+		if (!gate_peer_is_alive(peer, now))
+			continue;
+		bw_name_set(status->controls[index], peer->name);
+		bw_name_set(status->control_domains[index], peer->domain);
+		status->control_count++;
+	}
+}
+
+static uint32_t count_live_controls_(const struct gate_control *control,
+				     struct bw_time now)
+{
+	const struct gate_node *node = control->node;
+	uint32_t count = 1;
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++)
+		count += gate_peer_is_alive(&node->controls[i], now);
+	return count;
+}
+
 void gate_control_send_status_all(struct gate_control *control)
 {
-	bool is_leader = bw_replica_role(control->replica) == BW_REPLICA_LEADER;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, control->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct gate_entry_host *entry = value;
-
-		if (is_leader || entry->detail == GATE_DETAIL_FULL)
-			gate_control_send_status(control, entry);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		gate_control_send_status(control, value);
 }
 
 /*
@@ -247,104 +357,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct gate_entry_host *entry = value;
 
-		if (bw_time_diff_ms(now, entry->last_hello_at) <=
+		if (bw_time_diff_ms(now, entry->last_hello_at) >
 		    GATE_PEER_TIMEOUT_MS)
-			continue;
-		bw_log_event(control->node->log, BW_LOG_WARNING, "directory",
-			     "entry_host_lost", "{s:s,s:s,s:I}", "peer",
-			     entry->name, "domain", entry->domain, "silent_ms",
-			     (json_int_t)bw_time_diff_ms(now,
-							 entry->last_hello_at));
-		g_hash_table_iter_remove(&iter);
-	}
-}
-
-/* Returns the index of an entry host in the sorted list of addresses. */
-static uint32_t entry_index_(const struct gate_control *control,
-			     const char *name)
-{
-	GHashTableIter iter;
-	gpointer key;
-	uint32_t index = 0;
-
-	g_hash_table_iter_init(&iter, control->entries);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		if (strcmp(key, name) < 0)
-			index++;
-	}
-	return index;
-}
-
-static uint32_t count_in_domain_(const struct gate_control *control,
-				 const char *domain)
-{
-	GHashTableIter iter;
-	gpointer value;
-	uint32_t count = 0;
-
-	g_hash_table_iter_init(&iter, control->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct gate_entry_host *entry = value;
-
-		if (!strcmp(entry->domain, domain))
-			count++;
-	}
-	return count;
-}
-
-static void sum_demands_(const struct gate_control *control,
-			 struct gate_status *status)
-{
-	GHashTableIter iter;
-	gpointer value;
-	uint32_t i;
-
-	g_hash_table_iter_init(&iter, control->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct gate_entry_host *entry = value;
-
-		for (i = 0; i < entry->demand_count; i++)
-			add_demand_(status, entry->domain, &entry->demands[i]);
-	}
-}
-
-static void add_demand_(struct gate_status *status, const char *domain,
-			const struct gate_demand *demand)
-{
-	struct gate_demand *sum;
-	uint32_t i;
-
-	for (i = 0; i < status->demand_count; i++) {
-		sum = &status->demands[i];
-		if (sum->service_hash == demand->service_hash &&
-		    !strcmp(sum->domain, domain)) {
-			sum->millirequests_per_s += demand->millirequests_per_s;
-			return;
-		}
-	}
-	if (status->demand_count == GATE_DEMANDS_MAX)
-		return;
-	sum = &status->demands[status->demand_count++];
-	*sum = *demand;
-	bw_name_set(sum->domain, domain);
-}
-
-static void store_loads_(GHashTable *table, const struct gate_load *loads,
-			 uint32_t count)
-{
-	uint32_t i;
-
-	for (i = 0; i < count; i++) {
-		const struct gate_load *stored =
-			g_hash_table_lookup(table, &loads[i].id_hash);
-		struct gate_load *load = g_new(struct gate_load, 1);
-
-		*load = loads[i];
-		/* A host that does not know of the leave does not end it. */
-		if (stored && stored->leaving && !load->leaving) {
-			load->leaving = true;
-			load->started_wall_ms = stored->started_wall_ms;
-		}
-		g_hash_table_replace(table, &load->id_hash, load);
+			g_hash_table_iter_remove(&iter);
 	}
 }
--- a/src/boragewingd/gate_control_private.h
+++ b/src/boragewingd/gate_control_private.h
@@ -22,6 +22,10 @@
 	struct bw_time last_hello_at; /**< arrival time */
 	uint64_t hello_sent_ms; /**< when the entry host sent it */
 	uint64_t routing_version; /**< in force there */
+	bool accepts_silence; /**< see struct gate_hello */
+	uint64_t used_domains; /**< bit set of failure domains whose loads it
+				    uses */
+	struct bw_time details_sent_at; /**< last status with full detail */
 	struct gate_demand demands[GATE_SERVICES_MAX];
 	uint32_t demand_count;
 };
@@ -42,8 +46,8 @@
 	uint64_t term; /**< COMMIT: of the proposed log entry */
 	/** COPIES: server and record version. */
 	struct gate_heartbeat heartbeat;
-	char holders[GATE_CONTROLS_MAX][BW_NAME_MAX]; /**< COPIES: other hosts
-							that stored it */
+	uint64_t holders[GATE_CONTROLS_MAX]; /**< COPIES: hashes of the names of
+						other voters that stored it */
 	uint32_t holder_count;
 };
 
@@ -95,26 +99,79 @@
  */
 void gate_control_send_records(struct gate_control *control);
 
-/** Removes the entry hosts that were silent for more than GATE_PEER_TIMEOUT_MS.
- */
+/** Removes the entry hosts that send no more hello messages to this host. */
 void gate_control_expire_entries(struct gate_control *control,
 				 struct bw_time now);
 
+/** Sends the message in the node's frame to all other control hosts. */
+void gate_control_send_to_controls(struct gate_control *control,
+				   enum bw_channel channel);
+
+/** Initialises and frees what gate_control_fleet.c keeps. */
+void gate_control_fleet_init(struct gate_control *control);
+void gate_control_fleet_finish(struct gate_control *control);
+
+/** Lists the entry hosts of this host to the other control hosts when due. */
+void gate_control_send_fleet(struct gate_control *control, struct bw_time now);
+
+/** Handles GATE_FLEET. */
+void gate_control_receive_fleet(struct gate_control *control,
+				const char *sender,
+				const struct gate_fleet *fleet,
+				struct bw_time now);
+
+/** Removes the entry hosts that no host has heard of for long. */
+void gate_control_expire_fleet(struct gate_control *control,
+			       struct bw_time now);
+
+/** Adds the demands of all entry hosts to a status. */
+void gate_control_sum_demands(struct gate_control *control,
+			      struct gate_status *status);
+
+/** Initialises and frees what gate_control_loads.c keeps. */
+void gate_control_loads_init(struct gate_control *control);
+void gate_control_loads_finish(struct gate_control *control);
+
+/**
+ * Keeps loads until they are sent.
+ * @param from_entry whether an entry host reported them, so that the other
+ *	control hosts get them from this one
+ */
+void gate_control_store_loads(struct gate_control *control,
+			      const struct gate_load *loads, uint32_t count,
+			      bool from_entry);
+
+/** Returns the failure domains of a list as a bit set of their indices. */
+uint64_t gate_control_used_domains(const struct gate_control *control,
+				   const struct gate_domain_list *list);
+
+/** Lists the failure domains whose loads the entry hosts of this host use. */
+void gate_control_list_used_domains(const struct gate_control *control,
+				    struct gate_domain_list *list);
+
+/** Leads the control group, and notes who votes in it. */
+void gate_control_check_group(struct gate_control *control, struct bw_time now);
+
+/** Returns whether most voters confirm the version of this host. */
+struct bw_confirmation gate_control_confirm(const struct gate_control *control,
+					    struct bw_time now);
+
+/** Returns whether a control host counts in a majority. */
+bool gate_control_counts(const struct gate_control *control,
+			 const struct gate_peer *peer);
+
 /** Sends hellos, and heartbeats of backend servers. */
 void gate_control_send_heartbeats(struct gate_control *control,
 				  struct bw_time now);
 
-/** Sends the loads of backend servers that entry hosts reported. */
-void gate_control_send_loads(struct gate_control *control);
+/** Sends the loads of backend servers that entry hosts reported, when due. */
+void gate_control_send_loads(struct gate_control *control, struct bw_time now);
 
 /** Sends the status to one entry host. */
 void gate_control_send_status(struct gate_control *control,
-			      const struct gate_entry_host *entry);
+			      struct gate_entry_host *entry);
 
-/**
- * Sends the status to the entry hosts that get full detail from here. The
- * leader sends it to all entry hosts.
- */
+/** Sends the status to the entry hosts that send hellos to this host. */
 void gate_control_send_status_all(struct gate_control *control);
 
 /** Handles a message of BW_CHANNEL_GATE. */
@@ -144,8 +201,8 @@
 			const struct bw_packet *packet);
 
 /**
- * Returns the number of control hosts that form a majority. A record is safe
- * once that many have it.
+ * Returns the number of voters that form a majority. A record is safe once that
+ * many have it.
  */
 uint32_t gate_control_quorum(const struct gate_control *control);
 
@@ -154,8 +211,7 @@
 				      const char *host,
 				      const struct gate_heartbeat *heartbeat);
 
-/** Returns whether this host receives packets from a majority of the control
- * hosts. */
+/** Returns whether this host receives packets from a majority of the voters. */
 bool gate_control_in_majority(const struct gate_control *control,
 			      struct bw_time now);
 
--- a/src/boragewingd/gate_control_send.c
+++ b/src/boragewingd/gate_control_send.c
@@ -2,11 +2,23 @@
 
 #include "gate_control_private.h"
 
+/**
+ * Rounds in which entry hosts get a heartbeat of each server once. They take
+ * servers as alive until they are told otherwise; the heartbeats show records
+ * that an entry host lacks.
+ */
+#define HEARTBEAT_ROUNDS 16
+
+/** Announcements of a server that may be missing before it counts as silent. */
+#define MISSED_ANNOUNCEMENTS_MAX 3
+
 /** Group of hosts that receives a message. */
 enum receiver_group {
 	GROUP_CONTROLS, /**< all control hosts */
 	GROUP_FOLLOWERS, /**< entry hosts that get full detail from here */
-	GROUP_ENTRIES /**< all entry hosts */
+	GROUP_EARLIER, /**< those of an earlier version, which get a heartbeat
+			    for each announcement */
+	GROUP_ENTRIES /**< all entry hosts that send hellos to this host */
 };
 
 /** Receiver of a message: one host or a group. */
@@ -15,7 +27,7 @@
 	enum receiver_group group;
 };
 
-static void send_hello_(struct gate_control *control);
+static void send_hello_(struct gate_control *control, struct bw_time now);
 static void send_heartbeats_(struct gate_control *control,
 			     enum receiver_group group);
 static bool is_heartbeat_due_(const struct gate_control *control,
@@ -36,13 +48,15 @@
 static void send_on_channel_(struct gate_control *control,
 			     enum bw_channel channel,
 			     enum receiver_group group);
-static void send_to_entries_(struct gate_control *control,
-			     enum bw_channel channel, bool all);
-static void send_loads_(struct gate_control *control, GHashTable *table,
-			enum receiver_group group);
-static void flush_loads_(struct gate_control *control,
-			 const struct gate_loads *batch,
+static bool is_in_group_(const struct gate_entry_host *entry,
 			 enum receiver_group group);
+static void send_to_entries_(struct gate_control *control,
+			     enum bw_channel channel,
+			     enum receiver_group group);
+static bool has_earlier_followers_(const struct gate_control *control);
+static bool is_overdue_(const struct gate_control *control,
+			struct bw_time heard_at, struct bw_time now);
+static void tell_silence_(struct gate_control *control, struct bw_time now);
 
 void gate_control_broadcast_record(struct gate_control *control,
 				   struct bw_server *server)
@@ -67,7 +81,7 @@
 		return;
 	}
 	write_record_(control, server);
-	send_to_group_(control, GROUP_FOLLOWERS);
+	send_to_group_(control, GROUP_ENTRIES);
 }
 
 void gate_control_send_records(struct gate_control *control)
@@ -82,24 +96,18 @@
 void gate_control_send_heartbeats(struct gate_control *control,
 				  struct bw_time now)
 {
-	send_hello_(control);
+	send_hello_(control, now);
 	send_heartbeats_(control, GROUP_CONTROLS);
-	send_heartbeats_(control, GROUP_FOLLOWERS);
+	if (has_earlier_followers_(control))
+		send_heartbeats_(control, GROUP_EARLIER);
+	tell_silence_(control, now);
 	control->heartbeats_sent_at = now;
 }
 
-/*
- * An entry host receives few responses from most servers. The control host that
- * sends it full detail therefore forwards the loads that all entry hosts
- * received.
- */
-void gate_control_send_loads(struct gate_control *control)
+void gate_control_send_to_controls(struct gate_control *control,
+				   enum bw_channel channel)
 {
-	send_loads_(control, control->loads, GROUP_CONTROLS);
-	send_loads_(control, control->loads, GROUP_FOLLOWERS);
-	send_loads_(control, control->peer_loads, GROUP_FOLLOWERS);
-	g_hash_table_remove_all(control->loads);
-	g_hash_table_remove_all(control->peer_loads);
+	send_on_channel_(control, channel, GROUP_CONTROLS);
 }
 
 void gate_control_relay(struct gate_control *control,
@@ -109,22 +117,30 @@
 
 	bw_buffer_append(gate_node_frame(node), packet->data,
 			 packet->size_bytes);
-	if (!gate_node_is_control(node, packet->peer))
+	if (!gate_node_control(node, packet->peer))
 		send_on_channel_(control, packet->channel, GROUP_CONTROLS);
 	send_on_channel_(control, packet->channel, GROUP_FOLLOWERS);
 }
 
-static void send_hello_(struct gate_control *control)
+static void send_hello_(struct gate_control *control, struct bw_time now)
 {
 	struct gate_node *node = control->node;
 	const struct bw_state *state = bw_replica_state(control->replica);
 	static struct gate_hello hello;
+	uint32_t i;
 
 	hello.control = true;
 	hello.state = node->stopping ? GATE_HOST_LEAVING : GATE_HOST_READY;
 	bw_name_set(hello.domain, node->settings.domain);
 	bw_name_set(hello.region, node->settings.region);
 	hello.routing_version = state->revision;
+	hello.sent_ms = (uint64_t)now.ms;
+	hello.control_count = 1;
+	for (i = 0; i < node->control_count; i++)
+		hello.control_count +=
+			gate_peer_is_alive(&node->controls[i], now);
+	hello.accepts_silence = true;
+	gate_control_list_used_domains(control, &hello.used);
 	gate_hello_write(gate_node_frame(node), &hello);
 	send_to_group_(control, GROUP_CONTROLS);
 }
@@ -171,8 +187,12 @@
 			   const struct bw_server *server,
 			   const struct receiver *to)
 {
-	gate_heartbeat_set(&batch->heartbeats[batch->heartbeat_count++],
-			   server);
+	struct gate_heartbeat *heartbeat =
+		&batch->heartbeats[batch->heartbeat_count++];
+
+	gate_heartbeat_set(heartbeat, server);
+	if (to->peer || to->group == GROUP_FOLLOWERS)
+		heartbeat->silent = server->silent_told;
 	if (batch->heartbeat_count == GATE_BATCH_MAX)
 		flush_batch_(control, batch, to);
 }
@@ -249,16 +269,24 @@
 					  node->controls[i].name);
 		break;
 	case GROUP_FOLLOWERS:
-		send_to_entries_(control, channel, false);
-		break;
+	case GROUP_EARLIER:
 	case GROUP_ENTRIES:
-		send_to_entries_(control, channel, true);
+		send_to_entries_(control, channel, group);
 		break;
 	}
 }
 
+static bool is_in_group_(const struct gate_entry_host *entry,
+			 enum receiver_group group)
+{
+	if (group == GROUP_ENTRIES)
+		return true;
+	return entry->detail == GATE_DETAIL_FULL &&
+	       (group != GROUP_EARLIER || !entry->accepts_silence);
+}
+
 static void send_to_entries_(struct gate_control *control,
-			     enum bw_channel channel, bool all)
+			     enum bw_channel channel, enum receiver_group group)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -267,11 +295,67 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct gate_entry_host *entry = value;
 
-		if (all || entry->detail == GATE_DETAIL_FULL)
+		if (is_in_group_(entry, group))
 			gate_node_send_on(control->node, channel, entry->name);
 	}
 }
 
+static bool has_earlier_followers_(const struct gate_control *control)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, control->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_in_group_(value, GROUP_EARLIER))
+			return true;
+	}
+	return false;
+}
+
+/* Another control host may hold an announcement until its next hello. */
+static bool is_overdue_(const struct gate_control *control,
+			struct bw_time heard_at, struct bw_time now)
+{
+	return bw_time_diff_ms(now, heard_at) >
+	       (int64_t)control->node->settings.announce_interval_ms *
+			       MISSED_ANNOUNCEMENTS_MAX +
+		       GATE_HELLO_INTERVAL_MS;
+}
+
+/*
+ * Names the servers that have fallen silent or are heard again, and in each
+ * round a part of all servers. A host that may have missed announcements itself
+ * says nothing of overdue servers, unless it said before that they are silent.
+ */
+static void tell_silence_(struct gate_control *control, struct bw_time now)
+{
+	static struct gate_servers batch;
+	struct receiver to = { .group = GROUP_FOLLOWERS };
+	GHashTableIter iter;
+	gpointer value;
+	uint64_t round = control->heartbeat_round++ % HEARTBEAT_ROUNDS;
+	bool judges = control->hears_servers_since.ms &&
+		      is_overdue_(control, control->hears_servers_since, now);
+
+	batch.record_count = 0;
+	batch.heartbeat_count = 0;
+	g_hash_table_iter_init(&iter, control->node->registry.servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bw_server *server = value;
+		bool silent = is_overdue_(control, server->last_heard_at, now);
+
+		if (server->record.state == BW_SERVER_LEFT ||
+		    (silent && !judges && !server->silent_told) ||
+		    (silent == server->silent_told &&
+		     server->id_hash % HEARTBEAT_ROUNDS != round))
+			continue;
+		server->silent_told = silent;
+		add_heartbeat_(control, &batch, server, &to);
+	}
+	flush_batch_(control, &batch, &to);
+}
+
 void gate_control_send_digest(struct gate_control *control, const char *peer)
 {
 	static struct gate_servers batch;
@@ -321,31 +405,3 @@
 			   &routing);
 	gate_node_send(control->node, peer);
 }
-
-static void send_loads_(struct gate_control *control, GHashTable *table,
-			enum receiver_group group)
-{
-	static struct gate_loads batch;
-	GHashTableIter iter;
-	gpointer value;
-
-	batch.count = 0;
-	g_hash_table_iter_init(&iter, table);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		batch.loads[batch.count++] = *(struct gate_load *)value;
-		if (batch.count == GATE_LOADS_MAX) {
-			flush_loads_(control, &batch, group);
-			batch.count = 0;
-		}
-	}
-	if (batch.count)
-		flush_loads_(control, &batch, group);
-}
-
-static void flush_loads_(struct gate_control *control,
-			 const struct gate_loads *batch,
-			 enum receiver_group group)
-{
-	gate_loads_write(gate_node_frame(control->node), batch);
-	send_to_group_(control, group);
-}
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -97,6 +97,8 @@
 	struct bw_retired_routes retired; /**< by newer versions */
 	uint32_t entry_count; /**< entry hosts that share the servers */
 	uint32_t entry_index; /**< index of this host among them */
+	uint64_t used_domains; /**< bit set of failure domains to whose servers
+				    this host sends requests; 0: unknown */
 	uint64_t registry_generation; /**< at the last update */
 	bool update_due;
 	bool reported_ready; /**< state in the last hello */
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -15,15 +15,21 @@
  */
 #define CONFIRMATION_MAX_AGE_MS 1750
 
+/** Time after which a contact that does not respond gives way to another. */
+#define CONTACT_AVOIDED_MS 5000
+
+/**
+ * Age of the confirmation by most voters at which a control host counts as cut
+ * off from them. Elections are shorter.
+ */
+#define OUTDATED_AFTER_MS 2500
+
 static void handle_status_(struct gate_entry *entry, const char *sender,
 			   const struct gate_status *status,
 			   struct bw_time now);
-static void record_control_peers_(struct gate_entry *entry, const char *sender,
-				  const struct gate_status *status);
-static void note_announcement_(struct gate_entry *entry, const char *sender,
-			       const struct gate_status *status,
-			       struct bw_time now);
 static void choose_feed_(struct gate_entry *entry, struct bw_time now);
+static void update_contact_(struct gate_entry *entry, struct gate_peer *peer,
+			    bool contact, struct bw_time now);
 static void send_to_controls_(struct gate_entry *entry,
 			      struct gate_hello *hello, bool brief_due,
 			      struct bw_time now);
@@ -35,6 +41,7 @@
 static void handle_loads_(struct gate_entry *entry,
 			  const struct gate_loads *loads, struct bw_time now);
 static void fill_loads_(struct gate_entry *entry, struct gate_hello *hello);
+static bool is_outdated_(const struct gate_peer *peer, struct bw_time now);
 
 void gate_entry_receive(struct gate_entry *entry,
 			const struct bw_packet *packet, struct bw_time now)
@@ -93,6 +100,9 @@
 			bw_time_add(now, BRIEF_HELLO_INTERVAL_MS);
 	choose_feed_(entry, now);
 	fill_demands_(entry, &hello, now);
+	hello.accepts_silence = true;
+	gate_domain_list_set(&hello.used, &node->settings, entry->used_domains);
+	hello.used.known = entry->used_domains != 0;
 	if (node->stopping)
 		hello.state = GATE_HOST_LEAVING;
 	else
@@ -109,6 +119,7 @@
 {
 	const struct gate_node *node = entry->node;
 	struct bw_feed_peer peers[GATE_CONTROLS_MAX];
+	bool contact[GATE_CONTROLS_MAX];
 	uint32_t i;
 
 	for (i = 0; i < node->control_count; i++)
@@ -117,6 +128,37 @@
 		bw_log_event(node->log, BW_LOG_INFO, "membership",
 			     "detail_source_changed", "{s:s}", "peer",
 			     entry->feed.source);
+	bw_feed_contacts(&entry->feed, peers, node->control_count, contact);
+	for (i = 0; i < node->control_count; i++)
+		update_contact_(entry, &entry->node->controls[i], contact[i],
+				now);
+}
+
+/*
+ * A control host that is no contact any more falls silent without being lost.
+ */
+static void update_contact_(struct gate_entry *entry, struct gate_peer *peer,
+			    bool contact, struct bw_time now)
+{
+	struct bw_time latest;
+
+	if (!contact) {
+		peer->contact_since.ms = 0;
+		peer->last_heard.ms = 0;
+		peer->lost = false;
+		return;
+	}
+	if (!peer->contact_since.ms)
+		peer->contact_since = now;
+	latest.ms = MAX(peer->contact_since.ms, peer->last_heard.ms);
+	if (bw_time_diff_ms(now, latest) <= GATE_PEER_TIMEOUT_MS)
+		return;
+	peer->avoided_until = bw_time_add(now, CONTACT_AVOIDED_MS);
+	bw_log_event(entry->node->log, BW_LOG_INFO, "membership",
+		     "contact_silent", "{s:s,s:s,s:I}", "peer", peer->name,
+		     "domain", peer->domain, "silent_ms",
+		     (json_int_t)bw_time_diff_ms(now, latest));
+	peer->contact_since = now;
 }
 
 /*
@@ -146,6 +188,10 @@
 
 	bw_name_set(peer->name, known->name);
 	peer->alive = gate_peer_is_alive(known, now);
+	peer->outdated = is_outdated_(known, now);
+	peer->avoided = !bw_time_reached(now, known->avoided_until);
+	peer->region = gate_node_region_index(
+		node, gate_node_region(node, known->domain));
 	if (!known->domain[0])
 		peer->distance = BW_FEED_UNKNOWN;
 	else if (!strcmp(known->domain, node->settings.domain))
@@ -157,7 +203,19 @@
 		peer->distance = BW_FEED_OTHER_REGION;
 }
 
-/* Sends hellos to unreachable control hosts too. */
+/* A control host of an earlier version does not say whether it is cut off. */
+static bool is_outdated_(const struct gate_peer *peer, struct bw_time now)
+{
+	const struct bw_announcement *announcement = &peer->announcement;
+
+	if (!announcement->current)
+		return true;
+	return peer->confirms &&
+	       (!announcement->of_majority ||
+		bw_time_diff_ms(now, announcement->as_of) > OUTDATED_AFTER_MS);
+}
+
+/* Sends hellos to contacts that do not respond, too. */
 static void send_to_controls_(struct gate_entry *entry,
 			      struct gate_hello *hello, bool brief_due,
 			      struct bw_time now)
@@ -167,6 +225,8 @@
 	uint32_t i;
 
 	for (i = 0; i < node->control_count; i++) {
+		if (!node->controls[i].contact_since.ms)
+			continue;
 		gate_entry_feed_peer(entry, i, now, &peer);
 		hello->load_count = 0;
 		if (bw_feed_needs_detail(&entry->feed, &peer))
@@ -184,39 +244,6 @@
 	}
 }
 
-static void record_control_peers_(struct gate_entry *entry, const char *sender,
-				  const struct gate_status *status)
-{
-	gate_node_set_control_domain(entry->node, sender, status->domain);
-	if (status->control_count)
-		bw_feed_set_source_peers(&entry->feed, sender,
-					 (const char(*)[BW_NAME_MAX])(
-						 const void *)status->controls,
-					 status->control_count);
-}
-
-/*
- * A status is as old as the hello that it answers: it may have waited on a slow
- * link, or in this host while it was stopped. Hellos of an earlier process of
- * this host say nothing.
- */
-static void note_announcement_(struct gate_entry *entry, const char *sender,
-			       const struct gate_status *status,
-			       struct bw_time now)
-{
-	struct bw_announcement announcement = {
-		.version = status->routing_version,
-		.current = status->current,
-	};
-	struct bw_time sent = { (int64_t)status->hello_sent_ms };
-
-	if (bw_time_reached(sent, entry->started_at) &&
-	    bw_time_reached(now, sent))
-		announcement.as_of = sent;
-	gate_node_set_announcement(entry->node, sender, &announcement,
-				   status->sends_pieces);
-}
-
 struct bw_confirmation gate_entry_confirm(const struct gate_entry *entry,
 					  struct bw_time now)
 {
@@ -234,13 +261,12 @@
 static void handle_status_(struct gate_entry *entry, const char *sender,
 			   const struct gate_status *status, struct bw_time now)
 {
-	uint32_t i;
-
-	for (i = 0; i < status->control_count; i++)
-		gate_node_add_control(entry->node, status->controls[i], false,
-				      now);
-	record_control_peers_(entry, sender, status);
-	note_announcement_(entry, sender, status, now);
+	gate_node_note_status(entry->node, sender, status, now);
+	if (status->control_count)
+		bw_feed_set_source_peers(&entry->feed, sender,
+					 (const char(*)[BW_NAME_MAX])(
+						 const void *)status->controls,
+					 status->control_count);
 	if (status->entry_count) {
 		entry->entry_count = status->entry_count;
 		entry->entry_index = status->entry_index;
--- a/src/boragewingd/gate_entry_targets.c
+++ b/src/boragewingd/gate_entry_targets.c
@@ -15,6 +15,12 @@
  */
 #define RELAY_DELAY_MS (2 * GATE_HELLO_INTERVAL_MS)
 
+/**
+ * The same for a feed that names silent servers: twice the cycle in which it
+ * sends a heartbeat of each server.
+ */
+#define CYCLE_TIMEOUT_MS 17000
+
 /** Interval at which the age of heartbeats is checked. */
 #define UPDATE_INTERVAL_MS 200
 
@@ -59,6 +65,7 @@
 			g_hash_table_lookup(owners, server->record.address);
 		bool usable = owner->record.started_wall_ms <=
 				      server->record.started_wall_ms &&
+			      !server->silent &&
 			      (!heartbeats_reliable ||
 			       is_server_alive_(entry, server, now));
 
@@ -69,6 +76,7 @@
 		update_target_(entry, server, usable, now);
 	}
 	bw_dispatch_end_update(&entry->dispatch, now);
+	entry->used_domains = bw_dispatch_used_domains(&entry->dispatch);
 	g_hash_table_destroy(owners);
 }
 
@@ -205,6 +213,11 @@
 
 static int64_t server_timeout_ms_(const struct gate_entry *entry)
 {
+	const struct gate_peer *feed =
+		gate_node_control(entry->node, entry->feed.source);
+
+	if (feed && feed->tells_silence)
+		return CYCLE_TIMEOUT_MS;
 	return (int64_t)entry->node->settings.announce_interval_ms *
 		       MISSED_ANNOUNCEMENTS_MAX +
 	       RELAY_DELAY_MS;
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -26,8 +26,14 @@
 			const struct bw_http_message *request);
 static void on_metrics_disconnected_(void *context,
 				     struct bw_server_connection *connection);
-static struct gate_peer *find_control_(struct gate_node *node,
-				       const char *name);
+static void note_announcement_(const struct gate_node *node,
+			       struct gate_peer *peer,
+			       const struct gate_status *status,
+			       struct bw_time now);
+static void remove_control_(struct gate_node *node, uint32_t index);
+static void apply_heartbeat_(struct gate_node *node, const char *sender,
+			     const struct gate_heartbeat *heartbeat,
+			     struct bw_time now);
 static bool is_newer_(const struct gate_heartbeat *heartbeat,
 		      const struct bw_server *known);
 static void request_records_(struct gate_node *node, const char *sender,
@@ -49,6 +55,7 @@
 	node->settings = *settings;
 	node->loop = loop;
 	bw_loop_clock_init(&node->clock, loop);
+	node->started_at = gate_node_now(node);
 	node->log = log;
 	bw_metrics_init(&node->metrics);
 	bw_random_init_system(&node->random);
@@ -94,13 +101,21 @@
 	if (!strcmp(name, node->name) ||
 	    !gate_internal_address(node, name, internal))
 		return;
-	peer = find_control_(node, name);
+	peer = gate_node_control(node, name);
 	if (!peer) {
-		if (node->control_count == GATE_CONTROLS_MAX)
+		if (node->control_count == GATE_CONTROLS_MAX) {
+			if (!node->controls_full)
+				bw_log_event(node->log, BW_LOG_ERROR,
+					     "membership", "control_hosts_full",
+					     "{s:s,s:i}", "peer", name, "known",
+					     (int)node->control_count);
+			node->controls_full = true;
 			return;
+		}
 		peer = &node->controls[node->control_count++];
 		memset(peer, 0, sizeof(*peer));
 		bw_name_set(peer->name, name);
+		peer->used_domains = UINT64_MAX;
 		transport_set_address(&node->transport, name, internal);
 		bw_log_event(node->log, BW_LOG_INFO, "membership",
 			     "control_host_known", "{s:s,s:b}", "peer", name,
@@ -119,22 +134,33 @@
 void gate_node_set_control_domain(struct gate_node *node, const char *name,
 				  const char *domain)
 {
-	struct gate_peer *peer = find_control_(node, name);
+	struct gate_peer *peer = gate_node_control(node, name);
 
 	if (peer)
 		bw_name_set(peer->domain, domain);
 }
 
-void gate_node_set_announcement(struct gate_node *node, const char *name,
-				const struct bw_announcement *announcement,
-				bool sends_pieces)
+void gate_node_note_status(struct gate_node *node, const char *name,
+			   const struct gate_status *status, struct bw_time now)
 {
-	struct gate_peer *peer = find_control_(node, name);
+	struct gate_peer *peer;
+	uint32_t i;
 
+	for (i = 0; i < status->control_count; i++) {
+		gate_node_add_control(node, status->controls[i], false, now);
+		if (status->control_domains[i][0])
+			gate_node_set_control_domain(
+				node, status->controls[i],
+				status->control_domains[i]);
+	}
+	gate_node_set_control_domain(node, name, status->domain);
+	peer = gate_node_control(node, name);
 	if (!peer)
 		return;
-	peer->announcement = *announcement;
-	peer->sends_pieces = sends_pieces;
+	note_announcement_(node, peer, status, now);
+	peer->sends_pieces = status->sends_pieces;
+	peer->confirms = status->confirms;
+	peer->tells_silence = status->tells_silence;
 }
 
 void gate_node_update_seeds(struct gate_node *node,
@@ -149,7 +175,7 @@
 		struct gate_peer *peer;
 
 		gate_node_add_control(node, settings->seeds[i], false, now);
-		peer = find_control_(node, settings->seeds[i]);
+		peer = gate_node_control(node, settings->seeds[i]);
 		if (peer)
 			peer->seed = true;
 	}
@@ -175,7 +201,7 @@
 		    bw_time_diff_ms(now, peer->last_listed) >
 			    CONTROL_REMOVE_MS &&
 		    bw_time_diff_ms(now, peer->last_heard) > CONTROL_REMOVE_MS)
-			*peer = node->controls[--node->control_count];
+			remove_control_(node, i);
 		else
 			i++;
 	}
@@ -206,15 +232,15 @@
 	gate_node_send_on(node, BW_CHANNEL_GATE, peer);
 }
 
-bool gate_node_is_control(const struct gate_node *node, const char *name)
+struct gate_peer *gate_node_control(struct gate_node *node, const char *name)
 {
 	uint32_t i;
 
 	for (i = 0; i < node->control_count; i++) {
 		if (!strcmp(node->controls[i].name, name))
-			return true;
+			return &node->controls[i];
 	}
-	return false;
+	return NULL;
 }
 
 void gate_node_send_on(struct gate_node *node, enum bw_channel channel,
@@ -275,6 +301,20 @@
 	return 31;
 }
 
+void gate_domain_list_set(struct gate_domain_list *list,
+			  const struct gate_settings *settings, uint64_t used)
+{
+	uint32_t i;
+
+	list->known = true;
+	list->count = 0;
+	for (i = 0; i < settings->domain_count; i++) {
+		if (used & (1ULL << i))
+			bw_name_set(list->domains[list->count++],
+				    settings->domains[i].domain);
+	}
+}
+
 uint32_t gate_node_domain_index(const struct gate_node *node,
 				const char *domain)
 {
@@ -325,13 +365,37 @@
 				*heartbeat;
 		else if (heartbeat->started_wall_ms ==
 			 known->record.started_wall_ms)
-			bw_registry_touch(&node->registry, heartbeat->id_hash,
-					  heartbeat->sequence, now);
+			apply_heartbeat_(node, sender, heartbeat, now);
 	}
 	if (outdated.heartbeat_count)
 		request_records_(node, sender, &outdated);
 }
 
+static void remove_control_(struct gate_node *node, uint32_t index)
+{
+	node->controls[index] = node->controls[--node->control_count];
+	node->controls_full = false;
+}
+
+static void apply_heartbeat_(struct gate_node *node, const char *sender,
+			     const struct gate_heartbeat *heartbeat,
+			     struct bw_time now)
+{
+	if (!heartbeat->silent) {
+		bw_registry_touch(&node->registry, heartbeat->id_hash,
+				  heartbeat->sequence, now);
+		return;
+	}
+	if (!bw_registry_silence(&node->registry, heartbeat->id_hash,
+				 heartbeat->started_wall_ms,
+				 heartbeat->sequence))
+		return;
+	bw_log_event(node->log, BW_LOG_INFO, "registry", "server_silent",
+		     "{s:I,s:s,s:I}", "id_hash", (json_int_t)heartbeat->id_hash,
+		     "source", sender, "sequence",
+		     (json_int_t)heartbeat->sequence);
+}
+
 /* Returns whether the sender of a heartbeat has a newer record. */
 static bool is_newer_(const struct gate_heartbeat *heartbeat,
 		      const struct bw_server *known)
@@ -420,15 +484,31 @@
 	(void)connection;
 }
 
-static struct gate_peer *find_control_(struct gate_node *node, const char *name)
+/*
+ * A status is as old as the hello that it answers: it may have waited on a slow
+ * link, or in this host while it was stopped. Hellos of an earlier process of
+ * this host say nothing. What most voters confirmed is older still by the age
+ * that the sender names.
+ */
+static void note_announcement_(const struct gate_node *node,
+			       struct gate_peer *peer,
+			       const struct gate_status *status,
+			       struct bw_time now)
 {
-	uint32_t i;
-
-	for (i = 0; i < node->control_count; i++) {
-		if (!strcmp(node->controls[i].name, name))
-			return &node->controls[i];
+	struct bw_announcement announcement = {
+		.version = status->routing_version,
+		.current = status->current,
+		.of_majority = status->confirmed,
+	};
+	struct bw_time sent = { (int64_t)status->hello_sent_ms };
+
+	if (bw_time_reached(sent, node->started_at) &&
+	    bw_time_reached(now, sent)) {
+		announcement.as_of = sent;
+		if (status->confirmed)
+			announcement.as_of.ms -= status->confirmed_age_ms;
 	}
-	return NULL;
+	peer->announcement = announcement;
 }
 
 static void request_records_(struct gate_node *node, const char *sender,
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -40,8 +40,16 @@
 	struct bw_time last_heard; /**< last packet from it; 0 ms: none */
 	struct bw_time last_listed; /**< last listed or heard from */
 	bool lost; /**< unreachable, and logged as lost */
-	struct bw_announcement announcement; /**< kept by the entry role */
-	bool sends_pieces; /**< of configurations; likewise */
+	bool voter; /**< votes in the control group; known to control hosts */
+	struct bw_announcement announcement; /**< from its last status */
+	bool sends_pieces; /**< of configurations */
+	bool confirms; /**< says whether most voters confirm its version */
+	bool tells_silence; /**< names servers that fall silent */
+	uint64_t used_domains; /**< bit set of failure domains whose loads its
+				    entry hosts use; kept by control hosts */
+	struct bw_time contact_since; /**< this entry host sends it hellos since
+					   then; 0 ms: it does not */
+	struct bw_time avoided_until; /**< it did not respond to them */
 };
 
 /** State of a gateway host that all roles share. */
@@ -58,6 +66,8 @@
 	struct bw_registry registry;
 	struct gate_peer controls[GATE_CONTROLS_MAX];
 	uint32_t control_count;
+	bool controls_full; /**< logged that controls has no room */
+	struct bw_time started_at;
 	struct bw_buffer frame; /**< the message that is being sent */
 	struct bw_listener metrics_listener;
 	bool stopping;
@@ -98,12 +108,12 @@
 			   bool direct, struct bw_time now);
 
 /**
- * Records what a control host announced.
- * @param sends_pieces whether it sends configurations in pieces
+ * Records what a control host says in its status: of itself, and which other
+ * control hosts there are.
  */
-void gate_node_set_announcement(struct gate_node *node, const char *name,
-				const struct bw_announcement *announcement,
-				bool sends_pieces);
+void gate_node_note_status(struct gate_node *node, const char *name,
+			   const struct gate_status *status,
+			   struct bw_time now);
 
 /** Records the failure domain of a control host. */
 void gate_node_set_control_domain(struct gate_node *node, const char *name,
@@ -134,8 +144,8 @@
 void gate_node_send_on(struct gate_node *node, enum bw_channel channel,
 		       const char *peer);
 
-/** Returns whether a host is a known control host. */
-bool gate_node_is_control(const struct gate_node *node, const char *name);
+/** Returns a known control host, or NULL. */
+struct gate_peer *gate_node_control(struct gate_node *node, const char *name);
 
 /** Clears node->frame for a new message, and returns it. */
 struct bw_buffer *gate_node_frame(struct gate_node *node);
@@ -155,6 +165,10 @@
 uint32_t gate_node_region_index(const struct gate_node *node,
 				const char *region);
 
+/** Lists the failure domains of a bit set of their indices. */
+void gate_domain_list_set(struct gate_domain_list *list,
+			  const struct gate_settings *settings, uint64_t used);
+
 /** Returns the index of a failure domain in the settings, else their count. */
 uint32_t gate_node_domain_index(const struct gate_node *node,
 				const char *domain);
--- a/src/boragewingd/gate_settings.h
+++ b/src/boragewingd/gate_settings.h
@@ -59,6 +59,8 @@
 	uint32_t retry_window_ms;
 	uint32_t retry_extra; /**< retries allowed per window on top of the
 				 ratio */
+	uint32_t losses_max; /**< control hosts that may be lost at the same
+				time with their disks */
 };
 
 #endif
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -6,12 +6,17 @@
 
 #define MESSAGE_VERSION 2
 
-/** Number of values that encode one heartbeat. */
+/** Number of values that encode one heartbeat, and one entry host. */
 #define HEARTBEAT_VALUES 4
+#define FLEET_HOST_VALUES 4
 
 static void write_message_head_(struct bw_writer *writer, struct bw_buffer *out,
 				enum gate_message_type type,
 				uint32_t field_count);
+static void write_names_(struct bw_writer *writer,
+			 const char (*names)[BW_NAME_MAX], uint32_t count);
+static uint32_t read_names_(struct bw_reader *reader,
+			    char (*names)[BW_NAME_MAX], uint32_t limit);
 static uint32_t read_count_(struct bw_reader *reader, uint32_t limit);
 static void write_demands_(struct bw_writer *writer,
 			   const struct gate_demand *demands, uint32_t count);
@@ -39,7 +44,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_HELLO, 11);
+	write_message_head_(&writer, out, GATE_HELLO, 15);
 	bw_write_bool(&writer, hello->control);
 	bw_write_uint(&writer, hello->state);
 	bw_write_uint(&writer, hello->detail);
@@ -51,24 +56,23 @@
 	bw_write_uint(&writer, hello->sent_ms);
 	write_limits_(&writer, hello->loads, hello->load_count);
 	write_leaves_(&writer, hello->loads, hello->load_count);
+	bw_write_uint(&writer, hello->control_count);
+	bw_write_bool(&writer, hello->accepts_silence);
+	bw_write_bool(&writer, hello->used.known);
+	write_names_(&writer, hello->used.domains, hello->used.count);
 }
 
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status)
 {
 	struct bw_writer writer;
-	uint32_t i;
 
-	write_message_head_(&writer, out, GATE_STATUS, 14);
+	write_message_head_(&writer, out, GATE_STATUS, 18);
 	bw_write_str(&writer, status->domain);
 	bw_write_bool(&writer, status->current);
 	bw_write_uint(&writer, status->routing_version);
 	bw_write_uint(&writer, status->evacuation_index);
-	bw_write_array(&writer, status->evacuated_count);
-	for (i = 0; i < status->evacuated_count; i++)
-		bw_write_str(&writer, status->evacuated[i]);
-	bw_write_array(&writer, status->control_count);
-	for (i = 0; i < status->control_count; i++)
-		bw_write_str(&writer, status->controls[i]);
+	write_names_(&writer, status->evacuated, status->evacuated_count);
+	write_names_(&writer, status->controls, status->control_count);
 	bw_write_uint(&writer, status->entry_count);
 	bw_write_uint(&writer, status->entry_index);
 	bw_write_uint(&writer, status->domain_entry_count);
@@ -77,6 +81,10 @@
 	bw_write_bool(&writer, status->sends_pieces);
 	bw_write_bool(&writer, status->names_retired);
 	write_retired_(&writer, &status->retired);
+	write_names_(&writer, status->control_domains, status->control_count);
+	bw_write_bool(&writer, status->confirmed);
+	bw_write_uint(&writer, status->confirmed_age_ms);
+	bw_write_bool(&writer, status->tells_silence);
 }
 
 void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
@@ -95,7 +103,10 @@
 		bw_write_uint(&writer,
 			      (uint64_t)servers->heartbeats[i].started_wall_ms);
 		bw_write_uint(&writer, servers->heartbeats[i].sequence);
-		bw_write_uint(&writer, servers->heartbeats[i].state);
+		bw_write_uint(&writer, servers->heartbeats[i].state |
+					       (servers->heartbeats[i].silent
+							? GATE_HEARTBEAT_SILENT
+							: 0));
 	}
 }
 
@@ -109,6 +120,41 @@
 	write_leaves_(&writer, loads->loads, loads->count);
 }
 
+void gate_fleet_write(struct bw_buffer *out, const struct gate_fleet *fleet)
+{
+	struct bw_writer writer;
+	uint32_t i;
+
+	write_message_head_(&writer, out, GATE_FLEET, 2);
+	bw_write_array(&writer, FLEET_HOST_VALUES * fleet->host_count);
+	for (i = 0; i < fleet->host_count; i++) {
+		bw_write_str(&writer, fleet->hosts[i].name);
+		bw_write_str(&writer, fleet->hosts[i].domain);
+		bw_write_str(&writer, fleet->hosts[i].region);
+		bw_write_uint(&writer, fleet->hosts[i].state);
+	}
+	write_demands_(&writer, fleet->demands, fleet->demand_count);
+}
+
+void gate_fleet_read(struct bw_reader *reader, struct gate_fleet *fleet)
+{
+	uint32_t i;
+
+	fleet->host_count =
+		read_count_(reader, FLEET_HOST_VALUES * GATE_FLEET_HOSTS_MAX) /
+		FLEET_HOST_VALUES;
+	for (i = 0; i < fleet->host_count; i++) {
+		bw_read_name(reader, fleet->hosts[i].name);
+		bw_read_name(reader, fleet->hosts[i].domain);
+		bw_read_name(reader, fleet->hosts[i].region);
+		fleet->hosts[i].state = (uint32_t)bw_read_uint(reader);
+		if (fleet->hosts[i].state >= GATE_HOST_STATE_COUNT)
+			reader->failed = true;
+	}
+	bw_read_end(reader);
+	fleet->demand_count = read_demands_(reader, fleet->demands);
+}
+
 void gate_loads_read(struct bw_reader *reader, struct gate_loads *loads)
 {
 	loads->count = read_loads_(reader, loads->loads);
@@ -134,7 +180,7 @@
 	if (bw_read_uint(reader) != MESSAGE_VERSION)
 		return 0;
 	type = bw_read_uint(reader);
-	return type <= GATE_LOADS ? (int)type : 0;
+	return type <= GATE_FLEET ? (int)type : 0;
 }
 
 void gate_heartbeat_set(struct gate_heartbeat *heartbeat,
@@ -144,6 +190,7 @@
 	heartbeat->started_wall_ms = server->record.started_wall_ms;
 	heartbeat->sequence = server->heard_sequence;
 	heartbeat->state = server->record.state;
+	heartbeat->silent = false;
 }
 
 void gate_hello_read(struct bw_reader *reader, struct gate_hello *hello)
@@ -165,6 +212,15 @@
 		hello->sent_ms = bw_read_uint(reader);
 	read_limits_(reader, hello->loads, hello->load_count);
 	read_leaves_(reader, hello->loads, hello->load_count);
+	if (bw_read_more(reader))
+		hello->control_count = (uint32_t)bw_read_uint(reader);
+	if (bw_read_more(reader))
+		hello->accepts_silence = bw_read_bool(reader);
+	if (bw_read_more(reader)) {
+		hello->used.known = bw_read_bool(reader);
+		hello->used.count = read_names_(reader, hello->used.domains,
+						GATE_DOMAIN_LIST_MAX);
+	}
 	if (state >= GATE_HOST_STATE_COUNT || detail >= GATE_DETAIL_COUNT) {
 		reader->failed = true;
 		return;
@@ -175,21 +231,15 @@
 
 void gate_status_read(struct bw_reader *reader, struct gate_status *status)
 {
-	uint32_t i;
-
 	memset(status, 0, sizeof(*status));
 	bw_read_name(reader, status->domain);
 	status->current = bw_read_bool(reader);
 	status->routing_version = bw_read_uint(reader);
 	status->evacuation_index = bw_read_uint(reader);
-	status->evacuated_count = read_count_(reader, BW_EVACUATIONS_MAX);
-	for (i = 0; i < status->evacuated_count; i++)
-		bw_read_name(reader, status->evacuated[i]);
-	bw_read_end(reader);
-	status->control_count = read_count_(reader, GATE_CONTROLS_MAX);
-	for (i = 0; i < status->control_count; i++)
-		bw_read_name(reader, status->controls[i]);
-	bw_read_end(reader);
+	status->evacuated_count =
+		read_names_(reader, status->evacuated, BW_EVACUATIONS_MAX);
+	status->control_count =
+		read_names_(reader, status->controls, GATE_CONTROLS_MAX);
 	status->entry_count = (uint32_t)bw_read_uint(reader);
 	status->entry_index = (uint32_t)bw_read_uint(reader);
 	status->domain_entry_count = (uint32_t)bw_read_uint(reader);
@@ -202,10 +252,22 @@
 		status->names_retired = bw_read_bool(reader);
 	if (bw_read_more(reader))
 		read_retired_(reader, &status->retired);
+	if (bw_read_more(reader) &&
+	    read_names_(reader, status->control_domains, GATE_CONTROLS_MAX) !=
+		    status->control_count)
+		reader->failed = true;
+	if (bw_read_more(reader)) {
+		status->confirms = true;
+		status->confirmed = bw_read_bool(reader);
+		status->confirmed_age_ms = (uint32_t)bw_read_uint(reader);
+	}
+	if (bw_read_more(reader))
+		status->tells_silence = bw_read_bool(reader);
 }
 
 void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers)
 {
+	uint32_t state;
 	uint32_t i;
 
 	servers->record_count = read_count_(reader, GATE_BATCH_MAX);
@@ -220,7 +282,9 @@
 		servers->heartbeats[i].started_wall_ms =
 			(int64_t)bw_read_uint(reader);
 		servers->heartbeats[i].sequence = bw_read_uint(reader);
-		servers->heartbeats[i].state = (uint32_t)bw_read_uint(reader);
+		state = (uint32_t)bw_read_uint(reader);
+		servers->heartbeats[i].state = state & ~GATE_HEARTBEAT_SILENT;
+		servers->heartbeats[i].silent = state & GATE_HEARTBEAT_SILENT;
 	}
 	bw_read_end(reader);
 }
@@ -241,6 +305,28 @@
 	bw_write_uint(writer, type);
 }
 
+static void write_names_(struct bw_writer *writer,
+			 const char (*names)[BW_NAME_MAX], uint32_t count)
+{
+	uint32_t i;
+
+	bw_write_array(writer, count);
+	for (i = 0; i < count; i++)
+		bw_write_str(writer, names[i]);
+}
+
+static uint32_t read_names_(struct bw_reader *reader,
+			    char (*names)[BW_NAME_MAX], uint32_t limit)
+{
+	uint32_t count = read_count_(reader, limit);
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		bw_read_name(reader, names[i]);
+	bw_read_end(reader);
+	return count;
+}
+
 static uint32_t read_count_(struct bw_reader *reader, uint32_t limit)
 {
 	uint32_t count = bw_read_array(reader);
--- a/src/boragewingd/gate_wire.h
+++ b/src/boragewingd/gate_wire.h
@@ -2,17 +2,24 @@
  * @file
  * Messages between the hosts of a gateway (BW_CHANNEL_GATE).
  *
- * - Every host sends hello messages to all control hosts.
- * - Control hosts respond with their status: current versions, evacuations, and
- *   the index of the receiver among the entry hosts. Receivers that request
- *   more detail also get the list of control hosts and the demands of all
- *   failure domains.
+ * - Entry hosts send hello messages to a few control hosts (bwmember/feed.h),
+ *   control hosts to all other control hosts.
+ * - Control hosts respond to entry hosts with their status: current versions,
+ *   evacuations, and the index of the receiver among the entry hosts. Receivers
+ *   that request more detail also get the list of control hosts and the demands
+ *   of all failure domains. Voters respond to control hosts, too, which confirm
+ *   their version by most of them; so does a control host that knows more
+ *   control hosts than the sender.
+ * - Each control host lists the entry hosts that get full detail from it, and
+ *   their demands, to all other control hosts (GATE_FLEET).
  * - Control hosts forward the announcements of backend servers to each other:
- *   whole records after a change, else heartbeats. They also forward them to
- *   the entry hosts that requested full detail. A receiver requests the record
- *   when a heartbeat does not match its own.
+ *   whole records after a change, else heartbeats. Entry hosts that requested
+ *   full detail get the changes and, one after the other in a cycle, the
+ *   heartbeats of all servers; a server that falls silent is named at once. A
+ *   receiver requests the record when a heartbeat does not match its own.
  * - Loads of backend servers go from an entry host to the control host that
- *   sends it full detail, then to all control hosts, then to all entry hosts.
+ *   sends it full detail, then to the control hosts and entry hosts that use
+ *   servers in that failure domain.
  * - Entry hosts request configurations on BW_CHANNEL_DISTRIBUTE, see
  *   bwmember/distribute.h. While hosts are upgraded, control hosts of earlier
  *   versions get a GATE_ROUTING_REQUEST and send the whole text.
@@ -26,11 +33,12 @@
 #include "bwagree/state.h"
 #include "bwbase/buffer.h"
 #include "bwbase/codec.h"
+#include "bwmember/roster.h"
 #include "bwsteer/registry.h"
 #include "bwsteer/retired_routes.h"
 
-/** Maximum number of control hosts listed in one message. */
-#define GATE_CONTROLS_MAX 24
+/** Maximum number of known control hosts. */
+#define GATE_CONTROLS_MAX 128
 
 /** Maximum number of records, heartbeats or requests in one message. */
 #define GATE_BATCH_MAX 64
@@ -44,7 +52,8 @@
 	GATE_RECORDS_REQUEST = 5,
 	GATE_ROUTING_REQUEST = 6,
 	GATE_ROUTING = 7,
-	GATE_LOADS = 8 /**< loads of backend servers */
+	GATE_LOADS = 8, /**< loads of backend servers */
+	GATE_FLEET = 9 /**< entry hosts of a control host, and their demands */
 };
 
 /** How much detail an entry host requests from a control host. */
@@ -87,6 +96,16 @@
 	int64_t started_wall_ms; /**< start of the server that leaves */
 };
 
+/** Maximum number of failure domains listed in one message. */
+#define GATE_DOMAIN_LIST_MAX 64
+
+/** Failure domains in which a host uses backend servers. */
+struct gate_domain_list {
+	char domains[GATE_DOMAIN_LIST_MAX][BW_NAME_MAX];
+	uint32_t count;
+	bool known; /**< else the host uses all */
+};
+
 /** GATE_HELLO */
 struct gate_hello {
 	bool control; /**< a control host; else an entry host */
@@ -99,7 +118,11 @@
 	uint32_t demand_count;
 	struct gate_load loads[GATE_LOADS_MAX]; /**< recent reports */
 	uint32_t load_count;
-	uint64_t sent_ms; /**< by the clock of an entry host; else 0 */
+	uint64_t sent_ms; /**< by the clock of the sender; 0: unknown */
+	uint32_t control_count; /**< live control hosts that a control host
+				     knows, itself included; else 0 */
+	bool accepts_silence; /**< understands GATE_HEARTBEAT_SILENT */
+	struct gate_domain_list used; /**< loads of these are of use */
 };
 
 /** GATE_STATUS */
@@ -111,6 +134,7 @@
 	char evacuated[BW_EVACUATIONS_MAX][BW_NAME_MAX];
 	uint32_t evacuated_count;
 	char controls[GATE_CONTROLS_MAX][BW_NAME_MAX];
+	char control_domains[GATE_CONTROLS_MAX][BW_NAME_MAX]; /**< "" unknown */
 	uint32_t control_count; /**< 0 for GATE_DETAIL_BRIEF */
 	uint32_t entry_count; /**< known to the sender */
 	uint32_t entry_index; /**< of the receiver among entry hosts */
@@ -123,8 +147,31 @@
 				BW_CHANNEL_DISTRIBUTE */
 	bool names_retired; /**< the sender knows which routes have changed */
 	struct bw_retired_routes retired; /**< without times */
+	bool confirms; /**< the sender says whether most voters confirm its
+			    version */
+	bool confirmed; /**< they do */
+	uint32_t confirmed_age_ms; /**< time since then */
+	bool tells_silence; /**< the sender names servers that fall silent, and
+				 sends few other heartbeats */
 };
 
+/** Maximum number of entry hosts in one message. */
+#define GATE_FLEET_HOSTS_MAX 512
+
+/** GATE_FLEET */
+struct gate_fleet {
+	struct bw_roster_host hosts[GATE_FLEET_HOSTS_MAX];
+	uint32_t host_count;
+	struct gate_demand demands[GATE_DEMANDS_MAX];
+	uint32_t demand_count;
+};
+
+/**
+ * Added to the state in a heartbeat of a server that the sender has not heard
+ * of for too long. The sequence number is the last one that it heard.
+ */
+#define GATE_HEARTBEAT_SILENT 0x10U
+
 /**
  * Heartbeat of a backend server; also identifies the record that is
  * acknowledged or requested.
@@ -134,6 +181,7 @@
 	int64_t started_wall_ms; /**< start time; identifies the run */
 	uint64_t sequence;
 	uint32_t state; /**< an enum bw_server_state */
+	bool silent; /**< see GATE_HEARTBEAT_SILENT */
 };
 
 /** GATE_SERVERS, GATE_SERVERS_ACK and GATE_RECORDS_REQUEST */
@@ -163,6 +211,7 @@
 void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
 			const struct gate_servers *servers);
 void gate_loads_write(struct bw_buffer *out, const struct gate_loads *loads);
+void gate_fleet_write(struct bw_buffer *out, const struct gate_fleet *fleet);
 void gate_routing_write(struct bw_buffer *out, enum gate_message_type type,
 			const struct gate_routing *routing);
 
@@ -181,6 +230,7 @@
 void gate_status_read(struct bw_reader *reader, struct gate_status *status);
 void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers);
 void gate_loads_read(struct bw_reader *reader, struct gate_loads *loads);
+void gate_fleet_read(struct bw_reader *reader, struct gate_fleet *fleet);
 void gate_routing_read(struct bw_reader *reader, struct gate_routing *routing);
 
 #endif
--- a/src/libbwagree/include/private/replica.h
+++ b/src/libbwagree/include/private/replica.h
@@ -18,7 +18,7 @@
 #define REPLICA_IN_FLIGHT_MAX 4
 
 /** Maximum number of hosts known from settings and announcements. */
-#define REPLICA_CONTACTS_MAX 40
+#define REPLICA_CONTACTS_MAX 128
 
 /** Acknowledgement time of a member that has not acknowledged anything. */
 #define REPLICA_NEVER_MS INT64_MIN
@@ -94,6 +94,7 @@
 	char host[BW_NAME_MAX];
 	uint64_t disk_incarnation; /**< confirmed by the nonce; 0 unknown */
 	bool empty; /**< disk had no group at the last confirmation */
+	bool asks; /**< it asked to join: an empty disk, or a removed host */
 	int64_t confirmed_ms;
 	uint64_t nonce; /**< own nonce, which the host has to echo */
 	uint64_t echo; /**< newest nonce of the host, echoed in replies */
--- a/src/libbwagree/replica_member.c
+++ b/src/libbwagree/replica_member.c
@@ -83,6 +83,7 @@
 	if (contact->nonce && hello.echo == contact->nonce) {
 		contact->disk_incarnation = header->from_disk;
 		contact->empty = hello.empty;
+		contact->asks = hello.is_request;
 		contact->confirmed_ms = replica->now_ms;
 		contact->nonce = new_id_(replica);
 	}
@@ -202,22 +203,61 @@
 	return status == BW_OK ? propose_group_(replica, &group) : status;
 }
 
-enum bw_status bw_replica_admit(struct bw_replica *replica,
-				char host[BW_NAME_MAX], struct bw_time now)
+enum bw_status bw_replica_admit(struct bw_replica *replica, uint32_t *count,
+				struct bw_time now)
 {
+	struct bw_group group = replica->group;
+	struct bw_group_member member = { .kind = BW_MEMBER_LEARNER };
+	uint32_t asking = 0;
 	uint32_t i;
 
+	*count = 0;
+	replica->now_ms = now.ms;
+	if (replica->role != BW_REPLICA_LEADER)
+		return BW_EUNAVAILABLE;
+	if (change_in_progress_(replica))
+		return BW_EAGAIN;
 	for (i = 0; i < replica->contact_count; i++) {
 		const struct replica_contact *contact = &replica->contacts[i];
 
-		if (!contact->disk_incarnation || !contact->empty ||
+		if (!contact->disk_incarnation || !contact->asks ||
 		    now.ms - contact->confirmed_ms > CONFIRMATION_MAX_AGE_MS ||
-		    bw_group_find(&replica->group, contact->host))
+		    bw_group_find(&group, contact->host))
 			continue;
-		bw_name_set(host, contact->host);
-		return bw_replica_add(replica, host, true, now);
+		asking++;
+		bw_name_set(member.host, contact->host);
+		member.disk_incarnation = contact->disk_incarnation;
+		if (bw_group_add(&group, &member) == BW_OK)
+			++*count;
 	}
-	return BW_ENOTFOUND;
+	if (!*count)
+		return asking ? BW_EFULL : BW_ENOTFOUND;
+	return propose_group_(replica, &group);
+}
+
+enum bw_status bw_replica_set_voter(struct bw_replica *replica,
+				    const char *host, bool voter,
+				    struct bw_time now)
+{
+	struct bw_group group = replica->group;
+	struct bw_group_member *member = bw_group_find(&group, host);
+
+	replica->now_ms = now.ms;
+	if (replica->role != BW_REPLICA_LEADER)
+		return BW_EUNAVAILABLE;
+	if (!member)
+		return BW_ENOTFOUND;
+	if (voter == (member->kind == BW_MEMBER_VOTER || member->promote))
+		return BW_EEXIST;
+	if (change_in_progress_(replica))
+		return BW_EAGAIN;
+	if (!voter && member->kind == BW_MEMBER_VOTER &&
+	    (!strcmp(host, replica->host) || replica_voter_count(replica) < 2))
+		return BW_EINVAL;
+	member->promote = voter;
+	if (!voter && member->kind == BW_MEMBER_VOTER)
+		member->kind = BW_MEMBER_LEARNER;
+	return propose_group_(replica, &group);
 }
 
 enum bw_status bw_replica_remove(struct bw_replica *replica, const char *host,
--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -38,6 +38,9 @@
 /** Minimum fraction at which a server counts as in use. */
 #define FRACTION_USED_MIN 0.005
 
+/** Fraction below which a server gets no requests by plan. */
+#define FRACTION_NONE 1e-5
+
 /**
  * Service time that is assumed before any was measured, as a fraction of the
  * latency objective; the rest leaves room for a queue.
@@ -140,6 +143,24 @@
 	return service->arrivals_per_s;
 }
 
+uint64_t bw_dispatch_used_domains(const struct bw_dispatch *dispatch)
+{
+	uint64_t used = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct bw_target *target = value;
+
+		if (target->fraction > FRACTION_NONE ||
+		    target->planned_fraction > FRACTION_NONE ||
+		    target->in_flight)
+			used |= 1ULL << target->domain;
+	}
+	return used;
+}
+
 static void update_planned_demand_(const struct bw_dispatch *dispatch,
 				   struct bw_dispatch_service *service,
 				   struct bw_time now)
--- a/src/libbwsteer/registry.c
+++ b/src/libbwsteer/registry.c
@@ -58,6 +58,7 @@
 	update_heard_sequence_(known, record);
 	known->record = *record;
 	known->last_heard_at = now;
+	known->silent = false;
 	known->cold_until = bw_time_add(now, record->cold_ms);
 	if (outcome == BW_REGISTRY_CHANGED) {
 		known->changed_at = now;
@@ -78,6 +79,21 @@
 		return;
 	server->heard_sequence = sequence;
 	server->last_heard_at = now;
+	server->silent = false;
+}
+
+bool bw_registry_silence(struct bw_registry *registry, uint64_t id_hash,
+			 int64_t started_wall_ms, uint64_t sequence)
+{
+	struct bw_server *server =
+		g_hash_table_lookup(registry->by_hash, &id_hash);
+
+	if (!server || server->silent ||
+	    server->record.started_wall_ms != started_wall_ms ||
+	    sequence < server->heard_sequence)
+		return false;
+	server->silent = true;
+	return true;
 }
 
 struct bw_server *bw_registry_find(const struct bw_registry *registry,
--- a/src/test_libbwagree/sim.c
+++ b/src/test_libbwagree/sim.c
@@ -11,6 +11,10 @@
 
 #define OUTBOX_LIMIT 4096
 
+/** Names of the hosts; at least SIM_HOSTS_MAX. */
+static const char host_letters[] =
+	"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789";
+
 static void report_violation_(struct sim *sim, const char *what, int host,
 			      uint64_t index);
 static void push_packet_(struct sim *sim, const struct sim_packet *packet);
@@ -64,8 +68,9 @@
 	sim->config.compact_bytes = 3000;
 	sim->config.segment_bytes = 700;
 	for (i = 0; i < host_count; i++) {
-		snprintf(sim->names[i], BW_NAME_MAX, "%c", 'a' + i);
-		snprintf(sim->hosts[i].name, BW_NAME_MAX, "%c", 'a' + i);
+		snprintf(sim->names[i], BW_NAME_MAX, "%c", host_letters[i]);
+		snprintf(sim->hosts[i].name, BW_NAME_MAX, "%c",
+			 host_letters[i]);
 		bw_storage_init_memory(&sim->hosts[i].storage);
 	}
 }
@@ -342,9 +347,10 @@
 
 static int host_index_(const struct sim *sim, const char *name)
 {
-	int host = name[0] - 'a';
+	const char *at = strchr(host_letters, name[0]);
+	int host = at && name[0] ? (int)(at - host_letters) : -1;
 
-	return host >= 0 && host < sim->host_count ? host : -1;
+	return host < sim->host_count ? host : -1;
 }
 
 static void send_packets_(struct sim *sim, int from, struct bw_outbox *out)
--- a/src/test_libbwagree/sim.h
+++ b/src/test_libbwagree/sim.h
@@ -12,7 +12,7 @@
 
 #include "bwagree/replica.h"
 
-#define SIM_HOSTS_MAX 18
+#define SIM_HOSTS_MAX 60
 #define SIM_INDEX_MAX 8192
 #define SIM_SUBMISSIONS_MAX 2048
 #define SIM_ERROR_BYTES 256
@@ -103,7 +103,8 @@
 	uint64_t lease_checks; /**< checks that found a valid lease */
 };
 
-/** Creates hosts a, b, ...; the first initial_count form the group. */
+/** Creates hosts a, b, ..., A, B, ...; the first initial_count form the group.
+ */
 void sim_init(struct sim *sim, uint64_t seed, int host_count,
 	      int initial_count);
 void sim_finish(struct sim *sim);
