--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -7,6 +7,12 @@
 /** Interval of transport heartbeats; a broken path is detected within 1.5 s. */
 #define HEARTBEAT_MS 500
 
+/**
+ * Time after which an unused connection is closed. All hosts that start talk to
+ * the same few control hosts first.
+ */
+#define IDLE_TIMEOUT_MS 8000
+
 /** Time after which a control host that no host lists is removed. */
 #define CONTROL_REMOVE_MS 20000
 
@@ -426,6 +432,7 @@
 	config.receive = receive;
 	config.context = context;
 	config.heartbeat_ms = HEARTBEAT_MS;
+	config.idle_timeout_ms = IDLE_TIMEOUT_MS;
 	status = transport_init(&node->transport, &config);
 	node->transport.config.self = node->name;
 	if (status != BW_OK)
--- a/src/boragewingd/transport.c
+++ b/src/boragewingd/transport.c
@@ -26,8 +26,9 @@
 #define UNACKNOWLEDGED_MAX_MS 1500
 #define LINGER_MS 200
 #define RECEIVE_BATCH_MESSAGES 256
-#define SWEEP_INTERVAL_S 30.0
 #define IDLE_TIMEOUT_MS 120000
+/** Sweeps for idle connections in one idle timeout. */
+#define SWEEPS_PER_TIMEOUT 4
 #define ZAP_ENDPOINT "inproc://zeromq.zap.01"
 #define ZAP_VERSION "1.0"
 #define MONITOR_ENDPOINT "inproc://router-monitor"
@@ -75,6 +76,7 @@
 			      const struct transport_config *config)
 {
 	enum bw_status status;
+	double sweep_interval_s;
 
 	memset(transport, 0, sizeof(*transport));
 	transport->config = *config;
@@ -99,8 +101,12 @@
 		status = open_monitor_(transport);
 	if (status != BW_OK)
 		return status;
+	if (!transport->config.idle_timeout_ms)
+		transport->config.idle_timeout_ms = IDLE_TIMEOUT_MS;
+	sweep_interval_s =
+		transport->config.idle_timeout_ms / 1000.0 / SWEEPS_PER_TIMEOUT;
 	ev_timer_init(&transport->sweep_timer, close_idle_connections_,
-		      SWEEP_INTERVAL_S, SWEEP_INTERVAL_S);
+		      sweep_interval_s, sweep_interval_s);
 	transport->sweep_timer.data = transport;
 	ev_timer_start(config->loop, &transport->sweep_timer);
 	return BW_OK;
@@ -349,7 +355,8 @@
 	g_hash_table_iter_init(&iter, transport->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		peer = value;
-		if (bw_time_diff_ms(now, peer->last_use) > IDLE_TIMEOUT_MS)
+		if (bw_time_diff_ms(now, peer->last_use) >
+		    (int64_t)transport->config.idle_timeout_ms)
 			disconnect_peer_(peer);
 	}
 }
--- a/src/boragewingd/transport.h
+++ b/src/boragewingd/transport.h
@@ -52,6 +52,9 @@
 				     NULL disables encryption */
 	uint32_t heartbeat_ms; /**< interval of ZMTP heartbeats; 0 for the
 				  default */
+	uint32_t idle_timeout_ms; /**< time without a packet to a peer after
+				     which its connection is closed; 0 for the
+				     default */
 	transport_receive_fn *receive;
 	void *context;
 };
