Update only the backend servers that have changed

Now a change updates the servers of its address, and all servers are updated each 200 ms at up to 300 servers, each second at most. The dispatcher adapts each 200 ms as before.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -333,6 +333,11 @@
  */
 uint64_t bw_dispatch_used_domains(const struct bw_dispatch *dispatch);
 
+/**
+ * Moves the request fractions of the servers towards the spread of the demand.
+ */
+void bw_dispatch_adapt(struct bw_dispatch *dispatch, struct bw_time now);
+
 /**
  * Places a new job, or one that another server rejected: assigns a server,
  * queues the job or rejects it.
--- a/include/bwsteer/registry.h
+++ b/include/bwsteer/registry.h
@@ -57,6 +57,8 @@
 	struct bw_time last_heard_at; /**< latest announcement or heartbeat,
 					 received by any host */
 	struct bw_time changed_at; /**< latest change of the record */
+	uint64_t generation; /**< of the registry after the latest change,
+				  silence included */
 	struct bw_time cold_until;
 	bool silent; /**< a control host has not heard of it for too long */
 	bool silent_told; /**< this control host has told its entry hosts that
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -57,6 +57,9 @@
 #define RECEIVE_BYTES_PER_S 125000
 #define PIECE_BYTES 8192
 
+/** Interval at which the dispatcher adapts to demand and load. */
+#define ADAPT_INTERVAL_MS 200
+
 /** Packets that may be queued while one packet is handled. */
 #define OUTBOX_LIMIT 16
 
@@ -188,10 +191,14 @@
 	gate_entry_fetch(entry, now);
 	bw_distribute_tick(&entry->distribute, now, &entry->out);
 	transport_flush(&node->transport, &entry->out);
-	if (entry->update_due ||
-	    entry->registry_generation != node->registry.generation ||
-	    bw_time_reached(now, entry->next_update))
+	if (entry->update_due || bw_time_reached(now, entry->next_update))
 		gate_entry_update_targets(entry, now);
+	else if (entry->registry_generation != node->registry.generation)
+		gate_entry_update_changed(entry, now);
+	if (bw_time_reached(now, entry->next_adapt)) {
+		entry->next_adapt = bw_time_add(now, ADAPT_INTERVAL_MS);
+		bw_dispatch_adapt(&entry->dispatch, now);
+	}
 	refill_retries_(entry, now);
 	gate_poison_tick(entry, now);
 	if (bw_time_reached(now, entry->next_report))
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -107,7 +107,9 @@
 	struct bw_time started_at;
 	struct bw_time next_hello; /**< to control hosts in general */
 	struct bw_time next_brief_hello; /**< to those that send brief detail */
-	struct bw_time next_update;
+	struct bw_time next_update; /**< of the servers known to the dispatcher
+				     */
+	struct bw_time next_adapt; /**< of the dispatcher's fractions */
 	struct bw_time next_report;
 	struct gate_request *requests; /**< linked list */
 	uint32_t request_count;
--- a/src/boragewingd/gate_entry_private.h
+++ b/src/boragewingd/gate_entry_private.h
@@ -45,6 +45,12 @@
 /** Updates the backend servers known to the dispatcher. */
 void gate_entry_update_targets(struct gate_entry *entry, struct bw_time now);
 
+/**
+ * Updates only those that have changed since the last update, and the earlier
+ * servers at their addresses.
+ */
+void gate_entry_update_changed(struct gate_entry *entry, struct bw_time now);
+
 /** Returns whether a failure domain is evacuated. */
 bool gate_entry_is_evacuated(const struct gate_entry *entry,
 			     const char *domain);
--- a/src/boragewingd/gate_entry_targets.c
+++ b/src/boragewingd/gate_entry_targets.c
@@ -21,8 +21,17 @@
  */
 #define CYCLE_TIMEOUT_MS 17000
 
-/** Interval at which the age of heartbeats is checked. */
+/**
+ * Shortest and longest interval at which the age of heartbeats is checked, and
+ * the servers that are checked in the shortest one: an update costs time for
+ * each server.
+ */
 #define UPDATE_INTERVAL_MS 200
+#define UPDATE_INTERVAL_MAX_MS 1000
+#define UPDATE_SERVERS 300
+
+/** Changed servers up to which no complete update is made. */
+#define UPDATE_CHANGED_MAX 16
 
 /** Maximum number of entry hosts that may use the same cold backend server. */
 #define COLD_HOSTS_MAX 4
@@ -30,6 +39,14 @@
 /** Interval of the log lines with the load of each service. */
 #define REPORT_INTERVAL_MS 4000
 
+static void update_address_(struct gate_entry *entry, const char *address,
+			    bool heartbeats_reliable, struct bw_time now);
+static void update_server_(struct gate_entry *entry,
+			   const struct bw_server *server,
+			   const struct bw_server *owner,
+			   bool heartbeats_reliable, struct bw_time now);
+static const struct bw_server *later_start_(const struct bw_server *owner,
+					    const struct bw_server *server);
 static void update_target_(struct gate_entry *entry,
 			   const struct bw_server *server, bool usable,
 			   struct bw_time now);
@@ -40,6 +57,7 @@
 static bool is_server_alive_(const struct gate_entry *entry,
 			     const struct bw_server *server,
 			     struct bw_time now);
+static uint32_t update_interval_ms_(const struct gate_node *node);
 static int64_t server_timeout_ms_(const struct gate_entry *entry);
 
 void gate_entry_update_targets(struct gate_entry *entry, struct bw_time now)
@@ -52,7 +70,7 @@
 
 	entry->update_due = false;
 	entry->registry_generation = node->registry.generation;
-	entry->next_update = bw_time_add(now, UPDATE_INTERVAL_MS);
+	entry->next_update = bw_time_add(now, update_interval_ms_(node));
 	entry->dispatch.cold_hosts_max =
 		MIN(entry->entry_count, (uint32_t)COLD_HOSTS_MAX);
 	owners = g_hash_table_new(g_str_hash, g_str_equal);
@@ -61,25 +79,45 @@
 	g_hash_table_iter_init(&iter, node->registry.servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct bw_server *server = value;
-		const struct bw_server *owner =
-			g_hash_table_lookup(owners, server->record.address);
-		bool usable = owner->record.started_wall_ms <=
-				      server->record.started_wall_ms &&
-			      !server->silent &&
-			      (!heartbeats_reliable ||
-			       is_server_alive_(entry, server, now));
-
-		if (!usable && server->record.state == BW_SERVER_READY)
-			gate_poison_server_lost(&entry->poison, server->id_hash,
-						server->record.started_wall_ms,
-						now);
-		update_target_(entry, server, usable, now);
+
+		update_server_(entry, server,
+			       g_hash_table_lookup(owners,
+						   server->record.address),
+			       heartbeats_reliable, now);
 	}
 	bw_dispatch_end_update(&entry->dispatch, now);
 	entry->used_domains = bw_dispatch_used_domains(&entry->dispatch);
 	g_hash_table_destroy(owners);
 }
 
+void gate_entry_update_changed(struct gate_entry *entry, struct bw_time now)
+{
+	const struct bw_registry *registry = &entry->node->registry;
+	const struct bw_server *changed[UPDATE_CHANGED_MAX];
+	bool heartbeats_reliable = heartbeats_are_reliable_(entry, now);
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+	uint32_t i;
+
+	g_hash_table_iter_init(&iter, registry->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct bw_server *server = value;
+
+		if (server->generation <= entry->registry_generation)
+			continue;
+		if (count == UPDATE_CHANGED_MAX) {
+			gate_entry_update_targets(entry, now);
+			return;
+		}
+		changed[count++] = server;
+	}
+	entry->registry_generation = registry->generation;
+	for (i = 0; i < count; i++)
+		update_address_(entry, changed[i]->record.address,
+				heartbeats_reliable, now);
+}
+
 void gate_entry_set_domains(struct gate_entry *entry)
 {
 	const struct gate_node *node = entry->node;
@@ -139,6 +177,49 @@
 	}
 }
 
+/* Updates the servers that have announced an address. */
+static void update_address_(struct gate_entry *entry, const char *address,
+			    bool heartbeats_reliable, struct bw_time now)
+{
+	const struct bw_server *owner = NULL;
+	GHashTableIter iter;
+	gpointer value;
+	int pass;
+
+	for (pass = 0; pass < 2; pass++) {
+		g_hash_table_iter_init(&iter, entry->node->registry.servers);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			const struct bw_server *server = value;
+
+			if (strcmp(server->record.address, address) != 0)
+				continue;
+			if (pass == 0)
+				owner = later_start_(owner, server);
+			else
+				update_server_(entry, server, owner,
+					       heartbeats_reliable, now);
+		}
+	}
+}
+
+/* @param owner server that owns the address */
+static void update_server_(struct gate_entry *entry,
+			   const struct bw_server *server,
+			   const struct bw_server *owner,
+			   bool heartbeats_reliable, struct bw_time now)
+{
+	bool usable =
+		owner->record.started_wall_ms <=
+			server->record.started_wall_ms &&
+		!server->silent &&
+		(!heartbeats_reliable || is_server_alive_(entry, server, now));
+
+	if (!usable && server->record.state == BW_SERVER_READY)
+		gate_poison_server_lost(&entry->poison, server->id_hash,
+					server->record.started_wall_ms, now);
+	update_target_(entry, server, usable, now);
+}
+
 static void update_target_(struct gate_entry *entry,
 			   const struct bw_server *server, bool usable,
 			   struct bw_time now)
@@ -182,13 +263,22 @@
 		const struct bw_server *owner =
 			g_hash_table_lookup(owners, server->record.address);
 
-		if (!owner || owner->record.started_wall_ms <
-				      server->record.started_wall_ms)
+		if (later_start_(owner, server) == server)
 			g_hash_table_replace(owners, server->record.address,
 					     server);
 	}
 }
 
+/* @param owner NULL for none */
+static const struct bw_server *later_start_(const struct bw_server *owner,
+					    const struct bw_server *server)
+{
+	if (!owner ||
+	    owner->record.started_wall_ms < server->record.started_wall_ms)
+		return server;
+	return owner;
+}
+
 /*
  * Returns whether heartbeats have arrived long enough without a gap that a
  * missing one shows a lost server. A host that receives nothing from control
@@ -211,6 +301,14 @@
 	       server_timeout_ms_(entry);
 }
 
+static uint32_t update_interval_ms_(const struct gate_node *node)
+{
+	uint32_t servers = g_hash_table_size(node->registry.servers);
+
+	return CLAMP(UPDATE_INTERVAL_MS * servers / UPDATE_SERVERS,
+		     UPDATE_INTERVAL_MS, UPDATE_INTERVAL_MAX_MS);
+}
+
 static int64_t server_timeout_ms_(const struct gate_entry *entry)
 {
 	const struct gate_peer *feed =
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -206,8 +206,6 @@
 void bw_dispatch_end_update(struct bw_dispatch *dispatch, struct bw_time now)
 {
 	GList *all = g_hash_table_get_values(dispatch->targets);
-	GHashTableIter iter;
-	gpointer value;
 	GList *item;
 
 	for (item = all; item; item = item->next) {
@@ -217,6 +215,14 @@
 			remove_target_(dispatch, target);
 	}
 	g_list_free(all);
+	bw_dispatch_adapt(dispatch, now);
+}
+
+void bw_dispatch_adapt(struct bw_dispatch *dispatch, struct bw_time now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
 	g_hash_table_iter_init(&iter, dispatch->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		dispatch_adapt_fractions(dispatch, value, now);
--- a/src/libbwsteer/registry.c
+++ b/src/libbwsteer/registry.c
@@ -9,6 +9,8 @@
 		     const struct bw_server_record *record, struct bw_time now);
 static void update_heard_sequence_(struct bw_server *server,
 				   const struct bw_server_record *record);
+static void set_silent_(struct bw_registry *registry, struct bw_server *server,
+			bool silent);
 
 const char *const bw_server_state_string[BW_SERVER_STATE_COUNT] = {
 	[BW_SERVER_READY] = "ready",
@@ -58,12 +60,13 @@
 	update_heard_sequence_(known, record);
 	known->record = *record;
 	known->last_heard_at = now;
-	known->silent = false;
 	known->cold_until = bw_time_add(now, record->cold_ms);
 	if (outcome == BW_REGISTRY_CHANGED) {
 		known->changed_at = now;
-		registry->generation++;
+		known->silent = false;
+		known->generation = ++registry->generation;
 	}
+	set_silent_(registry, known, false);
 	if (server)
 		*server = known;
 	return outcome;
@@ -79,7 +82,7 @@
 		return;
 	server->heard_sequence = sequence;
 	server->last_heard_at = now;
-	server->silent = false;
+	set_silent_(registry, server, false);
 }
 
 bool bw_registry_silence(struct bw_registry *registry, uint64_t id_hash,
@@ -92,7 +95,7 @@
 	    server->record.started_wall_ms != started_wall_ms ||
 	    sequence < server->heard_sequence)
 		return false;
-	server->silent = true;
+	set_silent_(registry, server, true);
 	return true;
 }
 
@@ -167,6 +170,15 @@
 		record->state = (enum bw_server_state)state;
 }
 
+static void set_silent_(struct bw_registry *registry, struct bw_server *server,
+			bool silent)
+{
+	if (server->silent == silent)
+		return;
+	server->silent = silent;
+	server->generation = ++registry->generation;
+}
+
 /*
  * The start time is unknown (0) in some leave announcements, which then apply
  * to any start.
