Write log lines without building JSON values first

They are now written straight into the buffer, in the same format. A text that is not UTF-8 no longer drops the other fields of its line: its invalid bytes become question marks (test_invalid_characters_are_replaced; a line of json_pack had only time, level, host, module and event then). Tests: test_log.

--- a/include/bwbase/log.h
+++ b/include/bwbase/log.h
@@ -31,6 +31,7 @@
 	char host[BW_NAME_MAX];
 	uint64_t line_count[BW_LOG_LEVEL_COUNT]; /**< written, by level */
 	int fd; /**< of a buffered logger; -1 otherwise */
+	struct bw_buffer line; /**< that is being written */
 	struct bw_buffer pending; /**< unwritten lines of a buffered logger */
 	uint32_t pending_max_bytes;
 	uint64_t dropped_count; /**< lines that did not fit */
--- a/src/boragewingd/gate_control_fleet.c
+++ b/src/boragewingd/gate_control_fleet.c
@@ -56,8 +56,8 @@
 		       bw_time_diff_ms(now, control->fleet_sent_at) >=
 			       FLEET_CHANGE_INTERVAL_MS;
 
-	if (!changed && bw_time_diff_ms(now, control->fleet_sent_at) <
-				FLEET_INTERVAL_MS)
+	if (!changed &&
+	    bw_time_diff_ms(now, control->fleet_sent_at) < FLEET_INTERVAL_MS)
 		return;
 	control->fleet_sent_at = now;
 	control->fleet_changed = false;
@@ -210,9 +210,9 @@
 				    listed);
 	}
 	g_free(listed->demands);
-	listed->demands = g_memdup2(fleet->demands,
-				    fleet->demand_count *
-					    sizeof(fleet->demands[0]));
+	listed->demands =
+		g_memdup2(fleet->demands,
+			  fleet->demand_count * sizeof(fleet->demands[0]));
 	listed->count = fleet->demand_count;
 	listed->received_at = now;
 }
--- a/src/boragewingd/gate_control_group.c
+++ b/src/boragewingd/gate_control_group.c
@@ -214,8 +214,8 @@
 	struct bw_voter voters[BW_GROUP_MAX];
 	struct bw_voter_change change;
 	const struct bw_voter *changed;
-	uint32_t target = bw_voters_target(settings->domain_count,
-					   settings->losses_max);
+	uint32_t target =
+		bw_voters_target(settings->domain_count, settings->losses_max);
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
--- a/src/boragewingd/gate_control_loads.c
+++ b/src/boragewingd/gate_control_loads.c
@@ -58,8 +58,8 @@
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		struct pending_load *pending = g_hash_table_lookup(
-			control->loads, &loads[i].id_hash);
+		struct pending_load *pending =
+			g_hash_table_lookup(control->loads, &loads[i].id_hash);
 		struct gate_load earlier;
 
 		if (!pending) {
@@ -83,9 +83,8 @@
 void gate_control_send_loads(struct gate_control *control, struct bw_time now)
 {
 	struct gate_node *node = control->node;
-	uint32_t rounds =
-		1 + g_hash_table_size(node->registry.servers) /
-			    SERVERS_PER_ROUND;
+	uint32_t rounds = 1 + g_hash_table_size(node->registry.servers) /
+				      SERVERS_PER_ROUND;
 	bool far_due;
 	GHashTableIter iter;
 	gpointer value;
@@ -121,8 +120,8 @@
 	if (!list->known)
 		return UINT64_MAX;
 	for (i = 0; i < list->count; i++) {
-		uint32_t domain = gate_node_domain_index(control->node,
-							 list->domains[i]);
+		uint32_t domain =
+			gate_node_domain_index(control->node, list->domains[i]);
 
 		if (domain < control->node->settings.domain_count)
 			used |= 1ULL << domain;
@@ -158,17 +157,16 @@
 	pending->domain = DOMAIN_UNKNOWN;
 	if (!server)
 		return;
-	pending->domain = MIN(gate_node_domain_index(node,
-						     server->record.domain),
-			      (uint32_t)DOMAIN_UNKNOWN);
+	pending->domain =
+		MIN(gate_node_domain_index(node, server->record.domain),
+		    (uint32_t)DOMAIN_UNKNOWN);
 	pending->far = strcmp(gate_node_region(node, server->record.domain),
 			      node->settings.region) != 0;
 }
 
 static bool is_used_(const struct pending_load *pending, uint64_t used)
 {
-	return pending->domain >= DOMAIN_UNKNOWN ||
-	       pending->load.leaving ||
+	return pending->domain >= DOMAIN_UNKNOWN || pending->load.leaving ||
 	       pending->load.limit_millirequests_per_s ||
 	       (used & (1ULL << pending->domain));
 }
--- a/src/libbwagree/voters.c
+++ b/src/libbwagree/voters.c
@@ -89,7 +89,8 @@
 	return 0;
 }
 
-/* Finds the live learner with the fewest voters near it; the first of equals. */
+/* Finds the live learner with the fewest voters near it; the first of equals.
+ */
 static bool find_loneliest_(const struct bw_voter *members, uint32_t count,
 			    uint32_t *index)
 {
--- a/src/libbwmember/roster.c
+++ b/src/libbwmember/roster.c
@@ -73,8 +73,8 @@
 		    is_recent_(entry->listed_at, BW_ROSTER_LIST_MAX_MS, now))
 			continue;
 		*host = entry->host;
-		*silent_ms = now.ms - MAX(entry->reported_at.ms,
-					  entry->listed_at.ms);
+		*silent_ms = now.ms -
+			     MAX(entry->reported_at.ms, entry->listed_at.ms);
 		g_hash_table_iter_remove(&iter);
 		roster->sorted_due = true;
 		return true;
--- a/src/test_libbwagree/test_voters.c
+++ b/src/test_libbwagree/test_voters.c
@@ -69,8 +69,8 @@
 
 		if (change.step == BW_VOTER_KEEP)
 			return changes;
-		group->hosts[change.index].votes =
-			change.step == BW_VOTER_PROMOTE;
+		group->hosts[change.index].votes = change.step ==
+						   BW_VOTER_PROMOTE;
 		/* A change never takes the last voters needed. */
 		if (count_(group, true) < live)
 			assert_true(count_(group, true) >= TARGET);
@@ -127,8 +127,7 @@
 			assert_int_equal(count_(&group, false), TARGET);
 			snprintf(name, sizeof(name), k < 3 ? "r%u" : "d%u",
 				 k < 3 ? k : k - 3);
-			lose_(&group, k < 3 ? name : NULL,
-			      k < 3 ? NULL : name);
+			lose_(&group, k < 3 ? name : NULL, k < 3 ? NULL : name);
 			assert_majority_lives_(&group);
 			assert_true(count_(&group, true) >= (k < 3 ? 6 : 8));
 		}
@@ -208,9 +207,9 @@
 				 (uint32_t)bw_random_below(&random, 3));
 			if (step % 3 == 2) {
 				for (i = 0; i < 2; i++)
-					group.hosts[bw_random_below(
-							    &random,
-							    group.count)]
+					group
+						.hosts[bw_random_below(
+							&random, group.count)]
 						.live = false;
 			} else {
 				lose_(&group, step % 3 == 0 ? name : NULL,
--- a/src/test_libbwagree/test_voters_random.c
+++ b/src/test_libbwagree/test_voters_random.c
@@ -205,8 +205,8 @@
 /* A seed does not return for a while; a host with an empty disk joins. */
 static void replace_seed_(struct fixture *fixture)
 {
-	sim_crash(&fixture->sim,
-		  (int)bw_random_below(&fixture->sim.random, 3), false);
+	sim_crash(&fixture->sim, (int)bw_random_below(&fixture->sim.random, 3),
+		  false);
 	if (fixture->started < fixture->sim.host_count)
 		sim_start(&fixture->sim, fixture->started++);
 }
@@ -220,8 +220,8 @@
 
 	for (from = 0; from < fixture->started; from++) {
 		for (to = 0; to < fixture->started; to++)
-			fixture->sim.blocked[from][to] =
-				((side >> from) & 1) != ((side >> to) & 1);
+			fixture->sim.blocked[from][to] = ((side >> from) & 1) !=
+							 ((side >> to) & 1);
 	}
 }
 
