Look for removed backend servers every five seconds

An entry host looked at all known servers four times a second for those without a heartbeat for 60 s: 4 % of the time of an idle host with 1,491 servers (profile with stand-ins).

--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -19,6 +19,9 @@
 /** Time without a heartbeat after which a backend server is removed. */
 #define SERVER_REMOVE_MS 60000
 
+/** Interval at which such servers are looked for. */
+#define EXPIRE_INTERVAL_MS 5000
+
 /** Limits for requests to the metrics address. */
 #define METRICS_HEAD_MAX_BYTES 8192
 #define METRICS_CONNECTIONS_MAX 16
@@ -211,6 +214,9 @@
 		else
 			i++;
 	}
+	if (!bw_time_reached(now, node->next_expire))
+		return;
+	node->next_expire = bw_time_add(now, EXPIRE_INTERVAL_MS);
 	bw_registry_expire(&node->registry, now, SERVER_REMOVE_MS);
 }
 
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -68,6 +68,7 @@
 	uint32_t control_count;
 	bool controls_full; /**< logged that controls has no room */
 	struct bw_time started_at;
+	struct bw_time next_expire; /**< of backend servers */
 	struct bw_buffer frame; /**< the message that is being sent */
 	struct bw_listener metrics_listener;
 	bool stopping;
