Repeat that a server is silent or heard again

The notice went out once, and then only in the cycle of all servers (8 s): an entry host whose connection was just being made again went on sending requests to a lost server. It is now repeated in the next three rounds (1.5 s). The test of stopped control hosts lets no announcement wait for them.

--- a/include/bwsteer/registry.h
+++ b/include/bwsteer/registry.h
@@ -63,6 +63,8 @@
 	bool silent; /**< a control host has not heard of it for too long */
 	bool silent_told; /**< this control host has told its entry hosts that
 			       the server is silent */
+	uint32_t tells_left; /**< times that it still repeats the last change of
+				  that */
 	bool announced_here; /**< announced directly to this host since the
 				record was last sent */
 	bool send_to_controls; /**< the record must be sent to control hosts */
--- a/src/boragewingd/gate_control_send.c
+++ b/src/boragewingd/gate_control_send.c
@@ -9,6 +9,9 @@
  */
 #define HEARTBEAT_ROUNDS 16
 
+/** Rounds in which a change is repeated; a message may be lost. */
+#define SILENCE_REPEATS 3
+
 /** Announcements of a server that may be missing before it counts as silent. */
 #define MISSED_ANNOUNCEMENTS_MAX 3
 
@@ -347,9 +350,13 @@
 
 		if (server->record.state == BW_SERVER_LEFT ||
 		    (silent && !judges && !server->silent_told) ||
-		    (silent == server->silent_told &&
+		    (silent == server->silent_told && !server->tells_left &&
 		     server->id_hash % HEARTBEAT_ROUNDS != round))
 			continue;
+		if (silent != server->silent_told)
+			server->tells_left = SILENCE_REPEATS;
+		else if (server->tells_left)
+			server->tells_left--;
 		server->silent_told = silent;
 		add_heartbeat_(control, &batch, server, &to);
 	}
--- a/test/gateway_silence.sh
+++ b/test/gateway_silence.sh
@@ -22,10 +22,19 @@
 
 start_gateway 1
 sleep 3
+# No announcement waits for the control hosts when they continue.
+rm -f "$work/one"
+sleep 0.5
 for i in 1 2 3; do kill -STOP "${pids[control-$i]}"; done
 probe 6
 for i in 1 2 3; do kill -CONT "${pids[control-$i]}"; done
-probe 5
+for _ in $(seq 12); do
+	sent=$((sent + 1))
+	[ "$(request 1 GET /read/x "probe-$sent")" = 200 ] && served=$((served + 1))
+	sleep 0.1
+done
+touch "$work/one"
+probe 4
 echo "# control hosts stopped and continued: $served of $sent requests served"
 check "requests are served meanwhile" test "$served" = "$sent"
 check "no server counts as silent" test "$(silent_count)" = 0
