--- a/src/boragewingd/gate.c
+++ b/src/boragewingd/gate.c
@@ -297,10 +297,11 @@
 
 	(void)loop;
 	(void)events;
+	gate_node_dump(&gate->node, gate_node_now(&gate->node), state);
 	if (gate->has_entry)
 		gate_entry_dump(&gate->entry, state);
 	if (gate->has_control)
-		bw_replica_dump(gate->control.replica, state);
+		gate_control_dump(&gate->control, state);
 	bw_log_event(&gate->log, BW_LOG_WARNING, "host", "state_dump", "{s:o}",
 		     "state", state);
 }
--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -206,6 +206,40 @@
 	}
 }
 
+void gate_control_dump(struct gate_control *control, json_t *into)
+{
+	struct bw_time now = gate_node_now(control->node);
+	struct bw_confirmation confirmation =
+		gate_control_confirm(control, now);
+	json_t *followers = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	bw_replica_dump(control->replica, into);
+	g_hash_table_iter_init(&iter, control->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gate_entry_host *entry = value;
+
+		if (entry->detail == GATE_DETAIL_FULL)
+			json_array_append_new(followers,
+					      json_string(entry->name));
+	}
+	json_object_set_new(
+		into, "control",
+		json_pack("{s:b,s:b,s:i,s:b,s:I,s:i,s:i,s:o}", "current",
+			  control->current, "votes", control->votes, "voters",
+			  (int)control->voter_count, "confirmed",
+			  confirmation.confirmed, "confirmed_ms_ago",
+			  confirmation.confirmed
+				  ? (json_int_t)bw_time_diff_ms(
+					    now, confirmation.as_of)
+				  : (json_int_t)-1,
+			  "entry_hosts",
+			  (int)bw_roster_sorted(&control->roster)->len,
+			  "contacts", (int)g_hash_table_size(control->entries),
+			  "followers", followers));
+}
+
 void gate_control_stop(struct gate_control *control)
 {
 	bw_listener_begin_close(&control->api);
--- a/src/boragewingd/gate_control.h
+++ b/src/boragewingd/gate_control.h
@@ -100,6 +100,10 @@
  */
 void gate_control_flush(struct gate_control *control, struct bw_time now);
 
+/** Adds the state of the role to a dump: the group, and who follows this host.
+ */
+void gate_control_dump(struct gate_control *control, json_t *into);
+
 /** Begins a graceful shutdown. */
 void gate_control_stop(struct gate_control *control);
 
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -234,6 +234,10 @@
 				     : 0));
 	json_object_set_new(into, "requests",
 			    json_integer(entry->request_count));
+	json_object_set_new(into, "detail_source",
+			    json_string(entry->feed.source));
+	json_object_set_new(into, "entry_hosts",
+			    json_integer(entry->entry_count));
 	bw_dispatch_dump(&entry->dispatch, gate_node_now(entry->node), into);
 	bw_poison_dump(&entry->poison.table, gate_node_now(entry->node), into);
 }
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -39,6 +39,7 @@
 			       struct gate_peer *peer,
 			       const struct gate_status *status,
 			       struct bw_time now);
+static int64_t age_ms_(struct bw_time at, struct bw_time now);
 static void remove_control_(struct gate_node *node, uint32_t index);
 static void apply_heartbeat_(struct gate_node *node, const char *sender,
 			     const struct gate_heartbeat *heartbeat,
@@ -338,6 +339,33 @@
 	return i;
 }
 
+void gate_node_dump(const struct gate_node *node, struct bw_time now,
+		    json_t *into)
+{
+	json_t *controls = json_object();
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++) {
+		const struct gate_peer *peer = &node->controls[i];
+
+		json_object_set_new(
+			controls, peer->name,
+			json_pack("{s:s,s:b,s:b,s:I,s:I,s:I}", "domain",
+				  peer->domain, "voter", peer->voter, "contact",
+				  peer->contact_since.ms != 0, "heard_ms_ago",
+				  (json_int_t)age_ms_(peer->last_heard, now),
+				  "version",
+				  (json_int_t)peer->announcement.version,
+				  "confirmed_ms_ago",
+				  (json_int_t)age_ms_(peer->announcement.as_of,
+						      now)));
+	}
+	json_object_set_new(into, "control_hosts", controls);
+	json_object_set_new(
+		into, "servers",
+		json_integer(g_hash_table_size(node->registry.servers)));
+}
+
 enum bw_registry_outcome gate_node_merge(struct gate_node *node,
 					 const struct bw_server_record *record,
 					 const char *source, struct bw_time now,
@@ -408,6 +436,12 @@
 		     (json_int_t)heartbeat->sequence);
 }
 
+/* Returns the age of a time; -1 when it is not set. */
+static int64_t age_ms_(struct bw_time at, struct bw_time now)
+{
+	return at.ms ? bw_time_diff_ms(now, at) : -1;
+}
+
 /* Returns whether the sender of a heartbeat has a newer record. */
 static bool is_newer_(const struct gate_heartbeat *heartbeat,
 		      const struct bw_server *known)
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -174,6 +174,13 @@
 uint32_t gate_node_domain_index(const struct gate_node *node,
 				const char *domain);
 
+/**
+ * Adds the known control hosts to a state dump: their domain, whether they
+ * vote, and how old what this host has from them is.
+ */
+void gate_node_dump(const struct gate_node *node, struct bw_time now,
+		    json_t *into);
+
 /** Merges a record of a backend server, and logs a change. */
 enum bw_registry_outcome gate_node_merge(struct gate_node *node,
 					 const struct bw_server_record *record,
