Test the messages between hosts, and log entry hosts that are not listed

Found on the way by reading: a list of entry hosts accepted one without a name, and the 513th follower of a control host was left out without a line.

--- a/src/boragewingd/gate_control.h
+++ b/src/boragewingd/gate_control.h
@@ -47,6 +47,7 @@
 	bool fleet_changed; /**< an entry host with full detail changed */
 	struct bw_time fleet_sent_at;
 	bool demands_full; /**< logged that some demands are left out */
+	bool hosts_full; /**< logged that some entry hosts are not listed */
 	GPtrArray *waiting; /**< struct gate_wait: unanswered calls */
 	struct gate_submissions submissions;
 	bool current; /**< the applied state is up to date */
--- a/src/boragewingd/gate_control_fleet.c
+++ b/src/boragewingd/gate_control_fleet.c
@@ -23,8 +23,8 @@
 	uint32_t count;
 };
 
-static void fill_fleet_(const struct gate_control *control,
-			struct gate_fleet *fleet);
+static void fill_fleet_(struct gate_control *control, struct gate_fleet *fleet);
+static void log_hosts_full_(struct gate_control *control);
 static void add_demands_(struct gate_control *control,
 			 const struct gate_demand *demands, uint32_t count,
 			 const char *domain, struct gate_demand *sums,
@@ -130,8 +130,7 @@
 	}
 }
 
-static void fill_fleet_(const struct gate_control *control,
-			struct gate_fleet *fleet)
+static void fill_fleet_(struct gate_control *control, struct gate_fleet *fleet)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -143,20 +142,32 @@
 		const struct gate_entry_host *entry = value;
 		struct bw_roster_host *host;
 
-		if (entry->detail != GATE_DETAIL_FULL ||
-		    fleet->host_count == GATE_FLEET_HOSTS_MAX)
+		if (entry->detail != GATE_DETAIL_FULL)
 			continue;
+		if (fleet->host_count == GATE_FLEET_HOSTS_MAX) {
+			log_hosts_full_(control);
+			break;
+		}
 		host = &fleet->hosts[fleet->host_count++];
 		bw_name_set(host->name, entry->name);
 		bw_name_set(host->domain, entry->domain);
 		bw_name_set(host->region, entry->region);
 		host->state = entry->state;
-		add_demands_((struct gate_control *)control, entry->demands,
-			     entry->demand_count, entry->domain, fleet->demands,
+		add_demands_(control, entry->demands, entry->demand_count,
+			     entry->domain, fleet->demands,
 			     &fleet->demand_count);
 	}
 }
 
+static void log_hosts_full_(struct gate_control *control)
+{
+	if (!control->hosts_full)
+		bw_log_event(control->node->log, BW_LOG_ERROR, "directory",
+			     "entry_hosts_full", "{s:i}", "hosts",
+			     GATE_FLEET_HOSTS_MAX);
+	control->hosts_full = true;
+}
+
 /* @param domain of the demands; NULL when each names its own */
 static void add_demands_(struct gate_control *control,
 			 const struct gate_demand *demands, uint32_t count,
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -148,7 +148,8 @@
 		bw_read_name(reader, fleet->hosts[i].domain);
 		bw_read_name(reader, fleet->hosts[i].region);
 		fleet->hosts[i].state = (uint32_t)bw_read_uint(reader);
-		if (fleet->hosts[i].state >= GATE_HOST_STATE_COUNT)
+		if (!fleet->hosts[i].name[0] ||
+		    fleet->hosts[i].state >= GATE_HOST_STATE_COUNT)
 			reader->failed = true;
 	}
 	bw_read_end(reader);
