--- a/src/test_libbwbase/test_log.c
+++ b/src/test_libbwbase/test_log.c
@@ -59,10 +59,10 @@
 
 	(void)state;
 	bw_log_event(&log_, BW_LOG_WARNING, "module", "event",
-		     "{s:s,s:i, s:I,s:b,s:f,s:o,s:f,s:s}", "text", "a",
-		     "small", -7, "large", (json_int_t)1 << 60, "flag", 1,
-		     "number", 0.25, "list", json_pack("[i,s]", 1, "b"), "nan",
-		     NAN, "none", NULL);
+		     "{s:s,s:i, s:I,s:b,s:f,s:o,s:f,s:s}", "text", "a", "small",
+		     -7, "large", (json_int_t)1 << 60, "flag", 1, "number",
+		     0.25, "list", json_pack("[i,s]", 1, "b"), "nan", NAN,
+		     "none", NULL);
 	line = take_line_();
 	assert_string_equal(string_(line, "host"), "host \"1\"");
 	assert_string_equal(string_(line, "level"), "warning");
