List control hosts in each status until an entry host has a source

After a loss of all processes an entry host asked a seed for the control hosts, got the few that had been heard by then, and the next list only 0.9 s later. The list is now in each status until there is a source, and control hosts that have just started send hello messages each 120 ms for 1.5 s.

--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -31,6 +31,10 @@
 #define ELECTION_MAX_MS 650
 #define LEASE_MS 280
 
+/** Interval of hello messages of a host that has started, and for how long. */
+#define STARTING_HELLO_INTERVAL_MS 120
+#define STARTING_MS 1500
+
 /**
  * Time between ticks after which announcements of backend servers may wait
  * unread: the process was stopped, or is short of processor time.
@@ -69,6 +73,8 @@
 			   const struct bw_replica_event *event);
 static void expire_waiting_calls_(struct gate_control *control,
 				  struct bw_time now);
+static uint32_t hello_interval_ms_(const struct gate_control *control,
+				   struct bw_time now);
 static void note_hearing_(struct gate_control *control, struct bw_time now);
 static void log_leader_change_(struct gate_control *control);
 
@@ -163,8 +169,8 @@
 	log_leader_change_(control);
 	note_hearing_(control, now);
 	if (bw_time_reached(now, control->next_hello)) {
-		control->next_hello = bw_time_add(
-			now, gate_node_hello_interval_ms(control->node, now));
+		control->next_hello =
+			bw_time_add(now, hello_interval_ms_(control, now));
 		gate_node_check_controls(control->node, now);
 		gate_control_expire_entries(control, now);
 		gate_control_expire_fleet(control, now);
@@ -483,6 +489,17 @@
 	}
 }
 
+/* Hosts that start together find each other within a few intervals. */
+static uint32_t hello_interval_ms_(const struct gate_control *control,
+				   struct bw_time now)
+{
+	uint32_t interval_ms = gate_node_hello_interval_ms(control->node, now);
+
+	if (bw_time_diff_ms(now, control->node->started_at) > STARTING_MS)
+		return interval_ms;
+	return MIN(interval_ms, (uint32_t)STARTING_HELLO_INTERVAL_MS);
+}
+
 /*
  * A host that was stopped, or is cut off from most voters, must not conclude
  * from its own silence that backend servers are silent.
--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -209,9 +209,10 @@
 	status.entry_index = bw_roster_index(&control->roster, entry->name);
 	status.domain_entry_count =
 		bw_roster_count_in(&control->roster, entry->domain);
-	if (entry->detail != GATE_DETAIL_BRIEF &&
-	    bw_time_diff_ms(now, entry->details_sent_at) >=
-		    DETAILS_INTERVAL_MS) {
+	if (entry->detail == GATE_DETAIL_NAMES ||
+	    (entry->detail == GATE_DETAIL_FULL &&
+	     bw_time_diff_ms(now, entry->details_sent_at) >=
+		     DETAILS_INTERVAL_MS)) {
 		entry->details_sent_at = now;
 		list_controls_(control, &status, now);
 		if (entry->detail == GATE_DETAIL_FULL)
