Count live control hosts in one place, and share the probe of two tests

No change of behaviour: the count stood in the hello and in its answer, and the loop of requests in gateway_source.sh and gateway_silence.sh (both pass: 6 and 8 checks).

--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -2,6 +2,12 @@
 
 #include "gate_control_private.h"
 
+/**
+ * Interval of the parts of a status that are long and change slowly: the list
+ * of control hosts, and the demands.
+ */
+#define DETAILS_INTERVAL_MS 900
+
 static void handle_servers_(struct gate_control *control,
 			    const struct bw_packet *packet,
 			    const struct gate_servers *servers,
@@ -20,14 +26,6 @@
 			 struct bw_time now);
 static void list_controls_(const struct gate_control *control,
 			   struct gate_status *status, struct bw_time now);
-static uint32_t count_live_controls_(const struct gate_control *control,
-				     struct bw_time now);
-
-/**
- * Interval of the parts of a status that are long and change slowly: the list
- * of control hosts, and the demands.
- */
-#define DETAILS_INTERVAL_MS 900
 
 void gate_control_handle_message(struct gate_control *control,
 				 const struct bw_packet *packet,
@@ -150,7 +148,7 @@
 {
 	static struct gate_status status;
 	struct gate_node *node = control->node;
-	bool knows_more = count_live_controls_(control, now) >
+	bool knows_more = gate_node_live_controls(node, now) >
 			  hello->control_count;
 	struct gate_peer *peer;
 
@@ -267,18 +265,6 @@
 	}
 }
 
-static uint32_t count_live_controls_(const struct gate_control *control,
-				     struct bw_time now)
-{
-	const struct gate_node *node = control->node;
-	uint32_t count = 1;
-	uint32_t i;
-
-	for (i = 0; i < node->control_count; i++)
-		count += gate_peer_is_alive(&node->controls[i], now);
-	return count;
-}
-
 void gate_control_send_status_all(struct gate_control *control)
 {
 	GHashTableIter iter;
--- a/src/boragewingd/gate_control_send.c
+++ b/src/boragewingd/gate_control_send.c
@@ -130,7 +130,6 @@
 	struct gate_node *node = control->node;
 	const struct bw_state *state = bw_replica_state(control->replica);
 	static struct gate_hello hello;
-	uint32_t i;
 
 	hello.control = true;
 	hello.state = node->stopping ? GATE_HOST_LEAVING : GATE_HOST_READY;
@@ -138,10 +137,7 @@
 	bw_name_set(hello.region, node->settings.region);
 	hello.routing_version = state->revision;
 	hello.sent_ms = (uint64_t)now.ms;
-	hello.control_count = 1;
-	for (i = 0; i < node->control_count; i++)
-		hello.control_count +=
-			gate_peer_is_alive(&node->controls[i], now);
+	hello.control_count = gate_node_live_controls(node, now);
 	hello.accepts_silence = true;
 	gate_control_list_used_domains(control, &hello.used);
 	gate_hello_write(gate_node_frame(node), &hello);
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -245,6 +245,17 @@
 	gate_node_send_on(node, BW_CHANNEL_GATE, peer);
 }
 
+uint32_t gate_node_live_controls(const struct gate_node *node,
+				 struct bw_time now)
+{
+	uint32_t count = 1;
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++)
+		count += gate_peer_is_alive(&node->controls[i], now);
+	return count;
+}
+
 struct gate_peer *gate_node_control(struct gate_node *node, const char *name)
 {
 	uint32_t i;
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -145,6 +145,10 @@
 void gate_node_send_on(struct gate_node *node, enum bw_channel channel,
 		       const char *peer);
 
+/** Returns the number of live control hosts, this control host included. */
+uint32_t gate_node_live_controls(const struct gate_node *node,
+				 struct bw_time now);
+
 /** Returns a known control host, or NULL. */
 struct gate_peer *gate_node_control(struct gate_node *node, const char *name);
 
--- a/test/gateway_lib.sh
+++ b/test/gateway_lib.sh
@@ -153,6 +153,21 @@
 	for i in $(seq "$1"); do check "entry host $i serves" wait_output 200 10 request "$i" GET /read/x "first-$i"; done
 }
 
+# probe SECONDS: sends requests one after the other; counts in sent and served.
+served=0
+sent=0
+probe_once() {
+	sent=$((sent + 1))
+	[ "$(request 1 GET /read/x "probe-$sent")" = 200 ] && served=$((served + 1))
+}
+probe() {
+	local end=$((SECONDS + $1))
+	while [ "$SECONDS" -lt "$end" ]; do
+		probe_once
+		sleep 0.05
+	done
+}
+
 # entry_metric ENTRY NAME: prints the value of a metric without labels.
 entry_metric() { http_get "http://127.0.2.$1:$((port + 8))/metrics" | sed -n "s/^$2 //p"; }
 
--- a/test/gateway_silence.sh
+++ b/test/gateway_silence.sh
@@ -7,16 +7,6 @@
 cd "$(dirname "$0")/.."
 . test/gateway_lib.sh
 
-served=0
-sent=0
-probe() { # SECONDS
-	local end=$((SECONDS + $1))
-	while [ "$SECONDS" -lt "$end" ]; do
-		sent=$((sent + 1))
-		[ "$(request 1 GET /read/x "probe-$sent")" = 200 ] && served=$((served + 1))
-		sleep 0.05
-	done
-}
 silent_count() { grep -c '"server_silent"' "$work/entry-1.log"; }
 status_of() { request 1 GET /read/x "$RANDOM$RANDOM"; }
 
@@ -29,8 +19,7 @@
 probe 6
 for i in 1 2 3; do kill -CONT "${pids[control-$i]}"; done
 for _ in $(seq 12); do
-	sent=$((sent + 1))
-	[ "$(request 1 GET /read/x "probe-$sent")" = 200 ] && served=$((served + 1))
+	probe_once
 	sleep 0.1
 done
 touch "$work/one"
--- a/test/gateway_source.sh
+++ b/test/gateway_source.sh
@@ -46,16 +46,6 @@
 	return 1
 }
 check "the entry host has a source" has_source
-served=0
-sent=0
-probe() { # SECONDS
-	local end=$((SECONDS + $1))
-	while [ "$SECONDS" -lt "$end" ]; do
-		sent=$((sent + 1))
-		[ "$(request 1 GET /read/x "probe-$sent")" = 200 ] && served=$((served + 1))
-		sleep 0.05
-	done
-}
 for round in 1 2 3; do
 	number=$(source_number)
 	kill -9 "${pids[control-$number]}"
