--- a/src/test_libbwbase/test_log.c
+++ b/src/test_libbwbase/test_log.c
@@ -62,7 +62,7 @@
 		     "{s:s,s:i, s:I,s:b,s:f,s:o,s:f,s:s}", "text", "a", "small",
 		     -7, "large", (json_int_t)1 << 60, "flag", 1, "number",
 		     0.25, "list", json_pack("[i,s]", 1, "b"), "nan", NAN,
-		     "none", NULL);
+		     "none", (const char *)NULL);
 	line = take_line_();
 	assert_string_equal(string_(line, "host"), "host \"1\"");
 	assert_string_equal(string_(line, "level"), "warning");
