review: show a leave that is acknowledged and has no effect

A control host that has just woken makes the record of the leave with the server's earlier start; others acknowledge it without taking it over.

--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -26,6 +26,7 @@
 
 #define PROCESSES_MAX 16
 #define ARRIVED_MAX 4096
+#define CONNECTIONS_MAX 1024
 #define PATH_BYTES 512
 #define HEAD_BYTES 8192
 #define CONTROL_PORT 8544
@@ -66,6 +67,8 @@
 struct slots {
 	char arrived[ARRIVED_MAX][64]; /**< request ids */
 	uint32_t arrived_count;
+	int connections[CONNECTIONS_MAX]; /**< descriptors; -1: closed */
+	uint32_t connection_count;
 	pthread_mutex_t lock;
 	pthread_cond_t freed;
 	uint32_t running;
@@ -691,6 +694,45 @@
 	return sent;
 }
 
+static void note_connection_(struct slots *slots, int fd)
+{
+	pthread_mutex_lock(&slots->lock);
+	if (slots->connection_count < CONNECTIONS_MAX)
+		slots->connections[slots->connection_count++] = fd;
+	pthread_mutex_unlock(&slots->lock);
+}
+
+static void forget_connection_(struct slots *slots, int fd)
+{
+	uint32_t i;
+
+	pthread_mutex_lock(&slots->lock);
+	for (i = 0; i < slots->connection_count; i++) {
+		if (slots->connections[i] == fd)
+			slots->connections[i] = -1;
+	}
+	pthread_mutex_unlock(&slots->lock);
+}
+
+void rig_server_restart(struct rig_server *server, int64_t down_ms)
+{
+	struct slots *slots = server->state;
+	uint32_t i;
+
+	server->announces = false;
+	rig_record("server %s: crashes", server->id);
+	pthread_mutex_lock(&slots->lock);
+	for (i = 0; i < slots->connection_count; i++) {
+		if (slots->connections[i] >= 0)
+			shutdown(slots->connections[i], SHUT_RDWR);
+	}
+	pthread_mutex_unlock(&slots->lock);
+	rig_sleep_ms(down_ms);
+	server->born_ms = clock_ms_(CLOCK_REALTIME);
+	server->sequence = 0;
+	rig_record("server %s: has started again under its id", server->id);
+}
+
 static void *serve_(void *argument)
 {
 	struct server_connection *connection = argument;
@@ -741,6 +783,7 @@
 			break;
 		size = 0;
 	}
+	forget_connection_(slots, connection->fd);
 	close(connection->fd);
 	free(connection);
 	return NULL;
@@ -771,6 +814,7 @@
 		connection = malloc(sizeof(*connection));
 		connection->server = server;
 		connection->fd = client;
+		note_connection_(server->state, client);
 		pthread_create(&thread, NULL, serve_, connection);
 		pthread_detach(thread);
 	}
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -78,6 +78,9 @@
 void rig_server_start(struct rig_server *server);
 /** Returns whether a request has arrived at a server, whether it ran or not. */
 bool rig_server_was_sent(const struct rig_server *server, const char *id);
+/** Ends a server's connections, as a crash does, and starts it again under the
+ * id that it had. It announces itself only when the caller says so. */
+void rig_server_restart(struct rig_server *server, int64_t down_ms);
 /** Sends one heartbeat. @return the status */
 int rig_heartbeat(const struct rig_server *server, const char *control,
 		  const char *state, uint64_t sequence);
