--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -275,6 +276,8 @@
 		rig_end(RIG_NOT_RUN);
 	if (process->pid)
 		return;
+	/* Also ends when the rig crashes. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	dup2(fd, STDOUT_FILENO);
 	dup2(fd, STDERR_FILENO);
