--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -179,8 +179,10 @@
 	snprintf(work_, sizeof(work_), "%s", temporary);
 	snprintf(prefix_, sizeof(prefix_), "127.%u.%u", 20 + seed % 200,
 		 (seed >> 9) % 250);
-	rig_record("case %s, disruption: %s, logs: %s", folder,
-		   rig_trouble() ? "yes" : "no", work_);
+	rig_record("case %s, disruption: %s", folder,
+		   rig_trouble() ? "yes" : "no");
+	if (getenv("KEEP"))
+		fprintf(stderr, "logs: %s\n", work_);
 }
 
 void rig_end(int code)
