Open the storage of a failed replica again

Cause: a failed write or sync put the replica into the role failed, which only a restart of the process left. The host kept its vote, so that three such hosts take the majority of six.

It writes meta and the newest log segment again first, because a file may read as complete after a failed sync without being durable; it is not current until the leader says so, so that no host publishes an older state. An unfinished temporary file is removed, as it would take up room on a full disk. Both daemons use it.

Ruled out: a damaged log (a restart of the process opened it and caught up).

--- a/include/bwagree/replica.h
+++ b/include/bwagree/replica.h
@@ -35,7 +35,7 @@
 	BW_REPLICA_PRE_CANDIDATE,
 	BW_REPLICA_CANDIDATE,
 	BW_REPLICA_LEADER,
-	BW_REPLICA_FAILED, /**< storage error; inactive until restart */
+	BW_REPLICA_FAILED, /**< storage error; inactive until reopened */
 	BW_REPLICA_ROLE_COUNT
 };
 
@@ -67,6 +67,7 @@
 	BW_REPLICA_LEADER_CHANGED,
 	BW_REPLICA_SNAPSHOT_INSTALLED, /**< state was replaced; re-read all */
 	BW_REPLICA_STORAGE_FAILED,
+	BW_REPLICA_STORAGE_REOPENED, /**< state was replaced; re-read all */
 	BW_REPLICA_MEMBER_CHANGED, /**< a group change was committed */
 	BW_REPLICA_EVENT_KIND_COUNT
 };
@@ -127,7 +128,12 @@
 				  const struct bw_packet *packet,
 				  struct bw_time now, struct bw_outbox *out);
 
-/** Advances timers; called every 50 ms. @return BW_OK or BW_EIO */
+/**
+ * Advances timers; called every 50 ms. A failed replica opens its storage again
+ * from time to time. Once that succeeds, it continues as after a restart of the
+ * process: it is not current, and its state may be older than before.
+ * @return BW_OK or BW_EIO
+ */
 enum bw_status bw_replica_tick(struct bw_replica *replica, struct bw_time now,
 			       struct bw_outbox *out);
 
--- a/include/bwagree/storage.h
+++ b/include/bwagree/storage.h
@@ -32,6 +32,7 @@
 	struct bw_buffer live;
 	struct bw_buffer durable;
 	size_t synced_prefix_bytes; /**< equal in live and durable */
+	bool sync_lost; /**< a sync failed; later ones have no effect */
 };
 
 /** Memory storage and its injected faults. */
--- a/include/bwagree/wal.h
+++ b/include/bwagree/wal.h
@@ -98,6 +98,13 @@
 /** Removes segments whose entries are all before index. */
 enum bw_status bw_wal_compact(struct bw_wal *wal, uint64_t index);
 
+/**
+ * Writes the last segment again and makes it durable. After a failed sync the
+ * file may read as complete although it is not durable, and a second sync need
+ * not report it.
+ */
+enum bw_status bw_wal_rewrite_last(struct bw_wal *wal);
+
 /** Removes all entries; the next one gets the index next_index. */
 enum bw_status bw_wal_reset(struct bw_wal *wal, uint64_t next_index);
 
--- a/src/boragewingd/control.c
+++ b/src/boragewingd/control.c
@@ -112,6 +112,9 @@
 	bool leader;
 
 	bw_replica_tick(control->replica, now, &control->host->out);
+	/* A replica that has opened its storage again may be behind. */
+	control->current = control->current &&
+			   bw_replica_is_current(control->replica);
 	leader = control->current &&
 		 bw_replica_has_lease(control->replica, now);
 	if (leader && !control->is_leader)
@@ -396,6 +399,11 @@
 		bw_log_event(log, BW_LOG_ERROR, "replica", "storage_failed",
 			     "{s:s}", "cause", bw_status_string[event->status]);
 		break;
+	case BW_REPLICA_STORAGE_REOPENED:
+		bw_log_event(log, BW_LOG_WARNING, "replica", "storage_reopened",
+			     "{s:I,s:I}", "index", (json_int_t)event->index,
+			     "term", (json_int_t)event->term);
+		break;
 	case BW_REPLICA_MEMBER_CHANGED:
 		bw_log_event(log, BW_LOG_INFO, "replica", "group_changed",
 			     "{s:I}", "index", (json_int_t)event->index);
--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -163,6 +163,9 @@
 void gate_control_tick(struct gate_control *control, struct bw_time now)
 {
 	bw_replica_tick(control->replica, now, &control->out);
+	/* A replica that has opened its storage again may be behind. */
+	control->current = control->current &&
+			   bw_replica_is_current(control->replica);
 	bw_distribute_tick(&control->distribute, now, &control->out);
 	expire_waiting_calls_(control, now);
 	gate_control_check_group(control, now);
@@ -388,6 +391,11 @@
 			     "{s:s}", "status",
 			     bw_status_string[event->status]);
 		break;
+	case BW_REPLICA_STORAGE_REOPENED:
+		bw_log_event(log, BW_LOG_WARNING, "replica", "storage_reopened",
+			     "{s:I,s:I}", "index", (json_int_t)event->index,
+			     "term", (json_int_t)event->term);
+		break;
 	case BW_REPLICA_MEMBER_CHANGED:
 		log_members_(control, event);
 		break;
--- a/src/libbwagree/include/private/replica.h
+++ b/src/libbwagree/include/private/replica.h
@@ -45,6 +45,7 @@
 	REPLICA_VOTE_WON,
 	REPLICA_STEP_DOWN,
 	REPLICA_DISK_FAILED,
+	REPLICA_DISK_REOPENED,
 	REPLICA_EVENT_COUNT
 };
 
@@ -108,6 +109,7 @@
 	bool join_only;
 	const struct bw_chart *chart;
 	struct bw_storage *storage;
+	struct bw_replica_config config; /**< as given, to open it again */
 	struct bw_random random;
 	int64_t heartbeat_ms;
 	int64_t election_min_ms;
@@ -154,11 +156,24 @@
 	uint64_t elections_started;
 	uint64_t snapshots_installed;
 
+	int64_t reopen_due_ms; /**< in the FAILED role */
+	int64_t reopen_delay_ms; /**< before the next attempt */
+	int64_t reopened_ms; /**< last success; 0 none */
+
 	int64_t now_ms; /**< time of the call in progress */
 	struct bw_outbox *out; /**< outbox of the call in progress, or NULL */
 };
 
 /* replica.c */
+/**
+ * Creates a replica.
+ * @param after_failure whether a write or sync of this process has failed
+ * @param error see bw_replica_new
+ */
+enum bw_status replica_create(struct bw_replica **replica,
+			      const struct bw_replica_config *config,
+			      struct bw_time now, bool after_failure,
+			      char *error);
 /** Looks up the role change in the chart and performs its action. */
 void replica_handle_event(struct bw_replica *replica, enum replica_event event);
 /** Enters the FAILED role after a storage error. */
@@ -172,15 +187,26 @@
 /** Restarts the randomized election timer. */
 void replica_reset_deadline(struct bw_replica *replica);
 
+/* replica_reopen.c */
+/** Schedules the first attempt to open the storage of a failed replica. */
+void replica_schedule_reopen(struct bw_replica *replica);
+/** Opens the storage again, if an attempt is due. */
+void replica_tick_failed(struct bw_replica *replica, struct bw_time now);
+
 /* replica_store.c */
 enum bw_status replica_meta_load(struct bw_storage *storage,
 				 struct replica_meta *meta);
 /** Saves meta; an error enters the FAILED role. */
 bool replica_meta_save(struct bw_replica *replica);
-/** Opens meta, snapshot and log. @param error see bw_replica_new */
+/**
+ * Opens meta, snapshot and log.
+ * @param after_failure writes again what an earlier failed sync may have left
+ *	in memory only
+ * @param error see bw_replica_new
+ */
 enum bw_status replica_open(struct bw_replica *replica,
 			    const struct bw_replica_config *config,
-			    char *error);
+			    bool after_failure, char *error);
 /** Returns the term of an entry; known is false when it is not available. */
 uint64_t replica_term_at(const struct bw_replica *replica, uint64_t index,
 			 bool *known);
--- a/src/libbwagree/memory_storage.c
+++ b/src/libbwagree/memory_storage.c
@@ -86,8 +86,12 @@
 
 	if (!file)
 		return BW_ENOTFOUND;
-	if (sync_fails_(memory))
+	if (sync_fails_(memory)) {
+		file->sync_lost = true;
 		return BW_EIO;
+	}
+	if (file->sync_lost)
+		return BW_OK;
 	from = file->synced_prefix_bytes;
 	file->durable.size_bytes = from;
 	file->synced_prefix_bytes = file->live.size_bytes;
@@ -248,6 +252,7 @@
 	bw_buffer_append(&file->live, file->durable.data,
 			 file->durable.size_bytes);
 	file->synced_prefix_bytes = file->durable.size_bytes;
+	file->sync_lost = false;
 }
 
 static void append_torn_write_(struct bw_memory_file *file,
--- a/src/libbwagree/replica.c
+++ b/src/libbwagree/replica.c
@@ -48,6 +48,7 @@
 	[BW_REPLICA_LEADER_CHANGED] = "leader_changed",
 	[BW_REPLICA_SNAPSHOT_INSTALLED] = "snapshot_installed",
 	[BW_REPLICA_STORAGE_FAILED] = "storage_failed",
+	[BW_REPLICA_STORAGE_REOPENED] = "storage_reopened",
 	[BW_REPLICA_MEMBER_CHANGED] = "member_changed",
 };
 
@@ -58,6 +59,7 @@
 	[REPLICA_VOTE_WON] = "vote_won",
 	[REPLICA_STEP_DOWN] = "step_down",
 	[REPLICA_DISK_FAILED] = "storage_failed",
+	[REPLICA_DISK_REOPENED] = "storage_reopened",
 };
 
 static const char *const action_string_[REPLICA_ACTION_COUNT] = {
@@ -81,6 +83,14 @@
 enum bw_status bw_replica_new(struct bw_replica **replica,
 			      const struct bw_replica_config *config,
 			      struct bw_time now, char *error)
+{
+	return replica_create(replica, config, now, false, error);
+}
+
+enum bw_status replica_create(struct bw_replica **replica,
+			      const struct bw_replica_config *config,
+			      struct bw_time now, bool after_failure,
+			      char *error)
 {
 	struct bw_replica *created = NULL;
 	enum bw_status status;
@@ -96,7 +106,7 @@
 	begin_call_(created, now, NULL);
 	created->leader_contact_ms = REPLICA_NEVER_MS;
 	created->no_vote_until_ms = now.ms + created->election_min_ms;
-	status = replica_open(created, config, error);
+	status = replica_open(created, config, after_failure, error);
 	if (status != BW_OK) {
 		bw_replica_free(created);
 		return status;
@@ -147,9 +157,11 @@
 enum bw_status bw_replica_tick(struct bw_replica *replica, struct bw_time now,
 			       struct bw_outbox *out)
 {
-	if (replica->role == BW_REPLICA_FAILED)
-		return BW_EIO;
 	begin_call_(replica, now, out);
+	if (replica->role == BW_REPLICA_FAILED) {
+		replica_tick_failed(replica, now);
+		return end_call_(replica);
+	}
 	replica_compact(replica);
 	replica_tick_hello(replica);
 	if (replica->role == BW_REPLICA_FAILED)
@@ -296,7 +308,8 @@
 	struct bw_chart_step step;
 	enum bw_status status;
 
-	if (replica->role == BW_REPLICA_FAILED)
+	if (replica->role == BW_REPLICA_FAILED &&
+	    event != REPLICA_DISK_REOPENED)
 		return;
 	status = bw_chart_next(replica->chart, replica->role, event, &step);
 	assert(status == BW_OK);
@@ -317,6 +330,7 @@
 	replica->leader[0] = '\0';
 	replica_handle_event(replica, REPLICA_DISK_FAILED);
 	replica_queue_event(replica, &event);
+	replica_schedule_reopen(replica);
 }
 
 void replica_follow(struct bw_replica *replica, uint64_t term,
@@ -398,6 +412,7 @@
 					     : DEFAULT_LEASE_MS;
 	replica->compact_bytes = config->compact_bytes ? config->compact_bytes
 						       : DEFAULT_COMPACT_BYTES;
+	replica->config = *config;
 	replica->initial_count = config->initial_count;
 	replica->join_only = config->join_only;
 	for (i = 0; i < config->initial_count; i++) {
--- a/src/libbwagree/replica_store.c
+++ b/src/libbwagree/replica_store.c
@@ -66,13 +66,16 @@
 }
 
 enum bw_status replica_open(struct bw_replica *replica,
-			    const struct bw_replica_config *config, char *error)
+			    const struct bw_replica_config *config,
+			    bool after_failure, char *error)
 {
 	uint32_t segment_bytes = config->segment_bytes ? config->segment_bytes
 						       : BW_WAL_SEGMENT_BYTES;
 	enum bw_status status;
 
 	status = open_meta_(replica, error);
+	if (status == BW_OK && after_failure && !replica_meta_save(replica))
+		status = BW_EIO;
 	if (status == BW_OK && !replica->meta.group_id)
 		status = discard_uninitialised_(replica);
 	if (status == BW_OK)
@@ -84,6 +87,8 @@
 			     segment_bytes);
 	if (status == BW_ECORRUPT)
 		snprintf(error, BW_WAL_ERROR_BYTES, "%s", replica->wal.error);
+	if (status == BW_OK && after_failure)
+		status = bw_wal_rewrite_last(&replica->wal);
 	if (status != BW_OK)
 		return status;
 	replica->group_id = replica->meta.group_id;
--- a/src/libbwagree/storage.c
+++ b/src/libbwagree/storage.c
@@ -215,7 +215,10 @@
 	if (status == BW_OK)
 		status = bw_storage_rename(storage, temporary_name, name);
 	if (status == BW_OK)
-		status = bw_storage_sync_folder(storage);
+		return bw_storage_sync_folder(storage);
+	/* On a full disk, the part that was written would take up room. The
+	 * first error is the one to report. */
+	(void)bw_storage_remove(storage, temporary_name);
 	return status;
 }
 
--- a/src/libbwagree/wal.c
+++ b/src/libbwagree/wal.c
@@ -229,6 +229,24 @@
 	return status;
 }
 
+enum bw_status bw_wal_rewrite_last(struct bw_wal *wal)
+{
+	char name[BW_FILE_NAME_MAX];
+	struct bw_buffer bytes;
+	enum bw_status status;
+
+	if (!wal->segment_count)
+		return bw_storage_sync_folder(wal->storage);
+	segment_name_(name, wal->segments[wal->segment_count - 1].first_index);
+	bw_buffer_init(&bytes);
+	status = bw_storage_read(wal->storage, name, &bytes);
+	if (status == BW_OK)
+		status = bw_storage_replace(wal->storage, name, bytes.data,
+					    bytes.size_bytes);
+	bw_buffer_finish(&bytes);
+	return status;
+}
+
 static void segment_name_(char name[BW_FILE_NAME_MAX], uint64_t first_index)
 {
 	snprintf(name, BW_FILE_NAME_MAX, "wal-%016" PRIx64 ".log", first_index);
--- a/src/test_libbwagree/sim.c
+++ b/src/test_libbwagree/sim.c
@@ -442,6 +442,11 @@
 		case BW_REPLICA_STORAGE_FAILED:
 			sim->storage_failures++;
 			break;
+		case BW_REPLICA_STORAGE_REOPENED:
+			sim->storage_reopened++;
+			h->applied_index = h->replica->state.applied_index;
+			h->revision = h->replica->state.revision;
+			break;
 		case BW_REPLICA_MEMBER_CHANGED:
 			h->group_changes++;
 			break;
--- a/src/test_libbwagree/sim.h
+++ b/src/test_libbwagree/sim.h
@@ -98,6 +98,7 @@
 	uint64_t disks_lost;
 	uint64_t crashes;
 	uint64_t storage_failures;
+	uint64_t storage_reopened; /**< without a restart */
 	uint64_t snapshots_installed;
 	uint64_t repeated_answers;
 	uint64_t lease_checks; /**< checks that found a valid lease */
--- a/src/test_libbwagree/test_replica.c
+++ b/src/test_libbwagree/test_replica.c
@@ -139,6 +139,10 @@
 		sim_crash(sim, host, false);
 	} else if (!strcmp(argv[0], "lose_disk")) {
 		sim_lose_disk(sim, host);
+	} else if (!strcmp(argv[0], "full")) {
+		sim->hosts[host].storage.u.memory.capacity_bytes = 1;
+	} else if (!strcmp(argv[0], "space")) {
+		sim->hosts[host].storage.u.memory.capacity_bytes = 0;
 	} else if (!strcmp(argv[0], "start")) {
 		sim_start(sim, host);
 	} else if (!strcmp(argv[0], "add")) {
@@ -216,6 +220,12 @@
 	run_script_("src/test_libbwagree/scripts/members.script");
 }
 
+static void test_full_disks_in_turn(void **state)
+{
+	(void)state;
+	run_script_("src/test_libbwagree/scripts/full_disk.script");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -223,6 +233,7 @@
 		cmocka_unit_test(test_lost_disk_replaced),
 		cmocka_unit_test(test_lease_blocks_election),
 		cmocka_unit_test(test_membership_changes),
+		cmocka_unit_test(test_full_disks_in_turn),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
