Answer every request before an entry host stops

Cause: the process ended at 0.85 of the grace time whatever was open, and freed its requests without a response. It counted as idle as soon as the last response was handed to the listener, not when it was sent.

Fix: the dispatcher knows when the host stops and rejects at once what is not expected to end before, with the cause host_stopping. At 0.9 of the grace time the rest gets 503, or 502 if it was sent. The process ends when all responses are sent, at 0.97 at the latest. Connections that the kernel has queued are accepted first, and a connection with unread bytes or a request that was read in part is not closed as idle.

test_listener_close called bw_listener_close_idle once; the function is now called from time to time, and leaves a connection open for 250 ms without a request. The test calls it until the connection is closed, and asks more.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -124,9 +124,21 @@
 /** Adds "Connection: close" to every later response. */
 void bw_listener_begin_close(struct bw_listener *listener);
 
-/** Stops accepting, and closes connections without a request. */
+/**
+ * Accepts what the kernel has queued and stops accepting; closes connections
+ * that have been without a request for a moment. Called from time to time.
+ */
 void bw_listener_close_idle(struct bw_listener *listener);
 
+/**
+ * Returns whether no request is being read or in progress, and all responses
+ * are sent.
+ */
+bool bw_listener_is_idle(const struct bw_listener *listener);
+
+/** Returns whether all responses are sent. */
+bool bw_listener_is_flushed(const struct bw_listener *listener);
+
 /** Returns the handler's context pointer of a request; initially NULL. */
 void **bw_connection_context(struct bw_server_connection *connection);
 
--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -154,6 +154,8 @@
 	BW_REJECT_BEHIND, /**< its route has been changed or removed by a
 			     configuration that is not here yet */
 	BW_REJECT_NO_ROUTE, /**< its route was removed while it waited */
+	BW_REJECT_STOPPING, /**< the host stops before the response could
+			       arrive */
 	BW_REJECT_COUNT
 };
 
@@ -253,6 +255,8 @@
 	bool regions_known; /**< a complete window has been measured */
 	uint32_t cold_hosts_max; /**< number of hosts that may use the same cold
 				    server */
+	struct bw_time stops_at; /**< no response is relayed after this time;
+				    0 ms: the host does not stop */
 };
 
 /** State of one backend server in an update. */
@@ -380,6 +384,13 @@
 void bw_dispatch_note_load(struct bw_dispatch *dispatch, uint64_t id_hash,
 			   uint32_t busy, struct bw_time now);
 
+/**
+ * Begins the stop of the host. From now on, jobs that are not expected to end
+ * in time are rejected on arrival and while they wait.
+ * @param at when the last response can be relayed
+ */
+void bw_dispatch_stop(struct bw_dispatch *dispatch, struct bw_time at);
+
 /** Removes a waiting job. */
 void bw_dispatch_remove(struct bw_dispatch *dispatch, struct bw_job *job);
 
--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -81,6 +81,12 @@
 	{ "rejected", "route_removed",
 	  "It has not run. A newer configuration without its route came into "
 	  "force while it waited;\nsee the routing_in_force lines." },
+	{ "rejected", "host_stopping",
+	  "It has not run. Its entry host was stopped, and the response was "
+	  "not expected before its end;\nsee the host's stopping line." },
+	{ "failed", "host_stopping",
+	  "It may have run. Its entry host ended its stop before the server "
+	  "responded." },
 	{ "failed", "closed",
 	  "It may have run. The connection to the server closed before the "
 	  "response; a request\nthat is not idempotent is not retried." },
--- a/src/boragewingd/gate.c
+++ b/src/boragewingd/gate.c
@@ -35,8 +35,14 @@
  */
 #define LINGER_FRACTION 0.5
 
-/** Fraction of the grace time after which the process exits in any case. */
-#define EXIT_FRACTION 0.85
+/** Fraction of the grace time after which requests in progress are ended. */
+#define REQUESTS_END_FRACTION 0.9
+
+/**
+ * Fraction of the grace time after which the process exits in any case. Until
+ * then, responses that clients read slowly are sent.
+ */
+#define EXIT_FRACTION 0.97
 
 /** A gateway host. */
 struct gate {
@@ -56,6 +62,7 @@
 	ev_signal reload;
 	ev_signal dump;
 	struct bw_time stop_started_at;
+	bool requests_ended;
 };
 
 static enum bw_status load_settings_(const char *path, int metrics_port,
@@ -76,6 +83,7 @@
 static void on_stop_(struct ev_loop *loop, ev_signal *watcher, int events);
 static void on_reload_(struct ev_loop *loop, ev_signal *watcher, int events);
 static void on_dump_(struct ev_loop *loop, ev_signal *watcher, int events);
+static void stop_entry_(struct gate *gate, double age_ms);
 static void exit_if_due_(struct gate *gate, struct bw_time now);
 static void reload_settings_(struct gate *gate, const char *cause);
 
@@ -264,6 +272,8 @@
 {
 	struct gate *gate = watcher->data;
 
+	double grace_ms = gate->node.settings.grace_ms;
+
 	(void)loop;
 	(void)events;
 	if (gate->node.stopping)
@@ -274,7 +284,10 @@
 		     "grace_ms", (int)gate->node.settings.grace_ms, "signal",
 		     watcher->signum);
 	if (gate->has_entry)
-		gate_entry_stop(&gate->entry);
+		gate_entry_stop(&gate->entry,
+				bw_time_add(gate->stop_started_at,
+					    (int64_t)(REQUESTS_END_FRACTION *
+						      grace_ms)));
 	if (gate->has_control)
 		gate_control_stop(&gate->control);
 }
@@ -307,25 +320,37 @@
 }
 
 /*
- * Exits late, because clients with an outdated directory response still connect
- * to a stopping host.
+ * Clients with an outdated directory response still connect to a stopping host
+ * for a while, and responses take their time. Each request that was read gets a
+ * response before the process exits.
  */
-static void exit_if_due_(struct gate *gate, struct bw_time now)
+static void stop_entry_(struct gate *gate, double age_ms)
 {
 	double grace_ms = gate->node.settings.grace_ms;
-	double age_ms = (double)bw_time_diff_ms(now, gate->stop_started_at);
-	bool idle =
-		(!gate->has_entry || gate_entry_is_idle(&gate->entry)) &&
-		(!gate->has_control || gate_control_is_idle(&gate->control));
 
-	if (!gate->has_entry && idle) {
-		ev_break(gate->node.loop, EVBREAK_ALL);
+	if (age_ms <= LINGER_FRACTION * grace_ms)
 		return;
+	bw_listener_close_idle(&gate->entry.clients);
+	if (gate->requests_ended || age_ms <= REQUESTS_END_FRACTION * grace_ms)
+		return;
+	gate->requests_ended = true;
+	gate_entry_end_requests(&gate->entry);
+}
+
+static void exit_if_due_(struct gate *gate, struct bw_time now)
+{
+	double grace_ms = gate->node.settings.grace_ms;
+	double age_ms = (double)bw_time_diff_ms(now, gate->stop_started_at);
+	bool idle = !gate->has_control || gate_control_is_idle(&gate->control);
+
+	if (gate->has_entry) {
+		stop_entry_(gate, age_ms);
+		idle = idle && age_ms > LINGER_FRACTION * grace_ms &&
+		       (gate_entry_is_idle(&gate->entry) ||
+			(gate->requests_ended &&
+			 bw_listener_is_flushed(&gate->entry.clients)));
 	}
-	if (gate->has_entry && age_ms > LINGER_FRACTION * grace_ms)
-		bw_listener_close_idle(&gate->entry.clients);
-	if ((idle && age_ms > LINGER_FRACTION * grace_ms) ||
-	    age_ms > EXIT_FRACTION * grace_ms)
+	if (idle || age_ms > EXIT_FRACTION * grace_ms)
 		ev_break(gate->node.loop, EVBREAK_ALL);
 }
 
--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -257,7 +257,8 @@
 
 bool gate_control_is_idle(const struct gate_control *control)
 {
-	return !control->api.busy_count && !control->directory.busy_count;
+	return bw_listener_is_idle(&control->api) &&
+	       bw_listener_is_idle(&control->directory);
 }
 
 static enum bw_status init_distribute_(struct gate_control *control)
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -206,16 +206,28 @@
 	gate_request_run_queue(entry);
 }
 
-void gate_entry_stop(struct gate_entry *entry)
+void gate_entry_stop(struct gate_entry *entry, struct bw_time requests_end)
 {
 	bw_listener_begin_close(&entry->clients);
+	bw_dispatch_stop(&entry->dispatch, requests_end);
 	entry->next_hello = gate_node_now(entry->node);
 	entry->next_brief_hello = entry->next_hello;
 }
 
+void gate_entry_end_requests(struct gate_entry *entry)
+{
+	struct gate_request *request = entry->requests;
+	struct gate_request *next;
+
+	for (; request; request = next) {
+		next = request->next;
+		gate_request_stop(request);
+	}
+}
+
 bool gate_entry_is_idle(const struct gate_entry *entry)
 {
-	return !entry->request_count && !entry->clients.busy_count;
+	return !entry->request_count && !entry->clients.connection_count;
 }
 
 int64_t gate_entry_behind_ms(const struct gate_entry *entry, struct bw_time now)
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -149,10 +149,16 @@
 /** Runs the periodic work of the role. */
 void gate_entry_tick(struct gate_entry *entry, struct bw_time now);
 
-/** Begins a graceful shutdown. */
-void gate_entry_stop(struct gate_entry *entry);
+/**
+ * Begins a graceful shutdown. Requests that cannot end in time are rejected.
+ * @param requests_end when gate_entry_end_requests will be called
+ */
+void gate_entry_stop(struct gate_entry *entry, struct bw_time requests_end);
+
+/** Ends all requests with an error response, at the end of a shutdown. */
+void gate_entry_end_requests(struct gate_entry *entry);
 
-/** Returns whether no request is in progress. */
+/** Returns whether no request is in progress and no client is connected. */
 bool gate_entry_is_idle(const struct gate_entry *entry);
 
 /**
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -27,6 +27,9 @@
 /** Retry-After of rejections without a better estimate. */
 #define RETRY_AFTER_DEFAULT_MS 500
 
+/** Retry-After of a request that a stopping host has not sent; others may. */
+#define RETRY_AFTER_STOPPING_MS 100
+
 /**
  * Time after the deadline for which an attempt that must not run twice waits
  * for its server. The server ends its work at the deadline that it was sent, so
@@ -162,6 +165,20 @@
 	}
 }
 
+void gate_request_stop(struct gate_request *request)
+{
+	if (request->detached)
+		return;
+	if (request->job.queued)
+		bw_dispatch_remove(&request->entry->dispatch, &request->job);
+	cancel_upstream_(request);
+	if (!request->upstream && !request->may_have_run)
+		reject_(request, BW_REJECT_STOPPING, RETRY_AFTER_STOPPING_MS);
+	else
+		fail_(request, 502, GATE_OUTCOME_FAILED,
+		      bw_reject_string[BW_REJECT_STOPPING]);
+}
+
 void gate_request_free(struct gate_request *request)
 {
 	struct gate_entry *entry = request->entry;
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -78,6 +78,9 @@
 /** Sends or rejects the queued requests that are due. */
 void gate_request_run_queue(struct gate_entry *entry);
 
+/** Responds to a request, because the host stops; it may be freed. */
+void gate_request_stop(struct gate_request *request);
+
 /** Frees a request without a response. */
 void gate_request_free(struct gate_request *request);
 
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -30,6 +30,12 @@
  * when to send it again, in seconds. */
 #define RETRY_AFTER_LINE "Retry-After: 1\r\n"
 
+/**
+ * Time for which a closing listener waits for a request on a connection that is
+ * without one.
+ */
+#define CLOSE_IDLE_MS 250
+
 /** Resolution of the connection timeouts. */
 #define SWEEP_INTERVAL_S 0.25
 
@@ -46,7 +52,10 @@
 #define LINGERING_MAX 64
 
 static int open_socket_(const char *address);
+static void stop_accepting_(struct bw_listener *listener);
+static bool may_close_(struct bw_server_connection *connection);
 static void on_accept_(struct ev_loop *loop, ev_io *watcher, int events);
+static int accept_batch_(struct bw_listener *listener);
 static void add_connection_(struct bw_listener *listener, int fd,
 			    uint32_t peer);
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
@@ -127,19 +136,38 @@
 	struct bw_server_connection *connection = listener->connections;
 	struct bw_server_connection *next;
 
-	if (listener->fd >= 0) {
-		ev_io_stop(listener->config.loop, &listener->accept_watcher);
-		close(listener->fd);
-		listener->fd = -1;
-	}
+	stop_accepting_(listener);
 	for (; connection; connection = next) {
 		next = connection->next;
-		if (!connection->busy && !connection->out.size_bytes &&
-		    !connection->reader.started)
+		if (may_close_(connection))
 			close_connection_(connection, false);
 	}
 }
 
+bool bw_listener_is_idle(const struct bw_listener *listener)
+{
+	const struct bw_server_connection *connection;
+
+	for (connection = listener->connections; connection;
+	     connection = connection->next) {
+		if (connection->busy || connection->reader.started)
+			return false;
+	}
+	return bw_listener_is_flushed(listener);
+}
+
+bool bw_listener_is_flushed(const struct bw_listener *listener)
+{
+	const struct bw_server_connection *connection;
+
+	for (connection = listener->connections; connection;
+	     connection = connection->next) {
+		if (connection->out.size_bytes)
+			return false;
+	}
+	return true;
+}
+
 void **bw_connection_context(struct bw_server_connection *connection)
 {
 	return &connection->context;
@@ -230,22 +258,53 @@
 	return fd;
 }
 
+/* Connections that the kernel has queued are reset if the socket is closed. */
+static void stop_accepting_(struct bw_listener *listener)
+{
+	if (listener->fd < 0)
+		return;
+	while (accept_batch_(listener) == ACCEPT_BATCH)
+		;
+	ev_io_stop(listener->config.loop, &listener->accept_watcher);
+	close(listener->fd);
+	listener->fd = -1;
+}
+
+/* A request may be on its way, or unread in the socket. */
+static bool may_close_(struct bw_server_connection *connection)
+{
+	struct bw_time now = run_time_(connection->listener);
+	uint8_t byte;
+
+	if (connection->busy || connection->out.size_bytes ||
+	    connection->reader.started ||
+	    bw_time_diff_ms(now, connection->state_since) < CLOSE_IDLE_MS)
+		return false;
+	return recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
 static void on_accept_(struct ev_loop *loop, ev_io *watcher, int events)
 {
-	struct bw_listener *listener = watcher->data;
+	(void)loop;
+	(void)events;
+	accept_batch_(watcher->data);
+}
+
+/* @return the number of connections that the kernel had queued, up to a limit
+ */
+static int accept_batch_(struct bw_listener *listener)
+{
 	struct sockaddr_in peer;
 	socklen_t peer_bytes;
 	int fd;
 	int i;
 
-	(void)loop;
-	(void)events;
 	for (i = 0; i < ACCEPT_BATCH; i++) {
 		peer_bytes = sizeof(peer);
 		fd = accept4(listener->fd, (struct sockaddr *)&peer,
 			     &peer_bytes, SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0)
-			return;
+			break;
 		listener->accepted_count++;
 		if (listener->connection_count >=
 		    listener->config.connections_max) {
@@ -255,6 +314,7 @@
 		}
 		add_connection_(listener, fd, peer.sin_addr.s_addr);
 	}
+	return i;
 }
 
 static void add_connection_(struct bw_listener *listener, int fd, uint32_t peer)
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -33,14 +33,19 @@
 static void insert_waiting_(struct bw_job *job);
 static bool goes_before_(const struct bw_job *a, const struct bw_job *b);
 static void release_home_(struct bw_job *job);
+static void reject_late_(struct bw_dispatch *dispatch, const struct bw_job *job,
+			 double wait_ms, struct bw_time now,
+			 struct bw_rejection *rejection);
 static double job_wait_ms_(const struct bw_job *job);
 static double wait_behind_ms_(const struct bw_job *job, uint32_t ahead);
 static double service_wait_ms_(const struct bw_dispatch_service *service,
 			       uint32_t ahead);
 static uint32_t count_ahead_(const struct bw_job *job);
-static void check_waits_(struct bw_dispatch_service *service,
+static void check_waits_(const struct bw_dispatch *dispatch,
+			 struct bw_dispatch_service *service,
 			 struct bw_time now);
-static void check_waits_of_(struct bw_dispatch_service *service, bool on_time,
+static void check_waits_of_(const struct bw_dispatch *dispatch,
+			    struct bw_dispatch_service *service, bool on_time,
 			    struct bw_time now);
 static bool can_be_on_time_(const struct bw_job *job, struct bw_time now);
 static struct bw_job *next_of_service_(struct bw_dispatch *dispatch,
@@ -230,6 +235,11 @@
 	}
 }
 
+void bw_dispatch_stop(struct bw_dispatch *dispatch, struct bw_time at)
+{
+	dispatch->stops_at = at;
+}
+
 enum bw_verdict bw_dispatch_offer(struct bw_dispatch *dispatch,
 				  struct bw_job *job, struct bw_time now,
 				  struct bw_rejection *rejection)
@@ -247,14 +257,17 @@
 	if (dispatch_is_paused(job, now, rejection))
 		return BW_VERDICT_REJECT;
 	dispatch_find_home(job, now);
+	if (dispatch_stop_is_near(dispatch, job, now)) {
+		dispatch_reject(dispatch, BW_REJECT_STOPPING, 0.0, rejection);
+		return BW_VERDICT_REJECT;
+	}
 	if (!count_ahead_(job) && dispatch_place(dispatch, job, now))
 		return BW_VERDICT_SEND;
-	left_ms = (double)bw_time_diff_ms(job->deadline, now) -
+	left_ms = dispatch_left_ms(dispatch, job, now) -
 		  dispatch_service_response_ms(job->service);
 	wait_ms = job_wait_ms_(job);
 	if (wait_ms > WAIT_FRACTION_MAX * left_ms) {
-		dispatch_reject(dispatch, dispatch_overload_reason(job, now),
-				wait_ms, rejection);
+		reject_late_(dispatch, job, wait_ms, now, rejection);
 		return BW_VERDICT_REJECT;
 	}
 	job->misses_deadline = false;
@@ -453,6 +466,21 @@
 	free_target_(home);
 }
 
+/*
+ * Rejects a job that is not expected to run in time here. While this host
+ * stops, the client need not wait before it asks another one.
+ */
+static void reject_late_(struct bw_dispatch *dispatch, const struct bw_job *job,
+			 double wait_ms, struct bw_time now,
+			 struct bw_rejection *rejection)
+{
+	if (dispatch_stop_is_first(dispatch, job))
+		dispatch_reject(dispatch, BW_REJECT_STOPPING, 0.0, rejection);
+	else
+		dispatch_reject(dispatch, dispatch_overload_reason(job, now),
+				wait_ms, rejection);
+}
+
 static double job_wait_ms_(const struct bw_job *job)
 {
 	if (job->home)
@@ -499,7 +527,8 @@
  * deadline. Such jobs exist because the load of other hosts becomes known late,
  * and because more urgent requests that arrive later go first.
  */
-static void check_waits_(struct bw_dispatch_service *service,
+static void check_waits_(const struct bw_dispatch *dispatch,
+			 struct bw_dispatch_service *service,
 			 struct bw_time now)
 {
 	GList *item;
@@ -515,11 +544,12 @@
 			job->home->wait_check_count = 0;
 	}
 	/* Late jobs run after all jobs that can still meet their objective. */
-	check_waits_of_(service, true, now);
-	check_waits_of_(service, false, now);
+	check_waits_of_(dispatch, service, true, now);
+	check_waits_of_(dispatch, service, false, now);
 }
 
-static void check_waits_of_(struct bw_dispatch_service *service, bool on_time,
+static void check_waits_of_(const struct bw_dispatch *dispatch,
+			    struct bw_dispatch_service *service, bool on_time,
 			    struct bw_time now)
 {
 	double response_ms = dispatch_service_response_ms(service);
@@ -532,8 +562,7 @@
 
 		if (can_be_on_time_(job, now) != on_time)
 			continue;
-		left_ms = (double)bw_time_diff_ms(job->deadline, now) -
-			  response_ms;
+		left_ms = dispatch_left_ms(dispatch, job, now) - response_ms;
 		wait_ms = job->home ? dispatch_wait_ms(
 					      job->home,
 					      ++job->home->wait_check_count)
@@ -564,17 +593,20 @@
 	bool expired;
 	GList *item;
 
-	check_waits_(service, now);
+	check_waits_(dispatch, service, now);
 	for (item = service->waiting.head; item; item = item->next) {
 		job = item->data;
-		expired = bw_time_diff_ms(job->deadline, now) <= response_ms;
+		expired = dispatch_left_ms(dispatch, job, now) <= response_ms ||
+			  dispatch_stop_is_near(dispatch, job, now);
 		if (!expired && !job->misses_deadline)
 			continue;
 		bw_dispatch_remove(dispatch, job);
-		dispatch_reject(dispatch,
-				expired ? BW_REJECT_DEADLINE
-					: dispatch_overload_reason(job, now),
-				job_wait_ms_(job), rejection);
+		if (expired && !dispatch_stop_is_first(dispatch, job))
+			dispatch_reject(dispatch, BW_REJECT_DEADLINE,
+					job_wait_ms_(job), rejection);
+		else
+			reject_late_(dispatch, job, job_wait_ms_(job), now,
+				     rejection);
 		*verdict = BW_VERDICT_REJECT;
 		return job;
 	}
--- a/src/libbwsteer/dispatch_reject.c
+++ b/src/libbwsteer/dispatch_reject.c
@@ -9,6 +9,14 @@
 /** Minimum retry delay sent with a rejection. */
 #define RETRY_AFTER_MIN_MS 100
 
+/**
+ * Factor on the response time that has to be left when a host stops. A request
+ * that is cut off may not be repeated; one that is rejected may.
+ */
+#define STOP_MARGIN_FACTOR 1.25
+
+static double longest_response_ms_(const struct bw_dispatch_service *service);
+
 const char *const bw_reject_string[BW_REJECT_COUNT] = {
 	[BW_REJECT_NONE] = "none",
 	[BW_REJECT_NO_SERVER] = "no_server",
@@ -20,6 +28,7 @@
 	[BW_REJECT_LIMITED] = "servers_at_limit",
 	[BW_REJECT_BEHIND] = "configuration_behind",
 	[BW_REJECT_NO_ROUTE] = "route_removed",
+	[BW_REJECT_STOPPING] = "host_stopping",
 };
 
 void dispatch_reject(struct bw_dispatch *dispatch, enum bw_reject reason,
@@ -33,6 +42,30 @@
 		wait_ms * jitter, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
 }
 
+double dispatch_left_ms(const struct bw_dispatch *dispatch,
+			const struct bw_job *job, struct bw_time now)
+{
+	return (double)bw_time_diff_ms(dispatch_stop_is_first(dispatch, job)
+					       ? dispatch->stops_at
+					       : job->deadline,
+				       now);
+}
+
+bool dispatch_stop_is_first(const struct bw_dispatch *dispatch,
+			    const struct bw_job *job)
+{
+	return dispatch->stops_at.ms &&
+	       bw_time_diff_ms(job->deadline, dispatch->stops_at) > 0;
+}
+
+bool dispatch_stop_is_near(const struct bw_dispatch *dispatch,
+			   const struct bw_job *job, struct bw_time now)
+{
+	return dispatch_stop_is_first(dispatch, job) &&
+	       dispatch_left_ms(dispatch, job, now) <=
+		       STOP_MARGIN_FACTOR * longest_response_ms_(job->service);
+}
+
 bool dispatch_has_server(const struct bw_job *job)
 {
 	const GPtrArray *targets = job->service->targets;
@@ -98,3 +131,16 @@
 	rejection->retry_after_ms = (uint32_t)(first_ms - now.ms);
 	return true;
 }
+
+/* Returns the longest of the smoothed response times; 0 if none is known. */
+static double longest_response_ms_(const struct bw_dispatch_service *service)
+{
+	double longest_ms = service->service_time_ms;
+	int i;
+
+	for (i = 0; i < BW_DISTANCE_COUNT; i++) {
+		longest_ms = MAX(longest_ms, service->times[i].warm_ms);
+		longest_ms = MAX(longest_ms, service->times[i].cold_ms);
+	}
+	return longest_ms;
+}
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -104,6 +104,24 @@
 bool dispatch_is_paused(const struct bw_job *job, struct bw_time now,
 			struct bw_rejection *rejection);
 
+/**
+ * Returns the time until a response is of use: until the deadline of a job, or
+ * until this host stops.
+ */
+double dispatch_left_ms(const struct bw_dispatch *dispatch,
+			const struct bw_job *job, struct bw_time now);
+
+/** Returns whether the stop of this host comes before the deadline of a job. */
+bool dispatch_stop_is_first(const struct bw_dispatch *dispatch,
+			    const struct bw_job *job);
+
+/**
+ * Returns whether this host stops before a job that is sent now is expected to
+ * end.
+ */
+bool dispatch_stop_is_near(const struct bw_dispatch *dispatch,
+			   const struct bw_job *job, struct bw_time now);
+
 /** Fills in a rejection whose client may return after about wait_ms. */
 void dispatch_reject(struct bw_dispatch *dispatch, enum bw_reject reason,
 		     double wait_ms, struct bw_rejection *rejection);
--- a/src/test_libbwproxy/test_listener.c
+++ b/src/test_libbwproxy/test_listener.c
@@ -12,6 +12,9 @@
 /** First port that a listener tries. */
 #define FIRST_PORT 23500
 
+/** More than the kernel buffers for one connection. */
+#define LARGE_BODY_BYTES (8 * 1024 * 1024)
+
 static void listen_(struct bw_listener *listener, struct ev_loop *loop,
 		    struct target_echo *echo, uint16_t *port)
 {
@@ -444,14 +447,101 @@
 	SPIN_UNTIL(loop, peer_has(&peer, "Connection: close"));
 	SPIN_UNTIL(loop, peer.eof);
 	assert_false(idle.eof);
-	bw_listener_close_idle(&listener);
-	SPIN_UNTIL(loop, idle.eof);
+	SPIN_UNTIL(loop, (bw_listener_close_idle(&listener), idle.eof));
+	assert_true(bw_listener_is_idle(&listener));
 	bw_listener_finish(&listener);
 	peer_finish(&peer);
 	peer_finish(&idle);
 	ev_loop_destroy(loop);
 }
 
+/* Guards against a close that resets requests which the kernel has queued, or
+ * which are read in part. */
+static void test_listener_close_unread(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct ev_loop *peer_loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct target_echo echo = { 0 };
+	struct peer queued;
+	struct peer partial;
+	uint16_t port;
+
+	(void)state;
+	listen_(&listener, loop, &echo, &port);
+	peer_connect(&partial, loop, port);
+	peer_send_text(&partial, "GET /partial HTTP/1.1\r\nHo");
+	SPIN_UNTIL(loop, !bw_listener_is_idle(&listener));
+	bw_listener_begin_close(&listener);
+	/* The listener's loop does not run, so that it accepts nothing. */
+	peer_connect(&queued, peer_loop, port);
+	peer_send_text(&queued, "GET /queued HTTP/1.1\r\nHost: x\r\n\r\n");
+	assert_int_equal(listener.connection_count, 1);
+	bw_listener_close_idle(&listener);
+	SPIN_UNTIL(loop, (spin_once(peer_loop), peer_has(&queued, "/queued")));
+	peer_send_text(&partial, "st: x\r\n\r\n");
+	SPIN_UNTIL(loop, (bw_listener_close_idle(&listener),
+			  peer_has(&partial, "/partial")));
+	SPIN_UNTIL(loop, !listener.connection_count);
+	bw_listener_finish(&listener);
+	peer_finish(&queued);
+	peer_finish(&partial);
+	ev_loop_destroy(peer_loop);
+	ev_loop_destroy(loop);
+}
+
+static void respond_large_(void *context,
+			   struct bw_server_connection *connection,
+			   const struct bw_http_message *request)
+{
+	uint8_t *body = make_body(LARGE_BODY_BYTES);
+
+	(void)context;
+	(void)request;
+	bw_connection_respond(connection, 200, NULL, body, LARGE_BODY_BYTES,
+			      false);
+	free(body);
+}
+
+static const struct bw_listener_handler large_handler = {
+	.request = respond_large_,
+};
+
+/* Guards against a host that takes itself for idle while it sends a response.
+ */
+static void test_listener_slow_reader(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener_config config = { .loop = loop,
+					     .limits = { 1024, 1024 },
+					     .connections_max = 4,
+					     .head_timeout_ms = 300,
+					     .idle_timeout_ms = 60000,
+					     .handler = &large_handler };
+	struct bw_listener listener;
+	struct peer peer;
+	uint16_t port;
+
+	(void)state;
+	port = listener_open(&listener, &config, FIRST_PORT);
+	peer_connect(&peer, loop, port);
+	peer_pause(&peer);
+	bw_listener_begin_close(&listener);
+	peer_send_text(&peer, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+	SPIN_UNTIL(loop, !bw_listener_is_flushed(&listener));
+	assert_int_equal(listener.busy_count, 0);
+	assert_false(bw_listener_is_idle(&listener));
+	bw_listener_close_idle(&listener);
+	assert_int_equal(listener.connection_count, 1);
+	peer_resume(&peer);
+	SPIN_UNTIL(loop, peer.eof);
+	assert_true(peer.in.size_bytes > LARGE_BODY_BYTES);
+	assert_true(bw_listener_is_idle(&listener));
+	bw_listener_finish(&listener);
+	peer_finish(&peer);
+	ev_loop_destroy(loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -463,6 +553,8 @@
 		cmocka_unit_test(test_listener_linger),
 		cmocka_unit_test(test_listener_slow_body),
 		cmocka_unit_test(test_listener_close),
+		cmocka_unit_test(test_listener_close_unread),
+		cmocka_unit_test(test_listener_slow_reader),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_libbwsteer/test_dispatch.c
+++ b/src/test_libbwsteer/test_dispatch.c
@@ -166,6 +166,48 @@
 	}
 }
 
+/*
+ * Guards against requests that a stopping host keeps until it ends, and against
+ * new ones that it takes although they cannot end in time.
+ */
+static void test_stopping_host(void **state)
+{
+	struct bw_dispatch dispatch;
+	struct bw_rejection rejection;
+	enum bw_verdict verdict;
+	struct bw_job sent[16];
+	struct bw_job waiting;
+	struct bw_job late;
+	uint32_t count;
+
+	(void)state;
+	setup_(&dispatch);
+	fixture_update(&dispatch, 1, SLOTS, NULL, -500);
+	record_response_times_(&dispatch);
+	count = fill_server_(&dispatch, sent);
+	fixture_job(&dispatch, &waiting, "key", 1, 0);
+	assert_int_equal(bw_dispatch_offer(&dispatch, &waiting, fixture_time(0),
+					   &rejection),
+			 BW_VERDICT_WAIT);
+	bw_dispatch_stop(&dispatch, fixture_time(600));
+	assert_null(bw_dispatch_next(&dispatch, fixture_time(20), &verdict,
+				     &rejection));
+	/* A response takes 100 ms, and the host stops in less. */
+	assert_ptr_equal(bw_dispatch_next(&dispatch, fixture_time(520),
+					  &verdict, &rejection),
+			 &waiting);
+	assert_int_equal(verdict, BW_VERDICT_REJECT);
+	assert_int_equal(rejection.reason, BW_REJECT_STOPPING);
+	assert_in_range(rejection.retry_after_ms, 1, 200);
+	cancel_jobs_(&dispatch, sent, count);
+	fixture_job(&dispatch, &late, "key", 1, 530);
+	assert_int_equal(bw_dispatch_offer(&dispatch, &late, fixture_time(530),
+					   &rejection),
+			 BW_VERDICT_REJECT);
+	assert_int_equal(rejection.reason, BW_REJECT_STOPPING);
+	bw_dispatch_finish(&dispatch);
+}
+
 /*
  * Guards against a request that waits until its deadline although the load of
  * other hosts, reported after it was queued, leaves no time to run it.
@@ -268,6 +310,7 @@
 		cmocka_unit_test(test_ranks),
 		cmocka_unit_test(test_home_is_removed),
 		cmocka_unit_test(test_unmeetable_deadline),
+		cmocka_unit_test(test_stopping_host),
 		cmocka_unit_test(test_unreported_server),
 		cmocka_unit_test(test_failures_eject),
 	};
