Keep departures of backend servers on disk

What callers saw: a server had left, and its leave was acknowledged.

Cause: leaves were kept in memory only. After the restart no control host knew of the leave, so that the late heartbeat was that of a new server; a host that knew better dropped it without telling anyone. A control host with an empty disk never got records of servers that had left.

Fix: control hosts write records of servers that drain or have left to departures.log, acknowledge them after the sync, and load them before they listen. A control host that starts gets them from all voters, and one that sends an older record gets the newer one back.

Ruled out: the order of records (test_registry), and the entry host, which asks for all records after its start.

Weighed and not taken: leaves as commands of the replicated log. They would need a leader, and have to be acknowledged without one.

--- a/include/bwsteer/registry.h
+++ b/include/bwsteer/registry.h
@@ -80,6 +80,13 @@
 				heartbeat */
 };
 
+/**
+ * Returns whether a record of the same server replaces a known one: of two
+ * different records, at most one replaces the other.
+ */
+bool bw_server_record_is_newer(const struct bw_server_record *known,
+			       const struct bw_server_record *record);
+
 /** Outcome of a merge. */
 enum bw_registry_outcome {
 	BW_REGISTRY_STALE, /**< older than the known record */
--- a/src/boragewingd/gate_control.c
+++ b/src/boragewingd/gate_control.c
@@ -112,6 +112,9 @@
 	status = init_distribute_(control);
 	if (status == BW_OK)
 		status = open_replica_(control);
+	if (status == BW_OK)
+		status = gate_departures_init(&control->departures, node,
+					      &control->storage);
 	if (status == BW_OK)
 		status = open_listener_(control, &control->api,
 					settings->control_address);
@@ -129,6 +132,7 @@
 	gate_control_submissions_finish(control);
 	bw_listener_finish(&control->api);
 	bw_listener_finish(&control->directory);
+	gate_departures_finish(&control->departures);
 	if (control->replica) {
 		bw_replica_free(control->replica);
 		bw_storage_finish(&control->storage);
@@ -195,6 +199,8 @@
 		transport_flush(&control->node->transport, &control->out);
 		bw_replica_sync(control->replica, now, &control->out);
 	}
+	if (gate_departures_sync(&control->departures, now))
+		gate_control_finish_copied_calls(control);
 	while (bw_replica_next_event(control->replica, &event))
 		handle_event_(control, &event);
 	transport_flush(&control->node->transport, &control->out);
--- a/src/boragewingd/gate_control.h
+++ b/src/boragewingd/gate_control.h
@@ -15,6 +15,7 @@
 #include "bwsteer/routing.h"
 #include "bwmember/distribute.h"
 #include "gate_api.h"
+#include "gate_departures.h"
 #include "gate_node.h"
 #include "gate_refusal.h"
 
@@ -35,6 +36,7 @@
 	struct bw_storage storage;
 	struct bw_chart chart;
 	struct bw_replica *replica;
+	struct gate_departures departures;
 	struct bw_distribute distribute; /**< sends configurations */
 	struct bw_outbox out;
 	struct bw_listener api;
--- a/src/boragewingd/gate_control_calls.c
+++ b/src/boragewingd/gate_control_calls.c
@@ -7,9 +7,6 @@
 /** Time for which a call waits for a commit. */
 #define COMMIT_TIMEOUT_MS 3000
 
-/** Time for which a call waits for copies; callers time out after 1 s. */
-#define COPIES_TIMEOUT_MS 800
-
 /** TTL of a directory answer. Short, so that clients soon leave a lost host. */
 #define ANSWER_TTL_MS 2000
 
@@ -27,13 +24,6 @@
 			     const struct gate_call *call,
 			     const struct bw_http_message *request,
 			     struct bw_time now);
-static void handle_leave_(struct gate_control *control,
-			  struct bw_server_connection *connection,
-			  const struct gate_call *call, struct bw_time now);
-static void wait_for_copies_(struct gate_control *control,
-			     struct bw_server_connection *connection,
-			     const struct bw_server *server,
-			     struct bw_time now);
 static uint32_t pick_entry_hosts_(struct gate_control *control,
 				  const struct gate_call *call, int scope,
 				  char (*addresses)[BW_NAME_MAX]);
@@ -63,7 +53,7 @@
 		handle_announce_(control, connection, &call, request, now);
 		break;
 	case GATE_CALL_LEAVE:
-		handle_leave_(control, connection, &call, now);
+		gate_control_leave(control, connection, &call, now);
 		break;
 	case GATE_CALL_SUBMIT:
 		gate_control_submit(control, connection, request, now);
@@ -128,39 +118,6 @@
 	bw_buffer_finish(&body);
 }
 
-void gate_control_record_acknowledged(struct gate_control *control,
-				      const char *host,
-				      const struct gate_heartbeat *heartbeat)
-{
-	const struct gate_peer *peer = gate_node_control(control->node, host);
-	uint64_t holder = bw_registry_hash(host);
-	uint32_t own = control->votes || !control->voter_count;
-	guint i = 0;
-
-	if (!peer || !gate_control_counts(control, peer))
-		return;
-	while (i < control->waiting->len) {
-		struct gate_wait *wait = control->waiting->pdata[i];
-		uint32_t k = 0;
-
-		i++;
-		if (wait->kind != GATE_WAIT_COPIES ||
-		    wait->heartbeat.id_hash != heartbeat->id_hash ||
-		    wait->heartbeat.sequence > heartbeat->sequence)
-			continue;
-		while (k < wait->holder_count && wait->holders[k] != holder)
-			k++;
-		if (k == wait->holder_count && k < GATE_CONTROLS_MAX)
-			wait->holders[wait->holder_count++] = holder;
-		/* This host has a copy, too. */
-		if (wait->holder_count + own < gate_control_quorum(control))
-			continue;
-		if (wait->connection)
-			gate_respond(wait->connection, 200, NULL, NULL);
-		g_ptr_array_remove_index_fast(control->waiting, --i);
-	}
-}
-
 void gate_control_look_up(struct gate_control *control,
 			  struct bw_server_connection *connection,
 			  const struct gate_call *call, struct bw_time now)
@@ -251,61 +208,17 @@
 	outcome = gate_node_merge(node, &record, "announcement", now, &server);
 	if (outcome != BW_REGISTRY_STALE)
 		server->announced_here = true;
+	if (outcome == BW_REGISTRY_CHANGED)
+		gate_departures_note(&control->departures, server);
 	if (outcome == BW_REGISTRY_CHANGED ||
 	    record.state == BW_SERVER_DRAINING)
 		gate_control_broadcast_record(control, server);
 	if (record.state == BW_SERVER_DRAINING)
-		wait_for_copies_(control, connection, server, now);
+		gate_control_wait_for_copies(control, connection, server, now);
 	else
 		gate_respond(connection, 200, NULL, NULL);
 }
 
-static void handle_leave_(struct gate_control *control,
-			  struct bw_server_connection *connection,
-			  const struct gate_call *call, struct bw_time now)
-{
-	struct bw_server *server =
-		bw_registry_find(&control->node->registry, call->server);
-	struct bw_server_record record = { .slots = 0 };
-
-	/* Other hosts may know a server that is unknown here. */
-	if (server) {
-		record = server->record;
-		record.sequence = server->heard_sequence;
-	}
-	g_strlcpy(record.id, call->server, sizeof(record.id));
-	record.state = BW_SERVER_LEFT;
-	record.sequence++;
-	gate_node_merge(control->node, &record, "goodbye", now, &server);
-	gate_control_broadcast_record(control, server);
-	wait_for_copies_(control, connection, server, now);
-}
-
-/*
- * Delays the answer until a majority of the voters has the record, so that an
- * isolated host sends none. After the answer no entry host may send new
- * requests to the server.
- */
-static void wait_for_copies_(struct gate_control *control,
-			     struct bw_server_connection *connection,
-			     const struct bw_server *server, struct bw_time now)
-{
-	struct gate_wait *wait;
-
-	if (!gate_control_in_majority(control, now)) {
-		gate_respond_error(connection, 503,
-				   "cut off from most control hosts");
-		return;
-	}
-	wait = g_new0(struct gate_wait, 1);
-	wait->kind = GATE_WAIT_COPIES;
-	wait->connection = connection;
-	wait->deadline = bw_time_add(now, COPIES_TIMEOUT_MS);
-	gate_heartbeat_set(&wait->heartbeat, server);
-	wait->heartbeat.sequence = server->record.sequence;
-	g_ptr_array_add(control->waiting, wait);
-}
-
 bool gate_control_redirect_to_leader(struct gate_control *control,
 				     struct bw_server_connection *connection,
 				     struct bw_time now)
--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -8,16 +8,12 @@
  */
 #define DETAILS_INTERVAL_MS 900
 
-static void handle_servers_(struct gate_control *control,
-			    const struct bw_packet *packet,
-			    const struct gate_servers *servers,
-			    struct bw_time now);
-static void acknowledge_records_(struct gate_control *control, const char *peer,
-				 const struct gate_servers *servers);
 static void handle_control_hello_(struct gate_control *control,
 				  const struct bw_packet *packet,
 				  const struct gate_hello *hello,
 				  struct bw_time now);
+static void greet_process_(struct gate_control *control, struct gate_peer *peer,
+			   uint64_t incarnation);
 static void update_entry_(struct gate_control *control,
 			  struct gate_entry_host *entry,
 			  const struct gate_hello *hello, struct bw_time now);
@@ -63,7 +59,8 @@
 		if (bw_reader_status(&reader) != BW_OK)
 			break;
 		if (type == GATE_SERVERS)
-			handle_servers_(control, packet, &servers, now);
+			gate_control_receive_servers(control, packet->peer,
+						     &servers, now);
 		else if (type == GATE_RECORDS_REQUEST)
 			gate_control_send_requested(control, packet->peer,
 						    &servers);
@@ -155,9 +152,11 @@
 	gate_node_add_control(node, packet->peer, true, now);
 	gate_node_set_control_domain(node, packet->peer, hello->domain);
 	peer = gate_node_control(node, packet->peer);
-	if (peer)
+	if (peer) {
 		peer->used_domains =
 			gate_control_used_domains(control, &hello->used);
+		greet_process_(control, peer, packet->incarnation);
+	}
 	if (!hello->sent_ms || (!control->votes && !knows_more))
 		return;
 	fill_status_(control, &status, hello->routing_version, now);
@@ -168,6 +167,20 @@
 	gate_node_send(node, packet->peer);
 }
 
+/*
+ * A control host that has just started may lack records of servers that have
+ * left: its disk may be empty. Most voters have each of them.
+ */
+static void greet_process_(struct gate_control *control, struct gate_peer *peer,
+			   uint64_t incarnation)
+{
+	if (peer->incarnation == incarnation)
+		return;
+	peer->incarnation = incarnation;
+	if (control->votes || !control->voter_count)
+		gate_departures_send(&control->departures, peer->name);
+}
+
 static void update_entry_(struct gate_control *control,
 			  struct gate_entry_host *entry,
 			  const struct gate_hello *hello, struct bw_time now)
@@ -275,65 +288,6 @@
 		gate_control_send_status(control, value);
 }
 
-/*
- * Forwards changed records from another control host to the entry hosts, which
- * may not be able to reach that host.
- */
-static void handle_servers_(struct gate_control *control,
-			    const struct bw_packet *packet,
-			    const struct gate_servers *servers,
-			    struct bw_time now)
-{
-	struct gate_node *node = control->node;
-	uint64_t generation = node->registry.generation;
-	uint32_t i;
-
-	gate_node_add_control(node, packet->peer, true, now);
-	gate_node_receive_servers(node, packet->peer, servers, now);
-	acknowledge_records_(control, packet->peer, servers);
-	if (generation == node->registry.generation)
-		return;
-	for (i = 0; i < servers->record_count; i++) {
-		struct bw_server *known = bw_registry_find(
-			&node->registry, servers->records[i].id);
-
-		if (!known || known->changed_at.ms != now.ms)
-			continue;
-		gate_control_send_to_followers(control, known);
-	}
-}
-
-/*
- * Acknowledges only records of servers that accept no new requests, because no
- * call waits for copies of other records.
- */
-static void acknowledge_records_(struct gate_control *control, const char *peer,
-				 const struct gate_servers *servers)
-{
-	static struct gate_servers ack;
-	uint32_t i;
-
-	ack.record_count = 0;
-	ack.heartbeat_count = 0;
-	for (i = 0; i < servers->record_count; i++) {
-		const struct bw_server_record *record = &servers->records[i];
-		struct gate_heartbeat *heartbeat;
-
-		if (record->state == BW_SERVER_READY)
-			continue;
-		heartbeat = &ack.heartbeats[ack.heartbeat_count++];
-		heartbeat->id_hash = bw_registry_hash(record->id);
-		heartbeat->started_wall_ms = record->started_wall_ms;
-		heartbeat->sequence = record->sequence;
-		heartbeat->state = record->state;
-	}
-	if (!ack.heartbeat_count)
-		return;
-	gate_servers_write(gate_node_frame(control->node), GATE_SERVERS_ACK,
-			   &ack);
-	gate_node_send(control->node, peer);
-}
-
 void gate_control_expire_entries(struct gate_control *control,
 				 struct bw_time now)
 {
--- a/src/boragewingd/gate_control_private.h
+++ b/src/boragewingd/gate_control_private.h
@@ -206,6 +206,28 @@
  */
 uint32_t gate_control_quorum(const struct gate_control *control);
 
+/** Handles a call of a backend server that leaves. */
+void gate_control_leave(struct gate_control *control,
+			struct bw_server_connection *connection,
+			const struct gate_call *call, struct bw_time now);
+
+/**
+ * Answers a call once a majority of the voters has a record on disk.
+ * @return the call that waits; NULL when it is answered with an error
+ */
+struct gate_wait *gate_control_wait_for_copies(
+	struct gate_control *control, struct bw_server_connection *connection,
+	const struct bw_server *server, struct bw_time now);
+
+/** Handles GATE_SERVERS. */
+void gate_control_receive_servers(struct gate_control *control,
+				  const char *peer,
+				  const struct gate_servers *servers,
+				  struct bw_time now);
+
+/** Answers the calls whose records a majority of the voters has. */
+void gate_control_finish_copied_calls(struct gate_control *control);
+
 /** Counts a copy of a record at a host and answers the calls it completes. */
 void gate_control_record_acknowledged(struct gate_control *control,
 				      const char *host,
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -40,6 +40,7 @@
 	struct bw_time last_heard; /**< last packet from it; 0 ms: none */
 	struct bw_time last_listed; /**< last listed or heard from */
 	bool lost; /**< unreachable, and logged as lost */
+	uint64_t incarnation; /**< of its process; known to control hosts */
 	bool voter; /**< votes in the control group; known to control hosts */
 	struct bw_announcement announcement; /**< from its last status */
 	bool sends_pieces; /**< of configurations */
--- a/src/libbwsteer/registry.c
+++ b/src/libbwsteer/registry.c
@@ -3,8 +3,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-static bool is_newer_(const struct bw_server_record *known,
-		      const struct bw_server_record *record);
 static bool differs_(const struct bw_server *server,
 		     const struct bw_server_record *record, struct bw_time now);
 static void update_heard_sequence_(struct bw_server *server,
@@ -50,7 +48,7 @@
 		known->id_hash = bw_registry_hash(record->id);
 		g_hash_table_insert(registry->servers, known->record.id, known);
 		g_hash_table_insert(registry->by_hash, &known->id_hash, known);
-	} else if (!is_newer_(&known->record, record)) {
+	} else if (!bw_server_record_is_newer(&known->record, record)) {
 		if (server)
 			*server = known;
 		return BW_REGISTRY_STALE;
@@ -132,6 +130,23 @@
 	return XXH64(id, strlen(id), 0);
 }
 
+/*
+ * The start time is unknown (0) in some leave announcements, which then apply
+ * to any start.
+ */
+bool bw_server_record_is_newer(const struct bw_server_record *known,
+			       const struct bw_server_record *record)
+{
+	if (record->started_wall_ms != known->started_wall_ms &&
+	    record->started_wall_ms && known->started_wall_ms)
+		return record->started_wall_ms > known->started_wall_ms;
+	if (record->state == BW_SERVER_LEFT)
+		return known->state != BW_SERVER_LEFT;
+	if (known->state == BW_SERVER_LEFT)
+		return false;
+	return record->sequence > known->sequence;
+}
+
 void bw_server_record_write(struct bw_writer *writer,
 			    const struct bw_server_record *record)
 {
@@ -179,23 +194,6 @@
 	server->generation = ++registry->generation;
 }
 
-/*
- * The start time is unknown (0) in some leave announcements, which then apply
- * to any start.
- */
-static bool is_newer_(const struct bw_server_record *known,
-		      const struct bw_server_record *record)
-{
-	if (record->started_wall_ms != known->started_wall_ms &&
-	    record->started_wall_ms && known->started_wall_ms)
-		return record->started_wall_ms > known->started_wall_ms;
-	if (record->state == BW_SERVER_LEFT)
-		return known->state != BW_SERVER_LEFT;
-	if (known->state == BW_SERVER_LEFT)
-		return false;
-	return record->sequence > known->sequence;
-}
-
 static bool differs_(const struct bw_server *server,
 		     const struct bw_server_record *record, struct bw_time now)
 {
--- a/src/test_libbwsteer/test_registry.c
+++ b/src/test_libbwsteer/test_registry.c
@@ -91,6 +91,31 @@
 	bw_registry_finish(&registry);
 }
 
+/* Guards against two hosts that return each other's record without end. */
+static void test_one_record_is_newer(void **state)
+{
+	static const int64_t starts[] = { 0, 1000, 2000 };
+	struct bw_server_record records[3 * 3 * BW_SERVER_STATE_COUNT];
+	uint32_t count = 0;
+	uint32_t i;
+	uint32_t k;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		for (k = 0; k < 3 * BW_SERVER_STATE_COUNT; k++) {
+			records[count] = record_(k % 3, starts[i]);
+			records[count++].state = (enum bw_server_state)(k / 3);
+		}
+	}
+	for (i = 0; i < count; i++) {
+		for (k = 0; k < count; k++)
+			assert_false(bw_server_record_is_newer(&records[i],
+							       &records[k]) &&
+				     bw_server_record_is_newer(&records[k],
+							       &records[i]));
+	}
+}
+
 /* Guards against an outdated heartbeat that keeps a server, and against a
  * server that is kept without heartbeats. */
 static void test_heartbeats(void **state)
@@ -185,6 +210,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_order),
 		cmocka_unit_test(test_leave),
+		cmocka_unit_test(test_one_record_is_newer),
 		cmocka_unit_test(test_heartbeats),
 		cmocka_unit_test(test_heartbeat_overtakes),
 		cmocka_unit_test(test_codec),
--- /dev/null
+++ b/test/gateway_left.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# A backend server leaves, and processes are killed or lose their disk. Guards
+# against a server that has left and gets requests again after a restart of all
+# control hosts and a late heartbeat.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+. test/gateway_lib.sh
+ADDRESS="127.0.3.1:$((port + 6))"
+
+leave() { # CONTROL
+	status_code --max-time 1 -X POST "http://$(control_address "$1")/-/instances/i-one/leave"
+}
+restart_controls() {
+	local i
+	for i in 1 2 3; do kill -9 "${pids[control-$i]}"; done
+	wait "${pids[control-1]}" "${pids[control-2]}" "${pids[control-3]}" 2>/dev/null
+	[ -n "${1:-}" ] && rm -rf "$work/data-$1"
+	sleep 0.5
+	for i in 1 2 3; do start_control $i false; done
+}
+restart_entry() {
+	kill -9 "${pids[entry-1]}"
+	wait "${pids[entry-1]}" 2>/dev/null
+	start_entry 1
+}
+# reached PREFIX COUNT: sends requests; prints how many reached server one.
+reached() {
+	local n
+	for n in $(seq "$2"); do
+		request 1 GET /read/x "$1-$n" -H "Affinity-Key: $1-$n" > "$work/status"
+		sleep 0.05
+	done
+	grep -c "^$1-[0-9]* i-one " "$work/ledger"
+}
+serves() { request 1 GET /read/x "serves-$RANDOM$RANDOM"; }
+uses_one() {
+	local id="use-$RANDOM$RANDOM"
+	request 1 GET /read/x "$id" -H "Affinity-Key: $id" > /dev/null
+	grep -c "^$id i-one " "$work/ledger"
+}
+
+start_gateway 1
+start_server two
+touch "$work/two"
+check "server one is used" wait_output 1 20 uses_one
+
+rm -f "$work/one"
+sleep 1
+late=$(($(cat "$work/sequence") + 1))
+check "its leave is acknowledged" test "$(leave 1)" = 200
+restart_controls
+restart_entry
+sleep 1.5
+send_heartbeat i-one a "$ADDRESS" ready $late 2 > /dev/null
+check "the entry host serves after the restart" wait_output 200 20 serves
+check "a late heartbeat does not bring the server back" test "$(reached all 40)" = 0
+
+restart_controls 2
+restart_entry
+check "the entry host serves after the loss of a disk" wait_output 200 20 serves
+send_heartbeat i-one a "$ADDRESS" ready $late 2 > /dev/null
+sleep 1
+check "nor does it at a control host that lost its disk" test "$(reached disk 40)" = 0
+
+# The server starts again under its id.
+for i in 1 2 3; do
+	send_heartbeat i-one a "$ADDRESS" ready 1 $i 1700000100000 > /dev/null
+done
+check "its next start is used" wait_output 1 10 uses_one
+
+rm -f "$work/announcing"
