Acknowledge a leave only for the start that the voters know

The control host that acknowledged it had been stopped while the server crashed and started again under its id.

Cause: that host sent the leave of the earlier start. The other hosts dropped it as outdated, but acknowledged each record of a server that accepts no requests.

Fix: a host acknowledges a record only if it takes the server for draining or left itself, and an acknowledgement counts for one start only. A leave without a start keeps the known one, so that the next start is accepted.

Ruled out: the path to the entry hosts, which got the record and dropped it.

--- a/include/bwagree/record_file.h
+++ b/include/bwagree/record_file.h
@@ -31,9 +31,9 @@
 				uint32_t size_bytes);
 
 /**
- * Opens a file and visits its records; a missing file is empty. If dropped_bytes
- * is set, the next sync replaces the file: the caller appends all records that
- * it keeps before.
+ * Opens a file and visits its records; a missing file is empty. If
+ * dropped_bytes is set, the next sync replaces the file: the caller appends all
+ * records that it keeps before.
  * @param storage must outlive the file
  * @return BW_OK, BW_EIO or BW_ENOMEM
  */
--- a/src/boragewingd/gate_control_copies.c
+++ b/src/boragewingd/gate_control_copies.c
@@ -14,6 +14,9 @@
 static void forward_changes_(struct gate_control *control,
 			     const struct gate_servers *servers,
 			     struct bw_time now);
+static void repeat_leaves_(struct gate_control *control, struct bw_time now);
+static void repeat_leave_(struct gate_control *control, struct gate_wait *wait,
+			  const char *id, struct bw_time now);
 static void add_holder_(struct gate_wait *wait, uint64_t holder);
 
 void gate_control_leave(struct gate_control *control,
@@ -21,9 +24,12 @@
 			const struct gate_call *call, struct bw_time now)
 {
 	struct bw_server *server;
+	struct gate_wait *wait;
 
 	merge_leave_(control, call->server, now, &server);
-	gate_control_wait_for_copies(control, connection, server, now);
+	wait = gate_control_wait_for_copies(control, connection, server, now);
+	if (wait)
+		wait->leave = true;
 }
 
 /*
@@ -63,8 +69,10 @@
 
 	gate_node_add_control(node, peer, true, now);
 	gate_node_receive_servers(node, peer, servers, now);
-	if (generation != node->registry.generation)
+	if (generation != node->registry.generation) {
 		forward_changes_(control, servers, now);
+		repeat_leaves_(control, now);
+	}
 	answer_records_(control, peer, servers);
 }
 
@@ -82,6 +90,8 @@
 
 		if (wait->kind == GATE_WAIT_COPIES &&
 		    wait->heartbeat.id_hash == heartbeat->id_hash &&
+		    wait->heartbeat.started_wall_ms ==
+			    heartbeat->started_wall_ms &&
 		    wait->heartbeat.sequence <= heartbeat->sequence)
 			add_holder_(wait, bw_registry_hash(host));
 	}
@@ -140,9 +150,8 @@
 	uint32_t i;
 
 	for (i = 0; i < servers->record_count; i++) {
-		struct bw_server *known =
-			bw_registry_find(&control->node->registry,
-					 servers->records[i].id);
+		struct bw_server *known = bw_registry_find(
+			&control->node->registry, servers->records[i].id);
 
 		if (!known || known->changed_at.ms != now.ms)
 			continue;
@@ -165,7 +174,8 @@
 
 /*
  * Acknowledges records of servers that accept no new requests, because calls
- * wait for copies of those. Returns what this host knows better: the sender may have
+ * wait for copies of those; but not if this host knows that the server has
+ * started again. Returns what this host knows better: the sender may have
  * missed it, for example while it was stopped.
  */
 static void answer_records_(struct gate_control *control, const char *peer,
@@ -179,13 +189,14 @@
 	newer.record_count = newer.heartbeat_count = 0;
 	for (i = 0; i < servers->record_count; i++) {
 		const struct bw_server_record *record = &servers->records[i];
-		const struct bw_server *known = bw_registry_find(
-			&control->node->registry, record->id);
+		const struct bw_server *known =
+			bw_registry_find(&control->node->registry, record->id);
 		struct gate_heartbeat *heartbeat;
 
 		if (known && is_ahead_(known, record))
 			newer.records[newer.record_count++] = known->record;
-		if (record->state == BW_SERVER_READY || !known)
+		if (record->state == BW_SERVER_READY || !known ||
+		    known->record.state == BW_SERVER_READY)
 			continue;
 		heartbeat = &ack.heartbeats[ack.heartbeat_count++];
 		heartbeat->id_hash = known->id_hash;
@@ -202,6 +213,42 @@
 	gate_node_send(control->node, peer);
 }
 
+/*
+ * The server that leaves may have started again since this host heard of it.
+ * Other hosts then know the later start, do not take over the leave of the
+ * earlier one, and have just said so.
+ */
+static void repeat_leaves_(struct gate_control *control, struct bw_time now)
+{
+	guint i;
+
+	for (i = 0; i < control->waiting->len; i++) {
+		struct gate_wait *wait = control->waiting->pdata[i];
+		const struct bw_server *server;
+
+		if (wait->kind != GATE_WAIT_COPIES || !wait->leave)
+			continue;
+		server = g_hash_table_lookup(control->node->registry.by_hash,
+					     &wait->heartbeat.id_hash);
+		if (server && server->record.state != BW_SERVER_LEFT)
+			repeat_leave_(control, wait, server->record.id, now);
+	}
+}
+
+/* Only for a caller that still waits: a call of the earlier start has ended. */
+static void repeat_leave_(struct gate_control *control, struct gate_wait *wait,
+			  const char *id, struct bw_time now)
+{
+	struct bw_server *server;
+
+	if (!wait->connection || bw_connection_is_closed(wait->connection))
+		return;
+	merge_leave_(control, id, now, &server);
+	gate_heartbeat_set(&wait->heartbeat, server);
+	wait->heartbeat.sequence = server->record.sequence;
+	wait->holder_count = 0;
+}
+
 static void add_holder_(struct gate_wait *wait, uint64_t holder)
 {
 	uint32_t i = 0;
--- a/src/boragewingd/gate_control_private.h
+++ b/src/boragewingd/gate_control_private.h
@@ -49,6 +49,7 @@
 	uint64_t holders[GATE_CONTROLS_MAX]; /**< COPIES: hashes of the names of
 						other voters that stored it */
 	uint32_t holder_count;
+	bool leave; /**< COPIES: the server has left, whatever its start */
 };
 
 /** Handles a call of an operator, a backend server or a client. */
--- a/src/boragewingd/gate_departures.c
+++ b/src/boragewingd/gate_departures.c
@@ -122,9 +122,8 @@
 	g_hash_table_iter_init(&iter, node->registry.servers);
 	do {
 		more = g_hash_table_iter_next(&iter, NULL, &value);
-		if (more &&
-		    ((const struct bw_server *)value)->record.state !=
-			    BW_SERVER_READY)
+		if (more && ((const struct bw_server *)value)->record.state !=
+				    BW_SERVER_READY)
 			batch.records[batch.record_count++] =
 				((const struct bw_server *)value)->record;
 		if (batch.record_count == GATE_BATCH_MAX ||
@@ -186,7 +185,8 @@
 		gate_departures_note(departures, value);
 }
 
-/* Returns whether most records of the file are of servers that are forgotten. */
+/* Returns whether most records of the file are of servers that are forgotten.
+ */
 static bool is_large_(const struct gate_departures *departures)
 {
 	uint64_t size_bytes = departures->file.size_bytes;
--- a/src/libbwsteer/registry.c
+++ b/src/libbwsteer/registry.c
@@ -41,6 +41,7 @@
 	struct bw_server *known =
 		g_hash_table_lookup(registry->servers, record->id);
 	enum bw_registry_outcome outcome = BW_REGISTRY_CHANGED;
+	int64_t started_wall_ms;
 
 	if (!known) {
 		known = g_new0(struct bw_server, 1);
@@ -56,7 +57,10 @@
 		outcome = BW_REGISTRY_HEARTBEAT;
 	}
 	update_heard_sequence_(known, record);
+	started_wall_ms = known->record.started_wall_ms;
 	known->record = *record;
+	if (!record->started_wall_ms)
+		known->record.started_wall_ms = started_wall_ms;
 	known->last_heard_at = now;
 	known->cold_until = bw_time_add(now, record->cold_ms);
 	if (outcome == BW_REGISTRY_CHANGED) {
--- a/src/test_libbwagree/test_record_file.c
+++ b/src/test_libbwagree/test_record_file.c
@@ -103,8 +103,8 @@
 		append_(fixture, "one");
 		assert_int_equal(bw_record_file_sync(&fixture->file), BW_OK);
 		/* A crash between the write and the sync. */
-		bw_storage_append(&fixture->storage, NAME,
-				  "\3\0\0\0abcdtwo", 11);
+		bw_storage_append(&fixture->storage, NAME, "\3\0\0\0abcdtwo",
+				  11);
 		assert_string_equal(crash_(fixture, &random), "one ");
 		if (fixture->file.dropped_bytes)
 			append_(fixture, "one");
--- a/src/test_libbwsteer/test_registry.c
+++ b/src/test_libbwsteer/test_registry.c
@@ -88,6 +88,10 @@
 	record = record_(0, 0);
 	record.state = BW_SERVER_LEFT;
 	assert_int_equal(merge_(&registry, &record, 4), BW_REGISTRY_CHANGED);
+	record = record_(9, 3000);
+	assert_int_equal(merge_(&registry, &record, 5), BW_REGISTRY_STALE);
+	record = record_(1, 4000);
+	assert_int_equal(merge_(&registry, &record, 6), BW_REGISTRY_CHANGED);
 	bw_registry_finish(&registry);
 }
 
--- a/test/gateway_left.sh
+++ b/test/gateway_left.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# A backend server leaves, and processes are killed or lose their disk. Guards
-# against a server that has left and gets requests again after a restart of all
-# control hosts and a late heartbeat.
+# Backend servers leave while processes are killed, lose their disk, or are
+# stopped. Guards against a server that has left and gets requests again: after
+# a restart of all control hosts and a late heartbeat, or because a control host
+# that knows only its earlier start acknowledged the leave.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 . test/gateway_lib.sh
@@ -68,4 +69,26 @@
 done
 check "its next start is used" wait_output 1 10 uses_one
 
+# A control host is stopped and misses one more start. The leave reaches it
+# before the next heartbeat does.
+announce_next_start() {
+	local n=1
+	while [ -e "$work/next" ]; do
+		send_heartbeat i-one a "$ADDRESS" ready $n 1 1700000200000 > /dev/null
+		n=$((n + 1))
+		sleep 0.4
+	done
+}
+kill -STOP "${pids[control-3]}"
+sleep 3
+touch "$work/next"
+announce_next_start &
+pids[next]=$!
+sleep 2
+check "the start that one control host missed is used" wait_output 1 5 uses_one
+kill -CONT "${pids[control-3]}"
+rm -f "$work/next"
+check "its leave is acknowledged by that host" wait_output 200 3 leave 3
+sleep 0.3
+check "and holds on all hosts" test "$(reached stopped 12)" = 0
 rm -f "$work/announcing"
