Update the servers only after the log line that names one

No client sees it.

Cause: gate_request_check updated the servers when the chosen one had left or started again. That freed the chosen server, which the log line then named.

Fix: the check decides only; the servers are updated when the request refers to none any more.

Ruled out: the check on a new connection, whose server is referred to.

--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "bwproxy/target.h"
+#include "gate_entry_private.h"
 #include "gate_entry_respond.h"
 #include "gate_forward.h"
 #include "gate_log.h"
@@ -296,6 +297,10 @@
 		[GATE_CHECK_BEHIND] = BW_REJECT_BEHIND,
 	};
 
+	/* This frees servers that are gone: the request refers to none now. */
+	if (check == GATE_CHECK_SERVER)
+		gate_entry_update_targets(request->entry,
+					  gate_node_now(request->entry->node));
 	if (check == GATE_CHECK_SERVER || check == GATE_CHECK_ROUTE)
 		dispatch_request_(request);
 	else
--- a/src/boragewingd/gate_request_check.c
+++ b/src/boragewingd/gate_request_check.c
@@ -73,10 +73,9 @@
 		return check;
 	if (is_retired_(request, now))
 		return GATE_CHECK_BEHIND;
-	if (accepts_server_(entry, request->job.target, now))
-		return GATE_CHECK_CURRENT;
-	gate_entry_update_targets(entry, now);
-	return GATE_CHECK_SERVER;
+	return accepts_server_(entry, request->job.target, now)
+		       ? GATE_CHECK_CURRENT
+		       : GATE_CHECK_SERVER;
 }
 
 void gate_request_log_check(const struct gate_request *request,
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -3,7 +3,7 @@
 # Skips the package manager when everything is installed already.
 set -eu
 packages="cmake ninja-build make gcc pkg-config clang-format clang-tidy
-cppcheck git curl jq openssl libev-dev libzmq3-dev libmicrohttpd-dev
+cppcheck valgrind git curl jq openssl libev-dev libzmq3-dev libmicrohttpd-dev
 libcurl4-openssl-dev libglib2.0-dev libcyaml-dev libyaml-dev libmsgpack-dev
 libcmocka-dev libsodium-dev libjansson-dev libxxhash-dev zlib1g-dev
 libgnutls28-dev libhttp-parser-dev"
