Reject requests with white space in a field name

Cause: the parser lets spaces stand in field names. The fields that concern one connection are found by their exact names.

Fix: such a request is malformed; in a response the space before the colon is removed, as RFC 9112, section 5.1 asks.

Evidence: test_space_before_colon of test_http1 fails with the old code. test_valid_requests passes. Not run: the front end of the product's own interface, which another library parses.

--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -14,6 +14,8 @@
 static int on_body_(http_parser *parser, const char *data, size_t size_bytes);
 static int on_complete_(http_parser *parser);
 static void trim_last_value_(struct bw_http_message *message);
+static bool check_names_(struct bw_http_message *message,
+			 enum http_parser_type type);
 static void find_connection_fields_(struct bw_http_message *message);
 static bool is_space_(char c);
 static enum bw_status add_field_(struct bw_http_message *message);
@@ -246,6 +248,8 @@
 	struct bw_http_message *message = &reader->message;
 
 	trim_last_value_(message);
+	if (!check_names_(message, (enum http_parser_type)parser->type))
+		return set_failure_(reader, BW_HTTP_MALFORMED);
 	find_connection_fields_(message);
 	if (parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT)
 		return set_failure_(reader, BW_HTTP_UNKNOWN_METHOD);
@@ -300,6 +304,31 @@
 	}
 }
 
+/*
+ * White space before the colon: two readers could take the field for different
+ * ones, and so see different ends of the message. Invalid in a request, and
+ * removed from a response (RFC 9112, section 5.1).
+ */
+static bool check_names_(struct bw_http_message *message,
+			 enum http_parser_type type)
+{
+	const char *text = (const char *)message->text.data;
+	uint32_t i;
+
+	for (i = 0; i < message->field_count; i++) {
+		struct bw_http_span *name = &message->fields[i].name;
+		const char *start = text + name->offset_bytes;
+
+		while (type == HTTP_RESPONSE && name->size_bytes &&
+		       is_space_(start[name->size_bytes - 1]))
+			name->size_bytes--;
+		if (!name->size_bytes || memchr(start, ' ', name->size_bytes) ||
+		    memchr(start, '\t', name->size_bytes))
+			return false;
+	}
+	return true;
+}
+
 /* Keeps the check of many fields against the Connection fields short. */
 static void find_connection_fields_(struct bw_http_message *message)
 {
--- a/src/test_libbwproxy/test_http1.c
+++ b/src/test_libbwproxy/test_http1.c
@@ -117,6 +117,41 @@
 		       BW_HTTP_BODY_TOO_LARGE, "", 0);
 }
 
+/* Guards against fields that another reader takes for different ones. */
+static void test_space_before_colon(void **state)
+{
+	struct bw_http_reader reader;
+	size_t unread_bytes;
+	char value[16];
+
+	(void)state;
+	expect_result_(HTTP_REQUEST,
+		       "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n"
+		       "\r\n0\r\n\r\n",
+		       BW_HTTP_MALFORMED, "", 0);
+	expect_result_(HTTP_REQUEST,
+		       "POST / HTTP/1.1\r\nContent-Length : 2\r\n\r\nab",
+		       BW_HTTP_MALFORMED, "", 0);
+	expect_result_(HTTP_REQUEST, "GET / HTTP/1.1\r\nHo st: x\r\n\r\n",
+		       BW_HTTP_MALFORMED, "", 0);
+	expect_result_(HTTP_REQUEST, "GET / HTTP/1.1\r\n Host: x\r\n\r\n",
+		       BW_HTTP_MALFORMED, "", 0);
+	bw_http_reader_init(&reader, HTTP_RESPONSE, &limits);
+	assert_int_equal(
+		feed_split_(&reader,
+			    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n"
+			    "Load : 3\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+			    20, &unread_bytes),
+		BW_HTTP_COMPLETE);
+	assert_int_equal(reader.message.body.size_bytes, 2);
+	assert_true(
+		bw_http_find(&reader.message, "Load", value, sizeof(value)));
+	assert_string_equal(value, "3");
+	assert_true(bw_http_field_is_hop_by_hop(&reader.message,
+						&reader.message.fields[0]));
+	bw_http_reader_finish(&reader);
+}
+
 /* Guards against a method token that counts as garbage, and garbage that counts
  * as a method, whichever bytes arrived. */
 static void test_methods(void **state)
@@ -397,6 +432,7 @@
 		cmocka_unit_test(test_complete),
 		cmocka_unit_test(test_incomplete),
 		cmocka_unit_test(test_rejected),
+		cmocka_unit_test(test_space_before_colon),
 		cmocka_unit_test(test_methods),
 		cmocka_unit_test(test_end_of_stream),
 		cmocka_unit_test(test_fields),
