Take servers of a reinstated domain for cold

Cause: servers may become cold shortly before the end of an evacuation, and the news goes out from the control host that they announce to. While that host is cut off one way, entry hosts take the domain back without the news.

Fix: entry hosts take the servers of a domain for cold from the end of its evacuation for as long as a server takes to warm up.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -78,6 +78,7 @@
 		[BW_SPREAD_DOMAINS_MAX]; /**< demand_per_s with a bounded rate
 					    of decrease, used for planning */
 	struct bw_time planned_demand_at;
+	uint32_t cold_start_ms; /**< warm-up time of a server */
 	double cold_requests_per_s; /**< maximum request rate of a cold server;
 				       0 if unlimited */
 };
@@ -268,6 +269,8 @@
 	bool accepts;
 	bool cold_allowed; /**< this host may use the server before it has
 			      warmed up */
+	struct bw_time reinstated_at; /**< end of the last evacuation of its
+					 failure domain; 0 ms: none */
 };
 
 /** Initialises the module. */
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -83,6 +83,9 @@
 	char evacuated[BW_EVACUATIONS_MAX][BW_NAME_MAX];
 	uint32_t evacuated_count;
 	uint64_t evacuation_index;
+	struct bw_time reinstated_at[GATE_DOMAINS_MAX]; /**< end of the last
+							    evacuation, by index
+							    of the domain */
 	struct bw_feed feed; /**< control host that sends full detail */
 	uint64_t feed_incarnation; /**< identifies the feed's process */
 	struct bw_time feed_continuous_since; /**< end of the last gap */
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -286,11 +286,7 @@
 		    (entry->routing ? entry->routing->version : 0))
 		entry->outdated_since = now;
 	if (status->evacuation_index > entry->evacuation_index) {
-		entry->evacuation_index = status->evacuation_index;
-		entry->evacuated_count = status->evacuated_count;
-		memcpy(entry->evacuated, status->evacuated,
-		       sizeof(entry->evacuated));
-		entry->update_due = true;
+		gate_entry_set_evacuated(entry, status, now);
 		bw_log_event(entry->node->log, BW_LOG_INFO, "configuration",
 			     "evacuations_in_force", "{s:I,s:i,s:s}", "index",
 			     (json_int_t)status->evacuation_index, "domains",
--- a/src/boragewingd/gate_entry_private.h
+++ b/src/boragewingd/gate_entry_private.h
@@ -45,6 +45,11 @@
 /** Updates the backend servers known to the dispatcher. */
 void gate_entry_update_targets(struct gate_entry *entry, struct bw_time now);
 
+/** Replaces the set of evacuated failure domains. */
+void gate_entry_set_evacuated(struct gate_entry *entry,
+			      const struct gate_status *status,
+			      struct bw_time now);
+
 /**
  * Updates only those that have changed since the last update, and the earlier
  * servers at their addresses.
--- a/src/boragewingd/gate_entry_routing.c
+++ b/src/boragewingd/gate_entry_routing.c
@@ -296,6 +296,7 @@
 		struct bw_dispatch_service *service = bw_dispatch_service(
 			&entry->dispatch, routing->services[i].name);
 
+		service->cold_start_ms = routing->services[i].cold_start_ms;
 		service->cold_requests_per_s =
 			routing->services[i].cold_requests_per_s;
 	}
--- a/src/boragewingd/gate_entry_targets.c
+++ b/src/boragewingd/gate_entry_targets.c
@@ -142,6 +142,29 @@
 	return false;
 }
 
+void gate_entry_set_evacuated(struct gate_entry *entry,
+			      const struct gate_status *status,
+			      struct bw_time now)
+{
+	char before[BW_EVACUATIONS_MAX][BW_NAME_MAX];
+	uint32_t before_count = entry->evacuated_count;
+	uint32_t i;
+
+	memcpy(before, entry->evacuated, sizeof(before));
+	entry->evacuation_index = status->evacuation_index;
+	entry->evacuated_count = status->evacuated_count;
+	memcpy(entry->evacuated, status->evacuated, sizeof(entry->evacuated));
+	entry->update_due = true;
+	for (i = 0; i < before_count; i++) {
+		uint32_t domain =
+			gate_node_domain_index(entry->node, before[i]);
+
+		if (domain < GATE_DOMAINS_MAX &&
+		    !gate_entry_is_evacuated(entry, before[i]))
+			entry->reinstated_at[domain] = now;
+	}
+}
+
 void gate_entry_report_load(struct gate_entry *entry, struct bw_time now)
 {
 	GHashTableIter iter;
@@ -247,6 +270,7 @@
 	offset = (uint32_t)((server->id_hash + entry->entry_index) %
 			    MAX(entry->entry_count, 1U));
 	update.cold_allowed = offset < COLD_HOSTS_MAX;
+	update.reinstated_at = entry->reinstated_at[update.domain];
 	bw_dispatch_update(&entry->dispatch, &update, now);
 }
 
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -27,6 +27,8 @@
 #define WAIT_CHECK_INTERVAL_MS 50
 
 static void free_service_(gpointer data);
+static struct bw_time cold_until_(const struct bw_dispatch_service *service,
+				  const struct bw_target_update *update);
 static void free_target_(gpointer data);
 static void remove_target_(struct bw_dispatch *dispatch,
 			   struct bw_target *target);
@@ -154,10 +156,25 @@
 	target->slots = server->record.slots;
 	target->peer_hosts = dispatch->peer_count ? dispatch->peer_count - 1
 						  : 0;
-	target->cold_until = server->cold_until;
+	target->cold_until = cold_until_(target->service, update);
 	target->accepts = update->accepts &&
 			  (update->cold_allowed ||
-			   bw_time_reached(now, server->cold_until));
+			   bw_time_reached(now, target->cold_until));
+}
+
+/*
+ * Servers of an evacuated domain may have become cold shortly before the end of
+ * the evacuation, and the news of it may come late.
+ */
+static struct bw_time cold_until_(const struct bw_dispatch_service *service,
+				  const struct bw_target_update *update)
+{
+	struct bw_time until = update->server->cold_until;
+	struct bw_time presumed =
+		bw_time_add(update->reinstated_at, service->cold_start_ms);
+
+	return update->reinstated_at.ms && presumed.ms > until.ms ? presumed
+								  : until;
 }
 
 bool bw_dispatch_note_limit(struct bw_dispatch *dispatch,
