Keep pauses of servers up to an hour

What was seen: by reading (the review), a Retry-After above 30 s of a server counted as 30 s, and the server got requests while it wanted none.

Cause: the limit of the pauses that are kept, which guards against endless ones.

Fix: the limit is an hour.

Evidence: test_long_pause of test_server_notice fails with the old limit. One time in test_contradicting_pauses was fixed at 60 s and now follows from the constant; it asks the same.

--- a/include/bwsteer/server_notice.h
+++ b/include/bwsteer/server_notice.h
@@ -16,8 +16,8 @@
 
 #include "bwbase/clock.h"
 
-/** Longest pause that is kept. */
-#define BW_SERVER_PAUSE_MAX_MS 30000
+/** Longest pause that is kept; a longer one is taken for an error. */
+#define BW_SERVER_PAUSE_MAX_MS (60 * 60 * 1000)
 
 /** Notices of one start of a server as one host keeps them. */
 struct bw_server_notice {
--- a/src/test_libbwsteer/test_server_notice.c
+++ b/src/test_libbwsteer/test_server_notice.c
@@ -178,8 +178,21 @@
 	bw_server_notice_pause(&notice, INT64_MAX, 0.0, time_at_(20000));
 	assert_true(bw_server_notice_allows(
 		&notice, time_at_(20000 + BW_SERVER_PAUSE_MAX_MS)));
-	bw_server_notice_pause(&notice, -1, 0.0, time_at_(60000));
-	assert_true(bw_server_notice_allows(&notice, time_at_(60000)));
+	bw_server_notice_pause(&notice, -1, 0.0,
+			       time_at_(60000 + BW_SERVER_PAUSE_MAX_MS));
+	assert_true(bw_server_notice_allows(
+		&notice, time_at_(60000 + BW_SERVER_PAUSE_MAX_MS)));
+}
+
+/* Guards against a request to a server that has asked for a long pause. */
+static void test_long_pause(void **state)
+{
+	struct bw_server_notice notice = { .leaving = false };
+
+	(void)state;
+	bw_server_notice_pause(&notice, 120000, 0.0, time_at_(0));
+	assert_false(bw_server_notice_allows(&notice, time_at_(119999)));
+	assert_true(bw_server_notice_allows(&notice, time_at_(120000)));
 }
 
 int main(void)
@@ -189,6 +202,7 @@
 		cmocka_unit_test(test_pause_in_each_answer),
 		cmocka_unit_test(test_leave_is_final),
 		cmocka_unit_test(test_contradicting_pauses),
+		cmocka_unit_test(test_long_pause),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
