--- a/src/boragewingd/gate.c
+++ b/src/boragewingd/gate.c
@@ -271,7 +271,6 @@
 static void on_stop_(struct ev_loop *loop, ev_signal *watcher, int events)
 {
 	struct gate *gate = watcher->data;
-
 	double grace_ms = gate->node.settings.grace_ms;
 
 	(void)loop;
