Trust news that a server of a reinstated domain is cold

The servers of a domain that is taken back were taken for cold for the whole time that a server takes to warm up, even where the host knew until when. Now that knowledge counts.

--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -164,17 +164,17 @@
 
 /*
  * Servers of an evacuated domain may have become cold shortly before the end of
- * the evacuation, and the news of it may come late.
+ * the evacuation. Until the news of it comes, they are taken for cold.
  */
 static struct bw_time cold_until_(const struct bw_dispatch_service *service,
 				  const struct bw_target_update *update)
 {
 	struct bw_time until = update->server->cold_until;
-	struct bw_time presumed =
-		bw_time_add(update->reinstated_at, service->cold_start_ms);
 
-	return update->reinstated_at.ms && presumed.ms > until.ms ? presumed
-								  : until;
+	if (!update->reinstated_at.ms ||
+	    bw_time_reached(until, update->reinstated_at))
+		return until;
+	return bw_time_add(update->reinstated_at, service->cold_start_ms);
 }
 
 bool bw_dispatch_note_limit(struct bw_dispatch *dispatch,
