Take servers for cold only while news of them may be lost

Now that counts only while a control host known of late is missing from the lists of the others, or was in the three seconds before the end of the evacuation: only then can an announcement be known to one control host alone.

Not covered: a cut that begins less than some 2 s before the end of the evacuation is noticed late.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -270,7 +270,8 @@
 	bool cold_allowed; /**< this host may use the server before it has
 			      warmed up */
 	struct bw_time reinstated_at; /**< end of the last evacuation of its
-					 failure domain; 0 ms: none */
+					 failure domain, if news that it is cold
+					 may be lost; otherwise 0 ms */
 };
 
 /** Initialises the module. */
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -86,6 +86,8 @@
 	struct bw_time reinstated_at[GATE_DOMAINS_MAX]; /**< end of the last
 							    evacuation, by index
 							    of the domain */
+	struct bw_time control_missing_at; /**< last status that did not list a
+					      control host known of late */
 	struct bw_feed feed; /**< control host that sends full detail */
 	uint64_t feed_incarnation; /**< identifies the feed's process */
 	struct bw_time feed_continuous_since; /**< end of the last gap */
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -15,6 +15,9 @@
  */
 #define CONFIRMATION_MAX_AGE_MS 1750
 
+/** Time for which a control host that no status lists counts as missing. */
+#define MISSING_NOTED_MS 10000
+
 /** Time after which a contact that does not respond gives way to another. */
 #define CONTACT_AVOIDED_MS 5000
 
@@ -27,6 +30,8 @@
 static void handle_status_(struct gate_entry *entry, const char *sender,
 			   const struct gate_status *status,
 			   struct bw_time now);
+static void note_missing_controls_(struct gate_entry *entry, const char *sender,
+				   struct bw_time now);
 static void choose_feed_(struct gate_entry *entry, struct bw_time now);
 static void update_contact_(struct gate_entry *entry, struct gate_peer *peer,
 			    bool contact, struct bw_time now);
@@ -258,10 +263,30 @@
 			  CONFIRMATION_MAX_AGE_MS, now);
 }
 
+/* What servers announce to a control host that others do not hear is lost. */
+static void note_missing_controls_(struct gate_entry *entry, const char *sender,
+				   struct bw_time now)
+{
+	const struct gate_node *node = entry->node;
+	uint32_t i;
+
+	for (i = 0; i < node->control_count; i++) {
+		const struct gate_peer *peer = &node->controls[i];
+
+		if (peer->last_listed.ms && peer->last_listed.ms != now.ms &&
+		    bw_time_diff_ms(now, peer->last_listed) <
+			    MISSING_NOTED_MS &&
+		    strcmp(peer->name, sender) != 0)
+			entry->control_missing_at = now;
+	}
+}
+
 static void handle_status_(struct gate_entry *entry, const char *sender,
 			   const struct gate_status *status, struct bw_time now)
 {
 	gate_node_note_status(entry->node, sender, status, now);
+	if (status->control_count)
+		note_missing_controls_(entry, sender, now);
 	if (status->control_count)
 		bw_feed_set_source_peers(&entry->feed, sender,
 					 (const char(*)[BW_NAME_MAX])(
--- a/src/boragewingd/gate_entry_targets.c
+++ b/src/boragewingd/gate_entry_targets.c
@@ -36,6 +36,12 @@
 /** Maximum number of entry hosts that may use the same cold backend server. */
 #define COLD_HOSTS_MAX 4
 
+/**
+ * Time before the end of an evacuation from which on a missing control host may
+ * have kept news of servers that are cold.
+ */
+#define MISSING_BEFORE_MS 3000
+
 /** Interval of the log lines with the load of each service. */
 #define REPORT_INTERVAL_MS 4000
 
@@ -50,6 +56,8 @@
 static void update_target_(struct gate_entry *entry,
 			   const struct bw_server *server, bool usable,
 			   struct bw_time now);
+static bool news_may_be_lost_(const struct gate_entry *entry,
+			      struct bw_time reinstated_at);
 static void find_address_owners_(const struct gate_entry *entry,
 				 GHashTable *owners);
 static bool heartbeats_are_reliable_(const struct gate_entry *entry,
@@ -270,10 +278,22 @@
 	offset = (uint32_t)((server->id_hash + entry->entry_index) %
 			    MAX(entry->entry_count, 1U));
 	update.cold_allowed = offset < COLD_HOSTS_MAX;
-	update.reinstated_at = entry->reinstated_at[update.domain];
+	if (news_may_be_lost_(entry, entry->reinstated_at[update.domain]))
+		update.reinstated_at = entry->reinstated_at[update.domain];
 	bw_dispatch_update(&entry->dispatch, &update, now);
 }
 
+/*
+ * Returns whether announcements of around the end of an evacuation may be known
+ * to a missing control host only.
+ */
+static bool news_may_be_lost_(const struct gate_entry *entry,
+			      struct bw_time reinstated_at)
+{
+	return bw_time_diff_ms(entry->control_missing_at, reinstated_at) >
+	       -MISSING_BEFORE_MS;
+}
+
 /* The server that started last at an address owns it. */
 static void find_address_owners_(const struct gate_entry *entry,
 				 GHashTable *owners)
