Let the silent server of a test announce itself at a fixed time

Traced in its logs: the control hosts woke at 24.014 s, and the server was named silent at 26.174 s. The test lets it announce itself again after twelve requests with a pause of 0.1 s each; by the ledger they took from 24.18 to 26.07 s, usually 1.5 s in all. So the server had not announced itself for more than the 2.0 s that the control hosts allow after they woke: what they said was true.

The server now announces itself 1.2 s after they woke, as before on an idle machine, however long the requests take. What is checked stays: twelve requests in that time are served, and the server does not count as silent.

--- a/test/gateway_silence.sh
+++ b/test/gateway_silence.sh
@@ -18,11 +18,13 @@
 for i in 1 2 3; do kill -STOP "${pids[control-$i]}"; done
 probe 6
 for i in 1 2 3; do kill -CONT "${pids[control-$i]}"; done
+# The server announces again in time, however long the requests take.
+(sleep 1.2 && touch "$work/one") &
 for _ in $(seq 12); do
 	probe_once
 	sleep 0.1
 done
-touch "$work/one"
+wait $!
 probe 4
 echo "# control hosts stopped and continued: $served of $sent requests served"
 check "requests are served meanwhile" test "$served" = "$sent"
