Reject heartbeats with a state that does not exist

It is now refused where records and hellos with such a state are, so that no reader has to ask. test_gate_wire passes.

--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -286,6 +286,8 @@
 		state = (uint32_t)bw_read_uint(reader);
 		servers->heartbeats[i].state = state & ~GATE_HEARTBEAT_SILENT;
 		servers->heartbeats[i].silent = state & GATE_HEARTBEAT_SILENT;
+		if (servers->heartbeats[i].state >= BW_SERVER_STATE_COUNT)
+			reader->failed = true;
 	}
 	bw_read_end(reader);
 }
