--- a/include/bwmember/feed.h
+++ b/include/bwmember/feed.h
@@ -41,6 +41,19 @@
 	BW_FEED_UNKNOWN
 };
 
+/** Why the source was changed. */
+enum bw_feed_change {
+	BW_FEED_KEPT,
+	BW_FEED_FIRST, /**< there was none */
+	BW_FEED_SILENT, /**< it no longer responds */
+	BW_FEED_OUTDATED, /**< it is outdated, the new one is not */
+	BW_FEED_NEARER, /**< the new one is nearer */
+	BW_FEED_CHANGE_COUNT
+};
+
+/** Texts of enum bw_feed_change, which appear in output. */
+extern const char *const bw_feed_change_string[BW_FEED_CHANGE_COUNT];
+
 /** A control host that can be selected as the source. */
 struct bw_feed_peer {
 	char name[BW_NAME_MAX];
@@ -69,10 +82,11 @@
  * not outdated. A live source is replaced only by a nearer one, or when it is
  * outdated. A host that has just started waits briefly for a control host of
  * its own failure domain.
- * @return whether the source changed
+ * @return why the source changed
  */
-bool bw_feed_choose(struct bw_feed *feed, const struct bw_feed_peer *peers,
-		    uint32_t count, struct bw_time now);
+enum bw_feed_change bw_feed_choose(struct bw_feed *feed,
+				   const struct bw_feed_peer *peers,
+				   uint32_t count, struct bw_time now);
 
 /**
  * Records the control hosts from which the source receives packets, without
@@ -91,6 +105,10 @@
 		      const struct bw_feed_peer *peers, uint32_t count,
 		      bool *contact);
 
+/** Returns whether the source has listed a control host as one that it hears.
+ */
+bool bw_feed_is_heard_by_source(const struct bw_feed *feed, const char *name);
+
 /** Returns whether a control host must send this host full detail. */
 bool bw_feed_needs_detail(const struct bw_feed *feed,
 			  const struct bw_feed_peer *peer);
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -335,6 +335,16 @@
 			"they were dispatched, by cause",
 			labels);
 	}
+	for (i = 1; i < BW_FEED_CHANGE_COUNT; i++) {
+		snprintf(labels, sizeof(labels), "cause=\"%s\"",
+			 bw_feed_change_string[i]);
+		entry->source_changes[i] = bw_metrics_get(
+			metrics, BW_METRIC_COUNTER,
+			"bw_detail_source_changes_total",
+			"Changes of the control host that sends full detail, "
+			"by cause",
+			labels);
+	}
 	entry->queue_us =
 		bw_metrics_get(metrics, BW_METRIC_HISTOGRAM, "bw_stage_seconds",
 			       "Time of requests by stage", "stage=\"queue\"");
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -122,6 +122,7 @@
 	struct bw_metric *unconfirmed; /**< no route, but not sure */
 	struct bw_metric *rejections[BW_REJECT_COUNT];
 	struct bw_metric *reconsidered[GATE_CHECK_COUNT];
+	struct bw_metric *source_changes[BW_FEED_CHANGE_COUNT];
 	struct bw_metric *queue_us;
 	struct bw_metric *upstream_us;
 	struct bw_metric *total_us[2]; /**< not idempotent, idempotent */
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -33,6 +33,8 @@
 static void note_missing_controls_(struct gate_entry *entry, const char *sender,
 				   struct bw_time now);
 static void choose_feed_(struct gate_entry *entry, struct bw_time now);
+static void note_source_change_(struct gate_entry *entry, const char *before,
+				enum bw_feed_change change, struct bw_time now);
 static void update_contact_(struct gate_entry *entry, struct gate_peer *peer,
 			    bool contact, struct bw_time now);
 static void send_to_controls_(struct gate_entry *entry,
@@ -125,20 +127,44 @@
 	const struct gate_node *node = entry->node;
 	struct bw_feed_peer peers[GATE_CONTROLS_MAX];
 	bool contact[GATE_CONTROLS_MAX];
+	char before[BW_NAME_MAX];
+	enum bw_feed_change change;
 	uint32_t i;
 
 	for (i = 0; i < node->control_count; i++)
 		gate_entry_feed_peer(entry, i, now, &peers[i]);
-	if (bw_feed_choose(&entry->feed, peers, node->control_count, now))
-		bw_log_event(node->log, BW_LOG_INFO, "membership",
-			     "detail_source_changed", "{s:s}", "peer",
-			     entry->feed.source);
+	bw_name_set(before, entry->feed.source);
+	change = bw_feed_choose(&entry->feed, peers, node->control_count, now);
+	if (change != BW_FEED_KEPT)
+		note_source_change_(entry, before, change, now);
 	bw_feed_contacts(&entry->feed, peers, node->control_count, contact);
 	for (i = 0; i < node->control_count; i++)
 		update_contact_(entry, &entry->node->controls[i], contact[i],
 				now);
 }
 
+static void note_source_change_(struct gate_entry *entry, const char *before,
+				enum bw_feed_change change, struct bw_time now)
+{
+	const struct gate_peer *peer = gate_node_control(entry->node, before);
+	int64_t silent_ms = -1;
+	int64_t confirmed_ms_ago = -1;
+
+	if (peer && peer->last_heard.ms)
+		silent_ms = bw_time_diff_ms(now, peer->last_heard);
+	if (peer && peer->announcement.of_majority)
+		confirmed_ms_ago =
+			bw_time_diff_ms(now, peer->announcement.as_of);
+	bw_metric_add(entry->source_changes[change], 1);
+	bw_log_event(entry->node->log, BW_LOG_INFO, "membership",
+		     "detail_source_changed", "{s:s,s:s,s:s,s:I,s:I,s:b}",
+		     "before", before, "peer", entry->feed.source, "cause",
+		     bw_feed_change_string[change], "silent_ms",
+		     (json_int_t)silent_ms, "confirmed_ms_ago",
+		     (json_int_t)confirmed_ms_ago, "current",
+		     peer && peer->announcement.current);
+}
+
 /*
  * A control host that is no contact any more falls silent without being lost.
  */
@@ -147,6 +173,14 @@
 {
 	struct bw_time latest;
 
+	if (contact != (peer->contact_since.ms != 0))
+		bw_log_event(entry->node->log, BW_LOG_INFO, "membership",
+			     contact ? "contact_added" : "contact_dropped",
+			     "{s:s,s:s,s:b,s:b}", "peer", peer->name, "domain",
+			     peer->domain, "source_lists_peers",
+			     entry->feed.has_source_peers, "heard_by_source",
+			     bw_feed_is_heard_by_source(&entry->feed,
+							peer->name));
 	if (!contact) {
 		peer->contact_since.ms = 0;
 		peer->last_heard.ms = 0;
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -46,6 +46,9 @@
 			     struct bw_time now);
 static bool is_newer_(const struct gate_heartbeat *heartbeat,
 		      const struct bw_server *known);
+static void log_passed_over_(struct gate_node *node, const char *sender,
+			     const struct gate_heartbeat *heartbeat,
+			     const struct bw_server *known);
 static void request_records_(struct gate_node *node, const char *sender,
 			     struct gate_servers *outdated);
 
@@ -417,6 +420,10 @@
 		else if (heartbeat->started_wall_ms ==
 			 known->record.started_wall_ms)
 			apply_heartbeat_(node, sender, heartbeat, now);
+		if (known && known->record.state == BW_SERVER_READY &&
+		    heartbeat->state != BW_SERVER_READY &&
+		    !is_newer_(heartbeat, known))
+			log_passed_over_(node, sender, heartbeat, known);
 	}
 	if (outdated.heartbeat_count)
 		request_records_(node, sender, &outdated);
@@ -569,6 +576,22 @@
 	peer->announcement = announcement;
 }
 
+/* The sender knows that a server drains or has left; this host takes that for
+ * older than what it knows. */
+static void log_passed_over_(struct gate_node *node, const char *sender,
+			     const struct gate_heartbeat *heartbeat,
+			     const struct bw_server *known)
+{
+	bw_log_event(node->log, BW_LOG_INFO, "registry",
+		     "departure_passed_over", "{s:s,s:s,s:s,s:I,s:I,s:b}",
+		     "server", known->record.id, "source", sender, "state",
+		     bw_server_state_string[heartbeat->state], "sequence",
+		     (json_int_t)heartbeat->sequence, "heard_sequence",
+		     (json_int_t)known->heard_sequence, "same_start",
+		     heartbeat->started_wall_ms ==
+			     known->record.started_wall_ms);
+}
+
 static void request_records_(struct gate_node *node, const char *sender,
 			     struct gate_servers *outdated)
 {
--- a/src/libbwmember/feed.c
+++ b/src/libbwmember/feed.c
@@ -10,7 +10,8 @@
 static bool is_better_source_(const struct bw_feed *feed,
 			      const struct bw_feed_peer *a,
 			      const struct bw_feed_peer *b);
-static bool is_heard_by_source_(const struct bw_feed *feed, const char *name);
+static enum bw_feed_change change_to_(const struct bw_feed_peer *current,
+				      const struct bw_feed_peer *best);
 static const struct bw_feed_peer *
 best_contact_(const struct bw_feed *feed, const struct bw_feed_peer *peers,
 	      uint32_t count, const bool *contact, bool unheard_only);
@@ -19,6 +20,12 @@
 			       const struct bw_feed_peer *b,
 			       const uint32_t *in_region);
 
+const char *const bw_feed_change_string[BW_FEED_CHANGE_COUNT] = {
+	[BW_FEED_KEPT] = "kept",     [BW_FEED_FIRST] = "first",
+	[BW_FEED_SILENT] = "silent", [BW_FEED_OUTDATED] = "outdated",
+	[BW_FEED_NEARER] = "nearer",
+};
+
 void bw_feed_init(struct bw_feed *feed, const char *self, struct bw_time now)
 {
 	memset(feed, 0, sizeof(*feed));
@@ -26,12 +33,14 @@
 	feed->started = now;
 }
 
-bool bw_feed_choose(struct bw_feed *feed, const struct bw_feed_peer *peers,
-		    uint32_t count, struct bw_time now)
+enum bw_feed_change bw_feed_choose(struct bw_feed *feed,
+				   const struct bw_feed_peer *peers,
+				   uint32_t count, struct bw_time now)
 {
 	const struct bw_feed_peer *current =
 		find_peer_(peers, count, feed->source);
 	const struct bw_feed_peer *best = NULL;
+	enum bw_feed_change change;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
@@ -40,17 +49,17 @@
 			best = &peers[i];
 	}
 	if (!best || best == current)
-		return false;
-	if (current && current->alive && current->outdated <= best->outdated &&
-	    current->distance <= best->distance)
-		return false;
-	if (!feed->source[0] && best->distance != BW_FEED_SAME_DOMAIN &&
+		return BW_FEED_KEPT;
+	change = feed->source[0] ? change_to_(current, best) : BW_FEED_FIRST;
+	if (change == BW_FEED_KEPT)
+		return change;
+	if (change == BW_FEED_FIRST && best->distance != BW_FEED_SAME_DOMAIN &&
 	    bw_time_diff_ms(now, feed->started) < SAME_DOMAIN_WAIT_MS)
-		return false;
+		return BW_FEED_KEPT;
 	bw_name_set(feed->source, best->name);
 	feed->has_source_peers = false;
 	feed->source_peer_count = 0;
-	return true;
+	return change;
 }
 
 void bw_feed_set_source_peers(struct bw_feed *feed, const char *source,
@@ -93,6 +102,17 @@
 	}
 }
 
+bool bw_feed_is_heard_by_source(const struct bw_feed *feed, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < feed->source_peer_count; i++) {
+		if (!strcmp(name, feed->source_peers[i]))
+			return true;
+	}
+	return false;
+}
+
 bool bw_feed_needs_detail(const struct bw_feed *feed,
 			  const struct bw_feed_peer *peer)
 {
@@ -101,7 +121,7 @@
 	if (!strcmp(peer->name, feed->source))
 		return true;
 	return feed->has_source_peers && peer->alive &&
-	       !is_heard_by_source_(feed, peer->name);
+	       !bw_feed_is_heard_by_source(feed, peer->name);
 }
 
 /* FNV-1a over both names. */
@@ -141,15 +161,17 @@
 	       bw_feed_hash(feed->self, b->name);
 }
 
-static bool is_heard_by_source_(const struct bw_feed *feed, const char *name)
+/* @param current NULL when it is not known any more */
+static enum bw_feed_change change_to_(const struct bw_feed_peer *current,
+				      const struct bw_feed_peer *best)
 {
-	uint32_t i;
-
-	for (i = 0; i < feed->source_peer_count; i++) {
-		if (!strcmp(name, feed->source_peers[i]))
-			return true;
-	}
-	return false;
+	if (!current || !current->alive)
+		return BW_FEED_SILENT;
+	if (current->outdated > best->outdated)
+		return BW_FEED_OUTDATED;
+	if (current->distance > best->distance)
+		return BW_FEED_NEARER;
+	return BW_FEED_KEPT;
 }
 
 /*
@@ -172,7 +194,7 @@
 			continue;
 		if (unheard_only &&
 		    (!feed->has_source_peers || peers[i].avoided ||
-		     is_heard_by_source_(feed, peers[i].name)))
+		     bw_feed_is_heard_by_source(feed, peers[i].name)))
 			continue;
 		if (!best ||
 		    is_better_contact_(feed, &peers[i], best, in_region))
