Request the record of a leave whatever its sequence number

A leave is not an announcement with a number of the server. The host that takes it gives it the number after the last one that it knows. A host that has heard a later heartbeat, through a control host that the first one does not hear, compared the two numbers and did not ask for the record, though it would have accepted it. Now the comparison asks the same question as the merge: bw_server_record_is_newer. That also covers a leave without a start, which was passed over in the same way.

Ruled out: the merge itself, which takes a leave at once when its record arrives (test_leave).

test_leave_after_later_heartbeats_is_not_passed_over fails with the old rule in the new function, and passes now. test_gate_wire passes.

--- a/include/bwsteer/registry.h
+++ b/include/bwsteer/registry.h
@@ -124,6 +124,14 @@
 bool bw_registry_silence(struct bw_registry *registry, uint64_t id_hash,
 			 int64_t started_wall_ms, uint64_t sequence);
 
+/**
+ * Returns whether a heartbeat of another host shows a record that replaces the
+ * known one: of another start, or in another state.
+ * @param known NULL for an unknown server
+ */
+bool bw_registry_lacks(const struct bw_server *known, int64_t started_wall_ms,
+		       enum bw_server_state state, uint64_t sequence);
+
 /** Finds a server by id; NULL when it is not known. */
 struct bw_server *bw_registry_find(const struct bw_registry *registry,
 				   const char *id);
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -44,8 +44,6 @@
 static void apply_heartbeat_(struct gate_node *node, const char *sender,
 			     const struct gate_heartbeat *heartbeat,
 			     struct bw_time now);
-static bool is_newer_(const struct gate_heartbeat *heartbeat,
-		      const struct bw_server *known);
 static void log_passed_over_(struct gate_node *node, const char *sender,
 			     const struct gate_heartbeat *heartbeat,
 			     const struct bw_server *known);
@@ -414,15 +412,16 @@
 		struct bw_server *known = g_hash_table_lookup(
 			node->registry.by_hash, &heartbeat->id_hash);
 
-		if (!known || is_newer_(heartbeat, known))
+		if (bw_registry_lacks(known, heartbeat->started_wall_ms,
+				      heartbeat->state, heartbeat->sequence)) {
 			outdated.heartbeats[outdated.heartbeat_count++] =
 				*heartbeat;
-		else if (heartbeat->started_wall_ms ==
-			 known->record.started_wall_ms)
+			continue;
+		}
+		if (heartbeat->started_wall_ms == known->record.started_wall_ms)
 			apply_heartbeat_(node, sender, heartbeat, now);
-		if (known && known->record.state == BW_SERVER_READY &&
-		    heartbeat->state != BW_SERVER_READY &&
-		    !is_newer_(heartbeat, known))
+		if (known->record.state == BW_SERVER_READY &&
+		    heartbeat->state != BW_SERVER_READY)
 			log_passed_over_(node, sender, heartbeat, known);
 	}
 	if (outdated.heartbeat_count)
@@ -460,18 +459,6 @@
 	return at.ms ? bw_time_diff_ms(now, at) : -1;
 }
 
-/* Returns whether the sender of a heartbeat has a newer record. */
-static bool is_newer_(const struct gate_heartbeat *heartbeat,
-		      const struct bw_server *known)
-{
-	const struct bw_server_record *record = &known->record;
-
-	if (heartbeat->started_wall_ms != record->started_wall_ms)
-		return heartbeat->started_wall_ms > record->started_wall_ms;
-	return heartbeat->state != record->state &&
-	       heartbeat->sequence > known->heard_sequence;
-}
-
 static enum bw_status open_transport_(struct gate_node *node,
 				      transport_receive_fn *receive,
 				      void *context)
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -284,10 +284,13 @@
 			(int64_t)bw_read_uint(reader);
 		servers->heartbeats[i].sequence = bw_read_uint(reader);
 		state = (uint32_t)bw_read_uint(reader);
-		servers->heartbeats[i].state = state & ~GATE_HEARTBEAT_SILENT;
 		servers->heartbeats[i].silent = state & GATE_HEARTBEAT_SILENT;
-		if (servers->heartbeats[i].state >= BW_SERVER_STATE_COUNT)
+		state &= ~GATE_HEARTBEAT_SILENT;
+		if (state >= BW_SERVER_STATE_COUNT)
 			reader->failed = true;
+		else
+			servers->heartbeats[i].state =
+				(enum bw_server_state)state;
 	}
 	bw_read_end(reader);
 }
--- a/src/boragewingd/gate_wire.h
+++ b/src/boragewingd/gate_wire.h
@@ -180,7 +180,7 @@
 	uint64_t id_hash;
 	int64_t started_wall_ms; /**< start time; identifies the run */
 	uint64_t sequence;
-	uint32_t state; /**< an enum bw_server_state */
+	enum bw_server_state state;
 	bool silent; /**< see GATE_HEARTBEAT_SILENT */
 };
 
--- a/src/libbwsteer/registry.c
+++ b/src/libbwsteer/registry.c
@@ -101,6 +101,25 @@
 	return true;
 }
 
+bool bw_registry_lacks(const struct bw_server *known, int64_t started_wall_ms,
+		       enum bw_server_state state, uint64_t sequence)
+{
+	struct bw_server_record shown = {
+		.state = state,
+		.sequence = sequence,
+		.started_wall_ms = started_wall_ms,
+	};
+	struct bw_server_record heard;
+
+	if (!known)
+		return true;
+	heard = known->record;
+	heard.sequence = known->heard_sequence;
+	return (heard.state != state ||
+		heard.started_wall_ms != started_wall_ms) &&
+	       bw_server_record_is_newer(&heard, &shown);
+}
+
 struct bw_server *bw_registry_find(const struct bw_registry *registry,
 				   const char *id)
 {
--- a/src/test_libbwsteer/test_registry.c
+++ b/src/test_libbwsteer/test_registry.c
@@ -120,6 +120,38 @@
 	}
 }
 
+static bool lacks_(const struct bw_registry *registry, int64_t started,
+		   enum bw_server_state state, uint64_t sequence)
+{
+	return bw_registry_lacks(bw_registry_find(registry, "i-1"), started,
+				 state, sequence);
+}
+
+/* A leave has the number after the last one that its receiver knew. */
+static void test_leave_after_later_heartbeats_is_not_passed_over(void **state)
+{
+	struct bw_registry registry;
+	struct bw_server_record record = record_(4, 1000);
+
+	(void)state;
+	bw_registry_init(&registry);
+	assert_true(lacks_(&registry, 1000, BW_SERVER_READY, 4));
+	merge_(&registry, &record, 0);
+	bw_registry_touch(&registry, bw_registry_hash("i-1"), 9, time_at_(10));
+	assert_false(lacks_(&registry, 1000, BW_SERVER_READY, 12));
+	assert_false(lacks_(&registry, 1000, BW_SERVER_DRAINING, 5));
+	assert_true(lacks_(&registry, 1000, BW_SERVER_DRAINING, 10));
+	assert_true(lacks_(&registry, 1000, BW_SERVER_LEFT, 5));
+	assert_true(lacks_(&registry, 0, BW_SERVER_LEFT, 1));
+	assert_false(lacks_(&registry, 900, BW_SERVER_LEFT, 20));
+	record.state = BW_SERVER_LEFT;
+	merge_(&registry, &record, 20);
+	assert_false(lacks_(&registry, 1000, BW_SERVER_LEFT, 5));
+	assert_false(lacks_(&registry, 1000, BW_SERVER_READY, 20));
+	assert_true(lacks_(&registry, 2000, BW_SERVER_READY, 1));
+	bw_registry_finish(&registry);
+}
+
 /* Guards against an outdated heartbeat that keeps a server, and against a
  * server that is kept without heartbeats. */
 static void test_heartbeats(void **state)
@@ -215,6 +247,8 @@
 		cmocka_unit_test(test_order),
 		cmocka_unit_test(test_leave),
 		cmocka_unit_test(test_one_record_is_newer),
+		cmocka_unit_test(
+			test_leave_after_later_heartbeats_is_not_passed_over),
 		cmocka_unit_test(test_heartbeats),
 		cmocka_unit_test(test_heartbeat_overtakes),
 		cmocka_unit_test(test_codec),
