Let hosts catch up on departures of servers that they have missed

The second of three causes: a departure was told once, to the hosts that a control host was connected to at that moment. A contact that an entry host adds later, or that it could not reach for a second, told nothing of it; nor did control hosts that had been cut off from each other. Only a change of the source of detail led to a comparison. Evacuations and configurations are part of each status and are not lost in this way.

Each control host now numbers the departures in the order in which it learns of them, and names the last number in its hello and status. A record that is sent at once carries its number, so that usually nothing is asked for. The numbers hold for one process. What control hosts sent to a control host that had just started is no longer needed for that.

run_gateway_departures, with real processes: a control host is cut off from the other two and alone hears of a server; an entry host hears no control host for 1.2 s, and meanwhile the server leaves with the acknowledgement of the other two.

Ruled out: the disk and the acknowledgement.

--- a/include/bwsteer/registry.h
+++ b/include/bwsteer/registry.h
@@ -59,6 +59,8 @@
 	struct bw_time changed_at; /**< latest change of the record */
 	uint64_t generation; /**< of the registry after the latest change,
 				  silence included */
+	uint64_t departure; /**< number of its departure at this host, see
+				 bw_registry.departures; 0 while it is ready */
 	struct bw_time cold_until;
 	bool silent; /**< a control host has not heard of it for too long */
 	bool silent_told; /**< this control host has told its entry hosts that
@@ -78,6 +80,10 @@
 	GHashTable *by_hash; /**< id_hash -> the same servers */
 	uint64_t generation; /**< incremented on every change other than a
 				heartbeat */
+	uint64_t departures; /**< number of the last departure. Records that
+				  come to say that a server drains or has
+				  left are numbered from 1 in the order in
+				  which this host learns of them. */
 };
 
 /**
@@ -132,6 +138,16 @@
 bool bw_registry_lacks(const struct bw_server *known, int64_t started_wall_ms,
 		       enum bw_server_state state, uint64_t sequence);
 
+/**
+ * Lists the servers with departures after a number, the earliest first.
+ * @param servers receives up to count_max
+ * @return their number
+ */
+uint32_t bw_registry_departures(const struct bw_registry *registry,
+				uint64_t after,
+				const struct bw_server **servers,
+				uint32_t count_max);
+
 /** Finds a server by id; NULL when it is not known. */
 struct bw_server *bw_registry_find(const struct bw_registry *registry,
 				   const char *id);
--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "gate_catch_up.h"
 #include "gate_control_private.h"
 
 /**
@@ -12,8 +13,6 @@
 				  const struct bw_packet *packet,
 				  const struct gate_hello *hello,
 				  struct bw_time now);
-static void greet_process_(struct gate_control *control, struct gate_peer *peer,
-			   uint64_t incarnation);
 static void update_entry_(struct gate_control *control,
 			  struct gate_entry_host *entry,
 			  const struct gate_hello *hello, struct bw_time now);
@@ -32,6 +31,7 @@
 	static struct gate_hello hello;
 	static struct gate_loads loads;
 	static struct gate_fleet fleet;
+	struct gate_departures_request departures;
 	struct bw_reader reader;
 	uint32_t i;
 	int type;
@@ -82,6 +82,12 @@
 			gate_control_receive_fleet(control, packet->peer,
 						   &fleet, now);
 		break;
+	case GATE_DEPARTURES_REQUEST:
+		gate_departures_request_read(&reader, &departures);
+		if (bw_reader_status(&reader) == BW_OK)
+			gate_catch_up_answer(control->node, packet->peer,
+					     &departures);
+		break;
 	case GATE_ROUTING_REQUEST:
 		gate_control_send_routing(control, packet->peer);
 		break;
@@ -152,11 +158,10 @@
 	gate_node_add_control(node, packet->peer, true, now);
 	gate_node_set_control_domain(node, packet->peer, hello->domain);
 	peer = gate_node_control(node, packet->peer);
-	if (peer) {
+	if (peer)
 		peer->used_domains =
 			gate_control_used_domains(control, &hello->used);
-		greet_process_(control, peer, packet->incarnation);
-	}
+	gate_catch_up_note(node, packet, hello->departures, now);
 	if (!hello->sent_ms || (!control->votes && !knows_more))
 		return;
 	fill_status_(control, &status, hello->routing_version, now);
@@ -167,20 +172,6 @@
 	gate_node_send(node, packet->peer);
 }
 
-/*
- * A control host that has just started may lack records of servers that have
- * left: its disk may be empty. Most voters have each of them.
- */
-static void greet_process_(struct gate_control *control, struct gate_peer *peer,
-			   uint64_t incarnation)
-{
-	if (peer->incarnation == incarnation)
-		return;
-	peer->incarnation = incarnation;
-	if (control->votes || !control->voter_count)
-		gate_departures_send(&control->departures, peer->name);
-}
-
 static void update_entry_(struct gate_control *control,
 			  struct gate_entry_host *entry,
 			  const struct gate_hello *hello, struct bw_time now)
@@ -258,6 +249,7 @@
 		status->confirmed_age_ms =
 			(uint32_t)bw_time_diff_ms(now, confirmation.as_of);
 	status->tells_silence = true;
+	status->departures = control->node->registry.departures;
 }
 
 static void list_controls_(const struct gate_control *control,
--- a/src/boragewingd/gate_control_send.c
+++ b/src/boragewingd/gate_control_send.c
@@ -139,6 +139,7 @@
 	hello.sent_ms = (uint64_t)now.ms;
 	hello.control_count = gate_node_live_controls(node, now);
 	hello.accepts_silence = true;
+	hello.departures = node->registry.departures;
 	gate_control_list_used_domains(control, &hello.used);
 	gate_hello_write(gate_node_frame(node), &hello);
 	send_to_group_(control, GROUP_CONTROLS);
@@ -245,6 +246,8 @@
 	batch.record_count = 1;
 	batch.heartbeat_count = 0;
 	batch.records[0] = server->record;
+	batch.departures_after = MAX(server->departure, 1) - 1;
+	batch.departures_upto = server->departure;
 	gate_servers_write(gate_node_frame(control->node), GATE_SERVERS,
 			   &batch);
 }
--- a/src/boragewingd/gate_departures.c
+++ b/src/boragewingd/gate_departures.c
@@ -108,34 +108,6 @@
 	return due && !departures->failed;
 }
 
-void gate_departures_send(const struct gate_departures *departures,
-			  const char *peer)
-{
-	struct gate_node *node = departures->node;
-	static struct gate_servers batch;
-	GHashTableIter iter;
-	gpointer value;
-	bool more;
-
-	batch.record_count = 0;
-	batch.heartbeat_count = 0;
-	g_hash_table_iter_init(&iter, node->registry.servers);
-	do {
-		more = g_hash_table_iter_next(&iter, NULL, &value);
-		if (more && ((const struct bw_server *)value)->record.state !=
-				    BW_SERVER_READY)
-			batch.records[batch.record_count++] =
-				((const struct bw_server *)value)->record;
-		if (batch.record_count == GATE_BATCH_MAX ||
-		    (!more && batch.record_count)) {
-			gate_servers_write(gate_node_frame(node), GATE_SERVERS,
-					   &batch);
-			gate_node_send(node, peer);
-			batch.record_count = 0;
-		}
-	} while (more);
-}
-
 static void load_record_(void *context, const uint8_t *data,
 			 uint32_t size_bytes)
 {
--- a/src/boragewingd/gate_departures.h
+++ b/src/boragewingd/gate_departures.h
@@ -56,8 +56,4 @@
 bool gate_departures_sync(struct gate_departures *departures,
 			  struct bw_time now);
 
-/** Sends all records of servers that accept no new requests to a host. */
-void gate_departures_send(const struct gate_departures *departures,
-			  const char *peer);
-
 #endif
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "gate_catch_up.h"
 #include "gate_entry_private.h"
 #include "gate_poison.h"
 
@@ -71,8 +72,10 @@
 	switch (gate_message_type(&reader)) {
 	case GATE_STATUS:
 		gate_status_read(&reader, &status);
-		if (bw_reader_status(&reader) == BW_OK)
-			handle_status_(entry, packet->peer, &status, now);
+		if (bw_reader_status(&reader) != BW_OK)
+			break;
+		handle_status_(entry, packet->peer, &status, now);
+		gate_catch_up_note(entry->node, packet, status.departures, now);
 		break;
 	case GATE_SERVERS:
 		gate_servers_read(&reader, &servers);
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "gate_catch_up.h"
+
 /** Interval of transport heartbeats; a broken path is detected within 1.5 s. */
 #define HEARTBEAT_MS 500
 
@@ -426,6 +428,8 @@
 	}
 	if (outdated.heartbeat_count)
 		request_records_(node, sender, &outdated);
+	gate_catch_up_received(node, sender, servers,
+			       outdated.heartbeat_count > 0, now);
 }
 
 static void remove_control_(struct gate_node *node, uint32_t index)
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -32,6 +32,14 @@
 /** Interval of the periodic work of the entry and control roles. */
 #define GATE_TICK_S 0.04
 
+/** Which departures of a control host are known here, see gate_catch_up.h. */
+struct gate_peer_departures {
+	uint64_t named; /**< number of the last one at the control host */
+	uint64_t received; /**< all up to this number have arrived */
+	bool lacks_records; /**< the records of some have been requested */
+	struct bw_time requested_at;
+};
+
 /** A known control host. */
 struct gate_peer {
 	char name[BW_NAME_MAX]; /**< control address */
@@ -40,7 +48,8 @@
 	struct bw_time last_heard; /**< last packet from it; 0 ms: none */
 	struct bw_time last_listed; /**< last listed or heard from */
 	bool lost; /**< unreachable, and logged as lost */
-	uint64_t incarnation; /**< of its process; known to control hosts */
+	uint64_t incarnation; /**< of its process */
+	struct gate_peer_departures departures;
 	bool voter; /**< votes in the control group; known to control hosts */
 	struct bw_announcement announcement; /**< from its last status */
 	bool sends_pieces; /**< of configurations */
--- a/src/boragewingd/gate_wire.c
+++ b/src/boragewingd/gate_wire.c
@@ -44,7 +44,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_HELLO, 15);
+	write_message_head_(&writer, out, GATE_HELLO, 16);
 	bw_write_bool(&writer, hello->control);
 	bw_write_uint(&writer, hello->state);
 	bw_write_uint(&writer, hello->detail);
@@ -60,13 +60,14 @@
 	bw_write_bool(&writer, hello->accepts_silence);
 	bw_write_bool(&writer, hello->used.known);
 	write_names_(&writer, hello->used.domains, hello->used.count);
+	bw_write_uint(&writer, hello->departures);
 }
 
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status)
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_STATUS, 18);
+	write_message_head_(&writer, out, GATE_STATUS, 19);
 	bw_write_str(&writer, status->domain);
 	bw_write_bool(&writer, status->current);
 	bw_write_uint(&writer, status->routing_version);
@@ -85,6 +86,7 @@
 	bw_write_bool(&writer, status->confirmed);
 	bw_write_uint(&writer, status->confirmed_age_ms);
 	bw_write_bool(&writer, status->tells_silence);
+	bw_write_uint(&writer, status->departures);
 }
 
 void gate_servers_write(struct bw_buffer *out, enum gate_message_type type,
@@ -93,7 +95,7 @@
 	struct bw_writer writer;
 	uint32_t i;
 
-	write_message_head_(&writer, out, type, 2);
+	write_message_head_(&writer, out, type, 4);
 	bw_write_array(&writer, servers->record_count);
 	for (i = 0; i < servers->record_count; i++)
 		bw_server_record_write(&writer, &servers->records[i]);
@@ -108,6 +110,8 @@
 							? GATE_HEARTBEAT_SILENT
 							: 0));
 	}
+	bw_write_uint(&writer, servers->departures_after);
+	bw_write_uint(&writer, servers->departures_upto);
 }
 
 void gate_loads_write(struct bw_buffer *out, const struct gate_loads *loads)
@@ -181,7 +185,7 @@
 	if (bw_read_uint(reader) != MESSAGE_VERSION)
 		return 0;
 	type = bw_read_uint(reader);
-	return type <= GATE_FLEET ? (int)type : 0;
+	return type <= GATE_DEPARTURES_REQUEST ? (int)type : 0;
 }
 
 void gate_heartbeat_set(struct gate_heartbeat *heartbeat,
@@ -222,6 +226,8 @@
 		hello->used.count = read_names_(reader, hello->used.domains,
 						GATE_DOMAIN_LIST_MAX);
 	}
+	if (bw_read_more(reader))
+		hello->departures = bw_read_uint(reader);
 	if (state >= GATE_HOST_STATE_COUNT || detail >= GATE_DETAIL_COUNT) {
 		reader->failed = true;
 		return;
@@ -264,6 +270,8 @@
 	}
 	if (bw_read_more(reader))
 		status->tells_silence = bw_read_bool(reader);
+	if (bw_read_more(reader))
+		status->departures = bw_read_uint(reader);
 }
 
 void gate_servers_read(struct bw_reader *reader, struct gate_servers *servers)
@@ -293,6 +301,26 @@
 				(enum bw_server_state)state;
 	}
 	bw_read_end(reader);
+	servers->departures_after = servers->departures_upto = 0;
+	if (!bw_read_more(reader))
+		return;
+	servers->departures_after = bw_read_uint(reader);
+	servers->departures_upto = bw_read_uint(reader);
+}
+
+void gate_departures_request_write(
+	struct bw_buffer *out, const struct gate_departures_request *request)
+{
+	struct bw_writer writer;
+
+	write_message_head_(&writer, out, GATE_DEPARTURES_REQUEST, 1);
+	bw_write_uint(&writer, request->after);
+}
+
+void gate_departures_request_read(struct bw_reader *reader,
+				  struct gate_departures_request *request)
+{
+	request->after = bw_read_uint(reader);
 }
 
 void gate_routing_read(struct bw_reader *reader, struct gate_routing *routing)
--- a/src/boragewingd/gate_wire.h
+++ b/src/boragewingd/gate_wire.h
@@ -17,6 +17,10 @@
  *   full detail get the changes and, one after the other in a cycle, the
  *   heartbeats of all servers; a server that falls silent is named at once. A
  *   receiver requests the record when a heartbeat does not match its own.
+ * - Each control host numbers the departures of servers in the order in which
+ *   it learns of them, and names the last number in its hello and status. A
+ *   receiver that has missed some requests what comes after the last one that
+ *   it has (gate_catch_up.h).
  * - Loads of backend servers go from an entry host to the control host that
  *   sends it full detail, then to the control hosts and entry hosts that use
  *   servers in that failure domain.
@@ -53,7 +57,8 @@
 	GATE_ROUTING_REQUEST = 6,
 	GATE_ROUTING = 7,
 	GATE_LOADS = 8, /**< loads of backend servers */
-	GATE_FLEET = 9 /**< entry hosts of a control host, and their demands */
+	GATE_FLEET = 9, /**< entry hosts of a control host, and their demands */
+	GATE_DEPARTURES_REQUEST = 10 /**< answered with GATE_SERVERS */
 };
 
 /** How much detail an entry host requests from a control host. */
@@ -123,6 +128,7 @@
 				     knows, itself included; else 0 */
 	bool accepts_silence; /**< understands GATE_HEARTBEAT_SILENT */
 	struct gate_domain_list used; /**< loads of these are of use */
+	uint64_t departures; /**< number of the last one at a control host */
 };
 
 /** GATE_STATUS */
@@ -153,6 +159,7 @@
 	uint32_t confirmed_age_ms; /**< time since then */
 	bool tells_silence; /**< the sender names servers that fall silent, and
 				 sends few other heartbeats */
+	uint64_t departures; /**< number of the last one at the sender */
 };
 
 /** Maximum number of entry hosts in one message. */
@@ -184,12 +191,23 @@
 	bool silent; /**< see GATE_HEARTBEAT_SILENT */
 };
 
-/** GATE_SERVERS, GATE_SERVERS_ACK and GATE_RECORDS_REQUEST */
+/**
+ * GATE_SERVERS, GATE_SERVERS_ACK and GATE_RECORDS_REQUEST. A GATE_SERVERS with
+ * departures_upto has all departures of its sender with numbers above
+ * departures_after, up to this one.
+ */
 struct gate_servers {
 	struct bw_server_record records[GATE_BATCH_MAX];
 	uint32_t record_count;
 	struct gate_heartbeat heartbeats[GATE_BATCH_MAX];
 	uint32_t heartbeat_count;
+	uint64_t departures_after;
+	uint64_t departures_upto; /**< 0: the message does not say */
+};
+
+/** GATE_DEPARTURES_REQUEST */
+struct gate_departures_request {
+	uint64_t after; /**< number of the last one that the sender has */
 };
 
 /** GATE_ROUTING and GATE_ROUTING_REQUEST (without text) */
@@ -214,6 +232,8 @@
 void gate_fleet_write(struct bw_buffer *out, const struct gate_fleet *fleet);
 void gate_routing_write(struct bw_buffer *out, enum gate_message_type type,
 			const struct gate_routing *routing);
+void gate_departures_request_write(
+	struct bw_buffer *out, const struct gate_departures_request *request);
 
 /**
  * Reads the version and the type of a message. The content follows.
@@ -232,5 +252,7 @@
 void gate_loads_read(struct bw_reader *reader, struct gate_loads *loads);
 void gate_fleet_read(struct bw_reader *reader, struct gate_fleet *fleet);
 void gate_routing_read(struct bw_reader *reader, struct gate_routing *routing);
+void gate_departures_request_read(struct bw_reader *reader,
+				  struct gate_departures_request *request);
 
 #endif
--- a/src/libbwsteer/registry.c
+++ b/src/libbwsteer/registry.c
@@ -9,6 +9,7 @@
 				   const struct bw_server_record *record);
 static void set_silent_(struct bw_registry *registry, struct bw_server *server,
 			bool silent);
+static gint compare_departures_(gconstpointer a, gconstpointer b);
 
 const char *const bw_server_state_string[BW_SERVER_STATE_COUNT] = {
 	[BW_SERVER_READY] = "ready",
@@ -22,6 +23,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	registry->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	registry->generation = 0;
+	registry->departures = 0;
 }
 
 void bw_registry_finish(struct bw_registry *registry)
@@ -67,6 +69,9 @@
 		known->changed_at = now;
 		known->silent = false;
 		known->generation = ++registry->generation;
+		known->departure = 0;
+		if (record->state != BW_SERVER_READY)
+			known->departure = ++registry->departures;
 	}
 	set_silent_(registry, known, false);
 	if (server)
@@ -120,6 +125,29 @@
 	       bw_server_record_is_newer(&heard, &shown);
 }
 
+uint32_t bw_registry_departures(const struct bw_registry *registry,
+				uint64_t after,
+				const struct bw_server **servers,
+				uint32_t count_max)
+{
+	GPtrArray *found = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count;
+
+	g_hash_table_iter_init(&iter, registry->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((const struct bw_server *)value)->departure > after)
+			g_ptr_array_add(found, value);
+	}
+	g_ptr_array_sort(found, compare_departures_);
+	count = MIN(found->len, count_max);
+	if (count)
+		memcpy(servers, found->pdata, count * sizeof(*servers));
+	g_ptr_array_free(found, TRUE);
+	return count;
+}
+
 struct bw_server *bw_registry_find(const struct bw_registry *registry,
 				   const char *id)
 {
@@ -238,3 +266,13 @@
 	    record->sequence > server->heard_sequence)
 		server->heard_sequence = record->sequence;
 }
+
+/* Sorts pointers to servers. */
+static gint compare_departures_(gconstpointer a, gconstpointer b)
+{
+	const struct bw_server *left = *(const struct bw_server *const *)a;
+	const struct bw_server *right = *(const struct bw_server *const *)b;
+
+	return (left->departure > right->departure) -
+	       (left->departure < right->departure);
+}
--- a/src/test_boragewingd/test_gate_wire.c
+++ b/src/test_boragewingd/test_gate_wire.c
@@ -31,6 +31,7 @@
 	struct gate_loads loads;
 	struct gate_fleet fleet;
 	struct gate_routing routing;
+	struct gate_departures_request departures;
 };
 
 static struct message message_;
@@ -59,6 +60,9 @@
 	case GATE_FLEET:
 		gate_fleet_read(&reader, &message_.fleet);
 		break;
+	case GATE_DEPARTURES_REQUEST:
+		gate_departures_request_read(&reader, &message_.departures);
+		break;
 	case GATE_ROUTING:
 	case GATE_ROUTING_REQUEST:
 		gate_routing_read(&reader, &message_.routing);
@@ -97,6 +101,7 @@
 	hello.used.count = 2;
 	bw_name_set(hello.used.domains[0], "d1");
 	bw_name_set(hello.used.domains[1], "d2");
+	hello.departures = 64;
 	gate_hello_write(out, &hello);
 }
 
@@ -123,6 +128,7 @@
 	status.confirmed = true;
 	status.confirmed_age_ms = 321;
 	status.tells_silence = true;
+	status.departures = 65;
 	gate_status_write(out, &status);
 }
 
@@ -142,6 +148,8 @@
 	servers.heartbeats[0].state = BW_SERVER_DRAINING;
 	servers.heartbeats[1].id_hash = 32;
 	servers.heartbeats[1].silent = true;
+	servers.departures_after = 63;
+	servers.departures_upto = 66;
 	gate_servers_write(out, GATE_SERVERS, &servers);
 }
 
@@ -174,8 +182,16 @@
 	gate_fleet_write(out, &fleet);
 }
 
+static void write_departures_request_(struct bw_buffer *out)
+{
+	struct gate_departures_request request = { .after = 67 };
+
+	gate_departures_request_write(out, &request);
+}
+
 static void (*const writers[])(struct bw_buffer *out) = {
-	write_hello_, write_status_, write_servers_, write_loads_, write_fleet_
+	write_hello_, write_status_, write_servers_,
+	write_loads_, write_fleet_,  write_departures_request_
 };
 
 #define WRITER_COUNT (sizeof(writers) / sizeof(writers[0]))
@@ -202,6 +218,7 @@
 	assert_true(message_.hello.accepts_silence);
 	assert_true(message_.hello.used.known);
 	assert_string_equal(message_.hello.used.domains[1], "d2");
+	assert_int_equal(message_.hello.departures, 64);
 	write_and_read_(write_status_);
 	assert_int_equal(message_.type, GATE_STATUS);
 	assert_string_equal(message_.status.evacuated[0], "d3");
@@ -211,6 +228,7 @@
 	assert_true(message_.status.confirms && message_.status.confirmed);
 	assert_int_equal(message_.status.confirmed_age_ms, 321);
 	assert_true(message_.status.tells_silence);
+	assert_int_equal(message_.status.departures, 65);
 	write_and_read_(write_servers_);
 	assert_int_equal(message_.type, GATE_SERVERS);
 	assert_int_equal(message_.servers.heartbeats[0].state,
@@ -218,6 +236,8 @@
 	assert_false(message_.servers.heartbeats[0].silent);
 	assert_int_equal(message_.servers.heartbeats[1].state, BW_SERVER_READY);
 	assert_true(message_.servers.heartbeats[1].silent);
+	assert_int_equal(message_.servers.departures_after, 63);
+	assert_int_equal(message_.servers.departures_upto, 66);
 	write_and_read_(write_loads_);
 	assert_int_equal(message_.type, GATE_LOADS);
 	assert_int_equal(message_.loads.loads[1].limit_millirequests_per_s,
@@ -226,6 +246,9 @@
 	assert_int_equal(message_.type, GATE_FLEET);
 	assert_string_equal(message_.fleet.hosts[0].name, "10.0.0.7:80");
 	assert_int_equal(message_.fleet.demands[0].millirequests_per_s, 7);
+	write_and_read_(write_departures_request_);
+	assert_int_equal(message_.type, GATE_DEPARTURES_REQUEST);
+	assert_int_equal(message_.departures.after, 67);
 }
 
 /* Writes what a control host of 6dc9c60 sends. */
@@ -264,6 +287,7 @@
 	assert_false(message_.status.confirms);
 	assert_false(message_.status.confirmed);
 	assert_false(message_.status.tells_silence);
+	assert_int_equal(message_.status.departures, 0);
 }
 
 /* Writes the hello of an entry host of 6dc9c60. */
@@ -302,6 +326,8 @@
 
 static void assert_bounds_(void)
 {
+	uint32_t i;
+
 	if (message_.type == GATE_HELLO) {
 		assert_true(message_.hello.demand_count <= GATE_DEMANDS_MAX);
 		assert_true(message_.hello.load_count <= GATE_LOADS_MAX);
@@ -314,6 +340,9 @@
 	} else if (message_.type == GATE_SERVERS) {
 		assert_true(message_.servers.record_count <= GATE_BATCH_MAX);
 		assert_true(message_.servers.heartbeat_count <= GATE_BATCH_MAX);
+		for (i = 0; i < message_.servers.heartbeat_count; i++)
+			assert_true(message_.servers.heartbeats[i].state <
+				    BW_SERVER_STATE_COUNT);
 	} else if (message_.type == GATE_FLEET) {
 		assert_true(message_.fleet.host_count <= GATE_FLEET_HOSTS_MAX);
 		assert_true(message_.fleet.demand_count <= GATE_DEMANDS_MAX);
--- a/src/test_libbwsteer/test_registry.c
+++ b/src/test_libbwsteer/test_registry.c
@@ -152,6 +152,43 @@
 	bw_registry_finish(&registry);
 }
 
+/* Guards against departures that are listed twice, or not at all. */
+static void test_departures_are_numbered(void **state)
+{
+	const struct bw_server *servers[2];
+	struct bw_registry registry;
+	struct bw_server_record record = record_(4, 1000);
+	uint32_t i;
+
+	(void)state;
+	bw_registry_init(&registry);
+	for (i = 0; i < 4; i++) {
+		snprintf(record.id, sizeof(record.id), "i-%u", i);
+		record.state = i ? BW_SERVER_DRAINING : BW_SERVER_READY;
+		merge_(&registry, &record, 0);
+	}
+	assert_int_equal(registry.departures, 3);
+	assert_int_equal(bw_registry_departures(&registry, 0, servers, 2), 2);
+	assert_string_equal(servers[0]->record.id, "i-1");
+	assert_string_equal(servers[1]->record.id, "i-2");
+	assert_int_equal(bw_registry_departures(&registry, 2, servers, 2), 1);
+	assert_string_equal(servers[0]->record.id, "i-3");
+	/* Repeated announcements are no departures, later states are. */
+	record.sequence++;
+	merge_(&registry, &record, 1);
+	assert_int_equal(registry.departures, 3);
+	record.state = BW_SERVER_LEFT;
+	merge_(&registry, &record, 2);
+	assert_int_equal(bw_registry_departures(&registry, 3, servers, 2), 1);
+	assert_int_equal(servers[0]->departure, 4);
+	/* The next start is none. */
+	record = record_(1, 2000);
+	strcpy(record.id, "i-3");
+	merge_(&registry, &record, 3);
+	assert_int_equal(bw_registry_departures(&registry, 2, servers, 2), 0);
+	bw_registry_finish(&registry);
+}
+
 /* Guards against an outdated heartbeat that keeps a server, and against a
  * server that is kept without heartbeats. */
 static void test_heartbeats(void **state)
@@ -249,6 +286,7 @@
 		cmocka_unit_test(test_one_record_is_newer),
 		cmocka_unit_test(
 			test_leave_after_later_heartbeats_is_not_passed_over),
+		cmocka_unit_test(test_departures_are_numbered),
 		cmocka_unit_test(test_heartbeats),
 		cmocka_unit_test(test_heartbeat_overtakes),
 		cmocka_unit_test(test_codec),
--- /dev/null
+++ b/test/gateway_departures.sh
@@ -0,0 +1,78 @@
+#!/usr/bin/env bash
+# A backend server leaves while one control host is cut off from the others and
+# an entry host hears no control host for a second. Guards against an entry host
+# that is never told of the leave afterwards, and against one that takes it for
+# older than the announcements that only the cut off control host had.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+. test/gateway_lib.sh
+ADDRESS="127.0.3.1:$((port + 6))"
+
+cut_off() { # PROCESS NUMBER...: cuts it off from control hosts
+	local name=$1
+	shift
+	printf '127.0.1.%s\n' "$@" > "$work/cut-$name"
+}
+heal() { rm -f "$work/cut-$1"; }
+leave() { # CONTROL
+	status_code --max-time 1 -X POST "http://$(control_address "$1")/-/instances/i-one/leave"
+}
+# reached PREFIX COUNT: sends requests; prints how many reached server one.
+reached() {
+	local n
+	for n in $(seq "$2"); do
+		request 1 GET /read/x "$1-$n" -H "Affinity-Key: $1-$n" > "$work/status"
+		sleep 0.05
+	done
+	grep -c "^$1-[0-9]* i-one " "$work/ledger"
+}
+uses_one() {
+	local id="use-$RANDOM$RANDOM"
+	request 1 GET /read/x "$id" -H "Affinity-Key: $id" > /dev/null
+	grep -c "^$id i-one " "$work/ledger"
+}
+announce_one() { # to the control hosts in the file "hears-one"
+	local n=1 k
+	while [ -e "$work/hears-one" ]; do
+		for k in $(cat "$work/hears-one"); do
+			send_heartbeat i-one a "$ADDRESS" ready $n "$k" > /dev/null
+		done
+		n=$((n + 1))
+		sleep 0.2
+	done
+}
+
+ulimit -n 4096
+cc -shared -fPIC -o "$work/host_faults.so" test/host_faults.c -ldl || exit 1
+export LD_PRELOAD="$work/host_faults.so"
+for i in 1 2 3; do
+	export HOST_CUT_FILE="$work/cut-control-$i"
+	start_control $i true
+done
+export HOST_CUT_FILE="$work/cut-entry-1"
+start_entry 1
+unset LD_PRELOAD HOST_CUT_FILE
+start_servers two
+start_server one
+echo 1 2 3 > "$work/hears-one"
+announce_one &
+pids[announcing-one]=$!
+check_first_configuration
+check "server one is used" wait_output 1 20 uses_one
+
+echo 3 > "$work/hears-one"
+cut_off control-3 1 2
+sleep 9
+check "server one is used while only the cut off host hears of it" wait_output 1 20 uses_one
+
+cut_off entry-1 1 2 3
+sleep 0.3
+rm -f "$work/hears-one"
+check "the leave is acknowledged by a majority" wait_output 200 2 leave 1
+sleep 0.7
+heal entry-1
+sleep 2.5
+check "no request reaches it 2.5 s after the entry host is back" \
+	test "$(reached late 40)" = 0
+check "server two serves" test "$(request 1 GET /read/x last)" = 200
+rm -f "$work/announcing"
--- a/test/host_faults.c
+++ b/test/host_faults.c
@@ -1,15 +1,21 @@
 /*
- * Preloaded into a process to give its host a slow link or a stepped wall
- * clock.
+ * Preloaded into a process to give its host a slow link, a stepped wall clock,
+ * or to cut it off from others.
  *
  * HOST_LINK_BYTES_PER_S  limits what threads other than the first one receive,
  *                        that is, the traffic between hosts
  * HOST_CLOCK_STEP_FILE   holds the step of the wall clock in ms
+ * HOST_CUT_FILE          lists IPv4 addresses, one a line; connections with
+ * them fail in both directions
  */
 #define _GNU_SOURCE
+#include <arpa/inet.h>
 #include <dlfcn.h>
+#include <errno.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
 #include <sys/time.h>
@@ -33,6 +39,64 @@
 	return step_ms;
 }
 
+static int is_cut_(const struct sockaddr *address)
+{
+	const char *path = getenv("HOST_CUT_FILE");
+	char line[INET_ADDRSTRLEN + 1];
+	char text[INET_ADDRSTRLEN];
+	int found = 0;
+	FILE *file;
+
+	if (!path || address->sa_family != AF_INET)
+		return 0;
+	file = fopen(path, "r");
+	if (!file)
+		return 0;
+	inet_ntop(AF_INET, &((const struct sockaddr_in *)address)->sin_addr,
+		  text, sizeof(text));
+	while (!found && fgets(line, sizeof(line), file)) {
+		line[strcspn(line, "\n")] = '\0';
+		found = !strcmp(line, text);
+	}
+	fclose(file);
+	return found;
+}
+
+static int is_peer_cut_(int fd)
+{
+	struct sockaddr_storage address;
+	socklen_t size_bytes = sizeof(address);
+
+	if (!getenv("HOST_CUT_FILE") ||
+	    getpeername(fd, (struct sockaddr *)&address, &size_bytes))
+		return 0;
+	return is_cut_((const struct sockaddr *)&address);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t size_bytes)
+{
+	static int (*next)(int, const struct sockaddr *, socklen_t);
+
+	if (!next)
+		*(void **)&next = dlsym(RTLD_NEXT, "connect");
+	if (!is_cut_(address))
+		return next(fd, address, size_bytes);
+	errno = ECONNREFUSED;
+	return -1;
+}
+
+ssize_t send(int fd, const void *data, size_t size_bytes, int flags)
+{
+	static ssize_t (*next)(int, const void *, size_t, int);
+
+	if (!next)
+		*(void **)&next = dlsym(RTLD_NEXT, "send");
+	if (!is_peer_cut_(fd))
+		return next(fd, data, size_bytes, flags);
+	errno = ECONNRESET;
+	return -1;
+}
+
 ssize_t recv(int fd, void *data, size_t size_bytes, int flags)
 {
 	static ssize_t (*next)(int, void *, size_t, int);
@@ -42,6 +106,10 @@
 
 	if (!next)
 		*(void **)&next = dlsym(RTLD_NEXT, "recv");
+	if (is_peer_cut_(fd)) {
+		errno = ECONNRESET;
+		return -1;
+	}
 	if (!bytes_per_s || syscall(SYS_gettid) == getpid())
 		return next(fd, data, size_bytes, flags);
 	if (size_bytes > READ_MAX_BYTES)
