Take a control host for cut off only after its last confirmation is old

A control host is a few milliseconds behind after each change of the configuration, and then confirms nothing. Each change of the source drops what the old one had said of the control hosts that it hears, and with it the contact beyond a partition.

The time of the last confirmation is now kept beside the last status, and its age decides.

--- a/include/bwmember/confirmation.h
+++ b/include/bwmember/confirmation.h
@@ -24,8 +24,24 @@
 	struct bw_time as_of; /**< it is not older than this; 0 ms: unknown */
 	bool of_majority; /**< the control host has this confirmed by most
 			       voters, and as_of is the time of that */
+	struct bw_time majority_as_of; /**< as_of of its latest announcement
+					    that was of_majority; 0 ms: none */
 };
 
+/** Replaces the known announcement of a control host by a later one. */
+void bw_announcement_replace(struct bw_announcement *known,
+			     const struct bw_announcement *later);
+
+/**
+ * Returns for how long most voters have not confirmed what a control host
+ * announces; INT64_MAX if they never have. A single announcement that they
+ * don't confirm says little: the control host may be a few milliseconds behind
+ * a change.
+ */
+int64_t
+bw_announcement_unconfirmed_ms(const struct bw_announcement *announcement,
+			       struct bw_time now);
+
 /** What the announcements of all known control hosts say together. */
 struct bw_confirmation {
 	bool confirmed; /**< no newer version was in force recently */
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -155,9 +155,9 @@
 
 	if (peer && peer->last_heard.ms)
 		silent_ms = bw_time_diff_ms(now, peer->last_heard);
-	if (peer && peer->announcement.of_majority)
+	if (peer && peer->announcement.majority_as_of.ms)
 		confirmed_ms_ago =
-			bw_time_diff_ms(now, peer->announcement.as_of);
+			bw_time_diff_ms(now, peer->announcement.majority_as_of);
 	bw_metric_add(entry->source_changes[change], 1);
 	bw_log_event(entry->node->log, BW_LOG_INFO, "membership",
 		     "detail_source_changed", "{s:s,s:s,s:s,s:I,s:I,s:b}",
@@ -253,8 +253,8 @@
 	if (!announcement->current)
 		return true;
 	return peer->confirms &&
-	       (!announcement->of_majority ||
-		bw_time_diff_ms(now, announcement->as_of) > OUTDATED_AFTER_MS);
+	       bw_announcement_unconfirmed_ms(announcement, now) >
+		       OUTDATED_AFTER_MS;
 }
 
 /* Sends hellos to contacts that do not respond, too. */
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -371,8 +371,9 @@
 				  "version",
 				  (json_int_t)peer->announcement.version,
 				  "confirmed_ms_ago",
-				  (json_int_t)age_ms_(peer->announcement.as_of,
-						      now)));
+				  (json_int_t)age_ms_(
+					  peer->announcement.majority_as_of,
+					  now)));
 	}
 	json_object_set_new(into, "control_hosts", controls);
 	json_object_set_new(
@@ -564,7 +565,7 @@
 		if (status->confirmed)
 			announcement.as_of.ms -= status->confirmed_age_ms;
 	}
-	peer->announcement = announcement;
+	bw_announcement_replace(&peer->announcement, &announcement);
 }
 
 /* The sender knows that a server drains or has left; this host takes that for
--- a/src/libbwmember/confirmation.c
+++ b/src/libbwmember/confirmation.c
@@ -6,6 +6,26 @@
 		       uint32_t age_max_ms, struct bw_time now);
 static int compare_descending_(const void *a, const void *b);
 
+void bw_announcement_replace(struct bw_announcement *known,
+			     const struct bw_announcement *later)
+{
+	struct bw_time majority_as_of = known->majority_as_of;
+
+	*known = *later;
+	known->majority_as_of = majority_as_of;
+	if (later->of_majority && later->as_of.ms > majority_as_of.ms)
+		known->majority_as_of = later->as_of;
+}
+
+int64_t
+bw_announcement_unconfirmed_ms(const struct bw_announcement *announcement,
+			       struct bw_time now)
+{
+	if (!announcement->majority_as_of.ms)
+		return INT64_MAX;
+	return bw_time_diff_ms(now, announcement->majority_as_of);
+}
+
 struct bw_confirmation bw_confirm(const struct bw_announcement *announcements,
 				  uint32_t count, uint64_t version,
 				  uint32_t age_max_ms, struct bw_time now)
--- a/src/test_libbwmember/test_confirmation.c
+++ b/src/test_libbwmember/test_confirmation.c
@@ -197,12 +197,44 @@
 	assert_int_equal(check_(6, NOW_MS).as_of.ms, 0);
 }
 
+/* Guards against a host that changes its source of detail after each change of
+ * the configuration. */
+static void test_unconfirmed_announcement_is_not_a_partition(void **state)
+{
+	struct bw_announcement known = { .version = 0 };
+	struct bw_announcement later = { .version = 7, .current = true };
+
+	(void)state;
+	assert_int_equal(bw_announcement_unconfirmed_ms(&known, time_at_(10)),
+			 INT64_MAX);
+	later.as_of = time_at_(NOW_MS);
+	later.of_majority = true;
+	bw_announcement_replace(&known, &later);
+	later.as_of = time_at_(NOW_MS + 300);
+	later.of_majority = false;
+	bw_announcement_replace(&known, &later);
+	assert_false(known.of_majority);
+	assert_int_equal(known.as_of.ms, NOW_MS + 300);
+	assert_int_equal(bw_announcement_unconfirmed_ms(&known,
+							time_at_(NOW_MS + 350)),
+			 350);
+	/* An announcement that was under way for long says nothing new. */
+	later.as_of = time_at_(NOW_MS - 900);
+	later.of_majority = true;
+	bw_announcement_replace(&known, &later);
+	assert_int_equal(bw_announcement_unconfirmed_ms(&known,
+							time_at_(NOW_MS + 400)),
+			 400);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup(test_most_control_hosts_confirm,
 				       set_up_),
 		cmocka_unit_test_setup(test_one_status_missing, set_up_),
+		cmocka_unit_test(
+			test_unconfirmed_announcement_is_not_a_partition),
 		cmocka_unit_test_setup(test_old_statuses_do_not_confirm,
 				       set_up_),
 		cmocka_unit_test_setup(test_newer_version_announced, set_up_),
