Bound the memory for bodies of responses

A body is charged to a budget of a quarter of the memory when its length is known, or as it grows, until the client has read it or is gone. When it doesn't fit, the host stops reading from that server and goes on in the order of arrival as memory is released. Nothing is refused; the request's own time limits hold. So that bodies of unknown length don't wait for each other without end, one of them may exceed the budget. The body is moved to the listener, which copied it before. A pipelined request is read once the body of the response before it is sent.

--- a/include/bwproxy/body.h
+++ b/include/bwproxy/body.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * Bodies of requests, and the memory that all of them may use together.
+ * Bodies of requests and responses, and the memory that all of them may use
+ * together.
  */
 #ifndef BWPROXY_BODY_H
 #define BWPROXY_BODY_H
@@ -14,6 +15,10 @@
 struct bw_body_budget {
 	uint64_t max_bytes;
 	uint64_t used_bytes;
+	/** One body at a time may exceed max_bytes, so that bodies that wait
+	 * for memory don't wait for each other without end. */
+	bool allows_overdraft;
+	bool overdrawn;
 };
 
 /** A body with its charge to a budget; zero-initialised, it is empty. */
@@ -21,6 +26,7 @@
 	struct bw_buffer bytes;
 	struct bw_body_budget *budget; /**< NULL: not limited */
 	uint64_t charged_bytes;
+	bool overdraws; /**< it is the body that exceeds the budget */
 };
 
 /**
--- a/include/bwproxy/http1.h
+++ b/include/bwproxy/http1.h
@@ -114,6 +114,15 @@
  */
 enum bw_http_progress bw_http_reader_end(struct bw_http_reader *reader);
 
+/**
+ * Returns the size of the body: by its Content-Length, else what was read of
+ * it.
+ */
+uint64_t bw_http_reader_body_bytes(const struct bw_http_reader *reader);
+
+/** Returns whether the size of the body is known before it has arrived. */
+bool bw_http_reader_knows_body_bytes(const struct bw_http_reader *reader);
+
 /**
  * Finds a field by name, ignoring case.
  * @param value receives the NUL-terminated value
--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -176,4 +176,14 @@
 			   uint16_t status_code, const struct bw_buffer *fields,
 			   const void *body, size_t body_bytes, bool close);
 
+/**
+ * The same with a body that is moved to the listener with its charge, which is
+ * released when the body is sent or the connection ends. The next request on
+ * the connection is read after that.
+ */
+void bw_connection_respond_body(struct bw_server_connection *connection,
+				uint16_t status_code,
+				const struct bw_buffer *fields,
+				struct bw_body *body, bool close);
+
 #endif
--- a/include/bwproxy/pool.h
+++ b/include/bwproxy/pool.h
@@ -4,7 +4,8 @@
  * backend servers. A connection carries one request at a time. A response is
  * accepted only when it is complete and echoes the id of the request; other
  * responses on the same connection are skipped, because a backend server may
- * send an extra one.
+ * send an extra one. A response whose body exceeds the budget is not read
+ * further until other bodies are released.
  */
 #ifndef BWPROXY_POOL_H
 #define BWPROXY_POOL_H
@@ -17,6 +18,7 @@
 
 #include "bwbase/buffer.h"
 #include "bwbase/status.h"
+#include "bwproxy/body.h"
 #include "bwproxy/http1.h"
 #include "bwproxy/loop_clock.h"
 
@@ -42,13 +44,18 @@
 	uint32_t connect_timeout_ms;
 	uint32_t idle_ms; /**< maximum idle time of a connection */
 	uint32_t connections_max;
+	struct bw_body_budget *budget; /**< of bodies of responses, which allows
+					    an overdraft; NULL: not limited */
 	/**
 	 * Called when a request has ended.
-	 * @param response valid during the callback; NULL unless result is
-	 *	BW_POOL_RESPONSE
+	 * @param response valid during the callback; its body is in body. NULL
+	 *	unless result is BW_POOL_RESPONSE
+	 * @param body with its charge to the budget; may be moved away. NULL
+	 *	like response
 	 */
 	void (*ended)(void *context, void *request, enum bw_pool_result result,
-		      const struct bw_http_message *response);
+		      const struct bw_http_message *response,
+		      struct bw_body *body);
 	/**
 	 * Called when a new connection is established, before the request is
 	 * sent on it; may be NULL. Lets the caller cancel a request whose
@@ -68,6 +75,9 @@
 	uint64_t opened_count;
 	uint64_t reused_count;
 	uint64_t skipped_count; /**< responses to other requests */
+	GQueue paused; /**< connections that are not read from until the budget
+			    allows the rest of their response */
+	uint64_t paused_count; /**< responses that had to wait for that */
 	ev_timer sweep_timer;
 	struct bw_loop_clock clock;
 };
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -24,11 +24,17 @@
 
 /**
  * Fraction of the memory of a process that the bodies of all its requests may
- * use. The rest is for responses, for bytes in sockets, which count as memory
- * of the process, and for bodies in chunks, which grow by half.
+ * use. The rest is for bytes in sockets, which count as memory of the process,
+ * and for bodies in chunks, which grow by half.
  */
 #define BODY_MEMORY_FRACTION 0.5
 
+/**
+ * The same for the bodies of all responses. One more body may exceed it; they
+ * are read from a server and kept until the client has read them.
+ */
+#define RESPONSE_MEMORY_FRACTION 0.25
+
 /** Response to a request whose body has no memory; ends in CRLF. */
 #define UNAVAILABLE_FIELDS PLATFORM_FIELD_RETRY_AFTER ": 0.500\r\n"
 
@@ -67,6 +73,8 @@
 #define RETRY_SHARE 0.6
 
 static enum bw_status init_distribute_(struct gate_entry *entry);
+static uint64_t memory_bytes_(const struct gate_settings *settings,
+			      double fraction);
 static enum bw_status open_listeners_(struct gate_entry *entry);
 static void open_metrics_(struct gate_entry *entry);
 static void on_request_(void *context, struct bw_server_connection *connection,
@@ -135,6 +143,10 @@
 	pool_config.idle_ms = UPSTREAM_IDLE_MS;
 	pool_config.connections_max =
 		(node->settings.descriptors_max - DESCRIPTORS_RESERVED) / 2;
+	entry->response_budget.max_bytes =
+		memory_bytes_(&node->settings, RESPONSE_MEMORY_FRACTION);
+	entry->response_budget.allows_overdraft = true;
+	pool_config.budget = &entry->response_budget;
 	pool_config.ended = gate_request_ended;
 	pool_config.connected = gate_request_connected;
 	pool_config.context = entry;
@@ -180,6 +192,10 @@
 		gate_entry_send_hellos(entry, now);
 		bw_metric_set(entry->waiting,
 			      bw_dispatch_waiting(&entry->dispatch));
+		bw_metric_set(entry->response_bytes,
+			      (int64_t)entry->response_budget.used_bytes);
+		bw_metric_set(entry->responses_paused,
+			      entry->pool.paused.length);
 		bw_metric_set(entry->servers_known,
 			      g_hash_table_size(node->registry.servers));
 		if (entry->routing)
@@ -268,6 +284,12 @@
 				  entry->started_at);
 }
 
+static uint64_t memory_bytes_(const struct gate_settings *settings,
+			      double fraction)
+{
+	return (uint64_t)(fraction * settings->memory_max_mb * 1024 * 1024);
+}
+
 static enum bw_status open_listeners_(struct gate_entry *entry)
 {
 	const struct gate_settings *settings = &entry->node->settings;
@@ -275,8 +297,7 @@
 	enum bw_status status;
 
 	entry->body_budget.max_bytes =
-		(uint64_t)(BODY_MEMORY_FRACTION * settings->memory_max_mb *
-			   1024 * 1024);
+		memory_bytes_(settings, BODY_MEMORY_FRACTION);
 	config.address = settings->entry_address;
 	config.limits.head_max_bytes = HEAD_MAX_BYTES;
 	config.limits.body_max_bytes = REQUEST_BODY_MAX_BYTES;
@@ -378,6 +399,12 @@
 	entry->routing_received_bytes = bw_metrics_get(
 		metrics, BW_METRIC_COUNTER, "bw_routing_received_bytes_total",
 		"Bytes of configurations received, copies included", "");
+	entry->response_bytes = bw_metrics_get(
+		metrics, BW_METRIC_GAUGE, "bw_response_body_bytes",
+		"Memory charged for bodies of responses", "");
+	entry->responses_paused = bw_metrics_get(
+		metrics, BW_METRIC_GAUGE, "bw_responses_paused",
+		"Responses that are not read on for lack of memory", "");
 	entry->servers_known =
 		bw_metrics_get(metrics, BW_METRIC_GAUGE, "bw_servers_known",
 			       "Backend servers that announced themselves", "");
--- a/src/boragewingd/gate_entry.h
+++ b/src/boragewingd/gate_entry.h
@@ -75,6 +75,9 @@
 	struct bw_listener clients;
 	struct bw_listener ready;
 	struct bw_body_budget body_budget; /**< of requests of clients */
+	struct bw_body_budget
+		response_budget; /**< of bodies that are read from
+				      servers or sent to clients */
 	struct bw_pool pool;
 	struct bw_dispatch dispatch;
 	struct gate_poison poison;
@@ -123,6 +126,8 @@
 	struct bw_metric *rejections[BW_REJECT_COUNT];
 	struct bw_metric *reconsidered[GATE_CHECK_COUNT];
 	struct bw_metric *source_changes[BW_FEED_CHANGE_COUNT];
+	struct bw_metric *response_bytes;
+	struct bw_metric *responses_paused;
 	struct bw_metric *queue_us;
 	struct bw_metric *upstream_us;
 	struct bw_metric *total_us[2]; /**< not idempotent, idempotent */
--- a/src/boragewingd/gate_request.c
+++ b/src/boragewingd/gate_request.c
@@ -56,14 +56,16 @@
 static void reject_without_connection_(struct gate_request *request);
 static void record_attempt_(struct gate_request *request, struct bw_time now);
 static void handle_response_(struct gate_request *request,
-			     const struct bw_http_message *response);
+			     const struct bw_http_message *response,
+			     struct bw_body *body);
 static void handle_failure_(struct gate_request *request,
 			    enum bw_pool_result result);
 static bool may_retry_(struct gate_request *request, struct bw_time now,
 		       bool not_run);
 static void retry_(struct gate_request *request, const char *cause);
 static void relay_response_(struct gate_request *request,
-			    const struct bw_http_message *response);
+			    const struct bw_http_message *response,
+			    struct bw_body *body);
 static void reject_(struct gate_request *request, enum bw_reject reason,
 		    uint32_t retry_after_ms);
 static void fail_(struct gate_request *request, uint16_t status_code,
@@ -121,7 +123,8 @@
 }
 
 void gate_request_ended(void *context, void *owner, enum bw_pool_result result,
-			const struct bw_http_message *response)
+			const struct bw_http_message *response,
+			struct bw_body *body)
 {
 	struct gate_entry *entry = context;
 	struct gate_request *request = owner;
@@ -129,7 +132,7 @@
 	request->upstream = NULL;
 	bw_metric_observe(entry->upstream_us, bw_clock_us() - request->sent_us);
 	if (result == BW_POOL_RESPONSE)
-		handle_response_(request, response);
+		handle_response_(request, response, body);
 	else
 		handle_failure_(request, result);
 	gate_request_run_queue(entry);
@@ -418,7 +421,8 @@
 }
 
 static void handle_response_(struct gate_request *request,
-			     const struct bw_http_message *response)
+			     const struct bw_http_message *response,
+			     struct bw_body *body)
 {
 	struct gate_entry *entry = request->entry;
 	struct bw_time now = gate_node_now(entry->node);
@@ -458,7 +462,7 @@
 	else if (code >= 500 && may_retry_(request, now, false))
 		retry_(request, "server_error");
 	else
-		relay_response_(request, response);
+		relay_response_(request, response, body);
 }
 
 static void handle_failure_(struct gate_request *request,
@@ -527,16 +531,16 @@
 }
 
 static void relay_response_(struct gate_request *request,
-			    const struct bw_http_message *response)
+			    const struct bw_http_message *response,
+			    struct bw_body *body)
 {
 	struct bw_buffer fields;
 	uint16_t code = response->status_code;
 
 	bw_buffer_init(&fields);
 	gate_forward_copy_fields(response, &fields);
-	bw_connection_respond(request->connection, code, &fields,
-			      response->body.data, response->body.size_bytes,
-			      false);
+	bw_connection_respond_body(request->connection, code, &fields, body,
+				   false);
 	request->connection = NULL;
 	bw_buffer_finish(&fields);
 	finish_for_client_(request, GATE_OUTCOME_ANSWERED, code, "");
--- a/src/boragewingd/gate_request.h
+++ b/src/boragewingd/gate_request.h
@@ -73,7 +73,8 @@
 /** Pool callback: handles the result of an attempt. */
 void gate_request_ended(void *context, void *request,
 			enum bw_pool_result result,
-			const struct bw_http_message *response);
+			const struct bw_http_message *response,
+			struct bw_body *body);
 
 /** Sends or rejects the queued requests that are due. */
 void gate_request_run_queue(struct gate_entry *entry);
--- a/src/libbwproxy/body.c
+++ b/src/libbwproxy/body.c
@@ -10,9 +10,13 @@
 	if (!budget || total_bytes <= body->charged_bytes)
 		return true;
 	more_bytes = total_bytes - body->charged_bytes;
-	if (budget->used_bytes > budget->max_bytes ||
-	    more_bytes > budget->max_bytes - budget->used_bytes)
-		return false;
+	if (!body->overdraws &&
+	    (budget->used_bytes > budget->max_bytes ||
+	     more_bytes > budget->max_bytes - budget->used_bytes)) {
+		if (!budget->allows_overdraft || budget->overdrawn)
+			return false;
+		budget->overdrawn = body->overdraws = true;
+	}
 	budget->used_bytes += more_bytes;
 	body->charged_bytes = total_bytes;
 	return true;
@@ -23,6 +27,7 @@
 	*to = *from;
 	bw_buffer_init(&from->bytes);
 	from->charged_bytes = 0;
+	from->overdraws = false;
 }
 
 void bw_body_finish(struct bw_body *body)
@@ -33,4 +38,7 @@
 	assert(body->budget->used_bytes >= body->charged_bytes);
 	body->budget->used_bytes -= body->charged_bytes;
 	body->charged_bytes = 0;
+	if (body->overdraws)
+		body->budget->overdrawn = false;
+	body->overdraws = false;
 }
--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -142,6 +142,25 @@
 	return BW_HTTP_MALFORMED;
 }
 
+uint64_t bw_http_reader_body_bytes(const struct bw_http_reader *reader)
+{
+	uint64_t read_bytes = reader->message.body.size_bytes;
+
+	if (!bw_http_reader_knows_body_bytes(reader))
+		return read_bytes;
+	if (reader->parser.content_length > UINT64_MAX - read_bytes)
+		return UINT64_MAX;
+	return read_bytes + reader->parser.content_length;
+}
+
+/* The parser counts down what remains of the length. */
+bool bw_http_reader_knows_body_bytes(const struct bw_http_reader *reader)
+{
+	return reader->message.head_complete && !reader->message.complete &&
+	       !(reader->parser.flags & F_CHUNKED) &&
+	       reader->parser.content_length != UINT64_MAX;
+}
+
 bool bw_http_find(const struct bw_http_message *message, const char *name,
 		  char *value, size_t value_bytes)
 {
--- a/src/libbwproxy/include/private/listener_private.h
+++ b/src/libbwproxy/include/private/listener_private.h
@@ -27,6 +27,8 @@
 	struct bw_body body; /**< charge of the body in reader; no bytes */
 	struct bw_buffer in; /**< bytes not yet parsed */
 	struct bw_buffer out;
+	struct bw_body out_body; /**< to be sent after out */
+	size_t out_body_sent_bytes;
 	struct bw_time state_since; /**< on a clock without the loop's pauses */
 	struct bw_time began_at; /**< first byte of the request being read */
 	uint64_t parsed_bytes; /**< of the request that is being read */
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -14,6 +14,9 @@
 #include "private/address.h"
 #include "private/listener_private.h"
 
+/** A body up to this size is copied behind its head, to send both at once. */
+#define COPIED_BODY_MAX_BYTES 16384
+
 /** Listen backlog of the kernel; sized for a burst of clients. */
 #define BACKLOG 1024
 
@@ -51,6 +54,11 @@
 /** Maximum number of connections whose bytes are read and dropped. */
 #define LINGERING_MAX 64
 
+static bool is_last_response_(const struct bw_server_connection *connection,
+			      bool close);
+static void end_request_(struct bw_server_connection *connection, bool last);
+static void read_pipelined_(struct bw_server_connection *connection);
+static bool has_body_to_send_(const struct bw_server_connection *connection);
 static int open_socket_(const char *address);
 static void stop_accepting_(struct bw_listener *listener);
 static bool may_close_(struct bw_server_connection *connection);
@@ -70,14 +78,14 @@
 static void read_request_(struct bw_server_connection *connection);
 static bool admit_body_(struct bw_server_connection *connection);
 static void free_body_(struct bw_server_connection *connection);
-static uint64_t
-total_body_bytes_(const struct bw_server_connection *connection);
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause);
 static void drop_input_(struct bw_server_connection *connection,
 			size_t size_bytes);
 static bool flush_output_(struct bw_server_connection *connection);
+static ssize_t send_piece_(struct bw_server_connection *connection,
+			   const uint8_t *data, size_t size_bytes);
 static void close_connection_(struct bw_server_connection *connection,
 			      bool notify_handler);
 static void write_head_(struct bw_buffer *out, uint16_t status_code,
@@ -162,7 +170,7 @@
 
 	for (connection = listener->connections; connection;
 	     connection = connection->next) {
-		if (connection->out.size_bytes)
+		if (connection->out.size_bytes || has_body_to_send_(connection))
 			return false;
 	}
 	return true;
@@ -213,13 +221,48 @@
 			   uint16_t status_code, const struct bw_buffer *fields,
 			   const void *body, size_t body_bytes, bool close)
 {
-	struct bw_listener *listener = connection->listener;
-	bool last = close || listener->closing ||
-		    !connection->reader.message.keep_alive;
+	bool last = is_last_response_(connection, close);
 
 	write_head_(&connection->out, status_code, fields, body_bytes, last);
 	if (connection->reader.message.method != HTTP_HEAD && body_bytes)
 		bw_buffer_append(&connection->out, body, body_bytes);
+	end_request_(connection, last);
+}
+
+void bw_connection_respond_body(struct bw_server_connection *connection,
+				uint16_t status_code,
+				const struct bw_buffer *fields,
+				struct bw_body *body, bool close)
+{
+	bool last = is_last_response_(connection, close);
+
+	write_head_(&connection->out, status_code, fields,
+		    body->bytes.size_bytes, last);
+	if (connection->reader.message.method == HTTP_HEAD) {
+		bw_body_finish(body);
+	} else if (body->bytes.size_bytes <= COPIED_BODY_MAX_BYTES) {
+		bw_buffer_append(&connection->out, body->bytes.data,
+				 body->bytes.size_bytes);
+		bw_body_finish(body);
+	} else {
+		bw_body_move(&connection->out_body, body);
+		connection->out_body_sent_bytes = 0;
+	}
+	end_request_(connection, last);
+}
+
+static bool is_last_response_(const struct bw_server_connection *connection,
+			      bool close)
+{
+	return close || connection->listener->closing ||
+	       !connection->reader.message.keep_alive;
+}
+
+/* The response is in the output. */
+static void end_request_(struct bw_server_connection *connection, bool last)
+{
+	struct bw_listener *listener = connection->listener;
+
 	connection->busy = false;
 	listener->busy_count--;
 	connection->context = NULL;
@@ -230,10 +273,21 @@
 	bw_http_reader_next(&connection->reader);
 	if (!flush_output_(connection))
 		return;
-	/* Read pipelined requests from the loop, not from the handler. */
-	if (connection->in.size_bytes && !last)
-		ev_feed_event(listener->config.loop, &connection->read_watcher,
-			      EV_CUSTOM);
+	read_pipelined_(connection);
+}
+
+/* Reads pipelined requests from the loop, not from the handler. */
+static void read_pipelined_(struct bw_server_connection *connection)
+{
+	if (connection->in.size_bytes && !connection->close_after_write &&
+	    !has_body_to_send_(connection))
+		ev_feed_event(connection->listener->config.loop,
+			      &connection->read_watcher, EV_CUSTOM);
+}
+
+static bool has_body_to_send_(const struct bw_server_connection *connection)
+{
+	return connection->out_body.bytes.size_bytes > 0;
 }
 
 static int open_socket_(const char *address)
@@ -277,7 +331,7 @@
 	uint8_t byte;
 
 	if (connection->busy || connection->out.size_bytes ||
-	    connection->reader.started ||
+	    has_body_to_send_(connection) || connection->reader.started ||
 	    bw_time_diff_ms(now, connection->state_since) < CLOSE_IDLE_MS)
 		return false;
 	return recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
@@ -377,7 +431,8 @@
 			return;
 		}
 	}
-	if (!connection->busy && !connection->close_after_write)
+	if (!connection->busy && !connection->close_after_write &&
+	    !has_body_to_send_(connection))
 		read_request_(connection);
 	else if (connection->in.size_bytes > PIPELINED_MAX_BYTES)
 		close_connection_(connection, true);
@@ -387,7 +442,8 @@
 {
 	(void)loop;
 	(void)events;
-	flush_output_(watcher->data);
+	if (flush_output_(watcher->data))
+		read_pipelined_(watcher->data);
 }
 
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events)
@@ -449,7 +505,8 @@
 /* Received bytes cannot be kept. */
 static void handle_lack_of_memory_(struct bw_server_connection *connection)
 {
-	if (connection->busy || connection->close_after_write) {
+	if (connection->busy || connection->close_after_write ||
+	    has_body_to_send_(connection)) {
 		close_connection_(connection, true);
 		return;
 	}
@@ -525,7 +582,7 @@
 static bool admit_body_(struct bw_server_connection *connection)
 {
 	struct bw_http_reader *reader = &connection->reader;
-	uint64_t total_bytes = total_body_bytes_(connection);
+	uint64_t total_bytes = bw_http_reader_body_bytes(reader);
 
 	if (total_bytes > reader->limits.body_max_bytes) {
 		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
@@ -550,22 +607,6 @@
 	bw_body_finish(&connection->body);
 }
 
-/* Returns the size of the body by its Content-Length, or what was read. */
-static uint64_t total_body_bytes_(const struct bw_server_connection *connection)
-{
-	const struct bw_http_message *message = &connection->reader.message;
-	const struct http_parser *parser = &connection->reader.parser;
-	uint64_t read_bytes = message->body.size_bytes;
-
-	/* The parser counts down what remains of the length. */
-	if (!message->head_complete || message->complete ||
-	    parser->flags & F_CHUNKED || parser->content_length == UINT64_MAX)
-		return read_bytes;
-	if (parser->content_length > UINT64_MAX - read_bytes)
-		return UINT64_MAX;
-	return read_bytes + parser->content_length;
-}
-
 static void send_continue_(struct bw_server_connection *connection)
 {
 	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -632,23 +673,28 @@
 static bool flush_output_(struct bw_server_connection *connection)
 {
 	struct ev_loop *loop = connection->listener->config.loop;
+	struct bw_body *body = &connection->out_body;
 	ssize_t sent;
 
 	while (connection->out.size_bytes) {
-		sent = send(connection->fd, connection->out.data,
-			    connection->out.size_bytes, MSG_NOSIGNAL);
-		if (sent < 0 && errno == EINTR)
-			continue;
-		if (sent < 0 && errno == EAGAIN) {
-			ev_io_start(loop, &connection->write_watcher);
-			return true;
-		}
-		if (sent < 0) {
-			close_connection_(connection, true);
-			return false;
-		}
+		sent = send_piece_(connection, connection->out.data,
+				   connection->out.size_bytes);
+		if (sent <= 0)
+			return sent == 0;
 		bw_buffer_consume(&connection->out, (size_t)sent);
 	}
+	while (connection->out_body_sent_bytes < body->bytes.size_bytes) {
+		sent = send_piece_(connection,
+				   body->bytes.data +
+					   connection->out_body_sent_bytes,
+				   body->bytes.size_bytes -
+					   connection->out_body_sent_bytes);
+		if (sent <= 0)
+			return sent == 0;
+		connection->out_body_sent_bytes += (size_t)sent;
+	}
+	connection->out_body_sent_bytes = 0;
+	bw_body_finish(body);
 	ev_io_stop(loop, &connection->write_watcher);
 	if (connection->lingering) {
 		shutdown(connection->fd, SHUT_WR);
@@ -663,6 +709,30 @@
 	return true;
 }
 
+/*
+ * @return number of bytes sent; 0 when none can be sent yet; -1 when the
+ *	connection no longer exists
+ */
+static ssize_t send_piece_(struct bw_server_connection *connection,
+			   const uint8_t *data, size_t size_bytes)
+{
+	ssize_t sent;
+
+	do
+		sent = send(connection->fd, data, size_bytes, MSG_NOSIGNAL);
+	while (sent < 0 && errno == EINTR);
+	if (sent < 0 && errno == EAGAIN) {
+		ev_io_start(connection->listener->config.loop,
+			    &connection->write_watcher);
+		return 0;
+	}
+	if (sent < 0) {
+		close_connection_(connection, true);
+		return -1;
+	}
+	return sent;
+}
+
 static void close_connection_(struct bw_server_connection *connection,
 			      bool notify_handler)
 {
@@ -688,6 +758,7 @@
 		connection->next->previous = connection->previous;
 	listener->connection_count--;
 	free_body_(connection);
+	bw_body_finish(&connection->out_body);
 	bw_http_reader_finish(&connection->reader);
 	bw_buffer_finish(&connection->in);
 	bw_buffer_finish(&connection->out);
--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -25,6 +25,9 @@
 /** A body up to this size is copied behind its head, to send both at once. */
 #define COPIED_BODY_MAX_BYTES 16384
 
+/** Bodies without a known size are charged in steps of this size. */
+#define CHARGE_STEP_BYTES 65536
+
 /** Responses to other requests skipped before the request fails. */
 #define SKIPPED_RESPONSES_MAX 4
 
@@ -53,6 +56,9 @@
 	const uint8_t *body; /**< caller's, to send after out */
 	size_t body_bytes; /**< of body that are not sent yet */
 	struct bw_http_reader reader;
+	struct bw_body response_body; /**< charge of the body in reader; no
+					  bytes */
+	bool paused; /**< not read from, see struct bw_pool */
 };
 
 static struct bw_pool_connection *take_idle_(struct bw_pool *pool,
@@ -67,6 +73,9 @@
 			     const uint8_t *data, size_t size_bytes);
 static void handle_response_(struct bw_pool_connection *connection,
 			     size_t extra_bytes);
+static void admit_body_(struct bw_pool_connection *connection);
+static bool charge_body_(struct bw_pool_connection *connection);
+static void resume_paused_(struct bw_pool *pool);
 static bool is_matching_response_(const struct bw_pool_connection *connection);
 static enum bw_status set_output_(struct bw_pool_connection *connection,
 				  const struct bw_pool_request *request);
@@ -92,6 +101,7 @@
 	memset(pool, 0, sizeof(*pool));
 	pool->config = *config;
 	bw_loop_clock_init(&pool->clock, config->loop);
+	g_queue_init(&pool->paused);
 	pool->idle =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ev_timer_init(&pool->sweep_timer, on_sweep_, SWEEP_INTERVAL_S,
@@ -222,6 +232,7 @@
 	connection->fd = fd;
 	connection->since = bw_loop_clock_now(&pool->clock);
 	connection->idle_limit_ms = pool->config.idle_ms;
+	connection->response_body.budget = pool->config.budget;
 	g_strlcpy(connection->address, address, sizeof(connection->address));
 	bw_http_reader_init(&connection->reader, HTTP_RESPONSE,
 			    &pool->config.limits);
@@ -310,6 +321,7 @@
 
 	(void)loop;
 	(void)events;
+	resume_paused_(pool);
 	while (connection) {
 		int64_t age_ms = bw_time_diff_ms(now, connection->since);
 
@@ -337,8 +349,10 @@
 					       size_bytes, &consumed_bytes);
 		data += consumed_bytes;
 		size_bytes -= consumed_bytes;
-		if (progress == BW_HTTP_INCOMPLETE)
+		if (progress == BW_HTTP_INCOMPLETE) {
+			admit_body_(connection);
 			return;
+		}
 		if (progress != BW_HTTP_COMPLETE) {
 			fail_request_(connection, BW_POOL_INVALID);
 			return;
@@ -360,6 +374,59 @@
 			return;
 		}
 		bw_http_reader_next(&connection->reader);
+		bw_body_finish(&connection->response_body);
+	}
+}
+
+/* Reads on only when the budget allows the rest of the body. */
+static void admit_body_(struct bw_pool_connection *connection)
+{
+	struct bw_pool *pool = connection->pool;
+
+	if (pool->paused.length == 0 && charge_body_(connection))
+		return;
+	if (pool->paused.length &&
+	    bw_http_reader_body_bytes(&connection->reader) <=
+		    connection->response_body.charged_bytes)
+		return;
+	connection->paused = true;
+	pool->paused_count++;
+	g_queue_push_tail(&pool->paused, connection);
+	ev_io_stop(pool->config.loop, &connection->read_watcher);
+}
+
+/* @return whether the budget allows the body, as far as its size is known */
+static bool charge_body_(struct bw_pool_connection *connection)
+{
+	struct bw_http_reader *reader = &connection->reader;
+	uint64_t total_bytes = bw_http_reader_body_bytes(reader);
+
+	if (!reader->message.head_complete || reader->skip_body)
+		return true;
+	if (total_bytes > reader->limits.body_max_bytes)
+		return true; /* The reader fails it. */
+	if (!bw_http_reader_knows_body_bytes(reader))
+		return bw_body_charge(&connection->response_body,
+				      total_bytes + CHARGE_STEP_BYTES -
+					      total_bytes % CHARGE_STEP_BYTES);
+	if (!bw_body_charge(&connection->response_body, total_bytes))
+		return false;
+	/* Else the buffer grows in steps; the reader reports a lack of memory.
+	 */
+	(void)bw_buffer_reserve(&reader->message.body, (size_t)total_bytes);
+	return true;
+}
+
+/* The first in the queue goes first, whatever its size. */
+static void resume_paused_(struct bw_pool *pool)
+{
+	struct bw_pool_connection *connection;
+
+	while ((connection = g_queue_peek_head(&pool->paused)) &&
+	       charge_body_(connection)) {
+		g_queue_pop_head(&pool->paused);
+		connection->paused = false;
+		ev_io_start(pool->config.loop, &connection->read_watcher);
 	}
 }
 
@@ -369,6 +436,7 @@
 {
 	struct bw_pool *pool = connection->pool;
 	struct bw_http_message message = connection->reader.message;
+	struct bw_body body = { .budget = NULL };
 	void *request = connection->request;
 	bool reusable = message.keep_alive && !extra_bytes &&
 			!connection->out.size_bytes && !connection->body_bytes;
@@ -390,6 +458,9 @@
 	/* Takes over the message, as the connection may be closed first. */
 	memset(&connection->reader.message, 0,
 	       sizeof(connection->reader.message));
+	bw_body_move(&body, &connection->response_body);
+	body.bytes = message.body;
+	bw_buffer_init(&message.body);
 	connection->request = NULL;
 	connection->busy = false;
 	if (reusable)
@@ -397,7 +468,8 @@
 	else
 		close_connection_(connection);
 	pool->config.ended(pool->config.context, request, BW_POOL_RESPONSE,
-			   &message);
+			   &message, &body);
+	bw_body_finish(&body);
 	bw_http_message_finish(&message);
 }
 
@@ -485,7 +557,7 @@
 	void *request = connection->request;
 
 	close_connection_(connection);
-	pool->config.ended(pool->config.context, request, result, NULL);
+	pool->config.ended(pool->config.context, request, result, NULL, NULL);
 }
 
 static void add_idle_(struct bw_pool_connection *connection)
@@ -526,6 +598,8 @@
 
 	if (!connection->busy)
 		unlink_idle_(connection);
+	if (connection->paused)
+		g_queue_remove(&pool->paused, connection);
 	ev_io_stop(pool->config.loop, &connection->read_watcher);
 	ev_io_stop(pool->config.loop, &connection->write_watcher);
 	close(connection->fd);
@@ -534,6 +608,7 @@
 		connection->next->previous = connection->previous;
 	pool->connection_count--;
 	bw_http_reader_finish(&connection->reader);
+	bw_body_finish(&connection->response_body);
 	bw_buffer_finish(&connection->out);
 	free(connection);
 }
--- a/src/test_libbwproxy/test_listener.c
+++ b/src/test_libbwproxy/test_listener.c
@@ -490,16 +490,16 @@
 	ev_loop_destroy(loop);
 }
 
+/* @param context size of the body, or NULL for LARGE_BODY_BYTES */
 static void respond_large_(void *context,
 			   struct bw_server_connection *connection,
 			   const struct bw_http_message *request)
 {
-	uint8_t *body = make_body(LARGE_BODY_BYTES);
+	size_t size_bytes = context ? *(size_t *)context : LARGE_BODY_BYTES;
+	uint8_t *body = make_body(size_bytes);
 
-	(void)context;
 	(void)request;
-	bw_connection_respond(connection, 200, NULL, body, LARGE_BODY_BYTES,
-			      false);
+	bw_connection_respond(connection, 200, NULL, body, size_bytes, false);
 	free(body);
 }
 
@@ -542,6 +542,68 @@
 	ev_loop_destroy(loop);
 }
 
+static struct bw_body_budget response_budget_;
+
+static void respond_body_(void *context,
+			  struct bw_server_connection *connection,
+			  const struct bw_http_message *request)
+{
+	struct bw_body body = { .budget = &response_budget_ };
+
+	(void)context;
+	(void)request;
+	body.bytes.data = make_body(LARGE_BODY_BYTES);
+	body.bytes.size_bytes = body.bytes.capacity_bytes = LARGE_BODY_BYTES;
+	assert_true(bw_body_charge(&body, LARGE_BODY_BYTES));
+	bw_connection_respond_body(connection, 200, NULL, &body, false);
+	assert_int_equal(body.charged_bytes, 0);
+}
+
+static const struct bw_listener_handler body_handler = {
+	.request = respond_body_,
+};
+
+/* Guards against a pipelined response within the body of the one before, and
+ * against memory that stays charged. */
+static void test_listener_keeps_body_until_sent(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener_config config = { .loop = loop,
+					     .limits = { 1024, 1024 },
+					     .connections_max = 4,
+					     .head_timeout_ms = 300,
+					     .idle_timeout_ms = 60000,
+					     .handler = &body_handler };
+	struct bw_listener listener;
+	struct peer peer;
+	struct peer gone;
+	uint16_t port;
+
+	(void)state;
+	response_budget_.max_bytes = 4 * LARGE_BODY_BYTES;
+	port = listener_open(&listener, &config, FIRST_PORT);
+	peer_connect(&peer, loop, port);
+	peer_pause(&peer);
+	peer_send_text(&peer, "GET /one HTTP/1.1\r\nHost: x\r\n\r\n"
+			      "GET /two HTTP/1.1\r\nHost: x\r\n\r\n");
+	peer_connect(&gone, loop, port);
+	peer_pause(&gone);
+	peer_send_text(&gone, "GET /gone HTTP/1.1\r\nHost: x\r\n\r\n");
+	SPIN_UNTIL(loop, response_budget_.used_bytes == 2 * LARGE_BODY_BYTES);
+	assert_false(bw_listener_is_flushed(&listener));
+	peer_reset(&gone);
+	SPIN_UNTIL(loop, response_budget_.used_bytes == LARGE_BODY_BYTES);
+	peer_resume(&peer);
+	SPIN_UNTIL(loop, peer.in.size_bytes > 2 * LARGE_BODY_BYTES);
+	SPIN_UNTIL(loop, !response_budget_.used_bytes);
+	assert_int_equal(peer_count(&peer, "HTTP/1.1 200 OK"), 2);
+	assert_int_equal(listener.connection_count, 1);
+	bw_listener_finish(&listener);
+	peer_finish(&peer);
+	peer_finish(&gone);
+	ev_loop_destroy(loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -555,6 +617,7 @@
 		cmocka_unit_test(test_listener_close),
 		cmocka_unit_test(test_listener_close_unread),
 		cmocka_unit_test(test_listener_slow_reader),
+		cmocka_unit_test(test_listener_keeps_body_until_sent),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_libbwproxy/test_loop_clock.c
+++ b/src/test_libbwproxy/test_loop_clock.c
@@ -199,10 +199,11 @@
 }
 
 static void ended_(void *context, void *request, enum bw_pool_result result,
-		   const struct bw_http_message *response)
+		   const struct bw_http_message *response, struct bw_body *body)
 {
 	(void)request;
 	(void)response;
+	(void)body;
 	*(enum bw_pool_result *)context = result;
 }
 
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -27,7 +27,7 @@
 };
 
 static void ended_(void *context, void *request, enum bw_pool_result result,
-		   const struct bw_http_message *response)
+		   const struct bw_http_message *response, struct bw_body *body)
 {
 	struct outcomes *outcomes = context;
 
@@ -36,13 +36,25 @@
 	if (response) {
 		outcomes->codes[outcomes->count] = response->status_code;
 		snprintf(outcomes->bodies[outcomes->count], 32, "%.*s",
-			 (int)response->body.size_bytes,
-			 response->body.data ? (char *)response->body.data
-					     : "");
+			 (int)body->bytes.size_bytes,
+			 body->bytes.data ? (char *)body->bytes.data : "");
 	}
 	outcomes->count++;
 }
 
+/* Keeps the body as while its client reads it. */
+static void keep_body_(void *context, void *request, enum bw_pool_result result,
+		       const struct bw_http_message *response,
+		       struct bw_body *body)
+{
+	struct bw_body *kept = request;
+
+	(void)context;
+	(void)response;
+	assert_int_equal(result, BW_POOL_RESPONSE);
+	bw_body_move(kept, body);
+}
+
 struct fixture {
 	struct ev_loop *loop;
 	struct raw_server server;
@@ -533,6 +545,84 @@
 	teardown_(&fixture);
 }
 
+/* Sends the first half of a response, or the rest of it. */
+static void respond_half_(struct peer *peer, const char *id, bool chunked,
+			  bool first)
+{
+	char text[4096];
+
+	memset(text, 'x', sizeof(text));
+	if (first && chunked)
+		snprintf(text, sizeof(text),
+			 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+			 "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n",
+			 id);
+	else if (first)
+		snprintf(text, sizeof(text),
+			 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+			 "Content-Length: 3000\r\n\r\nabcd",
+			 id);
+	else if (chunked)
+		snprintf(text, sizeof(text), "0\r\n\r\n");
+	else
+		text[2996] = '\0';
+	peer_send_text(peer, text);
+}
+
+/* Guards against responses that together take more memory than the host has,
+ * and against responses that wait for each other's memory without end. */
+static void test_bodies_beyond_the_budget_wait(void **state)
+{
+	static const char *const ids[] = { "a", "b", "c", "d" };
+	struct bw_body_budget budget = { .max_bytes = 3000,
+					 .allows_overdraft = true };
+	struct bw_body kept[4] = { { .budget = NULL } };
+	struct fixture fixture;
+	struct bw_pool_request request = { .head = NULL };
+	struct bw_buffer head;
+	uint32_t i;
+
+	(void)state;
+	setup_(&fixture);
+	bw_buffer_init(&head);
+	bw_buffer_printf(&head, "GET / HTTP/1.1\r\n\r\n");
+	fixture.pool.config.budget = &budget;
+	fixture.pool.config.ended = keep_body_;
+	for (i = 0; i < 4; i++) {
+		request.address = fixture.address;
+		request.id = ids[i];
+		request.head = &head;
+		request.request = &kept[i];
+		assert_non_null(bw_pool_send(&fixture.pool, &request));
+		SPIN_UNTIL(fixture.loop, fixture.server.peer_count == i + 1);
+		respond_half_(&fixture.server.peers[i], ids[i], i == 2, true);
+		SPIN_UNTIL(fixture.loop,
+			   budget.used_bytes + fixture.pool.paused.length >=
+				   MIN(i + 1, 2U) * 3000 + (i > 1 ? i - 1 : 0));
+	}
+	/* One fits, the second exceeds the budget, two wait. */
+	assert_int_equal(budget.used_bytes, 6000);
+	assert_int_equal(fixture.pool.paused.length, 2);
+	for (i = 0; i < 4; i++)
+		respond_half_(&fixture.server.peers[i], ids[i], i == 2, false);
+	SPIN_UNTIL(fixture.loop,
+		   kept[0].bytes.size_bytes && kept[1].bytes.size_bytes);
+	assert_int_equal(kept[0].charged_bytes, 3000);
+	assert_int_equal(kept[2].bytes.size_bytes, 0);
+	/* Released memory goes to the next in the queue. */
+	bw_body_finish(&kept[1]);
+	SPIN_UNTIL(fixture.loop, kept[2].bytes.size_bytes == 4);
+	assert_int_equal(kept[3].bytes.size_bytes, 0);
+	bw_body_finish(&kept[2]);
+	bw_body_finish(&kept[0]);
+	SPIN_UNTIL(fixture.loop, kept[3].bytes.size_bytes == 3000);
+	bw_body_finish(&kept[3]);
+	assert_int_equal(budget.used_bytes, 0);
+	assert_false(budget.overdrawn);
+	bw_buffer_finish(&head);
+	teardown_(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -550,6 +640,7 @@
 		cmocka_unit_test(test_endless_interim_responses),
 		cmocka_unit_test(test_interim_responses),
 		cmocka_unit_test(test_endless_body_after_head_response),
+		cmocka_unit_test(test_bodies_beyond_the_budget_wait),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/gate_backend.c
+++ b/tools/gate_backend.c
@@ -3,13 +3,13 @@
  * selects the behaviour: "lost" executes the request and closes the connection
  * without its response, "silent" executes it and never responds, "full" rejects
  * it with 503, "slow" responds after one second, "crash" executes it and ends
- * the process, "listed" responds with a Connection field that lists other
- * fields of the response, "limited" names a limit of the requests per second
- * that the server takes from all hosts together, "leaving" says that the server
- * leaves, "paused" rejects the request with a Retry-After (it is in the ledger
- * all the same), and any other value responds
- * at once. Each execution is appended to a ledger file: request id, server id,
- * wall clock in ms, size of the body.
+ * the process, "large" responds with LARGE_BODY_BYTES, "listed" responds with a
+ * Connection field that lists other fields of the response, "limited" names a
+ * limit of the requests per second that the server takes from all hosts
+ * together, "leaving" says that the server leaves, "paused" rejects the request
+ * with a Retry-After (it is in the ledger all the same), and any other value
+ * responds at once. Each execution is appended to a ledger file: request id,
+ * server id, wall clock in ms, size of the body.
  */
 #include <ev.h>
 #include <signal.h>
@@ -28,6 +28,7 @@
 #define SLOW_RESPONSE_S 1.0
 #define LIMIT_PER_S 2.0
 #define PAUSE_S 3.0
+#define LARGE_BODY_BYTES (7 * 1024 * 1024)
 
 /** State of the process. */
 struct backend {
@@ -54,6 +55,7 @@
 			       const struct bw_http_message *request);
 static void respond_(struct backend *backend,
 		     struct bw_server_connection *connection);
+static void append_large_(struct bw_buffer *body);
 static bool target_ends_with_(const struct bw_http_message *request,
 			      const char *suffix);
 static void append_to_ledger_(const struct backend *backend,
@@ -212,12 +214,25 @@
 			 (int)request->target.size_bytes,
 			 bw_http_text(request, request->target),
 			 request->body.size_bytes);
+	if (target_ends_with_(request, "/large"))
+		append_large_(&body);
 	bw_connection_respond(connection, 200, &fields, body.data,
 			      body.size_bytes, false);
 	bw_buffer_finish(&fields);
 	bw_buffer_finish(&body);
 }
 
+static void append_large_(struct bw_buffer *body)
+{
+	uint8_t line[64];
+
+	memset(line, 'x', sizeof(line) - 1);
+	line[sizeof(line) - 1] = '\n';
+	while (body->size_bytes < LARGE_BODY_BYTES &&
+	       bw_buffer_append(body, line, sizeof(line)) == BW_OK)
+		;
+}
+
 static bool target_ends_with_(const struct bw_http_message *request,
 			      const char *suffix)
 {
