Do not cut off responses whose clients read slowly

A connection was closed when its client had not sent a request for the idle timeout, counted from the moment at which its response was queued. A client that needed longer to read the response lost the rest of it. Now the time counts from the last bytes that the client took.

test_listener_slow_reader_is_not_idle fails with the old code: the connection ends before the 24 MiB are read.

--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -710,6 +710,7 @@
 }
 
 /*
+ * A client that reads slowly is not idle.
  * @return number of bytes sent; 0 when none can be sent yet; -1 when the
  *	connection no longer exists
  */
@@ -730,6 +731,8 @@
 		close_connection_(connection, true);
 		return -1;
 	}
+	if (!connection->reader.started && !connection->lingering)
+		connection->state_since = run_time_(connection->listener);
 	return sent;
 }
 
--- a/src/test_libbwproxy/test_listener.c
+++ b/src/test_libbwproxy/test_listener.c
@@ -15,6 +15,10 @@
 /** More than the kernel buffers for one connection. */
 #define LARGE_BODY_BYTES (8 * 1024 * 1024)
 
+/** Of a response that a client reads slowly, and what it reads at a time. */
+#define SLOW_BODY_BYTES (3 * LARGE_BODY_BYTES)
+#define READ_BYTES 2000000
+
 static void listen_(struct bw_listener *listener, struct ev_loop *loop,
 		    struct target_echo *echo, uint16_t *port)
 {
@@ -542,6 +546,46 @@
 	ev_loop_destroy(loop);
 }
 
+/* Guards against a response that is cut off because its client reads slowly. */
+static void test_listener_slow_reader_is_not_idle(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener_config config = { .loop = loop,
+					     .limits = { 1024, 1024 },
+					     .connections_max = 4,
+					     .head_timeout_ms = 300,
+					     .idle_timeout_ms = 700,
+					     .handler = &large_handler };
+	size_t size_bytes = SLOW_BODY_BYTES;
+	struct bw_listener listener;
+	struct peer peer;
+	int64_t pause_ends_ms;
+	uint16_t port;
+
+	(void)state;
+	config.context = &size_bytes;
+	port = listener_open(&listener, &config, FIRST_PORT);
+	peer_connect(&peer, loop, port);
+	peer_send_text(&peer, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+	while (!peer.eof && peer.in.size_bytes < SLOW_BODY_BYTES) {
+		size_t enough_bytes = peer.in.size_bytes + READ_BYTES;
+
+		peer_resume(&peer);
+		SPIN_UNTIL(loop, peer.eof ||
+					 peer.in.size_bytes >= enough_bytes ||
+					 peer.in.size_bytes > SLOW_BODY_BYTES);
+		peer_pause(&peer);
+		pause_ends_ms = spin_now_ms() + 200;
+		SPIN_UNTIL(loop, spin_now_ms() > pause_ends_ms);
+	}
+	peer_resume(&peer);
+	SPIN_UNTIL(loop, peer.eof || peer.in.size_bytes > SLOW_BODY_BYTES);
+	assert_true(peer.in.size_bytes > SLOW_BODY_BYTES);
+	bw_listener_finish(&listener);
+	peer_finish(&peer);
+	ev_loop_destroy(loop);
+}
+
 static struct bw_body_budget response_budget_;
 
 static void respond_body_(void *context,
@@ -617,6 +661,7 @@
 		cmocka_unit_test(test_listener_close),
 		cmocka_unit_test(test_listener_close_unread),
 		cmocka_unit_test(test_listener_slow_reader),
+		cmocka_unit_test(test_listener_slow_reader_is_not_idle),
 		cmocka_unit_test(test_listener_keeps_body_until_sent),
 	};
 
