Go on with departures when the records that were lacking have come

And a record that a host lacks by the comparison, but doesn't take over, would have been asked for again at once, without end. The records are now told apart from pushed ones, and each request is repeated once at once, later ones after the next status.

--- a/src/boragewingd/gate_catch_up.c
+++ b/src/boragewingd/gate_catch_up.c
@@ -5,6 +5,8 @@
 /** Time after which a request is repeated; an answer may be lost. */
 #define REQUEST_TIMEOUT_MS 500
 
+static bool has_lacking_records_(struct gate_peer_departures *state,
+				 const struct gate_servers *servers);
 static void request_(struct gate_node *node, struct gate_peer *peer,
 		     struct bw_time now);
 
@@ -32,21 +34,22 @@
 {
 	struct gate_peer *peer = gate_node_control(node, sender);
 	struct gate_peer_departures *state;
+	bool is_answer = servers->departures_upto && servers->heartbeat_count;
 	bool go_on;
 
 	if (!peer)
 		return;
 	state = &peer->departures;
-	/* Records that were lacking: the same departures are now complete. */
-	go_on = state->lacks_records && servers->record_count;
-	if (servers->departures_upto &&
-	    servers->departures_after <= state->received) {
+	if (servers->departures_upto && !lacks_records &&
+	    servers->departures_after <= state->received)
+		state->received =
+			MAX(state->received, servers->departures_upto);
+	if (is_answer)
+		go_on = !lacks_records;
+	else
+		go_on = has_lacking_records_(state, servers);
+	if (is_answer)
 		state->lacks_records = lacks_records;
-		if (!lacks_records)
-			state->received =
-				MAX(state->received, servers->departures_upto);
-		go_on = !lacks_records && servers->heartbeat_count;
-	}
 	if (go_on && state->named > state->received)
 		request_(node, peer, now);
 }
@@ -71,6 +74,23 @@
 	gate_node_send(node, receiver);
 }
 
+/*
+ * Returns whether a message has the records that were lacking, so that the same
+ * request is now answered in full. That is tried once: a record that does not
+ * replace the known one would be requested without end.
+ */
+static bool has_lacking_records_(struct gate_peer_departures *state,
+				 const struct gate_servers *servers)
+{
+	bool is_tried = state->tried_after == state->received + 1;
+
+	if (!state->lacks_records || servers->departures_upto ||
+	    !servers->record_count || is_tried)
+		return false;
+	state->tried_after = state->received + 1;
+	return true;
+}
+
 static void request_(struct gate_node *node, struct gate_peer *peer,
 		     struct bw_time now)
 {
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -37,6 +37,8 @@
 	uint64_t named; /**< number of the last one at the control host */
 	uint64_t received; /**< all up to this number have arrived */
 	bool lacks_records; /**< the records of some have been requested */
+	uint64_t tried_after; /**< 1 + received when it was requested again for
+				   such records */
 	struct bw_time requested_at;
 };
 
--- a/test/gateway_departures.sh
+++ b/test/gateway_departures.sh
@@ -42,6 +42,24 @@
 	done
 }
 
+# More servers than one message names; they exist in announcements only.
+EXTRA=100
+extra() { # COMMAND...: runs it for each of them, several at a time
+	seq $EXTRA | xargs -P 8 -I{} "$@"
+}
+announce_extra() {
+	extra curl -s -o "$work/extra" -d '{"address":"127.0.3.9:1","born":1700000000000,"info":{"service":"s","version":"v1","zone":"b","slots":4},"status":{"state":"ready","seq":1,"coldLeftS":0}}' \
+		"http://$(control_address 1)/-/instances/i-extra-{}/heartbeat"
+}
+leave_extra() {
+	extra curl -s --max-time 1 -o "$work/extra" -X POST \
+		"http://$(control_address 1)/-/instances/i-extra-{}/leave"
+}
+departed_extra() { # prints how many of them entry host 1 knows to have left
+	grep '"server_changed"' "$work/entry-1.log" | grep '"state":"left"' |
+		grep -o '"server":"i-extra-[0-9]*"' | sort -u | wc -l
+}
+
 ulimit -n 4096
 cc -shared -fPIC -o "$work/host_faults.so" test/host_faults.c -ldl || exit 1
 export LD_PRELOAD="$work/host_faults.so"
@@ -65,14 +83,18 @@
 sleep 9
 check "server one is used while only the cut off host hears of it" wait_output 1 20 uses_one
 
+announce_extra
+check "the entry host knows all servers" wait_output $((EXTRA + 2)) 5 entry_metric 1 bw_servers_known
 cut_off entry-1 1 2 3
 sleep 0.3
+leave_extra
 rm -f "$work/hears-one"
 check "the leave is acknowledged by a majority" wait_output 200 2 leave 1
-sleep 0.7
+sleep 0.3
 heal entry-1
 sleep 2.5
 check "no request reaches it 2.5 s after the entry host is back" \
 	test "$(reached late 40)" = 0
+check "the entry host learns of all departures" wait_output $EXTRA 2 departed_extra
 check "server two serves" test "$(request 1 GET /read/x last)" = 200
 rm -f "$work/announcing"
