Give up contacts that are cut off from most voters

The rest of the third cause: entry hosts whose four contacts were all on the side of a cut between control hosts that has no majority of the voters kept them until their source noticed the others, and heard of no departure until then.

A contact that most voters have not confirmed for 0.6 s now gives way to another for 5 s, as one that does not respond does; until it is confirmed again it gets a hello each 250 ms, as does a new one until it responds. Contacts that serve stay, also when a nearer one would be available again. The source sends its list at once when one control host more or less responds. The contact that the source does not hear is exempt: there being cut off is the point.

test_contacts_that_are_cut_off_give_way, test_contact_that_the_source_misses_may_be_cut_off (both fail without the comparison), test_contacts_stay.

--- a/include/bwmember/feed.h
+++ b/include/bwmember/feed.h
@@ -62,6 +62,9 @@
 	bool alive; /**< a packet arrived recently */
 	bool outdated; /**< it is cut off from most voters, or still starts */
 	bool avoided; /**< it was a contact and did not respond */
+	bool contact; /**< it is a contact */
+	bool cut_off; /**< it was a contact and said that it is cut off from
+			   most voters */
 };
 
 /** State of one entry host. */
@@ -98,7 +101,10 @@
 /**
  * Selects the contacts: the source, a control host that the source does not
  * hear, and others of as many regions as possible, the nearest first. Control
- * hosts that did not respond are tried again when there are no others.
+ * hosts that did not respond, or are cut off from most voters, are tried again
+ * when there are no others: departures of servers are certain to be known only
+ * where most voters are reached. Contacts stay rather than make room for nearer
+ * ones.
  * @param contact receives for each peer whether it is a contact
  */
 void bw_feed_contacts(const struct bw_feed *feed,
--- a/src/boragewingd/gate_control_messages.c
+++ b/src/boragewingd/gate_control_messages.c
@@ -5,7 +5,7 @@
 
 /**
  * Interval of the parts of a status that are long and change slowly: the list
- * of control hosts, and the demands.
+ * of control hosts, unless one more or less of them responds, and the demands.
  */
 #define DETAILS_INTERVAL_MS 900
 
@@ -213,9 +213,11 @@
 		bw_roster_count_in(&control->roster, entry->domain);
 	if (entry->detail == GATE_DETAIL_NAMES ||
 	    (entry->detail == GATE_DETAIL_FULL &&
-	     bw_time_diff_ms(now, entry->details_sent_at) >=
-		     DETAILS_INTERVAL_MS)) {
+	     (bw_time_diff_ms(now, entry->details_sent_at) >=
+		      DETAILS_INTERVAL_MS ||
+	      entry->controls_listed != gate_node_live_controls(node, now)))) {
 		entry->details_sent_at = now;
+		entry->controls_listed = gate_node_live_controls(node, now);
 		list_controls_(control, &status, now);
 		if (entry->detail == GATE_DETAIL_FULL)
 			gate_control_sum_demands(control, &status);
--- a/src/boragewingd/gate_control_private.h
+++ b/src/boragewingd/gate_control_private.h
@@ -26,6 +26,7 @@
 	uint64_t used_domains; /**< bit set of failure domains whose loads it
 				    uses */
 	struct bw_time details_sent_at; /**< last status with full detail */
+	uint32_t controls_listed; /**< live control hosts in that status */
 	struct gate_demand demands[GATE_SERVICES_MAX];
 	uint32_t demand_count;
 };
--- a/src/boragewingd/gate_entry_messages.c
+++ b/src/boragewingd/gate_entry_messages.c
@@ -19,9 +19,19 @@
 /** Time for which a control host that no status lists counts as missing. */
 #define MISSING_NOTED_MS 10000
 
-/** Time after which a contact that does not respond gives way to another. */
+/**
+ * Time for which a contact that does not respond, or is cut off, gives way to
+ * others.
+ */
 #define CONTACT_AVOIDED_MS 5000
 
+/**
+ * Time after which a contact that most voters do not confirm counts as cut off
+ * from them. Longer than a change of the configuration takes to reach all
+ * control hosts.
+ */
+#define CONTACT_CUT_OFF_MS 600
+
 /**
  * Age of the confirmation by most voters at which a control host counts as cut
  * off from them. Elections are shorter.
@@ -36,6 +46,9 @@
 static void choose_feed_(struct gate_entry *entry, struct bw_time now);
 static void note_source_change_(struct gate_entry *entry, const char *before,
 				enum bw_feed_change change, struct bw_time now);
+static void log_contact_(const struct gate_entry *entry,
+			 const struct gate_peer *peer, bool contact,
+			 struct bw_time now);
 static void update_contact_(struct gate_entry *entry, struct gate_peer *peer,
 			    bool contact, struct bw_time now);
 static void send_to_controls_(struct gate_entry *entry,
@@ -49,6 +62,7 @@
 static void handle_loads_(struct gate_entry *entry,
 			  const struct gate_loads *loads, struct bw_time now);
 static void fill_loads_(struct gate_entry *entry, struct gate_hello *hello);
+static bool is_cut_off_(const struct gate_peer *peer, struct bw_time now);
 static bool is_outdated_(const struct gate_peer *peer, struct bw_time now);
 
 void gate_entry_receive(struct gate_entry *entry,
@@ -168,6 +182,25 @@
 		     peer && peer->announcement.current);
 }
 
+static void log_contact_(const struct gate_entry *entry,
+			 const struct gate_peer *peer, bool contact,
+			 struct bw_time now)
+{
+	int64_t unconfirmed_ms = 0;
+
+	if (peer->unconfirmed_since.ms)
+		unconfirmed_ms = bw_time_diff_ms(now, peer->unconfirmed_since);
+	bw_log_event(entry->node->log, BW_LOG_INFO, "membership",
+		     contact ? "contact_added" : "contact_dropped",
+		     "{s:s,s:s,s:b,s:b,s:b,s:b,s:I}", "peer", peer->name,
+		     "domain", peer->domain, "source_lists_peers",
+		     entry->feed.has_source_peers, "heard_by_source",
+		     bw_feed_is_heard_by_source(&entry->feed, peer->name),
+		     "silent", !bw_time_reached(now, peer->avoided_until),
+		     "cut_off", !bw_time_reached(now, peer->cut_off_until),
+		     "unconfirmed_ms", (json_int_t)unconfirmed_ms);
+}
+
 /*
  * A control host that is no contact any more falls silent without being lost.
  */
@@ -177,21 +210,18 @@
 	struct bw_time latest;
 
 	if (contact != (peer->contact_since.ms != 0))
-		bw_log_event(entry->node->log, BW_LOG_INFO, "membership",
-			     contact ? "contact_added" : "contact_dropped",
-			     "{s:s,s:s,s:b,s:b}", "peer", peer->name, "domain",
-			     peer->domain, "source_lists_peers",
-			     entry->feed.has_source_peers, "heard_by_source",
-			     bw_feed_is_heard_by_source(&entry->feed,
-							peer->name));
+		log_contact_(entry, peer, contact, now);
 	if (!contact) {
 		peer->contact_since.ms = 0;
+		peer->unconfirmed_since.ms = 0;
 		peer->last_heard.ms = 0;
 		peer->lost = false;
 		return;
 	}
 	if (!peer->contact_since.ms)
 		peer->contact_since = now;
+	if (is_cut_off_(peer, now))
+		peer->cut_off_until = bw_time_add(now, CONTACT_AVOIDED_MS);
 	latest.ms = MAX(peer->contact_since.ms, peer->last_heard.ms);
 	if (bw_time_diff_ms(now, latest) <= GATE_PEER_TIMEOUT_MS)
 		return;
@@ -232,6 +262,8 @@
 	peer->alive = gate_peer_is_alive(known, now);
 	peer->outdated = is_outdated_(known, now);
 	peer->avoided = !bw_time_reached(now, known->avoided_until);
+	peer->cut_off = !bw_time_reached(now, known->cut_off_until);
+	peer->contact = known->contact_since.ms != 0;
 	peer->region = gate_node_region_index(
 		node, gate_node_region(node, known->domain));
 	if (!known->domain[0])
@@ -245,6 +277,13 @@
 		peer->distance = BW_FEED_OTHER_REGION;
 }
 
+static bool is_cut_off_(const struct gate_peer *peer, struct bw_time now)
+{
+	return peer->confirms && peer->unconfirmed_since.ms &&
+	       bw_time_diff_ms(now, peer->unconfirmed_since) >
+		       CONTACT_CUT_OFF_MS;
+}
+
 /* A control host of an earlier version does not say whether it is cut off. */
 static bool is_outdated_(const struct gate_peer *peer, struct bw_time now)
 {
@@ -277,7 +316,13 @@
 			hello->detail = GATE_DETAIL_BRIEF;
 		else
 			hello->detail = GATE_DETAIL_NAMES;
-		if (hello->detail == GATE_DETAIL_BRIEF && !brief_due)
+		/*
+		 * The first ones are lost while the connection is opened. One
+		 * that is not confirmed may be cut off.
+		 */
+		if (hello->detail == GATE_DETAIL_BRIEF && !brief_due &&
+		    node->controls[i].last_heard.ms &&
+		    !node->controls[i].unconfirmed_since.ms)
 			continue;
 		if (!strcmp(peer.name, entry->feed.source))
 			fill_loads_(entry, hello);
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -566,6 +566,10 @@
 			announcement.as_of.ms -= status->confirmed_age_ms;
 	}
 	bw_announcement_replace(&peer->announcement, &announcement);
+	if (status->confirmed)
+		peer->unconfirmed_since.ms = 0;
+	else if (!peer->unconfirmed_since.ms)
+		peer->unconfirmed_since = now;
 }
 
 /* The sender knows that a server drains or has left; this host takes that for
--- a/src/boragewingd/gate_node.h
+++ b/src/boragewingd/gate_node.h
@@ -62,6 +62,11 @@
 	struct bw_time contact_since; /**< this entry host sends it hellos since
 					   then; 0 ms: it does not */
 	struct bw_time avoided_until; /**< it did not respond to them */
+	struct bw_time unconfirmed_since; /**< its first status in a row that
+					       most voters did not confirm;
+					       0 ms: the last one is */
+	struct bw_time cut_off_until; /**< it said that it is cut off from most
+					   voters */
 };
 
 /** State of a gateway host that all roles share. */
--- a/src/libbwmember/feed.c
+++ b/src/libbwmember/feed.c
@@ -18,7 +18,7 @@
 static bool is_better_contact_(const struct bw_feed *feed,
 			       const struct bw_feed_peer *a,
 			       const struct bw_feed_peer *b,
-			       const uint32_t *in_region);
+			       const uint32_t *in_region, bool unheard);
 
 const char *const bw_feed_change_string[BW_FEED_CHANGE_COUNT] = {
 	[BW_FEED_KEPT] = "kept",     [BW_FEED_FIRST] = "first",
@@ -196,25 +196,31 @@
 		    (!feed->has_source_peers || peers[i].avoided ||
 		     bw_feed_is_heard_by_source(feed, peers[i].name)))
 			continue;
-		if (!best ||
-		    is_better_contact_(feed, &peers[i], best, in_region))
+		if (!best || is_better_contact_(feed, &peers[i], best,
+						in_region, unheard_only))
 			best = &peers[i];
 	}
 	return best;
 }
 
+/* @param unheard both are unknown to the source, which may be why they are cut
+ * off; each change of this contact costs a comparison of all servers */
 static bool is_better_contact_(const struct bw_feed *feed,
 			       const struct bw_feed_peer *a,
 			       const struct bw_feed_peer *b,
-			       const uint32_t *in_region)
+			       const uint32_t *in_region, bool unheard)
 {
 	uint32_t in_region_a = in_region[a->region % BW_FEED_REGIONS_MAX];
 	uint32_t in_region_b = in_region[b->region % BW_FEED_REGIONS_MAX];
 
 	if (a->avoided != b->avoided)
 		return b->avoided;
+	if (!unheard && a->cut_off != b->cut_off)
+		return b->cut_off;
 	if (feed->source[0] && in_region_a != in_region_b)
 		return in_region_a < in_region_b;
+	if (feed->source[0] && a->contact != b->contact)
+		return a->contact;
 	if (a->distance != b->distance)
 		return a->distance < b->distance;
 	return bw_feed_hash(feed->self, a->name) <
--- a/src/test_libbwmember/test_feed.c
+++ b/src/test_libbwmember/test_feed.c
@@ -293,6 +293,109 @@
 	assert_false(bw_feed_choose(&feed, peers, PEER_COUNT, time_at_(40)));
 }
 
+/* Says of each contact on a side (a bit set) that it is cut off. @return how
+ * many contacts are on the other side */
+static uint32_t note_cut_off_(struct bw_feed_peer *peers, const bool *contact,
+			      uint32_t side)
+{
+	uint32_t others = 0;
+	uint32_t i;
+
+	for (i = 0; i < FLEET_CONTROLS; i++) {
+		if (contact[i] && (side & (1U << i)))
+			peers[i].cut_off = true;
+		others += contact[i] && !(side & (1U << i));
+	}
+	return others;
+}
+
+/* Guards against a host that is not told of departures, because all control
+ * hosts that it talks to are cut off from most voters. */
+static void test_contacts_that_are_cut_off_give_way(void **state)
+{
+	struct bw_feed_peer peers[FLEET_CONTROLS];
+	bool contact[FLEET_CONTROLS];
+	struct bw_feed feed;
+	uint32_t regions;
+	uint32_t host;
+	uint32_t round;
+
+	(void)state;
+	for (host = 0; host < 200; host++) {
+		/* The own domain, and half of the others. */
+		uint32_t side = (0x2492492U * (host + 1)) | 0x40201U;
+
+		side &= ~(1U << (host % 2 ? 4 : 5));
+		init_fleet_(&feed, peers);
+		snprintf(feed.self, sizeof(feed.self), "10.0.0.%u:80", host);
+		bw_feed_choose(&feed, peers, FLEET_CONTROLS, time_at_(10));
+		for (round = 0; round < 9; round++) {
+			bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+			if (note_cut_off_(peers, contact, side))
+				break;
+		}
+		assert_in_range(round, 0, 8);
+		assert_true(contact[atoi(feed.source + 1)]);
+	}
+	/* With nothing else left, they are contacts all the same. */
+	for (host = 0; host < FLEET_CONTROLS; host++)
+		peers[host].cut_off = true;
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	assert_int_equal(count_contacts_(contact, &regions), BW_FEED_CONTACTS);
+	assert_int_equal(regions, 7);
+}
+
+/* Guards against contacts that change twice each time that one of them does not
+ * respond for a while. */
+static void test_contacts_stay(void **state)
+{
+	struct bw_feed_peer peers[FLEET_CONTROLS];
+	bool contact[FLEET_CONTROLS];
+	bool after[FLEET_CONTROLS];
+	struct bw_feed feed;
+	uint32_t left = 0;
+	uint32_t i;
+
+	(void)state;
+	init_fleet_(&feed, peers);
+	bw_feed_choose(&feed, peers, FLEET_CONTROLS, time_at_(10));
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	while (!contact[left] || !strcmp(feed.source, peers[left].name))
+		left++;
+	peers[left].avoided = true;
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	assert_false(contact[left]);
+	for (i = 0; i < FLEET_CONTROLS; i++)
+		peers[i].contact = contact[i];
+	peers[left].avoided = false;
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, after);
+	assert_memory_equal(after, contact, sizeof(contact));
+}
+
+/* Guards against a host that compares all servers with one cut off control host
+ * after the other. */
+static void test_contact_that_the_source_misses_may_be_cut_off(void **state)
+{
+	static const char names[1][BW_NAME_MAX] = { "c1" };
+	struct bw_feed_peer peers[FLEET_CONTROLS];
+	bool before[FLEET_CONTROLS];
+	bool contact[FLEET_CONTROLS];
+	struct bw_feed feed;
+	uint32_t kept = 0;
+	uint32_t i;
+
+	(void)state;
+	init_fleet_(&feed, peers);
+	bw_feed_choose(&feed, peers, FLEET_CONTROLS, time_at_(10));
+	bw_feed_set_source_peers(&feed, feed.source, names, 1);
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, before);
+	note_cut_off_(peers, before, UINT32_MAX);
+	bw_feed_contacts(&feed, peers, FLEET_CONTROLS, contact);
+	for (i = 0; i < FLEET_CONTROLS; i++)
+		kept += before[i] && contact[i];
+	assert_int_equal(kept, 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -306,6 +409,10 @@
 		cmocka_unit_test(
 			test_contacts_include_one_that_the_source_misses),
 		cmocka_unit_test(test_outdated_source_is_replaced),
+		cmocka_unit_test(test_contacts_that_are_cut_off_give_way),
+		cmocka_unit_test(test_contacts_stay),
+		cmocka_unit_test(
+			test_contact_that_the_source_misses_may_be_cut_off),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
