Cut hosts off from control hosts in the soak

The library that run_gateway_departures preloads for that now serves the soak, too: a control host is cut off from the other two for 10.1 to 10.9 s, an entry host from all for 0.1 to 0.9 s, overlapping with the other faults.

--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Randomized soak of a gateway. Real processes run on loopback addresses;
 # faults are injected from outside and overlap: processes are stopped, killed,
-# terminated and restarted, and connections to backend servers are cut, frozen
-# and delayed by the fault proxy. Usage: soak.sh SEED [SECONDS]. The seed
+# terminated and restarted, hosts are cut off from control hosts, and connections
+# to backend servers are cut, frozen and delayed by the fault proxy. Usage: soak.sh SEED [SECONDS]. The seed
 # determines kinds and times of the faults. Prints violations of guarantees; if
 # there are any, keeps the folder with all records and logs.
 set -uo pipefail
@@ -111,10 +111,14 @@
 	sleep "$1"
 	[ ! -e "$work/running" ] || proxy_command heal
 }
+cut_for() { # SECONDS PROCESS NUMBER...
+	cut_off "${@:2}"
+	(sleep "$1"; heal "$2") &
+}
 inject_fault() {
 	# seconds is 0.1 to 0.9; "1$seconds" is 10 s longer.
 	local host=$((RANDOM % 3 + 1)) server=$((RANDOM % servers + 1)) seconds="0.$((RANDOM % 9 + 1))"
-	local kind=$((RANDOM % 9))
+	local kind=$((RANDOM % 11))
 	echo "$(now_ms) fault $kind host $host server $server for $seconds" >> "$work/faults"
 	case $kind in
 	0) restart "control-$host" KILL "$seconds" ;;
@@ -127,10 +131,13 @@
 	7) proxy_command "delay 0.0.0.0/0 127.0.3.$server/32 200"; heal_after "1$seconds" & ;;
 	8) for host in 1 2 3; do kill -KILL "${pids[control-$host]}" 2>/dev/null; done
 		for host in 1 2 3; do restart "control-$host" KILL 0.1; done ;;
+	9) cut_for "1$seconds" "control-$host" $((host % 3 + 1)) $(((host + 1) % 3 + 1)) ;;
+	10) cut_for "$seconds" "entry-$host" 1 2 3 ;;
 	esac
 }
 
 ulimit -n 4096
+build_host_faults || exit 1
 touch "$work/running" "$work/ledger"
 for i in 1 2 3; do start_control $i true; done
 for i in 1 2 3; do start_entry $i; done
--- a/test/gateway_departures.sh
+++ b/test/gateway_departures.sh
@@ -8,12 +8,6 @@
 . test/gateway_lib.sh
 ADDRESS="127.0.3.1:$((port + 6))"
 
-cut_off() { # PROCESS NUMBER...: cuts it off from control hosts
-	local name=$1
-	shift
-	printf '127.0.1.%s\n' "$@" > "$work/cut-$name"
-}
-heal() { rm -f "$work/cut-$1"; }
 leave() { # CONTROL
 	status_code --max-time 1 -X POST "http://$(control_address "$1")/-/instances/i-one/leave"
 }
@@ -61,15 +55,9 @@
 }
 
 ulimit -n 4096
-cc -shared -fPIC -o "$work/host_faults.so" test/host_faults.c -ldl || exit 1
-export LD_PRELOAD="$work/host_faults.so"
-for i in 1 2 3; do
-	export HOST_CUT_FILE="$work/cut-control-$i"
-	start_control $i true
-done
-export HOST_CUT_FILE="$work/cut-entry-1"
+build_host_faults || exit 1
+for i in 1 2 3; do start_control $i true; done
 start_entry 1
-unset LD_PRELOAD HOST_CUT_FILE
 start_servers two
 start_server one
 echo 1 2 3 > "$work/hears-one"
--- a/test/gateway_lib.sh
+++ b/test/gateway_lib.sh
@@ -51,8 +51,9 @@
 END
 }
 
+# With $preload, a library, processes can be cut off from others.
 start() { # NAME
-	BORAGEWING_NODE_FILE="$work/$1.yaml" "$build/src/boragewingd/boragewingd" \
+	LD_PRELOAD="${preload:-${LD_PRELOAD:-}}" HOST_CUT_FILE="$work/cut-$1" BORAGEWING_NODE_FILE="$work/$1.yaml" "$build/src/boragewingd/boragewingd" \
 		--gateway --metrics-port $((port + 8)) >> "$work/$1.log" 2>&1 &
 	pids[$1]=$!
 }
@@ -69,6 +70,15 @@
 	start "entry-$1"
 }
 
+build_host_faults() { # sets $preload, see test/host_faults.c
+	preload="$work/host_faults.so"
+	cc -shared -fPIC -o "$preload" test/host_faults.c -ldl
+}
+cut_off() { # PROCESS NUMBER...: cuts it off from control hosts
+	printf '127.0.1.%s\n' "${@:2}" > "$work/cut-$1"
+}
+heal() { rm -f "$work/cut-$1"; } # PROCESS
+
 http_get() { curl -s -L --max-time 4 "$@"; }
 status_code() { curl -s -L --max-time 6 -o /dev/null -w '%{http_code}' "$@"; }
 
