--- a/src/test_libbwproxy/test_listener.c
+++ b/src/test_libbwproxy/test_listener.c
@@ -19,18 +19,25 @@
 #define SLOW_BODY_BYTES (3 * LARGE_BODY_BYTES)
 #define READ_BYTES 2000000
 
-static void listen_(struct bw_listener *listener, struct ev_loop *loop,
-		    struct target_echo *echo, uint16_t *port)
+static uint16_t open_(struct bw_listener *listener, struct ev_loop *loop,
+		      const struct bw_listener_handler *handler, void *context,
+		      uint32_t idle_timeout_ms)
 {
 	struct bw_listener_config config = { .loop = loop,
 					     .limits = { 1024, 1024 },
 					     .connections_max = 4,
 					     .head_timeout_ms = 300,
-					     .idle_timeout_ms = 60000,
-					     .handler = &target_echo_handler,
-					     .context = echo };
+					     .idle_timeout_ms = idle_timeout_ms,
+					     .handler = handler,
+					     .context = context };
 
-	*port = listener_open(listener, &config, FIRST_PORT);
+	return listener_open(listener, &config, FIRST_PORT);
+}
+
+static void listen_(struct bw_listener *listener, struct ev_loop *loop,
+		    struct target_echo *echo, uint16_t *port)
+{
+	*port = open_(listener, loop, &target_echo_handler, echo, 60000);
 }
 
 /* Guards against lost responses to pipelined requests, incomplete requests that
@@ -516,18 +523,12 @@
 static void test_listener_slow_reader(void **state)
 {
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-	struct bw_listener_config config = { .loop = loop,
-					     .limits = { 1024, 1024 },
-					     .connections_max = 4,
-					     .head_timeout_ms = 300,
-					     .idle_timeout_ms = 60000,
-					     .handler = &large_handler };
 	struct bw_listener listener;
 	struct peer peer;
 	uint16_t port;
 
 	(void)state;
-	port = listener_open(&listener, &config, FIRST_PORT);
+	port = open_(&listener, loop, &large_handler, NULL, 60000);
 	peer_connect(&peer, loop, port);
 	peer_pause(&peer);
 	bw_listener_begin_close(&listener);
@@ -550,12 +551,6 @@
 static void test_listener_slow_reader_is_not_idle(void **state)
 {
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-	struct bw_listener_config config = { .loop = loop,
-					     .limits = { 1024, 1024 },
-					     .connections_max = 4,
-					     .head_timeout_ms = 300,
-					     .idle_timeout_ms = 700,
-					     .handler = &large_handler };
 	size_t size_bytes = SLOW_BODY_BYTES;
 	struct bw_listener listener;
 	struct peer peer;
@@ -563,8 +558,7 @@
 	uint16_t port;
 
 	(void)state;
-	config.context = &size_bytes;
-	port = listener_open(&listener, &config, FIRST_PORT);
+	port = open_(&listener, loop, &large_handler, &size_bytes, 700);
 	peer_connect(&peer, loop, port);
 	peer_send_text(&peer, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
 	while (!peer.eof && peer.in.size_bytes < SLOW_BODY_BYTES) {
@@ -612,12 +606,6 @@
 static void test_listener_keeps_body_until_sent(void **state)
 {
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-	struct bw_listener_config config = { .loop = loop,
-					     .limits = { 1024, 1024 },
-					     .connections_max = 4,
-					     .head_timeout_ms = 300,
-					     .idle_timeout_ms = 60000,
-					     .handler = &body_handler };
 	struct bw_listener listener;
 	struct peer peer;
 	struct peer gone;
@@ -625,7 +613,7 @@
 
 	(void)state;
 	response_budget_.max_bytes = 4 * LARGE_BODY_BYTES;
-	port = listener_open(&listener, &config, FIRST_PORT);
+	port = open_(&listener, loop, &body_handler, NULL, 60000);
 	peer_connect(&peer, loop, port);
 	peer_pause(&peer);
 	peer_send_text(&peer, "GET /one HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -545,27 +545,22 @@
 	teardown_(&fixture);
 }
 
-/* Sends the first half of a response, or the rest of it. */
-static void respond_half_(struct peer *peer, const char *id, bool chunked,
+/* Sends the first four bytes of a response, or the rest of it. */
+static void respond_part_(struct peer *peer, const char *id, bool chunked,
 			  bool first)
 {
 	char text[4096];
 
-	memset(text, 'x', sizeof(text));
-	if (first && chunked)
+	memset(text, 'x', 2996);
+	text[2996] = '\0';
+	if (first)
 		snprintf(text, sizeof(text),
-			 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-			 "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n",
-			 id);
-	else if (first)
-		snprintf(text, sizeof(text),
-			 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-			 "Content-Length: 3000\r\n\r\nabcd",
-			 id);
+			 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s", id,
+			 chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+				   "4\r\nabcd\r\n"
+				 : "Content-Length: 3000\r\n\r\nabcd");
 	else if (chunked)
-		snprintf(text, sizeof(text), "0\r\n\r\n");
-	else
-		text[2996] = '\0';
+		strcpy(text, "0\r\n\r\n");
 	peer_send_text(peer, text);
 }
 
@@ -595,7 +590,7 @@
 		request.request = &kept[i];
 		assert_non_null(bw_pool_send(&fixture.pool, &request));
 		SPIN_UNTIL(fixture.loop, fixture.server.peer_count == i + 1);
-		respond_half_(&fixture.server.peers[i], ids[i], i == 2, true);
+		respond_part_(&fixture.server.peers[i], ids[i], i == 2, true);
 		SPIN_UNTIL(fixture.loop,
 			   budget.used_bytes + fixture.pool.paused.length >=
 				   MIN(i + 1, 2U) * 3000 + (i > 1 ? i - 1 : 0));
@@ -604,7 +599,7 @@
 	assert_int_equal(budget.used_bytes, 6000);
 	assert_int_equal(fixture.pool.paused.length, 2);
 	for (i = 0; i < 4; i++)
-		respond_half_(&fixture.server.peers[i], ids[i], i == 2, false);
+		respond_part_(&fixture.server.peers[i], ids[i], i == 2, false);
 	SPIN_UNTIL(fixture.loop,
 		   kept[0].bytes.size_bytes && kept[1].bytes.size_bytes);
 	assert_int_equal(kept[0].charged_bytes, 3000);
--- a/test/gateway_departures.sh
+++ b/test/gateway_departures.sh
@@ -8,23 +8,6 @@
 . test/gateway_lib.sh
 ADDRESS="127.0.3.1:$((port + 6))"
 
-leave() { # CONTROL
-	status_code --max-time 1 -X POST "http://$(control_address "$1")/-/instances/i-one/leave"
-}
-# reached PREFIX COUNT: sends requests; prints how many reached server one.
-reached() {
-	local n
-	for n in $(seq "$2"); do
-		request 1 GET /read/x "$1-$n" -H "Affinity-Key: $1-$n" > "$work/status"
-		sleep 0.05
-	done
-	grep -c "^$1-[0-9]* i-one " "$work/ledger"
-}
-uses_one() {
-	local id="use-$RANDOM$RANDOM"
-	request 1 GET /read/x "$id" -H "Affinity-Key: $id" > /dev/null
-	grep -c "^$id i-one " "$work/ledger"
-}
 announce_one() { # to the control hosts in the file "hears-one"
 	local n=1 k
 	while [ -e "$work/hears-one" ]; do
--- a/test/gateway_lib.sh
+++ b/test/gateway_lib.sh
@@ -151,6 +151,24 @@
 		"${@:5}" "http://$(entry_address "$1")$3"
 }
 
+# Of server one: lets it leave, and counts requests that reach it.
+leave() { # CONTROL
+	status_code --max-time 1 -X POST "http://$(control_address "$1")/-/instances/i-one/leave"
+}
+reached() { # PREFIX COUNT: sends requests; prints how many reach it
+	local n
+	for n in $(seq "$2"); do
+		request 1 GET /read/x "$1-$n" -H "Affinity-Key: $1-$n" > "$work/status"
+		sleep 0.05
+	done
+	grep -c "^$1-[0-9]* i-one " "$work/ledger"
+}
+uses_one() {
+	local id="use-$RANDOM$RANDOM"
+	request 1 GET /read/x "$id" -H "Affinity-Key: $id" > /dev/null
+	grep -c "^$id i-one " "$work/ledger"
+}
+
 # start_gateway ENTRIES: starts three control hosts, entry hosts and server one,
 # and checks that each entry host serves.
 start_gateway() {
--- a/test/gateway_reinstated.sh
+++ b/test/gateway_reinstated.sh
@@ -23,11 +23,6 @@
 		grep -q "\"domains\":$1"
 }
 yes_if() { "$@" && echo yes; }
-uses_one() {
-	local id="use-$RANDOM$RANDOM"
-	request 1 GET /read/x "$id" > /dev/null
-	grep -c "^$id i-one " "$work/ledger"
-}
 # burst PREFIX: sends requests for two seconds; prints how many reached server
 # one in the second that had most.
 burst() {
