confirmation: keep a host's own time beside that of most voters

Cause: a status names the version that a control host has, and the age of its confirmation by most voters. The receiver kept one time for both, the older one. Voters count each other by that time and pass the result on, so ages add up from host to host until they exceed the limit; then nobody confirms, the time is fresh again, and it starts anew.

Now an announcement has two times, one for what the host itself says and one for what most voters confirmed, and each is compared with the limit for itself. A confirmation for a newer version than the host announces now, after it lost its state, no longer counts.

test_confirmation_does_not_age_by_being_passed_on fails with the old rule in a scratch copy.

--- a/include/bwmember/confirmation.h
+++ b/include/bwmember/confirmation.h
@@ -21,14 +21,18 @@
 struct bw_announcement {
 	uint64_t version; /**< 0: none */
 	bool current; /**< its state is not older than its start */
-	struct bw_time as_of; /**< it is not older than this; 0 ms: unknown */
-	bool of_majority; /**< the control host has this confirmed by most
-			       voters, and as_of is the time of that */
-	struct bw_time majority_as_of; /**< as_of of its latest announcement
-					    that was of_majority; 0 ms: none */
+	struct bw_time as_of; /**< it announced the version at this time or
+				   later; 0 ms: unknown */
+	struct bw_time majority_as_of; /**< most voters had no newer version at
+					    this time, which is earlier than
+					    as_of; 0 ms: not confirmed */
 };
 
-/** Replaces the known announcement of a control host by a later one. */
+/**
+ * Replaces the known announcement of a control host by a later one. Keeps the
+ * time of the latest confirmation by most voters, unless that was of a version
+ * which the host no longer has.
+ */
 void bw_announcement_replace(struct bw_announcement *known,
 			     const struct bw_announcement *later);
 
--- a/src/boragewingd/gate_control_group.c
+++ b/src/boragewingd/gate_control_group.c
@@ -90,10 +90,11 @@
 			announcements[count++] = node->controls[i].announcement;
 	}
 	if (control->votes) {
-		announcements[count].version = state->revision;
-		announcements[count].current = control->current;
-		announcements[count].as_of = now;
-		announcements[count++].of_majority = false;
+		announcements[count++] = (struct bw_announcement){
+			.version = state->revision,
+			.current = control->current,
+			.as_of = now,
+		};
 	}
 	return bw_confirm(announcements, count, state->revision,
 			  CONFIRMATION_MAX_AGE_MS, now);
--- a/src/boragewingd/gate_node.c
+++ b/src/boragewingd/gate_node.c
@@ -555,7 +555,6 @@
 	struct bw_announcement announcement = {
 		.version = status->routing_version,
 		.current = status->current,
-		.of_majority = status->confirmed,
 	};
 	struct bw_time sent = { (int64_t)status->hello_sent_ms };
 
@@ -563,7 +562,8 @@
 	    bw_time_reached(now, sent)) {
 		announcement.as_of = sent;
 		if (status->confirmed)
-			announcement.as_of.ms -= status->confirmed_age_ms;
+			announcement.majority_as_of.ms =
+				sent.ms - status->confirmed_age_ms;
 	}
 	bw_announcement_replace(&peer->announcement, &announcement);
 	if (status->confirmed)
--- a/src/libbwmember/confirmation.c
+++ b/src/libbwmember/confirmation.c
@@ -2,19 +2,19 @@
 
 #include <stdlib.h>
 
-static bool is_recent_(const struct bw_announcement *announcement,
-		       uint32_t age_max_ms, struct bw_time now);
+static bool is_recent_(struct bw_time as_of, uint32_t age_max_ms,
+		       struct bw_time now);
 static int compare_descending_(const void *a, const void *b);
 
 void bw_announcement_replace(struct bw_announcement *known,
 			     const struct bw_announcement *later)
 {
 	struct bw_time majority_as_of = known->majority_as_of;
+	bool still_holds = later->version >= known->version;
 
 	*known = *later;
-	known->majority_as_of = majority_as_of;
-	if (later->of_majority && later->as_of.ms > majority_as_of.ms)
-		known->majority_as_of = later->as_of;
+	if (still_holds && majority_as_of.ms > later->majority_as_of.ms)
+		known->majority_as_of = majority_as_of;
 }
 
 int64_t
@@ -40,13 +40,14 @@
 
 		if (announcement->version > result.newest_version)
 			result.newest_version = announcement->version;
-		if (!announcement->current || announcement->version > version ||
-		    !is_recent_(announcement, age_max_ms, now))
+		if (!announcement->current || announcement->version > version)
 			continue;
-		as_of_ms[result.confirmed_by++] = announcement->as_of.ms;
-		if (announcement->of_majority &&
-		    announcement->as_of.ms > latest_ms)
-			latest_ms = announcement->as_of.ms;
+		if (is_recent_(announcement->as_of, age_max_ms, now))
+			as_of_ms[result.confirmed_by++] =
+				announcement->as_of.ms;
+		if (is_recent_(announcement->majority_as_of, age_max_ms, now) &&
+		    announcement->majority_as_of.ms > latest_ms)
+			latest_ms = announcement->majority_as_of.ms;
 	}
 	if (result.confirmed_by > count / 2) {
 		qsort(as_of_ms, result.confirmed_by, sizeof(as_of_ms[0]),
@@ -72,13 +73,12 @@
 }
 
 /* After a step of the clock, a time in the future says nothing. */
-static bool is_recent_(const struct bw_announcement *announcement,
-		       uint32_t age_max_ms, struct bw_time now)
+static bool is_recent_(struct bw_time as_of, uint32_t age_max_ms,
+		       struct bw_time now)
 {
-	int64_t age_ms = bw_time_diff_ms(now, announcement->as_of);
+	int64_t age_ms = bw_time_diff_ms(now, as_of);
 
-	return announcement->as_of.ms && age_ms >= 0 &&
-	       age_ms <= (int64_t)age_max_ms;
+	return as_of.ms && age_ms >= 0 && age_ms <= (int64_t)age_max_ms;
 }
 
 /* Sorts the latest time first. */
--- a/src/test_libbwmember/test_confirmation.c
+++ b/src/test_libbwmember/test_confirmation.c
@@ -170,10 +170,10 @@
 
 	(void)state;
 	relayed[0].current = true;
-	relayed[0].as_of = time_at_(NOW_MS - 300);
+	relayed[0].as_of = time_at_(NOW_MS - 100);
 	assert_false(bw_confirm(relayed, 2, 7, AGE_MAX_MS, time_at_(NOW_MS))
 			     .confirmed);
-	relayed[0].of_majority = true;
+	relayed[0].majority_as_of = time_at_(NOW_MS - 300);
 	assert_true(bw_confirm(relayed, 2, 7, AGE_MAX_MS, time_at_(NOW_MS))
 			    .confirmed);
 	assert_false(
@@ -208,25 +208,99 @@
 	assert_int_equal(bw_announcement_unconfirmed_ms(&known, time_at_(10)),
 			 INT64_MAX);
 	later.as_of = time_at_(NOW_MS);
-	later.of_majority = true;
+	later.majority_as_of = time_at_(NOW_MS);
 	bw_announcement_replace(&known, &later);
 	later.as_of = time_at_(NOW_MS + 300);
-	later.of_majority = false;
+	later.majority_as_of = time_at_(0);
 	bw_announcement_replace(&known, &later);
-	assert_false(known.of_majority);
 	assert_int_equal(known.as_of.ms, NOW_MS + 300);
 	assert_int_equal(bw_announcement_unconfirmed_ms(&known,
 							time_at_(NOW_MS + 350)),
 			 350);
 	/* An announcement that was under way for long says nothing new. */
 	later.as_of = time_at_(NOW_MS - 900);
-	later.of_majority = true;
+	later.majority_as_of = time_at_(NOW_MS - 900);
 	bw_announcement_replace(&known, &later);
 	assert_int_equal(bw_announcement_unconfirmed_ms(&known,
 							time_at_(NOW_MS + 400)),
 			 400);
 }
 
+/* Guards against a control host that confirms an old version with what it said
+ * of a newer one before it lost its state. */
+static void test_confirmation_of_a_lost_version(void **state)
+{
+	struct bw_announcement known = { .version = 8, .current = true };
+	struct bw_announcement later = { .version = 7, .current = true };
+
+	(void)state;
+	known.as_of = time_at_(NOW_MS);
+	known.majority_as_of = time_at_(NOW_MS);
+	later.as_of = time_at_(NOW_MS + 10);
+	bw_announcement_replace(&known, &later);
+	assert_int_equal(known.majority_as_of.ms, 0);
+}
+
+#define VOTER_COUNT 3
+#define ANSWER_MS 5
+
+/* What voters answer each other, and an entry host that has one source of
+ * detail and sends fewer hellos to the others. */
+static struct bw_announcement heard[VOTER_COUNT + 1][VOTER_COUNT];
+
+static struct bw_confirmation confirm_at_(uint32_t host, int64_t now_ms)
+{
+	if (host < VOTER_COUNT)
+		heard[host][host].as_of = time_at_(now_ms);
+	return bw_confirm(heard[host], VOTER_COUNT, 7,
+			  host < VOTER_COUNT ? 1500 : AGE_MAX_MS,
+			  time_at_(now_ms));
+}
+
+static void ask_(uint32_t host, uint32_t voter, int64_t now_ms)
+{
+	struct bw_confirmation result = confirm_at_(voter, now_ms - ANSWER_MS);
+	struct bw_announcement answer = { .version = 7, .current = true };
+
+	answer.as_of = time_at_(now_ms - 2 * (int64_t)ANSWER_MS);
+	if (result.confirmed)
+		answer.majority_as_of = time_at_(result.as_of.ms - ANSWER_MS);
+	bw_announcement_replace(&heard[host][voter], &answer);
+}
+
+/* Guards against voters that pass on how old each other's confirmation is until
+ * none counts, and against the 503 for unknown routes in which this ends. */
+static void test_confirmation_does_not_age_by_being_passed_on(void **state)
+{
+	const int64_t interval_ms[VOTER_COUNT] = { 260, 1010, 1010 };
+	int64_t ms;
+	uint32_t i;
+	uint32_t k;
+
+	(void)state;
+	memset(heard, 0, sizeof(heard));
+	for (i = 0; i < VOTER_COUNT; i++)
+		heard[i][i] = (struct bw_announcement){ .version = 7,
+							.current = true };
+	for (ms = 10; ms < 60000; ms += 10) {
+		for (i = 0; i < VOTER_COUNT; i++) {
+			for (k = 0; k < VOTER_COUNT; k++) {
+				if (k != i && ms % 500 == 130 * (i + 1) + 10)
+					ask_(i, k, NOW_MS + ms);
+			}
+			if (ms % interval_ms[i] == 0)
+				ask_(VOTER_COUNT, i, NOW_MS + ms);
+		}
+		if (ms < 3000)
+			continue;
+		for (i = 0; i <= VOTER_COUNT; i++)
+			assert_true(confirm_at_(i, NOW_MS + ms).confirmed);
+		assert_int_equal(
+			confirm_at_(VOTER_COUNT, NOW_MS + ms).confirmed_by,
+			VOTER_COUNT);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -235,6 +309,9 @@
 		cmocka_unit_test_setup(test_one_status_missing, set_up_),
 		cmocka_unit_test(
 			test_unconfirmed_announcement_is_not_a_partition),
+		cmocka_unit_test(test_confirmation_of_a_lost_version),
+		cmocka_unit_test(
+			test_confirmation_does_not_age_by_being_passed_on),
 		cmocka_unit_test_setup(test_old_statuses_do_not_confirm,
 				       set_up_),
 		cmocka_unit_test_setup(test_newer_version_announced, set_up_),
