distribute: first copy of a restarted host is confirmed after its start

Cause: a host that has restarted has no sheet, and took its first copy from any control host, from a peer that was confirmed up to 5 s ago, or from any two peers. Each may be behind what this host had.

test_distribute_random now remembers what a host showed before its restart. What a control host reads from its own disk is left out, as the model has no log.

Now the first copy comes from a peer with a confirmation by most control hosts that is younger than the start of this process, which its own echoed timestamp proves. What was committed before that includes all that this host showed. After the recovery time of 2 s without any confirmation the newest copy on offer is taken, as before, and the host counts as stale.

Ruled out: publication by the control host itself, which waits until its log is current.

--- a/src/libbwmember/distribute_store.c
+++ b/src/libbwmember/distribute_store.c
@@ -266,32 +266,22 @@
 	return true;
 }
 
-/* Guards a host without the document against an outdated first copy. A control
- * host and a peer with a fresh confirmation have committed numbers, and two
- * peers are unlikely to lose their state at once. A single other peer is
- * accepted after the recovery time. */
+/* Guards a restarted host against an outdated first copy: it may have had a
+ * newer one. What was confirmed after its start is as new as all that it can
+ * have had. Where nothing is confirmed, it takes what it gets after the
+ * recovery time. */
 static bool is_credible_(const struct bw_distribute *distribute,
 			 const struct bw_distribute_peer *peer,
 			 enum bw_document document, struct bw_time now)
 {
-	const struct bw_distribute_peer *other;
-	uint32_t supporter_count = 0;
-	uint32_t i;
-
-	if (peer->is_control ||
-	    (peer->has_confirmation &&
-	     bw_time_diff_ms(now, peer->confirmed) < BW_DISTRIBUTE_STALE_MS))
+	/* A peer that has restarted since may have an older one again. */
+	if (peer->has_confirmation &&
+	    bw_time_reached(peer->confirmed, distribute->started) &&
+	    peer->versions[document].number >=
+		    peer->confirmed_versions[document].number)
 		return true;
-	for (i = 0; i < distribute->peer_count; i++) {
-		other = &distribute->peers[i];
-		if (is_fresh_(other, now) &&
-		    other->versions[document].number >=
-			    peer->versions[document].number)
-			supporter_count++;
-	}
-	return supporter_count >= 2 ||
-	       bw_time_diff_ms(now, distribute->started) >=
-		       distribute->config.recovery_ms;
+	return bw_time_diff_ms(now, distribute->started) >=
+	       distribute->config.recovery_ms;
 }
 
 static bool is_fresh_(const struct bw_distribute_peer *peer, struct bw_time now)
--- a/src/test_libbwmember/test_distribute_random.c
+++ b/src/test_libbwmember/test_distribute_random.c
@@ -21,6 +21,9 @@
 /** Refresh intervals of both hops (5 s and 15 s) plus two report intervals. */
 #define ROW_AGE_MAX_MS 22000
 
+/** Default wait of a host for a confirmed first copy. */
+#define RECOVERY_MS 2000
+
 #define DOMAINS 3
 #define CONTROLS 3
 #define NUMBERS_MAX 400
@@ -39,6 +42,9 @@
 	uint64_t stored[CONTROLS][BW_DOCUMENT_COUNT]; /**< survives restarts */
 	/** Last number applied since the start of the host. */
 	uint64_t applied[FLEET_HOSTS_MAX][BW_DOCUMENT_COUNT];
+	/** Highest number ever applied by the host; survives restarts. */
+	uint64_t shown[FLEET_HOSTS_MAX][BW_DOCUMENT_COUNT];
+	int64_t restarted_ms[FLEET_HOSTS_MAX];
 	uint32_t max_bytes;
 	uint64_t events;
 	uint64_t deltas;
@@ -60,6 +66,25 @@
 		 (long long)fleet->now.ms, rule, (unsigned long long)number);
 }
 
+/* A host may return to a lower number after a restart only if nothing was
+ * confirmed for the recovery time. What a control host reads from its own disk
+ * is not checked: the model has no log. */
+static void check_shown_(struct fleet *fleet, uint32_t index,
+			 const struct bw_distribute_event *event)
+{
+	struct reference *reference = fleet->context;
+	uint64_t *shown = &reference->shown[index][event->document];
+
+	if (event->number < *shown &&
+	    strcmp(event->peer, fleet->hosts[index].name) != 0 &&
+	    fleet->now.ms - reference->restarted_ms[index] < RECOVERY_MS)
+		report_violation_(reference, fleet, index,
+				  "lower than before the restart",
+				  event->number);
+	if (event->number > *shown)
+		*shown = event->number;
+}
+
 static void check_event_(struct fleet *fleet, uint32_t index,
 			 const struct bw_distribute_event *event)
 {
@@ -77,6 +102,7 @@
 		report_violation_(reference, fleet, index, "number decreased",
 				  event->number);
 	*applied = event->number;
+	check_shown_(fleet, index, event);
 	if (event->number > reference->newest[event->document]) {
 		report_violation_(reference, fleet, index, "never published",
 				  event->number);
@@ -247,6 +273,7 @@
 
 	fleet_crash(fleet, index);
 	memset(reference->applied[index], 0, sizeof(reference->applied[index]));
+	reference->restarted_ms[index] = fleet->now.ms;
 	fleet_start(fleet, index, 0);
 	if (index < CONTROLS)
 		publish_stored_(fleet, index);
@@ -422,7 +449,8 @@
 	fleet_finish(&fleet);
 }
 
-/* Guards against a host that returns to a lower number, applies a version that
+/* Guards against a host that returns to a lower number, also when it restarts,
+ * applies a version that
  * was never published, lacks the newest one after faults have ended, or is not
  * stale with an outdated one. Crashes, partitions, lost, delayed, duplicate and
  * corrupt packets are injected at random. */
