dispatch: a host that stops takes no request that may outlast it

Cause: a request was taken when 1.25 times the longest average response time was left. Half of the requests take longer than the average, and those of a cold server twice as long.

From 3 s after SIGTERM on, a request whose deadline lies after the end of responses is rejected at once, with a short Retry-After; another host runs it. Until then the estimate stays: clients that do not know of the stop yet would be turned away from routes with a long timeout.

Ruled out: the queue of this host (the request was forwarded at once) and its server (it was not cut by it).

test_stopping_host_takes_no_chances_late fails without the new condition.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -258,6 +258,8 @@
 				    server */
 	struct bw_time stops_at; /**< no response is relayed after this time;
 				    0 ms: the host does not stop */
+	struct bw_time clients_gone_at; /**< clients that still come later have
+					   not heard of the stop */
 };
 
 /** State of one backend server in an update. */
@@ -391,9 +393,14 @@
 /**
  * Begins the stop of the host. From now on, jobs that are not expected to end
  * in time are rejected on arrival and while they wait.
+ * @param clients_gone_at when clients should have gone to other hosts. From
+ *	then on, jobs are rejected unless their deadline ends them in time: how
+ *	long one takes is known on average only, and one that is cut off has
+ *	run.
  * @param at when the last response can be relayed
  */
-void bw_dispatch_stop(struct bw_dispatch *dispatch, struct bw_time at);
+void bw_dispatch_stop(struct bw_dispatch *dispatch,
+		      struct bw_time clients_gone_at, struct bw_time at);
 
 /** Removes a waiting job. */
 void bw_dispatch_remove(struct bw_dispatch *dispatch, struct bw_job *job);
--- a/src/boragewingd/gate_entry.c
+++ b/src/boragewingd/gate_entry.c
@@ -63,6 +63,12 @@
 #define RECEIVE_BYTES_PER_S 125000
 #define PIECE_BYTES 8192
 
+/**
+ * Time after which clients should have gone from a stopping host: they read the
+ * directory that leaves it out, and respect the readiness that it withdraws.
+ */
+#define CLIENTS_GONE_AFTER_MS 3000
+
 /** Interval at which the dispatcher adapts to demand and load. */
 #define ADAPT_INTERVAL_MS 200
 
@@ -225,7 +231,10 @@
 void gate_entry_stop(struct gate_entry *entry, struct bw_time requests_end)
 {
 	bw_listener_begin_close(&entry->clients);
-	bw_dispatch_stop(&entry->dispatch, requests_end);
+	bw_dispatch_stop(&entry->dispatch,
+			 bw_time_add(gate_node_now(entry->node),
+				     CLIENTS_GONE_AFTER_MS),
+			 requests_end);
 	entry->next_hello = gate_node_now(entry->node);
 	entry->next_brief_hello = entry->next_hello;
 }
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -252,8 +252,10 @@
 	}
 }
 
-void bw_dispatch_stop(struct bw_dispatch *dispatch, struct bw_time at)
+void bw_dispatch_stop(struct bw_dispatch *dispatch,
+		      struct bw_time clients_gone_at, struct bw_time at)
 {
+	dispatch->clients_gone_at = clients_gone_at;
 	dispatch->stops_at = at;
 }
 
--- a/src/libbwsteer/dispatch_reject.c
+++ b/src/libbwsteer/dispatch_reject.c
@@ -61,7 +61,9 @@
 bool dispatch_stop_is_near(const struct bw_dispatch *dispatch,
 			   const struct bw_job *job, struct bw_time now)
 {
-	return dispatch_stop_is_first(dispatch, job) &&
+	if (!dispatch_stop_is_first(dispatch, job))
+		return false;
+	return bw_time_reached(now, dispatch->clients_gone_at) ||
 	       dispatch_left_ms(dispatch, job, now) <=
 		       STOP_MARGIN_FACTOR * longest_response_ms_(job->service);
 }
--- a/src/test_libbwsteer/test_dispatch.c
+++ b/src/test_libbwsteer/test_dispatch.c
@@ -189,7 +189,7 @@
 	assert_int_equal(bw_dispatch_offer(&dispatch, &waiting, fixture_time(0),
 					   &rejection),
 			 BW_VERDICT_WAIT);
-	bw_dispatch_stop(&dispatch, fixture_time(600));
+	bw_dispatch_stop(&dispatch, fixture_time(600), fixture_time(600));
 	assert_null(bw_dispatch_next(&dispatch, fixture_time(20), &verdict,
 				     &rejection));
 	/* A response takes 100 ms, and the host stops in less. */
@@ -208,6 +208,44 @@
 	bw_dispatch_finish(&dispatch);
 }
 
+/*
+ * Guards against a stopping host that takes a request which an average one
+ * would end in time, and cuts it off.
+ */
+static void test_stopping_host_takes_no_chances_late(void **state)
+{
+	struct bw_dispatch dispatch;
+	struct bw_rejection rejection;
+	struct bw_job early;
+	struct bw_job late;
+	struct bw_job in_time;
+
+	(void)state;
+	setup_(&dispatch);
+	fixture_update(&dispatch, 1, SLOTS, NULL, -500);
+	record_response_times_(&dispatch);
+	bw_dispatch_stop(&dispatch, fixture_time(300), fixture_time(900));
+	fixture_job(&dispatch, &early, "key", 1, 299);
+	assert_true(bw_time_diff_ms(early.deadline, fixture_time(900)) > 0);
+	assert_int_equal(bw_dispatch_offer(&dispatch, &early, fixture_time(299),
+					   &rejection),
+			 BW_VERDICT_SEND);
+	fixture_job(&dispatch, &late, "key", 1, 300);
+	assert_int_equal(bw_dispatch_offer(&dispatch, &late, fixture_time(300),
+					   &rejection),
+			 BW_VERDICT_REJECT);
+	assert_int_equal(rejection.reason, BW_REJECT_STOPPING);
+	assert_in_range(rejection.retry_after_ms, 1, 200);
+	fixture_job(&dispatch, &in_time, "key", 1, 300);
+	in_time.deadline = fixture_time(900);
+	assert_int_equal(bw_dispatch_offer(&dispatch, &in_time,
+					   fixture_time(300), &rejection),
+			 BW_VERDICT_SEND);
+	cancel_jobs_(&dispatch, &early, 1);
+	cancel_jobs_(&dispatch, &in_time, 1);
+	bw_dispatch_finish(&dispatch);
+}
+
 /*
  * Guards against a request that waits until its deadline although the load of
  * other hosts, reported after it was queued, leaves no time to run it.
@@ -311,6 +349,7 @@
 		cmocka_unit_test(test_home_is_removed),
 		cmocka_unit_test(test_unmeetable_deadline),
 		cmocka_unit_test(test_stopping_host),
+		cmocka_unit_test(test_stopping_host_takes_no_chances_late),
 		cmocka_unit_test(test_unreported_server),
 		cmocka_unit_test(test_failures_eject),
 	};
