--- a/src/libbwproxy/include/private/listener_private.h
+++ b/src/libbwproxy/include/private/listener_private.h
@@ -1,7 +1,8 @@
 /**
  * @file
- * Shared by the source files of the listener: connections (listener.c), and
- * causes and reports of rejections (listener_reject.c).
+ * Shared by the source files of the listener: connections and requests
+ * (listener.c), responses (listener_respond.c), and causes and reports of
+ * rejections (listener_reject.c).
  */
 #ifndef PRIVATE_LISTENER_PRIVATE_H
 #define PRIVATE_LISTENER_PRIVATE_H
@@ -49,4 +50,34 @@
 			       enum bw_listener_cause cause,
 			       struct bw_time now);
 
+/** Returns the time of the loop without the pauses in which it did not run. */
+struct bw_time listener_run_time(struct bw_listener *listener);
+
+/** Frees the body of the request, and its charge. */
+void listener_free_body(struct bw_server_connection *connection);
+
+/**
+ * Closes and frees a connection.
+ * @param notify_handler whether the handler of a request in progress is told
+ */
+void listener_close(struct bw_server_connection *connection,
+		    bool notify_handler);
+
+/** Writes the head of a response to out. */
+void listener_write_head(struct bw_buffer *out, uint16_t status_code,
+			 const struct bw_buffer *fields, size_t body_bytes,
+			 bool close);
+
+/**
+ * Sends what the socket takes of the output, and the rest once it takes more.
+ * @return whether the connection still exists
+ */
+bool listener_flush(struct bw_server_connection *connection);
+
+/** Returns whether a body waits that was not copied to the output. */
+bool listener_has_body_to_send(const struct bw_server_connection *connection);
+
+/** Reads pipelined requests from the loop, not from the handler. */
+void listener_read_pipelined(struct bw_server_connection *connection);
+
 #endif
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -14,9 +14,6 @@
 #include "private/address.h"
 #include "private/listener_private.h"
 
-/** A body up to this size is copied behind its head, to send both at once. */
-#define COPIED_BODY_MAX_BYTES 16384
-
 /** Listen backlog of the kernel; sized for a burst of clients. */
 #define BACKLOG 1024
 
@@ -54,11 +51,6 @@
 /** Maximum number of connections whose bytes are read and dropped. */
 #define LINGERING_MAX 64
 
-static bool is_last_response_(const struct bw_server_connection *connection,
-			      bool close);
-static void end_request_(struct bw_server_connection *connection, bool last);
-static void read_pipelined_(struct bw_server_connection *connection);
-static bool has_body_to_send_(const struct bw_server_connection *connection);
 static int open_socket_(const char *address);
 static void stop_accepting_(struct bw_listener *listener);
 static bool may_close_(struct bw_server_connection *connection);
@@ -72,25 +64,15 @@
 static void check_age_(struct bw_server_connection *connection,
 		       struct bw_time now);
 static void count_pause_(struct bw_listener *listener);
-static struct bw_time run_time_(struct bw_listener *listener);
 static void handle_lack_of_memory_(struct bw_server_connection *connection);
 static void begin_request_(struct bw_server_connection *connection);
 static void read_request_(struct bw_server_connection *connection);
 static bool admit_body_(struct bw_server_connection *connection);
-static void free_body_(struct bw_server_connection *connection);
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
 			    enum bw_listener_cause cause);
 static void drop_input_(struct bw_server_connection *connection,
 			size_t size_bytes);
-static bool flush_output_(struct bw_server_connection *connection);
-static ssize_t send_piece_(struct bw_server_connection *connection,
-			   const uint8_t *data, size_t size_bytes);
-static void close_connection_(struct bw_server_connection *connection,
-			      bool notify_handler);
-static void write_head_(struct bw_buffer *out, uint16_t status_code,
-			const struct bw_buffer *fields, size_t body_bytes,
-			bool close);
 
 enum bw_status bw_listener_init(struct bw_listener *listener,
 				const struct bw_listener_config *config)
@@ -118,7 +100,7 @@
 	if (!listener->config.loop)
 		return;
 	while (listener->connections)
-		close_connection_(listener->connections, false);
+		listener_close(listener->connections, false);
 	ev_timer_stop(listener->config.loop, &listener->sweep_timer);
 	ev_io_stop(listener->config.loop, &listener->accept_watcher);
 	if (listener->fd >= 0)
@@ -148,7 +130,7 @@
 	for (; connection; connection = next) {
 		next = connection->next;
 		if (may_close_(connection))
-			close_connection_(connection, false);
+			listener_close(connection, false);
 	}
 }
 
@@ -170,7 +152,8 @@
 
 	for (connection = listener->connections; connection;
 	     connection = connection->next) {
-		if (connection->out.size_bytes || has_body_to_send_(connection))
+		if (connection->out.size_bytes ||
+		    listener_has_body_to_send(connection))
 			return false;
 	}
 	return true;
@@ -217,79 +200,6 @@
 	bw_buffer_init(&connection->reader.message.body);
 }
 
-void bw_connection_respond(struct bw_server_connection *connection,
-			   uint16_t status_code, const struct bw_buffer *fields,
-			   const void *body, size_t body_bytes, bool close)
-{
-	bool last = is_last_response_(connection, close);
-
-	write_head_(&connection->out, status_code, fields, body_bytes, last);
-	if (connection->reader.message.method != HTTP_HEAD && body_bytes)
-		bw_buffer_append(&connection->out, body, body_bytes);
-	end_request_(connection, last);
-}
-
-void bw_connection_respond_body(struct bw_server_connection *connection,
-				uint16_t status_code,
-				const struct bw_buffer *fields,
-				struct bw_body *body, bool close)
-{
-	bool last = is_last_response_(connection, close);
-
-	write_head_(&connection->out, status_code, fields,
-		    body->bytes.size_bytes, last);
-	if (connection->reader.message.method == HTTP_HEAD) {
-		bw_body_finish(body);
-	} else if (body->bytes.size_bytes <= COPIED_BODY_MAX_BYTES) {
-		bw_buffer_append(&connection->out, body->bytes.data,
-				 body->bytes.size_bytes);
-		bw_body_finish(body);
-	} else {
-		bw_body_move(&connection->out_body, body);
-		connection->out_body_sent_bytes = 0;
-	}
-	end_request_(connection, last);
-}
-
-static bool is_last_response_(const struct bw_server_connection *connection,
-			      bool close)
-{
-	return close || connection->listener->closing ||
-	       !connection->reader.message.keep_alive;
-}
-
-/* The response is in the output. */
-static void end_request_(struct bw_server_connection *connection, bool last)
-{
-	struct bw_listener *listener = connection->listener;
-
-	connection->busy = false;
-	listener->busy_count--;
-	connection->context = NULL;
-	connection->close_after_write = last;
-	connection->continue_sent = false;
-	connection->state_since = run_time_(listener);
-	free_body_(connection);
-	bw_http_reader_next(&connection->reader);
-	if (!flush_output_(connection))
-		return;
-	read_pipelined_(connection);
-}
-
-/* Reads pipelined requests from the loop, not from the handler. */
-static void read_pipelined_(struct bw_server_connection *connection)
-{
-	if (connection->in.size_bytes && !connection->close_after_write &&
-	    !has_body_to_send_(connection))
-		ev_feed_event(connection->listener->config.loop,
-			      &connection->read_watcher, EV_CUSTOM);
-}
-
-static bool has_body_to_send_(const struct bw_server_connection *connection)
-{
-	return connection->out_body.bytes.size_bytes > 0;
-}
-
 static int open_socket_(const char *address)
 {
 	struct sockaddr_in local;
@@ -327,11 +237,12 @@
 /* A request may be on its way, or unread in the socket. */
 static bool may_close_(struct bw_server_connection *connection)
 {
-	struct bw_time now = run_time_(connection->listener);
+	struct bw_time now = listener_run_time(connection->listener);
 	uint8_t byte;
 
 	if (connection->busy || connection->out.size_bytes ||
-	    has_body_to_send_(connection) || connection->reader.started ||
+	    listener_has_body_to_send(connection) ||
+	    connection->reader.started ||
 	    bw_time_diff_ms(now, connection->state_since) < CLOSE_IDLE_MS)
 		return false;
 	return recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
@@ -386,7 +297,7 @@
 	connection->listener = listener;
 	connection->fd = fd;
 	connection->peer = peer;
-	connection->state_since = run_time_(listener);
+	connection->state_since = listener_run_time(listener);
 	connection->body.budget = listener->config.body_budget;
 	bw_http_reader_init(&connection->reader, HTTP_REQUEST,
 			    &listener->config.limits);
@@ -418,7 +329,7 @@
 		if (received < 0 && (errno == EAGAIN || errno == EINTR))
 			return;
 		if (received <= 0) {
-			close_connection_(connection, true);
+			listener_close(connection, true);
 			return;
 		}
 		if (connection->lingering) {
@@ -432,18 +343,18 @@
 		}
 	}
 	if (!connection->busy && !connection->close_after_write &&
-	    !has_body_to_send_(connection))
+	    !listener_has_body_to_send(connection))
 		read_request_(connection);
 	else if (connection->in.size_bytes > PIPELINED_MAX_BYTES)
-		close_connection_(connection, true);
+		listener_close(connection, true);
 }
 
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	(void)loop;
 	(void)events;
-	if (flush_output_(watcher->data))
-		read_pipelined_(watcher->data);
+	if (listener_flush(watcher->data))
+		listener_read_pipelined(watcher->data);
 }
 
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events)
@@ -456,7 +367,7 @@
 	(void)loop;
 	(void)events;
 	count_pause_(listener);
-	now = run_time_(listener);
+	now = listener_run_time(listener);
 	for (; connection; connection = next) {
 		next = connection->next;
 		if (!connection->busy)
@@ -473,10 +384,10 @@
 
 	if (connection->lingering) {
 		if (age_ms > LINGER_MAX_MS)
-			close_connection_(connection, false);
+			listener_close(connection, false);
 	} else if (!connection->reader.started) {
 		if (age_ms > config->idle_timeout_ms)
-			close_connection_(connection, false);
+			listener_close(connection, false);
 	} else if (!connection->reader.message.head_complete) {
 		if (age_ms > config->head_timeout_ms)
 			reject_request_(connection, BW_LISTENER_HEAD_TIMEOUT);
@@ -495,8 +406,7 @@
 	listener->swept_at = now;
 }
 
-/* Returns the time of the loop without the pauses in which it did not run. */
-static struct bw_time run_time_(struct bw_listener *listener)
+struct bw_time listener_run_time(struct bw_listener *listener)
 {
 	return bw_time_add(bw_loop_clock_now(&listener->clock),
 			   -listener->paused_ms);
@@ -506,8 +416,8 @@
 static void handle_lack_of_memory_(struct bw_server_connection *connection)
 {
 	if (connection->busy || connection->close_after_write ||
-	    has_body_to_send_(connection)) {
-		close_connection_(connection, true);
+	    listener_has_body_to_send(connection)) {
+		listener_close(connection, true);
 		return;
 	}
 	if (!connection->reader.started)
@@ -519,7 +429,7 @@
 {
 	const struct bw_listener_config *config = &connection->listener->config;
 
-	connection->state_since = run_time_(connection->listener);
+	connection->state_since = listener_run_time(connection->listener);
 	connection->began_at = bw_loop_clock_now(&connection->listener->clock);
 	connection->parsed_bytes = 0;
 	connection->reader.limits = config->limits;
@@ -540,7 +450,7 @@
 	bw_buffer_consume(&connection->in, used_bytes);
 	connection->parsed_bytes += used_bytes;
 	if (connection->reader.message.head_complete)
-		connection->state_since = run_time_(listener);
+		connection->state_since = listener_run_time(listener);
 	switch (progress) {
 	case BW_HTTP_INCOMPLETE:
 		if (admit_body_(connection))
@@ -601,7 +511,7 @@
 	return true;
 }
 
-static void free_body_(struct bw_server_connection *connection)
+void listener_free_body(struct bw_server_connection *connection)
 {
 	bw_buffer_finish(&connection->reader.message.body);
 	bw_body_finish(&connection->body);
@@ -618,7 +528,7 @@
 		return;
 	connection->continue_sent = true;
 	bw_buffer_append(&connection->out, text, sizeof(text) - 1);
-	flush_output_(connection);
+	listener_flush(connection);
 }
 
 /*
@@ -637,12 +547,13 @@
 				    : RETRY_AFTER_LINE;
 	struct bw_buffer fields;
 
-	listener_report_rejection(connection, cause, run_time_(listener));
-	free_body_(connection);
+	listener_report_rejection(connection, cause,
+				  listener_run_time(listener));
+	listener_free_body(connection);
 	/* The response needs memory, and the request is not read again. */
 	bw_http_message_finish(&connection->reader.message);
 	connection->reader.started = false;
-	connection->state_since = run_time_(connection->listener);
+	connection->state_since = listener_run_time(connection->listener);
 	connection->close_after_write = true;
 	if (listener->lingering_count < LINGERING_MAX) {
 		connection->lingering = true;
@@ -652,9 +563,9 @@
 	bw_buffer_init(&fields);
 	if (status_code == 503)
 		bw_buffer_append(&fields, lines, strlen(lines));
-	write_head_(&connection->out, status_code, &fields, 0, true);
+	listener_write_head(&connection->out, status_code, &fields, 0, true);
 	bw_buffer_finish(&fields);
-	flush_output_(connection);
+	listener_flush(connection);
 }
 
 /* Drops no more than an accepted request may send. */
@@ -666,78 +577,11 @@
 	connection->dropped_bytes += size_bytes;
 	if (connection->dropped_bytes >
 	    (uint64_t)limits->head_max_bytes + limits->body_max_bytes)
-		close_connection_(connection, false);
+		listener_close(connection, false);
 }
 
-/* @return whether the connection still exists */
-static bool flush_output_(struct bw_server_connection *connection)
-{
-	struct ev_loop *loop = connection->listener->config.loop;
-	struct bw_body *body = &connection->out_body;
-	ssize_t sent;
-
-	while (connection->out.size_bytes) {
-		sent = send_piece_(connection, connection->out.data,
-				   connection->out.size_bytes);
-		if (sent <= 0)
-			return sent == 0;
-		bw_buffer_consume(&connection->out, (size_t)sent);
-	}
-	while (connection->out_body_sent_bytes < body->bytes.size_bytes) {
-		sent = send_piece_(connection,
-				   body->bytes.data +
-					   connection->out_body_sent_bytes,
-				   body->bytes.size_bytes -
-					   connection->out_body_sent_bytes);
-		if (sent <= 0)
-			return sent == 0;
-		connection->out_body_sent_bytes += (size_t)sent;
-	}
-	connection->out_body_sent_bytes = 0;
-	bw_body_finish(body);
-	ev_io_stop(loop, &connection->write_watcher);
-	if (connection->lingering) {
-		shutdown(connection->fd, SHUT_WR);
-		return true;
-	}
-	if (connection->close_after_write) {
-		close_connection_(connection, false);
-		return false;
-	}
-	if (!connection->out.size_bytes && connection->out.capacity_bytes)
-		bw_buffer_finish(&connection->out);
-	return true;
-}
-
-/*
- * A client that reads slowly is not idle.
- * @return number of bytes sent; 0 when none can be sent yet; -1 when the
- *	connection no longer exists
- */
-static ssize_t send_piece_(struct bw_server_connection *connection,
-			   const uint8_t *data, size_t size_bytes)
-{
-	ssize_t sent;
-
-	do
-		sent = send(connection->fd, data, size_bytes, MSG_NOSIGNAL);
-	while (sent < 0 && errno == EINTR);
-	if (sent < 0 && errno == EAGAIN) {
-		ev_io_start(connection->listener->config.loop,
-			    &connection->write_watcher);
-		return 0;
-	}
-	if (sent < 0) {
-		close_connection_(connection, true);
-		return -1;
-	}
-	if (!connection->reader.started && !connection->lingering)
-		connection->state_since = run_time_(connection->listener);
-	return sent;
-}
-
-static void close_connection_(struct bw_server_connection *connection,
-			      bool notify_handler)
+void listener_close(struct bw_server_connection *connection,
+		    bool notify_handler)
 {
 	struct bw_listener *listener = connection->listener;
 	struct ev_loop *loop = listener->config.loop;
@@ -760,25 +604,10 @@
 	if (connection->next)
 		connection->next->previous = connection->previous;
 	listener->connection_count--;
-	free_body_(connection);
+	listener_free_body(connection);
 	bw_body_finish(&connection->out_body);
 	bw_http_reader_finish(&connection->reader);
 	bw_buffer_finish(&connection->in);
 	bw_buffer_finish(&connection->out);
 	free(connection);
 }
-
-static void write_head_(struct bw_buffer *out, uint16_t status_code,
-			const struct bw_buffer *fields, size_t body_bytes,
-			bool close)
-{
-	bw_buffer_printf(out, "HTTP/1.1 %u %s\r\n", status_code,
-			 http_status_str((enum http_status)status_code));
-	if (fields)
-		bw_buffer_append(out, fields->data, fields->size_bytes);
-	if (status_code != 204 && status_code != 304)
-		bw_buffer_printf(out, "Content-Length: %zu\r\n", body_bytes);
-	if (close)
-		bw_buffer_printf(out, "Connection: close\r\n");
-	bw_buffer_append(out, "\r\n", 2);
-}
