listener: no response is sent in part for lack of memory

Cause: a buffer reports each append that fails, but those that write responses, and the heads of forwarded requests, append many parts and looked at none of the results.

A buffer now remembers that something is missing, also from another buffer that is appended to it. The listener closes the connection, which the caller sees as a failure; the pool does not send the request.

test_response_no_memory (head, fields, body) fails without the check in listener_flush: the connection stays open.

--- a/include/bwbase/buffer.h
+++ b/include/bwbase/buffer.h
@@ -5,6 +5,7 @@
 #ifndef BWBASE_BUFFER_H
 #define BWBASE_BUFFER_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -15,6 +16,8 @@
 	uint8_t *data; /**< NULL while capacity_bytes is 0 */
 	size_t size_bytes; /**< bytes in use */
 	size_t capacity_bytes; /**< bytes allocated */
+	bool incomplete; /**< something was not appended for lack of memory
+			      since the buffer was initialised or cleared */
 };
 
 /** Initialises an empty buffer. */
@@ -36,14 +39,21 @@
 
 /**
  * Appends bytes.
- * @return BW_OK, or BW_ENOMEM with the buffer unchanged
+ * @return BW_OK, or BW_ENOMEM with the content unchanged, and incomplete
  */
 enum bw_status bw_buffer_append(struct bw_buffer *buffer, const void *data,
 				size_t size_bytes);
 
+/**
+ * Appends the content of another buffer. If that is incomplete, so is this one.
+ * @return BW_OK, or BW_ENOMEM if the buffer is incomplete now
+ */
+enum bw_status bw_buffer_append_buffer(struct bw_buffer *buffer,
+				       const struct bw_buffer *other);
+
 /**
  * Appends formatted text without the terminating NUL.
- * @return BW_OK, or BW_ENOMEM with the buffer unchanged
+ * @return BW_OK, or BW_ENOMEM with the content unchanged, and incomplete
  */
 enum bw_status bw_buffer_printf(struct bw_buffer *buffer, const char *format,
 				...) __attribute__((format(printf, 2, 3)));
--- a/src/boragewingd/gate_forward.c
+++ b/src/boragewingd/gate_forward.c
@@ -51,7 +51,7 @@
 void gate_forward_write_head(const struct gate_request *request,
 			     struct bw_buffer *head, int64_t remaining_ms)
 {
-	bw_buffer_append(head, request->head.data, request->head.size_bytes);
+	bw_buffer_append_buffer(head, &request->head);
 	bw_buffer_printf(head, "%s: %lld\r\n%s: %s\r\n\r\n",
 			 PLATFORM_FIELD_DEADLINE,
 			 (long long)MAX(remaining_ms, 1),
--- a/src/libbwbase/buffer.c
+++ b/src/libbwbase/buffer.c
@@ -24,6 +24,7 @@
 void bw_buffer_clear(struct bw_buffer *buffer)
 {
 	buffer->size_bytes = 0;
+	buffer->incomplete = false;
 }
 
 enum bw_status bw_buffer_reserve(struct bw_buffer *buffer,
@@ -49,13 +50,24 @@
 	if (!size_bytes)
 		return BW_OK;
 	status = reserve_(buffer, size_bytes);
-	if (status != BW_OK)
+	if (status != BW_OK) {
+		buffer->incomplete = true;
 		return status;
+	}
 	memcpy(buffer->data + buffer->size_bytes, data, size_bytes);
 	buffer->size_bytes += size_bytes;
 	return BW_OK;
 }
 
+enum bw_status bw_buffer_append_buffer(struct bw_buffer *buffer,
+				       const struct bw_buffer *other)
+{
+	if (other->incomplete)
+		buffer->incomplete = true;
+	bw_buffer_append(buffer, other->data, other->size_bytes);
+	return buffer->incomplete ? BW_ENOMEM : BW_OK;
+}
+
 enum bw_status bw_buffer_printf(struct bw_buffer *buffer, const char *format,
 				...)
 {
@@ -68,8 +80,10 @@
 	va_end(args);
 	assert(length >= 0);
 	status = reserve_(buffer, (size_t)length + 1);
-	if (status != BW_OK)
+	if (status != BW_OK) {
+		buffer->incomplete = true;
 		return status;
+	}
 	va_start(args, format);
 	vsnprintf((char *)buffer->data + buffer->size_bytes, (size_t)length + 1,
 		  format, args);
--- a/src/libbwproxy/listener_respond.c
+++ b/src/libbwproxy/listener_respond.c
@@ -66,6 +66,11 @@
 	struct bw_body *body = &connection->out_body;
 	ssize_t sent;
 
+	/* The client would take what comes next for the missing part. */
+	if (connection->out.incomplete) {
+		listener_close(connection, false);
+		return false;
+	}
 	while (connection->out.size_bytes) {
 		sent = send_piece_(connection, connection->out.data,
 				   connection->out.size_bytes);
@@ -106,7 +111,7 @@
 	bw_buffer_printf(out, "HTTP/1.1 %u %s\r\n", status_code,
 			 http_status_str((enum http_status)status_code));
 	if (fields)
-		bw_buffer_append(out, fields->data, fields->size_bytes);
+		bw_buffer_append_buffer(out, fields);
 	if (status_code != 204 && status_code != 304)
 		bw_buffer_printf(out, "Content-Length: %zu\r\n", body_bytes);
 	if (close)
--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -492,8 +492,7 @@
 
 	bw_buffer_clear(&connection->out);
 	connection->body_bytes = 0;
-	status = bw_buffer_append(&connection->out, request->head->data,
-				  request->head->size_bytes);
+	status = bw_buffer_append_buffer(&connection->out, request->head);
 	if (status != BW_OK)
 		return status;
 	if (request->body_bytes <= COPIED_BODY_MAX_BYTES)
--- a/src/test_libbwproxy/test_no_memory.c
+++ b/src/test_libbwproxy/test_no_memory.c
@@ -115,11 +115,59 @@
 	ev_loop_destroy(loop);
 }
 
+/* Guards against a response without its end or its fields: the client would
+ * take the next one for the rest. */
+static void test_response_no_memory(void **state)
+{
+	static const struct {
+		size_t refused_bytes;
+		size_t field_bytes;
+		size_t body_bytes;
+	} cases[] = {
+		{ 64, 10, 10 }, /* head */
+		{ 4000, 5000, 10 }, /* fields */
+		{ 4000, 10, 5000 }, /* body */
+	};
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	struct bw_listener listener;
+	struct echo echo = { 0 };
+	uint16_t port = echo_listen(&listener, loop, &echo);
+	char body[5000] = "";
+	struct peer peer;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct bw_buffer fields;
+
+		echo.requests = 0;
+		echo.held = NULL;
+		peer_connect(&peer, loop, port);
+		peer_send_text(&peer, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+		SPIN_UNTIL(loop, echo.held);
+		bw_buffer_init(&fields);
+		refused_bytes = cases[i].refused_bytes;
+		bw_buffer_printf(&fields, "X: %0*d\r\n",
+				 (int)cases[i].field_bytes, 0);
+		bw_connection_respond(echo.held, 200, &fields, body,
+				      cases[i].body_bytes, false);
+		refused_bytes = 0;
+		SPIN_UNTIL(loop, peer.eof);
+		assert_int_equal(peer.in.size_bytes, 0);
+		bw_buffer_finish(&fields);
+		peer_finish(&peer);
+	}
+	assert_int_equal(listener.connection_count, 0);
+	bw_listener_finish(&listener);
+	ev_loop_destroy(loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_reader_no_memory),
 		cmocka_unit_test(test_listener_no_memory),
+		cmocka_unit_test(test_response_no_memory),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
