plan: callers leave a lost region before others move

Cause (docs/incidents.md, traced before): a step moves each row by one fraction of the way to its target, so that moves between surviving sites use up the cap too.

While shares are to leave sites without reports, the target of a step is reduced to them: what leaves lost sites goes to the sites that are to grow, other shares stay. They move in the steps after that.

--- a/src/libbwsteer/include/private/plan_internal.h
+++ b/src/libbwsteer/include/private/plan_internal.h
@@ -90,6 +90,14 @@
 /** Fills the demand of the problem and raises the weights of the plan. */
 void bw_plan_load_demand(struct bw_plan_work *work, uint32_t service);
 
+/**
+ * Reduces the target to what leaves lost sites, if any share is to leave them:
+ * moves between other sites would use up the cap, while callers are sent to
+ * failed servers.
+ * @return whether a share is to leave a lost site
+ */
+bool bw_plan_target_lost_first(const struct bw_plan_problem *problem);
+
 /**
  * Returns whether reports already show the effect of a service's last step.
  * Before that, reported demand does not correspond to the shares.
--- a/src/libbwsteer/plan_step.c
+++ b/src/libbwsteer/plan_step.c
@@ -311,6 +311,10 @@
 	if (!is_sufficient_gain_(&current, &target,
 				 entry->state != BW_SHIFT_SETTLED))
 		return BW_SHIFT_NO_GAIN;
+	if (bw_plan_target_lost_first(p)) {
+		clear_link_loads_(work, work->target_link_kbit);
+		bw_plan_add_link_load(p, NULL, 1, work->target_link_kbit);
+	}
 	amount = max_shift_amount_(p, NULL);
 	if (amount < (double)BW_SHIFT_ALL_TRAFFIC / BW_PLAN_SHARE_TOTAL)
 		return BW_SHIFT_NO_GAIN;
--- a/src/test_libbwsteer/test_plan.c
+++ b/src/test_libbwsteer/test_plan.c
@@ -287,6 +287,64 @@
 	free(model);
 }
 
+/* Returns how much surviving domains lost while others are still to be left. */
+static uint32_t moved_between_survivors_(const struct model *model,
+					 uint32_t service,
+					 const model_shares before)
+{
+	uint32_t sum = 0, r, d;
+
+	for (r = 0; r < MODEL_REGIONS; r++) {
+		for (d = 0; d < MODEL_DOMAINS; d++) {
+			if (model->alive[d] && model->shares[service][r][d] <
+						       before[service][r][d])
+				sum += before[service][r][d] -
+				       model->shares[service][r][d];
+		}
+	}
+	return sum;
+}
+
+/* Guards against a shift away from a lost region that takes longer because
+ * moves between surviving domains use up the cap. */
+static void test_loss_goes_before_other_moves(void **state)
+{
+	uint64_t seed, seeds = seed_count_();
+	struct model *model = malloc(sizeof(*model));
+	uint32_t second, s, last = 0, runs = 0;
+	double seconds = 0;
+	model_shares before;
+
+	(void)state;
+	for (seed = 1; seed <= seeds; seed++) {
+		if (!start_region_loss_(model, seed))
+			continue;
+		model_run(model, BW_PLAN_HOLD_MS / 1000 + 5);
+		for (second = 0; second < 200; second++) {
+			if (!shares_on_failed_domains_(model))
+				break;
+			memcpy(before, model->shares, sizeof(before));
+			model_run(model, 1);
+			for (s = 0; s < MODEL_SERVICES; s++) {
+				if (service_shares_on_failed_domains_(model,
+								      s) &&
+				    moved_between_survivors_(model, s, before))
+					fail_msg("seed %u: survivors changed "
+						 "in second %u",
+						 (uint32_t)seed, second);
+			}
+		}
+		last = second > last ? second : last;
+		seconds += second;
+		runs++;
+		model_stop(model);
+	}
+	print_message("lost regions left after %.1f s on average, %u s at "
+		      "most, in %u runs\n",
+		      seconds / runs, last, runs);
+	free(model);
+}
+
 /* Prints the comparison with a planner that moves to the optimum in one step.
  */
 static void test_compare_with_baseline(void **state)
@@ -501,6 +559,7 @@
 		cmocka_unit_test(test_properties),
 		cmocka_unit_test(test_loss_leaves_no_share),
 		cmocka_unit_test(test_loss_does_not_pause),
+		cmocka_unit_test(test_loss_goes_before_other_moves),
 	};
 
 	return cmocka_run_group_tests(tests, load_chart_, NULL);
