--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= 6
 
-.PHONY: all deps build test check-format lint format run bench clean
+.PHONY: all deps build test sanitize check-format lint format run bench clean
 
 all: build
 
@@ -16,6 +16,14 @@
 test: build
 	sh tools/run-tests.sh $(BUILD)
 
+# Runs the tests without processes with address and undefined sanitizers.
+sanitize:
+	cmake -S . -B $(BUILD)-sanitize -G Ninja -DBW_SANITIZE=ON \
+		-DCMAKE_BUILD_TYPE=Debug >/dev/null
+	cmake --build $(BUILD)-sanitize -j $(JOBS)
+	ctest --test-dir $(BUILD)-sanitize --output-on-failure -j $(JOBS) \
+		--exclude-regex "^run_"
+
 format:
 	git ls-files '*.c' '*.h' | xargs -r clang-format -i
 
--- a/src/test_libbwsteer/test_credit.c
+++ b/src/test_libbwsteer/test_credit.c
@@ -262,8 +262,10 @@
 		domain->old_capacity = domain->capacity;
 	domain->capacity_changed_ms = domain->now_ms;
 	domain->capacity = capacity;
-	for (i = 0; i < domain->host_count; i++)
-		set_host_capacity_(domain, i);
+	for (i = 0; i < domain->host_count; i++) {
+		if (domain->alive[i])
+			set_host_capacity_(domain, i);
+	}
 }
 
 static void apply_random_event_(struct domain *domain)
--- a/src/test_libbwsteer/test_dispatch.c
+++ b/src/test_libbwsteer/test_dispatch.c
@@ -241,6 +241,8 @@
 	assert_int_equal(bw_dispatch_offer(&dispatch, &in_time,
 					   fixture_time(300), &rejection),
 			 BW_VERDICT_SEND);
+	bw_dispatch_sent(&dispatch, &early, fixture_time(300));
+	bw_dispatch_sent(&dispatch, &in_time, fixture_time(300));
 	cancel_jobs_(&dispatch, &early, 1);
 	cancel_jobs_(&dispatch, &in_time, 1);
 	bw_dispatch_finish(&dispatch);
