boragewingd: give the gateway, its control side and the interface folders

Cause: one flat folder of 64 files; who decides that a request is rejected was hard to find. Change: moves and build files only, no change of behaviour.

--- a/tools/bench/bench_lookup.c
+++ b/tools/bench/bench_lookup.c
@@ -5,9 +5,9 @@
 #include "private/aggregator.h"
 #include "sheet_builder.h"
 
-#include "../../src/boragewingd/host.h"
-#include "../../src/boragewingd/lookup.h"
-#include "../../src/boragewingd/report.h"
+#include "../../src/boragewingd/interface/host.h"
+#include "../../src/boragewingd/interface/lookup.h"
+#include "../../src/boragewingd/interface/report.h"
 
 #include "bench.h"
 
--- a/tools/fuzz/fuzz_parsers.c
+++ b/tools/fuzz/fuzz_parsers.c
@@ -14,7 +14,7 @@
 #include "bwsteer/poison.h"
 #include "bwsteer/sheet.h"
 
-#include "../../src/boragewingd/report.h"
+#include "../../src/boragewingd/interface/report.h"
 #include "fuzz_parsers.h"
 #include "platform.h"
 
