customers: find the customer of a request by its key

Change: package bwcustomer (keys as keyed hashes, customers of a version); the configuration reader divides tables by name; entry hosts answer 401 or 503 to unknown keys, replace the key by the customer's name, and let the customer's rank and homes bind. Downloads are idempotent. Unit tests of keys, customers and bad configurations. Ruled out: looking keys up at control hosts, and keeping keys as text.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -155,6 +155,7 @@
 	BW_REJECT_BEHIND, /**< its route has been changed or removed by a
 			     configuration that is not here yet */
 	BW_REJECT_NO_ROUTE, /**< its route was removed while it waited */
+	BW_REJECT_NO_KEY, /**< its key was withdrawn while it waited */
 	BW_REJECT_STOPPING, /**< the host stops before the response could
 			       arrive */
 	BW_REJECT_COUNT
@@ -163,13 +164,17 @@
 /** Texts of enum bw_reject, which appear in output. */
 extern const char *const bw_reject_string[BW_REJECT_COUNT];
 
+/** In bw_job.regions: no region is allowed. */
+#define BW_REGIONS_NONE (1ULL << 63)
+
 /** One request; owned by the caller. */
 struct bw_job {
 	void *owner;
 	struct bw_dispatch_service *service;
 	uint32_t rank;
 	uint64_t object; /**< hash of the object; 0 when it has none */
-	uint32_t regions; /**< bit set of allowed regions; 0 means any */
+	uint64_t regions; /**< bit set of allowed regions; 0 means any */
+	uint64_t customer_hash; /**< 0: none */
 	struct bw_time arrived;
 	struct bw_time
 		objective; /**< an answer by then meets the latency objective */
--- a/include/bwsteer/retired_routes.h
+++ b/include/bwsteer/retired_routes.h
@@ -1,9 +1,9 @@
 /**
  * @file
- * Definitions of routes that newer configurations have changed or removed. The
- * leader of the control hosts announces them, so that an entry host that is
- * behind knows which of its routes it must not use much longer. The list is
- * bounded: after a change of very many routes it has only some of them.
+ * Definitions of routes and customers that newer configurations have changed or
+ * removed. The leader of the control hosts announces them, so that an entry
+ * host that is behind knows which of them it must not use much longer. The list
+ * is bounded: after a change of very many it has only some of them.
  */
 #ifndef BWSTEER_RETIRED_ROUTES_H
 #define BWSTEER_RETIRED_ROUTES_H
--- a/include/bwsteer/routing.h
+++ b/include/bwsteer/routing.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "bwbase/status.h"
+#include "bwcustomer/customers.h"
 
 /** Sizes of strings including the terminating null byte. */
 #define BW_ROUTE_NAME_MAX 64
@@ -40,6 +41,7 @@
 	char host[BW_ROUTE_HOST_MAX];
 	char prefix[BW_ROUTE_PREFIX_MAX]; /**< begins and ends with a slash */
 	bool idempotent; /**< requests may run more than once */
+	bool is_public; /**< requests need no key */
 	bool keyed_placement; /**< requests for an object prefer the server that
 				 served it before, where they run faster */
 	uint32_t timeout_ms; /**< maximum time that a request is kept waiting */
@@ -83,6 +85,7 @@
 	struct bw_routing_service *services;
 	uint32_t service_count;
 	struct bw_routing_limits limits;
+	struct bw_customers *customers; /**< NULL: requests need no key */
 	uint32_t references;
 };
 
--- a/src/boragewingd/gateway/gate_entry.c
+++ b/src/boragewingd/gateway/gate_entry.c
@@ -106,6 +106,7 @@
 	[GATE_OUTCOME_FAILED] = "failed",
 	[GATE_OUTCOME_TIMEOUT] = "timeout",
 	[GATE_OUTCOME_NO_ROUTE] = "no_route",
+	[GATE_OUTCOME_UNKNOWN_KEY] = "unknown_key",
 	[GATE_OUTCOME_CANCELLED] = "cancelled",
 };
 
@@ -349,6 +350,15 @@
 		"Requests without a route that got 503, as the version in "
 		"force was not confirmed",
 		"");
+	for (i = 0; i < 2; i++) {
+		snprintf(labels, sizeof(labels), "status=\"%s\"",
+			 i ? "401" : "503");
+		entry->unknown_keys[i] = bw_metrics_get(
+			metrics, BW_METRIC_COUNTER, "bw_unknown_keys_total",
+			"Requests whose key no customer has; 503 while the "
+			"version in force was not confirmed",
+			labels);
+	}
 	for (i = 1; i < BW_REJECT_COUNT; i++) {
 		snprintf(labels, sizeof(labels), "cause=\"%s\"",
 			 bw_reject_string[i]);
--- a/src/boragewingd/gateway/gate_entry.h
+++ b/src/boragewingd/gateway/gate_entry.h
@@ -25,6 +25,7 @@
 	GATE_OUTCOME_FAILED, /**< sent, but no usable response */
 	GATE_OUTCOME_TIMEOUT, /**< deadline of route or client passed */
 	GATE_OUTCOME_NO_ROUTE,
+	GATE_OUTCOME_UNKNOWN_KEY, /**< no customer has its key */
 	GATE_OUTCOME_CANCELLED, /**< the client disconnected */
 	GATE_OUTCOME_COUNT
 };
@@ -39,9 +40,10 @@
 	GATE_CHECK_ROUTE, /**< its route now leads to another service or has
 			       other home regions */
 	GATE_CHECK_NO_ROUTE, /**< it has no route any more */
+	GATE_CHECK_NO_KEY, /**< its key has been withdrawn */
 	GATE_CHECK_EXPIRED, /**< its deadline has passed */
-	GATE_CHECK_BEHIND, /**< its route has changed or been removed by a
-			      version that is not here yet */
+	GATE_CHECK_BEHIND, /**< its route or customer has changed or been
+			      removed by a version that is not here yet */
 	GATE_CHECK_COUNT
 };
 
@@ -123,6 +125,7 @@
 	uint32_t request_count;
 	struct bw_metric *outcomes[GATE_OUTCOME_COUNT];
 	struct bw_metric *unconfirmed; /**< no route, but not sure */
+	struct bw_metric *unknown_keys[2]; /**< not confirmed, confirmed */
 	struct bw_metric *rejections[BW_REJECT_COUNT];
 	struct bw_metric *reconsidered[GATE_CHECK_COUNT];
 	struct bw_metric *source_changes[BW_FEED_CHANGE_COUNT];
--- a/src/boragewingd/gateway/gate_forward.c
+++ b/src/boragewingd/gateway/gate_forward.c
@@ -10,6 +10,9 @@
 	PLATFORM_FIELD_SIGNATURE,
 };
 
+static bool is_replaced_(const struct gate_request *request,
+			 const struct bw_http_message *message,
+			 const struct bw_http_field *field);
 static bool is_forwarded_(const struct bw_http_message *message,
 			  const struct bw_http_field *field);
 static void append_field_(struct bw_buffer *out,
@@ -34,6 +37,7 @@
 		const struct bw_http_field *field = &message->fields[i];
 
 		if (!is_forwarded_(message, field) ||
+		    is_replaced_(request, message, field) ||
 		    (target->absolute &&
 		     bw_http_field_is(message, field, "Host")) ||
 		    bw_http_field_is(message, field, PLATFORM_FIELD_DEADLINE) ||
@@ -52,6 +56,9 @@
 			     struct bw_buffer *head, int64_t remaining_ms)
 {
 	bw_buffer_append_buffer(head, &request->head);
+	if (request->customer)
+		bw_buffer_printf(head, "%s: %s\r\n", PLATFORM_FIELD_CUSTOMER,
+				 request->customer->name);
 	bw_buffer_printf(head, "%s: %lld\r\n%s: %s\r\n\r\n",
 			 PLATFORM_FIELD_DEADLINE,
 			 (long long)MAX(remaining_ms, 1),
@@ -72,6 +79,19 @@
 	}
 }
 
+/*
+ * Where customers have keys, the server gets the customer's name and not the
+ * key, and no name that the client sets.
+ */
+static bool is_replaced_(const struct gate_request *request,
+			 const struct bw_http_message *message,
+			 const struct bw_http_field *field)
+{
+	return request->routing->customers &&
+	       (bw_http_field_is(message, field, PLATFORM_FIELD_KEY) ||
+		bw_http_field_is(message, field, PLATFORM_FIELD_CUSTOMER));
+}
+
 static bool is_forwarded_(const struct bw_http_message *message,
 			  const struct bw_http_field *field)
 {
--- a/src/boragewingd/gateway/gate_request.c
+++ b/src/boragewingd/gateway/gate_request.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "bwproxy/target.h"
+#include "gate_customer.h"
 #include "gate_entry_private.h"
 #include "gate_entry_respond.h"
 #include "gate_forward.h"
@@ -89,6 +90,8 @@
 {
 	struct gate_request *request;
 	const struct bw_route *route = NULL;
+	const struct bw_customer *customer;
+	char key[GATE_KEY_BYTES];
 	struct bw_http_target target;
 
 	bw_http_target_read(message, &target);
@@ -100,8 +103,16 @@
 		gate_entry_respond_unrouted(entry, connection, message);
 		return;
 	}
+	if (gate_customer_identify(entry->routing, route, message, key,
+				   &customer) == GATE_IDENTITY_UNKNOWN) {
+		gate_customer_respond_unknown(entry, connection, message);
+		return;
+	}
 	request = new_request_(entry, connection, message);
 	request->route = route;
+	if (customer)
+		request->key = g_strdup(key);
+	gate_customer_set(request, customer);
 	set_deadline_(request, message, gate_node_now(entry->node));
 	gate_request_keep_input(request, message, &target);
 	gate_request_choose_service(request);
@@ -202,6 +213,7 @@
 	bw_body_finish(&request->body);
 	g_free(request->host);
 	g_free(request->affinity_key);
+	g_free(request->key);
 	g_free(request);
 }
 
@@ -252,7 +264,6 @@
 	job->arrived = now;
 	job->deadline = bw_time_add(now, timeout_ms);
 	job->objective = bw_time_add(now, route->target_latency_ms);
-	job->rank = route->rank;
 	ev_timer_init(&request->deadline_timer, on_deadline_,
 		      (double)timeout_ms / 1000.0, 0.0);
 	request->deadline_timer.data = request;
@@ -296,6 +307,7 @@
 {
 	static const enum bw_reject reasons[GATE_CHECK_COUNT] = {
 		[GATE_CHECK_NO_ROUTE] = BW_REJECT_NO_ROUTE,
+		[GATE_CHECK_NO_KEY] = BW_REJECT_NO_KEY,
 		[GATE_CHECK_EXPIRED] = BW_REJECT_DEADLINE,
 		[GATE_CHECK_BEHIND] = BW_REJECT_BEHIND,
 	};
--- a/src/boragewingd/gateway/gate_request.h
+++ b/src/boragewingd/gateway/gate_request.h
@@ -33,6 +33,8 @@
 	struct bw_pool_connection *upstream; /**< NULL: not in flight */
 	struct bw_routing *routing; /**< that it follows */
 	const struct bw_route *route;
+	const struct bw_customer *customer; /**< of routing; NULL: none */
+	char *key; /**< of the customer; NULL: none; never logged */
 	struct bw_job job;
 	struct bw_buffer head; /**< request line and forwarded fields */
 	struct bw_body body; /**< taken from the listener; the pool reads it
--- a/src/boragewingd/gateway/gate_request_check.c
+++ b/src/boragewingd/gateway/gate_request_check.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "gate_customer.h"
 #include "gate_entry_private.h"
 #include "platform.h"
 
@@ -18,7 +19,6 @@
 static bool is_retired_(const struct gate_request *request, struct bw_time now);
 static const struct bw_route *find_route_(const struct gate_request *request);
 static bool leads_to_(const struct bw_route *route, const char *service);
-static uint32_t home_regions_(const struct gate_request *request);
 static bool accepts_server_(const struct gate_entry *entry,
 			    const struct bw_target *target, struct bw_time now);
 
@@ -27,6 +27,7 @@
 	[GATE_CHECK_SERVER] = "server_left",
 	[GATE_CHECK_ROUTE] = "route_changed",
 	[GATE_CHECK_NO_ROUTE] = "route_removed",
+	[GATE_CHECK_NO_KEY] = "key_withdrawn",
 	[GATE_CHECK_EXPIRED] = "deadline",
 	[GATE_CHECK_BEHIND] = "configuration_behind",
 };
@@ -53,7 +54,7 @@
 	job->service = bw_dispatch_service(
 		&entry->dispatch,
 		route->choices[bw_route_choose(route, point)].service);
-	job->regions = home_regions_(request);
+	job->regions = gate_customer_regions(request);
 	job->object = 0;
 	if (route->keyed_placement && request->affinity_key)
 		job->object = bw_dispatch_object_hash(job->service->name,
@@ -106,29 +107,34 @@
 	bw_routing_ref(entry->routing);
 	bw_routing_unref(request->routing);
 	request->routing = entry->routing;
-	if (route == request->route)
-		return GATE_CHECK_CURRENT;
 	request->route = route;
+	if (!gate_customer_refresh(request))
+		return GATE_CHECK_NO_KEY;
 	if (leads_to_(route, request->job.service->name) &&
-	    home_regions_(request) == request->job.regions)
+	    gate_customer_regions(request) == request->job.regions)
 		return GATE_CHECK_CURRENT;
 	gate_request_choose_service(request);
 	return GATE_CHECK_ROUTE;
 }
 
 /*
- * A host that is behind and in touch rejects requests of the routes that it
- * knows to be outdated. One that is cut off goes on with what it has.
+ * A host that is behind and in touch rejects requests of the routes and
+ * customers that it knows to be outdated. One that is cut off goes on with what
+ * it has.
  */
 static bool is_retired_(const struct gate_request *request, struct bw_time now)
 {
 	const struct gate_entry *entry = request->entry;
-
-	return entry->retired.count &&
-	       bw_time_diff_ms(now, entry->feed_received_at) <
-		       CUT_OFF_AFTER_MS &&
-	       bw_retired_routes_age_ms(&entry->retired, request->route->digest,
-					now) > RETIRED_USE_MAX_MS;
+	const struct bw_customer *customer = request->customer;
+
+	if (!entry->retired.count ||
+	    bw_time_diff_ms(now, entry->feed_received_at) >= CUT_OFF_AFTER_MS)
+		return false;
+	return bw_retired_routes_age_ms(&entry->retired, request->route->digest,
+					now) > RETIRED_USE_MAX_MS ||
+	       (customer &&
+		bw_retired_routes_age_ms(&entry->retired, customer->digest,
+					 now) > RETIRED_USE_MAX_MS);
 }
 
 static const struct bw_route *find_route_(const struct gate_request *request)
@@ -161,18 +167,6 @@
 	return false;
 }
 
-static uint32_t home_regions_(const struct gate_request *request)
-{
-	const struct bw_route *route = request->route;
-	uint32_t regions = 0;
-	uint32_t i;
-
-	for (i = 0; i < route->home_count; i++)
-		regions |= 1U << gate_node_region_index(request->entry->node,
-							route->homes[i]);
-	return regions;
-}
-
 /* Records that arrived since the last update of the targets count, too. */
 static bool accepts_server_(const struct gate_entry *entry,
 			    const struct bw_target *target, struct bw_time now)
--- a/src/boragewingd/gateway/gate_request_check.h
+++ b/src/boragewingd/gateway/gate_request_check.h
@@ -21,8 +21,7 @@
 /**
  * Checks a request; its route becomes that of the configuration in force.
  * After GATE_CHECK_SERVER and GATE_CHECK_ROUTE it has to be dispatched again,
- * after GATE_CHECK_NO_ROUTE, GATE_CHECK_EXPIRED and GATE_CHECK_BEHIND to be
- * rejected.
+ * after all others but GATE_CHECK_CURRENT to be rejected.
  */
 enum gate_check gate_request_check(struct gate_request *request,
 				   struct bw_time now);
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -172,7 +172,7 @@
 
 	if (!target->accepts || !target->slots)
 		return false;
-	if (job->regions && !(job->regions & (1U << target->region)))
+	if (job->regions && !(job->regions & (1ULL << target->region)))
 		return false;
 	for (i = 0; i < job->tried_count; i++) {
 		if (job->tried[i] == target->id_hash)
--- a/src/libbwsteer/dispatch_reject.c
+++ b/src/libbwsteer/dispatch_reject.c
@@ -28,6 +28,7 @@
 	[BW_REJECT_LIMITED] = "servers_at_limit",
 	[BW_REJECT_BEHIND] = "configuration_behind",
 	[BW_REJECT_NO_ROUTE] = "route_removed",
+	[BW_REJECT_NO_KEY] = "key_withdrawn",
 	[BW_REJECT_STOPPING] = "host_stopping",
 };
 
--- a/src/libbwsteer/retired_routes.c
+++ b/src/libbwsteer/retired_routes.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+static void note_customers_(struct bw_retired_routes *kept,
+			    const struct bw_routing *before,
+			    const struct bw_routing *after, struct bw_time now);
+static bool is_in_force_(const struct bw_routing *routing,
+			 const uint8_t *digest);
 static void add_(struct bw_retired_routes *retired, const uint8_t *digest,
 		 struct bw_time since);
 static const struct bw_retired_route *
@@ -17,15 +22,16 @@
 	for (i = 0; i < retired->count; i++) {
 		const uint8_t *digest = retired->routes[i].digest;
 
-		if (!bw_routing_find_digest(after, digest))
+		if (!is_in_force_(after, digest))
 			add_(&kept, digest, retired->routes[i].since);
 	}
 	for (i = 0; i < before->route_count; i++) {
 		const uint8_t *digest = before->routes[i]->digest;
 
-		if (!bw_routing_find_digest(after, digest))
+		if (!is_in_force_(after, digest))
 			add_(&kept, digest, now);
 	}
+	note_customers_(&kept, before, after, now);
 	*retired = kept;
 }
 
@@ -54,6 +60,29 @@
 	return route ? bw_time_diff_ms(now, route->since) : -1;
 }
 
+static void note_customers_(struct bw_retired_routes *kept,
+			    const struct bw_routing *before,
+			    const struct bw_routing *after, struct bw_time now)
+{
+	uint32_t count = before->customers ? before->customers->count : 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const uint8_t *digest = before->customers->items[i].digest;
+
+		if (!is_in_force_(after, digest))
+			add_(kept, digest, now);
+	}
+}
+
+static bool is_in_force_(const struct bw_routing *routing,
+			 const uint8_t *digest)
+{
+	return bw_routing_find_digest(routing, digest) ||
+	       (routing->customers &&
+		bw_customers_has_digest(routing->customers, digest));
+}
+
 /* Drops the oldest definition when the list is full. */
 static void add_(struct bw_retired_routes *retired, const uint8_t *digest,
 		 struct bw_time since)
--- a/src/libbwsteer/routing.c
+++ b/src/libbwsteer/routing.c
@@ -98,6 +98,7 @@
 	free(routing->by_place);
 	free(routing->by_digest);
 	free(routing->services);
+	bw_customers_free(routing->customers);
 	free(routing);
 }
 
--- a/src/test_platform/test_platform.c
+++ b/src/test_platform/test_platform.c
@@ -37,6 +37,13 @@
 	"{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"
 	"\"headerTimeoutS\":3,\"idleTimeoutS\":15}}";
 
+/** What a configuration with customers adds, and its keys, rank and quota. */
+static const char customers_text[] =
+	"{\"tenants\":{\"one\":{\"apiKeys\":[\"k-1\",\"k-2\"],"
+	"\"priority\":2,\"ratePerS\":8.5,\"burst\":9,"
+	"\"homeRegions\":[\"here\"]},\"two\":{\"apiKeys\":[]},"
+	"\"three\":{\"apiKeys\":[\"k-3\"],\"ratePerS\":0}},";
+
 /* Replaces the first occurrence of old; the caller frees the result. */
 static char *replace_(const char *text, const char *old,
 		      const char *replacement)
@@ -163,6 +170,80 @@
 	bw_routing_unref(routing);
 }
 
+static void test_customers(void **state)
+{
+	char *text = replace_(good_configuration, "{", customers_text);
+	char *open = replace_(text, "\"kind\":\"unsafe\"",
+			      "\"kind\":\"download\",\"public\":true");
+	const struct bw_customer *customer;
+	struct bw_routing *routing;
+	const struct bw_route *route;
+	char error[PLATFORM_ERROR_BYTES];
+
+	(void)state;
+	assert_int_equal(read_configuration_(open, strlen(open), NULL, &routing,
+					     error),
+			 BW_OK);
+	assert_int_equal(routing->customers->count, 3);
+	customer = bw_customers_find_key(routing->customers, "k-2");
+	assert_string_equal(customer->name, "one");
+	assert_true(customer->has_rank);
+	assert_int_equal(customer->rank, 2);
+	assert_true(customer->rate_per_s == 8.5 && customer->burst == 9.0);
+	assert_int_equal(customer->home_count, 1);
+	assert_string_equal(customer->homes[0], "here");
+	customer = bw_customers_find_key(routing->customers, "k-3");
+	assert_false(customer->has_rank);
+	assert_true(customer->rate_per_s == 0.0);
+	route = bw_routing_find(routing, "h.example", 9, "/q/", 3);
+	assert_true(route->is_public);
+	assert_true(route->idempotent);
+	bw_routing_unref(routing);
+	free(open);
+	free(text);
+}
+
+/* Guards against customers that are read to a wrong limit, and against keys in
+ * messages. */
+static void test_bad_customers(void **state)
+{
+	static const char *const changes[][3] = {
+		{ "\"ratePerS\":8.5", "\"ratePerS\":-1",
+		  "invalid ratePerS of tenant one" },
+		{ "\"ratePerS\":8.5", "\"ratePerS\":\"8\"",
+		  "invalid ratePerS of tenant one" },
+		{ "\"burst\":9", "\"burst\":[]",
+		  "invalid burst of tenant one" },
+		{ "\"priority\":2", "\"priority\":2.5",
+		  "invalid priority of tenant one" },
+		{ "\"k-1\"", "7", "invalid apiKeys of tenant one" },
+		{ "[\"k-3\"]", "\"k-3\"", "invalid apiKeys of tenant three" },
+		{ "[\"here\"]", "[4]", "invalid homeRegions of tenant one" },
+		{ "k-3", "k-2", "customers one and three share a key" },
+		{ "\"two\":{", "\"one\":{",
+		  "a tenant is there twice or can't be read" },
+		{ "\"two\":{\"apiKeys\":[]}", "\"two\":3",
+		  "a tenant can't be read" },
+		{ "{\"one\"", "[\"one\"", "tenants is not an object" },
+	};
+	char *good = replace_(good_configuration, "{", customers_text);
+	struct bw_routing *routing;
+	char error[PLATFORM_ERROR_BYTES];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(changes) / sizeof(changes[0]); i++) {
+		char *text = replace_(good, changes[i][0], changes[i][1]);
+
+		assert_int_equal(read_configuration_(text, strlen(text), NULL,
+						     &routing, error),
+				 BW_EINVAL);
+		assert_string_equal(error, changes[i][2]);
+		free(text);
+	}
+	free(good);
+}
+
 /* Guards against unchanged routes that are decoded again, and against changed
  * ones that are not. */
 static void test_configuration_in_steps(void **state)
@@ -431,6 +512,8 @@
 		cmocka_unit_test(test_bad_announcements),
 		cmocka_unit_test(test_configuration),
 		cmocka_unit_test(test_configuration_in_steps),
+		cmocka_unit_test(test_customers),
+		cmocka_unit_test(test_bad_customers),
 		cmocka_unit_test(test_bad_configurations),
 		cmocka_unit_test(test_corrupted_input),
 		cmocka_unit_test(test_calls),
