--- a/tools/gate_backend.c
+++ b/tools/gate_backend.c
@@ -8,8 +8,9 @@
  * limit of the requests per second that the server takes from all hosts
  * together, "leaving" says that the server leaves, "paused" rejects the request
  * with a Retry-After (it is in the ledger all the same), and any other value
- * responds at once. Each execution is appended to a ledger file: request id,
- * server id, wall clock in ms, size of the body.
+ * responds at once. A request with the field Echo-Field gets the value of the
+ * field that it names in the field Echo. Each execution is appended to a ledger
+ * file: request id, server id, wall clock in ms, size of the body.
  */
 #include <ev.h>
 #include <signal.h>
@@ -55,6 +56,8 @@
 			       const struct bw_http_message *request);
 static void respond_(struct backend *backend,
 		     struct bw_server_connection *connection);
+static void echo_field_(const struct bw_http_message *request,
+			struct bw_buffer *fields);
 static void append_large_(struct bw_buffer *body);
 static bool target_ends_with_(const struct bw_http_message *request,
 			      const char *suffix);
@@ -210,6 +213,7 @@
 	if (target_ends_with_(request, "/limited"))
 		bw_buffer_printf(&fields, "Server-Limit: %.1f\r\n",
 				 LIMIT_PER_S);
+	echo_field_(request, &fields);
 	bw_buffer_printf(&body, "%s %.*s %zu\n", id,
 			 (int)request->target.size_bytes,
 			 bw_http_text(request, request->target),
@@ -222,6 +226,17 @@
 	bw_buffer_finish(&body);
 }
 
+static void echo_field_(const struct bw_http_message *request,
+			struct bw_buffer *fields)
+{
+	char name[64];
+	char value[128];
+
+	if (bw_http_find(request, "Echo-Field", name, sizeof(name)) &&
+	    bw_http_find(request, name, value, sizeof(value)))
+		bw_buffer_printf(fields, "Echo: %s\r\n", value);
+}
+
 static void append_large_(struct bw_buffer *body)
 {
 	uint8_t line[64];
