boragewingd: quotas of customers over all entry hosts

Entry hosts now ask the leader of the control hosts for leases and refuse with 429 and Retry-After what is beyond; a request that did not run gives back what it used. Demands and grants pass through the control host of the feed. The leader goes on with its state if it regains its lease in the same term.

A lightly used customer is open: each host may admit a request beside its lease before the leader has counted it. A customer near its quota is open at as many hosts as there are free requests, and at none while callers ask for more than is due.

Ruled out: reopening by use alone (a hot customer was opened again after a change of the leader: 97 requests in a window of 86).

--- a/include/bwcustomer/quota.h
+++ b/include/bwcustomer/quota.h
@@ -39,7 +39,8 @@
 /** Demand of an entry host for one customer. */
 struct bw_quota_demand {
 	struct bw_quota quota; /**< in force at the entry host */
-	uint32_t admitted; /**< in the last window */
+	uint32_t asked; /**< in the last window */
+	uint32_t admitted; /**< of these */
 	uint32_t unleased; /**< of these, by the host's own part */
 	uint32_t fresh; /**< admitted since the last demand */
 	uint32_t wanted; /**< lease with which nothing would be refused */
@@ -56,6 +57,12 @@
 					   the request of all hosts */
 };
 
+/** A customer that is open at few hosts or none. */
+struct bw_quota_closed {
+	uint64_t customer_hash;
+	uint32_t open_percent; /**< hosts at which it is open */
+};
+
 /** Events of the last window, in parts of it. */
 struct bw_quota_window {
 	uint32_t counts[BW_QUOTA_SLOTS];
--- a/include/bwcustomer/quota_grants.h
+++ b/include/bwcustomer/quota_grants.h
@@ -32,7 +32,8 @@
 struct bw_quota_grants {
 	struct bw_quota_bounds bounds;
 	bool granting;
-	struct bw_time since; /**< granting */
+	uint64_t term; /**< in which this host grants, or did last */
+	struct bw_time since; /**< granting in this term */
 	uint32_t host_count; /**< entry hosts of the fleet */
 	struct bw_time next_sweep;
 	struct bw_time next_closed; /**< list of customers that are not open */
@@ -50,11 +51,17 @@
 /**
  * Notes whether this host has the right to grant; at most one host may have it
  * at a time. A host that gets it renews the leases that entry hosts report,
- * and grants more only when it has heard of them.
+ * and grants more only when it has heard of them. One that gets it again in the
+ * same term goes on: no other host can have granted in between.
+ * @param term of the right to grant
  * @param host_count entry hosts of the fleet
  */
 void bw_quota_grants_set_granting(struct bw_quota_grants *grants, bool granting,
-				  uint32_t host_count, struct bw_time now);
+				  uint64_t term, uint32_t host_count,
+				  struct bw_time now);
+
+/** Returns whether any entry host has sent demands of late. */
+bool bw_quota_grants_in_use(const struct bw_quota_grants *grants);
 
 /**
  * Answers the demands of an entry host.
@@ -68,19 +75,19 @@
 /** Forgets leases that have ended; called about once a second. */
 void bw_quota_grants_tick(struct bw_quota_grants *grants, struct bw_time now);
 
-/** Maximum number of customers that are listed as not open. */
+/** Maximum number of customers that are listed as not open at all hosts. */
 #define BW_QUOTA_CLOSED_MAX 512
 
 /**
- * Lists the customers that are not open, for all entry hosts; see
+ * Lists the customers that are not open at all hosts, for all entry hosts; see
  * bw_quota_set_closed.
- * @param customer_hashes array of BW_QUOTA_CLOSED_MAX elements
+ * @param closed array of BW_QUOTA_CLOSED_MAX elements
  * @param count receives the number of customers
  * @return whether the list is due and complete; otherwise nothing is sent, and
  *	no customer stays open
  */
 bool bw_quota_grants_closed(struct bw_quota_grants *grants,
-			    uint64_t *customer_hashes, uint32_t *count,
+			    struct bw_quota_closed *closed, uint32_t *count,
 			    struct bw_time now);
 
 /** Returns the requests that hosts may use or have used of what is due. */
--- a/include/bwcustomer/quota_shares.h
+++ b/include/bwcustomer/quota_shares.h
@@ -19,7 +19,7 @@
 	uint32_t host_count; /**< entry hosts; 0: unknown */
 	uint32_t host_index; /**< of this host among them */
 	GHashTable *shares; /**< customer hash -> struct share */
-	GHashTable *closed; /**< hashes of customers that are not open */
+	GHashTable *closed; /**< customer hash -> struct bw_quota_closed */
 	struct bw_time open_until; /**< of the others */
 };
 
@@ -72,11 +72,11 @@
 		    struct bw_time now);
 
 /**
- * Takes over which customers are not open, for BW_QUOTA_OPEN_MS. The others
- * are.
+ * Takes over which customers are not open at all hosts, for BW_QUOTA_OPEN_MS.
+ * The others are.
  */
 void bw_quota_set_closed(struct bw_quota_shares *shares,
-			 const uint64_t *customer_hashes, uint32_t count,
+			 const struct bw_quota_closed *closed, uint32_t count,
 			 struct bw_time now);
 
 /** Returns the last fleet_work_ms_per_s of a customer; 0 when unknown. */
@@ -86,6 +86,12 @@
 /** Time for which a lease holds, longer than most cuts. */
 #define BW_QUOTA_LEASE_MS 6000
 
+/**
+ * Requests due in a window at each host from which on a customer is served by
+ * leases alone, once it has begun.
+ */
+#define BW_QUOTA_LARGE_DUE_PER_HOST 4
+
 /**
  * Time for which a customer stays open without news; longer than a change of
  * the granting host. What a host admits without an answer is bounded anyway.
--- a/src/boragewingd/gateway/gate_entry.c
+++ b/src/boragewingd/gateway/gate_entry.c
@@ -107,6 +107,7 @@
 	[GATE_OUTCOME_TIMEOUT] = "timeout",
 	[GATE_OUTCOME_NO_ROUTE] = "no_route",
 	[GATE_OUTCOME_UNKNOWN_KEY] = "unknown_key",
+	[GATE_OUTCOME_BEYOND_QUOTA] = "beyond_quota",
 	[GATE_OUTCOME_CANCELLED] = "cancelled",
 };
 
@@ -142,6 +143,7 @@
 	entry->dispatch.region_window_ms = REGION_WINDOW_MS;
 	open_metrics_(entry);
 	gate_notice_init(entry);
+	gate_quota_init(&entry->quota, node);
 	gate_refusals_init(&entry->refusals, node, "entry");
 	pool_config.limits.head_max_bytes = RESPONSE_HEAD_MAX_BYTES;
 	pool_config.limits.body_max_bytes = RESPONSE_BODY_MAX_BYTES;
@@ -179,6 +181,7 @@
 	bw_listener_finish(&entry->ready);
 	bw_dispatch_finish(&entry->dispatch);
 	gate_poison_finish(&entry->poison);
+	gate_quota_finish(&entry->quota);
 	bw_distribute_finish(&entry->distribute);
 	bw_outbox_finish(&entry->out);
 	bw_routing_unref(entry->routing);
@@ -224,6 +227,7 @@
 	}
 	refill_retries_(entry, now);
 	gate_poison_tick(entry, now);
+	gate_quota_tick(entry, now);
 	if (bw_time_reached(now, entry->next_report))
 		gate_entry_report_load(entry, now);
 	gate_request_run_queue(entry);
--- a/src/boragewingd/gateway/gate_entry.h
+++ b/src/boragewingd/gateway/gate_entry.h
@@ -15,6 +15,7 @@
 #include "bwsteer/poison.h"
 #include "bwsteer/routing.h"
 #include "gate_node.h"
+#include "gate_quota.h"
 #include "gate_refusal.h"
 #include "platform.h"
 
@@ -26,6 +27,7 @@
 	GATE_OUTCOME_TIMEOUT, /**< deadline of route or client passed */
 	GATE_OUTCOME_NO_ROUTE,
 	GATE_OUTCOME_UNKNOWN_KEY, /**< no customer has its key */
+	GATE_OUTCOME_BEYOND_QUOTA, /**< of its customer; was not executed */
 	GATE_OUTCOME_CANCELLED, /**< the client disconnected */
 	GATE_OUTCOME_COUNT
 };
@@ -83,6 +85,7 @@
 	struct bw_pool pool;
 	struct bw_dispatch dispatch;
 	struct gate_poison poison;
+	struct gate_quota quota;
 	struct bw_routing *routing; /**< active; NULL until received */
 	struct bw_time routing_since; /**< when it was activated here */
 	char evacuated[BW_EVACUATIONS_MAX][BW_NAME_MAX];
--- a/src/boragewingd/gateway/gate_entry_messages.c
+++ b/src/boragewingd/gateway/gate_entry_messages.c
@@ -107,6 +107,9 @@
 		if (bw_reader_status(&reader) == BW_OK)
 			handle_loads_(entry, &loads, now);
 		break;
+	case GATE_QUOTA_GRANT:
+		gate_quota_receive(entry, &reader, now);
+		break;
 	default:
 		break;
 	}
@@ -378,6 +381,9 @@
 		entry->entry_count = status->entry_count;
 		entry->entry_index = status->entry_index;
 		entry->dispatch.host_count = status->entry_count;
+		bw_quota_shares_set_hosts(&entry->quota.shares,
+					  status->entry_count,
+					  status->entry_index);
 		entry->dispatch.peer_count = status->domain_entry_count;
 	}
 	handle_demands_(entry, status);
--- a/src/boragewingd/gateway/gate_request.c
+++ b/src/boragewingd/gateway/gate_request.c
@@ -48,6 +48,7 @@
 static void set_deadline_(struct gate_request *request,
 			  const struct bw_http_message *message,
 			  struct bw_time now);
+static bool refuse_beyond_quota_(struct gate_request *request);
 static bool reject_if_poison_(struct gate_request *request);
 static bool is_current_(struct gate_request *request);
 static bool is_current_on_connection_(struct gate_request *request);
@@ -117,6 +118,8 @@
 	gate_request_keep_input(request, message, &target);
 	gate_request_choose_service(request);
 	gate_forward_copy_head(request, message, &target);
+	if (refuse_beyond_quota_(request))
+		return;
 	entry->retry_tokens += RETRY_SHARE * entry->node->settings.retry_ratio;
 	if (request->expired)
 		reject_(request, BW_REJECT_DEADLINE, RETRY_AFTER_DEFAULT_MS);
@@ -270,6 +273,19 @@
 	ev_timer_start(request->entry->node->loop, &request->deadline_timer);
 }
 
+/* Refuses a request beyond its customer's quota. @return whether it was */
+static bool refuse_beyond_quota_(struct gate_request *request)
+{
+	uint32_t retry_after_ms;
+
+	if (gate_quota_admit(request, &retry_after_ms))
+		return false;
+	gate_quota_note_refused(request, retry_after_ms);
+	gate_entry_respond_error(request, 429, retry_after_ms, "quota");
+	finish_for_client_(request, GATE_OUTCOME_BEYOND_QUOTA, 429, "quota");
+	return true;
+}
+
 /* Rejects a request that crashes servers. @return whether it was rejected */
 static bool reject_if_poison_(struct gate_request *request)
 {
@@ -594,12 +610,18 @@
 	uint64_t took_us = bw_clock_us() - request->arrived_us;
 	bool succeeded = outcome == GATE_OUTCOME_ANSWERED && status_code < 500;
 
+	if (!request->may_have_run && !request->upstream &&
+	    (outcome == GATE_OUTCOME_REJECTED ||
+	     outcome == GATE_OUTCOME_CANCELLED))
+		gate_quota_give_back(request);
 	if (request->connection)
 		*bw_connection_context(request->connection) = NULL;
 	request->connection = NULL;
 	bw_metric_add(entry->outcomes[outcome], 1);
 	bw_metric_observe(entry->total_us[request->route->idempotent], took_us);
-	if (!succeeded || request->traced)
+	/* A refusal beyond the quota has a line of its own. */
+	if (outcome != GATE_OUTCOME_BEYOND_QUOTA &&
+	    (!succeeded || request->traced))
 		gate_log_end(request, outcome, status_code, cause, took_us);
 	request->detached = true;
 	ev_timer_stop(entry->node->loop, &request->deadline_timer);
--- a/src/boragewingd/gateway/gate_request.h
+++ b/src/boragewingd/gateway/gate_request.h
@@ -35,6 +35,7 @@
 	const struct bw_route *route;
 	const struct bw_customer *customer; /**< of routing; NULL: none */
 	char *key; /**< of the customer; NULL: none; never logged */
+	struct gate_quota_use quota_use;
 	struct bw_job job;
 	struct bw_buffer head; /**< request line and forwarded fields */
 	struct bw_body body; /**< taken from the listener; the pool reads it
--- a/src/boragewingd/gateway/gate_settings.h
+++ b/src/boragewingd/gateway/gate_settings.h
@@ -59,6 +59,10 @@
 	uint32_t retry_window_ms;
 	uint32_t retry_extra; /**< retries allowed per window on top of the
 				 ratio */
+	uint32_t quota_window_ms; /**< in which requests of a customer are
+				     counted */
+	double quota_over; /**< tolerated fraction beyond a quota */
+	double quota_slack; /**< requests tolerated on top of it */
 	uint32_t losses_max; /**< control hosts that may be lost at the same
 				time with their disks */
 };
--- a/src/boragewingd/gateway/gate_wire.c
+++ b/src/boragewingd/gateway/gate_wire.c
@@ -10,9 +10,6 @@
 #define HEARTBEAT_VALUES 4
 #define FLEET_HOST_VALUES 4
 
-static void write_message_head_(struct bw_writer *writer, struct bw_buffer *out,
-				enum gate_message_type type,
-				uint32_t field_count);
 static void write_names_(struct bw_writer *writer,
 			 const char (*names)[BW_NAME_MAX], uint32_t count);
 static uint32_t read_names_(struct bw_reader *reader,
@@ -44,7 +41,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_HELLO, 16);
+	gate_message_begin(&writer, out, GATE_HELLO, 16);
 	bw_write_bool(&writer, hello->control);
 	bw_write_uint(&writer, hello->state);
 	bw_write_uint(&writer, hello->detail);
@@ -67,7 +64,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_STATUS, 19);
+	gate_message_begin(&writer, out, GATE_STATUS, 19);
 	bw_write_str(&writer, status->domain);
 	bw_write_bool(&writer, status->current);
 	bw_write_uint(&writer, status->routing_version);
@@ -95,7 +92,7 @@
 	struct bw_writer writer;
 	uint32_t i;
 
-	write_message_head_(&writer, out, type, 4);
+	gate_message_begin(&writer, out, type, 4);
 	bw_write_array(&writer, servers->record_count);
 	for (i = 0; i < servers->record_count; i++)
 		bw_server_record_write(&writer, &servers->records[i]);
@@ -118,7 +115,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_LOADS, 3);
+	gate_message_begin(&writer, out, GATE_LOADS, 3);
 	write_loads_(&writer, loads->loads, loads->count);
 	write_limits_(&writer, loads->loads, loads->count);
 	write_leaves_(&writer, loads->loads, loads->count);
@@ -129,7 +126,7 @@
 	struct bw_writer writer;
 	uint32_t i;
 
-	write_message_head_(&writer, out, GATE_FLEET, 2);
+	gate_message_begin(&writer, out, GATE_FLEET, 2);
 	bw_write_array(&writer, FLEET_HOST_VALUES * fleet->host_count);
 	for (i = 0; i < fleet->host_count; i++) {
 		bw_write_str(&writer, fleet->hosts[i].name);
@@ -172,7 +169,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, type, 2);
+	gate_message_begin(&writer, out, type, 2);
 	bw_write_uint(&writer, routing->version);
 	bw_write_bin(&writer, routing->text, routing->text_bytes);
 }
@@ -185,7 +182,7 @@
 	if (bw_read_uint(reader) != MESSAGE_VERSION)
 		return 0;
 	type = bw_read_uint(reader);
-	return type <= GATE_DEPARTURES_REQUEST ? (int)type : 0;
+	return type <= GATE_QUOTA_GRANT ? (int)type : 0;
 }
 
 void gate_heartbeat_set(struct gate_heartbeat *heartbeat,
@@ -313,7 +310,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_DEPARTURES_REQUEST, 1);
+	gate_message_begin(&writer, out, GATE_DEPARTURES_REQUEST, 1);
 	bw_write_uint(&writer, request->after);
 }
 
@@ -329,9 +326,8 @@
 	routing->text = bw_read_bin(reader, &routing->text_bytes);
 }
 
-static void write_message_head_(struct bw_writer *writer, struct bw_buffer *out,
-				enum gate_message_type type,
-				uint32_t field_count)
+void gate_message_begin(struct bw_writer *writer, struct bw_buffer *out,
+			enum gate_message_type type, uint32_t field_count)
 {
 	bw_writer_init(writer, out);
 	bw_write_array(writer, 2 + field_count);
--- a/src/boragewingd/gateway/gate_wire.h
+++ b/src/boragewingd/gateway/gate_wire.h
@@ -24,6 +24,11 @@
  * - Loads of backend servers go from an entry host to the control host that
  *   sends it full detail, then to the control hosts and entry hosts that use
  *   servers in that failure domain.
+ * - Entry hosts send the demand of customers with a quota to the control host
+ *   that sends them full detail. It passes it on to the leader of the control
+ *   hosts, whose grants come back on the same way. The leader also sends all
+ *   control hosts a list of customers for their entry hosts. Nothing is sent
+ *   where no customer has a quota.
  * - Entry hosts request configurations on BW_CHANNEL_DISTRIBUTE, see
  *   bwmember/distribute.h. While hosts are upgraded, control hosts of earlier
  *   versions get a GATE_ROUTING_REQUEST and send the whole text.
@@ -37,6 +42,7 @@
 #include "bwagree/state.h"
 #include "bwbase/buffer.h"
 #include "bwbase/codec.h"
+#include "bwcustomer/quota_grants.h"
 #include "bwmember/roster.h"
 #include "bwsteer/registry.h"
 #include "bwsteer/retired_routes.h"
@@ -58,7 +64,10 @@
 	GATE_ROUTING = 7,
 	GATE_LOADS = 8, /**< loads of backend servers */
 	GATE_FLEET = 9, /**< entry hosts of a control host, and their demands */
-	GATE_DEPARTURES_REQUEST = 10 /**< answered with GATE_SERVERS */
+	GATE_DEPARTURES_REQUEST = 10, /**< answered with GATE_SERVERS */
+	GATE_QUOTA_DEMAND = 11, /**< demand of customers with a quota */
+	GATE_QUOTA_GRANT = 12 /**< answers it; or lists customers that are not
+				   open */
 };
 
 /** How much detail an entry host requests from a control host. */
@@ -223,6 +232,27 @@
 	uint32_t count;
 };
 
+/** Maximum number of customers in one message about quotas. */
+#define GATE_QUOTAS_MAX 128
+
+/** GATE_QUOTA_DEMAND; report.demands refers to demands when read */
+struct gate_quota_demand {
+	struct bw_quota_report report;
+	struct bw_quota_demand demands[GATE_QUOTAS_MAX];
+};
+
+/** GATE_QUOTA_GRANT */
+struct gate_quota_grant {
+	char host[BW_NAME_MAX]; /**< entry host; "": all, with a list */
+	uint64_t incarnation; /**< of its process */
+	uint64_t sent_ms; /**< of the demand that this answers */
+	struct bw_quota_grant grants[GATE_QUOTAS_MAX];
+	uint32_t grant_count;
+	struct bw_quota_closed closed[BW_QUOTA_CLOSED_MAX]; /**< customers; see
+						   bw_quota_set_closed */
+	uint32_t closed_count;
+};
+
 /** Append an encoded message to out. */
 void gate_hello_write(struct bw_buffer *out, const struct gate_hello *hello);
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status);
@@ -234,6 +264,14 @@
 			const struct gate_routing *routing);
 void gate_departures_request_write(
 	struct bw_buffer *out, const struct gate_departures_request *request);
+void gate_quota_demand_write(struct bw_buffer *out,
+			     const struct bw_quota_report *report);
+void gate_quota_grant_write(struct bw_buffer *out,
+			    const struct gate_quota_grant *grant);
+
+/** Begins a message; field_count values must follow. */
+void gate_message_begin(struct bw_writer *writer, struct bw_buffer *out,
+			enum gate_message_type type, uint32_t field_count);
 
 /**
  * Reads the version and the type of a message. The content follows.
@@ -254,5 +292,9 @@
 void gate_routing_read(struct bw_reader *reader, struct gate_routing *routing);
 void gate_departures_request_read(struct bw_reader *reader,
 				  struct gate_departures_request *request);
+void gate_quota_demand_read(struct bw_reader *reader,
+			    struct gate_quota_demand *demand);
+void gate_quota_grant_read(struct bw_reader *reader,
+			   struct gate_quota_grant *grant);
 
 #endif
--- a/src/boragewingd/gateway_control/gate_control.c
+++ b/src/boragewingd/gateway_control/gate_control.c
@@ -99,6 +99,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate_control_fleet_init(control);
 	gate_control_loads_init(control);
+	gate_control_quota_init(control);
 	control->waiting = g_ptr_array_new_with_free_func(g_free);
 	bw_outbox_init(&control->out, OUTBOX_LIMIT);
 	control->announcements = bw_metrics_get(
@@ -143,6 +144,7 @@
 	g_hash_table_destroy(control->entries);
 	g_hash_table_destroy(control->silent_since);
 	gate_control_loads_finish(control);
+	gate_control_quota_finish(control);
 	gate_control_fleet_finish(control);
 }
 
@@ -186,6 +188,7 @@
 	gate_control_send_fleet(control, now);
 	gate_control_send_records(control);
 	gate_control_send_loads(control, now);
+	gate_control_quota_tick(control, now);
 }
 
 void gate_control_flush(struct gate_control *control, struct bw_time now)
--- a/src/boragewingd/gateway_control/gate_control.h
+++ b/src/boragewingd/gateway_control/gate_control.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "bwagree/replica.h"
+#include "bwcustomer/quota_grants.h"
 #include "bwproxy/listener.h"
 #include "bwsteer/retired_routes.h"
 #include "bwsteer/routing.h"
@@ -75,6 +76,8 @@
 	bool records_pending; /**< records are queued for sending */
 	GHashTable *silent_since; /**< member -> int64_t, ms since which it is
 				     silent; kept by the leader only */
+	struct bw_quota_grants quotas; /**< see gate_control_quota.c */
+	struct bw_metric *quota_demands;
 	struct bw_metric *announcements;
 	struct bw_metric *lookups;
 	struct gate_refusals refusals;
--- a/src/boragewingd/gateway_control/gate_control_messages.c
+++ b/src/boragewingd/gateway_control/gate_control_messages.c
@@ -88,6 +88,12 @@
 			gate_catch_up_answer(control->node, packet->peer,
 					     &departures);
 		break;
+	case GATE_QUOTA_DEMAND:
+		gate_control_receive_demand(control, packet, &reader, now);
+		break;
+	case GATE_QUOTA_GRANT:
+		gate_control_receive_grant(control, packet, &reader);
+		break;
 	case GATE_ROUTING_REQUEST:
 		gate_control_send_routing(control, packet->peer);
 		break;
--- a/src/boragewingd/gateway_control/gate_control_private.h
+++ b/src/boragewingd/gateway_control/gate_control_private.h
@@ -151,6 +151,23 @@
 void gate_control_list_used_domains(const struct gate_control *control,
 				    struct gate_domain_list *list);
 
+/** Initialises and frees what gate_control_quota.c keeps. */
+void gate_control_quota_init(struct gate_control *control);
+void gate_control_quota_finish(struct gate_control *control);
+
+/** Runs the timers of the grants of quotas that are due. */
+void gate_control_quota_tick(struct gate_control *control, struct bw_time now);
+
+/** Handles GATE_QUOTA_DEMAND: answers it at the leader, else passes it on. */
+void gate_control_receive_demand(struct gate_control *control,
+				 const struct bw_packet *packet,
+				 struct bw_reader *reader, struct bw_time now);
+
+/** Passes a GATE_QUOTA_GRANT on to entry hosts. */
+void gate_control_receive_grant(struct gate_control *control,
+				const struct bw_packet *packet,
+				struct bw_reader *reader);
+
 /** Leads the control group, and notes who votes in it. */
 void gate_control_check_group(struct gate_control *control, struct bw_time now);
 
--- a/src/libbwcustomer/quota_grants.c
+++ b/src/libbwcustomer/quota_grants.c
@@ -31,8 +31,18 @@
 /** Fraction of what is due beyond which a customer is not open. */
 #define CLOSED_FRACTION 0.75
 
-/** Fraction of what is due that is leased while a customer is open. */
-#define OPEN_LEASED_FRACTION 0.75
+/** The same of what is allowed, if that is more. */
+#define CLOSED_ALLOWED_FRACTION 0.5
+
+/** Fraction of what is due and free for which a closed customer is open. */
+#define OPEN_FREE_FRACTION 0.8
+
+/**
+ * Fraction of what is due that is leased while a customer is open, if what is
+ * due at each host is less than BW_QUOTA_LARGE_DUE_PER_HOST: most requests are
+ * then admitted without leases.
+ */
+#define OPEN_LEASED_FRACTION 0.4
 
 /** Fraction below which it is open again, and the shortest time until then. */
 #define REOPENED_FRACTION 0.65
@@ -59,7 +69,8 @@
 	uint32_t wanted;
 	uint32_t leased; /**< granted last */
 	uint32_t held; /**< most that the host may hold */
-	uint32_t admitted; /**< in its last window */
+	uint32_t asked; /**< in its last window */
+	uint32_t admitted; /**< of these */
 	uint32_t unleased; /**< of these, without a lease */
 	uint64_t answered_ms; /**< sent_ms of the report answered last */
 	struct bw_time heard_at;
@@ -76,6 +87,7 @@
 	struct bw_time refilled_at;
 	uint32_t exposure; /**< sum over holders */
 	uint32_t admitted; /**< the same */
+	uint32_t asked; /**< the same */
 	struct bw_quota_window fresh; /**< admitted, as reported */
 	bool closed; /**< not open; see quota.h */
 	struct bw_time closed_at;
@@ -90,6 +102,8 @@
 			struct bw_time now);
 static uint32_t used_(const struct bw_quota_grants *grants,
 		      struct customer *customer, struct bw_time now);
+static uint32_t open_percent_(const struct bw_quota_grants *grants,
+			      struct customer *customer, struct bw_time now);
 static void update_closed_(struct bw_quota_grants *grants,
 			   struct customer *customer, struct bw_time now);
 static void free_customer_(gpointer data);
@@ -145,17 +159,28 @@
 }
 
 void bw_quota_grants_set_granting(struct bw_quota_grants *grants, bool granting,
-				  uint32_t host_count, struct bw_time now)
+				  uint64_t term, uint32_t host_count,
+				  struct bw_time now)
 {
+	bool resumed = term == grants->term;
+
 	grants->host_count = host_count;
-	if (granting == grants->granting)
+	if (granting == grants->granting && (resumed || !granting))
 		return;
 	grants->granting = granting;
+	if (!granting || resumed)
+		return;
+	grants->term = term;
 	grants->since = now;
 	g_hash_table_remove_all(grants->customers);
 	g_hash_table_remove_all(grants->hosts);
 }
 
+bool bw_quota_grants_in_use(const struct bw_quota_grants *grants)
+{
+	return g_hash_table_size(grants->hosts) > 0;
+}
+
 bool bw_quota_grants_answer(struct bw_quota_grants *grants,
 			    const struct bw_quota_report *report,
 			    struct bw_quota_grant *answers, struct bw_time now)
@@ -181,10 +206,12 @@
 
 		customer->exposure -= exposure_(holder, now);
 		customer->admitted -= holder->admitted;
+		customer->asked -= holder->asked;
 		update_holder_(holder, host, report, demand,
 			       grants->bounds.window_ms, now);
 		customer->exposure += exposure_(holder, now);
 		customer->admitted += holder->admitted;
+		customer->asked += holder->asked;
 		note_fresh_(grants, customer, demand->fresh, now);
 		update_closed_(grants, customer, now);
 		holder->leased = lease_(grants, customer, holder, now);
@@ -222,7 +249,7 @@
 }
 
 bool bw_quota_grants_closed(struct bw_quota_grants *grants,
-			    uint64_t *customer_hashes, uint32_t *count,
+			    struct bw_quota_closed *closed, uint32_t *count,
 			    struct bw_time now)
 {
 	GHashTableIter iter;
@@ -235,13 +262,16 @@
 	*count = 0;
 	g_hash_table_iter_init(&iter, grants->customers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct customer *customer = value;
+		struct customer *customer = value;
 
 		if (!customer->closed)
 			continue;
 		if (*count == BW_QUOTA_CLOSED_MAX)
 			return false;
-		customer_hashes[(*count)++] = customer->hash;
+		closed[*count].customer_hash = customer->hash;
+		closed[*count].open_percent =
+			open_percent_(grants, customer, now);
+		++*count;
 	}
 	return true;
 }
@@ -279,18 +309,38 @@
 	return customer->fresh.sum;
 }
 
+/* As many hosts as requests of what is due are not used. */
+static uint32_t open_percent_(const struct bw_quota_grants *grants,
+			      struct customer *customer, struct bw_time now)
+{
+	double due = due_(grants, customer);
+	double free = due - used_(grants, customer, now);
+
+	if (free <= 0 || !grants->host_count || customer->asked > due)
+		return 0;
+	return (uint32_t)MIN(
+		100.0 * OPEN_FREE_FRACTION * free / grants->host_count, 100.0);
+}
+
 static void update_closed_(struct bw_quota_grants *grants,
 			   struct customer *customer, struct bw_time now)
 {
 	double due = due_(grants, customer);
+	double allowed = (1 + grants->bounds.over) * due + grants->bounds.slack;
 	uint32_t used = used_(grants, customer, now);
 
-	if (!customer->closed && used > CLOSED_FRACTION * due) {
+	/* The tolerance is most of what a small quota allows. */
+	due = MAX(due, CLOSED_ALLOWED_FRACTION / CLOSED_FRACTION * allowed);
+
+	if (!customer->closed &&
+	    (used > CLOSED_FRACTION * due || customer->asked > due)) {
 		customer->closed = true;
 		customer->closed_at = now;
 		grants->next_closed = now;
 	}
+	/* What is refused would be admitted by all hosts at once. */
 	if (customer->closed && used < REOPENED_FRACTION * due &&
+	    customer->asked < REOPENED_FRACTION * due &&
 	    bw_time_diff_ms(now, customer->closed_at) >= CLOSED_MIN_MS)
 		customer->closed = false;
 }
@@ -385,6 +435,7 @@
 	holder->lost_until = bw_time_add(now, rest_ms);
 	holder->held = 0;
 	holder->leased = 0;
+	holder->asked = 0;
 	holder->admitted = 0;
 	holder->unleased = 0;
 	holder->wanted = 0;
@@ -399,6 +450,7 @@
 		lose_(holder, now, window_ms);
 	holder->incarnation = host->incarnation;
 	holder->heard_at = now;
+	holder->asked = demand->asked;
 	holder->admitted = demand->admitted;
 	holder->unleased = MIN(demand->unleased, demand->admitted);
 	holder->wanted = demand->wanted;
@@ -432,7 +484,8 @@
 	    bw_time_diff_ms(now, customer->closed_at) < CLOSED_SETTLED_MS)
 		return held;
 	/* Hosts may admit requests of an open customer beside their leases. */
-	if (!customer->closed)
+	if (!customer->closed &&
+	    due < BW_QUOTA_LARGE_DUE_PER_HOST * grants->host_count)
 		due *= OPEN_LEASED_FRACTION;
 	room = keep_back_(grants, due, now) - (customer->exposure - exposure);
 	if (!bw_time_reached(now, holder->lost_until))
@@ -511,6 +564,7 @@
 
 	customer->exposure = 0;
 	customer->admitted = 0;
+	customer->asked = 0;
 	while (i < holders->len) {
 		struct holder *holder =
 			&g_array_index(holders, struct holder, i);
@@ -527,6 +581,7 @@
 		}
 		customer->exposure += exposure;
 		customer->admitted += holder->admitted;
+		customer->asked += holder->asked;
 		i++;
 	}
 }
--- a/src/libbwcustomer/quota_shares.c
+++ b/src/libbwcustomer/quota_shares.c
@@ -22,13 +22,12 @@
 
 /**
  * Requests of an open customer that a host may admit beyond its lease before
- * the granting host has counted them.
+ * the granting host has counted them: more where more is due at each host. A
+ * customer of which much is due at each host needs it only to begin.
  */
-#define OPEN_UNCOUNTED_MIN 1
-#define OPEN_UNCOUNTED_MAX 2
-
-/** Fraction of what is due that all hosts together may so admit. */
-#define OPEN_FRACTION 0.62
+#define OPEN_LESS 1
+#define OPEN_MORE 2
+#define OPEN_MORE_DUE_PER_HOST 3.2
 
 /** Retry-After of a request that a lease can admit which is on its way. */
 #define RETRY_AFTER_LEASE_MS 400
@@ -67,8 +66,10 @@
 			const struct share *share, struct bw_time now);
 static uint32_t base_(const struct bw_quota_shares *shares,
 		      const struct share *share);
-static bool is_open_(const struct bw_quota_shares *shares,
-		     const struct share *share, struct bw_time now);
+static bool is_open_here_(const struct bw_quota_shares *shares,
+			  const struct bw_quota_closed *closed);
+static uint32_t open_(const struct bw_quota_shares *shares,
+		      const struct share *share, struct bw_time now);
 static uint32_t asked_(const struct bw_quota_shares *shares,
 		       const struct share *share, struct bw_time now);
 static uint32_t wanted_(const struct bw_quota_shares *shares,
@@ -91,7 +92,7 @@
 	shares->shares = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, g_free);
 	shares->closed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					       g_free, NULL);
+					       NULL, g_free);
 }
 
 void bw_quota_shares_finish(struct bw_quota_shares *shares)
@@ -125,7 +126,8 @@
 	share->asked.counts[share->asked.slot % BW_QUOTA_SLOTS]++;
 	share->asked.sum++;
 	allowed = base_(shares, share) + leased_(shares, share, now);
-	if (admitted->sum < allowed || is_open_(shares, share, now)) {
+	if (admitted->sum < allowed ||
+	    share->unsent + share->uncounted < open_(shares, share, now)) {
 		share->unsent++;
 		admitted->counts[admitted->slot % BW_QUOTA_SLOTS]++;
 		admitted->sum++;
@@ -210,16 +212,19 @@
 }
 
 void bw_quota_set_closed(struct bw_quota_shares *shares,
-			 const uint64_t *customer_hashes, uint32_t count,
+			 const struct bw_quota_closed *closed, uint32_t count,
 			 struct bw_time now)
 {
 	uint32_t i;
 
 	shares->open_until = bw_time_add(now, BW_QUOTA_OPEN_MS);
 	g_hash_table_remove_all(shares->closed);
-	for (i = 0; i < count; i++)
-		g_hash_table_add(shares->closed, g_memdup2(&customer_hashes[i],
-							   sizeof(uint64_t)));
+	for (i = 0; i < count; i++) {
+		struct bw_quota_closed *copy =
+			g_memdup2(&closed[i], sizeof(closed[i]));
+
+		g_hash_table_insert(shares->closed, &copy->customer_hash, copy);
+	}
 }
 
 uint32_t bw_quota_fleet_work(const struct bw_quota_shares *shares,
@@ -282,19 +287,33 @@
 			     shares->host_index);
 }
 
-/* Returns whether a request may be admitted beyond lease and base. */
-static bool is_open_(const struct bw_quota_shares *shares,
-		     const struct share *share, struct bw_time now)
+/* Each customer has other hosts at which it stays open. */
+static bool is_open_here_(const struct bw_quota_shares *shares,
+			  const struct bw_quota_closed *closed)
 {
-	double due = bw_quota_due(&shares->bounds, &share->quota);
-	uint32_t limit = OPEN_UNCOUNTED_MIN;
-
-	if (OPEN_UNCOUNTED_MAX * shares->host_count <= OPEN_FRACTION * due)
-		limit = OPEN_UNCOUNTED_MAX;
-	return !bw_time_reached(now, shares->open_until) &&
-	       share->unsent + share->uncounted < limit &&
-	       !g_hash_table_contains(shares->closed,
-				      &share->quota.customer_hash);
+	uint64_t count = shares->host_count;
+	uint64_t place =
+		(shares->host_index + closed->customer_hash % count) % count;
+
+	return 100 * place < closed->open_percent * count;
+}
+
+/* Returns how many requests may be uncounted beyond lease and base. */
+static uint32_t open_(const struct bw_quota_shares *shares,
+		      const struct share *share, struct bw_time now)
+{
+	double due_per_host = bw_quota_due(&shares->bounds, &share->quota) /
+			      MAX(shares->host_count, 1U);
+	const struct bw_quota_closed *closed = g_hash_table_lookup(
+		shares->closed, &share->quota.customer_hash);
+
+	if (bw_time_reached(now, shares->open_until) || !shares->host_count)
+		return 0;
+	if (closed)
+		return is_open_here_(shares, closed);
+	if (due_per_host >= BW_QUOTA_LARGE_DUE_PER_HOST)
+		return !leased_(shares, share, now);
+	return due_per_host >= OPEN_MORE_DUE_PER_HOST ? OPEN_MORE : OPEN_LESS;
 }
 
 /* Returns the requests of a window at the rate so far. */
@@ -380,6 +399,7 @@
 	uint32_t base = base_(shares, share);
 
 	demand->quota = share->quota;
+	demand->asked = share->asked.sum;
 	demand->admitted = share->admitted.sum;
 	demand->unleased = MIN(base, share->admitted.sum);
 	demand->fresh = share->unsent;
--- a/src/test_libbwcustomer/quota_fleet.c
+++ b/src/test_libbwcustomer/quota_fleet.c
@@ -6,6 +6,9 @@
 /** Interval of the event loop of a host. */
 #define TICK_MS 20
 
+/** Interval at which an entry host sends its demands. */
+#define SEND_INTERVAL_MS 160
+
 /** Time of a message between hosts: between regions, and through a relay. */
 #define MESSAGE_MS 60
 
@@ -26,7 +29,7 @@
 	uint64_t incarnation;
 	bool answer;
 	bool to_all; /**< lists customers that are not open */
-	uint64_t closed[BW_QUOTA_CLOSED_MAX];
+	struct bw_quota_closed closed[BW_QUOTA_CLOSED_MAX];
 	uint32_t closed_count;
 	struct bw_quota_report report;
 	struct bw_quota_demand demands[DEMANDS_MAX];
@@ -46,8 +49,8 @@
 static void offer_(struct fleet *fleet, double per_s, uint32_t first,
 		   uint32_t count);
 
-void fleet_init(struct fleet *fleet, uint32_t host_count, double rate_per_s,
-		double burst)
+void fleet_init(struct fleet *fleet, uint64_t seed, uint32_t host_count,
+		double rate_per_s, double burst)
 {
 	uint32_t i;
 
@@ -58,7 +61,7 @@
 	fleet->now.ms = 100000000;
 	fleet->host_count = host_count;
 	fleet->admitted = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	bw_random_init(&fleet->random, 7);
+	bw_random_init(&fleet->random, seed);
 	g_queue_init(&fleet->messages);
 	for (i = 0; i < FLEET_GRANTERS; i++)
 		bw_quota_grants_init(&fleet->granters[i], &fleet->bounds);
@@ -99,9 +102,11 @@
 	uint32_t i;
 
 	fleet->granter = granter;
+	fleet->term++;
 	for (i = 0; i < FLEET_GRANTERS; i++)
 		bw_quota_grants_set_granting(&fleet->granters[i], i == granter,
-					     fleet->host_count, fleet->now);
+					     fleet->term, fleet->host_count,
+					     fleet->now);
 }
 
 void fleet_run(struct fleet *fleet, int64_t ms, double per_s, uint32_t first,
@@ -177,9 +182,13 @@
 	struct fleet_host *host = &fleet->hosts[index];
 	struct fleet_message *message;
 	struct bw_quota_demand demands[DEMANDS_MAX];
-	uint32_t count = bw_quota_demands(&host->shares, demands, DEMANDS_MAX,
-					  fleet->now);
+	uint32_t count;
 
+	if (!bw_time_reached(fleet->now, host->next_send))
+		return;
+	host->next_send = bw_time_add(fleet->now, SEND_INTERVAL_MS);
+	count = bw_quota_demands(&host->shares, demands, DEMANDS_MAX,
+				 fleet->now);
 	if (!count || host->cut || fleet->granter == FLEET_NO_GRANTER)
 		return;
 	message = g_new0(struct fleet_message, 1);
--- a/src/test_libbwcustomer/quota_fleet.h
+++ b/src/test_libbwcustomer/quota_fleet.h
@@ -25,6 +25,7 @@
 	char name[BW_NAME_MAX];
 	uint64_t incarnation;
 	uint64_t applied_ms;
+	struct bw_time next_send;
 	bool cut; /**< no message passes */
 	struct bw_quota quota; /**< in force there */
 	uint64_t version;
@@ -38,6 +39,7 @@
 	struct fleet_host hosts[FLEET_HOSTS_MAX];
 	uint32_t host_count;
 	struct bw_quota_grants granters[FLEET_GRANTERS];
+	uint64_t term;
 	uint32_t granter; /**< index; FLEET_NO_GRANTER */
 	GQueue messages; /**< struct fleet_message, in order of arrival */
 	GArray *admitted; /**< int64_t ms, in order */
@@ -48,8 +50,8 @@
 };
 
 /** Starts a fleet whose first host has granted for long. */
-void fleet_init(struct fleet *fleet, uint32_t host_count, double rate_per_s,
-		double burst);
+void fleet_init(struct fleet *fleet, uint64_t seed, uint32_t host_count,
+		double rate_per_s, double burst);
 void fleet_finish(struct fleet *fleet);
 
 /** Restarts the process of an entry host. */
