dispatch: one preferred server per object and region

The hosts of each failure domain planned their own fractions, the local domain first. The two domains of a region are asked for the same objects, so that each object ran cold once in each of them, and once more wherever a domain with too few servers sent its surplus. A server knows an object from the start of its first run, and a cold run misses its latency objective.

The planned fractions now are those of the region: its domains share their servers, each in proportion to its slots. The hosts of a region then have the same weights and prefer the same server for an object.

--- a/include/bwsteer/spread.h
+++ b/include/bwsteer/spread.h
@@ -34,4 +34,14 @@
 void bw_spread(const struct bw_spread_domain *domains, uint32_t count,
 	       uint32_t own, double *fractions);
 
+/**
+ * Computes the same for requests that name objects: the domains of a region
+ * share their servers, each in proportion to its slots. The callers of a region
+ * ask for the same objects. With one preferred server per object and region, an
+ * object runs cold once in the region, and not once in each of its domains.
+ * Parameters as for bw_spread().
+ */
+void bw_spread_by_region(const struct bw_spread_domain *domains, uint32_t count,
+			 uint32_t own, double *fractions);
+
 #endif
--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -190,8 +190,8 @@
 	if (!dispatch->domain_count)
 		return;
 	dispatch_fill_domains(dispatch, service, domains);
-	bw_spread(domains, dispatch->domain_count, dispatch->own_domain,
-		  fractions);
+	bw_spread_by_region(domains, dispatch->domain_count,
+			    dispatch->own_domain, fractions);
 	for (i = 0; i < service->targets->len; i++) {
 		struct bw_target *target = service->targets->pdata[i];
 		double slots = domains[target->domain].slots;
--- a/src/libbwsteer/spread.c
+++ b/src/libbwsteer/spread.c
@@ -27,6 +27,30 @@
 			     uint32_t count, uint32_t own, uint32_t region,
 			     struct allocation *allocation, double *fractions);
 static void normalise_(uint32_t count, double *fractions);
+static uint32_t merge_regions_(const struct bw_spread_domain *domains,
+			       uint32_t count, struct bw_spread_domain *regions,
+			       uint32_t *region_of);
+
+void bw_spread_by_region(const struct bw_spread_domain *domains, uint32_t count,
+			 uint32_t own, double *fractions)
+{
+	struct bw_spread_domain regions[BW_SPREAD_DOMAINS_MAX] = { 0 };
+	double region_fractions[BW_SPREAD_DOMAINS_MAX];
+	uint32_t region_of[BW_SPREAD_DOMAINS_MAX] = { 0 };
+	uint32_t region_count;
+	uint32_t i;
+
+	region_count = merge_regions_(domains, count, regions, region_of);
+	bw_spread(regions, region_count, region_of[own], region_fractions);
+	for (i = 0; i < count; i++) {
+		uint32_t region = region_of[i];
+
+		fractions[i] = 0.0;
+		if (regions[region].slots > 0.0)
+			fractions[i] = region_fractions[region] *
+				       domains[i].slots / regions[region].slots;
+	}
+}
 
 void bw_spread(const struct bw_spread_domain *domains, uint32_t count,
 	       uint32_t own, double *fractions)
@@ -135,3 +159,33 @@
 	for (i = 0; i < count && total > 0.0; i++)
 		fractions[i] /= total;
 }
+
+/*
+ * Adds up the domains of each region.
+ * @param region_of receives the position of each domain's region
+ * @return number of regions
+ */
+static uint32_t merge_regions_(const struct bw_spread_domain *domains,
+			       uint32_t count, struct bw_spread_domain *regions,
+			       uint32_t *region_of)
+{
+	uint32_t region_count = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < count; i++) {
+		for (k = 0; k < region_count; k++) {
+			if (regions[k].region == domains[i].region)
+				break;
+		}
+		if (k == region_count) {
+			regions[k] = domains[i];
+			region_count++;
+		} else {
+			regions[k].slots += domains[i].slots;
+			regions[k].demand_slots += domains[i].demand_slots;
+		}
+		region_of[i] = k;
+	}
+	return region_count;
+}
--- a/src/test_libbwsteer/test_dispatch_adapt.c
+++ b/src/test_libbwsteer/test_dispatch_adapt.c
@@ -137,6 +137,38 @@
 	bw_dispatch_finish(&dispatch);
 }
 
+/*
+ * Guards against a cold run of each object in each domain of a region: hosts of
+ * both domains have to prefer the same server for it, also when one domain has
+ * few servers for its demand.
+ */
+static void test_region_shares_homes(void **state)
+{
+	static const uint32_t domains[FIXTURE_SERVERS_MAX] = { 0, 0, 0, 0,
+							       0, 0, 0, 1 };
+	uint64_t homes[2][OBJECTS];
+	uint32_t own;
+
+	(void)state;
+	for (own = 0; own < 2; own++) {
+		struct bw_dispatch dispatch;
+		struct bw_dispatch_service *service;
+
+		bw_dispatch_init(&dispatch, own);
+		dispatch.domain_count = 2;
+		dispatch.own_domain = own;
+		service = bw_dispatch_service(&dispatch, "s");
+		service->service_time_ms = SERVICE_TIME_MS;
+		service->demand_per_s[0] = 20.0;
+		service->demand_per_s[1] = 20.0;
+		fixture_update(&dispatch, FIXTURE_SERVERS_MAX, SLOTS, domains,
+			       0);
+		find_homes_(&dispatch, 0, homes[own]);
+		bw_dispatch_finish(&dispatch);
+	}
+	assert_int_equal(count_moved_(homes[0], homes[1]), 0);
+}
+
 /*
  * Guards against a measured demand that keeps rising for seconds after the
  * start.
@@ -167,6 +199,7 @@
 		cmocka_unit_test(test_short_fall),
 		cmocka_unit_test(test_move_between_regions),
 		cmocka_unit_test(test_first_arrivals),
+		cmocka_unit_test(test_region_shares_homes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_libbwsteer/test_spread.c
+++ b/src/test_libbwsteer/test_spread.c
@@ -138,6 +138,57 @@
 	}
 }
 
+/*
+ * Guards against an object that runs cold in each domain of its region because
+ * their hosts weigh the servers differently.
+ */
+static void test_region_weighs_servers_alike(void **state)
+{
+	struct bw_spread_domain domains[4] = {
+		{ 0, 64, 40 }, { 0, 16, 40 }, { 1, 40, 20 }, { 1, 10, 20 }
+	};
+	double first[4];
+	double second[4];
+	uint32_t i;
+
+	(void)state;
+	bw_spread_by_region(domains, 4, 0, first);
+	bw_spread_by_region(domains, 4, 1, second);
+	for (i = 0; i < 4; i++)
+		ASSERT_NEAR(first[i], second[i]);
+	ASSERT_NEAR(first[0], 4.0 * first[1]);
+	ASSERT_NEAR(first[2], 4.0 * first[3]);
+	ASSERT_NEAR(first[0] + first[1] + first[2] + first[3], 1.0);
+}
+
+/* Guards against traffic between regions while the region has room. */
+static void test_region_keeps_its_requests(void **state)
+{
+	struct bw_spread_domain domains[4] = {
+		{ 0, 64, 20 }, { 0, 16, 20 }, { 1, 40, 1 }, { 1, 10, 1 }
+	};
+	double fractions[4];
+
+	(void)state;
+	bw_spread_by_region(domains, 4, 1, fractions);
+	ASSERT_NEAR(fractions[0] + fractions[1], 1.0);
+	ASSERT_NEAR(fractions[2] + fractions[3], 0.0);
+}
+
+/* Guards against requests for a region whose servers are all gone. */
+static void test_region_without_servers(void **state)
+{
+	struct bw_spread_domain domains[3] = { { 0, 0, 5 },
+					       { 0, 0, 5 },
+					       { 1, 9, 5 } };
+	double fractions[3];
+
+	(void)state;
+	bw_spread_by_region(domains, 3, 0, fractions);
+	ASSERT_NEAR(fractions[0] + fractions[1], 0.0);
+	ASSERT_NEAR(fractions[2], 1.0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -146,6 +197,9 @@
 		cmocka_unit_test(test_overload_is_shared),
 		cmocka_unit_test(test_no_servers),
 		cmocka_unit_test(test_random),
+		cmocka_unit_test(test_region_weighs_servers_alike),
+		cmocka_unit_test(test_region_keeps_its_requests),
+		cmocka_unit_test(test_region_without_servers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
