steer: place by expected end where servers tell their speed

Cause: placement knew neither the speed that a server names at this moment (fourth figure of its load) nor the work that a route usually causes.

Change: platform decodes the figure; an unreadable one is counted (bw_server_speeds_unreadable_total) and logged once a minute a server. Hosts pass unusual speeds on with the loads. Package bwwork keeps work by route and familiarity, and the speed of a server with the age of its word. dispatch_end.c weighs the home against candidates that this host has seen warm.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -25,6 +25,8 @@
 #include "bwsteer/server_notice.h"
 #include "bwsteer/routing.h"
 #include "bwsteer/spread.h"
+#include "bwwork/speed.h"
+#include "bwwork/work.h"
 
 /** Maximum number of backend servers that are considered for one object. */
 #define BW_JOB_CANDIDATES_MAX 3
@@ -68,6 +70,11 @@
 	uint32_t wait_check_count; /**< jobs without a home that the current
 				      check has counted */
 	uint32_t in_flight;
+	bool tells_speed; /**< its servers say how long work takes there at this
+			     moment; requests are then placed by their expected
+			     end */
+	double mean_load; /**< smoothed number of requests of all hosts at a
+			     server, divided by its slots, from reports */
 	double arrivals_per_s; /**< at this host, smoothed */
 	uint32_t arrival_count; /**< arrivals in the current window */
 	uint32_t arrival_windows; /**< windows since the first arrival */
@@ -121,6 +128,9 @@
 				     hosts */
 	double slowness; /**< smoothed ratio of measured to average response
 			    time */
+	struct bw_speed speed; /**< used when its service tells its speed */
+	struct bw_time unreadable_logged_at; /**< last log line about a speed
+						that could not be read */
 	double failure_rate; /**< smoothed fraction of failed requests */
 	uint32_t consecutive_failures;
 	struct bw_time failed_at; /**< latest failure */
@@ -191,11 +201,18 @@
 						       prefers, best first */
 	uint32_t candidate_count;
 	struct bw_time candidates_at; /**< when they were found */
+	uint64_t work_key; /**< hash of its route and service; 0: unknown */
+	enum bw_familiarity familiarity; /**< of the server with its object */
 	struct bw_target *target; /**< server to which it was assigned; NULL
 				     while it waits */
 	struct bw_time sent;
 	bool warm; /**< the object was expected to be warm */
 	double expected_ms; /**< response time that was expected */
+	double time_told; /**< factor on its time by what the server had said;
+			     0: not known */
+	double expected_wait_ms; /**< part of it before the server begins the
+				    work; 0 unless its service tells its speed
+				    */
 };
 
 /** Placement decision for a job. */
@@ -219,6 +236,9 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	uint32_t time_percent; /**< time that work takes there at this moment,
+				  100: as usual; 0: not told */
+	bool time_unreadable; /**< it was told and could not be read */
 };
 
 /** Rejection of one job. */
@@ -244,6 +264,8 @@
 	GHashTable *targets; /**< id hash -> struct bw_target */
 	uint32_t *warm_at; /**< milliseconds of the last use, by hash of object
 			      and server; 0 if never */
+	struct bw_work work; /**< of the routes, where servers tell their speed
+			      */
 	struct bw_random random;
 	uint32_t peer_count; /**< hosts in this failure domain including this
 				one; 0 if unknown */
@@ -395,6 +417,21 @@
 void bw_dispatch_note_load(struct bw_dispatch *dispatch, uint64_t id_hash,
 			   uint32_t busy, struct bw_time now);
 
+/**
+ * Notes the speed of a server that another host has read in an answer.
+ * @param time_percent time that work takes there; 0: as usual, if the service
+ *	tells its speed at all
+ */
+void bw_dispatch_note_shared_speed(struct bw_dispatch *dispatch,
+				   uint64_t id_hash, uint32_t time_percent,
+				   struct bw_time now);
+
+/**
+ * Returns the time that work takes at a server by its last word, in percent; 0
+ * if that is about as usual or not told.
+ */
+uint32_t bw_dispatch_unusual_percent(const struct bw_target *target);
+
 /**
  * Begins the stop of the host. From now on, jobs that are not expected to end
  * in time are rejected on arrival and while they wait.
--- a/src/boragewingd/gateway/gate_entry.h
+++ b/src/boragewingd/gateway/gate_entry.h
@@ -140,6 +140,7 @@
 	struct bw_metric *servers_known;
 	struct bw_metric *routing_age_s;
 	struct bw_metric *notices_invalid; /**< see gate_notice.h */
+	struct bw_metric *speeds_unreadable;
 	struct bw_metric *limits_changed;
 	struct bw_metric *pauses;
 	struct bw_metric *routing_fetches;
--- a/src/boragewingd/gateway/gate_entry_messages.c
+++ b/src/boragewingd/gateway/gate_entry_messages.c
@@ -466,6 +466,8 @@
 		note_leave_(entry, load);
 		bw_dispatch_note_load(&entry->dispatch, load->id_hash,
 				      load->outstanding, now);
+		bw_dispatch_note_shared_speed(&entry->dispatch, load->id_hash,
+					      load->time_percent, now);
 	}
 }
 
@@ -501,6 +503,7 @@
 		load->outstanding = target->reported_requests;
 		load->limit_millirequests_per_s = (uint32_t)CLAMP(
 			1000.0 * target->limit.limit_per_s, 0.0, 1e9);
+		load->time_percent = bw_dispatch_unusual_percent(target);
 		load->leaving = target->notice.leaving;
 		load->started_wall_ms = target->started_wall_ms;
 	}
--- a/src/boragewingd/gateway/gate_notice.c
+++ b/src/boragewingd/gateway/gate_notice.c
@@ -7,6 +7,9 @@
 /** Stands for a limit of 0, which is not the same as none. */
 #define LIMIT_LEAST_PER_S 0.001
 
+/** Time between two lines about the unreadable speed of one server. */
+#define UNREADABLE_LOG_INTERVAL_MS 60000
+
 static void read_limit_(struct gate_request *request,
 			const struct bw_http_message *response,
 			struct bw_time now);
@@ -26,6 +29,10 @@
 		&entry->node->metrics, BW_METRIC_COUNTER,
 		"bw_server_notices_invalid_total",
 		"Header fields of backend servers that can't be read", "");
+	entry->speeds_unreadable = bw_metrics_get(
+		&entry->node->metrics, BW_METRIC_COUNTER,
+		"bw_server_speeds_unreadable_total",
+		"Speeds told by backend servers that can't be read", "");
 	entry->limits_changed = bw_metrics_get(
 		&entry->node->metrics, BW_METRIC_COUNTER,
 		"bw_server_limits_changed_total",
@@ -33,6 +40,24 @@
 		"");
 }
 
+void gate_notice_unreadable_speed(struct gate_request *request,
+				  struct bw_time now)
+{
+	struct gate_entry *entry = request->entry;
+	struct bw_target *target = request->job.target;
+
+	bw_metric_add(entry->speeds_unreadable, 1);
+	if (target->unreadable_logged_at.ms &&
+	    bw_time_diff_ms(now, target->unreadable_logged_at) <
+		    UNREADABLE_LOG_INTERVAL_MS)
+		return;
+	target->unreadable_logged_at = now;
+	bw_log_event(entry->node->log, BW_LOG_WARNING, "registry",
+		     "server_speed_unreadable", "{s:s,s:s,s:s}", "server",
+		     target->id, "service", target->service->name, "request",
+		     request->id);
+}
+
 void gate_notice_read(struct gate_request *request,
 		      const struct bw_http_message *response,
 		      struct bw_time now)
--- a/src/boragewingd/gateway/gate_notice.h
+++ b/src/boragewingd/gateway/gate_notice.h
@@ -15,4 +15,8 @@
 		      const struct bw_http_message *response,
 		      struct bw_time now);
 
+/** Counts a speed that can't be read, and logs it once a minute a server. */
+void gate_notice_unreadable_speed(struct gate_request *request,
+				  struct bw_time now);
+
 #endif
--- a/src/boragewingd/gateway/gate_request.c
+++ b/src/boragewingd/gateway/gate_request.c
@@ -646,6 +646,8 @@
 		request->last_attempt.load = load;
 	if (response)
 		gate_notice_read(request, response, now);
+	if (load.time_unreadable)
+		gate_notice_unreadable_speed(request, now);
 	request->last_attempt.took_ms =
 		(uint32_t)((bw_clock_us() - request->sent_us) / 1000);
 	bw_dispatch_ended(&entry->dispatch, &request->job, result,
--- a/src/boragewingd/gateway/gate_request_check.c
+++ b/src/boragewingd/gateway/gate_request_check.c
@@ -55,6 +55,8 @@
 		&entry->dispatch,
 		route->choices[bw_route_choose(route, point)].service);
 	job->regions = gate_customer_regions(request);
+	job->work_key =
+		bw_dispatch_object_hash(job->service->name, route->name);
 	job->object = 0;
 	if (route->keyed_placement && request->affinity_key)
 		job->object = bw_dispatch_object_hash(job->service->name,
--- a/src/boragewingd/gateway/gate_wire.c
+++ b/src/boragewingd/gateway/gate_wire.c
@@ -37,6 +37,10 @@
 			  const struct gate_load *loads, uint32_t count);
 static void read_limits_(struct bw_reader *reader, struct gate_load *loads,
 			 uint32_t count);
+static void write_speeds_(struct bw_writer *writer,
+			  const struct gate_load *loads, uint32_t count);
+static void read_speeds_(struct bw_reader *reader, struct gate_load *loads,
+			 uint32_t count);
 static uint32_t read_demands_(struct bw_reader *reader,
 			      struct gate_demand *demands);
 
@@ -44,7 +48,7 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_HELLO, 16);
+	write_message_head_(&writer, out, GATE_HELLO, 17);
 	bw_write_bool(&writer, hello->control);
 	bw_write_uint(&writer, hello->state);
 	bw_write_uint(&writer, hello->detail);
@@ -61,6 +65,7 @@
 	bw_write_bool(&writer, hello->used.known);
 	write_names_(&writer, hello->used.domains, hello->used.count);
 	bw_write_uint(&writer, hello->departures);
+	write_speeds_(&writer, hello->loads, hello->load_count);
 }
 
 void gate_status_write(struct bw_buffer *out, const struct gate_status *status)
@@ -118,10 +123,11 @@
 {
 	struct bw_writer writer;
 
-	write_message_head_(&writer, out, GATE_LOADS, 3);
+	write_message_head_(&writer, out, GATE_LOADS, 4);
 	write_loads_(&writer, loads->loads, loads->count);
 	write_limits_(&writer, loads->loads, loads->count);
 	write_leaves_(&writer, loads->loads, loads->count);
+	write_speeds_(&writer, loads->loads, loads->count);
 }
 
 void gate_fleet_write(struct bw_buffer *out, const struct gate_fleet *fleet)
@@ -165,6 +171,7 @@
 	loads->count = read_loads_(reader, loads->loads);
 	read_limits_(reader, loads->loads, loads->count);
 	read_leaves_(reader, loads->loads, loads->count);
+	read_speeds_(reader, loads->loads, loads->count);
 }
 
 void gate_routing_write(struct bw_buffer *out, enum gate_message_type type,
@@ -228,6 +235,7 @@
 	}
 	if (bw_read_more(reader))
 		hello->departures = bw_read_uint(reader);
+	read_speeds_(reader, hello->loads, hello->load_count);
 	if (state >= GATE_HOST_STATE_COUNT || detail >= GATE_DETAIL_COUNT) {
 		reader->failed = true;
 		return;
@@ -500,6 +508,45 @@
 	bw_read_end(reader);
 }
 
+/* Few servers are slower or faster than usual; each is named by its position.
+ */
+static void write_speeds_(struct bw_writer *writer,
+			  const struct gate_load *loads, uint32_t count)
+{
+	uint32_t unusual = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		unusual += loads[i].time_percent > 0;
+	bw_write_array(writer, 2 * unusual);
+	for (i = 0; i < count; i++) {
+		if (!loads[i].time_percent)
+			continue;
+		bw_write_uint(writer, i);
+		bw_write_uint(writer, loads[i].time_percent);
+	}
+}
+
+/* Hosts of earlier versions send no speeds. */
+static void read_speeds_(struct bw_reader *reader, struct gate_load *loads,
+			 uint32_t count)
+{
+	uint64_t position;
+	uint64_t time_percent;
+
+	if (!bw_read_more(reader))
+		return;
+	bw_read_array(reader);
+	while (bw_read_more(reader)) {
+		position = bw_read_uint(reader);
+		time_percent = bw_read_uint(reader);
+		if (position < count && !reader->failed)
+			loads[position].time_percent =
+				(uint32_t)MIN(time_percent, UINT32_MAX);
+	}
+	bw_read_end(reader);
+}
+
 static uint32_t read_loads_(struct bw_reader *reader, struct gate_load *loads)
 {
 	uint32_t count = read_count_(reader, 2 * GATE_LOADS_MAX) / 2;
@@ -509,6 +556,7 @@
 		loads[i].id_hash = bw_read_uint(reader);
 		loads[i].outstanding = (uint32_t)bw_read_uint(reader);
 		loads[i].limit_millirequests_per_s = 0;
+		loads[i].time_percent = 0;
 		loads[i].leaving = false;
 		loads[i].started_wall_ms = 0;
 	}
--- a/src/boragewingd/gateway/gate_wire.h
+++ b/src/boragewingd/gateway/gate_wire.h
@@ -91,12 +91,15 @@
 /** Maximum number of loads in one message. */
 #define GATE_LOADS_MAX 256
 
-/** Load, limit and leave that a backend server reported in its answers. */
+/** Load, speed, limit and leave that a backend server reported in its answers.
+ */
 struct gate_load {
 	uint64_t id_hash;
 	uint32_t outstanding; /**< running and waiting requests */
 	uint32_t limit_millirequests_per_s; /**< that it takes from all hosts
 						 together; 0: no limit */
+	uint32_t time_percent; /**< time that work takes there; 0: as usual, or
+				  not told */
 	bool leaving;
 	int64_t started_wall_ms; /**< start of the server that leaves */
 };
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -38,6 +38,8 @@
 static void reject_late_(struct bw_dispatch *dispatch, const struct bw_job *job,
 			 double wait_ms, struct bw_time now,
 			 struct bw_rejection *rejection);
+static double response_ms_(const struct bw_dispatch *dispatch,
+			   const struct bw_job *job);
 static double job_wait_ms_(const struct bw_job *job);
 static double wait_behind_ms_(const struct bw_job *job, uint32_t ahead);
 static double service_wait_ms_(const struct bw_dispatch_service *service,
@@ -49,7 +51,8 @@
 static void check_waits_of_(const struct bw_dispatch *dispatch,
 			    struct bw_dispatch_service *service, bool on_time,
 			    struct bw_time now);
-static bool can_be_on_time_(const struct bw_job *job, struct bw_time now);
+static bool can_be_on_time_(const struct bw_dispatch *dispatch,
+			    const struct bw_job *job, struct bw_time now);
 static struct bw_job *next_of_service_(struct bw_dispatch *dispatch,
 				       struct bw_dispatch_service *service,
 				       struct bw_time now,
@@ -76,6 +79,7 @@
 	dispatch->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  NULL, free_target_);
 	dispatch->warm_at = g_new0(uint32_t, DISPATCH_WARM_ENTRIES);
+	bw_work_init(&dispatch->work);
 	bw_random_init(&dispatch->random, seed);
 }
 
@@ -135,6 +139,7 @@
 		target = g_new0(struct bw_target, 1);
 		target->id_hash = server->id_hash;
 		target->slowness = 1.0;
+		bw_speed_init(&target->speed);
 		target->fraction = -1.0;
 		target->correction = 1.0;
 		target->adapted_at = now;
@@ -283,9 +288,10 @@
 	if (!count_ahead_(job) && dispatch_place(dispatch, job, now))
 		return BW_VERDICT_SEND;
 	left_ms = dispatch_left_ms(dispatch, job, now) -
-		  dispatch_service_response_ms(job->service);
+		  response_ms_(dispatch, job);
 	wait_ms = job_wait_ms_(job);
-	if (wait_ms > WAIT_FRACTION_MAX * left_ms) {
+	if (dispatch_ends_late(dispatch, job, now) ||
+	    wait_ms > WAIT_FRACTION_MAX * left_ms) {
 		reject_late_(dispatch, job, wait_ms, now, rejection);
 		return BW_VERDICT_REJECT;
 	}
@@ -351,7 +357,7 @@
 		result == BW_JOB_ANSWERED &&
 			!bw_server_notice_declines(&target->notice, now),
 		job->sent);
-	dispatch_record_result(target, job, result, load, now);
+	dispatch_record_result(dispatch, target, job, result, load, now);
 	if (result != BW_JOB_ANSWERED)
 		dispatch_mark_cold(dispatch, job, target);
 	if (!--target->references && target->removed)
@@ -500,6 +506,16 @@
 				wait_ms, rejection);
 }
 
+/* Returns the least time that a job needs once a server runs it. */
+static double response_ms_(const struct bw_dispatch *dispatch,
+			   const struct bw_job *job)
+{
+	double run_ms = dispatch_run_ms(dispatch, job);
+
+	return run_ms > 0.0 ? run_ms
+			    : dispatch_service_response_ms(job->service);
+}
+
 static double job_wait_ms_(const struct bw_job *job)
 {
 	if (job->home)
@@ -571,7 +587,6 @@
 			    struct bw_dispatch_service *service, bool on_time,
 			    struct bw_time now)
 {
-	double response_ms = dispatch_service_response_ms(service);
 	double left_ms;
 	double wait_ms;
 	GList *item;
@@ -579,9 +594,10 @@
 	for (item = service->waiting.head; item; item = item->next) {
 		struct bw_job *job = item->data;
 
-		if (can_be_on_time_(job, now) != on_time)
+		if (can_be_on_time_(dispatch, job, now) != on_time)
 			continue;
-		left_ms = dispatch_left_ms(dispatch, job, now) - response_ms;
+		left_ms = dispatch_left_ms(dispatch, job, now) -
+			  response_ms_(dispatch, job);
 		wait_ms = job->home ? dispatch_wait_ms(
 					      job->home,
 					      ++job->home->wait_check_count)
@@ -591,10 +607,14 @@
 	}
 }
 
-static bool can_be_on_time_(const struct bw_job *job, struct bw_time now)
+static bool can_be_on_time_(const struct bw_dispatch *dispatch,
+			    const struct bw_job *job, struct bw_time now)
 {
-	return bw_time_diff_ms(job->objective, now) >
-	       ON_TIME_FACTOR * dispatch_job_response_ms(job);
+	double run_ms = dispatch_run_ms(dispatch, job);
+
+	if (run_ms <= 0.0)
+		run_ms = dispatch_job_response_ms(job);
+	return bw_time_diff_ms(job->objective, now) > ON_TIME_FACTOR * run_ms;
 }
 
 /*
@@ -607,7 +627,6 @@
 				       enum bw_verdict *verdict,
 				       struct bw_rejection *rejection)
 {
-	double response_ms = dispatch_service_response_ms(service);
 	struct bw_job *job;
 	bool expired;
 	GList *item;
@@ -615,7 +634,8 @@
 	check_waits_(dispatch, service, now);
 	for (item = service->waiting.head; item; item = item->next) {
 		job = item->data;
-		expired = dispatch_left_ms(dispatch, job, now) <= response_ms ||
+		expired = dispatch_left_ms(dispatch, job, now) <=
+				  response_ms_(dispatch, job) ||
 			  dispatch_stop_is_near(dispatch, job, now);
 		if (!expired && !job->misses_deadline)
 			continue;
@@ -650,7 +670,7 @@
 	for (item = service->waiting.head; item; item = item->next) {
 		struct bw_job *job = item->data;
 
-		if (can_be_on_time_(job, now) == on_time &&
+		if (can_be_on_time_(dispatch, job, now) == on_time &&
 		    dispatch_place(dispatch, job, now))
 			return job;
 	}
@@ -675,12 +695,14 @@
 
 static json_t *dump_target_(const struct bw_target *target, struct bw_time now)
 {
-	return json_pack("{s:s,s:s,s:i,s:i,s:f,s:f,s:f,s:b,s:b}", "address",
-			 target->address, "distance",
+	return json_pack("{s:s,s:s,s:i,s:i,s:f,s:f,s:f,s:b,s:f,s:b,s:b}",
+			 "address", target->address, "distance",
 			 bw_distance_string[target->distance], "slots",
 			 (int)target->slots, "in_flight",
 			 (int)target->in_flight, "others",
 			 target->other_requests, "slowness", target->slowness,
+			 "time_factor", bw_speed_factor(&target->speed, now),
+			 "speed_trusted", bw_speed_is_trusted(&target->speed),
 			 "failures", target->failure_rate, "accepts",
 			 target->accepts, "ejected",
 			 !bw_time_reached(now, target->ejected_until));
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -71,32 +71,15 @@
  */
 #define CANDIDATES_MAX_AGE_MS 100
 
-/** Servers that may run an object's requests, best first. */
-struct candidates {
-	struct bw_target *target[BW_JOB_CANDIDATES_MAX + 1];
-	uint32_t count;
-};
-
 static bool place_object_(struct bw_dispatch *dispatch, struct bw_job *job,
 			  struct bw_time now);
 static bool place_lowest_cost_(struct bw_dispatch *dispatch, struct bw_job *job,
 			       struct bw_time now);
-static void find_candidates_(const struct bw_dispatch *dispatch,
-			     struct bw_job *job, struct bw_time now,
-			     struct candidates *found);
 static void search_candidates_(struct bw_job *job, struct bw_time now,
-			       struct candidates *found);
+			       struct dispatch_candidates *found);
 static double rendezvous_point_(const struct bw_job *job,
 				const struct bw_target *target);
 static double rendezvous_weight_(const struct bw_target *target);
-static bool is_eligible_(const struct bw_job *job,
-			 const struct bw_target *target, struct bw_time now);
-static void set_target_(struct bw_dispatch *dispatch, struct bw_job *job,
-			struct bw_target *target, struct bw_time now);
-static double free_slots_(const struct bw_target *target, struct bw_time now);
-static bool has_slot_(const struct bw_target *target, struct bw_time now);
-static double other_requests_(const struct bw_target *target,
-			      struct bw_time now);
 static bool has_cold_token_(const struct bw_dispatch *dispatch,
 			    struct bw_target *target, struct bw_time now);
 static uint64_t pair_hash_(const struct bw_job *job,
@@ -104,9 +87,6 @@
 static uint32_t *warm_entry_(const struct bw_dispatch *dispatch,
 			     const struct bw_job *job,
 			     const struct bw_target *target);
-static bool is_warm_(const struct bw_dispatch *dispatch,
-		     const struct bw_job *job, const struct bw_target *target,
-		     struct bw_time now);
 static double expected_response_ms_(const struct bw_target *target, bool warm);
 static void update_average_(double *value, double sample, double smoothing);
 static void record_response_time_(struct bw_target *target,
@@ -119,6 +99,8 @@
 bool dispatch_place(struct bw_dispatch *dispatch, struct bw_job *job,
 		    struct bw_time now)
 {
+	if (job->object && dispatch_run_ms(dispatch, job) > 0.0)
+		return dispatch_place_by_end(dispatch, job, now);
 	if (job->object)
 		return place_object_(dispatch, job, now);
 	return place_lowest_cost_(dispatch, job, now);
@@ -126,7 +108,7 @@
 
 void dispatch_find_home(struct bw_job *job, struct bw_time now)
 {
-	struct candidates found;
+	struct dispatch_candidates found;
 
 	job->home = NULL;
 	if (!job->object)
@@ -189,7 +171,7 @@
 	for (i = 0; i < service->targets->len; i++) {
 		const struct bw_target *target = service->targets->pdata[i];
 
-		if (target->accepts && has_slot_(target, now))
+		if (target->accepts && dispatch_has_slot(target, now))
 			return true;
 	}
 	return false;
@@ -223,7 +205,8 @@
 		*warm_entry_(dispatch, job, target) = 0;
 }
 
-void dispatch_record_result(struct bw_target *target, const struct bw_job *job,
+void dispatch_record_result(struct bw_dispatch *dispatch,
+			    struct bw_target *target, const struct bw_job *job,
 			    enum bw_job_result result,
 			    const struct bw_load_report *load,
 			    struct bw_time now)
@@ -231,6 +214,7 @@
 	double other_requests;
 
 	if (load) {
+		dispatch_note_speed(target, load, now);
 		other_requests = (double)load->running + load->waiting -
 				 (double)target->in_flight;
 		update_average_(&target->other_requests,
@@ -251,6 +235,10 @@
 				     (double)bw_time_diff_ms(now, job->sent));
 		record_response_time_(target, job,
 				      (double)bw_time_diff_ms(now, job->sent));
+		if (load)
+			dispatch_record_work(
+				dispatch, target, job, load,
+				(double)bw_time_diff_ms(now, job->sent));
 		break;
 	case BW_JOB_FAILED:
 	case BW_JOB_UNREACHABLE:
@@ -278,28 +266,23 @@
 static bool place_object_(struct bw_dispatch *dispatch, struct bw_job *job,
 			  struct bw_time now)
 {
-	struct candidates found;
+	struct dispatch_candidates found;
 	bool home_limited;
 	uint32_t i;
 
-	find_candidates_(dispatch, job, now, &found);
+	dispatch_find_candidates(dispatch, job, now, &found);
 	/* The wait for a token is not worth a warm run. */
 	home_limited = found.count &&
 		       !bw_server_limit_allows(&found.target[0]->limit, now);
 	for (i = 0; i < found.count; i++) {
 		struct bw_target *target = found.target[i];
-		bool spare = free_slots_(target, now) >
-			     SPARE_FRACTION * target->slots;
 
-		if (!has_slot_(target, now) ||
-		    !has_cold_token_(dispatch, target, now) ||
-		    !bw_server_limit_allows(&target->limit, now) ||
-		    !dispatch_region_allowed(dispatch, target->region, now))
+		if (!dispatch_can_send(dispatch, target, now))
 			continue;
-		if (i && !spare && !home_limited &&
-		    !is_warm_(dispatch, job, target, now))
+		if (i && !dispatch_has_spare(target, now) && !home_limited &&
+		    !dispatch_is_warm(dispatch, job, target, now))
 			continue;
-		set_target_(dispatch, job, target, now);
+		dispatch_set_target(dispatch, job, target, now);
 		return true;
 	}
 	return false;
@@ -322,11 +305,8 @@
 		double cost = dispatch_load(target, now) * target->slowness +
 			      (double)target->distance;
 
-		if (!is_eligible_(job, target, now) ||
-		    !has_slot_(target, now) ||
-		    !has_cold_token_(dispatch, target, now) ||
-		    !bw_server_limit_allows(&target->limit, now) ||
-		    !dispatch_region_allowed(dispatch, target->region, now))
+		if (!dispatch_is_eligible(job, target, now) ||
+		    !dispatch_can_send(dispatch, target, now))
 			continue;
 		if (best && cost >= best_cost)
 			continue;
@@ -335,14 +315,28 @@
 	}
 	if (!best)
 		return false;
-	set_target_(dispatch, job, best, now);
+	dispatch_set_target(dispatch, job, best, now);
 	return true;
 }
 
-/* Finds the servers that the object of a job prefers. */
-static void find_candidates_(const struct bw_dispatch *dispatch,
-			     struct bw_job *job, struct bw_time now,
-			     struct candidates *found)
+bool dispatch_can_send(struct bw_dispatch *dispatch, struct bw_target *target,
+		       struct bw_time now)
+{
+	return dispatch_has_slot(target, now) &&
+	       has_cold_token_(dispatch, target, now) &&
+	       bw_server_limit_allows(&target->limit, now) &&
+	       dispatch_region_allowed(dispatch, target->region, now);
+}
+
+bool dispatch_has_spare(const struct bw_target *target, struct bw_time now)
+{
+	return dispatch_free_slots(target, now) >
+	       SPARE_FRACTION * target->slots;
+}
+
+void dispatch_find_candidates(const struct bw_dispatch *dispatch,
+			      struct bw_job *job, struct bw_time now,
+			      struct dispatch_candidates *found)
 {
 	uint32_t i;
 
@@ -356,7 +350,7 @@
 			dispatch->targets, &job->candidates[i]);
 
 		if (!target || target->service != job->service ||
-		    !is_eligible_(job, target, now)) {
+		    !dispatch_is_eligible(job, target, now)) {
 			search_candidates_(job, now, found);
 			return;
 		}
@@ -369,7 +363,7 @@
  * are passed over after their hash, because -log(point) is at least 1 - point.
  */
 static void search_candidates_(struct bw_job *job, struct bw_time now,
-			       struct candidates *found)
+			       struct dispatch_candidates *found)
 {
 	const GPtrArray *targets = job->service->targets;
 	double scores[BW_JOB_CANDIDATES_MAX + 1];
@@ -386,7 +380,7 @@
 		if (position == BW_JOB_CANDIDATES_MAX &&
 		    weight <= scores[position - 1] * (1.0 - point))
 			continue;
-		if (!is_eligible_(job, target, now))
+		if (!dispatch_is_eligible(job, target, now))
 			continue;
 		score = weight / -log(point);
 		while (position > 0 && score > scores[position - 1])
@@ -444,37 +438,45 @@
 	target->reported_at = now;
 }
 
-static bool is_eligible_(const struct bw_job *job,
-			 const struct bw_target *target, struct bw_time now)
+bool dispatch_is_eligible(const struct bw_job *job,
+			  const struct bw_target *target, struct bw_time now)
 {
 	return dispatch_is_allowed(job, target) &&
 	       bw_time_reached(now, target->ejected_until) &&
 	       bw_server_notice_allows(&target->notice, now);
 }
 
-static void set_target_(struct bw_dispatch *dispatch, struct bw_job *job,
-			struct bw_target *target, struct bw_time now)
+void dispatch_set_target(struct bw_dispatch *dispatch, struct bw_job *job,
+			 struct bw_target *target, struct bw_time now)
 {
 	job->target = target;
-	job->warm = job->object && is_warm_(dispatch, job, target, now);
+	job->warm = job->object && dispatch_is_warm(dispatch, job, target, now);
 	job->expected_ms = expected_response_ms_(target, job->warm);
+	job->expected_wait_ms = 0.0;
+	job->time_told = 0.0;
+	job->familiarity = BW_FAMILIARITY_SECOND;
+	if (job->warm)
+		job->familiarity = BW_FAMILIARITY_SEEN;
+	else if (target == job->home)
+		job->familiarity = BW_FAMILIARITY_HOME;
 }
 
 double dispatch_load(const struct bw_target *target, struct bw_time now)
 {
-	return ((double)target->in_flight + other_requests_(target, now)) /
+	return ((double)target->in_flight +
+		dispatch_other_requests(target, now)) /
 	       MAX(target->slots, 1U);
 }
 
-static double free_slots_(const struct bw_target *target, struct bw_time now)
+double dispatch_free_slots(const struct bw_target *target, struct bw_time now)
 {
 	return (double)target->slots - (double)target->in_flight -
-	       other_requests_(target, now);
+	       dispatch_other_requests(target, now);
 }
 
-static bool has_slot_(const struct bw_target *target, struct bw_time now)
+bool dispatch_has_slot(const struct bw_target *target, struct bw_time now)
 {
-	return free_slots_(target, now) >=
+	return dispatch_free_slots(target, now) >=
 	       0.5 - OVERCOMMIT_FRACTION * (double)target->slots;
 }
 
@@ -484,8 +486,8 @@
  * A host that counts only its own requests would fill a server of unknown load,
  * and so would all its peers.
  */
-static double other_requests_(const struct bw_target *target,
-			      struct bw_time now)
+double dispatch_other_requests(const struct bw_target *target,
+			       struct bw_time now)
 {
 	double age_ms = (double)bw_time_diff_ms(now, target->reported_at);
 
@@ -532,9 +534,9 @@
 	return &dispatch->warm_at[hash & (DISPATCH_WARM_ENTRIES - 1)];
 }
 
-static bool is_warm_(const struct bw_dispatch *dispatch,
-		     const struct bw_job *job, const struct bw_target *target,
-		     struct bw_time now)
+bool dispatch_is_warm(const struct bw_dispatch *dispatch,
+		      const struct bw_job *job, const struct bw_target *target,
+		      struct bw_time now)
 {
 	uint32_t last_used_ms = *warm_entry_(dispatch, job, target);
 
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -18,6 +18,80 @@
 bool dispatch_place(struct bw_dispatch *dispatch, struct bw_job *job,
 		    struct bw_time now);
 
+/** Servers that may run an object's requests, best first. */
+struct dispatch_candidates {
+	struct bw_target *target[BW_JOB_CANDIDATES_MAX + 1];
+	uint32_t count;
+};
+
+/** Finds the servers that the object of a job prefers. */
+void dispatch_find_candidates(const struct bw_dispatch *dispatch,
+			      struct bw_job *job, struct bw_time now,
+			      struct dispatch_candidates *found);
+
+/**
+ * Places a job with an object on the server that is expected to end it first,
+ * among its home and those that its object prefers next and that have it in
+ * memory. Others are used only while that server can't get the job and they
+ * have spare slots. A job that would run past its deadline is not placed.
+ * @return whether job->target was set
+ */
+bool dispatch_place_by_end(struct bw_dispatch *dispatch, struct bw_job *job,
+			   struct bw_time now);
+
+/**
+ * Returns whether no server is expected to end a job before its deadline, even
+ * if it is sent at once. False where the servers do not tell their speed.
+ */
+bool dispatch_ends_late(struct bw_dispatch *dispatch, struct bw_job *job,
+			struct bw_time now);
+
+/**
+ * Returns the time that a job is expected to run at its home at the usual
+ * speed; 0 if its service does not tell its speed or nothing is known.
+ */
+double dispatch_run_ms(const struct bw_dispatch *dispatch,
+		       const struct bw_job *job);
+
+/** Notes the speed that a server told in an answer. */
+void dispatch_note_speed(struct bw_target *target,
+			 const struct bw_load_report *load, struct bw_time now);
+
+/** Records the work of an answered job and how the server kept its word. */
+void dispatch_record_work(struct bw_dispatch *dispatch,
+			  struct bw_target *target, const struct bw_job *job,
+			  const struct bw_load_report *load, double elapsed_ms);
+
+/** Returns whether a server may get one more request now. */
+bool dispatch_can_send(struct bw_dispatch *dispatch, struct bw_target *target,
+		       struct bw_time now);
+
+/** Returns whether a server has free slots for objects of other servers. */
+bool dispatch_has_spare(const struct bw_target *target, struct bw_time now);
+
+/** Returns whether a server may run a job if it has a free slot. */
+bool dispatch_is_eligible(const struct bw_job *job,
+			  const struct bw_target *target, struct bw_time now);
+
+/** Assigns a server to a job. */
+void dispatch_set_target(struct bw_dispatch *dispatch, struct bw_job *job,
+			 struct bw_target *target, struct bw_time now);
+
+/** Returns the free slots of a server; negative if requests queue there. */
+double dispatch_free_slots(const struct bw_target *target, struct bw_time now);
+
+/** Returns whether a server has a free slot, or may be overcommitted. */
+bool dispatch_has_slot(const struct bw_target *target, struct bw_time now);
+
+/** Returns the expected number of requests of other hosts at a server. */
+double dispatch_other_requests(const struct bw_target *target,
+			       struct bw_time now);
+
+/** Returns whether this host sent a job's object to a server recently. */
+bool dispatch_is_warm(const struct bw_dispatch *dispatch,
+		      const struct bw_job *job, const struct bw_target *target,
+		      struct bw_time now);
+
 /**
  * Sets job->home to the server that rendezvous hashing prefers for the object.
  */
@@ -148,7 +222,8 @@
 			const struct bw_target *target);
 
 /** Updates response times, load and health of a server from a result. */
-void dispatch_record_result(struct bw_target *target, const struct bw_job *job,
+void dispatch_record_result(struct bw_dispatch *dispatch,
+			    struct bw_target *target, const struct bw_job *job,
 			    enum bw_job_result result,
 			    const struct bw_load_report *load,
 			    struct bw_time now);
