customers: share the room of a service by work among customers of one rank

Cause: waiting jobs of one rank went by arrival, so the room went to whoever sent most. Change: bwcustomer/fair_share.h keeps the recent work of each customer and stamps a job with its position when it comes: its arrival and a delay by the level of its customer, which is its work divided by an equal share or by 0.4 of what all get of their demand, if that is more. The dispatcher queues by this position within a rank; jobs behind it that no longer fit are rejected with customer_share. Hosts report work and demand and get the sums of all; a customer beyond its share then gives way while others lack room at any host. No job has a customer: the position is the arrival, and no table exists.

--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -6,7 +6,9 @@
  * late ones use the remaining slots; a request that cannot be answered before
  * its deadline is rejected at once. Requests for an object are placed by
  * weighted rendezvous hashing, so that all hosts send an object to the same few
- * backend servers, which have it in memory (warm). The module reads no clock
+ * backend servers, which have it in memory (warm). Jobs with customers of one
+ * rank are ordered by the shares of their customers (bwcustomer/fair_share.h),
+ * so that the load of one leaves room for the others. The module reads no clock
  * and opens no sockets.
  */
 #ifndef BWSTEER_DISPATCH_H
@@ -20,6 +22,7 @@
 
 #include "bwbase/clock.h"
 #include "bwbase/random.h"
+#include "bwcustomer/fair_share.h"
 #include "bwsteer/registry.h"
 #include "bwsteer/server_limit.h"
 #include "bwsteer/server_notice.h"
@@ -54,7 +57,8 @@
 struct bw_dispatch_service {
 	char name[BW_SERVER_TEXT_MAX];
 	struct bw_dispatch_times times[BW_DISTANCE_COUNT];
-	GQueue waiting; /**< struct bw_job, by rank and arrival */
+	GQueue waiting; /**< struct bw_job, by rank, share of the customer and
+			   arrival */
 	GPtrArray *targets; /**< struct bw_target */
 	uint32_t target_latency_ms; /**< lowest of its routes; 0 if unknown */
 	double service_time_ms; /**< smoothed response time of requests that did
@@ -158,6 +162,8 @@
 	BW_REJECT_NO_KEY, /**< its key was withdrawn while it waited */
 	BW_REJECT_STOPPING, /**< the host stops before the response could
 			       arrive */
+	BW_REJECT_SHARE, /**< as BW_REJECT_OVERLOAD, for a customer beyond its
+			    share of the room */
 	BW_REJECT_COUNT
 };
 
@@ -175,6 +181,7 @@
 	uint64_t object; /**< hash of the object; 0 when it has none */
 	uint64_t regions; /**< bit set of allowed regions; 0 means any */
 	uint64_t customer_hash; /**< 0: none */
+	struct bw_fair_ticket share; /**< position among its rank */
 	struct bw_time arrived;
 	struct bw_time
 		objective; /**< an answer by then meets the latency objective */
@@ -245,6 +252,7 @@
 	uint32_t *warm_at; /**< milliseconds of the last use, by hash of object
 			      and server; 0 if never */
 	struct bw_random random;
+	struct bw_fair_shares shares; /**< of customers in the room */
 	uint32_t peer_count; /**< hosts in this failure domain including this
 				one; 0 if unknown */
 	uint32_t host_count; /**< hosts in all domains; 0 if unknown */
@@ -416,6 +424,13 @@
 /** Returns the number of waiting jobs of all services. */
 uint32_t bw_dispatch_waiting(const struct bw_dispatch *dispatch);
 
+/**
+ * Returns the number of services for which jobs wait while customers share the
+ * room.
+ */
+uint32_t bw_dispatch_contended(struct bw_dispatch *dispatch,
+			       struct bw_time now);
+
 /** Writes services and backend servers to a state dump. */
 void bw_dispatch_dump(const struct bw_dispatch *dispatch, struct bw_time now,
 		      json_t *into);
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -26,19 +26,30 @@
 /** Interval between checks whether waiting jobs can meet their deadlines. */
 #define WAIT_CHECK_INTERVAL_MS 50
 
+/**
+ * Load of a server below which it has room to spare; jobs of customers beyond
+ * their share then need not give way to those of other hosts.
+ */
+#define SPARE_LOAD 0.75
+
 static void free_service_(gpointer data);
 static struct bw_time cold_until_(const struct bw_dispatch_service *service,
 				  const struct bw_target_update *update);
 static void free_target_(gpointer data);
 static void remove_target_(struct bw_dispatch *dispatch,
 			   struct bw_target *target);
-static void insert_waiting_(struct bw_job *job);
+static void insert_waiting_(struct bw_dispatch *dispatch, struct bw_job *job);
 static bool goes_before_(const struct bw_job *a, const struct bw_job *b);
 static void release_home_(struct bw_job *job);
 static void reject_late_(struct bw_dispatch *dispatch, const struct bw_job *job,
 			 double wait_ms, struct bw_time now,
 			 struct bw_rejection *rejection);
+static bool is_beyond_share_(struct bw_dispatch *dispatch,
+			     const struct bw_job *job, struct bw_time now);
+static double work_ms_(const struct bw_job *job, enum bw_job_result result,
+		       struct bw_time now);
 static double job_wait_ms_(const struct bw_job *job);
+static uint32_t count_ahead_at_home_(const struct bw_job *job);
 static double wait_behind_ms_(const struct bw_job *job, uint32_t ahead);
 static double service_wait_ms_(const struct bw_dispatch_service *service,
 			       uint32_t ahead);
@@ -58,6 +69,10 @@
 static struct bw_job *next_placeable_(struct bw_dispatch *dispatch,
 				      struct bw_dispatch_service *service,
 				      bool on_time, struct bw_time now);
+static bool gives_way_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		       struct bw_time now);
+static bool has_spare_server_(const struct bw_dispatch_service *service,
+			      struct bw_time now);
 static void count_completion_(struct bw_dispatch_service *service,
 			      struct bw_time now);
 static json_t *dump_target_(const struct bw_target *target, struct bw_time now);
@@ -77,6 +92,7 @@
 						  NULL, free_target_);
 	dispatch->warm_at = g_new0(uint32_t, DISPATCH_WARM_ENTRIES);
 	bw_random_init(&dispatch->random, seed);
+	bw_fair_shares_init(&dispatch->shares);
 }
 
 void bw_dispatch_finish(struct bw_dispatch *dispatch)
@@ -86,6 +102,7 @@
 	g_hash_table_destroy(dispatch->targets);
 	g_hash_table_destroy(dispatch->services);
 	g_free(dispatch->warm_at);
+	bw_fair_shares_finish(&dispatch->shares);
 	memset(dispatch, 0, sizeof(*dispatch));
 }
 
@@ -280,17 +297,23 @@
 		dispatch_reject(dispatch, BW_REJECT_STOPPING, 0.0, rejection);
 		return BW_VERDICT_REJECT;
 	}
-	if (!count_ahead_(job) && dispatch_place(dispatch, job, now))
+	bw_fair_share_ask(&dispatch->shares, &job->share, job->customer_hash,
+			  job->rank, job->service->service_time_ms,
+			  job->arrived, now);
+	if (!count_ahead_(job) && !gives_way_(dispatch, job, now) &&
+	    dispatch_place(dispatch, job, now))
 		return BW_VERDICT_SEND;
 	left_ms = dispatch_left_ms(dispatch, job, now) -
 		  dispatch_service_response_ms(job->service);
-	wait_ms = job_wait_ms_(job);
+	wait_ms =
+		MAX(job_wait_ms_(job),
+		    bw_fair_share_wait_ms(&dispatch->shares, &job->share, now));
 	if (wait_ms > WAIT_FRACTION_MAX * left_ms) {
 		reject_late_(dispatch, job, wait_ms, now, rejection);
 		return BW_VERDICT_REJECT;
 	}
 	job->misses_deadline = false;
-	insert_waiting_(job);
+	insert_waiting_(dispatch, job);
 	return BW_VERDICT_WAIT;
 }
 
@@ -331,6 +354,7 @@
 		target->cold_tokens -= 1.0;
 	bw_server_limit_use(&target->limit, now);
 	bw_server_notice_sent(&target->notice, now);
+	bw_fair_share_send(&dispatch->shares, &job->share, now);
 	dispatch_mark_warm(dispatch, job, now);
 	dispatch_region_count(dispatch, target->region, now);
 }
@@ -346,6 +370,8 @@
 	target->service->in_flight--;
 	if (result == BW_JOB_ANSWERED || result == BW_JOB_FAILED)
 		count_completion_(target->service, now);
+	bw_fair_share_end(&dispatch->shares, &job->share,
+			  work_ms_(job, result, now), now);
 	bw_server_notice_ended(
 		&target->notice,
 		result == BW_JOB_ANSWERED &&
@@ -360,10 +386,10 @@
 
 void bw_dispatch_remove(struct bw_dispatch *dispatch, struct bw_job *job)
 {
-	(void)dispatch;
 	if (!job->queued)
 		return;
 	g_queue_remove(&job->service->waiting, job);
+	bw_fair_share_leave(&dispatch->shares, &job->share);
 	job->queued = false;
 	release_home_(job);
 }
@@ -388,6 +414,22 @@
 	return count;
 }
 
+uint32_t bw_dispatch_contended(struct bw_dispatch *dispatch, struct bw_time now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	if (!bw_fair_shares_active(&dispatch->shares, now))
+		return 0;
+	g_hash_table_iter_init(&iter, dispatch->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct bw_dispatch_service *)value)->waiting.length)
+			count++;
+	}
+	return count;
+}
+
 void bw_dispatch_dump(const struct bw_dispatch *dispatch, struct bw_time now,
 		      json_t *into)
 {
@@ -417,6 +459,8 @@
 				  targets));
 	}
 	json_object_set_new(into, "services", services);
+	json_object_set_new(into, "customers_active",
+			    json_integer(dispatch->shares.active));
 }
 
 static void free_service_(gpointer data)
@@ -446,7 +490,7 @@
 	g_hash_table_remove(dispatch->targets, &target->id_hash);
 }
 
-static void insert_waiting_(struct bw_job *job)
+static void insert_waiting_(struct bw_dispatch *dispatch, struct bw_job *job)
 {
 	GQueue *waiting = &job->service->waiting;
 	GList *item = waiting->tail;
@@ -455,6 +499,7 @@
 		item = item->prev;
 	g_queue_insert_after(waiting, item, job);
 	job->queued = true;
+	bw_fair_share_wait(&dispatch->shares, &job->share);
 	if (job->home) {
 		job->home->waiting++;
 		job->home->references++;
@@ -465,6 +510,9 @@
 {
 	if (a->rank != b->rank)
 		return a->rank < b->rank;
+	/* The arrival, if no job has a customer. */
+	if (a->share.order_ms != b->share.order_ms)
+		return a->share.order_ms < b->share.order_ms;
 	return a->arrived.ms < b->arrived.ms;
 }
 
@@ -495,15 +543,44 @@
 {
 	if (dispatch_stop_is_first(dispatch, job))
 		dispatch_reject(dispatch, BW_REJECT_STOPPING, 0.0, rejection);
+	else if (is_beyond_share_(dispatch, job, now))
+		dispatch_reject(dispatch, BW_REJECT_SHARE,
+				MAX(wait_ms,
+				    bw_fair_share_return_ms(&job->share)),
+				rejection);
 	else
 		dispatch_reject(dispatch, dispatch_overload_reason(job, now),
 				wait_ms, rejection);
 }
 
+static bool is_beyond_share_(struct bw_dispatch *dispatch,
+			     const struct bw_job *job, struct bw_time now)
+{
+	return bw_fair_share_is_beyond(&job->share) &&
+	       bw_fair_shares_active(&dispatch->shares, now);
+}
+
+/* Returns the time that a job took at its server. */
+static double work_ms_(const struct bw_job *job, enum bw_job_result result,
+		       struct bw_time now)
+{
+	switch (result) {
+	case BW_JOB_REFUSED:
+	case BW_JOB_UNREACHABLE:
+		return 0.0;
+	case BW_JOB_ANSWERED:
+	case BW_JOB_FAILED:
+	case BW_JOB_CANCELLED:
+		break;
+	}
+	return (double)bw_time_diff_ms(now, job->sent);
+}
+
 static double job_wait_ms_(const struct bw_job *job)
 {
 	if (job->home)
-		return dispatch_wait_ms(job->home, job->home->waiting + 1);
+		return dispatch_wait_ms(job->home,
+					count_ahead_at_home_(job) + 1);
 	return wait_behind_ms_(job, count_ahead_(job) + 1);
 }
 
@@ -541,6 +618,15 @@
 	return count;
 }
 
+/*
+ * A job of a customer below its share is not rejected because of jobs that go
+ * behind it.
+ */
+static uint32_t count_ahead_at_home_(const struct bw_job *job)
+{
+	return job->share.counted ? count_ahead_(job) : job->home->waiting;
+}
+
 /*
  * Marks the jobs that the current load keeps from running before their
  * deadline. Such jobs exist because the load of other hosts becomes known late,
@@ -651,12 +737,38 @@
 		struct bw_job *job = item->data;
 
 		if (can_be_on_time_(job, now) == on_time &&
+		    !gives_way_(dispatch, job, now) &&
 		    dispatch_place(dispatch, job, now))
 			return job;
 	}
 	return NULL;
 }
 
+/*
+ * Returns whether a job leaves the free slots to jobs of other hosts, whose
+ * customers are below their share.
+ */
+static bool gives_way_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		       struct bw_time now)
+{
+	return bw_fair_share_gives_way(&dispatch->shares, &job->share, now) &&
+	       !has_spare_server_(job->service, now);
+}
+
+static bool has_spare_server_(const struct bw_dispatch_service *service,
+			      struct bw_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < service->targets->len; i++) {
+		const struct bw_target *target = service->targets->pdata[i];
+
+		if (target->accepts && dispatch_load(target, now) < SPARE_LOAD)
+			return true;
+	}
+	return false;
+}
+
 static void count_completion_(struct bw_dispatch_service *service,
 			      struct bw_time now)
 {
--- a/src/libbwsteer/dispatch_reject.c
+++ b/src/libbwsteer/dispatch_reject.c
@@ -30,6 +30,7 @@
 	[BW_REJECT_NO_ROUTE] = "route_removed",
 	[BW_REJECT_NO_KEY] = "key_withdrawn",
 	[BW_REJECT_STOPPING] = "host_stopping",
+	[BW_REJECT_SHARE] = "customer_share",
 };
 
 void dispatch_reject(struct bw_dispatch *dispatch, enum bw_reject reason,
