customers: requests within a share go by arrival; metrics and log lines

Change: only the part of a level above 1 delays a request, and fewer than three usual requests in the window are always within the share. The entry host shows contended services, active customers, work by rank, and when customers beyond their share begin and stop to give way; log lines of requests have share_level.

--- a/src/boragewingd/gateway/gate_entry.c
+++ b/src/boragewingd/gateway/gate_entry.c
@@ -143,6 +143,7 @@
 	open_metrics_(entry);
 	gate_notice_init(entry);
 	gate_refusals_init(&entry->refusals, node, "entry");
+	gate_shares_init(&entry->shares, &node->metrics, node->log);
 	pool_config.limits.head_max_bytes = RESPONSE_HEAD_MAX_BYTES;
 	pool_config.limits.body_max_bytes = RESPONSE_BODY_MAX_BYTES;
 	pool_config.id_field = PLATFORM_FIELD_REQUEST_ID;
@@ -199,6 +200,7 @@
 		gate_entry_send_hellos(entry, now);
 		bw_metric_set(entry->waiting,
 			      bw_dispatch_waiting(&entry->dispatch));
+		gate_shares_update(&entry->shares, &entry->dispatch, now);
 		bw_metric_set(entry->response_bytes,
 			      (int64_t)entry->response_budget.used_bytes);
 		bw_metric_set(entry->responses_paused,
--- a/src/boragewingd/gateway/gate_entry.h
+++ b/src/boragewingd/gateway/gate_entry.h
@@ -16,6 +16,7 @@
 #include "bwsteer/routing.h"
 #include "gate_node.h"
 #include "gate_refusal.h"
+#include "gate_shares.h"
 #include "platform.h"
 
 /** Outcome of a client request. */
@@ -147,6 +148,7 @@
 	uint64_t fetches_since; /**< since the active version came */
 	uint64_t received_bytes_since; /**< of configurations, likewise */
 	struct gate_refusals refusals;
+	struct gate_shares shares; /**< of customers, as shown last */
 };
 
 /** Opens the listeners. @return BW_OK, or BW_EIO, which is logged */
--- a/src/boragewingd/gateway/gate_log.c
+++ b/src/boragewingd/gateway/gate_log.c
@@ -64,7 +64,7 @@
 		     succeeded ? BW_LOG_INFO : BW_LOG_WARNING, "request",
 		     gate_outcome_string[outcome],
 		     "{s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i,s:I,s:s,s:s,s:b,s:b,s:i,"
-		     "s:f,s:f,s:I,s:i,s:i,s:I,s:s,s:i}",
+		     "s:f,s:f,s:I,s:i,s:i,s:I,s:s,s:i,s:f}",
 		     "request", request->id, "route", request->route->name,
 		     "service", request->job.service->name, "status",
 		     (int)status_code, "cause", cause, "attempts",
@@ -82,7 +82,8 @@
 		     (int)last->load.waiting, "object",
 		     (json_int_t)(request->job.object >> 40), "customer",
 		     request->customer ? request->customer->name : "", "rank",
-		     (int)request->job.rank);
+		     (int)request->job.rank, "share_level",
+		     request->job.share.level);
 }
 
 void gate_log_ejection(const struct gate_request *request, uint64_t id_hash,
--- a/src/libbwcustomer/fair_share.c
+++ b/src/libbwcustomer/fair_share.c
@@ -6,9 +6,15 @@
 
 #include "private/fair_share.h"
 
-/** Delay of a job in the order per level of its customer. */
+/** Delay of a job in the order per level of its customer above 1. */
 #define LEVEL_DELAY_MS 2000.0
 
+/**
+ * Jobs in the window below which a customer is within its share: chance decides
+ * whose few jobs come to one host.
+ */
+#define JOBS_MIN 3.0
+
 /** Maximum level; the work of the first jobs after a start tells little. */
 #define LEVEL_MAX 4.0
 
@@ -92,7 +98,8 @@
 	ticket->estimate_ms = expected_ms * share->slowness;
 	count_asked_(shares, share, ticket, ticket->estimate_ms, now);
 	ticket->level = level_(shares, share, rank, expected_ms, now);
-	ticket->order_ms += (int64_t)(LEVEL_DELAY_MS * ticket->level);
+	ticket->order_ms +=
+		(int64_t)(LEVEL_DELAY_MS * MAX(ticket->level - 1.0, 0.0));
 }
 
 void bw_fair_share_wait(struct bw_fair_shares *shares,
@@ -290,9 +297,8 @@
 	used_per_s = fair_rate_per_s(share->work_ms + share->waiting_ms) +
 		     others.work_ms_per_s;
 	asked_per_s = fair_rate_per_s(share->asked_ms) + others.asked_ms_per_s;
-	/* Less than one job in the window cannot be shared. */
 	entitled_per_s = MAX(room.work_ms_per_s / room.customers,
-			     fair_rate_per_s(job_ms));
+			     fair_rate_per_s(JOBS_MIN * job_ms));
 	entitled_per_s =
 		MAX(entitled_per_s,
 		    FAIR_FLOOR_FRACTION * room.served_fraction * asked_per_s);
@@ -388,6 +394,11 @@
 
 	if (total->decayed_at.ms == now.ms)
 		return;
+	/* Most ranks have no jobs. */
+	if (total->work_ms <= 0.0 && total->asked_ms <= 0.0) {
+		total->decayed_at = now;
+		return;
+	}
 	factor = fair_decay(total->decayed_at, now);
 	total->work_ms *= factor;
 	total->asked_ms *= factor;
--- a/src/test_libbwcustomer/test_fair_share.c
+++ b/src/test_libbwcustomer/test_fair_share.c
@@ -13,7 +13,7 @@
 
 #include <cmocka.h>
 
-#include "bwcustomer/fair_share.h"
+#include "private/fair_share.h"
 
 #define CUSTOMERS_MANY 100000
 #define HEAVY 7
@@ -271,6 +271,33 @@
 	}
 }
 
+/* A round of news costs the same for each customer in it. */
+static void test_large_news(void **state)
+{
+	struct bw_fair_rate rate = { 100, 120 };
+	struct bw_fair_rate total = { 100.0 * CUSTOMERS_MANY,
+				      120.0 * CUSTOMERS_MANY };
+	struct bw_fair_shares shares;
+	struct bw_fair_share *table;
+	uint64_t started_us;
+	double call_us;
+	uint32_t i;
+
+	(void)state;
+	bw_fair_shares_init(&shares);
+	run_job_(&shares, HEAVY, WORK_MS, 0);
+	table = shares.table;
+	started_us = bw_clock_us();
+	for (i = 0; i < CUSTOMERS_MANY; i++)
+		bw_fair_share_set_fleet(&shares, 1000 + i, 0, &rate, at_(1));
+	bw_fair_share_set_fleet_total(&shares, &total, CUSTOMERS_MANY, at_(1));
+	call_us = (double)(bw_clock_us() - started_us) / CUSTOMERS_MANY;
+	printf("news of %u customers: %.2f us each\n", CUSTOMERS_MANY, call_us);
+	assert_true(call_us < JOB_US_MAX);
+	assert_ptr_equal(shares.table, table);
+	bw_fair_shares_finish(&shares);
+}
+
 static void test_many_customers(void **state)
 {
 	struct bw_fair_shares shares;
@@ -291,7 +318,9 @@
 		assert_true(shares.active <= BW_FAIR_CUSTOMERS_MAX);
 	}
 	job_us = (double)(bw_clock_us() - started_us) / (1.02 * CUSTOMERS_MANY);
-	printf("%u customers: %.2f us a job\n", CUSTOMERS_MANY, job_us);
+	printf("%u customers: %.2f us a job, table of %zu bytes\n",
+	       CUSTOMERS_MANY, job_us,
+	       BW_FAIR_CUSTOMERS_MAX * sizeof(struct bw_fair_share));
 	assert_true(job_us < JOB_US_MAX);
 	assert_ptr_equal(shares.table, table);
 	/* The customer with the most work has kept its place in the table. */
@@ -315,6 +344,7 @@
 		cmocka_unit_test(test_news),
 		cmocka_unit_test(test_news_after_restart),
 		cmocka_unit_test(test_gives_way_by_rank),
+		cmocka_unit_test(test_large_news),
 		cmocka_unit_test(test_many_customers),
 	};
 
