--- a/src/boragewingd/gateway/gate_entry.h
+++ b/src/boragewingd/gateway/gate_entry.h
@@ -17,6 +17,7 @@
 #include "gate_node.h"
 #include "gate_quota.h"
 #include "gate_refusal.h"
+#include "gate_shares.h"
 #include "platform.h"
 
 /** Outcome of a client request. */
@@ -151,6 +152,7 @@
 	uint64_t fetches_since; /**< since the active version came */
 	uint64_t received_bytes_since; /**< of configurations, likewise */
 	struct gate_refusals refusals;
+	struct gate_shares shares; /**< of customers, as shown last */
 };
 
 /** Opens the listeners. @return BW_OK, or BW_EIO, which is logged */
