customers: quotas serve more after restarts and near the quota

Entry hosts now report all leases at once when the term of the grants changes, the leader waits 1 s and keeps back the part of the hosts that it does not know yet, and hosts that have just started treat customers as open. Where hosts want more than is due, leases follow the requests closely instead of the wish with its reserve. Retry-After is exact to a part of the window.

--- a/include/bwcustomer/quota_grants.h
+++ b/include/bwcustomer/quota_grants.h
@@ -21,6 +21,8 @@
 	char host[BW_NAME_MAX];
 	uint64_t incarnation; /**< of its process */
 	uint64_t version; /**< of its configuration */
+	uint64_t term; /**< of the last grant; all its leases have been
+			    reported in this term */
 	uint64_t sent_ms; /**< by its clock */
 	uint64_t applied_ms; /**< sent_ms of the last report whose grants it
 				  has; 0: none */
@@ -35,6 +37,7 @@
 	uint64_t term; /**< in which this host grants, or did last */
 	struct bw_time since; /**< granting in this term */
 	uint32_t host_count; /**< entry hosts of the fleet */
+	uint32_t known_count; /**< of these, those whose leases are known */
 	struct bw_time next_sweep;
 	struct bw_time next_closed; /**< list of customers that are not open */
 	GHashTable *hosts; /**< name -> struct host */
--- a/include/bwcustomer/quota_shares.h
+++ b/include/bwcustomer/quota_shares.h
@@ -18,14 +18,20 @@
 	struct bw_quota_bounds bounds;
 	uint32_t host_count; /**< entry hosts; 0: unknown */
 	uint32_t host_index; /**< of this host among them */
+	uint64_t term; /**< in which the host grants that answered last */
 	GHashTable *shares; /**< customer hash -> struct share */
 	GHashTable *closed; /**< customer hash -> struct bw_quota_closed */
+	bool listed; /**< closed has been received */
 	struct bw_time open_until; /**< of the others */
 };
 
-/** Initialises the quotas of a host that has just started. */
+/**
+ * Initialises the quotas of a host that has just started. Customers are open at
+ * first: after a restart of all hosts there are no leases.
+ */
 void bw_quota_shares_init(struct bw_quota_shares *shares,
-			  const struct bw_quota_bounds *bounds);
+			  const struct bw_quota_bounds *bounds,
+			  struct bw_time now);
 
 /** Frees them. */
 void bw_quota_shares_finish(struct bw_quota_shares *shares);
@@ -62,6 +68,12 @@
 			  struct bw_quota_demand *demands, uint32_t max,
 			  struct bw_time now);
 
+/**
+ * Notes the term of the host that grants. In another term than before all
+ * demands are due at once, so that it knows all leases.
+ */
+void bw_quota_shares_set_term(struct bw_quota_shares *shares, uint64_t term);
+
 /**
  * Takes over a lease.
  * @param sent_at when the demand was sent that it answers; the lease ends
--- a/src/boragewingd/gateway/gate_quota.c
+++ b/src/boragewingd/gateway/gate_quota.c
@@ -21,7 +21,7 @@
 		.slack = settings->quota_slack,
 	};
 
-	bw_quota_shares_init(&quota->shares, &bounds);
+	bw_quota_shares_init(&quota->shares, &bounds, gate_node_now(node));
 	quota->refused = bw_metrics_get(
 		&node->metrics, BW_METRIC_COUNTER, "bw_quota_refused_total",
 		"Requests beyond the quota of their customer", "");
@@ -73,6 +73,7 @@
 	    message.incarnation != entry->node->incarnation ||
 	    message.sent_ms > (uint64_t)now.ms)
 		return;
+	bw_quota_shares_set_term(&quota->shares, message.term);
 	sent_at.ms = (int64_t)message.sent_ms;
 	quota->applied_ms = MAX(quota->applied_ms, message.sent_ms);
 	for (i = 0; i < message.grant_count; i++)
@@ -137,6 +138,7 @@
 	struct bw_quota_report report = {
 		.incarnation = node->incarnation,
 		.version = entry->routing ? entry->routing->version : 0,
+		.term = entry->quota.shares.term,
 		.sent_ms = (uint64_t)now.ms,
 		.applied_ms = entry->quota.applied_ms,
 		.demands = demands,
--- a/src/boragewingd/gateway/gate_wire.h
+++ b/src/boragewingd/gateway/gate_wire.h
@@ -245,6 +245,7 @@
 struct gate_quota_grant {
 	char host[BW_NAME_MAX]; /**< entry host; "": all, with a list */
 	uint64_t incarnation; /**< of its process */
+	uint64_t term; /**< in which the sender grants */
 	uint64_t sent_ms; /**< of the demand that this answers */
 	struct bw_quota_grant grants[GATE_QUOTAS_MAX];
 	uint32_t grant_count;
--- a/src/boragewingd/gateway/gate_wire_quota.c
+++ b/src/boragewingd/gateway/gate_wire_quota.c
@@ -24,10 +24,11 @@
 	struct bw_writer writer;
 	uint32_t i;
 
-	gate_message_begin(&writer, out, GATE_QUOTA_DEMAND, 6);
+	gate_message_begin(&writer, out, GATE_QUOTA_DEMAND, 7);
 	bw_write_str(&writer, report->host);
 	bw_write_uint(&writer, report->incarnation);
 	bw_write_uint(&writer, report->version);
+	bw_write_uint(&writer, report->term);
 	bw_write_uint(&writer, report->sent_ms);
 	bw_write_uint(&writer, report->applied_ms);
 	bw_write_array(&writer, DEMAND_VALUES * report->demand_count);
@@ -41,9 +42,10 @@
 	struct bw_writer writer;
 	uint32_t i;
 
-	gate_message_begin(&writer, out, GATE_QUOTA_GRANT, 5);
+	gate_message_begin(&writer, out, GATE_QUOTA_GRANT, 6);
 	bw_write_str(&writer, grant->host);
 	bw_write_uint(&writer, grant->incarnation);
+	bw_write_uint(&writer, grant->term);
 	bw_write_uint(&writer, grant->sent_ms);
 	bw_write_array(&writer, GRANT_VALUES * grant->grant_count);
 	for (i = 0; i < grant->grant_count; i++) {
@@ -68,6 +70,7 @@
 	bw_read_name(reader, report->host);
 	report->incarnation = bw_read_uint(reader);
 	report->version = bw_read_uint(reader);
+	report->term = bw_read_uint(reader);
 	report->sent_ms = bw_read_uint(reader);
 	report->applied_ms = bw_read_uint(reader);
 	report->demands = demand->demands;
@@ -85,6 +88,7 @@
 
 	bw_read_name(reader, grant->host);
 	grant->incarnation = bw_read_uint(reader);
+	grant->term = bw_read_uint(reader);
 	grant->sent_ms = bw_read_uint(reader);
 	grant->grant_count = read_count_(reader, GRANT_VALUES, GATE_QUOTAS_MAX);
 	for (i = 0; i < grant->grant_count; i++) {
--- a/src/boragewingd/gateway_control/gate_control_quota.c
+++ b/src/boragewingd/gateway_control/gate_control_quota.c
@@ -86,6 +86,7 @@
 		return;
 	bw_name_set(grant.host, demand->report.host);
 	grant.incarnation = demand->report.incarnation;
+	grant.term = control->quotas.term;
 	grant.sent_ms = demand->report.sent_ms;
 	grant.grant_count = demand->report.demand_count;
 	bw_metric_add(control->quota_demands, grant.grant_count);
--- a/src/libbwcustomer/quota_grants.c
+++ b/src/libbwcustomer/quota_grants.c
@@ -4,11 +4,8 @@
 
 #include "bwcustomer/quota_shares.h"
 
-/**
- * Time after which a new granting host knows the leases of the entry hosts in
- * touch: they send demands every 1.5 s.
- */
-#define TAKEOVER_MS 2500
+/** Time after which a new granting host knows most entry hosts in touch. */
+#define TAKEOVER_MS 1000
 
 /**
  * Time after which it knows which customers use much of their quota: where
@@ -16,8 +13,8 @@
  */
 #define CLOSED_KNOWN_MS 1000
 
-/** Interval at which the state is checked for what has ended. */
-#define SWEEP_INTERVAL_MS 500
+/** Parts of a window after each of which the state is updated. */
+#define SWEEPS 10
 
 /**
  * Fraction of what is due that is divided among the hosts that want more than
@@ -25,6 +22,12 @@
  */
 #define DIVIDED_FRACTION 0.97
 
+/**
+ * Requests of the time until the next lease that a host gets beyond the last
+ * ones, where hosts want more than there is.
+ */
+#define HEADROOM_TIGHT 0.08
+
 /** Interval of the list of customers that are not open. */
 #define CLOSED_INTERVAL_MS 400
 
@@ -60,6 +63,7 @@
 	uint64_t incarnation;
 	uint64_t sent_ms; /**< of the last report */
 	struct bw_time heard_at;
+	bool known; /**< it has reported all its leases */
 };
 
 /** What one entry host may use, and has used, of what is due to a customer. */
@@ -83,11 +87,13 @@
 	uint64_t hash;
 	struct bw_quota quota;
 	uint64_t version; /**< of the configuration with this quota */
-	double burst_left; /**< requests */
+	double burst_left[SWEEPS]; /**< requests, at the last updates */
+	uint32_t sweep; /**< of the last one */
 	struct bw_time refilled_at;
 	uint32_t exposure; /**< sum over holders */
 	uint32_t admitted; /**< the same */
 	uint32_t asked; /**< the same */
+	uint32_t wanted; /**< the same */
 	struct bw_quota_window fresh; /**< admitted, as reported */
 	bool closed; /**< not open; see quota.h */
 	struct bw_time closed_at;
@@ -128,6 +134,7 @@
 		   const struct customer *customer);
 static double keep_back_(const struct bw_quota_grants *grants, double due,
 			 struct bw_time now);
+static uint32_t need_(const struct holder *holder);
 static uint32_t level_(const struct customer *customer, double due);
 static uint32_t share_of_(const struct customer *customer,
 			  const struct holder *holder, double due);
@@ -172,6 +179,7 @@
 		return;
 	grants->term = term;
 	grants->since = now;
+	grants->known_count = 0;
 	g_hash_table_remove_all(grants->customers);
 	g_hash_table_remove_all(grants->hosts);
 }
@@ -198,6 +206,10 @@
 	host->incarnation = report->incarnation;
 	host->sent_ms = report->sent_ms;
 	host->heard_at = now;
+	if (!host->known && report->term == grants->term) {
+		host->known = true;
+		grants->known_count++;
+	}
 	for (i = 0; i < report->demand_count; i++) {
 		const struct bw_quota_demand *demand = &report->demands[i];
 		struct customer *customer =
@@ -207,11 +219,13 @@
 		customer->exposure -= exposure_(holder, now);
 		customer->admitted -= holder->admitted;
 		customer->asked -= holder->asked;
+		customer->wanted -= holder->wanted;
 		update_holder_(holder, host, report, demand,
 			       grants->bounds.window_ms, now);
 		customer->exposure += exposure_(holder, now);
 		customer->admitted += holder->admitted;
 		customer->asked += holder->asked;
+		customer->wanted += holder->wanted;
 		note_fresh_(grants, customer, demand->fresh, now);
 		update_closed_(grants, customer, now);
 		holder->leased = lease_(grants, customer, holder, now);
@@ -233,7 +247,8 @@
 
 	if (!bw_time_reached(now, grants->next_sweep))
 		return;
-	grants->next_sweep = bw_time_add(now, SWEEP_INTERVAL_MS);
+	grants->next_sweep =
+		bw_time_add(now, grants->bounds.window_ms / SWEEPS);
 	g_hash_table_iter_init(&iter, grants->customers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct customer *customer = value;
@@ -374,11 +389,13 @@
 {
 	struct customer *customer =
 		g_hash_table_lookup(grants->customers, &quota->customer_hash);
+	uint32_t i;
 
 	if (!customer) {
 		customer = g_new0(struct customer, 1);
 		customer->hash = quota->customer_hash;
-		customer->burst_left = quota->burst;
+		for (i = 0; i < SWEEPS; i++)
+			customer->burst_left[i] = quota->burst;
 		customer->refilled_at = now;
 		customer->work_since = now;
 		customer->holders =
@@ -389,7 +406,6 @@
 	if (report->version >= customer->version) {
 		customer->version = report->version;
 		customer->quota = *quota;
-		customer->burst_left = MIN(customer->burst_left, quota->burst);
 	}
 	return customer;
 }
@@ -493,11 +509,13 @@
 	return MIN(share, (uint32_t)MAX(room, (double)held));
 }
 
+/* A window may have the rate, and the burst that was left when it began. */
 static double due_(const struct bw_quota_grants *grants,
 		   const struct customer *customer)
 {
 	return customer->quota.rate_per_s * grants->bounds.window_ms / 1000.0 +
-	       customer->burst_left;
+	       MIN(customer->burst_left[(customer->sweep + 1) % SWEEPS],
+		   customer->quota.burst);
 }
 
 /*
@@ -507,13 +525,22 @@
 static double keep_back_(const struct bw_quota_grants *grants, double due,
 			 struct bw_time now)
 {
-	uint32_t heard = g_hash_table_size(grants->hosts);
+	uint32_t known = grants->known_count;
 
-	if (heard >= grants->host_count ||
+	if (known >= grants->host_count ||
 	    bw_time_diff_ms(now, grants->since) >=
 		    BW_QUOTA_LEASE_MS + (int64_t)grants->bounds.window_ms)
 		return due;
-	return due * heard / grants->host_count;
+	return due * known / grants->host_count;
+}
+
+/* Returns the lease with which a host keeps up with its requests. */
+static uint32_t need_(const struct holder *holder)
+{
+	uint32_t asked = holder->asked - MIN(holder->unleased, holder->asked);
+	uint32_t need = asked + 1 + (uint32_t)(HEADROOM_TIGHT * holder->asked);
+
+	return MIN(need, holder->wanted);
 }
 
 /* Returns the most that each host gets if all want more than there is. */
@@ -531,7 +558,7 @@
 			const struct holder *holder = &g_array_index(
 				customer->holders, struct holder, i);
 
-			sum += MIN(holder->wanted, middle);
+			sum += MIN(need_(holder), middle);
 		}
 		if (sum <= due)
 			low = middle;
@@ -548,11 +575,12 @@
 static uint32_t share_of_(const struct customer *customer,
 			  const struct holder *holder, double due)
 {
-	uint32_t level = level_(customer, DIVIDED_FRACTION * due);
+	uint32_t level;
 
-	if (holder->wanted <= level)
+	if (customer->wanted <= DIVIDED_FRACTION * due)
 		return holder->wanted;
-	return level + 1;
+	level = level_(customer, DIVIDED_FRACTION * due);
+	return MIN(need_(holder), level + 1);
 }
 
 static void sweep_customer_(struct bw_quota_grants *grants,
@@ -565,6 +593,7 @@
 	customer->exposure = 0;
 	customer->admitted = 0;
 	customer->asked = 0;
+	customer->wanted = 0;
 	while (i < holders->len) {
 		struct holder *holder =
 			&g_array_index(holders, struct holder, i);
@@ -582,6 +611,7 @@
 		customer->exposure += exposure;
 		customer->admitted += holder->admitted;
 		customer->asked += holder->asked;
+		customer->wanted += holder->wanted;
 		i++;
 	}
 }
@@ -598,8 +628,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct host *host = value;
 
-		if (bw_time_diff_ms(now, host->heard_at) > kept_ms)
-			g_hash_table_iter_remove(&iter);
+		if (bw_time_diff_ms(now, host->heard_at) <= kept_ms)
+			continue;
+		grants->known_count -= host->known;
+		g_hash_table_iter_remove(&iter);
 	}
 }
 
@@ -610,13 +642,15 @@
 	double elapsed_s =
 		(double)bw_time_diff_ms(now, customer->refilled_at) / 1000.0;
 
+	double left = customer->burst_left[customer->sweep];
+
 	customer->refilled_at = now;
-	customer->burst_left +=
-		elapsed_s * (customer->quota.rate_per_s -
+	left += elapsed_s * (customer->quota.rate_per_s -
 			     used_(grants, customer, now) * 1000.0 /
 				     grants->bounds.window_ms);
-	customer->burst_left =
-		CLAMP(customer->burst_left, 0.0, customer->quota.burst);
+	customer->sweep = (customer->sweep + 1) % SWEEPS;
+	customer->burst_left[customer->sweep] =
+		CLAMP(left, 0.0, customer->quota.burst);
 }
 
 static void update_work_(struct customer *customer, struct bw_time now)
--- a/src/libbwcustomer/quota_shares.c
+++ b/src/libbwcustomer/quota_shares.c
@@ -29,8 +29,12 @@
 #define OPEN_MORE 2
 #define OPEN_MORE_DUE_PER_HOST 3.2
 
-/** Retry-After of a request that a lease can admit which is on its way. */
+/**
+ * Retry-After of a request that the next lease can admit: the last one was
+ * exceeded by little.
+ */
 #define RETRY_AFTER_LEASE_MS 400
+#define RISE_MIN 2
 
 /** The share of one customer. */
 struct share {
@@ -85,10 +89,12 @@
 			 struct bw_time now);
 
 void bw_quota_shares_init(struct bw_quota_shares *shares,
-			  const struct bw_quota_bounds *bounds)
+			  const struct bw_quota_bounds *bounds,
+			  struct bw_time now)
 {
 	memset(shares, 0, sizeof(*shares));
 	shares->bounds = *bounds;
+	shares->open_until = bw_time_add(now, BW_QUOTA_OPEN_MS);
 	shares->shares = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, g_free);
 	shares->closed = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -189,6 +195,22 @@
 	return count;
 }
 
+void bw_quota_shares_set_term(struct bw_quota_shares *shares, uint64_t term)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (term <= shares->term)
+		return;
+	shares->term = term;
+	g_hash_table_iter_init(&iter, shares->shares);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct share *share = value;
+
+		share->demanded_at.ms = 0;
+	}
+}
+
 void bw_quota_lease(struct bw_quota_shares *shares,
 		    const struct bw_quota_grant *grant, struct bw_time sent_at,
 		    struct bw_time now)
@@ -217,6 +239,7 @@
 {
 	uint32_t i;
 
+	shares->listed = true;
 	shares->open_until = bw_time_add(now, BW_QUOTA_OPEN_MS);
 	g_hash_table_remove_all(shares->closed);
 	for (i = 0; i < count; i++) {
@@ -311,6 +334,8 @@
 		return 0;
 	if (closed)
 		return is_open_here_(shares, closed);
+	if (!shares->listed)
+		return OPEN_LESS;
 	if (due_per_host >= BW_QUOTA_LARGE_DUE_PER_HOST)
 		return !leased_(shares, share, now);
 	return due_per_host >= OPEN_MORE_DUE_PER_HOST ? OPEN_MORE : OPEN_LESS;
@@ -357,20 +382,20 @@
 	struct bw_time first;
 	int64_t age;
 
-	if (!allowed)
+	if (share->asked.sum <= allowed + HEADROOM * allowed + RISE_MIN)
 		return RETRY_AFTER_LEASE_MS;
-	for (age = BW_QUOTA_SLOTS - 1; age > 0 && sum >= allowed; age--)
+	for (age = BW_QUOTA_SLOTS - 1; age >= 0 && sum >= allowed; age--)
 		sum -= admitted->counts[(admitted->slot - age +
 					 BW_QUOTA_SLOTS) %
 					BW_QUOTA_SLOTS];
-	first = bw_time_add(now, (BW_QUOTA_SLOTS - 1 - age) * slot_ms);
+	first.ms = (admitted->slot - age + BW_QUOTA_SLOTS - 1) * slot_ms;
 	if (bw_time_reached(first, share->room_at))
 		share->room_at = first;
 	else
 		share->room_at =
 			bw_time_add(share->room_at, 1 + window_ms / allowed);
-	if (bw_time_diff_ms(share->room_at, now) > window_ms)
-		share->room_at = bw_time_add(now, window_ms);
+	if (bw_time_diff_ms(share->room_at, now) > window_ms + slot_ms)
+		share->room_at = bw_time_add(now, window_ms + slot_ms);
 	return (uint32_t)MAX(bw_time_diff_ms(share->room_at, now), 1);
 }
 
--- a/src/test_libbwcustomer/quota_fleet.c
+++ b/src/test_libbwcustomer/quota_fleet.c
@@ -27,6 +27,7 @@
 	struct bw_time arrives_at;
 	uint32_t host;
 	uint64_t incarnation;
+	uint64_t term; /**< of the host that grants */
 	bool answer;
 	bool to_all; /**< lists customers that are not open */
 	struct bw_quota_closed closed[BW_QUOTA_CLOSED_MAX];
@@ -171,7 +172,7 @@
 {
 	struct fleet_host *started = &fleet->hosts[host];
 
-	bw_quota_shares_init(&started->shares, &fleet->bounds);
+	bw_quota_shares_init(&started->shares, &fleet->bounds, fleet->now);
 	bw_quota_shares_set_hosts(&started->shares, fleet->host_count, host);
 	started->incarnation++;
 	started->applied_ms = 0;
@@ -198,6 +199,7 @@
 	bw_name_set(message->report.host, host->name);
 	message->report.incarnation = host->incarnation;
 	message->report.version = host->version;
+	message->report.term = host->shares.term;
 	message->report.sent_ms = (uint64_t)fleet->now.ms;
 	message->report.applied_ms = host->applied_ms;
 	message->report.demand_count = count;
@@ -239,6 +241,7 @@
 		g_free(answer);
 	} else {
 		answer->answer = true;
+		answer->term = fleet->granters[fleet->granter].term;
 		answer->arrives_at = bw_time_add(fleet->now, MESSAGE_MS);
 		g_queue_push_tail(&fleet->messages, answer);
 		fleet->message_count++;
@@ -255,6 +258,8 @@
 	struct bw_time sent_at = { (int64_t)message->report.sent_ms };
 	uint32_t i;
 
+	if (message->incarnation == host->incarnation)
+		bw_quota_shares_set_term(&host->shares, message->term);
 	for (i = 0; i < message->report.demand_count &&
 		    message->incarnation == host->incarnation;
 	     i++)
--- a/src/test_libbwcustomer/test_quota_fleet.c
+++ b/src/test_libbwcustomer/test_quota_fleet.c
@@ -237,6 +237,47 @@
 	}
 }
 
+/* All hosts lose their power, and another host grants. */
+static void test_restart_of_all(void **state)
+{
+	struct fleet fleet;
+	uint32_t i;
+	uint32_t k;
+
+	(void)state;
+	for (i = 0; i < sizeof(rates) / sizeof(rates[0]); i++) {
+		fleet_init(&fleet, seed_, HOSTS, rates[i], rates[i]);
+		fleet_run(&fleet, 10000, USUAL * rates[i], 0, HOSTS);
+		for (k = 0; k < HOSTS; k++)
+			fleet_restart(&fleet, k);
+		fleet_set_granter(&fleet, 1);
+		fleet_run(&fleet, 3000, USUAL * rates[i], 0, HOSTS);
+		assert_within_(&fleet, "restart of all, first 3 s");
+		fleet_reset_counts(&fleet);
+		fleet_run(&fleet, 5000, USUAL * rates[i], 0, HOSTS);
+		assert_within_(&fleet, "restart of all, later");
+		if (rates[i] >= 40)
+			assert_true(served_(&fleet,
+					    (double)fleet.asked_count) >= 0.95);
+		fleet_finish(&fleet);
+	}
+}
+
+/* What is due in the next window is the rate and the burst. */
+static void test_little_more_than_the_quota(void **state)
+{
+	struct fleet fleet;
+
+	(void)state;
+	fleet_init(&fleet, seed_, HOSTS, 600, 600);
+	fleet_run(&fleet, 10000, USUAL * 600, 0, HOSTS);
+	fleet_reset_counts(&fleet);
+	fleet_run(&fleet, 5000, 1.2 * 600, 0, HOSTS);
+	assert_within_(&fleet, "1.2 of the quota, 5 s");
+	assert_true(served_(&fleet, (double)fleet.asked_count) >= 0.95);
+	fleet_finish(&fleet);
+}
+
 /* At least half of what callers ask of the hosts that are cut off is served. */
 static void test_served_in_cuts(void **state)
 {
@@ -286,6 +327,8 @@
 		cmocka_unit_test(test_cut),
 		cmocka_unit_test(test_restarts),
 		cmocka_unit_test(test_change_of_granting_host),
+		cmocka_unit_test(test_restart_of_all),
+		cmocka_unit_test(test_little_more_than_the_quota),
 		cmocka_unit_test(test_lowered_quota),
 	};
 
