--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -252,6 +252,14 @@
 			MAX(target->other_requests, (double)target->slots);
 		target->reported_at = now;
 		break;
+	case BW_JOB_EXPIRED:
+		/*
+		 * A request that waits for a slot of a full server until its
+		 * deadline shows no failure of the server.
+		 */
+		if (!load || load->running < target->slots)
+			record_failure_(target, now);
+		break;
 	case BW_JOB_CANCELLED:
 		break;
 	}
