steer: hosts of a region share the home of an object where servers tell their speed

Cause: the weights of rendezvous hashing followed the request fractions of the host's own failure domain, so the hosts of two domains of a region kept each object on two servers.

Change: for services whose servers tell their speed, each slot of a region gets the same weight. What the region gets in all still follows the fractions.

--- a/src/libbwsteer/dispatch_end.c
+++ b/src/libbwsteer/dispatch_end.c
@@ -60,7 +60,6 @@
 static bool place_in_spare_(struct bw_dispatch *dispatch, struct bw_job *job,
 			    const struct dispatch_candidates *found,
 			    double left_ms, struct bw_time now);
-static double busy_(const struct bw_target *target, struct bw_time now);
 static bool assign_(struct bw_dispatch *dispatch, struct bw_job *job,
 		    const struct option *option, struct bw_time now);
 
@@ -203,7 +202,7 @@
 		       &work);
 	extra_ms = work.usual_ms - dispatch_run_ms(dispatch, job);
 	option->wait_ms =
-		bw_work_wait_ms(busy_(target, now), target->slots,
+		bw_work_wait_ms(dispatch_busy(target, now), target->slots,
 				job->service->service_time_ms * factor);
 	option->end_ms = network_ms[target->distance] + option->wait_ms +
 			 work.usual_ms * factor;
@@ -250,7 +249,7 @@
  * Returns the requests that are expected at a server. An old report of a
  * service says less of one server than the mean of all.
  */
-static double busy_(const struct bw_target *target, struct bw_time now)
+double dispatch_busy(const struct bw_target *target, struct bw_time now)
 {
 	double age_ms = (double)bw_time_diff_ms(now, target->reported_at);
 	double mean = target->service->mean_load * target->slots;
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -59,6 +59,12 @@
  */
 #define OVERCOMMIT_FRACTION 0.5
 
+/**
+ * The same where the expected load does not decrease with the age of a report:
+ * a queue at a server knows neither ranks nor deadlines.
+ */
+#define OVERCOMMIT_FRACTION_KNOWN 0.5
+
 /**
  * Factor on the expected wait for the queued requests of other hosts, which no
  * report includes.
@@ -79,7 +85,10 @@
 			       struct dispatch_candidates *found);
 static double rendezvous_point_(const struct bw_job *job,
 				const struct bw_target *target);
-static double rendezvous_weight_(const struct bw_target *target);
+static double rendezvous_weight_(const struct bw_target *target,
+				 const double *slot_fractions);
+static void pool_fractions_(const struct bw_dispatch_service *service,
+			    double *slot_fractions);
 static bool has_cold_token_(const struct bw_dispatch *dispatch,
 			    struct bw_target *target, struct bw_time now);
 static uint64_t pair_hash_(const struct bw_job *job,
@@ -367,14 +376,16 @@
 {
 	const GPtrArray *targets = job->service->targets;
 	double scores[BW_JOB_CANDIDATES_MAX + 1];
+	double slot_fractions[BW_REGIONS_MAX];
 	uint32_t i;
 
+	pool_fractions_(job->service, slot_fractions);
 	found->count = 0;
 	for (i = 0; i < targets->len; i++) {
 		struct bw_target *target = targets->pdata[i];
 		uint32_t position = found->count;
 		double point = rendezvous_point_(job, target);
-		double weight = rendezvous_weight_(target);
+		double weight = rendezvous_weight_(target, slot_fractions);
 		double score;
 
 		if (position == BW_JOB_CANDIDATES_MAX &&
@@ -414,9 +425,43 @@
 	       (double)(1ULL << 53);
 }
 
-static double rendezvous_weight_(const struct bw_target *target)
+/*
+ * Where the work of a request depends much on whether its object is in memory,
+ * the servers of a region are weighted alike, so that the hosts of its failure
+ * domains agree on the home of an object.
+ */
+static double rendezvous_weight_(const struct bw_target *target,
+				 const double *slot_fractions)
 {
-	return MAX(target->fraction * target->correction, FRACTION_MIN);
+	double fraction = target->fraction;
+
+	if (target->service->tells_speed)
+		fraction = slot_fractions[target->region] * target->slots;
+	return MAX(fraction * target->correction, FRACTION_MIN);
+}
+
+/* Fills in the fraction of a slot in each region. */
+static void pool_fractions_(const struct bw_dispatch_service *service,
+			    double *slot_fractions)
+{
+	double slots[BW_REGIONS_MAX] = { 0 };
+	uint32_t i;
+
+	memset(slot_fractions, 0, BW_REGIONS_MAX * sizeof(*slot_fractions));
+	if (!service->tells_speed)
+		return;
+	for (i = 0; i < service->targets->len; i++) {
+		const struct bw_target *target = service->targets->pdata[i];
+
+		if (target->fraction < 0.0 || !target->accepts)
+			continue;
+		slot_fractions[target->region] += target->fraction;
+		slots[target->region] += target->slots;
+	}
+	for (i = 0; i < BW_REGIONS_MAX; i++) {
+		if (slots[i] > 0.0)
+			slot_fractions[i] /= slots[i];
+	}
 }
 
 bool dispatch_has_own_report(const struct bw_target *target, struct bw_time now)
@@ -470,14 +515,20 @@
 
 double dispatch_free_slots(const struct bw_target *target, struct bw_time now)
 {
+	if (target->service->tells_speed)
+		return (double)target->slots - dispatch_busy(target, now);
 	return (double)target->slots - (double)target->in_flight -
 	       dispatch_other_requests(target, now);
 }
 
 bool dispatch_has_slot(const struct bw_target *target, struct bw_time now)
 {
+	double overcommit = target->service->tells_speed
+				    ? OVERCOMMIT_FRACTION_KNOWN
+				    : OVERCOMMIT_FRACTION;
+
 	return dispatch_free_slots(target, now) >=
-	       0.5 - OVERCOMMIT_FRACTION * (double)target->slots;
+	       0.5 - overcommit * (double)target->slots;
 }
 
 /*
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -87,6 +87,12 @@
 double dispatch_other_requests(const struct bw_target *target,
 			       struct bw_time now);
 
+/**
+ * Returns the expected number of requests at a server of a service that tells
+ * its speed; with the age of its report it returns to the mean of the service.
+ */
+double dispatch_busy(const struct bw_target *target, struct bw_time now);
+
 /** Returns whether this host sent a job's object to a server recently. */
 bool dispatch_is_warm(const struct bw_dispatch *dispatch,
 		      const struct bw_job *job, const struct bw_target *target,
