steer: plays of servers that tell their speed; reject what no server ends

Cause: nothing played slow spells, long tails, stale or false words.

A job is rejected on arrival when no server that its object prefers ends it before its deadline, by what is usual of each server. Figures that can't be read are tested in platform and gate_wire.

--- a/include/bwwork/speed.h
+++ b/include/bwwork/speed.h
@@ -42,6 +42,9 @@
  */
 double bw_speed_factor(const struct bw_speed *speed, struct bw_time now);
 
+/** Returns the factor that is usual of the server, whatever its last word. */
+double bw_speed_usual(const struct bw_speed *speed);
+
 /**
  * Returns the factor by what the server said, whether it is trusted or not;
  * with its age the last word returns to the mean of all.
--- a/src/libbwsteer/dispatch_end.c
+++ b/src/libbwsteer/dispatch_end.c
@@ -107,7 +107,9 @@
 			       familiarity_(dispatch, job, target, i, now),
 			       &work);
 		/* A spell may end while the job waits. */
-		if (work.usual_ms + network_ms[target->distance] <= left_ms)
+		if (work.usual_ms * bw_speed_usual(&target->speed) +
+			    network_ms[target->distance] <=
+		    left_ms)
 			return false;
 	}
 	return found.count > 0;
--- a/src/libbwwork/speed.c
+++ b/src/libbwwork/speed.c
@@ -104,9 +104,14 @@
 	speed->bias = clamp_(speed->bias, BIAS_MAX);
 }
 
+double bw_speed_usual(const struct bw_speed *speed)
+{
+	return speed->usual * exp(speed->bias);
+}
+
 double bw_speed_usual_ms(const struct bw_speed *speed, double measured_ms)
 {
-	return measured_ms / (speed->usual * exp(speed->bias));
+	return measured_ms / bw_speed_usual(speed);
 }
 
 bool bw_speed_is_trusted(const struct bw_speed *speed)
--- a/src/test_boragewingd/test_gate_wire.c
+++ b/src/test_boragewingd/test_gate_wire.c
@@ -91,6 +91,7 @@
 	hello.load_count = 2;
 	hello.loads[0].id_hash = 21;
 	hello.loads[0].outstanding = 3;
+	hello.loads[0].time_percent = 90;
 	hello.loads[1].id_hash = 22;
 	hello.loads[1].leaving = true;
 	hello.loads[1].started_wall_ms = -5;
@@ -163,6 +164,7 @@
 	loads.loads[0].outstanding = 9;
 	loads.loads[1].id_hash = 42;
 	loads.loads[1].limit_millirequests_per_s = 2500;
+	loads.loads[1].time_percent = 250;
 	gate_loads_write(out, &loads);
 }
 
@@ -213,6 +215,7 @@
 	assert_int_equal(message_.type, GATE_HELLO);
 	assert_int_equal(message_.hello.loads[0].outstanding, 3);
 	assert_false(message_.hello.loads[0].leaving);
+	assert_int_equal(message_.hello.loads[0].time_percent, 90);
 	assert_int_equal(message_.hello.loads[1].started_wall_ms, -5);
 	assert_int_equal(message_.hello.control_count, 27);
 	assert_true(message_.hello.accepts_silence);
@@ -242,6 +245,8 @@
 	assert_int_equal(message_.type, GATE_LOADS);
 	assert_int_equal(message_.loads.loads[1].limit_millirequests_per_s,
 			 2500);
+	assert_int_equal(message_.loads.loads[0].time_percent, 0);
+	assert_int_equal(message_.loads.loads[1].time_percent, 250);
 	write_and_read_(write_fleet_);
 	assert_int_equal(message_.type, GATE_FLEET);
 	assert_string_equal(message_.fleet.hosts[0].name, "10.0.0.7:80");
--- a/src/test_libbwsteer/dispatch_model.c
+++ b/src/test_libbwsteer/dispatch_model.c
@@ -22,6 +22,7 @@
 #define DEADLINE_MS 2500
 #define TICK_MS 5
 #define MEASURE_FROM_MS 10000
+#define TAIL_FACTOR 7.0
 
 /* A request of the model. */
 struct request {
@@ -43,6 +44,8 @@
 	uint32_t memory_count;
 	uint32_t domain;
 	bool lost;
+	double factor; /* on the time of runs that begin now */
+	bool lies;
 };
 
 /* The model. */
@@ -106,6 +109,7 @@
 			result->on_time++;
 		} else {
 			result->late++;
+			result->timeouts += took_ms > DEADLINE_MS;
 		}
 	}
 	g_free(request);
@@ -169,20 +173,54 @@
 	return known;
 }
 
-static int64_t run_time_ms_(struct model *model, bool warm)
+static int64_t run_time_ms_(struct model *model, const struct server *server,
+			    bool warm)
 {
 	double spread = 0.85 + 0.3 * bw_random_unit(&model->random);
 
+	if (server)
+		spread *= server->factor;
+	if (model->load->tail_percent &&
+	    bw_random_below(&model->random, 100) < model->load->tail_percent)
+		spread *= TAIL_FACTOR;
 	return (int64_t)((warm ? WARM_MS : COLD_MS) * spread);
 }
 
+/* Draws the spells of all servers anew. */
+static void draw_spells_(struct model *model)
+{
+	const struct model_load *load = model->load;
+	uint32_t i;
+
+	for (i = 0; i < SERVERS; i++) {
+		struct server *server = &model->servers[i];
+
+		server->lies = load->words == MODEL_FALSE_SOME && i % 4 == 0;
+		server->factor = 1.0;
+		if (load->slow_percent &&
+		    bw_random_below(&model->random, 100) < load->slow_percent)
+			server->factor = load->slow_factor;
+		if (server->lies)
+			server->factor = 3.0;
+	}
+}
+
+/* Returns what a server says of its speed. */
+static uint32_t word_(const struct model *model, const struct server *server)
+{
+	if (model->load->words == MODEL_SILENT)
+		return 0;
+	return server->lies ? 50 : (uint32_t)(100.0 * server->factor);
+}
+
 static void end_request_(struct model *model, struct request *request,
 			 enum bw_job_result result)
 {
 	struct server *server = &model->servers[request->server];
 	struct bw_load_report load = { .running = server->running.length,
 				       .waiting = server->waiting.length,
-				       .slots = SLOTS };
+				       .slots = SLOTS,
+				       .time_percent = word_(model, server) };
 	uint32_t host = request->host;
 	uint32_t domain = host_domains[host];
 
@@ -232,9 +270,11 @@
 			g_queue_delete_link(&server->waiting, item);
 			request->end_ms =
 				model->now_ms +
-				run_time_ms_(model,
+				run_time_ms_(model, server,
 					     access_object_(server,
 							    request->object));
+			model->result->runs++;
+			model->result->false_runs += server->lies;
 			g_queue_push_tail(&server->running, request);
 		}
 		item = next;
@@ -270,7 +310,8 @@
 			complete_(model, request, true);
 			continue;
 		}
-		request->end_ms = model->now_ms + run_time_ms_(model, true);
+		request->end_ms =
+			model->now_ms + run_time_ms_(model, NULL, true);
 		g_queue_push_tail(&model->bound_running, request);
 	}
 }
@@ -329,6 +370,7 @@
 			bw_dispatch_service(&model->hosts[request->host], "s");
 	job->owner = request;
 	job->object = bw_dispatch_object_hash("s", key);
+	job->work_key = bw_dispatch_object_hash("s", "route");
 	job->arrived = now_(model);
 	job->objective = bw_time_add(now_(model), OBJECTIVE_MS);
 	job->deadline = bw_time_add(now_(model), DEADLINE_MS);
@@ -390,10 +432,15 @@
 			if (!target || !target->load_report_pending)
 				continue;
 			target->load_report_pending = false;
-			for (k = 0; k < HOSTS; k++)
+			for (k = 0; k < HOSTS; k++) {
 				bw_dispatch_note_load(&model->hosts[k], id,
 						      target->reported_requests,
 						      now_(model));
+				bw_dispatch_note_shared_speed(
+					&model->hosts[k], id,
+					bw_dispatch_unusual_percent(target),
+					now_(model));
+			}
 		}
 	}
 }
@@ -433,6 +480,8 @@
 	const struct model_load *load = model->load;
 	uint32_t i;
 
+	if (!load->spell_ms || model->now_ms % load->spell_ms == 0)
+		draw_spells_(model);
 	for (i = 0; i < SERVERS; i++)
 		model->servers[i].lost =
 			server_domains[i] == load->lost_domain &&
--- a/src/test_libbwsteer/dispatch_model.h
+++ b/src/test_libbwsteer/dispatch_model.h
@@ -15,6 +15,15 @@
 	MODEL_BOUND
 };
 
+/* What servers say of their speed. */
+enum model_words {
+	MODEL_SILENT,
+	MODEL_TRUE, /* the factor of the moment */
+	MODEL_FALSE_SOME /* every fourth server is three times as slow as usual
+			    and says that it is twice as fast; the others say
+			    the truth */
+};
+
 /* A load. */
 struct model_load {
 	uint32_t rates_per_s[6]; /* by failure domain */
@@ -22,6 +31,11 @@
 	int64_t length_ms;
 	uint32_t lost_domain; /* without servers from 15 s to 25 s; 6: none */
 	uint64_t seed;
+	enum model_words words;
+	uint32_t slow_percent; /* of the servers, for spells of spell_ms */
+	double slow_factor; /* on the time of runs that begin in a spell */
+	uint32_t spell_ms;
+	uint32_t tail_percent; /* of the runs take seven times as long */
 };
 
 /* Results of the requests that arrived from 10 s on. */
@@ -32,6 +46,9 @@
 	uint32_t rejected;
 	int64_t rejected_wait_ms; /* longest time before a rejection */
 	double far_share; /* of the answers */
+	uint32_t false_runs; /* at servers whose words are false */
+	uint32_t runs; /* at all servers */
+	uint32_t timeouts; /* answers after the deadline */
 };
 
 void dispatch_model_run(enum model_policy policy, const struct model_load *load,
--- a/src/test_platform/test_platform.c
+++ b/src/test_platform/test_platform.c
@@ -434,6 +434,34 @@
 	assert_false(platform_load_read("many", &load));
 }
 
+/* A speed that can't be read must not cost the other figures. */
+static void test_load_report_with_speed(void **state)
+{
+	static const char *const unreadable[] = { "3,0,8,",	"3,0,8,fast",
+						  "3,0,8,-5",	"3,0,8,nan",
+						  "3,0,8,100%", "3,0,8,0",
+						  "3,0,8,1e999" };
+	struct bw_load_report load;
+	size_t i;
+
+	(void)state;
+	assert_true(platform_load_read("3,0,8", &load));
+	assert_int_equal(load.time_percent, 0);
+	assert_false(load.time_unreadable);
+	assert_true(platform_load_read("3,0,8,250", &load));
+	assert_int_equal(load.time_percent, 250);
+	assert_false(load.time_unreadable);
+	assert_true(platform_load_read("3,0,8,1e30", &load));
+	assert_in_range(load.time_percent, 2000, UINT32_MAX);
+	for (i = 0; i < sizeof(unreadable) / sizeof(unreadable[0]); i++) {
+		assert_true(platform_load_read(unreadable[i], &load));
+		assert_int_equal(load.running, 3);
+		assert_int_equal(load.slots, 8);
+		assert_int_equal(load.time_percent, 0);
+		assert_true(load.time_unreadable);
+	}
+}
+
 static void write_settings_(const char *path, const char *text)
 {
 	FILE *file = fopen(path, "w");
@@ -518,6 +546,7 @@
 		cmocka_unit_test(test_corrupted_input),
 		cmocka_unit_test(test_calls),
 		cmocka_unit_test(test_load_report),
+		cmocka_unit_test(test_load_report_with_speed),
 		cmocka_unit_test(test_limit_of_server),
 		cmocka_unit_test(test_settings),
 	};
