--- a/src/libbwcustomer/fair_share.c
+++ b/src/libbwcustomer/fair_share.c
@@ -32,6 +32,7 @@
 /** What the customers of one rank get, here or at all hosts. */
 struct room {
 	double work_ms_per_s;
+	double asked_ms_per_s;
 	double customers;
 	double served_fraction; /**< part that runs of what all ask for */
 };
@@ -48,6 +49,8 @@
 		     uint32_t rank, double job_ms, struct bw_time now);
 static void measure_room_(struct bw_fair_shares *shares, uint32_t rank,
 			  struct bw_time now, struct room *room);
+static void add_other_hosts_(struct bw_fair_shares *shares, uint32_t rank,
+			     struct bw_time now, struct room *room);
 static struct bw_fair_rate total_rate_(struct bw_fair_shares *shares,
 				       struct bw_time now);
 static struct bw_fair_rate other_hosts_(const struct bw_fair_shares *shares,
@@ -305,39 +308,47 @@
 	return MIN(used_per_s / entitled_per_s, LEVEL_MAX);
 }
 
-/*
- * The work at other hosts is known for all ranks together; it is divided like
- * that of this host.
- */
 static void measure_room_(struct bw_fair_shares *shares, uint32_t rank,
 			  struct bw_time now, struct room *room)
 {
-	struct bw_fair_rate all = total_rate_(shares, now);
 	const struct bw_fair_total *total = &shares->totals[rank];
-	double asked_per_s = fair_rate_per_s(total->asked_ms);
 
+	decay_total_(&shares->totals[rank], now);
 	room->work_ms_per_s = fair_rate_per_s(total->work_ms);
+	room->asked_ms_per_s = fair_rate_per_s(total->asked_ms);
 	room->customers = total->customers;
-	if (fair_is_fresh(shares->fleet_at, now) && shares->active) {
-		double part = all.asked_ms_per_s > 0.0
-				      ? asked_per_s / all.asked_ms_per_s
-				      : 1.0;
-		double customers = (double)shares->fleet_customers *
-				   total->customers / shares->active;
-
-		/* Otherwise other hosts are taken to serve as much as this. */
-		if (shares->others.asked_ms_per_s > 0.0)
-			asked_per_s += part * shares->others.asked_ms_per_s;
-		else if (room->work_ms_per_s > 0.0)
-			asked_per_s *=
-				1.0 + part * shares->others.work_ms_per_s /
-					      room->work_ms_per_s;
-		room->work_ms_per_s += part * shares->others.work_ms_per_s;
-		room->customers = MAX(room->customers, customers);
-	}
+	if (fair_is_fresh(shares->fleet_at, now) && shares->active)
+		add_other_hosts_(shares, rank, now, room);
 	room->served_fraction = 1.0;
-	if (asked_per_s > room->work_ms_per_s)
-		room->served_fraction = room->work_ms_per_s / asked_per_s;
+	if (room->asked_ms_per_s > room->work_ms_per_s)
+		room->served_fraction =
+			room->work_ms_per_s / room->asked_ms_per_s;
+}
+
+/*
+ * Adds the work at other hosts. It is known for all ranks together, and divided
+ * like that of this host. If they do not tell what was asked for, they are
+ * taken to serve the same part of it.
+ */
+static void add_other_hosts_(struct bw_fair_shares *shares, uint32_t rank,
+			     struct bw_time now, struct room *room)
+{
+	const struct bw_fair_rate *others = &shares->others;
+	double own_asked_per_s = total_rate_(shares, now).asked_ms_per_s;
+	double part = 1.0;
+	double customers = (double)shares->fleet_customers *
+			   shares->totals[rank].customers / shares->active;
+
+	if (own_asked_per_s > 0.0)
+		part = room->asked_ms_per_s / own_asked_per_s;
+	if (others->asked_ms_per_s > 0.0)
+		room->asked_ms_per_s += part * others->asked_ms_per_s;
+	else if (room->work_ms_per_s > 0.0)
+		room->asked_ms_per_s += room->asked_ms_per_s * part *
+					others->work_ms_per_s /
+					room->work_ms_per_s;
+	room->work_ms_per_s += part * others->work_ms_per_s;
+	room->customers = MAX(room->customers, customers);
 }
 
 static struct bw_fair_rate total_rate_(struct bw_fair_shares *shares,
