dispatch: give way by the load of all servers together

Cause: a customer beyond its share gives way only while servers have no room to spare. One server with a load below 0.75 was enough to say that they have, and among 126 servers, whose reported load counts half after 500 ms, there is always one. Change: the load of all servers with a report of the last 2 s, taken together. Measured: test_dispatch_shares has a test of it with the dispatcher; test_dispatch*, test_fair_share* and test_traffic pass (8 of 8).

--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -27,11 +27,14 @@
 #define WAIT_CHECK_INTERVAL_MS 50
 
 /**
- * Load of a server below which it has room to spare; jobs of customers beyond
- * their share then need not give way to those of other hosts.
+ * Load of the servers of a service below which they have room to spare; jobs of
+ * customers beyond their share then need not give way to those of other hosts.
  */
 #define SPARE_LOAD 0.75
 
+/** Age at which the load of a server is no longer counted for this. */
+#define SPARE_REPORT_AGE_MS 2000
+
 static void free_service_(gpointer data);
 static struct bw_time cold_until_(const struct bw_dispatch_service *service,
 				  const struct bw_target_update *update);
@@ -71,8 +74,8 @@
 				      bool on_time, struct bw_time now);
 static bool gives_way_(struct bw_dispatch *dispatch, const struct bw_job *job,
 		       struct bw_time now);
-static bool has_spare_server_(const struct bw_dispatch_service *service,
-			      struct bw_time now);
+static bool has_room_to_spare_(const struct bw_dispatch_service *service,
+			       struct bw_time now);
 static void count_completion_(struct bw_dispatch_service *service,
 			      struct bw_time now);
 static json_t *dump_target_(const struct bw_target *target, struct bw_time now);
@@ -752,21 +755,27 @@
 		       struct bw_time now)
 {
 	return bw_fair_share_gives_way(&dispatch->shares, &job->share, now) &&
-	       !has_spare_server_(job->service, now);
+	       !has_room_to_spare_(job->service, now);
 }
 
-static bool has_spare_server_(const struct bw_dispatch_service *service,
-			      struct bw_time now)
+static bool has_room_to_spare_(const struct bw_dispatch_service *service,
+			       struct bw_time now)
 {
+	double requests = 0.0;
+	double slots = 0.0;
 	uint32_t i;
 
 	for (i = 0; i < service->targets->len; i++) {
 		const struct bw_target *target = service->targets->pdata[i];
 
-		if (target->accepts && dispatch_load(target, now) < SPARE_LOAD)
-			return true;
+		if (!target->accepts ||
+		    bw_time_diff_ms(now, target->reported_at) >
+			    SPARE_REPORT_AGE_MS)
+			continue;
+		requests += target->in_flight + target->other_requests;
+		slots += target->slots;
 	}
-	return false;
+	return requests <= SPARE_LOAD * slots;
 }
 
 static void count_completion_(struct bw_dispatch_service *service,
--- a/src/test_libbwsteer/test_dispatch_shares.c
+++ b/src/test_libbwsteer/test_dispatch_shares.c
@@ -214,6 +214,56 @@
 	finish_(&dispatch, running, count, jobs, 2);
 }
 
+/* News: customers below their share lack room at some host. */
+static void receive_news_(struct bw_dispatch *dispatch, int64_t ms)
+{
+	struct bw_fair_rate heavy = { 50000, 60000 };
+	struct bw_fair_rate light = { 1000, 5000 };
+	struct bw_fair_rate total = { 51000, 65000 };
+	struct bw_fair_shares *shares = &dispatch->shares;
+	struct bw_time now = fixture_time(ms);
+
+	bw_fair_share_set_fleet(shares, HEAVY, 0, &heavy, now);
+	bw_fair_share_set_fleet(shares, LIGHT, 0, &light, now);
+	bw_fair_share_set_fleet_total(shares, &total, 2, now);
+}
+
+/*
+ * A slot is free here, but a customer below its share lacks room at another
+ * host, and nothing is to spare.
+ */
+static void test_gives_way_to_other_hosts(void **state)
+{
+	uint64_t server = bw_registry_hash("i-0");
+	struct bw_rejection rejection;
+	struct bw_dispatch dispatch;
+	enum bw_verdict verdict;
+	struct bw_job jobs[2];
+	int64_t ms;
+
+	(void)state;
+	ms = begin_(&dispatch);
+	fixture_update(&dispatch, 1, 8, NULL, ms);
+	bw_dispatch_note_load(&dispatch, server, 7, fixture_time(ms));
+	receive_news_(&dispatch, ms - 1000);
+	receive_news_(&dispatch, ms);
+	job_of_(&dispatch, &jobs[0], HEAVY, 0, ms);
+	job_of_(&dispatch, &jobs[1], LIGHT, 0, ms);
+	assert_int_equal(offer_(&dispatch, &jobs[0], &rejection),
+			 BW_VERDICT_WAIT);
+	assert_null(bw_dispatch_next(&dispatch, fixture_time(ms), &verdict,
+				     &rejection));
+	assert_int_equal(offer_(&dispatch, &jobs[1], &rejection),
+			 BW_VERDICT_SEND);
+	/* With room to spare nobody gives way. */
+	bw_dispatch_note_load(&dispatch, server, 0, fixture_time(ms));
+	assert_ptr_equal(bw_dispatch_next(&dispatch, fixture_time(ms), &verdict,
+					  &rejection),
+			 &jobs[0]);
+	assert_int_equal(verdict, BW_VERDICT_SEND);
+	bw_dispatch_finish(&dispatch);
+}
+
 /* Also a job that is placed once more goes by its arrival. */
 static void test_no_customers_by_arrival(void **state)
 {
@@ -260,6 +310,7 @@
 		cmocka_unit_test(test_light_customer_goes_first),
 		cmocka_unit_test(test_light_customer_is_accepted),
 		cmocka_unit_test(test_rank_goes_before_share),
+		cmocka_unit_test(test_gives_way_to_other_hosts),
 		cmocka_unit_test(test_no_customers_by_arrival),
 	};
 
