customers: fair shares with news that has no sums

Cause: the messages of the quotas answer each host with the work of the customers that it asks for, without the demand and without sums. Change: bw_fair_share_sum_fleet takes the sums of the customers that the host has. Ruled out: an estimate of the demand at other hosts from this one, which does not show who lacks room at a host whose customers are not seen here.

--- a/include/bwcustomer/fair_share.h
+++ b/include/bwcustomer/fair_share.h
@@ -184,6 +184,12 @@
 				   const struct bw_fair_rate *rate,
 				   uint32_t customers, struct bw_time now);
 
+/**
+ * The same for news without sums: takes those of the customers with recent jobs
+ * here. Called at regular intervals, after bw_fair_share_set_fleet.
+ */
+void bw_fair_share_sum_fleet(struct bw_fair_shares *shares, struct bw_time now);
+
 /**
  * Lists the work since the last report. Customers that do not fit stay for the
  * next one.
--- a/src/libbwcustomer/fair_share.c
+++ b/src/libbwcustomer/fair_share.c
@@ -229,6 +229,27 @@
 	shares->fleet_at = now;
 }
 
+void bw_fair_share_sum_fleet(struct bw_fair_shares *shares, struct bw_time now)
+{
+	struct bw_fair_rate total = { 0 };
+	uint32_t link;
+
+	fair_table_forget(shares, now);
+	for (link = shares->newest; link;
+	     link = shares->table[link - 1].older) {
+		struct bw_fair_share *share = &shares->table[link - 1];
+
+		fair_decay_share(share, now);
+		total.work_ms_per_s += fair_rate_per_s(share->work_ms);
+		total.asked_ms_per_s += fair_rate_per_s(share->asked_ms);
+		if (!fair_is_fresh(share->fleet_at, now))
+			continue;
+		total.work_ms_per_s += share->others.work_ms_per_s;
+		total.asked_ms_per_s += share->others.asked_ms_per_s;
+	}
+	bw_fair_share_set_fleet_total(shares, &total, shares->active, now);
+}
+
 size_t bw_fair_share_take_report(struct bw_fair_shares *shares,
 				 struct bw_fair_report *items, size_t items_max)
 {
--- a/src/test_libbwcustomer/fair_model.c
+++ b/src/test_libbwcustomer/fair_model.c
@@ -46,6 +46,7 @@
 	struct fair_model_result *result;
 	struct bw_random random;
 	struct bw_fair_shares shares[FAIR_MODEL_HOSTS_MAX];
+	bool seen[FAIR_MODEL_HOSTS_MAX][FAIR_MODEL_CUSTOMERS_MAX];
 	GQueue waiting[FAIR_MODEL_HOSTS_MAX];
 	GQueue running;
 	double arrivals[FAIR_MODEL_CUSTOMERS_MAX];
@@ -93,6 +94,7 @@
 			(uint32_t)bw_random_below(&model->random, count);
 	request->arrived_ms = model->now_ms;
 	shares = &model->shares[request->host];
+	model->seen[request->host][customer] = true;
 	bw_fair_share_ask(shares, &request->ticket,
 			  model->load->without_customers ? 0 : hash_(customer),
 			  0, USUAL_MS, now_(model), now_(model));
@@ -271,12 +273,18 @@
 
 		if (is_cut_(model, host))
 			continue;
-		for (i = 0; i < model->load->customer_count; i++)
-			bw_fair_share_set_fleet(shares, hash_(i), 0,
-						&news->rates[i], now_(model));
-		bw_fair_share_set_fleet_total(shares, &news->total,
-					      model->load->customer_count,
-					      now_(model));
+		for (i = 0; i < model->load->customer_count; i++) {
+			if (!model->load->without_sums || model->seen[host][i])
+				bw_fair_share_set_fleet(shares, hash_(i), 0,
+							&news->rates[i],
+							now_(model));
+		}
+		if (model->load->without_sums)
+			bw_fair_share_sum_fleet(shares, now_(model));
+		else
+			bw_fair_share_set_fleet_total(
+				shares, &news->total,
+				model->load->customer_count, now_(model));
 	}
 }
 
--- a/src/test_libbwcustomer/fair_model.h
+++ b/src/test_libbwcustomer/fair_model.h
@@ -29,6 +29,7 @@
 	uint32_t customer_count;
 	bool without_customers; /* jobs go by arrival */
 	bool without_asked; /* the sums hold the work only */
+	bool without_sums; /* a host gets news of the customers that it has */
 	int64_t news_delay_ms;
 	uint32_t cut_hosts; /* the first ones, without news from 10 s to 18 s */
 	int64_t restart_ms; /* all hosts lose their state then; 0: never */
--- a/src/test_libbwcustomer/test_fair_share_load.c
+++ b/src/test_libbwcustomer/test_fair_share_load.c
@@ -148,6 +148,25 @@
 			      STARVED_FRACTION * result.fraction_of_all);
 }
 
+/* Each host gets news of the customers that it has, and only of their work. */
+static void test_news_of_own_customers(void **state)
+{
+	struct fair_model_load load;
+	struct fair_model_result result;
+
+	(void)state;
+	hot_load_(&load);
+	load.without_sums = true;
+	load.without_asked = true;
+	run_("few hosts, no sums", &load, &result);
+	assert_hot_gets_rest_(&load, &result, SERVED_MIN);
+	load.customers[HOT].host_count = 0;
+	load.customers[HOT].first_host = 0;
+	run_("all hosts, no sums", &load, &result);
+	assert_hot_gets_rest_(&load, &result,
+			      STARVED_FRACTION * result.fraction_of_all);
+}
+
 /* The callers of the hot customer use the same single host as another. */
 static void test_hot_customer_beside_single_host(void **state)
 {
@@ -238,6 +257,7 @@
 		cmocka_unit_test(test_hot_customer_at_one_host),
 		cmocka_unit_test(test_hot_customer_at_few_hosts),
 		cmocka_unit_test(test_hot_customer_at_all_hosts),
+		cmocka_unit_test(test_news_of_own_customers),
 		cmocka_unit_test(test_hot_customer_beside_single_host),
 		cmocka_unit_test(test_hosts_cut_off),
 		cmocka_unit_test(test_state_lost),
