http1: a status code outside 100 to 599 is no response

Here the parser takes any number of digits, and nothing checked the result. Change: the reader keeps the first 13 bytes of a response and fails it unless they are the version, one space, three digits from 100 to 599 and the end of the code. Table test_status_lines. Measured before, with the reader and pool of: 600, 999 and 0200 (as 200), and 200 after two spaces, were passed on as responses; 000, 099, 99, 2 and 20 counted as interim responses, so the request waited for its deadline; 1000, 2000, -1, +200, 2e2, letters, empty, 200.5 and numbers that exceed 16 or 32 bits were invalid already. After: all of them end the request as invalid at once; 200 without a reason, 404 and 599 are passed on. Ruled out: a check of the parser's status_code alone, which takes 0200 for 200.

--- a/include/bwproxy/http1.h
+++ b/include/bwproxy/http1.h
@@ -18,6 +18,9 @@
  * least: a colon, CR and LF. */
 #define BW_HTTP_FIELD_OVERHEAD_BYTES 3
 
+/** Bytes of a status line up to the one behind the status code. */
+#define BW_HTTP_STATUS_LINE_BYTES 13
+
 /** A range of bytes of bw_http_message.text. */
 struct bw_http_span {
 	uint32_t offset_bytes;
@@ -58,7 +61,8 @@
 enum bw_http_progress {
 	BW_HTTP_INCOMPLETE, /**< more bytes are needed */
 	BW_HTTP_COMPLETE, /**< the message is complete */
-	BW_HTTP_MALFORMED, /**< the bytes are not HTTP/1.x */
+	BW_HTTP_MALFORMED, /**< not HTTP/1.x, or not a status code of 100 to
+				599 in three digits */
 	BW_HTTP_HEAD_TOO_LARGE,
 	BW_HTTP_BODY_TOO_LARGE,
 	BW_HTTP_UNKNOWN_METHOD, /**< also CONNECT */
@@ -77,6 +81,8 @@
 	const uint8_t *body_end;
 	uint64_t overhead_bytes; /**< read since body_end or the beginning */
 	uint8_t last_byte; /**< that was read; 0: none */
+	char status_line[BW_HTTP_STATUS_LINE_BYTES]; /**< its beginning */
+	uint8_t status_line_bytes; /**< that were read */
 	bool started; /**< a byte of the message was read */
 	bool last_was_value; /**< the last header callback was a value */
 	bool skip_body; /**< response to a HEAD request */
--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -26,6 +26,9 @@
 			enum bw_http_progress failure);
 static bool list_contains_(const char *list, size_t list_bytes,
 			   const char *name, size_t name_bytes);
+static void keep_status_line_(struct bw_http_reader *reader,
+			      const uint8_t *data, size_t size_bytes);
+static bool is_status_line_valid_(const struct bw_http_reader *reader);
 static void read_unknown_method_(struct bw_http_reader *reader,
 				 const uint8_t *data, size_t size_bytes,
 				 size_t *used_bytes);
@@ -105,6 +108,7 @@
 	reader->last_was_value = false;
 	reader->overhead_bytes = 0;
 	reader->last_byte = 0;
+	reader->status_line_bytes = 0;
 	http_parser_init(&reader->parser,
 			 (enum http_parser_type)reader->parser.type);
 	reader->parser.data = reader;
@@ -119,6 +123,8 @@
 		return current_progress_(reader);
 	reader->started = true;
 	reader->body_end = NULL;
+	if (reader->parser.type == HTTP_RESPONSE)
+		keep_status_line_(reader, data, size_bytes);
 	if (HTTP_PARSER_ERRNO(&reader->parser) == HPE_PAUSED)
 		http_parser_pause(&reader->parser, 0);
 	*used_bytes = http_parser_execute(&reader->parser, &parser_settings,
@@ -267,7 +273,8 @@
 	struct bw_http_message *message = &reader->message;
 
 	trim_last_value_(message);
-	if (!check_names_(message, (enum http_parser_type)parser->type))
+	if (!check_names_(message, (enum http_parser_type)parser->type) ||
+	    (parser->type == HTTP_RESPONSE && !is_status_line_valid_(reader)))
 		return set_failure_(reader, BW_HTTP_MALFORMED);
 	find_connection_fields_(message);
 	if (parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT)
@@ -438,6 +445,50 @@
 	return false;
 }
 
+/* Line ends before the status line are skipped, as by the parser. */
+static void keep_status_line_(struct bw_http_reader *reader,
+			      const uint8_t *data, size_t size_bytes)
+{
+	size_t i;
+
+	for (i = 0; i < size_bytes &&
+		    reader->status_line_bytes < BW_HTTP_STATUS_LINE_BYTES;
+	     i++) {
+		if (!reader->status_line_bytes &&
+		    (data[i] == '\r' || data[i] == '\n'))
+			continue;
+		reader->status_line[reader->status_line_bytes++] =
+			(char)data[i];
+	}
+}
+
+/*
+ * The parser takes any number of digits for a status code (RFC 9112, section
+ * 4), and reads on after one that no response has.
+ */
+static bool is_status_line_valid_(const struct bw_http_reader *reader)
+{
+	static const char pattern[] = "HTTP/d.d cdde";
+	size_t i;
+
+	if (reader->status_line_bytes < BW_HTTP_STATUS_LINE_BYTES)
+		return false;
+	for (i = 0; i < BW_HTTP_STATUS_LINE_BYTES; i++) {
+		char c = reader->status_line[i];
+		bool valid = c == pattern[i];
+
+		if (pattern[i] == 'd')
+			valid = c >= '0' && c <= '9';
+		else if (pattern[i] == 'c') /* the class */
+			valid = c >= '1' && c <= '5';
+		else if (pattern[i] == 'e') /* the end */
+			valid = c == ' ' || c == '\r' || c == '\n';
+		if (!valid)
+			return false;
+	}
+	return true;
+}
+
 /* The parser stops within a method that it does not know; a valid one is a
  * token and a space. */
 static void read_unknown_method_(struct bw_http_reader *reader,
--- a/src/test_libbwproxy/test_pool.c
+++ b/src/test_libbwproxy/test_pool.c
@@ -517,6 +517,79 @@
 	teardown_(&fixture);
 }
 
+/* A status line, and the status code of the response; 0: it is none. */
+struct status_case {
+	const char *line;
+	uint16_t status_code;
+};
+
+static const struct status_case status_cases[] = {
+	{ "HTTP/1.1 200 OK", 200 },
+	{ "HTTP/1.1 200", 200 },
+	{ "HTTP/1.1 200 ", 200 },
+	{ "HTTP/1.0 404 Not Found", 404 },
+	{ "HTTP/1.1 599 x", 599 },
+	{ "HTTP/1.1 000 x", 0 },
+	{ "HTTP/1.1 000", 0 },
+	{ "HTTP/1.1 099 x", 0 },
+	{ "HTTP/1.1 99 x", 0 },
+	{ "HTTP/1.1 2 x", 0 },
+	{ "HTTP/1.1 20", 0 },
+	{ "HTTP/1.1 600 x", 0 },
+	{ "HTTP/1.1 999 x", 0 },
+	{ "HTTP/1.1 1000 x", 0 },
+	{ "HTTP/1.1 2000 x", 0 },
+	{ "HTTP/1.1 0200 x", 0 },
+	{ "HTTP/1.1 -1 x", 0 },
+	{ "HTTP/1.1 +200 x", 0 },
+	{ "HTTP/1.1 2e2 x", 0 },
+	{ "HTTP/1.1 OK", 0 },
+	{ "HTTP/1.1 abc x", 0 },
+	{ "HTTP/1.1 ", 0 },
+	{ "HTTP/1.1", 0 },
+	{ "HTTP/1.1  200 OK", 0 },
+	{ "HTTP/1.1 65736 x", 0 },
+	{ "HTTP/1.1 4294967496 x", 0 },
+	{ "\r\nHTTP/1.1 200 OK", 200 },
+	{ "HTTP/1.1 200.5 x", 0 },
+};
+
+/* Guards against a response whose status code is not one of 100 to 599 in three
+ * digits that is passed on, or that is waited for until the deadline. */
+static void test_status_lines(void **state)
+{
+	char text[256];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(status_cases) / sizeof(status_cases[0]); i++) {
+		const struct status_case *status = &status_cases[i];
+		struct fixture fixture;
+		struct peer *peer;
+
+		setup_(&fixture);
+		peer = &fixture.server.peers[0];
+		send_(&fixture, "one");
+		SPIN_UNTIL(fixture.loop, fixture.server.peer_count == 1 &&
+						 peer_has(peer, "/one"));
+		snprintf(text, sizeof(text),
+			 "%s\r\nRequest-Id: one\r\nContent-Length: 2\r\n\r\nab",
+			 status->line);
+		peer_send_text(peer, text);
+		SPIN_UNTIL(fixture.loop, fixture.outcomes.count == 1);
+		if (status->status_code) {
+			assert_int_equal(fixture.outcomes.results[0],
+					 BW_POOL_RESPONSE);
+			assert_int_equal(fixture.outcomes.codes[0],
+					 status->status_code);
+		} else {
+			assert_int_equal(fixture.outcomes.results[0],
+					 BW_POOL_INVALID);
+		}
+		teardown_(&fixture);
+	}
+}
+
 /* Guards against the bytes after a response to HEAD that count as the next
  * response. */
 static void test_endless_body_after_head_response(void **state)
@@ -634,6 +707,7 @@
 		cmocka_unit_test(test_endless_other_responses),
 		cmocka_unit_test(test_endless_interim_responses),
 		cmocka_unit_test(test_interim_responses),
+		cmocka_unit_test(test_status_lines),
 		cmocka_unit_test(test_endless_body_after_head_response),
 		cmocka_unit_test(test_bodies_beyond_the_budget_wait),
 	};
