--- a/include/bwproxy/body.h
+++ b/include/bwproxy/body.h
@@ -15,6 +15,8 @@
 struct bw_body_budget {
 	uint64_t max_bytes;
 	uint64_t used_bytes;
+	uint64_t kept_back_bytes; /**< only for bodies of ordinary size */
+	uint64_t ordinary_max_bytes; /**< largest such body */
 	/** One body at a time may exceed max_bytes, so that bodies that wait
 	 * for memory don't wait for each other without end. */
 	bool allows_overdraft;
--- a/src/libbwproxy/body.c
+++ b/src/libbwproxy/body.c
@@ -5,14 +5,17 @@
 bool bw_body_charge(struct bw_body *body, uint64_t total_bytes)
 {
 	struct bw_body_budget *budget = body->budget;
+	uint64_t max_bytes;
 	uint64_t more_bytes;
 
 	if (!budget || total_bytes <= body->charged_bytes)
 		return true;
 	more_bytes = total_bytes - body->charged_bytes;
-	if (!body->overdraws &&
-	    (budget->used_bytes > budget->max_bytes ||
-	     more_bytes > budget->max_bytes - budget->used_bytes)) {
+	max_bytes = budget->max_bytes;
+	if (total_bytes > budget->ordinary_max_bytes)
+		max_bytes -= budget->kept_back_bytes;
+	if (!body->overdraws && (budget->used_bytes > max_bytes ||
+				 more_bytes > max_bytes - budget->used_bytes)) {
 		if (!budget->allows_overdraft || budget->overdrawn)
 			return false;
 		budget->overdrawn = body->overdraws = true;
