pool: responses of ordinary size don't wait behind large ones

Cause: while one response waits for memory, all later ones queue behind it, also those of a few bytes, until the clients of large ones have read. Change: a response of known size up to the budget's ordinary size is charged at once, if the part that is kept back allows it. Budgets without an ordinary size, as in test_bodies_beyond_the_budget_wait, work as before. Ruled out: charging chunked responses in this way; their size is not known.

--- a/src/libbwproxy/pool.c
+++ b/src/libbwproxy/pool.c
@@ -74,6 +74,7 @@
 static void handle_response_(struct bw_pool_connection *connection,
 			     size_t extra_bytes);
 static void admit_body_(struct bw_pool_connection *connection);
+static bool is_ordinary_(const struct bw_pool_connection *connection);
 static bool charge_body_(struct bw_pool_connection *connection);
 static void resume_paused_(struct bw_pool *pool);
 static bool is_matching_response_(const struct bw_pool_connection *connection);
@@ -383,7 +384,8 @@
 {
 	struct bw_pool *pool = connection->pool;
 
-	if (pool->paused.length == 0 && charge_body_(connection))
+	if ((pool->paused.length == 0 || is_ordinary_(connection)) &&
+	    charge_body_(connection))
 		return;
 	if (pool->paused.length &&
 	    bw_http_reader_body_bytes(&connection->reader) <=
@@ -395,6 +397,16 @@
 	ev_io_stop(pool->config.loop, &connection->read_watcher);
 }
 
+/* Part of the budget is kept back for such a body. */
+static bool is_ordinary_(const struct bw_pool_connection *connection)
+{
+	const struct bw_body_budget *budget = connection->response_body.budget;
+
+	return budget && bw_http_reader_knows_body_bytes(&connection->reader) &&
+	       bw_http_reader_body_bytes(&connection->reader) <=
+		       budget->ordinary_max_bytes;
+}
+
 /* @return whether the budget allows the body, as far as its size is known */
 static bool charge_body_(struct bw_pool_connection *connection)
 {
