fuzz: status lines and requests of clients that misbehave

The target aborts when a response with a status code outside 100 to 599 counts as complete. Ruled out: a target for the sockets of the listener; the reader gets all of its bytes.

--- a/tools/fuzz/fuzz_parsers.c
+++ b/tools/fuzz/fuzz_parsers.c
@@ -371,6 +371,11 @@
 			bw_http_reader_feed(&reader, data, chunk_bytes, &used);
 
 		if (progress == BW_HTTP_COMPLETE) {
+			/* Anything else is no response. */
+			if (reader.parser.type == HTTP_RESPONSE &&
+			    (reader.message.status_code < 100 ||
+			     reader.message.status_code > 599))
+				abort();
 			platform_call_read(&reader.message, &call);
 			bw_http_reader_next(&reader);
 		} else if (progress != BW_HTTP_INCOMPLETE) {
