listener: a connection without progress gives way to one that would be used

The output of requests sent ahead grew without a limit. Control hosts had no limit of bodies, and 1,500 connections whatever maxFds said. A byte in each idle timeout held a body or a response for ever. Change: at its number of connections, or without a free descriptor, a listener closes the connection that bw_eviction names; a request that was being read gets 503, one that is complete is never closed. The listeners and the pool of a process draw on one bw_memory, in gate_node; heads and bodies beyond it make connections without progress give way, then get 503. Output that is not read stops the reading of requests sent ahead. The readiness address has 64 connections, control hosts take theirs from maxFds. Memory of a large head is not kept between requests. Ruled out: closing the oldest connection, and a limit for each address; see docs/design/client-limits.md.

--- a/include/bwproxy/listener.h
+++ b/include/bwproxy/listener.h
@@ -15,8 +15,10 @@
 #include "bwbase/buffer.h"
 #include "bwbase/status.h"
 #include "bwproxy/body.h"
+#include "bwproxy/eviction.h"
 #include "bwproxy/http1.h"
 #include "bwproxy/loop_clock.h"
+#include "bwproxy/memory.h"
 
 struct bw_listener;
 struct bw_server_connection;
@@ -29,7 +31,7 @@
 	BW_LISTENER_BODY_TOO_LARGE,
 	BW_LISTENER_NO_MEMORY, /**< for a request within the limits */
 	BW_LISTENER_HEAD_TIMEOUT, /**< the head was not complete in time */
-	BW_LISTENER_BODY_TIMEOUT, /**< no byte of the body for too long */
+	BW_LISTENER_BODY_TIMEOUT, /**< the body is slower than a least rate */
 	BW_LISTENER_BODY_MEMORY, /**< no memory for the body now */
 	BW_LISTENER_CAUSE_COUNT
 };
@@ -53,6 +55,16 @@
 	uint32_t limit_current; /**< the same for the next request */
 };
 
+/** A connection that the listener closes, or does not accept. */
+struct bw_listener_eviction {
+	enum bw_eviction_cause cause;
+	enum bw_eviction_phase phase; /**< of the connection */
+	const char *address; /**< of the listener */
+	uint32_t peer; /**< IPv4 address in network byte order */
+	int64_t lag_ms; /**< without progress */
+	uint64_t held_bytes; /**< memory that it held */
+};
+
 /** Callbacks of a listener; context is bw_listener_config.context. */
 struct bw_listener_handler {
 	/** A request is complete; respond with bw_connection_respond. */
@@ -70,6 +82,13 @@
 			 const struct bw_server_connection *connection,
 			 const struct bw_http_message *request,
 			 const struct bw_listener_rejection *rejection);
+	/**
+	 * Optional. A connection without a request in progress is closed, as
+	 * others need what it holds, or as its client reads too slowly. A
+	 * request that was being read has not run.
+	 */
+	void (*evicted)(void *context,
+			const struct bw_listener_eviction *eviction);
 };
 
 /** Settings; strings and the handler are not copied. */
@@ -78,12 +97,14 @@
 	const char *address; /**< IPv4 address and port */
 	struct bw_http_limits limits;
 	struct bw_body_budget *body_budget; /**< NULL: not limited */
+	struct bw_memory *memory; /**< of the process; must outlive the
+				       listener. NULL: not limited */
 	const char *unavailable_fields; /**< header lines, each with CRLF, of
 					     responses with 503; may be NULL */
 	uint32_t connections_max;
 	uint32_t head_timeout_ms; /**< from the first byte to the whole head */
-	uint32_t idle_timeout_ms; /**< between requests, and between two pieces
-				       of a body */
+	uint32_t idle_timeout_ms; /**< between requests, and of a body or a
+				       response slower than a least rate */
 	const struct bw_listener_handler *handler;
 	void *context;
 };
@@ -101,9 +122,12 @@
 	uint32_t connection_count;
 	uint32_t busy_count; /**< connections with a request in progress */
 	uint32_t lingering_count; /**< rejected, not yet closed */
+	bool accept_paused; /**< no descriptor was left; see on_sweep_ */
 	bool closing; /**< responses carry "Connection: close" */
 	uint64_t accepted_count;
 	uint64_t rejected_count; /**< beyond connections_max or out of memory */
+	uint64_t evicted_count; /**< closed for others, or not accepted */
+	struct bw_listener *next; /**< of bw_memory.listeners */
 };
 
 /**
--- a/src/boragewingd/gateway/gate_entry.c
+++ b/src/boragewingd/gateway/gate_entry.c
@@ -22,24 +22,14 @@
 #define RESPONSE_HEAD_MAX_BYTES 16384
 #define RESPONSE_BODY_MAX_BYTES (8 * 1024 * 1024)
 
-/**
- * Fraction of the memory of a process that the bodies of all its requests may
- * use. The rest is for bytes in sockets, which count as memory of the process,
- * and for bodies in chunks, which grow by half.
- */
-#define BODY_MEMORY_FRACTION 0.5
-
-/**
- * The same for the bodies of all responses. One more body may exceed it; they
- * are read from a server and kept until the client has read them.
- */
-#define RESPONSE_MEMORY_FRACTION 0.25
-
 /** Response to a request whose body has no memory; ends in CRLF. */
 #define UNAVAILABLE_FIELDS PLATFORM_FIELD_RETRY_AFTER ": 0.500\r\n"
 
-/** File descriptors reserved for peers, files and listeners. */
-#define DESCRIPTORS_RESERVED 400
+/** Fraction of the file descriptors for clients, and for backend servers. */
+#define DESCRIPTORS_FRACTION 0.5
+
+/** Connections to the readiness address; they use reserved descriptors. */
+#define READY_CONNECTIONS_MAX 64
 
 /** Connect timeout to a backend server; several round trips between regions. */
 #define CONNECT_TIMEOUT_MS 400
@@ -79,8 +69,6 @@
 #define RETRY_SHARE 0.6
 
 static enum bw_status init_distribute_(struct gate_entry *entry);
-static uint64_t memory_bytes_(const struct gate_settings *settings,
-			      double fraction);
 static enum bw_status open_listeners_(struct gate_entry *entry);
 static void open_metrics_(struct gate_entry *entry);
 static void on_request_(void *context, struct bw_server_connection *connection,
@@ -91,6 +79,8 @@
 			 const struct bw_server_connection *connection,
 			 const struct bw_http_message *request,
 			 const struct bw_listener_rejection *rejection);
+static void on_evicted_(void *context,
+			const struct bw_listener_eviction *eviction);
 static void on_ready_(void *context, struct bw_server_connection *connection,
 		      const struct bw_http_message *request);
 static void on_ready_disconnected_(void *context,
@@ -114,11 +104,13 @@
 	.request = on_request_,
 	.disconnected = on_disconnected_,
 	.rejected = on_rejected_,
+	.evicted = on_evicted_,
 };
 
 static const struct bw_listener_handler ready_handler = {
 	.request = on_ready_,
 	.disconnected = on_ready_disconnected_,
+	.evicted = on_evicted_,
 };
 
 enum bw_status gate_entry_init(struct gate_entry *entry, struct gate_node *node)
@@ -149,11 +141,8 @@
 	pool_config.connect_timeout_ms = CONNECT_TIMEOUT_MS;
 	pool_config.idle_ms = UPSTREAM_IDLE_MS;
 	pool_config.connections_max =
-		(node->settings.descriptors_max - DESCRIPTORS_RESERVED) / 2;
-	entry->response_budget.max_bytes =
-		memory_bytes_(&node->settings, RESPONSE_MEMORY_FRACTION);
-	entry->response_budget.allows_overdraft = true;
-	pool_config.budget = &entry->response_budget;
+		gate_node_connections_max(node, DESCRIPTORS_FRACTION);
+	pool_config.budget = &node->memory.responses;
 	pool_config.ended = gate_request_ended;
 	pool_config.connected = gate_request_connected;
 	pool_config.context = entry;
@@ -200,7 +189,7 @@
 		bw_metric_set(entry->waiting,
 			      bw_dispatch_waiting(&entry->dispatch));
 		bw_metric_set(entry->response_bytes,
-			      (int64_t)entry->response_budget.used_bytes);
+			      (int64_t)node->memory.responses.used_bytes);
 		bw_metric_set(entry->responses_paused,
 			      entry->pool.paused.length);
 		bw_metric_set(entry->servers_known,
@@ -294,27 +283,19 @@
 				  entry->started_at);
 }
 
-static uint64_t memory_bytes_(const struct gate_settings *settings,
-			      double fraction)
-{
-	return (uint64_t)(fraction * settings->memory_max_mb * 1024 * 1024);
-}
-
 static enum bw_status open_listeners_(struct gate_entry *entry)
 {
 	const struct gate_settings *settings = &entry->node->settings;
 	struct bw_listener_config config = { .loop = entry->node->loop };
 	enum bw_status status;
 
-	entry->body_budget.max_bytes =
-		memory_bytes_(settings, BODY_MEMORY_FRACTION);
 	config.address = settings->entry_address;
 	config.limits.head_max_bytes = HEAD_MAX_BYTES;
 	config.limits.body_max_bytes = REQUEST_BODY_MAX_BYTES;
-	config.body_budget = &entry->body_budget;
+	config.memory = &entry->node->memory;
 	config.unavailable_fields = UNAVAILABLE_FIELDS;
 	config.connections_max =
-		(settings->descriptors_max - DESCRIPTORS_RESERVED) / 2;
+		gate_node_connections_max(entry->node, DESCRIPTORS_FRACTION);
 	config.head_timeout_ms = HEAD_TIMEOUT_MS;
 	config.idle_timeout_ms = IDLE_TIMEOUT_MS;
 	config.handler = &client_handler;
@@ -322,6 +303,7 @@
 	status = bw_listener_init(&entry->clients, &config);
 	if (status == BW_OK && settings->ready_address[0]) {
 		config.address = settings->ready_address;
+		config.connections_max = READY_CONNECTIONS_MAX;
 		config.handler = &ready_handler;
 		status = bw_listener_init(&entry->ready, &config);
 	}
@@ -457,6 +439,14 @@
 		entry->routing ? entry->routing->version : 0);
 }
 
+static void on_evicted_(void *context,
+			const struct bw_listener_eviction *eviction)
+{
+	const struct gate_entry *entry = context;
+
+	gate_node_note_eviction(entry->node, eviction);
+}
+
 static void on_ready_(void *context, struct bw_server_connection *connection,
 		      const struct bw_http_message *request)
 {
--- a/src/boragewingd/gateway/gate_entry.h
+++ b/src/boragewingd/gateway/gate_entry.h
@@ -76,10 +76,6 @@
 	struct gate_node *node;
 	struct bw_listener clients;
 	struct bw_listener ready;
-	struct bw_body_budget body_budget; /**< of requests of clients */
-	struct bw_body_budget
-		response_budget; /**< of bodies that are read from
-				      servers or sent to clients */
 	struct bw_pool pool;
 	struct bw_dispatch dispatch;
 	struct gate_poison poison;
--- a/src/boragewingd/gateway/gate_entry_routing.c
+++ b/src/boragewingd/gateway/gate_entry_routing.c
@@ -290,6 +290,7 @@
 	entry->routing = routing;
 	entry->clients.config.limits.head_max_bytes = limits->head_max_bytes;
 	entry->clients.config.limits.body_max_bytes = limits->body_max_bytes;
+	entry->ready.config.limits = entry->clients.config.limits;
 	bw_listener_set_timeouts(&entry->clients, limits->head_timeout_ms,
 				 limits->idle_timeout_ms);
 	for (i = 0; i < routing->service_count; i++) {
--- a/src/boragewingd/gateway/gate_node.c
+++ b/src/boragewingd/gateway/gate_node.c
@@ -29,6 +29,11 @@
 #define METRICS_CONNECTIONS_MAX 16
 #define METRICS_TIMEOUT_MS 5000
 
+/** File descriptors reserved for peers, files, and the listeners of readiness
+ * and metrics; some, when a host has fewer. */
+#define DESCRIPTORS_RESERVED 400
+#define CONNECTIONS_MIN 16
+
 static enum bw_status open_transport_(struct gate_node *node,
 				      transport_receive_fn *receive,
 				      void *context);
@@ -37,6 +42,8 @@
 			const struct bw_http_message *request);
 static void on_metrics_disconnected_(void *context,
 				     struct bw_server_connection *connection);
+static void on_metrics_evicted_(void *context,
+				const struct bw_listener_eviction *eviction);
 static void note_announcement_(const struct gate_node *node,
 			       struct gate_peer *peer,
 			       const struct gate_status *status,
@@ -55,6 +62,7 @@
 static const struct bw_listener_handler metrics_handler = {
 	.request = on_metrics_,
 	.disconnected = on_metrics_disconnected_,
+	.evicted = on_metrics_evicted_,
 };
 
 enum bw_status gate_node_init(struct gate_node *node,
@@ -71,6 +79,9 @@
 	node->started_at = gate_node_now(node);
 	node->log = log;
 	bw_metrics_init(&node->metrics);
+	bw_memory_init(&node->memory,
+		       (uint64_t)settings->memory_max_mb * 1024 * 1024);
+	gate_evictions_init(&node->evictions, log, &node->metrics);
 	bw_random_init_system(&node->random);
 	node->incarnation = bw_random_next(&node->random) | 1;
 	bw_name_set(node->name, settings->control_address[0]
@@ -464,6 +475,23 @@
 	return at.ms ? bw_time_diff_ms(now, at) : -1;
 }
 
+uint32_t gate_node_connections_max(const struct gate_node *node,
+				   double fraction)
+{
+	uint32_t descriptors = node->settings.descriptors_max;
+
+	if (descriptors < DESCRIPTORS_RESERVED + CONNECTIONS_MIN)
+		return CONNECTIONS_MIN;
+	descriptors -= DESCRIPTORS_RESERVED;
+	return (uint32_t)(fraction * descriptors);
+}
+
+void gate_node_note_eviction(struct gate_node *node,
+			     const struct bw_listener_eviction *eviction)
+{
+	gate_evictions_note(&node->evictions, eviction, gate_node_now(node));
+}
+
 static enum bw_status open_transport_(struct gate_node *node,
 				      transport_receive_fn *receive,
 				      void *context)
@@ -505,6 +533,7 @@
 	config.connections_max = METRICS_CONNECTIONS_MAX;
 	config.head_timeout_ms = METRICS_TIMEOUT_MS;
 	config.idle_timeout_ms = METRICS_TIMEOUT_MS;
+	config.memory = &node->memory;
 	config.handler = &metrics_handler;
 	config.context = node;
 	status = bw_listener_init(&node->metrics_listener, &config);
@@ -541,6 +570,12 @@
 	(void)connection;
 }
 
+static void on_metrics_evicted_(void *context,
+				const struct bw_listener_eviction *eviction)
+{
+	gate_node_note_eviction(context, eviction);
+}
+
 /*
  * A status is as old as the hello that it answers: it may have waited on a slow
  * link, or in this host while it was stopped. Hellos of an earlier process of
--- a/src/boragewingd/gateway/gate_node.h
+++ b/src/boragewingd/gateway/gate_node.h
@@ -16,6 +16,7 @@
 #include "bwproxy/listener.h"
 #include "bwproxy/loop_clock.h"
 #include "bwsteer/registry.h"
+#include "gate_eviction.h"
 #include "gate_settings.h"
 #include "gate_wire.h"
 #include "transport.h"
@@ -87,6 +88,8 @@
 	struct bw_time started_at;
 	struct bw_time next_expire; /**< of backend servers */
 	struct bw_buffer frame; /**< the message that is being sent */
+	struct bw_memory memory; /**< of clients and backend servers */
+	struct gate_evictions evictions;
 	struct bw_listener metrics_listener;
 	bool stopping;
 	struct bw_time stop_by;
@@ -102,6 +105,17 @@
 			      struct ev_loop *loop, struct bw_log *log,
 			      transport_receive_fn *receive, void *context);
 
+/**
+ * Returns the maximum number of connections of a listener.
+ * @param fraction of the file descriptors that are not reserved
+ */
+uint32_t gate_node_connections_max(const struct gate_node *node,
+				   double fraction);
+
+/** Counts and logs a connection that a listener closed for others. */
+void gate_node_note_eviction(struct gate_node *node,
+			     const struct bw_listener_eviction *eviction);
+
 /** Closes the transport and the metrics address, and frees the state. */
 void gate_node_finish(struct gate_node *node);
 
--- a/src/boragewingd/gateway_control/gate_control.c
+++ b/src/boragewingd/gateway_control/gate_control.c
@@ -11,6 +11,10 @@
 /** Limits of the HTTP listeners. */
 #define HEAD_MAX_BYTES 16384
 #define CONNECTIONS_MAX 1500
+
+/** Fraction of the file descriptors for clients; other hosts use more here than
+ * at an entry host. */
+#define DESCRIPTORS_FRACTION 0.75
 #define HEAD_TIMEOUT_MS 5000
 #define IDLE_TIMEOUT_MS 30000
 
@@ -56,6 +60,9 @@
 static enum bw_status init_distribute_(struct gate_control *control);
 static void publish_routing_(struct gate_control *control, struct bw_time now);
 static enum bw_status open_replica_(struct gate_control *control);
+static int count_listeners_(const struct gate_control *control);
+static void on_evicted_(void *context,
+			const struct bw_listener_eviction *eviction);
 static enum bw_status open_listener_(struct gate_control *control,
 				     struct bw_listener *listener,
 				     const char *address);
@@ -82,6 +89,7 @@
 	.request = gate_control_handle_call,
 	.disconnected = gate_control_connection_closed,
 	.rejected = on_rejected_,
+	.evicted = on_evicted_,
 };
 
 enum bw_status gate_control_init(struct gate_control *control,
@@ -118,8 +126,7 @@
 	if (status == BW_OK)
 		status = open_listener_(control, &control->api,
 					settings->control_address);
-	if (status == BW_OK && settings->directory_address[0] &&
-	    strcmp(settings->directory_address, settings->control_address) != 0)
+	if (status == BW_OK && count_listeners_(control) > 1)
 		status = open_listener_(control, &control->directory,
 					settings->directory_address);
 	return status;
@@ -340,6 +347,16 @@
 	return status;
 }
 
+static int count_listeners_(const struct gate_control *control)
+{
+	const struct gate_settings *settings = &control->node->settings;
+
+	if (settings->directory_address[0] &&
+	    strcmp(settings->directory_address, settings->control_address) != 0)
+		return 2;
+	return 1;
+}
+
 static enum bw_status open_listener_(struct gate_control *control,
 				     struct bw_listener *listener,
 				     const char *address)
@@ -350,7 +367,12 @@
 	config.address = address;
 	config.limits.head_max_bytes = HEAD_MAX_BYTES;
 	config.limits.body_max_bytes = BW_SHEET_TEXT_MAX_BYTES;
-	config.connections_max = CONNECTIONS_MAX;
+	config.connections_max =
+		MIN(gate_node_connections_max(
+			    control->node,
+			    DESCRIPTORS_FRACTION / count_listeners_(control)),
+		    CONNECTIONS_MAX);
+	config.memory = &control->node->memory;
 	config.head_timeout_ms = HEAD_TIMEOUT_MS;
 	config.idle_timeout_ms = IDLE_TIMEOUT_MS;
 	config.handler = &handler;
@@ -374,6 +396,14 @@
 		bw_replica_state(control->replica)->revision);
 }
 
+static void on_evicted_(void *context,
+			const struct bw_listener_eviction *eviction)
+{
+	const struct gate_control *control = context;
+
+	gate_node_note_eviction(control->node, eviction);
+}
+
 static void handle_event_(struct gate_control *control,
 			  const struct bw_replica_event *event)
 {
--- a/src/libbwproxy/http1.c
+++ b/src/libbwproxy/http1.c
@@ -61,6 +61,9 @@
 /** Number of fields whose memory is kept between messages. */
 #define FIELDS_KEPT_MAX 32
 
+/** Size of the text whose memory is kept between messages. */
+#define TEXT_KEPT_MAX_BYTES 4096
+
 void bw_http_reader_init(struct bw_http_reader *reader,
 			 enum http_parser_type type,
 			 const struct bw_http_limits *limits)
@@ -95,6 +98,8 @@
 		.field_capacity = reader->message.field_capacity,
 	};
 
+	if (kept.text.capacity_bytes > TEXT_KEPT_MAX_BYTES)
+		bw_buffer_finish(&kept.text);
 	bw_buffer_clear(&kept.text);
 	bw_buffer_clear(&kept.body);
 	if (kept.field_capacity > FIELDS_KEPT_MAX) {
--- a/src/libbwproxy/include/private/listener_private.h
+++ b/src/libbwproxy/include/private/listener_private.h
@@ -1,8 +1,9 @@
 /**
  * @file
  * Shared by the source files of the listener: connections and requests
- * (listener.c), responses (listener_respond.c), and causes and reports of
- * rejections (listener_reject.c).
+ * (listener.c), responses (listener_respond.c), causes and reports of
+ * rejections (listener_reject.c), and connections that are closed for others
+ * (listener_evict.c).
  */
 #ifndef PRIVATE_LISTENER_PRIVATE_H
 #define PRIVATE_LISTENER_PRIVATE_H
@@ -12,6 +13,7 @@
 #include "bwbase/buffer.h"
 #include "bwbase/clock.h"
 #include "bwproxy/body.h"
+#include "bwproxy/eviction.h"
 #include "bwproxy/http1.h"
 #include "bwproxy/listener.h"
 
@@ -30,13 +32,17 @@
 	struct bw_buffer out;
 	struct bw_body out_body; /**< to be sent after out */
 	size_t out_body_sent_bytes;
-	struct bw_time state_since; /**< on a clock without the loop's pauses */
+	struct bw_time state_since; /**< last progress, counted at a least rate
+					 while a body is read or sent; on a
+					 clock without the loop's pauses */
+	uint64_t charged_bytes; /**< to bw_memory: heads, input and output */
 	struct bw_time began_at; /**< first byte of the request being read */
 	uint64_t parsed_bytes; /**< of the request that is being read */
 	void *context;
 	bool busy; /**< a request is in progress */
 	bool close_after_write;
 	bool continue_sent;
+	bool served; /**< has had a response */
 	bool lingering; /**< rejected; what still arrives is dropped */
 	uint64_t dropped_bytes; /**< while lingering */
 };
@@ -74,8 +80,47 @@
  */
 bool listener_flush(struct bw_server_connection *connection);
 
-/** Returns whether a body waits that was not copied to the output. */
-bool listener_has_body_to_send(const struct bw_server_connection *connection);
+/** Returns whether a response, or a part of it, is not sent yet. */
+bool listener_has_output(const struct bw_server_connection *connection);
+
+/** Appends the header lines of a response with 503. */
+void listener_append_unavailable(const struct bw_listener *listener,
+				 struct bw_buffer *fields);
+
+/** Charges the memory of the process for what the connection holds now. */
+void listener_charge(struct bw_server_connection *connection);
+
+/**
+ * Closes the connection that gives up its place first, see bw_eviction.
+ * @return whether there was one
+ */
+bool listener_evict_for_connection(struct bw_listener *listener);
+
+/**
+ * Closes other connections of the process until the memory for heads allows
+ * what this one holds.
+ * @return whether it does
+ */
+bool listener_evict_for_head(struct bw_server_connection *connection);
+
+/**
+ * Closes another connection of the process that holds the body of a request.
+ * @return whether there was one
+ */
+bool listener_evict_for_body(struct bw_server_connection *connection);
+
+/** Closes clients that don't read, while responses are short of memory. */
+void listener_evict_for_responses(struct bw_listener *listener);
+
+/** Reports and closes a connection, after a refusal if a request is read. */
+void listener_evict(struct bw_server_connection *connection,
+		    enum bw_eviction_cause cause);
+
+/** Reports that a connection is closed. */
+void listener_report_eviction(struct bw_listener *listener,
+			      enum bw_eviction_cause cause,
+			      const struct bw_eviction_candidate *candidate,
+			      uint32_t peer);
 
 /** Reads pipelined requests from the loop, not from the handler. */
 void listener_read_pipelined(struct bw_server_connection *connection);
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -51,14 +51,19 @@
 /** Maximum number of connections whose bytes are read and dropped. */
 #define LINGERING_MAX 64
 
+static void leave_memory_(struct bw_listener *listener);
 static int open_socket_(const char *address);
 static void stop_accepting_(struct bw_listener *listener);
 static bool may_close_(struct bw_server_connection *connection);
 static void on_accept_(struct ev_loop *loop, ev_io *watcher, int events);
 static int accept_batch_(struct bw_listener *listener);
+static void pause_accepting_(struct bw_listener *listener);
+static void reject_connection_(struct bw_listener *listener, int fd,
+			       uint32_t peer);
 static void add_connection_(struct bw_listener *listener, int fd,
 			    uint32_t peer);
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
+static void limit_pipelined_(struct bw_server_connection *connection);
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void check_age_(struct bw_server_connection *connection,
@@ -67,6 +72,8 @@
 static void handle_lack_of_memory_(struct bw_server_connection *connection);
 static void begin_request_(struct bw_server_connection *connection);
 static void read_request_(struct bw_server_connection *connection);
+static void note_progress_(struct bw_server_connection *connection,
+			   size_t read_bytes);
 static bool admit_body_(struct bw_server_connection *connection);
 static void send_continue_(struct bw_server_connection *connection);
 static void reject_request_(struct bw_server_connection *connection,
@@ -92,6 +99,13 @@
 		      SWEEP_INTERVAL_S);
 	listener->sweep_timer.data = listener;
 	ev_timer_start(config->loop, &listener->sweep_timer);
+	if (config->memory) {
+		if (!config->body_budget)
+			listener->config.body_budget =
+				&config->memory->requests;
+		listener->next = config->memory->listeners;
+		config->memory->listeners = listener;
+	}
 	return BW_OK;
 }
 
@@ -106,6 +120,7 @@
 	if (listener->fd >= 0)
 		close(listener->fd);
 	listener->fd = -1;
+	leave_memory_(listener);
 }
 
 void bw_listener_set_timeouts(struct bw_listener *listener,
@@ -152,8 +167,7 @@
 
 	for (connection = listener->connections; connection;
 	     connection = connection->next) {
-		if (connection->out.size_bytes ||
-		    listener_has_body_to_send(connection))
+		if (listener_has_output(connection))
 			return false;
 	}
 	return true;
@@ -200,6 +214,21 @@
 	bw_buffer_init(&connection->reader.message.body);
 }
 
+static void leave_memory_(struct bw_listener *listener)
+{
+	struct bw_listener **link;
+
+	if (!listener->config.memory)
+		return;
+	for (link = &listener->config.memory->listeners; *link;
+	     link = &(*link)->next) {
+		if (*link == listener) {
+			*link = listener->next;
+			return;
+		}
+	}
+}
+
 static int open_socket_(const char *address)
 {
 	struct sockaddr_in local;
@@ -240,8 +269,7 @@
 	struct bw_time now = listener_run_time(connection->listener);
 	uint8_t byte;
 
-	if (connection->busy || connection->out.size_bytes ||
-	    listener_has_body_to_send(connection) ||
+	if (connection->busy || listener_has_output(connection) ||
 	    connection->reader.started ||
 	    bw_time_diff_ms(now, connection->state_since) < CLOSE_IDLE_MS)
 		return false;
@@ -268,13 +296,18 @@
 		peer_bytes = sizeof(peer);
 		fd = accept4(listener->fd, (struct sockaddr *)&peer,
 			     &peer_bytes, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0 && (errno == EMFILE || errno == ENFILE)) {
+			if (listener_evict_for_connection(listener))
+				continue;
+			pause_accepting_(listener);
+		}
 		if (fd < 0)
 			break;
 		listener->accepted_count++;
 		if (listener->connection_count >=
-		    listener->config.connections_max) {
-			listener->rejected_count++;
-			close(fd);
+			    listener->config.connections_max &&
+		    !listener_evict_for_connection(listener)) {
+			reject_connection_(listener, fd, peer.sin_addr.s_addr);
 			continue;
 		}
 		add_connection_(listener, fd, peer.sin_addr.s_addr);
@@ -282,6 +315,25 @@
 	return i;
 }
 
+/* The listening socket stays readable, and the loop would spin. */
+static void pause_accepting_(struct bw_listener *listener)
+{
+	listener->accept_paused = true;
+	ev_io_stop(listener->config.loop, &listener->accept_watcher);
+}
+
+static void reject_connection_(struct bw_listener *listener, int fd,
+			       uint32_t peer)
+{
+	const struct bw_eviction_candidate candidate = {
+		.phase = BW_EVICTION_UNUSED
+	};
+
+	listener->rejected_count++;
+	listener_report_eviction(listener, BW_EVICTION_FULL, &candidate, peer);
+	close(fd);
+}
+
 static void add_connection_(struct bw_listener *listener, int fd, uint32_t peer)
 {
 	struct bw_server_connection *connection =
@@ -343,10 +395,27 @@
 		}
 	}
 	if (!connection->busy && !connection->close_after_write &&
-	    !listener_has_body_to_send(connection))
+	    !listener_has_output(connection))
 		read_request_(connection);
-	else if (connection->in.size_bytes > PIPELINED_MAX_BYTES)
+	else
+		limit_pipelined_(connection);
+}
+
+/*
+ * What is sent ahead while the client doesn't read, or memory is short, stays
+ * in the socket until the response is sent. A client that disconnects is then
+ * noticed late.
+ */
+static void limit_pipelined_(struct bw_server_connection *connection)
+{
+	bool too_much = connection->in.size_bytes > PIPELINED_MAX_BYTES;
+
+	listener_charge(connection);
+	if (connection->busy && too_much)
 		listener_close(connection, true);
+	else if (too_much || !listener_evict_for_head(connection))
+		ev_io_stop(connection->listener->config.loop,
+			   &connection->read_watcher);
 }
 
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events)
@@ -373,6 +442,11 @@
 		if (!connection->busy)
 			check_age_(connection, now);
 	}
+	listener_evict_for_responses(listener);
+	if (listener->accept_paused && listener->fd >= 0) {
+		listener->accept_paused = false;
+		ev_io_start(listener->config.loop, &listener->accept_watcher);
+	}
 }
 
 /* The head timeout covers the head; after it the client must not be idle. */
@@ -385,6 +459,9 @@
 	if (connection->lingering) {
 		if (age_ms > LINGER_MAX_MS)
 			listener_close(connection, false);
+	} else if (listener_has_output(connection)) {
+		if (age_ms > config->idle_timeout_ms)
+			listener_evict(connection, BW_EVICTION_SLOW_READER);
 	} else if (!connection->reader.started) {
 		if (age_ms > config->idle_timeout_ms)
 			listener_close(connection, false);
@@ -416,7 +493,7 @@
 static void handle_lack_of_memory_(struct bw_server_connection *connection)
 {
 	if (connection->busy || connection->close_after_write ||
-	    listener_has_body_to_send(connection)) {
+	    listener_has_output(connection)) {
 		listener_close(connection, true);
 		return;
 	}
@@ -439,6 +516,7 @@
 {
 	struct bw_listener *listener = connection->listener;
 	enum bw_http_progress progress;
+	bool reads_body = connection->reader.message.head_complete;
 	size_t used_bytes;
 
 	if (!connection->in.size_bytes)
@@ -449,8 +527,16 @@
 				       connection->in.size_bytes, &used_bytes);
 	bw_buffer_consume(&connection->in, used_bytes);
 	connection->parsed_bytes += used_bytes;
-	if (connection->reader.message.head_complete)
+	if (reads_body)
+		note_progress_(connection, used_bytes);
+	else if (connection->reader.message.head_complete)
 		connection->state_since = listener_run_time(listener);
+	if (!connection->in.size_bytes)
+		bw_buffer_finish(&connection->in);
+	listener_charge(connection);
+	if ((progress == BW_HTTP_INCOMPLETE || progress == BW_HTTP_COMPLETE) &&
+	    !listener_evict_for_head(connection))
+		progress = BW_HTTP_NO_MEMORY;
 	switch (progress) {
 	case BW_HTTP_INCOMPLETE:
 		if (admit_body_(connection))
@@ -483,6 +569,17 @@
 	}
 }
 
+static void note_progress_(struct bw_server_connection *connection,
+			   size_t read_bytes)
+{
+	uint64_t rate = bw_eviction_least_rate(
+		bw_http_reader_body_bytes(&connection->reader));
+
+	connection->state_since =
+		bw_eviction_progress(connection->state_since, read_bytes, rate,
+				     listener_run_time(connection->listener));
+}
+
 /*
  * Charges the body as soon as its length is known, or as it grows, and rejects
  * a request whose body is too large or exceeds the budget. Without a
@@ -498,7 +595,9 @@
 		reject_request_(connection, BW_LISTENER_BODY_TOO_LARGE);
 		return false;
 	}
-	if (!bw_body_charge(&connection->body, total_bytes)) {
+	while (!bw_body_charge(&connection->body, total_bytes)) {
+		if (listener_evict_for_body(connection))
+			continue;
 		reject_request_(connection, BW_LISTENER_BODY_MEMORY);
 		return false;
 	}
@@ -542,9 +641,6 @@
 {
 	struct bw_listener *listener = connection->listener;
 	uint16_t status_code = bw_listener_cause_status[cause];
-	const char *lines = listener->config.unavailable_fields
-				    ? listener->config.unavailable_fields
-				    : RETRY_AFTER_LINE;
 	struct bw_buffer fields;
 
 	listener_report_rejection(connection, cause,
@@ -560,14 +656,25 @@
 		listener->lingering_count++;
 	}
 	bw_buffer_finish(&connection->in);
+	listener_charge(connection);
 	bw_buffer_init(&fields);
 	if (status_code == 503)
-		bw_buffer_append(&fields, lines, strlen(lines));
+		listener_append_unavailable(listener, &fields);
 	listener_write_head(&connection->out, status_code, &fields, 0, true);
 	bw_buffer_finish(&fields);
 	listener_flush(connection);
 }
 
+void listener_append_unavailable(const struct bw_listener *listener,
+				 struct bw_buffer *fields)
+{
+	const char *lines = listener->config.unavailable_fields
+				    ? listener->config.unavailable_fields
+				    : RETRY_AFTER_LINE;
+
+	bw_buffer_append(fields, lines, strlen(lines));
+}
+
 /* Drops no more than an accepted request may send. */
 static void drop_input_(struct bw_server_connection *connection,
 			size_t size_bytes)
@@ -604,6 +711,9 @@
 	if (connection->next)
 		connection->next->previous = connection->previous;
 	listener->connection_count--;
+	if (listener->config.memory)
+		bw_memory_charge_connection(listener->config.memory,
+					    &connection->charged_bytes, 0);
 	listener_free_body(connection);
 	bw_body_finish(&connection->out_body);
 	bw_http_reader_finish(&connection->reader);
--- a/src/libbwproxy/listener_respond.c
+++ b/src/libbwproxy/listener_respond.c
@@ -49,15 +49,20 @@
 
 void listener_read_pipelined(struct bw_server_connection *connection)
 {
-	if (connection->in.size_bytes && !connection->close_after_write &&
-	    !listener_has_body_to_send(connection))
+	if (listener_has_output(connection))
+		return;
+	/* Reading stops when too much is sent ahead. */
+	ev_io_start(connection->listener->config.loop,
+		    &connection->read_watcher);
+	if (connection->in.size_bytes && !connection->close_after_write)
 		ev_feed_event(connection->listener->config.loop,
 			      &connection->read_watcher, EV_CUSTOM);
 }
 
-bool listener_has_body_to_send(const struct bw_server_connection *connection)
+bool listener_has_output(const struct bw_server_connection *connection)
 {
-	return connection->out_body.bytes.size_bytes > 0;
+	return connection->out.size_bytes > 0 ||
+	       connection->out_body.bytes.size_bytes > 0;
 }
 
 bool listener_flush(struct bw_server_connection *connection)
@@ -101,6 +106,10 @@
 	}
 	if (!connection->out.size_bytes && connection->out.capacity_bytes)
 		bw_buffer_finish(&connection->out);
+	if (!connection->reader.started)
+		connection->state_since =
+			listener_run_time(connection->listener);
+	listener_charge(connection);
 	return true;
 }
 
@@ -136,16 +145,18 @@
 	connection->context = NULL;
 	connection->close_after_write = last;
 	connection->continue_sent = false;
+	connection->served = true;
 	connection->state_since = listener_run_time(listener);
 	listener_free_body(connection);
 	bw_http_reader_next(&connection->reader);
+	listener_charge(connection);
 	if (!listener_flush(connection))
 		return;
 	listener_read_pipelined(connection);
 }
 
 /*
- * A client that reads slowly is not idle.
+ * A client that reads at a least rate is not idle.
  * @return number of bytes sent; 0 when none can be sent yet; -1 when the
  *	connection no longer exists
  */
@@ -167,7 +178,10 @@
 		return -1;
 	}
 	if (!connection->reader.started && !connection->lingering)
-		connection->state_since =
-			listener_run_time(connection->listener);
+		connection->state_since = bw_eviction_progress(
+			connection->state_since, (uint64_t)sent,
+			bw_eviction_least_rate(
+				connection->out_body.bytes.size_bytes),
+			listener_run_time(connection->listener));
 	return sent;
 }
