--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -600,6 +600,7 @@
 		return 0.0;
 	case BW_JOB_ANSWERED:
 	case BW_JOB_FAILED:
+	case BW_JOB_EXPIRED:
 	case BW_JOB_CANCELLED:
 		break;
 	}
