--- a/include/bwsteer/dispatch.h
+++ b/include/bwsteer/dispatch.h
@@ -6,7 +6,9 @@
  * late ones use the remaining slots; a request that cannot be answered before
  * its deadline is rejected at once. Requests for an object are placed by
  * weighted rendezvous hashing, so that all hosts send an object to the same few
- * backend servers, which have it in memory (warm). The module reads no clock
+ * backend servers, which have it in memory (warm). Jobs with customers of one
+ * rank are ordered by the shares of their customers (bwcustomer/fair_share.h),
+ * so that the load of one leaves room for the others. The module reads no clock
  * and opens no sockets.
  */
 #ifndef BWSTEER_DISPATCH_H
@@ -20,11 +22,14 @@
 
 #include "bwbase/clock.h"
 #include "bwbase/random.h"
+#include "bwcustomer/fair_share.h"
 #include "bwsteer/registry.h"
 #include "bwsteer/server_limit.h"
 #include "bwsteer/server_notice.h"
 #include "bwsteer/routing.h"
 #include "bwsteer/spread.h"
+#include "bwwork/speed.h"
+#include "bwwork/work.h"
 
 /** Maximum number of backend servers that are considered for one object. */
 #define BW_JOB_CANDIDATES_MAX 3
@@ -54,7 +59,8 @@
 struct bw_dispatch_service {
 	char name[BW_SERVER_TEXT_MAX];
 	struct bw_dispatch_times times[BW_DISTANCE_COUNT];
-	GQueue waiting; /**< struct bw_job, by rank and arrival */
+	GQueue waiting; /**< struct bw_job, by rank, share of the customer and
+			   arrival */
 	GPtrArray *targets; /**< struct bw_target */
 	uint32_t target_latency_ms; /**< lowest of its routes; 0 if unknown */
 	double service_time_ms; /**< smoothed response time of requests that did
@@ -68,6 +74,11 @@
 	uint32_t wait_check_count; /**< jobs without a home that the current
 				      check has counted */
 	uint32_t in_flight;
+	bool tells_speed; /**< its servers say how long work takes there at this
+			     moment; requests are then placed by their expected
+			     end */
+	double mean_load; /**< smoothed number of requests of all hosts at a
+			     server, divided by its slots, from reports */
 	double arrivals_per_s; /**< at this host, smoothed */
 	uint32_t arrival_count; /**< arrivals in the current window */
 	uint32_t arrival_windows; /**< windows since the first arrival */
@@ -78,6 +89,8 @@
 		[BW_SPREAD_DOMAINS_MAX]; /**< demand_per_s with a bounded rate
 					    of decrease, used for planning */
 	struct bw_time planned_demand_at;
+	struct bw_time learning_until; /**< until then the fractions follow the
+					  plan without steps */
 	uint32_t cold_start_ms; /**< warm-up time of a server */
 	double cold_requests_per_s; /**< maximum request rate of a cold server;
 				       0 if unlimited */
@@ -121,6 +134,9 @@
 				     hosts */
 	double slowness; /**< smoothed ratio of measured to average response
 			    time */
+	struct bw_speed speed; /**< used when its service tells its speed */
+	struct bw_time unreadable_logged_at; /**< last log line about a speed
+						that could not be read */
 	double failure_rate; /**< smoothed fraction of failed requests */
 	uint32_t consecutive_failures;
 	struct bw_time failed_at; /**< latest failure */
@@ -158,6 +174,8 @@
 	BW_REJECT_NO_KEY, /**< its key was withdrawn while it waited */
 	BW_REJECT_STOPPING, /**< the host stops before the response could
 			       arrive */
+	BW_REJECT_SHARE, /**< as BW_REJECT_OVERLOAD, for a customer beyond its
+			    share of the room */
 	BW_REJECT_COUNT
 };
 
@@ -175,6 +193,7 @@
 	uint64_t object; /**< hash of the object; 0 when it has none */
 	uint64_t regions; /**< bit set of allowed regions; 0 means any */
 	uint64_t customer_hash; /**< 0: none */
+	struct bw_fair_ticket share; /**< position among its rank */
 	struct bw_time arrived;
 	struct bw_time
 		objective; /**< an answer by then meets the latency objective */
@@ -191,11 +210,18 @@
 						       prefers, best first */
 	uint32_t candidate_count;
 	struct bw_time candidates_at; /**< when they were found */
+	uint64_t work_key; /**< hash of its route and service; 0: unknown */
+	enum bw_familiarity familiarity; /**< of the server with its object */
 	struct bw_target *target; /**< server to which it was assigned; NULL
 				     while it waits */
 	struct bw_time sent;
 	bool warm; /**< the object was expected to be warm */
 	double expected_ms; /**< response time that was expected */
+	double time_told; /**< factor on its time by what the server had said;
+			     0: not known */
+	double expected_wait_ms; /**< part of it before the server begins the
+				    work; 0 unless its service tells its speed
+				    */
 };
 
 /** Placement decision for a job. */
@@ -209,6 +235,7 @@
 enum bw_job_result {
 	BW_JOB_ANSWERED, /**< a useful answer */
 	BW_JOB_FAILED, /**< server error or broken connection */
+	BW_JOB_EXPIRED, /**< the server answered that the deadline has passed */
 	BW_JOB_REFUSED, /**< the server rejected it without running it */
 	BW_JOB_UNREACHABLE, /**< no connection */
 	BW_JOB_CANCELLED /**< cancelled by this host or the client */
@@ -219,6 +246,9 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	uint32_t time_percent; /**< time that work takes there at this moment,
+				  100: as usual; 0: not told */
+	bool time_unreadable; /**< it was told and could not be read */
 };
 
 /** Rejection of one job. */
@@ -244,7 +274,10 @@
 	GHashTable *targets; /**< id hash -> struct bw_target */
 	uint32_t *warm_at; /**< milliseconds of the last use, by hash of object
 			      and server; 0 if never */
+	struct bw_work work; /**< of the routes, where servers tell their speed
+			      */
 	struct bw_random random;
+	struct bw_fair_shares shares; /**< of customers in the room */
 	uint32_t peer_count; /**< hosts in this failure domain including this
 				one; 0 if unknown */
 	uint32_t host_count; /**< hosts in all domains; 0 if unknown */
@@ -395,6 +428,21 @@
 void bw_dispatch_note_load(struct bw_dispatch *dispatch, uint64_t id_hash,
 			   uint32_t busy, struct bw_time now);
 
+/**
+ * Notes the speed of a server that another host has read in an answer.
+ * @param time_percent time that work takes there; 0: as usual, if the service
+ *	tells its speed at all
+ */
+void bw_dispatch_note_shared_speed(struct bw_dispatch *dispatch,
+				   uint64_t id_hash, uint32_t time_percent,
+				   struct bw_time now);
+
+/**
+ * Returns the time that work takes at a server by its last word, in percent; 0
+ * if that is about as usual or not told.
+ */
+uint32_t bw_dispatch_unusual_percent(const struct bw_target *target);
+
 /**
  * Begins the stop of the host. From now on, jobs that are not expected to end
  * in time are rejected on arrival and while they wait.
@@ -416,6 +464,13 @@
 /** Returns the number of waiting jobs of all services. */
 uint32_t bw_dispatch_waiting(const struct bw_dispatch *dispatch);
 
+/**
+ * Returns the number of services for which jobs wait while customers share the
+ * room.
+ */
+uint32_t bw_dispatch_contended(struct bw_dispatch *dispatch,
+			       struct bw_time now);
+
 /** Writes services and backend servers to a state dump. */
 void bw_dispatch_dump(const struct bw_dispatch *dispatch, struct bw_time now,
 		      json_t *into);
--- a/src/boragewingd/gateway/gate_entry.h
+++ b/src/boragewingd/gateway/gate_entry.h
@@ -15,7 +15,9 @@
 #include "bwsteer/poison.h"
 #include "bwsteer/routing.h"
 #include "gate_node.h"
+#include "gate_quota.h"
 #include "gate_refusal.h"
+#include "gate_shares.h"
 #include "platform.h"
 
 /** Outcome of a client request. */
@@ -26,6 +28,7 @@
 	GATE_OUTCOME_TIMEOUT, /**< deadline of route or client passed */
 	GATE_OUTCOME_NO_ROUTE,
 	GATE_OUTCOME_UNKNOWN_KEY, /**< no customer has its key */
+	GATE_OUTCOME_BEYOND_QUOTA, /**< of its customer; was not executed */
 	GATE_OUTCOME_CANCELLED, /**< the client disconnected */
 	GATE_OUTCOME_COUNT
 };
@@ -76,13 +79,10 @@
 	struct gate_node *node;
 	struct bw_listener clients;
 	struct bw_listener ready;
-	struct bw_body_budget body_budget; /**< of requests of clients */
-	struct bw_body_budget
-		response_budget; /**< of bodies that are read from
-				      servers or sent to clients */
 	struct bw_pool pool;
 	struct bw_dispatch dispatch;
 	struct gate_poison poison;
+	struct gate_quota quota;
 	struct bw_routing *routing; /**< active; NULL until received */
 	struct bw_time routing_since; /**< when it was activated here */
 	char evacuated[BW_EVACUATIONS_MAX][BW_NAME_MAX];
@@ -140,6 +140,7 @@
 	struct bw_metric *servers_known;
 	struct bw_metric *routing_age_s;
 	struct bw_metric *notices_invalid; /**< see gate_notice.h */
+	struct bw_metric *speeds_unreadable;
 	struct bw_metric *limits_changed;
 	struct bw_metric *pauses;
 	struct bw_metric *routing_fetches;
@@ -147,6 +148,7 @@
 	uint64_t fetches_since; /**< since the active version came */
 	uint64_t received_bytes_since; /**< of configurations, likewise */
 	struct gate_refusals refusals;
+	struct gate_shares shares; /**< of customers, as shown last */
 };
 
 /** Opens the listeners. @return BW_OK, or BW_EIO, which is logged */
--- a/src/boragewingd/gateway/gate_entry_messages.c
+++ b/src/boragewingd/gateway/gate_entry_messages.c
@@ -107,6 +107,9 @@
 		if (bw_reader_status(&reader) == BW_OK)
 			handle_loads_(entry, &loads, now);
 		break;
+	case GATE_QUOTA_GRANT:
+		gate_quota_receive(entry, &reader, now);
+		break;
 	default:
 		break;
 	}
@@ -378,6 +381,9 @@
 		entry->entry_count = status->entry_count;
 		entry->entry_index = status->entry_index;
 		entry->dispatch.host_count = status->entry_count;
+		bw_quota_shares_set_hosts(&entry->quota.shares,
+					  status->entry_count,
+					  status->entry_index);
 		entry->dispatch.peer_count = status->domain_entry_count;
 	}
 	handle_demands_(entry, status);
@@ -466,6 +472,8 @@
 		note_leave_(entry, load);
 		bw_dispatch_note_load(&entry->dispatch, load->id_hash,
 				      load->outstanding, now);
+		bw_dispatch_note_shared_speed(&entry->dispatch, load->id_hash,
+					      load->time_percent, now);
 	}
 }
 
@@ -501,6 +509,7 @@
 		load->outstanding = target->reported_requests;
 		load->limit_millirequests_per_s = (uint32_t)CLAMP(
 			1000.0 * target->limit.limit_per_s, 0.0, 1e9);
+		load->time_percent = bw_dispatch_unusual_percent(target);
 		load->leaving = target->notice.leaving;
 		load->started_wall_ms = target->started_wall_ms;
 	}
--- a/src/boragewingd/gateway/gate_log.c
+++ b/src/boragewingd/gateway/gate_log.c
@@ -32,14 +32,15 @@
 	const struct bw_job *job = &request->job;
 
 	bw_log_event(request->entry->node->log, BW_LOG_INFO, "request", "sent",
-		     "{s:s,s:s,s:s,s:s,s:i,s:f,s:b,s:i,s:f,s:I,s:I}", "request",
-		     request->id, "service", job->service->name, "server",
-		     job->target->id, "distance",
+		     "{s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:b,s:i,s:f,s:I,s:I}",
+		     "request", request->id, "service", job->service->name,
+		     "server", job->target->id, "distance",
 		     bw_distance_string[job->target->distance], "attempt",
 		     (int)request->attempts, "expected_ms", job->expected_ms,
-		     "warm", job->warm, "in_flight",
-		     (int)job->target->in_flight, "others",
-		     job->target->other_requests, "report_age_ms",
+		     "expected_wait_ms", job->expected_wait_ms, "time_factor",
+		     bw_speed_factor(&job->target->speed, now), "warm",
+		     job->warm, "in_flight", (int)job->target->in_flight,
+		     "others", job->target->other_requests, "report_age_ms",
 		     (json_int_t)gate_report_age_ms(job->target, now),
 		     "version", (json_int_t)request->routing->version);
 }
@@ -64,7 +65,7 @@
 		     succeeded ? BW_LOG_INFO : BW_LOG_WARNING, "request",
 		     gate_outcome_string[outcome],
 		     "{s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:i,s:I,s:s,s:s,s:b,s:b,s:i,"
-		     "s:f,s:f,s:I,s:i,s:i,s:I,s:s,s:i}",
+		     "s:f,s:f,s:I,s:i,s:i,s:i,s:I,s:s,s:i,s:f}",
 		     "request", request->id, "route", request->route->name,
 		     "service", request->job.service->name, "status",
 		     (int)status_code, "cause", cause, "attempts",
@@ -79,10 +80,12 @@
 		     last->other_host_requests, "report_age_ms",
 		     (json_int_t)last->report_age_ms, "running",
 		     (int)last->load.running, "server_waiting",
-		     (int)last->load.waiting, "object",
+		     (int)last->load.waiting, "time_percent",
+		     (int)last->load.time_percent, "object",
 		     (json_int_t)(request->job.object >> 40), "customer",
 		     request->customer ? request->customer->name : "", "rank",
-		     (int)request->job.rank);
+		     (int)request->job.rank, "share_level",
+		     request->job.share.level);
 }
 
 void gate_log_ejection(const struct gate_request *request, uint64_t id_hash,
--- a/src/boragewingd/gateway/gate_request.c
+++ b/src/boragewingd/gateway/gate_request.c
@@ -32,6 +32,9 @@
 /** Retry-After of a request that a stopping host has not sent; others may. */
 #define RETRY_AFTER_STOPPING_MS 100
 
+/** Status of a server that has not finished a request by its deadline. */
+#define STATUS_TIMEOUT 504
+
 /**
  * Time after the deadline for which an attempt that must not run twice waits
  * for its server. The server ends its work at the deadline that it was sent, so
@@ -48,6 +51,7 @@
 static void set_deadline_(struct gate_request *request,
 			  const struct bw_http_message *message,
 			  struct bw_time now);
+static bool refuse_beyond_quota_(struct gate_request *request);
 static bool reject_if_poison_(struct gate_request *request);
 static bool is_current_(struct gate_request *request);
 static bool is_current_on_connection_(struct gate_request *request);
@@ -59,6 +63,7 @@
 static void handle_response_(struct gate_request *request,
 			     const struct bw_http_message *response,
 			     struct bw_body *body);
+static enum bw_job_result response_result_(uint16_t status_code);
 static void handle_failure_(struct gate_request *request,
 			    enum bw_pool_result result);
 static bool may_retry_(struct gate_request *request, struct bw_time now,
@@ -117,6 +122,8 @@
 	gate_request_keep_input(request, message, &target);
 	gate_request_choose_service(request);
 	gate_forward_copy_head(request, message, &target);
+	if (refuse_beyond_quota_(request))
+		return;
 	entry->retry_tokens += RETRY_SHARE * entry->node->settings.retry_ratio;
 	if (request->expired)
 		reject_(request, BW_REJECT_DEADLINE, RETRY_AFTER_DEFAULT_MS);
@@ -270,6 +277,19 @@
 	ev_timer_start(request->entry->node->loop, &request->deadline_timer);
 }
 
+/* Refuses a request beyond its customer's quota. @return whether it was */
+static bool refuse_beyond_quota_(struct gate_request *request)
+{
+	uint32_t retry_after_ms;
+
+	if (gate_quota_admit(request, &retry_after_ms))
+		return false;
+	gate_quota_note_refused(request, retry_after_ms);
+	gate_entry_respond_error(request, 429, retry_after_ms, "quota");
+	finish_for_client_(request, GATE_OUTCOME_BEYOND_QUOTA, 429, "quota");
+	return true;
+}
+
 /* Rejects a request that crashes servers. @return whether it was rejected */
 static bool reject_if_poison_(struct gate_request *request)
 {
@@ -466,8 +486,7 @@
 		return;
 	}
 	gate_poison_completed(&entry->poison, request, now);
-	end_job_(request, code >= 500 ? BW_JOB_FAILED : BW_JOB_ANSWERED,
-		 response);
+	end_job_(request, response_result_(code), response);
 	request->may_have_run = true;
 	if (request->detached)
 		gate_request_free(request);
@@ -477,6 +496,13 @@
 		relay_response_(request, response, body);
 }
 
+static enum bw_job_result response_result_(uint16_t status_code)
+{
+	if (status_code == STATUS_TIMEOUT)
+		return BW_JOB_EXPIRED;
+	return status_code >= 500 ? BW_JOB_FAILED : BW_JOB_ANSWERED;
+}
+
 static void handle_failure_(struct gate_request *request,
 			    enum bw_pool_result result)
 {
@@ -594,12 +620,18 @@
 	uint64_t took_us = bw_clock_us() - request->arrived_us;
 	bool succeeded = outcome == GATE_OUTCOME_ANSWERED && status_code < 500;
 
+	if (!request->may_have_run && !request->upstream &&
+	    (outcome == GATE_OUTCOME_REJECTED ||
+	     outcome == GATE_OUTCOME_CANCELLED))
+		gate_quota_give_back(request);
 	if (request->connection)
 		*bw_connection_context(request->connection) = NULL;
 	request->connection = NULL;
 	bw_metric_add(entry->outcomes[outcome], 1);
 	bw_metric_observe(entry->total_us[request->route->idempotent], took_us);
-	if (!succeeded || request->traced)
+	/* A refusal beyond the quota has a line of its own. */
+	if (outcome != GATE_OUTCOME_BEYOND_QUOTA &&
+	    (!succeeded || request->traced))
 		gate_log_end(request, outcome, status_code, cause, took_us);
 	request->detached = true;
 	ev_timer_stop(entry->node->loop, &request->deadline_timer);
@@ -646,6 +678,8 @@
 		request->last_attempt.load = load;
 	if (response)
 		gate_notice_read(request, response, now);
+	if (load.time_unreadable)
+		gate_notice_unreadable_speed(request, now);
 	request->last_attempt.took_ms =
 		(uint32_t)((bw_clock_us() - request->sent_us) / 1000);
 	bw_dispatch_ended(&entry->dispatch, &request->job, result,
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -23,22 +23,45 @@
  */
 #define WAIT_FRACTION_MAX 0.9
 
+/**
+ * Time for which a host learns the servers of a service, from the first one
+ * that it knows: after a loss of power everywhere they announce themselves one
+ * after the other.
+ */
+#define LEARNING_MS 3000
+
 /** Interval between checks whether waiting jobs can meet their deadlines. */
 #define WAIT_CHECK_INTERVAL_MS 50
 
+/**
+ * Load of the servers of a service below which they have room to spare; jobs of
+ * customers beyond their share then need not give way to those of other hosts.
+ */
+#define SPARE_LOAD 0.75
+
+/** Age at which the load of a server is no longer counted for this. */
+#define SPARE_REPORT_AGE_MS 2000
+
 static void free_service_(gpointer data);
 static struct bw_time cold_until_(const struct bw_dispatch_service *service,
 				  const struct bw_target_update *update);
 static void free_target_(gpointer data);
 static void remove_target_(struct bw_dispatch *dispatch,
 			   struct bw_target *target);
-static void insert_waiting_(struct bw_job *job);
+static void insert_waiting_(struct bw_dispatch *dispatch, struct bw_job *job);
 static bool goes_before_(const struct bw_job *a, const struct bw_job *b);
 static void release_home_(struct bw_job *job);
 static void reject_late_(struct bw_dispatch *dispatch, const struct bw_job *job,
 			 double wait_ms, struct bw_time now,
 			 struct bw_rejection *rejection);
+static double response_ms_(const struct bw_dispatch *dispatch,
+			   const struct bw_job *job);
+static bool is_beyond_share_(struct bw_dispatch *dispatch,
+			     const struct bw_job *job, struct bw_time now);
+static double work_ms_(const struct bw_job *job, enum bw_job_result result,
+		       struct bw_time now);
 static double job_wait_ms_(const struct bw_job *job);
+static uint32_t count_ahead_at_home_(const struct bw_job *job);
 static double wait_behind_ms_(const struct bw_job *job, uint32_t ahead);
 static double service_wait_ms_(const struct bw_dispatch_service *service,
 			       uint32_t ahead);
@@ -49,7 +72,8 @@
 static void check_waits_of_(const struct bw_dispatch *dispatch,
 			    struct bw_dispatch_service *service, bool on_time,
 			    struct bw_time now);
-static bool can_be_on_time_(const struct bw_job *job, struct bw_time now);
+static bool can_be_on_time_(const struct bw_dispatch *dispatch,
+			    const struct bw_job *job, struct bw_time now);
 static struct bw_job *next_of_service_(struct bw_dispatch *dispatch,
 				       struct bw_dispatch_service *service,
 				       struct bw_time now,
@@ -58,6 +82,10 @@
 static struct bw_job *next_placeable_(struct bw_dispatch *dispatch,
 				      struct bw_dispatch_service *service,
 				      bool on_time, struct bw_time now);
+static bool gives_way_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		       struct bw_time now);
+static bool has_room_to_spare_(const struct bw_dispatch_service *service,
+			       struct bw_time now);
 static void count_completion_(struct bw_dispatch_service *service,
 			      struct bw_time now);
 static json_t *dump_target_(const struct bw_target *target, struct bw_time now);
@@ -76,7 +104,9 @@
 	dispatch->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  NULL, free_target_);
 	dispatch->warm_at = g_new0(uint32_t, DISPATCH_WARM_ENTRIES);
+	bw_work_init(&dispatch->work);
 	bw_random_init(&dispatch->random, seed);
+	bw_fair_shares_init(&dispatch->shares);
 }
 
 void bw_dispatch_finish(struct bw_dispatch *dispatch)
@@ -86,6 +116,7 @@
 	g_hash_table_destroy(dispatch->targets);
 	g_hash_table_destroy(dispatch->services);
 	g_free(dispatch->warm_at);
+	bw_fair_shares_finish(&dispatch->shares);
 	memset(dispatch, 0, sizeof(*dispatch));
 }
 
@@ -135,6 +166,7 @@
 		target = g_new0(struct bw_target, 1);
 		target->id_hash = server->id_hash;
 		target->slowness = 1.0;
+		bw_speed_init(&target->speed);
 		target->fraction = -1.0;
 		target->correction = 1.0;
 		target->adapted_at = now;
@@ -145,6 +177,9 @@
 			  sizeof(target->address));
 		target->service =
 			bw_dispatch_service(dispatch, server->record.service);
+		if (!target->service->targets->len)
+			target->service->learning_until =
+				bw_time_add(now, LEARNING_MS);
 		g_ptr_array_add(target->service->targets, target);
 		g_hash_table_insert(dispatch->targets, &target->id_hash,
 				    target);
@@ -280,17 +315,24 @@
 		dispatch_reject(dispatch, BW_REJECT_STOPPING, 0.0, rejection);
 		return BW_VERDICT_REJECT;
 	}
-	if (!count_ahead_(job) && dispatch_place(dispatch, job, now))
+	bw_fair_share_ask(&dispatch->shares, &job->share, job->customer_hash,
+			  job->rank, job->service->service_time_ms,
+			  job->arrived, now);
+	if (!count_ahead_(job) && !gives_way_(dispatch, job, now) &&
+	    dispatch_place(dispatch, job, now))
 		return BW_VERDICT_SEND;
 	left_ms = dispatch_left_ms(dispatch, job, now) -
-		  dispatch_service_response_ms(job->service);
-	wait_ms = job_wait_ms_(job);
-	if (wait_ms > WAIT_FRACTION_MAX * left_ms) {
+		  response_ms_(dispatch, job);
+	wait_ms =
+		MAX(job_wait_ms_(job),
+		    bw_fair_share_wait_ms(&dispatch->shares, &job->share, now));
+	if (dispatch_ends_late(dispatch, job, now) ||
+	    wait_ms > WAIT_FRACTION_MAX * left_ms) {
 		reject_late_(dispatch, job, wait_ms, now, rejection);
 		return BW_VERDICT_REJECT;
 	}
 	job->misses_deadline = false;
-	insert_waiting_(job);
+	insert_waiting_(dispatch, job);
 	return BW_VERDICT_WAIT;
 }
 
@@ -331,6 +373,7 @@
 		target->cold_tokens -= 1.0;
 	bw_server_limit_use(&target->limit, now);
 	bw_server_notice_sent(&target->notice, now);
+	bw_fair_share_send(&dispatch->shares, &job->share, now);
 	dispatch_mark_warm(dispatch, job, now);
 	dispatch_region_count(dispatch, target->region, now);
 }
@@ -344,14 +387,17 @@
 	job->target = NULL;
 	target->in_flight--;
 	target->service->in_flight--;
-	if (result == BW_JOB_ANSWERED || result == BW_JOB_FAILED)
+	if (result == BW_JOB_ANSWERED || result == BW_JOB_FAILED ||
+	    result == BW_JOB_EXPIRED)
 		count_completion_(target->service, now);
+	bw_fair_share_end(&dispatch->shares, &job->share,
+			  work_ms_(job, result, now), now);
 	bw_server_notice_ended(
 		&target->notice,
 		result == BW_JOB_ANSWERED &&
 			!bw_server_notice_declines(&target->notice, now),
 		job->sent);
-	dispatch_record_result(target, job, result, load, now);
+	dispatch_record_result(dispatch, target, job, result, load, now);
 	if (result != BW_JOB_ANSWERED)
 		dispatch_mark_cold(dispatch, job, target);
 	if (!--target->references && target->removed)
@@ -360,10 +406,10 @@
 
 void bw_dispatch_remove(struct bw_dispatch *dispatch, struct bw_job *job)
 {
-	(void)dispatch;
 	if (!job->queued)
 		return;
 	g_queue_remove(&job->service->waiting, job);
+	bw_fair_share_leave(&dispatch->shares, &job->share);
 	job->queued = false;
 	release_home_(job);
 }
@@ -388,6 +434,22 @@
 	return count;
 }
 
+uint32_t bw_dispatch_contended(struct bw_dispatch *dispatch, struct bw_time now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	if (!bw_fair_shares_active(&dispatch->shares, now))
+		return 0;
+	g_hash_table_iter_init(&iter, dispatch->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct bw_dispatch_service *)value)->waiting.length)
+			count++;
+	}
+	return count;
+}
+
 void bw_dispatch_dump(const struct bw_dispatch *dispatch, struct bw_time now,
 		      json_t *into)
 {
@@ -417,6 +479,8 @@
 				  targets));
 	}
 	json_object_set_new(into, "services", services);
+	json_object_set_new(into, "customers_active",
+			    json_integer(dispatch->shares.active));
 }
 
 static void free_service_(gpointer data)
@@ -446,7 +510,7 @@
 	g_hash_table_remove(dispatch->targets, &target->id_hash);
 }
 
-static void insert_waiting_(struct bw_job *job)
+static void insert_waiting_(struct bw_dispatch *dispatch, struct bw_job *job)
 {
 	GQueue *waiting = &job->service->waiting;
 	GList *item = waiting->tail;
@@ -455,6 +519,7 @@
 		item = item->prev;
 	g_queue_insert_after(waiting, item, job);
 	job->queued = true;
+	bw_fair_share_wait(&dispatch->shares, &job->share);
 	if (job->home) {
 		job->home->waiting++;
 		job->home->references++;
@@ -465,6 +530,9 @@
 {
 	if (a->rank != b->rank)
 		return a->rank < b->rank;
+	/* The arrival, if no job has a customer. */
+	if (a->share.order_ms != b->share.order_ms)
+		return a->share.order_ms < b->share.order_ms;
 	return a->arrived.ms < b->arrived.ms;
 }
 
@@ -495,15 +563,55 @@
 {
 	if (dispatch_stop_is_first(dispatch, job))
 		dispatch_reject(dispatch, BW_REJECT_STOPPING, 0.0, rejection);
+	else if (is_beyond_share_(dispatch, job, now))
+		dispatch_reject(dispatch, BW_REJECT_SHARE,
+				MAX(wait_ms,
+				    bw_fair_share_return_ms(&job->share)),
+				rejection);
 	else
 		dispatch_reject(dispatch, dispatch_overload_reason(job, now),
 				wait_ms, rejection);
 }
 
+/* Returns the least time that a job needs once a server runs it. */
+static double response_ms_(const struct bw_dispatch *dispatch,
+			   const struct bw_job *job)
+{
+	double run_ms = dispatch_run_ms(dispatch, job);
+
+	return run_ms > 0.0 ? run_ms
+			    : dispatch_service_response_ms(job->service);
+}
+
+static bool is_beyond_share_(struct bw_dispatch *dispatch,
+			     const struct bw_job *job, struct bw_time now)
+{
+	return bw_fair_share_is_beyond(&job->share) &&
+	       bw_fair_shares_active(&dispatch->shares, now);
+}
+
+/* Returns the time that a job took at its server. */
+static double work_ms_(const struct bw_job *job, enum bw_job_result result,
+		       struct bw_time now)
+{
+	switch (result) {
+	case BW_JOB_REFUSED:
+	case BW_JOB_UNREACHABLE:
+		return 0.0;
+	case BW_JOB_ANSWERED:
+	case BW_JOB_FAILED:
+	case BW_JOB_EXPIRED:
+	case BW_JOB_CANCELLED:
+		break;
+	}
+	return (double)bw_time_diff_ms(now, job->sent);
+}
+
 static double job_wait_ms_(const struct bw_job *job)
 {
 	if (job->home)
-		return dispatch_wait_ms(job->home, job->home->waiting + 1);
+		return dispatch_wait_ms(job->home,
+					count_ahead_at_home_(job) + 1);
 	return wait_behind_ms_(job, count_ahead_(job) + 1);
 }
 
@@ -541,6 +649,15 @@
 	return count;
 }
 
+/*
+ * A job of a customer below its share is not rejected because of jobs that go
+ * behind it.
+ */
+static uint32_t count_ahead_at_home_(const struct bw_job *job)
+{
+	return job->share.counted ? count_ahead_(job) : job->home->waiting;
+}
+
 /*
  * Marks the jobs that the current load keeps from running before their
  * deadline. Such jobs exist because the load of other hosts becomes known late,
@@ -571,7 +688,6 @@
 			    struct bw_dispatch_service *service, bool on_time,
 			    struct bw_time now)
 {
-	double response_ms = dispatch_service_response_ms(service);
 	double left_ms;
 	double wait_ms;
 	GList *item;
@@ -579,9 +695,10 @@
 	for (item = service->waiting.head; item; item = item->next) {
 		struct bw_job *job = item->data;
 
-		if (can_be_on_time_(job, now) != on_time)
+		if (can_be_on_time_(dispatch, job, now) != on_time)
 			continue;
-		left_ms = dispatch_left_ms(dispatch, job, now) - response_ms;
+		left_ms = dispatch_left_ms(dispatch, job, now) -
+			  response_ms_(dispatch, job);
 		wait_ms = job->home ? dispatch_wait_ms(
 					      job->home,
 					      ++job->home->wait_check_count)
@@ -591,10 +708,14 @@
 	}
 }
 
-static bool can_be_on_time_(const struct bw_job *job, struct bw_time now)
+static bool can_be_on_time_(const struct bw_dispatch *dispatch,
+			    const struct bw_job *job, struct bw_time now)
 {
-	return bw_time_diff_ms(job->objective, now) >
-	       ON_TIME_FACTOR * dispatch_job_response_ms(job);
+	double run_ms = dispatch_run_ms(dispatch, job);
+
+	if (run_ms <= 0.0)
+		run_ms = dispatch_job_response_ms(job);
+	return bw_time_diff_ms(job->objective, now) > ON_TIME_FACTOR * run_ms;
 }
 
 /*
@@ -607,7 +728,6 @@
 				       enum bw_verdict *verdict,
 				       struct bw_rejection *rejection)
 {
-	double response_ms = dispatch_service_response_ms(service);
 	struct bw_job *job;
 	bool expired;
 	GList *item;
@@ -615,7 +735,8 @@
 	check_waits_(dispatch, service, now);
 	for (item = service->waiting.head; item; item = item->next) {
 		job = item->data;
-		expired = dispatch_left_ms(dispatch, job, now) <= response_ms ||
+		expired = dispatch_left_ms(dispatch, job, now) <=
+				  response_ms_(dispatch, job) ||
 			  dispatch_stop_is_near(dispatch, job, now);
 		if (!expired && !job->misses_deadline)
 			continue;
@@ -650,13 +771,45 @@
 	for (item = service->waiting.head; item; item = item->next) {
 		struct bw_job *job = item->data;
 
-		if (can_be_on_time_(job, now) == on_time &&
+		if (can_be_on_time_(dispatch, job, now) == on_time &&
+		    !gives_way_(dispatch, job, now) &&
 		    dispatch_place(dispatch, job, now))
 			return job;
 	}
 	return NULL;
 }
 
+/*
+ * Returns whether a job leaves the free slots to jobs of other hosts, whose
+ * customers are below their share.
+ */
+static bool gives_way_(struct bw_dispatch *dispatch, const struct bw_job *job,
+		       struct bw_time now)
+{
+	return bw_fair_share_gives_way(&dispatch->shares, &job->share, now) &&
+	       !has_room_to_spare_(job->service, now);
+}
+
+static bool has_room_to_spare_(const struct bw_dispatch_service *service,
+			       struct bw_time now)
+{
+	double requests = 0.0;
+	double slots = 0.0;
+	uint32_t i;
+
+	for (i = 0; i < service->targets->len; i++) {
+		const struct bw_target *target = service->targets->pdata[i];
+
+		if (!target->accepts ||
+		    bw_time_diff_ms(now, target->reported_at) >
+			    SPARE_REPORT_AGE_MS)
+			continue;
+		requests += target->in_flight + target->other_requests;
+		slots += target->slots;
+	}
+	return requests <= SPARE_LOAD * slots;
+}
+
 static void count_completion_(struct bw_dispatch_service *service,
 			      struct bw_time now)
 {
@@ -675,12 +828,14 @@
 
 static json_t *dump_target_(const struct bw_target *target, struct bw_time now)
 {
-	return json_pack("{s:s,s:s,s:i,s:i,s:f,s:f,s:f,s:b,s:b}", "address",
-			 target->address, "distance",
+	return json_pack("{s:s,s:s,s:i,s:i,s:f,s:f,s:f,s:b,s:f,s:b,s:b}",
+			 "address", target->address, "distance",
 			 bw_distance_string[target->distance], "slots",
 			 (int)target->slots, "in_flight",
 			 (int)target->in_flight, "others",
 			 target->other_requests, "slowness", target->slowness,
+			 "time_factor", bw_speed_factor(&target->speed, now),
+			 "speed_trusted", bw_speed_is_trusted(&target->speed),
 			 "failures", target->failure_rate, "accepts",
 			 target->accepts, "ejected",
 			 !bw_time_reached(now, target->ejected_until));
--- a/src/test_libbwsteer/test_dispatch_adapt.c
+++ b/src/test_libbwsteer/test_dispatch_adapt.c
@@ -137,6 +137,66 @@
 	bw_dispatch_finish(&dispatch);
 }
 
+/*
+ * Guards against a cold run of each object in each domain of a region: hosts of
+ * both domains have to prefer the same server for it, also when one domain has
+ * few servers for its demand.
+ */
+static void test_region_shares_homes(void **state)
+{
+	static const uint32_t domains[FIXTURE_SERVERS_MAX] = { 0, 0, 0, 0,
+							       0, 0, 0, 1 };
+	uint64_t homes[2][OBJECTS];
+	uint32_t own;
+
+	(void)state;
+	for (own = 0; own < 2; own++) {
+		struct bw_dispatch dispatch;
+		struct bw_dispatch_service *service;
+
+		bw_dispatch_init(&dispatch, own);
+		dispatch.domain_count = 2;
+		dispatch.own_domain = own;
+		service = bw_dispatch_service(&dispatch, "s");
+		service->service_time_ms = SERVICE_TIME_MS;
+		service->demand_per_s[0] = 20.0;
+		service->demand_per_s[1] = 20.0;
+		fixture_update(&dispatch, FIXTURE_SERVERS_MAX, SLOTS, domains,
+			       0);
+		find_homes_(&dispatch, 0, homes[own]);
+		bw_dispatch_finish(&dispatch);
+	}
+	assert_int_equal(count_moved_(homes[0], homes[1]), 0);
+}
+
+/*
+ * Guards against hosts that prefer different servers for the same objects for
+ * many seconds after a loss of power everywhere, because one of them knew only
+ * some servers at first.
+ */
+static void test_start_learns_servers(void **state)
+{
+	struct bw_dispatch early;
+	struct bw_dispatch late;
+	uint64_t early_homes[OBJECTS];
+	uint64_t late_homes[OBJECTS];
+
+	(void)state;
+	bw_dispatch_init(&early, 1);
+	bw_dispatch_init(&late, 2);
+	early.domain_count = 1;
+	late.domain_count = 1;
+	fixture_update(&early, 2, SLOTS, NULL, 0);
+	fixture_update(&early, 2, SLOTS, NULL, UPDATE_MS);
+	fixture_update(&early, FIXTURE_SERVERS_MAX, SLOTS, NULL, 2 * UPDATE_MS);
+	fixture_update(&late, FIXTURE_SERVERS_MAX, SLOTS, NULL, 2 * UPDATE_MS);
+	find_homes_(&early, 2 * UPDATE_MS, early_homes);
+	find_homes_(&late, 2 * UPDATE_MS, late_homes);
+	assert_int_equal(count_moved_(early_homes, late_homes), 0);
+	bw_dispatch_finish(&early);
+	bw_dispatch_finish(&late);
+}
+
 /*
  * Guards against a measured demand that keeps rising for seconds after the
  * start.
@@ -167,6 +227,8 @@
 		cmocka_unit_test(test_short_fall),
 		cmocka_unit_test(test_move_between_regions),
 		cmocka_unit_test(test_first_arrivals),
+		cmocka_unit_test(test_region_shares_homes),
+		cmocka_unit_test(test_start_learns_servers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
