customers: send demands only for requests since the last one

A share whose lease could not grow sent its demand each 150 ms without a new request. Urgent demands now need a request since the last one.

--- a/src/libbwcustomer/quota_shares.c
+++ b/src/libbwcustomer/quota_shares.c
@@ -413,7 +413,7 @@
 	    (share->unanswered && age_ms < ANSWER_TIMEOUT_MS))
 		return false;
 	return share->refused ||
-	       (wanted_(shares, share, base, now) > leased &&
+	       (share->unsent && wanted_(shares, share, base, now) > leased &&
 		share->admitted.sum + reserve > leased + base);
 }
 
