--- a/include/bwcustomer/quota_grants.h
+++ b/include/bwcustomer/quota_grants.h
@@ -36,7 +36,8 @@
 	bool granting;
 	uint64_t term; /**< in which this host grants, or did last */
 	struct bw_time since; /**< granting in this term */
-	uint32_t host_count; /**< entry hosts of the fleet */
+	uint32_t host_count; /**< most entry hosts of the fleet of late */
+	struct bw_time host_count_at; /**< when there were so many */
 	uint32_t known_count; /**< of these, those whose leases are known */
 	struct bw_time next_sweep;
 	struct bw_time next_closed; /**< list of customers that are not open */
@@ -56,6 +57,7 @@
  * at a time. A host that gets it renews the leases that entry hosts report,
  * and grants more only when it has heard of them. One that gets it again in the
  * same term goes on: no other host can have granted in between.
+ * Called at least once a second, also at hosts that do not grant.
  * @param term of the right to grant
  * @param host_count entry hosts of the fleet
  */
--- a/src/boragewingd/gateway_control/gate_control_quota.c
+++ b/src/boragewingd/gateway_control/gate_control_quota.c
@@ -72,7 +72,7 @@
 		return;
 	if (grant.host[0])
 		relay_(control, packet, grant.host);
-	else
+	else if (gate_node_control(control->node, packet->peer))
 		gate_control_relay(control, packet);
 }
 
@@ -80,10 +80,16 @@
 		    const struct gate_quota_demand *demand, struct bw_time now)
 {
 	static struct gate_quota_grant grant;
+	bool begun = !bw_quota_grants_in_use(&control->quotas);
 
 	if (!bw_quota_grants_answer(&control->quotas, &demand->report,
 				    grant.grants, now))
 		return;
+	if (begun)
+		bw_log_event(control->node->log, BW_LOG_INFO, "quota",
+			     "granting_begun", "{s:I,s:i}", "term",
+			     (json_int_t)control->quotas.term, "entry_hosts",
+			     (int)control->quotas.host_count);
 	bw_name_set(grant.host, demand->report.host);
 	grant.incarnation = demand->report.incarnation;
 	grant.term = control->quotas.term;
@@ -106,17 +112,11 @@
 static void update_granting_(struct gate_control *control, struct bw_time now)
 {
 	bool granting = bw_replica_has_lease(control->replica, now);
-	uint64_t term = bw_replica_term(control->replica);
-	bool begun = granting && term != control->quotas.term;
 
-	bw_quota_grants_set_granting(&control->quotas, granting, term,
+	bw_quota_grants_set_granting(&control->quotas, granting,
+				     bw_replica_term(control->replica),
 				     bw_roster_sorted(&control->roster)->len,
 				     now);
-	if (begun)
-		bw_log_event(control->node->log, BW_LOG_INFO, "quota",
-			     "granting_begun", "{s:I,s:i}", "term",
-			     (json_int_t)term, "entry_hosts",
-			     (int)control->quotas.host_count);
 }
 
 static void send_closed_(struct gate_control *control, struct bw_time now)
--- a/src/libbwcustomer/quota_grants.c
+++ b/src/libbwcustomer/quota_grants.c
@@ -112,6 +112,8 @@
 			      struct customer *customer, struct bw_time now);
 static void update_closed_(struct bw_quota_grants *grants,
 			   struct customer *customer, struct bw_time now);
+static void note_hosts_(struct bw_quota_grants *grants, uint32_t host_count,
+			struct bw_time now);
 static void free_customer_(gpointer data);
 static struct host *get_host_(struct bw_quota_grants *grants,
 			      const struct bw_quota_report *report);
@@ -171,7 +173,7 @@
 {
 	bool resumed = term == grants->term;
 
-	grants->host_count = host_count;
+	note_hosts_(grants, host_count, now);
 	if (granting == grants->granting && (resumed || !granting))
 		return;
 	grants->granting = granting;
@@ -184,6 +186,19 @@
 	g_hash_table_remove_all(grants->hosts);
 }
 
+/* Hosts that are cut off hold their leases for a time. */
+static void note_hosts_(struct bw_quota_grants *grants, uint32_t host_count,
+			struct bw_time now)
+{
+	int64_t age_ms = bw_time_diff_ms(now, grants->host_count_at);
+
+	if (host_count < grants->host_count &&
+	    age_ms <= BW_QUOTA_LEASE_MS + (int64_t)grants->bounds.window_ms)
+		return;
+	grants->host_count = host_count;
+	grants->host_count_at = now;
+}
+
 bool bw_quota_grants_in_use(const struct bw_quota_grants *grants)
 {
 	return g_hash_table_size(grants->hosts) > 0;
--- a/src/test_libbwcustomer/quota_fleet.c
+++ b/src/test_libbwcustomer/quota_fleet.c
@@ -38,6 +38,7 @@
 };
 
 static void init_shares_(struct fleet *fleet, uint32_t host);
+static void update_granters_(struct fleet *fleet);
 static void send_demands_(struct fleet *fleet, uint32_t host);
 static void deliver_(struct fleet *fleet);
 static void handle_demands_(struct fleet *fleet,
@@ -61,6 +62,7 @@
 	fleet->bounds.slack = 20;
 	fleet->now.ms = 100000000;
 	fleet->host_count = host_count;
+	fleet->listed_count = host_count;
 	fleet->admitted = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	bw_random_init(&fleet->random, seed);
 	g_queue_init(&fleet->messages);
@@ -100,14 +102,19 @@
 
 void fleet_set_granter(struct fleet *fleet, uint32_t granter)
 {
-	uint32_t i;
-
 	fleet->granter = granter;
 	fleet->term++;
+	update_granters_(fleet);
+}
+
+static void update_granters_(struct fleet *fleet)
+{
+	uint32_t i;
+
 	for (i = 0; i < FLEET_GRANTERS; i++)
-		bw_quota_grants_set_granting(&fleet->granters[i], i == granter,
-					     fleet->term, fleet->host_count,
-					     fleet->now);
+		bw_quota_grants_set_granting(&fleet->granters[i],
+					     i == fleet->granter, fleet->term,
+					     fleet->listed_count, fleet->now);
 }
 
 void fleet_run(struct fleet *fleet, int64_t ms, double per_s, uint32_t first,
@@ -118,6 +125,7 @@
 
 	while (!bw_time_reached(fleet->now, end)) {
 		fleet->now = bw_time_add(fleet->now, TICK_MS);
+		update_granters_(fleet);
 		deliver_(fleet);
 		for (i = 0; i < FLEET_GRANTERS; i++)
 			bw_quota_grants_tick(&fleet->granters[i], fleet->now);
--- a/src/test_libbwcustomer/quota_fleet.h
+++ b/src/test_libbwcustomer/quota_fleet.h
@@ -38,6 +38,7 @@
 	struct bw_time now;
 	struct fleet_host hosts[FLEET_HOSTS_MAX];
 	uint32_t host_count;
+	uint32_t listed_count; /**< hosts that granters know */
 	struct bw_quota_grants granters[FLEET_GRANTERS];
 	uint64_t term;
 	uint32_t granter; /**< index; FLEET_NO_GRANTER */
--- a/src/test_libbwcustomer/test_quota_fleet.c
+++ b/src/test_libbwcustomer/test_quota_fleet.c
@@ -227,8 +227,11 @@
 					    (double)fleet.asked_count) >= 0.97);
 		fleet_run(&fleet, 5000, HOT * rates[i], 0, HOSTS);
 		set_cut_(&fleet, 0, DOMAIN_HOSTS, true);
+		/* The hosts that are cut off are soon listed no more. */
+		fleet.listed_count = HOSTS - DOMAIN_HOSTS;
 		fleet_set_granter(&fleet, 0);
 		fleet_run(&fleet, 20000, HOT * rates[i], 0, HOSTS);
+		fleet.listed_count = HOSTS;
 		fleet_set_granter(&fleet, 1);
 		set_cut_(&fleet, 0, DOMAIN_HOSTS, false);
 		fleet_run(&fleet, 20000, HOT * rates[i], 0, HOSTS);
