customers: grant quotas at once after a restart of all hosts

The new leader let no lease grow for a second. It now waits only when an entry host has had answers in another term, and half a second: a host without one holds no lease.

--- a/include/bwcustomer/quota_grants.h
+++ b/include/bwcustomer/quota_grants.h
@@ -36,6 +36,7 @@
 	bool granting;
 	uint64_t term; /**< in which this host grants, or did last */
 	struct bw_time since; /**< granting in this term */
+	bool succeeds; /**< an entry host has had answers in another term */
 	uint32_t host_count; /**< most entry hosts of the fleet of late */
 	struct bw_time host_count_at; /**< when there were so many */
 	uint32_t known_count; /**< of these, those whose leases are known */
--- a/src/libbwcustomer/quota_grants.c
+++ b/src/libbwcustomer/quota_grants.c
@@ -4,8 +4,11 @@
 
 #include "bwcustomer/quota_shares.h"
 
-/** Time after which a new granting host knows most entry hosts in touch. */
-#define TAKEOVER_MS 1000
+/**
+ * Time after which a new granting host knows most entry hosts in touch that
+ * have leases of an earlier one.
+ */
+#define TAKEOVER_MS 500
 
 /**
  * Time after which it knows which customers use much of their quota: where
@@ -112,6 +115,8 @@
 			      struct customer *customer, struct bw_time now);
 static void update_closed_(struct bw_quota_grants *grants,
 			   struct customer *customer, struct bw_time now);
+static void note_term_(struct bw_quota_grants *grants, struct host *host,
+		       uint64_t term);
 static void note_hosts_(struct bw_quota_grants *grants, uint32_t host_count,
 			struct bw_time now);
 static void free_customer_(gpointer data);
@@ -182,10 +187,23 @@
 	grants->term = term;
 	grants->since = now;
 	grants->known_count = 0;
+	grants->succeeds = false;
 	g_hash_table_remove_all(grants->customers);
 	g_hash_table_remove_all(grants->hosts);
 }
 
+/* A host that has just started, and has had no answer, has no leases. */
+static void note_term_(struct bw_quota_grants *grants, struct host *host,
+		       uint64_t term)
+{
+	if (term && term != grants->term) {
+		grants->succeeds = true;
+	} else if (!host->known) {
+		host->known = true;
+		grants->known_count++;
+	}
+}
+
 /* Hosts that are cut off hold their leases for a time. */
 static void note_hosts_(struct bw_quota_grants *grants, uint32_t host_count,
 			struct bw_time now)
@@ -221,10 +239,7 @@
 	host->incarnation = report->incarnation;
 	host->sent_ms = report->sent_ms;
 	host->heard_at = now;
-	if (!host->known && report->term == grants->term) {
-		host->known = true;
-		grants->known_count++;
-	}
+	note_term_(grants, host, report->term);
 	for (i = 0; i < report->demand_count; i++) {
 		const struct bw_quota_demand *demand = &report->demands[i];
 		struct customer *customer =
@@ -509,7 +524,8 @@
 	 */
 	if (share <= held)
 		return share;
-	if (bw_time_diff_ms(now, grants->since) < TAKEOVER_MS)
+	if (grants->succeeds &&
+	    bw_time_diff_ms(now, grants->since) < TAKEOVER_MS)
 		return MIN(holder->held, share);
 	if (customer->closed &&
 	    bw_time_diff_ms(now, customer->closed_at) < CLOSED_SETTLED_MS)
