--- a/src/libbwcustomer/quota_shares.c
+++ b/src/libbwcustomer/quota_shares.c
@@ -15,9 +15,11 @@
 
 /**
  * Requests from which on the rate of a customer that has just begun is taken
- * from the time since then, which counts as at least a part of a window.
+ * from the time since then, which counts as at least a part of a window. Fewer
+ * are enough where a host has a base, as much is then due at each host.
  */
 #define BEGUN_ASKED_MIN 4
+#define BEGUN_ASKED_MIN_LARGE 2
 #define BEGUN_PARTS 4
 
 /**
@@ -75,7 +77,8 @@
 static uint32_t open_(const struct bw_quota_shares *shares,
 		      const struct share *share, struct bw_time now);
 static uint32_t asked_(const struct bw_quota_shares *shares,
-		       const struct share *share, struct bw_time now);
+		       const struct share *share, uint32_t base,
+		       struct bw_time now);
 static uint32_t wanted_(const struct bw_quota_shares *shares,
 			const struct share *share, uint32_t base,
 			struct bw_time now);
@@ -343,14 +346,15 @@
 
 /* Returns the requests of a window at the rate so far. */
 static uint32_t asked_(const struct bw_quota_shares *shares,
-		       const struct share *share, struct bw_time now)
+		       const struct share *share, uint32_t base,
+		       struct bw_time now)
 {
 	int64_t window_ms = shares->bounds.window_ms;
 	int64_t age_ms = CLAMP(bw_time_diff_ms(now, share->begun_at),
 			       1 + window_ms / BEGUN_PARTS, window_ms);
 	uint32_t asked = share->asked.sum;
 
-	if (asked < BEGUN_ASKED_MIN)
+	if (asked < (base ? BEGUN_ASKED_MIN_LARGE : BEGUN_ASKED_MIN))
 		return asked;
 	return (uint32_t)(asked * window_ms / age_ms);
 }
@@ -359,7 +363,7 @@
 			const struct share *share, uint32_t base,
 			struct bw_time now)
 {
-	uint32_t asked = asked_(shares, share, now);
+	uint32_t asked = asked_(shares, share, base, now);
 	uint32_t wanted = asked + HEADROOM_MIN + (uint32_t)(HEADROOM * asked);
 
 	if (!asked || wanted <= base)
