--- a/src/boragewingd/gateway/gate_quota.c
+++ b/src/boragewingd/gateway/gate_quota.c
@@ -71,7 +71,8 @@
 	}
 	if (strcmp(message.host, entry->node->name) != 0 ||
 	    message.incarnation != entry->node->incarnation ||
-	    message.sent_ms > (uint64_t)now.ms)
+	    message.sent_ms > (uint64_t)now.ms ||
+	    message.term < quota->shares.term)
 		return;
 	bw_quota_shares_set_term(&quota->shares, message.term);
 	sent_at.ms = (int64_t)message.sent_ms;
--- a/src/libbwcustomer/quota_grants.c
+++ b/src/libbwcustomer/quota_grants.c
@@ -192,31 +192,6 @@
 	g_hash_table_remove_all(grants->hosts);
 }
 
-/* A host that has just started, and has had no answer, has no leases. */
-static void note_term_(struct bw_quota_grants *grants, struct host *host,
-		       uint64_t term)
-{
-	if (term && term != grants->term) {
-		grants->succeeds = true;
-	} else if (!host->known) {
-		host->known = true;
-		grants->known_count++;
-	}
-}
-
-/* Hosts that are cut off hold their leases for a time. */
-static void note_hosts_(struct bw_quota_grants *grants, uint32_t host_count,
-			struct bw_time now)
-{
-	int64_t age_ms = bw_time_diff_ms(now, grants->host_count_at);
-
-	if (host_count < grants->host_count &&
-	    age_ms <= BW_QUOTA_LEASE_MS + (int64_t)grants->bounds.window_ms)
-		return;
-	grants->host_count = host_count;
-	grants->host_count_at = now;
-}
-
 bool bw_quota_grants_in_use(const struct bw_quota_grants *grants)
 {
 	return g_hash_table_size(grants->hosts) > 0;
@@ -330,6 +305,31 @@
 	return customer ? customer->exposure : 0;
 }
 
+/* A host that has just started, and has had no answer, has no leases. */
+static void note_term_(struct bw_quota_grants *grants, struct host *host,
+		       uint64_t term)
+{
+	if (term && term != grants->term) {
+		grants->succeeds = true;
+	} else if (!host->known) {
+		host->known = true;
+		grants->known_count++;
+	}
+}
+
+/* Hosts that are cut off hold their leases for a time. */
+static void note_hosts_(struct bw_quota_grants *grants, uint32_t host_count,
+			struct bw_time now)
+{
+	int64_t age_ms = bw_time_diff_ms(now, grants->host_count_at);
+
+	if (host_count < grants->host_count &&
+	    age_ms <= BW_QUOTA_LEASE_MS + (int64_t)grants->bounds.window_ms)
+		return;
+	grants->host_count = host_count;
+	grants->host_count_at = now;
+}
+
 static void note_fresh_(const struct bw_quota_grants *grants,
 			struct customer *customer, uint32_t count,
 			struct bw_time now)
@@ -672,7 +672,6 @@
 {
 	double elapsed_s =
 		(double)bw_time_diff_ms(now, customer->refilled_at) / 1000.0;
-
 	double left = customer->burst_left[customer->sweep];
 
 	customer->refilled_at = now;
--- a/src/test_libbwcustomer/quota_fleet.c
+++ b/src/test_libbwcustomer/quota_fleet.c
@@ -266,6 +266,10 @@
 	struct bw_time sent_at = { (int64_t)message->report.sent_ms };
 	uint32_t i;
 
+	if (message->term < host->shares.term) {
+		g_free((gpointer)message);
+		return;
+	}
 	if (message->incarnation == host->incarnation)
 		bw_quota_shares_set_term(&host->shares, message->term);
 	for (i = 0; i < message->report.demand_count &&
