directory: do not name the first hosts that are ready to all callers

A look-up named the hosts that were ready, however few.

A look-up now names the hosts of the caller's failure domain, its region or the fleet: the nearest of these in which three quarters of the hosts known are ready. While that holds nowhere, it gets no answer for 1.5 s at most, and callers keep the answer that they have. The choice is a module of its own (bwmember/directory.h).

--- a/src/boragewingd/gateway_control/gate_control.c
+++ b/src/boragewingd/gateway_control/gate_control.c
@@ -107,6 +107,10 @@
 	control->lookups = bw_metrics_get(&node->metrics, BW_METRIC_COUNTER,
 					  "bw_lookups_total",
 					  "Directory answers", "");
+	control->lookups_unanswered = bw_metrics_get(
+		&node->metrics, BW_METRIC_COUNTER,
+		"bw_lookups_unanswered_total",
+		"Look-ups while too few entry hosts were ready", "");
 	gate_refusals_init(&control->refusals, node, "control");
 	gate_refusals_init_calls(&control->refusals);
 	status = init_distribute_(control);
--- a/src/boragewingd/gateway_control/gate_control.h
+++ b/src/boragewingd/gateway_control/gate_control.h
@@ -13,6 +13,7 @@
 #include "bwproxy/listener.h"
 #include "bwsteer/retired_routes.h"
 #include "bwsteer/routing.h"
+#include "bwmember/directory.h"
 #include "bwmember/distribute.h"
 #include "gate_api.h"
 #include "gate_departures.h"
@@ -44,6 +45,7 @@
 	GHashTable *entries; /**< entry address -> struct gate_entry_host: those
 				that send hello messages to this host */
 	struct bw_roster roster; /**< all entry hosts */
+	struct bw_directory entry_directory; /**< what look-ups get of it */
 	GHashTable *listed_demands; /**< control address -> demands of its entry
 				       hosts */
 	bool fleet_changed; /**< an entry host with full detail changed */
@@ -77,6 +79,8 @@
 				     silent; kept by the leader only */
 	struct bw_metric *announcements;
 	struct bw_metric *lookups;
+	struct bw_metric *lookups_unanswered; /**< too few entry hosts were
+						 ready */
 	struct gate_refusals refusals;
 };
 
--- a/src/boragewingd/gateway_control/gate_control_calls.c
+++ b/src/boragewingd/gateway_control/gate_control_calls.c
@@ -24,9 +24,6 @@
 			     const struct gate_call *call,
 			     const struct bw_http_message *request,
 			     struct bw_time now);
-static uint32_t pick_entry_hosts_(struct gate_control *control,
-				  const struct gate_call *call, int scope,
-				  char (*addresses)[BW_NAME_MAX]);
 
 const char *const gate_call_kind_string[GATE_CALL_KIND_COUNT] = {
 	[GATE_CALL_UNKNOWN] = "unknown",     [GATE_CALL_READY] = "ready",
@@ -123,16 +120,19 @@
 			  const struct gate_call *call, struct bw_time now)
 {
 	static char addresses[ANSWER_HOSTS_MAX][BW_NAME_MAX];
+	struct bw_directory_query query = { .domain = call->domain,
+					    .region = call->region };
 	struct bw_buffer body;
-	uint32_t count = 0;
-	int scope;
+	uint32_t count;
 
-	(void)now;
 	bw_metric_add(control->lookups, 1);
-	for (scope = 0; scope < 3 && !count; scope++)
-		count = pick_entry_hosts_(control, call, scope, addresses);
+	query.first = bw_random_next(&control->node->random) >> 1;
+	count = bw_directory_choose(&control->entry_directory, &control->roster,
+				    &query, now, addresses, ANSWER_HOSTS_MAX);
 	if (!count) {
-		gate_respond_error(connection, 503, "no entry host is known");
+		bw_metric_add(control->lookups_unanswered, 1);
+		gate_respond_error(connection, 503,
+				   "too few entry hosts are ready");
 		return;
 	}
 	bw_buffer_init(&body);
@@ -276,33 +276,3 @@
 	wait->term = bw_replica_term(control->replica);
 	g_ptr_array_add(control->waiting, wait);
 }
-
-/*
- * Starts at a random host, so that all hosts are used when there are more than
- * an answer may name.
- * @param scope 0: the client's failure domain, 1: its region, 2: any region
- */
-static uint32_t pick_entry_hosts_(struct gate_control *control,
-				  const struct gate_call *call, int scope,
-				  char (*addresses)[BW_NAME_MAX])
-{
-	const GPtrArray *hosts = bw_roster_sorted(&control->roster);
-	uint32_t count = 0;
-	uint64_t first;
-	uint32_t i;
-
-	if (!hosts->len)
-		return 0;
-	first = bw_random_below(&control->node->random, hosts->len);
-	for (i = 0; i < hosts->len && count < ANSWER_HOSTS_MAX; i++) {
-		const struct bw_roster_host *host =
-			hosts->pdata[(first + i) % hosts->len];
-
-		if (host->state != GATE_HOST_READY ||
-		    (scope == 0 && strcmp(host->domain, call->domain) != 0) ||
-		    (scope == 1 && strcmp(host->region, call->region) != 0))
-			continue;
-		bw_name_set(addresses[count++], host->name);
-	}
-	return count;
-}
--- a/src/boragewingd/gateway_control/gate_control_fleet.c
+++ b/src/boragewingd/gateway_control/gate_control_fleet.c
@@ -38,7 +38,13 @@
 
 void gate_control_fleet_init(struct gate_control *control)
 {
+	static const struct bw_directory_states states = {
+		.ready = GATE_HOST_READY,
+		.leaving = GATE_HOST_LEAVING,
+	};
+
 	bw_roster_init(&control->roster);
+	bw_directory_init(&control->entry_directory, &states);
 	control->listed_demands = g_hash_table_new_full(
 		g_str_hash, g_str_equal, NULL, free_listed_demands_);
 }
