dispatch: a host that starts sends its share; regions share servers for long runs only

While a host learns the servers of a service (3 s), it has at most its share of their slots in use: all slots known divided by the entry hosts (dispatch_start.c). Requests beyond the share wait, and those that would wait beyond their deadline are rejected at once as not run. Two lines in dispatch_place.c and dispatch.c call it.

Preferred servers by region only for services whose shortest latency objective is 800 ms or more.

--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -294,7 +294,8 @@
 		return BW_VERDICT_SEND;
 	left_ms = dispatch_left_ms(dispatch, job, now) -
 		  dispatch_service_response_ms(job->service);
-	wait_ms = job_wait_ms_(job);
+	wait_ms = MAX(job_wait_ms_(job),
+		      dispatch_start_wait_ms(dispatch, job, now));
 	if (wait_ms > WAIT_FRACTION_MAX * left_ms) {
 		reject_late_(dispatch, job, wait_ms, now, rejection);
 		return BW_VERDICT_REJECT;
--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -53,6 +53,14 @@
  */
 #define SERVICE_TIME_DEFAULT_MS 300.0
 
+/**
+ * Latency objective from which the domains of a region share their servers. A
+ * cold run takes server time in proportion to the time of a run, while the
+ * bytes that cross to another domain do not depend on it: short runs stay in
+ * their domain.
+ */
+#define SHARED_OBJECTIVE_MIN_MS 800
+
 /** Minimum total of the reported demand at which it is used. */
 #define DEMAND_MIN_SLOTS 0.5
 
@@ -199,8 +207,8 @@
 	if (!dispatch->domain_count)
 		return;
 	dispatch_fill_domains(dispatch, service, domains);
-	bw_spread_by_region(domains, dispatch->domain_count,
-			    dispatch->own_domain, fractions);
+	dispatch_spread(dispatch, service, domains, dispatch->own_domain,
+			fractions);
 	for (i = 0; i < service->targets->len; i++) {
 		struct bw_target *target = service->targets->pdata[i];
 		double slots = domains[target->domain].slots;
@@ -213,18 +221,34 @@
 	}
 }
 
+void dispatch_spread(const struct bw_dispatch *dispatch,
+		     const struct bw_dispatch_service *service,
+		     const struct bw_spread_domain *domains, uint32_t own,
+		     double *fractions)
+{
+	if (service->target_latency_ms >= SHARED_OBJECTIVE_MIN_MS)
+		bw_spread_by_region(domains, dispatch->domain_count, own,
+				    fractions);
+	else
+		bw_spread(domains, dispatch->domain_count, own, fractions);
+}
+
+double dispatch_assumed_service_ms(const struct bw_dispatch_service *service)
+{
+	if (service->service_time_ms > 0.0)
+		return service->service_time_ms;
+	if (service->target_latency_ms)
+		return SERVICE_TIME_FRACTION * service->target_latency_ms;
+	return SERVICE_TIME_DEFAULT_MS;
+}
+
 void dispatch_fill_domains(const struct bw_dispatch *dispatch,
 			   const struct bw_dispatch_service *service,
 			   struct bw_spread_domain *domains)
 {
-	double service_time_ms = service->service_time_ms;
+	double service_time_ms = dispatch_assumed_service_ms(service);
 	uint32_t i;
 
-	if (service_time_ms <= 0.0)
-		service_time_ms =
-			SERVICE_TIME_FRACTION * service->target_latency_ms;
-	if (service_time_ms <= 0.0)
-		service_time_ms = SERVICE_TIME_DEFAULT_MS;
 	memset(domains, 0, dispatch->domain_count * sizeof(*domains));
 	for (i = 0; i < dispatch->domain_count; i++) {
 		domains[i].region = dispatch->domain_region[i];
--- a/src/libbwsteer/dispatch_limit.c
+++ b/src/libbwsteer/dispatch_limit.c
@@ -46,7 +46,7 @@
 		return;
 	dispatch_fill_domains(dispatch, service, domains);
 	for (i = 0; i < count; i++) {
-		bw_spread_by_region(domains, count, i, fractions);
+		dispatch_spread(dispatch, service, domains, i, fractions);
 		for (k = 0; k < count; k++) {
 			double flow = domains[i].demand_slots * fractions[k];
 
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -119,6 +119,8 @@
 bool dispatch_place(struct bw_dispatch *dispatch, struct bw_job *job,
 		    struct bw_time now)
 {
+	if (dispatch_start_is_full(dispatch, job->service, now))
+		return false;
 	if (job->object)
 		return place_object_(dispatch, job, now);
 	return place_lowest_cost_(dispatch, job, now);
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -54,6 +54,33 @@
  */
 double dispatch_limits_wait_ms(const struct bw_job *job, uint32_t ahead);
 
+/**
+ * Returns the time that a request takes at a server: the measured one, or one
+ * that follows from the latency objective.
+ */
+double dispatch_assumed_service_ms(const struct bw_dispatch_service *service);
+
+/**
+ * Returns whether this host still learns the servers of a service and already
+ * has its share of their slots in use.
+ */
+bool dispatch_start_is_full(const struct bw_dispatch *dispatch,
+			    const struct bw_dispatch_service *service,
+			    struct bw_time now);
+
+/** Returns the expected wait of a job for a slot of that share; else 0. */
+double dispatch_start_wait_ms(const struct bw_dispatch *dispatch,
+			      const struct bw_job *job, struct bw_time now);
+
+/**
+ * Computes where the requests of one failure domain go; the parameters are
+ * those of bw_spread().
+ */
+void dispatch_spread(const struct bw_dispatch *dispatch,
+		     const struct bw_dispatch_service *service,
+		     const struct bw_spread_domain *domains, uint32_t own,
+		     double *fractions);
+
 /** Fills in the capacity and the planned demand of all domains. */
 void dispatch_fill_domains(const struct bw_dispatch *dispatch,
 			   const struct bw_dispatch_service *service,
