--- a/src/boragewingd/gateway_control/gate_control.h
+++ b/src/boragewingd/gateway_control/gate_control.h
@@ -14,6 +14,7 @@
 #include "bwproxy/listener.h"
 #include "bwsteer/retired_routes.h"
 #include "bwsteer/routing.h"
+#include "bwmember/directory.h"
 #include "bwmember/distribute.h"
 #include "gate_api.h"
 #include "gate_departures.h"
@@ -45,6 +46,7 @@
 	GHashTable *entries; /**< entry address -> struct gate_entry_host: those
 				that send hello messages to this host */
 	struct bw_roster roster; /**< all entry hosts */
+	struct bw_directory entry_directory; /**< what look-ups get of it */
 	GHashTable *listed_demands; /**< control address -> demands of its entry
 				       hosts */
 	bool fleet_changed; /**< an entry host with full detail changed */
@@ -80,6 +82,8 @@
 	struct bw_metric *quota_demands;
 	struct bw_metric *announcements;
 	struct bw_metric *lookups;
+	struct bw_metric *lookups_unanswered; /**< too few entry hosts were
+						 ready */
 	struct gate_refusals refusals;
 };
 
--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -326,6 +326,7 @@
 	wait_ms =
 		MAX(job_wait_ms_(job),
 		    bw_fair_share_wait_ms(&dispatch->shares, &job->share, now));
+	wait_ms = MAX(wait_ms, dispatch_start_wait_ms(dispatch, job, now));
 	if (dispatch_ends_late(dispatch, job, now) ||
 	    wait_ms > WAIT_FRACTION_MAX * left_ms) {
 		reject_late_(dispatch, job, wait_ms, now, rejection);
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -108,6 +108,8 @@
 bool dispatch_place(struct bw_dispatch *dispatch, struct bw_job *job,
 		    struct bw_time now)
 {
+	if (dispatch_start_is_full(dispatch, job->service, now))
+		return false;
 	if (job->object && dispatch_run_ms(dispatch, job) > 0.0)
 		return dispatch_place_by_end(dispatch, job, now);
 	if (job->object)
