steer: hosts of a region share the home of an object in every service

Cause: as before, each failure domain kept its own copy of each object.

Change: the weights of a region's servers are pooled in every service, by their usable slots.

--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -426,17 +426,16 @@
 }
 
 /*
- * Where the work of a request depends much on whether its object is in memory,
- * the servers of a region are weighted alike, so that the hosts of its failure
- * domains agree on the home of an object.
+ * The servers of a region are weighted alike by their usable slots, so that the
+ * hosts of its failure domains agree on the home of an object and it is loaded
+ * once.
  */
 static double rendezvous_weight_(const struct bw_target *target,
 				 const double *slot_fractions)
 {
-	double fraction = target->fraction;
+	double fraction =
+		slot_fractions[target->region] * dispatch_usable_slots(target);
 
-	if (target->service->tells_speed)
-		fraction = slot_fractions[target->region] * target->slots;
 	return MAX(fraction * target->correction, FRACTION_MIN);
 }
 
@@ -448,15 +447,13 @@
 	uint32_t i;
 
 	memset(slot_fractions, 0, BW_REGIONS_MAX * sizeof(*slot_fractions));
-	if (!service->tells_speed)
-		return;
 	for (i = 0; i < service->targets->len; i++) {
 		const struct bw_target *target = service->targets->pdata[i];
 
 		if (target->fraction < 0.0 || !target->accepts)
 			continue;
 		slot_fractions[target->region] += target->fraction;
-		slots[target->region] += target->slots;
+		slots[target->region] += dispatch_usable_slots(target);
 	}
 	for (i = 0; i < BW_REGIONS_MAX; i++) {
 		if (slots[i] > 0.0)
