--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -426,16 +426,18 @@
 }
 
 /*
- * The servers of a region are weighted alike by their usable slots, so that the
- * hosts of its failure domains agree on the home of an object and it is loaded
- * once.
+ * The servers of a region are weighted alike by their slots, so that the hosts
+ * of its failure domains agree on the home of an object and it is loaded once.
+ * A server with a limit keeps its planned fraction, which follows the limit in
+ * small steps.
  */
 static double rendezvous_weight_(const struct bw_target *target,
 				 const double *slot_fractions)
 {
-	double fraction =
-		slot_fractions[target->region] * dispatch_usable_slots(target);
+	double fraction = target->fraction;
 
+	if (target->limit.limit_per_s <= 0.0)
+		fraction = slot_fractions[target->region] * target->slots;
 	return MAX(fraction * target->correction, FRACTION_MIN);
 }
 
@@ -450,10 +452,11 @@
 	for (i = 0; i < service->targets->len; i++) {
 		const struct bw_target *target = service->targets->pdata[i];
 
-		if (target->fraction < 0.0 || !target->accepts)
+		if (target->fraction < 0.0 || !target->accepts ||
+		    target->limit.limit_per_s > 0.0)
 			continue;
 		slot_fractions[target->region] += target->fraction;
-		slots[target->region] += dispatch_usable_slots(target);
+		slots[target->region] += target->slots;
 	}
 	for (i = 0; i < BW_REGIONS_MAX; i++) {
 		if (slots[i] > 0.0)
