--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -436,16 +436,17 @@
 }
 
 /*
- * Where the work of a request depends much on whether its object is in memory,
- * the servers of a region are weighted alike, so that the hosts of its failure
- * domains agree on the home of an object.
+ * The servers of a region are weighted alike by their slots, so that the hosts
+ * of its failure domains agree on the home of an object and it is loaded once.
+ * A server with a limit keeps its planned fraction, which follows the limit in
+ * small steps.
  */
 static double rendezvous_weight_(const struct bw_target *target,
 				 const double *slot_fractions)
 {
 	double fraction = target->fraction;
 
-	if (target->service->tells_speed)
+	if (target->limit.limit_per_s <= 0.0)
 		fraction = slot_fractions[target->region] * target->slots;
 	return MAX(fraction * target->correction, FRACTION_MIN);
 }
@@ -458,12 +459,11 @@
 	uint32_t i;
 
 	memset(slot_fractions, 0, BW_REGIONS_MAX * sizeof(*slot_fractions));
-	if (!service->tells_speed)
-		return;
 	for (i = 0; i < service->targets->len; i++) {
 		const struct bw_target *target = service->targets->pdata[i];
 
-		if (target->fraction < 0.0 || !target->accepts)
+		if (target->fraction < 0.0 || !target->accepts ||
+		    target->limit.limit_per_s > 0.0)
 			continue;
 		slot_fractions[target->region] += target->fraction;
 		slots[target->region] += target->slots;
