dispatch: a shorter wait is acceptable for a customer beyond its share

Change: the acceptable wait is divided by the level of the customer above 1, so the rest of it stays for those within their share.

--- a/src/libbwsteer/dispatch.c
+++ b/src/libbwsteer/dispatch.c
@@ -311,7 +311,9 @@
 	wait_ms =
 		MAX(job_wait_ms_(job),
 		    bw_fair_share_wait_ms(&dispatch->shares, &job->share, now));
-	if (wait_ms > WAIT_FRACTION_MAX * left_ms) {
+	/* The queue up to the longest wait is for those within their share. */
+	if (wait_ms * MAX(job->share.level, 1.0) >
+	    WAIT_FRACTION_MAX * left_ms) {
 		reject_late_(dispatch, job, wait_ms, now, rejection);
 		return BW_VERDICT_REJECT;
 	}
