listener: limit and charge the unread bytes of a client that is not read

Cause: requests sent ahead stay in the socket while their client doesn't read. The platform counts unread bytes as memory of the process: 1,850 connections of 128 KiB are 230 MB of 256. Change: the receive buffer of such a socket is limited to 64 KiB, and charged to the memory of connections; without memory the connection goes. Ruled out: closing each client that sends ahead without reading; it may read later.

--- a/src/libbwproxy/include/private/listener_private.h
+++ b/src/libbwproxy/include/private/listener_private.h
@@ -35,6 +35,7 @@
 	struct bw_time state_since; /**< last progress, counted at a least rate
 					 while a body is read or sent; on a
 					 clock without the loop's pauses */
+	uint32_t unread_max_bytes; /**< in the socket while it is not read */
 	uint64_t charged_bytes; /**< to bw_memory: heads, input and output */
 	struct bw_time began_at; /**< first byte of the request being read */
 	uint64_t parsed_bytes; /**< of the request that is being read */
--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -23,6 +23,9 @@
 /** Limit of pipelined bytes buffered while a request is in progress. */
 #define PIPELINED_MAX_BYTES 65536
 
+/** Receive buffer of a socket that is not read from. */
+#define PAUSED_SOCKET_BYTES 65536
+
 /** Maximum number of connections accepted per loop iteration. */
 #define ACCEPT_BATCH 64
 
@@ -64,6 +67,7 @@
 			    uint32_t peer);
 static void on_readable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void limit_pipelined_(struct bw_server_connection *connection);
+static void pause_reading_(struct bw_server_connection *connection);
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events);
 static void on_sweep_(struct ev_loop *loop, ev_timer *watcher, int events);
 static void check_age_(struct bw_server_connection *connection,
@@ -414,8 +418,23 @@
 	if (connection->busy && too_much)
 		listener_close(connection, true);
 	else if (too_much || !listener_evict_for_head(connection))
-		ev_io_stop(connection->listener->config.loop,
-			   &connection->read_watcher);
+		pause_reading_(connection);
+}
+
+/* Unread bytes in sockets count as memory of the process, so they are limited
+ * and charged as well. */
+static void pause_reading_(struct bw_server_connection *connection)
+{
+	int buffer_bytes = PAUSED_SOCKET_BYTES / 2; /* the kernel doubles it */
+
+	ev_io_stop(connection->listener->config.loop,
+		   &connection->read_watcher);
+	setsockopt(connection->fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+		   sizeof(buffer_bytes));
+	connection->unread_max_bytes = PAUSED_SOCKET_BYTES;
+	listener_charge(connection);
+	if (!connection->busy && !listener_evict_for_head(connection))
+		listener_evict(connection, BW_EVICTION_MEMORY);
 }
 
 static void on_writable_(struct ev_loop *loop, ev_io *watcher, int events)
--- a/src/libbwproxy/listener_evict.c
+++ b/src/libbwproxy/listener_evict.c
@@ -122,7 +122,8 @@
 	if (!memory)
 		return;
 	bw_memory_charge_connection(memory, &connection->charged_bytes,
-				    connection->in.capacity_bytes +
+				    connection->unread_max_bytes +
+					    connection->in.capacity_bytes +
 					    connection->out.capacity_bytes +
 					    message->text.capacity_bytes +
 					    (uint64_t)message->field_capacity *
--- a/src/libbwproxy/listener_respond.c
+++ b/src/libbwproxy/listener_respond.c
@@ -54,6 +54,8 @@
 	/* Reading stops when too much is sent ahead. */
 	ev_io_start(connection->listener->config.loop,
 		    &connection->read_watcher);
+	connection->unread_max_bytes = 0;
+	listener_charge(connection);
 	if (connection->in.size_bytes && !connection->close_after_write)
 		ev_feed_event(connection->listener->config.loop,
 			      &connection->read_watcher, EV_CUSTOM);
