--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -59,12 +59,6 @@
  */
 #define OVERCOMMIT_FRACTION 0.5
 
-/**
- * The same where the expected load does not decrease with the age of a report:
- * a queue at a server knows neither ranks nor deadlines.
- */
-#define OVERCOMMIT_FRACTION_KNOWN 0.5
-
 /**
  * Factor on the expected wait for the queued requests of other hosts, which no
  * report includes.
@@ -523,12 +517,8 @@
 
 bool dispatch_has_slot(const struct bw_target *target, struct bw_time now)
 {
-	double overcommit = target->service->tells_speed
-				    ? OVERCOMMIT_FRACTION_KNOWN
-				    : OVERCOMMIT_FRACTION;
-
 	return dispatch_free_slots(target, now) >=
-	       0.5 - overcommit * (double)target->slots;
+	       0.5 - OVERCOMMIT_FRACTION * (double)target->slots;
 }
 
 /*
