--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -57,7 +57,8 @@
  * Latency objective from which the domains of a region share their servers. A
  * cold run takes server time in proportion to the time of a run, while the
  * bytes that cross to another domain do not depend on it: short runs stay in
- * their domain.
+ * their domain. Servers that tell their speed always share: the more of them
+ * know an object's home, the better a slow one is avoided.
  */
 #define SHARED_OBJECTIVE_MIN_MS 800
 
@@ -221,12 +222,18 @@
 	}
 }
 
+bool dispatch_shares_region(const struct bw_dispatch_service *service)
+{
+	return service->tells_speed ||
+	       service->target_latency_ms >= SHARED_OBJECTIVE_MIN_MS;
+}
+
 void dispatch_spread(const struct bw_dispatch *dispatch,
 		     const struct bw_dispatch_service *service,
 		     const struct bw_spread_domain *domains, uint32_t own,
 		     double *fractions)
 {
-	if (service->target_latency_ms >= SHARED_OBJECTIVE_MIN_MS)
+	if (dispatch_shares_region(service))
 		bw_spread_by_region(domains, dispatch->domain_count, own,
 				    fractions);
 	else
--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -430,17 +430,18 @@
 }
 
 /*
- * The servers of a region are weighted alike by their slots, so that the hosts
- * of its failure domains agree on the home of an object and it is loaded once.
- * A server with a limit keeps its planned fraction, which follows the limit in
- * small steps.
+ * Where the failure domains of a region share their servers, these are weighted
+ * alike by their slots, so that all hosts of the region agree on the home of an
+ * object and it is loaded once. A server with a limit keeps its planned
+ * fraction, which follows the limit in small steps.
  */
 static double rendezvous_weight_(const struct bw_target *target,
 				 const double *slot_fractions)
 {
 	double fraction = target->fraction;
 
-	if (target->limit.limit_per_s <= 0.0)
+	if (dispatch_shares_region(target->service) &&
+	    target->limit.limit_per_s <= 0.0)
 		fraction = slot_fractions[target->region] * target->slots;
 	return MAX(fraction * target->correction, FRACTION_MIN);
 }
@@ -453,6 +454,8 @@
 	uint32_t i;
 
 	memset(slot_fractions, 0, BW_REGIONS_MAX * sizeof(*slot_fractions));
+	if (!dispatch_shares_region(service))
+		return;
 	for (i = 0; i < service->targets->len; i++) {
 		const struct bw_target *target = service->targets->pdata[i];
 
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -152,6 +152,12 @@
 double dispatch_start_wait_ms(const struct bw_dispatch *dispatch,
 			      const struct bw_job *job, struct bw_time now);
 
+/**
+ * Returns whether the failure domains of a region share the servers of a
+ * service, so that each object is kept on one server of the region.
+ */
+bool dispatch_shares_region(const struct bw_dispatch_service *service);
+
 /**
  * Computes where the requests of one failure domain go; the parameters are
  * those of bw_spread().
