--- a/src/libbwsteer/dispatch_adapt.c
+++ b/src/libbwsteer/dispatch_adapt.c
@@ -57,8 +57,8 @@
  * Latency objective from which the domains of a region share their servers. A
  * cold run takes server time in proportion to the time of a run, while the
  * bytes that cross to another domain do not depend on it: short runs stay in
- * their domain. Servers that tell their speed always share: the more of them
- * know an object's home, the better a slow one is avoided.
+ * their domain. Servers that tell their speed always share: all hosts of the
+ * region then weigh the same server against its speed.
  */
 #define SHARED_OBJECTIVE_MIN_MS 800
 
