listener: keep a small input buffer between requests

Cause: freeing the input after each read cost a call of the allocator for each request. Change: up to 4 KiB are kept; more is freed, as before. Ruled out: keeping all input, up to 64 KiB for each idle connection.

--- a/src/libbwproxy/listener.c
+++ b/src/libbwproxy/listener.c
@@ -23,6 +23,9 @@
 /** Limit of pipelined bytes buffered while a request is in progress. */
 #define PIPELINED_MAX_BYTES 65536
 
+/** Size of the input whose memory is kept between requests. */
+#define INPUT_KEPT_MAX_BYTES 4096
+
 /** Receive buffer of a socket that is not read from. */
 #define PAUSED_SOCKET_BYTES 65536
 
@@ -550,7 +553,8 @@
 		note_progress_(connection, used_bytes);
 	else if (connection->reader.message.head_complete)
 		connection->state_since = listener_run_time(listener);
-	if (!connection->in.size_bytes)
+	if (!connection->in.size_bytes &&
+	    connection->in.capacity_bytes > INPUT_KEPT_MAX_BYTES)
 		bw_buffer_finish(&connection->in);
 	listener_charge(connection);
 	if ((progress == BW_HTTP_INCOMPLETE || progress == BW_HTTP_COMPLETE) &&
