--- a/src/test_libbwcustomer/test_fair_share.c
+++ b/src/test_libbwcustomer/test_fair_share.c
@@ -2,7 +2,7 @@
  * Tests of the shares of customers. They guard against an order that differs
  * where no job has a customer, a customer that is charged for work that did not
  * run, work that is reported twice or never, news of other hosts that counts
- * for ever, and memory or time that grows with the number of customers.
+ * for ever, and memory that grows with the number of customers.
  */
 #include <setjmp.h>
 #include <stdarg.h>
