explain: lines after the end of a request do not hide its cause

Cause: run_gateway failed once (57 of 58, "the timeout is explained"): the last line with the request's id was taken for its end, and a line about its server, which is avoided when the attempt ends later, came after it. Change: the last line that tells an outcome counts; outcomes of requests beyond a quota or share, or without a customer, are explained. Measured: the new check fails before (58 of 59) and passes after (59 of 59). Ruled out: load alone; the order of the two lines decides.

--- a/src/boragewingctl/explain.c
+++ b/src/boragewingctl/explain.c
@@ -81,6 +81,20 @@
 	{ "rejected", "route_removed",
 	  "It has not run. A newer configuration without its route came into "
 	  "force while it waited;\nsee the routing_in_force lines." },
+	{ "rejected", "key_withdrawn",
+	  "It has not run. A newer configuration in which no customer has its "
+	  "key came into force while\nit waited; see the routing_in_force "
+	  "lines." },
+	{ "rejected", "customer_share",
+	  "It has not run. Its customer was beyond its share, and servers had "
+	  "no room left for it in\ntime; see share_level." },
+	{ "beyond_quota", NULL,
+	  "It has not run. It was beyond the quota of its customer; see the "
+	  "refused line." },
+	{ "unknown_key", NULL,
+	  "It has not run. No customer has its key in the configuration of "
+	  "its host; with status 503 the\nhost was not sure that this was the "
+	  "newest one." },
 	{ "rejected", "host_stopping",
 	  "It has not run. Its entry host was stopped, and the response was "
 	  "not expected before its end;\nsee the host's stopping line." },
@@ -323,20 +337,25 @@
 
 static void print_outcome_(const struct search *search)
 {
-	const struct outcome *outcome;
-	const json_t *last = NULL;
-	const char *cause;
+	const struct outcome *outcome = NULL;
+	const char *cause = "";
 	guint i;
 
 	for (i = 0; i < search->lines->len; i++) {
 		const struct line *line =
 			&g_array_index(search->lines, struct line, i);
+		const struct outcome *found;
 
-		if (is_request_line_(search, line->fields))
-			last = line->fields;
+		if (!is_request_line_(search, line->fields))
+			continue;
+		/* Lines about the server may follow the end of a request. */
+		found = find_outcome_(get_string_(line->fields, "event"),
+				      get_string_(line->fields, "cause"));
+		if (!found)
+			continue;
+		outcome = found;
+		cause = get_string_(line->fields, "cause");
 	}
-	cause = get_string_(last, "cause");
-	outcome = find_outcome_(get_string_(last, "event"), cause);
 	if (outcome)
 		printf("\ncause: %s, %s\n%s\n", outcome->event,
 		       *cause ? cause : "none", outcome->explanation);
--- a/test/gateway.sh
+++ b/test/gateway.sh
@@ -48,6 +48,11 @@
 sleep 0.5
 check "the lost answer is explained" explains unsafe-lost "failed, \(closed\|invalid\)"
 check "the timeout is explained" explains held "timeout, deadline"
+cat > "$work/late.log" <<'END'
+{"time":"2026-01-01T00:00:01.000Z","host":"h","module":"request","event":"timeout","request":"late","cause":"deadline","server":"i-one"}
+{"time":"2026-01-01T00:00:02.000Z","host":"h","module":"registry","event":"server_avoided","request":"late","server":"i-one"}
+END
+check "a later line about its server does not hide the end of a request" explains late "timeout, deadline"
 check "the rejection is explained" explains free-but-rejected "rejected, no_server"
 check "its timeline names the evacuation" grep -q evacuations_in_force <(explain free-but-rejected)
 for domain in a b; do
