dispatch: waiting jobs in a file of their own; one refusal without a body

Change: dispatch_queue.c; gate_entry_respond_refusal. No change of behaviour. Measured: test_dispatch*, test_fair*, test_limit, test_traffic and run_gateway_customers pass. Ruled out: splitting bw_dispatch_offer, which is the order of the decisions.

--- a/src/boragewingd/gateway/gate_customer.c
+++ b/src/boragewingd/gateway/gate_customer.c
@@ -3,15 +3,10 @@
 #include <string.h>
 
 #include "gate_entry_private.h"
+#include "gate_entry_respond.h"
 #include "gate_refusal.h"
 #include "platform.h"
 
-/**
- * Retry-After of a request whose key another host may know; about the interval
- * of statuses of the control hosts.
- */
-#define RETRY_AFTER_UNCONFIRMED_MS 500
-
 static bool needs_key_(const struct bw_routing *routing,
 		       const struct bw_route *route);
 static bool find_key_(const struct bw_http_message *message,
@@ -89,18 +84,11 @@
 	struct bw_confirmation confirmation =
 		gate_entry_confirm(entry, gate_node_now(entry->node));
 	uint16_t status_code = confirmation.confirmed ? 401 : 503;
-	struct bw_buffer fields;
 
-	bw_buffer_init(&fields);
-	if (status_code == 503)
-		bw_buffer_printf(&fields, "%s: %.3f\r\n",
-				 PLATFORM_FIELD_RETRY_AFTER,
-				 RETRY_AFTER_UNCONFIRMED_MS / 1000.0);
 	bw_metric_add(entry->unknown_keys[confirmation.confirmed], 1);
 	bw_metric_add(entry->outcomes[GATE_OUTCOME_UNKNOWN_KEY], 1);
 	log_unknown_(entry, message, status_code, &confirmation);
-	bw_connection_respond(connection, status_code, &fields, NULL, 0, false);
-	bw_buffer_finish(&fields);
+	gate_entry_respond_refusal(connection, status_code);
 }
 
 static bool needs_key_(const struct bw_routing *routing,
--- a/src/boragewingd/gateway/gate_entry_respond.c
+++ b/src/boragewingd/gateway/gate_entry_respond.c
@@ -4,8 +4,8 @@
 #include "platform.h"
 
 /**
- * Retry-After of a request without a route here that may have one elsewhere;
- * about the interval of statuses of the control hosts.
+ * Retry-After of a request whose route or key another host may know; about the
+ * interval of statuses of the control hosts.
  */
 #define RETRY_AFTER_UNCONFIRMED_MS 500
 
@@ -35,13 +35,9 @@
 	bw_buffer_finish(&body);
 }
 
-void gate_entry_respond_unrouted(struct gate_entry *entry,
-				 struct bw_server_connection *connection,
-				 const struct bw_http_message *message)
+void gate_entry_respond_refusal(struct bw_server_connection *connection,
+				uint16_t status_code)
 {
-	struct bw_confirmation confirmation =
-		gate_entry_confirm(entry, gate_node_now(entry->node));
-	uint16_t status_code = confirmation.confirmed ? 404 : 503;
 	struct bw_buffer fields;
 
 	bw_buffer_init(&fields);
@@ -49,10 +45,21 @@
 		bw_buffer_printf(&fields, "%s: %.3f\r\n",
 				 PLATFORM_FIELD_RETRY_AFTER,
 				 RETRY_AFTER_UNCONFIRMED_MS / 1000.0);
+	bw_connection_respond(connection, status_code, &fields, NULL, 0, false);
+	bw_buffer_finish(&fields);
+}
+
+void gate_entry_respond_unrouted(struct gate_entry *entry,
+				 struct bw_server_connection *connection,
+				 const struct bw_http_message *message)
+{
+	struct bw_confirmation confirmation =
+		gate_entry_confirm(entry, gate_node_now(entry->node));
+	uint16_t status_code = confirmation.confirmed ? 404 : 503;
+
 	if (entry->routing && !confirmation.confirmed)
 		bw_metric_add(entry->unconfirmed, 1);
 	bw_metric_add(entry->outcomes[GATE_OUTCOME_NO_ROUTE], 1);
 	gate_log_no_route(entry, message, status_code, &confirmation);
-	bw_connection_respond(connection, status_code, &fields, NULL, 0, false);
-	bw_buffer_finish(&fields);
+	gate_entry_respond_refusal(connection, status_code);
 }
--- a/src/boragewingd/gateway/gate_entry_respond.h
+++ b/src/boragewingd/gateway/gate_entry_respond.h
@@ -17,6 +17,14 @@
 			      uint16_t status_code, uint32_t retry_after_ms,
 			      const char *text);
 
+/**
+ * Responds to a request that has not run, without a body. A 503, which stands
+ * for a status code that another host with a newer configuration would not
+ * give, has a Retry-After.
+ */
+void gate_entry_respond_refusal(struct bw_server_connection *connection,
+				uint16_t status_code);
+
 /**
  * Responds to a request without a route. A 404 says for good that there is no
  * such route, so it is given only while most control hosts confirm the version
--- a/src/libbwsteer/include/private/dispatch.h
+++ b/src/libbwsteer/include/private/dispatch.h
@@ -267,4 +267,46 @@
 			    const struct bw_load_report *load,
 			    struct bw_time now);
 
+/** Adds a job to the queue of its service. */
+void dispatch_enqueue(struct bw_dispatch *dispatch, struct bw_job *job);
+
+/**
+ * Rejects a job that is not expected to run in time here. While this host
+ * stops, the client need not wait before it asks another one.
+ */
+void dispatch_reject_late(struct bw_dispatch *dispatch,
+			  const struct bw_job *job, double wait_ms,
+			  struct bw_time now, struct bw_rejection *rejection);
+
+/** Returns the least time that a job needs once a server runs it. */
+double dispatch_least_response_ms(const struct bw_dispatch *dispatch,
+				  const struct bw_job *job);
+
+/** Returns the expected wait of a job that is not queued. */
+double dispatch_job_wait_ms(const struct bw_job *job);
+
+/**
+ * Returns the number of jobs that wait for the same server and go before this
+ * one.
+ */
+uint32_t dispatch_count_ahead(const struct bw_job *job);
+
+/**
+ * Removes the next job of a service that can be placed or has to be rejected;
+ * see bw_dispatch_next. Jobs that can still meet their objective go first; late
+ * ones use the remaining slots.
+ */
+struct bw_job *dispatch_next_of_service(struct bw_dispatch *dispatch,
+					struct bw_dispatch_service *service,
+					struct bw_time now,
+					enum bw_verdict *verdict,
+					struct bw_rejection *rejection);
+
+/**
+ * Returns whether a job leaves the free slots to jobs of other hosts, whose
+ * customers are below their share.
+ */
+bool dispatch_gives_way(struct bw_dispatch *dispatch, const struct bw_job *job,
+			struct bw_time now);
+
 #endif
