--- a/src/libbwsteer/dispatch_place.c
+++ b/src/libbwsteer/dispatch_place.c
@@ -34,6 +34,9 @@
 #define EJECT_MS 500
 #define EJECT_MAX_MS 4000
 
+/** Resolution of the clock; a run that took less is not of unknown time. */
+#define CLOCK_STEP_MS 1.0
+
 /** Limits of the slowness of one server. */
 #define SLOWNESS_MIN 0.2
 #define SLOWNESS_MAX 20.0
@@ -638,6 +641,7 @@
 {
 	bool queued = load && load->waiting > 0;
 
+	elapsed_ms = MAX(elapsed_ms, CLOCK_STEP_MS);
 	if (service->service_time_ms <= 0.0)
 		service->service_time_ms = elapsed_ms;
 	else if (!queued)
--- a/src/test_libbwsteer/test_dispatch_adapt.c
+++ b/src/test_libbwsteer/test_dispatch_adapt.c
@@ -211,6 +211,53 @@
 	bw_dispatch_finish(&late);
 }
 
+/* Offers jobs in the first seconds. @return the number of rejected ones */
+static uint32_t offer_at_start_(struct bw_dispatch *dispatch,
+				struct bw_job *jobs, uint32_t count,
+				uint32_t *sent)
+{
+	uint32_t rejected = 0;
+	uint32_t i;
+
+	*sent = 0;
+	for (i = 0; i < count; i++) {
+		struct bw_rejection rejection;
+		char key[16];
+
+		snprintf(key, sizeof(key), "key-%u", i);
+		fixture_job(dispatch, &jobs[i], key, 1, 100);
+		switch (bw_dispatch_offer(dispatch, &jobs[i], fixture_time(100),
+					  &rejection)) {
+		case BW_VERDICT_SEND:
+			bw_dispatch_sent(dispatch, &jobs[i], fixture_time(100));
+			(*sent)++;
+			break;
+		case BW_VERDICT_WAIT:
+			break;
+		case BW_VERDICT_REJECT:
+			assert_int_equal(rejection.reason, BW_REJECT_OVERLOAD);
+			assert_true(rejection.retry_after_ms > 0);
+			rejected++;
+			break;
+		}
+	}
+	return rejected;
+}
+
+static void end_jobs_(struct bw_dispatch *dispatch, struct bw_job *jobs,
+		      uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (jobs[i].target)
+			bw_dispatch_ended(dispatch, &jobs[i], BW_JOB_CANCELLED,
+					  NULL, fixture_time(200));
+		bw_dispatch_remove(dispatch, &jobs[i]);
+	}
+	bw_dispatch_finish(dispatch);
+}
+
 /*
  * Guards against hosts that all send the requests of returning callers to
  * servers whose load they do not know, so that most reach their deadline there:
@@ -226,46 +273,48 @@
 	};
 	struct bw_dispatch dispatch;
 	struct bw_job jobs[OFFERS];
-	uint32_t sent = 0;
-	uint32_t rejected = 0;
-	uint32_t i;
+	uint32_t rejected;
+	uint32_t sent;
 
 	(void)state;
 	bw_dispatch_init(&dispatch, 1);
 	dispatch.domain_count = 1;
 	dispatch.host_count = HOSTS;
 	fixture_update(&dispatch, FIXTURE_SERVERS_MAX, SLOTS, NULL, 0);
-	for (i = 0; i < OFFERS; i++) {
-		struct bw_rejection rejection;
-		char key[16];
-
-		snprintf(key, sizeof(key), "key-%u", i);
-		fixture_job(&dispatch, &jobs[i], key, 1, 100);
-		switch (bw_dispatch_offer(&dispatch, &jobs[i],
-					  fixture_time(100), &rejection)) {
-		case BW_VERDICT_SEND:
-			bw_dispatch_sent(&dispatch, &jobs[i],
-					 fixture_time(100));
-			sent++;
-			break;
-		case BW_VERDICT_WAIT:
-			break;
-		case BW_VERDICT_REJECT:
-			assert_int_equal(rejection.reason, BW_REJECT_OVERLOAD);
-			assert_true(rejection.retry_after_ms > 0);
-			rejected++;
-			break;
-		}
-	}
+	rejected = offer_at_start_(&dispatch, jobs, OFFERS, &sent);
 	assert_int_equal(sent, SHARE);
 	assert_in_range(rejected, 1, OFFERS - 2 * SHARE);
-	for (i = 0; i < OFFERS; i++) {
-		if (jobs[i].target)
-			bw_dispatch_ended(&dispatch, &jobs[i], BW_JOB_CANCELLED,
-					  NULL, fixture_time(200));
-		bw_dispatch_remove(&dispatch, &jobs[i]);
-	}
-	bw_dispatch_finish(&dispatch);
+	end_jobs_(&dispatch, jobs, OFFERS);
+}
+
+/*
+ * Guards against short runs that count as unknown because the clock shows no
+ * time for them: the time that is assumed then is long, and jobs that could run
+ * were rejected.
+ */
+static void test_start_knows_short_runs(void **state)
+{
+	enum { OFFERS = 60 };
+	struct bw_dispatch dispatch;
+	struct bw_job jobs[OFFERS];
+	struct bw_rejection rejection;
+	struct bw_job first;
+	uint32_t sent;
+
+	(void)state;
+	bw_dispatch_init(&dispatch, 1);
+	dispatch.domain_count = 1;
+	dispatch.host_count = 4;
+	fixture_update(&dispatch, FIXTURE_SERVERS_MAX, SLOTS, NULL, 0);
+	fixture_job(&dispatch, &first, "first", 1, 50);
+	assert_int_equal(bw_dispatch_offer(&dispatch, &first, fixture_time(50),
+					   &rejection),
+			 BW_VERDICT_SEND);
+	bw_dispatch_sent(&dispatch, &first, fixture_time(50));
+	bw_dispatch_ended(&dispatch, &first, BW_JOB_ANSWERED, NULL,
+			  fixture_time(50));
+	assert_int_equal(offer_at_start_(&dispatch, jobs, OFFERS, &sent), 0);
+	end_jobs_(&dispatch, jobs, OFFERS);
 }
 
 /*
@@ -302,6 +351,7 @@
 		cmocka_unit_test(test_short_runs_stay_in_domain),
 		cmocka_unit_test(test_start_learns_servers),
 		cmocka_unit_test(test_start_sends_share),
+		cmocka_unit_test(test_start_knows_short_runs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
