--- a/review/rig-2/deployment.sh
+++ b/review/rig-2/deployment.sh
@@ -16,6 +16,7 @@
 zones=(brest-a vannes-a rennes-a)
 controls=("$net.11:$control_port" "$net.12:$control_port" "$net.13:$control_port")
 declare -A pids
+starts=0
 trap finish EXIT
 : > "$record"
 
@@ -70,9 +71,11 @@
 	pids[$1]=$!
 }
 
-start_target() { # NUMBER ZONE SERVICE SLOTS WORK_MS BODY_BYTES
-	"$bin/target" "$net.$((30 + $1)):$target_port" "i-$1" "$3" "$2" "$4" "$5" "$6" \
-		"${controls[@]}" >> "$record" 2>&1 &
+# A target that starts during traffic is cold, and has a new id.
+start_target() { # NUMBER ZONE SERVICE SLOTS WORK_MS BODY_BYTES [COLD_MS]
+	starts=$((starts + 1))
+	"$bin/target" "$net.$((30 + $1)):$target_port" "i-$1-$starts" "$3" "$2" "$4" "$5" "$6" \
+		"${7:-0}" "${controls[@]}" >> "$record" 2>&1 &
 	pids[target-$1]=$!
 }
 
--- a/review/rig-2/target.c
+++ b/review/rig-2/target.c
@@ -3,7 +3,10 @@
  * hosts. Each request takes WORK_MS; its answer has BODY_BYTES and is signed.
  * Writes a line to standard output when it begins to run a request.
  *
- * use: target ADDRESS ID SERVICE ZONE SLOTS WORK_MS BODY_BYTES CONTROL...
+ * use: target ADDRESS ID SERVICE ZONE SLOTS WORK_MS BODY_BYTES COLD_MS
+ * CONTROL...
+ *
+ * COLD_MS: time for which it is cold after its start
  */
 #include <pthread.h>
 #include <signal.h>
@@ -25,6 +28,7 @@
 static int slots;
 static int64_t work_ms;
 static uint64_t body_bytes;
+static int64_t cold_ms;
 static char **controls;
 static int control_count;
 
@@ -34,6 +38,7 @@
 static void *announce(void *context)
 {
 	int64_t born_ms = (int64_t)time(NULL) * 1000;
+	int64_t warm_at_ms = net_now_ms() + cold_ms;
 	int next = 0;
 	int sequence = 0;
 	char path[256];
@@ -48,9 +53,12 @@
 			 "{\"address\":\"%s\",\"born\":%lld,\"info\":"
 			 "{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
 			 "\"%s\",\"slots\":%d},\"status\":{\"state\":\"ready\","
-			 "\"seq\":%d,\"coldLeftS\":0}}",
+			 "\"seq\":%d,\"coldLeftS\":%.3f}}",
 			 address, (long long)born_ms, service, zone, slots,
-			 ++sequence);
+			 ++sequence,
+			 net_now_ms() < warm_at_ms
+				 ? (double)(warm_at_ms - net_now_ms()) / 1000.0
+				 : 0.0);
 		while (net_call(controls[next], "POST", path, body) / 100 !=
 			       2 &&
 		       ++tries < control_count)
@@ -149,7 +157,7 @@
 	pthread_t thread;
 	int listener;
 
-	if (argc < 9)
+	if (argc < 10)
 		return 2;
 	address = argv[1];
 	id = argv[2];
@@ -158,8 +166,9 @@
 	slots = atoi(argv[5]);
 	work_ms = atoi(argv[6]);
 	body_bytes = strtoull(argv[7], NULL, 10);
-	controls = argv + 8;
-	control_count = argc - 8;
+	cold_ms = atoi(argv[8]);
+	controls = argv + 9;
+	control_count = argc - 9;
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	signal(SIGPIPE, SIG_IGN);
 	listener = net_listen(address);
