--- a/review/rig-2/deployment.sh
+++ b/review/rig-2/deployment.sh
@@ -15,6 +15,7 @@
 target_port=18364
 zones=(brest-a vannes-a rennes-a)
 controls=("$net.11:$control_port" "$net.12:$control_port" "$net.13:$control_port")
+beat_at=("${controls[@]}")
 declare -A pids
 starts=0
 trap finish EXIT
@@ -71,11 +72,12 @@
 	pids[$1]=$!
 }
 
-# A target that starts during traffic is cold, and has a new id.
+# A target that starts during traffic is cold, and has a new id unless $id names
+# one. It calls the control hosts of $beat_at.
 start_target() { # NUMBER ZONE SERVICE SLOTS WORK_MS BODY_BYTES [COLD_MS]
 	starts=$((starts + 1))
-	"$bin/target" "$net.$((30 + $1)):$target_port" "i-$1-$starts" "$3" "$2" "$4" "$5" "$6" \
-		"${7:-0}" "${controls[@]}" >> "$record" 2>&1 &
+	"$bin/target" "$net.$((30 + $1)):$target_port" "${id:-i-$1-$starts}" "$3" "$2" "$4" "$5" "$6" \
+		"${7:-0}" "${beat_at[@]}" >> "$record" 2>&1 &
 	pids[target-$1]=$!
 }
 
--- a/review/rig-2/net.c
+++ b/review/rig-2/net.c
@@ -221,29 +221,38 @@
 	net->fd = -1;
 }
 
-/* @return the status code; location receives the address of a redirect */
-static int call_once(const char *address, const char *method, const char *path,
-		     const char *body, char *location, size_t location_bytes)
+int net_call_on(struct net *net, const char *method, const char *path,
+		const char *body, char *location, size_t location_bytes)
 {
-	static __thread struct net net;
 	static __thread struct net_head head;
 	char text[1024];
 	size_t body_bytes = body ? strlen(body) : 0;
-	int code = 0;
+
+	location[0] = '\0';
+	net_set_timeout(net, CALL_TIMEOUT_MS);
+	snprintf(text, sizeof(text),
+		 "%s %s HTTP/1.1\r\nHost: control\r\nContent-Type: "
+		 "application/json\r\nContent-Length: %zu\r\n\r\n",
+		 method, path, body_bytes);
+	if (!net_write(net, text, strlen(text)) ||
+	    !net_write(net, body, body_bytes) || !net_read_head(net, &head))
+		return 0;
+	net_field(&head, "Location", location, location_bytes);
+	if (net_read_body(net, head.body_bytes, NULL, 0) < head.body_bytes)
+		return 0;
+	return atoi(head.first[1]);
+}
+
+static int call_once(const char *address, const char *method, const char *path,
+		     const char *body, char *location, size_t location_bytes)
+{
+	static __thread struct net net;
+	int code;
 
 	location[0] = '\0';
 	if (!net_connect(&net, address, 0))
 		return 0;
-	net_set_timeout(&net, CALL_TIMEOUT_MS);
-	snprintf(text, sizeof(text),
-		 "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json"
-		 "\r\nContent-Length: %zu\r\n\r\n",
-		 method, path, address, body_bytes);
-	if (net_write(&net, text, strlen(text)) &&
-	    net_write(&net, body, body_bytes) && net_read_head(&net, &head)) {
-		code = atoi(head.first[1]);
-		net_field(&head, "Location", location, location_bytes);
-	}
+	code = net_call_on(&net, method, path, body, location, location_bytes);
 	net_close(&net);
 	return code;
 }
--- a/review/rig-2/net.h
+++ b/review/rig-2/net.h
@@ -66,6 +66,13 @@
 /** Closes the connection. */
 void net_close(struct net *net);
 
+/**
+ * Makes one call on an open connection, which stays open.
+ * @return the status code, 0 without an answer
+ */
+int net_call_on(struct net *net, const char *method, const char *path,
+		const char *body, char *location, size_t location_bytes);
+
 /**
  * Makes one call with a body (may be NULL), follows two redirects, and waits a
  * second for the answer. @return the status code, 0 without an answer
--- a/review/rig-2/target.c
+++ b/review/rig-2/target.c
@@ -7,6 +7,10 @@
  * CONTROL...
  *
  * COLD_MS: time for which it is cold after its start
+ *
+ * It keeps one connection for its heartbeats. On SIGTERM it sends a leave
+ * there, then to the other control hosts, and ends DRAIN_MS after the
+ * acknowledgement, or UNACKNOWLEDGED_MS after the first try.
  */
 #include <pthread.h>
 #include <signal.h>
@@ -18,7 +22,9 @@
 
 #include "net.h"
 
-#define BEAT_INTERVAL_MS 500
+#define BEAT_INTERVAL_MS 1500
+#define DRAIN_MS 2500
+#define UNACKNOWLEDGED_MS 3500
 #define BLOCK_BYTES 16384
 
 static const char *address;
@@ -31,16 +37,57 @@
 static int64_t cold_ms;
 static char **controls;
 static int control_count;
+static int next; /* control host for the next call */
+static volatile sig_atomic_t leaves;
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static int running;
 
+/* @return whether the call was acknowledged; the connection is kept if so */
+static bool call_control(struct net *net, const char *path, const char *body)
+{
+	char location[512];
+
+	if (net->fd < 0 && !net_connect(net, controls[next], 0))
+		return false;
+	if (net_call_on(net, "POST", path, body, location, sizeof(location)) /
+		    100 ==
+	    2)
+		return true;
+	net_close(net);
+	return false;
+}
+
+static void leave(struct net *net)
+{
+	int64_t began_ms = net_now_ms();
+	char path[256];
+	int tries = 0;
+
+	snprintf(path, sizeof(path), "/-/instances/%s/leave", id);
+	printf("%lld target %s sends its leave\n", (long long)began_ms, id);
+	while (tries++ < control_count) {
+		if (call_control(net, path, NULL)) {
+			printf("%lld target %s: the leave is acknowledged\n",
+			       (long long)net_now_ms(), id);
+			net_sleep_ms(DRAIN_MS);
+			break;
+		}
+		next = (next + 1) % control_count;
+	}
+	if (tries > control_count)
+		net_sleep_ms(began_ms + UNACKNOWLEDGED_MS - net_now_ms());
+	printf("%lld target %s ends\n", (long long)net_now_ms(), id);
+	exit(0);
+}
+
 static void *announce(void *context)
 {
 	int64_t born_ms = (int64_t)time(NULL) * 1000;
 	int64_t warm_at_ms = net_now_ms() + cold_ms;
-	int next = 0;
+	static struct net net = { .fd = -1 };
 	int sequence = 0;
+	int wait_ms;
 	char path[256];
 	char body[1024];
 
@@ -59,15 +106,27 @@
 			 net_now_ms() < warm_at_ms
 				 ? (double)(warm_at_ms - net_now_ms()) / 1000.0
 				 : 0.0);
-		while (net_call(controls[next], "POST", path, body) / 100 !=
-			       2 &&
+		while (!leaves && !call_control(&net, path, body) &&
 		       ++tries < control_count)
 			next = (next + 1) % control_count;
-		net_sleep_ms(BEAT_INTERVAL_MS);
+		if (sequence == 1)
+			printf("%lld target %s has announced itself\n",
+			       (long long)net_now_ms(), id);
+		for (wait_ms = 0; !leaves && wait_ms < BEAT_INTERVAL_MS;
+		     wait_ms += 50)
+			net_sleep_ms(50);
+		if (leaves)
+			leave(&net);
 	}
 	return NULL;
 }
 
+static void on_terminate(int number)
+{
+	(void)number;
+	leaves = 1;
+}
+
 /* @return whether a slot was free */
 static bool take_slot(void)
 {
@@ -171,6 +230,7 @@
 	control_count = argc - 9;
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGTERM, on_terminate);
 	listener = net_listen(address);
 	if (listener < 0)
 		return 2;
